Lay out the workspace, the design and the shared types

Cause: the project starts empty; the packages need common types and messages before they can be written side by side.

Conclusion: the interfaces are fixed far enough to build the parts separately.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirepost` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leader election and log replication.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirepost-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirepost-entry` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/leader/src/lib.rs
@@ -0,0 +1,1 @@
+//! Volatile decisions of the leader over the replicated state.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirepost-load` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement decisions.
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,1 @@
+//! What all programs share: settings, logs, metrics, listeners.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing of callers' requests to upstreams.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirepost-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state machine.
--- /dev/null
+++ b/crates/types/src/request.rs
@@ -0,0 +1,81 @@
+//! Classes and endings of callers' requests.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The class of a request; each has a limit and a default deadline of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestClass {
+    /// Answered in milliseconds; some slots of each runner are kept for it.
+    Lookup,
+    /// The default.
+    Standard,
+    /// May take minutes.
+    Recalculation,
+}
+
+impl RequestClass {
+    /// All classes, the most urgent first.
+    pub const ALL: [RequestClass; 3] = [
+        RequestClass::Lookup,
+        RequestClass::Standard,
+        RequestClass::Recalculation,
+    ];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            RequestClass::Lookup => "lookup",
+            RequestClass::Standard => "standard",
+            RequestClass::Recalculation => "recalculation",
+        }
+    }
+}
+
+/// A text that names no request class.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("expected `lookup`, `standard` or `recalculation`, got `{0}`")]
+pub struct ParseClassError(pub String);
+
+impl fmt::Display for RequestClass {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for RequestClass {
+    type Err = ParseClassError;
+
+    fn from_str(text: &str) -> Result<RequestClass, ParseClassError> {
+        RequestClass::ALL
+            .into_iter()
+            .find(|class| class.as_str() == text)
+            .ok_or_else(|| ParseClassError(text.to_owned()))
+    }
+}
+
+/// How a request ended, as its caller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// An upstream answered in full.
+    Done,
+    /// The request was not run; the answer says when to come back.
+    Refused,
+    /// The request may have run.
+    Unknown,
+}
+
+impl fmt::Display for Ending {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ending::Done => "done",
+            Ending::Refused => "refused",
+            Ending::Unknown => "unknown",
+        })
+    }
+}
--- /dev/null
+++ b/crates/types/src/timed_id.rs
@@ -0,0 +1,113 @@
+//! Ids that callers and operators choose and that carry the time of their first use.
+//!
+//! The form is `<unix_ms>-<text>`. The time lets a receiver refuse an id that is older than the
+//! window of its record instead of running the work again.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The greatest length of the text part in bytes.
+pub const TIMED_ID_TEXT_MAX_BYTES: usize = 64;
+
+/// Why a text is no timed id.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum TimedIdError {
+    /// There is no `-` after the time.
+    #[error("expected `<unix_ms>-<text>`, got `{0}`")]
+    NoSeparator(String),
+    /// The part before the first `-` is no number of milliseconds.
+    #[error("`{0}` is not a time in milliseconds since the Unix epoch")]
+    BadTime(String),
+    /// The text part is empty or too long.
+    #[error("the text of an id has 1 to {TIMED_ID_TEXT_MAX_BYTES} bytes, got {0}")]
+    BadLength(usize),
+    /// The text part has a character outside of letters, digits, `-`, `_` and `.`.
+    #[error("`{0}` is not allowed in an id; use letters, digits, `-`, `_` and `.`")]
+    BadCharacter(char),
+}
+
+fn parse(text: &str) -> Result<(u64, Arc<str>), TimedIdError> {
+    let Some((time, rest)) = text.split_once('-') else {
+        return Err(TimedIdError::NoSeparator(text.to_owned()));
+    };
+    let unix_ms = time
+        .parse()
+        .map_err(|_| TimedIdError::BadTime(time.to_owned()))?;
+    if rest.is_empty() || rest.len() > TIMED_ID_TEXT_MAX_BYTES {
+        return Err(TimedIdError::BadLength(rest.len()));
+    }
+    if let Some(bad) = rest.chars().find(|&c| !is_allowed(c)) {
+        return Err(TimedIdError::BadCharacter(bad));
+    }
+    Ok((unix_ms, Arc::from(rest)))
+}
+
+fn is_allowed(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
+}
+
+macro_rules! timed_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name {
+            unix_ms: u64,
+            text: Arc<str>,
+        }
+
+        impl $name {
+            /// Makes an id of its parts.
+            pub fn new(unix_ms: u64, text: &str) -> Result<$name, TimedIdError> {
+                format!("{unix_ms}-{text}").parse()
+            }
+
+            /// When the id was first used, in milliseconds since the Unix epoch, by its issuer.
+            pub fn unix_ms(&self) -> u64 {
+                self.unix_ms
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}-{}", self.unix_ms, self.text)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = TimedIdError;
+
+            fn from_str(text: &str) -> Result<$name, TimedIdError> {
+                parse(text).map(|(unix_ms, text)| $name { unix_ms, text })
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = TimedIdError;
+
+            fn try_from(text: String) -> Result<$name, TimedIdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+    };
+}
+
+timed_id!(
+    /// Names one change by an operator; a resend carries the same id.
+    OperationId
+);
+timed_id!(
+    /// Names one request of a caller; a resend carries the same id.
+    RequestId
+);
--- /dev/null
+++ b/crates/verifier/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checks of the invariants over recorded histories.
