Fence claim outcomes by a token

Ruled out: refusing a second claim of the same entry run after NotRun; the caller would be told "may have run" for a request that never ran.

Change: Claim and ClaimDone carry a token that rises with each claim; ClaimVerdict::Full answers when the bounded record is full. The worker protocol states when a Start is void and what a Stop of an unknown attempt does.

--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -23,6 +23,9 @@
     pub request: RequestId,
     /// A digest of method, path and body, so that another request under the same id is noticed.
     pub digest: u64,
+    /// Raised with each claim of an entry run. An outcome counts only for the claim of the same
+    /// token, so that a late `NotRun` of an earlier claim cannot free a later one.
+    pub token: u64,
 }
 
 /// How a claimed request ended.
@@ -52,6 +55,8 @@
     pub service: Name,
     /// The request.
     pub request: RequestId,
+    /// The token of the claim that was granted.
+    pub token: u64,
     /// How it ended.
     pub outcome: ClaimOutcome,
 }
@@ -86,6 +91,8 @@
     TooNew,
     /// The same id was used for another request.
     Mismatch,
+    /// The record holds as many claims as it may; the request was not run.
+    Full,
 }
 
 /// Result of [`method::CLAIM`](crate::method::CLAIM).
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -99,6 +99,9 @@
 }
 
 /// A command to a worker. Each is repeated until a report shows that it was carried out.
+///
+/// A worker carries out the commands of a reply only while the lease that the reply grants, counted
+/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum WorkerCommand {
@@ -120,6 +123,9 @@
         run_time_ms: Option<u64>,
     },
     /// Stop an attempt; the report of its end confirms it.
+    ///
+    /// A worker that does not know the attempt reports it as stopped and ignores a later `Start`
+    /// of this or a lower attempt, because the two commands may arrive in either order.
     Stop {
         /// The task.
         task: TaskId,
