Add the replicated state machine

Cause: the control process needs one deterministic state for configuration, plans, jobs, tasks, workers, quotas, claims and operations.

Ruled out: dense vectors for tasks and jobs (ids are never reused, so empty slots would grow without bound); bumping an object's version with each task movement (every plan would be stale); a job-name version that ends with its job (a plan older than the job could be confirmed after the job ended).

Change: crates/state with one module per kind of data and one per pass. Tasks of a cancelled job are not touched one by one: whether a task is wanted follows from the phase of its job. Room is released by a confirmed end, an absence from a full report, or an expiry of a task that moves.

--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -101,7 +101,9 @@
 /// A command to a worker. Each is repeated until a report shows that it was carried out.
 ///
 /// A worker carries out the commands of a reply only while the lease that the reply grants, counted
-/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere.
+/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere. It drops
+/// a reply to any sync but its newest, so that a late `Start` cannot repeat an attempt that has
+/// ended and been acknowledged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum WorkerCommand {
--- /dev/null
+++ b/crates/state/src/claims.rs
@@ -0,0 +1,213 @@
+//! Claims on request ids.
+//!
+//! Of all runs of all entries one holds the claim on a request. An outcome counts only from that
+//! run and for the token of that claim. A claim is dropped exactly when its id is refused as too
+//! old, so a second run can always be ruled out.
+
+use std::collections::BTreeMap;
+
+use sapphirepost_protocol::claim::Claim;
+use sapphirepost_protocol::claim::ClaimBatch;
+use sapphirepost_protocol::claim::ClaimDone;
+use sapphirepost_protocol::claim::ClaimOutcome;
+use sapphirepost_protocol::claim::ClaimVerdict;
+use sapphirepost_protocol::claim::KEPT_BODY_MAX_BYTES;
+use sapphirepost_types::EntryId;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::Name;
+use sapphirepost_types::RequestId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How long a claim is remembered.
+pub const CLAIM_WINDOW_MS: u64 = 10 * 60 * 1_000;
+/// How far the clocks of callers and control processes may differ.
+pub const CLAIM_ALLOWANCE_MS: u64 = 60_000;
+/// The most claims that are remembered: 600 a second over the window and the allowance.
+pub const CLAIMS_MAX: usize = 400_000;
+
+/// The entry run that claimed a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holder {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The token of the claim.
+    pub token: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Progress {
+    Held,
+    /// Nothing ran. The holder is kept, so that its claim is not granted again when it arrives
+    /// twice.
+    Free,
+    Ended(ClaimOutcome),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Record {
+    digest: u64,
+    holder: Holder,
+    progress: Progress,
+}
+
+/// The claims of the last ten minutes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claims {
+    services: BTreeMap<Name, BTreeMap<RequestId, Record>>,
+    count: usize,
+}
+
+impl Claims {
+    /// How many claims are remembered.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether no claim is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Outcomes first, so that a request freed in this batch can be claimed in it.
+    pub(crate) fn apply(
+        &mut self,
+        batch: &ClaimBatch,
+        now_unix_ms: u64,
+        check_window: bool,
+    ) -> Vec<ClaimVerdict> {
+        for done in &batch.outcomes {
+            self.end(batch, done);
+        }
+        batch
+            .claims
+            .iter()
+            .map(|claim| self.claim(batch, claim, now_unix_ms, check_window))
+            .collect()
+    }
+
+    fn claim(
+        &mut self,
+        batch: &ClaimBatch,
+        claim: &Claim,
+        now_unix_ms: u64,
+        check_window: bool,
+    ) -> ClaimVerdict {
+        if check_window && is_too_old(&claim.request, now_unix_ms) {
+            return ClaimVerdict::TooOld;
+        }
+        if claim.request.unix_ms() > now_unix_ms.saturating_add(CLAIM_ALLOWANCE_MS) {
+            return ClaimVerdict::TooNew;
+        }
+        let holder = Holder {
+            entry: batch.entry,
+            incarnation: batch.incarnation,
+            token: claim.token,
+        };
+        let requests = self.services.entry(claim.service.clone()).or_default();
+        if let Some(record) = requests.get_mut(&claim.request) {
+            return record.claim_again(claim.digest, holder);
+        }
+        if self.count >= CLAIMS_MAX {
+            return ClaimVerdict::Full;
+        }
+        let record = Record {
+            digest: claim.digest,
+            holder,
+            progress: Progress::Held,
+        };
+        requests.insert(claim.request.clone(), record);
+        self.count += 1;
+        ClaimVerdict::Granted
+    }
+
+    fn end(&mut self, batch: &ClaimBatch, done: &ClaimDone) {
+        let record = self
+            .services
+            .get_mut(&done.service)
+            .and_then(|requests| requests.get_mut(&done.request));
+        let Some(record) = record else {
+            return;
+        };
+        let holder = Holder {
+            entry: batch.entry,
+            incarnation: batch.incarnation,
+            token: done.token,
+        };
+        if record.holder != holder || record.progress != Progress::Held {
+            return;
+        }
+        record.progress = match &done.outcome {
+            ClaimOutcome::NotRun => Progress::Free,
+            outcome => Progress::Ended(bounded(outcome)),
+        };
+    }
+
+    pub(crate) fn prune(&mut self, now_unix_ms: u64) {
+        for requests in self.services.values_mut() {
+            while let Some(oldest) = requests.first_entry() {
+                if !is_too_old(oldest.key(), now_unix_ms) {
+                    break;
+                }
+                oldest.remove();
+                self.count -= 1;
+            }
+        }
+        self.services.retain(|_, requests| !requests.is_empty());
+    }
+}
+
+impl Record {
+    fn claim_again(&mut self, digest: u64, holder: Holder) -> ClaimVerdict {
+        if self.digest != digest {
+            return ClaimVerdict::Mismatch;
+        }
+        match &self.progress {
+            Progress::Held if self.holder == holder => ClaimVerdict::Granted,
+            Progress::Held => ClaimVerdict::InProgress,
+            Progress::Ended(outcome) => ClaimVerdict::Ended(outcome.clone()),
+            Progress::Free if self.is_repeat(&holder) => ClaimVerdict::InProgress,
+            Progress::Free => {
+                self.holder = holder;
+                self.progress = Progress::Held;
+                ClaimVerdict::Granted
+            }
+        }
+    }
+
+    /// A claim that its entry run has given up already, delivered again.
+    fn is_repeat(&self, holder: &Holder) -> bool {
+        self.holder.entry == holder.entry
+            && self.holder.incarnation == holder.incarnation
+            && holder.token <= self.holder.token
+    }
+}
+
+fn bounded(outcome: &ClaimOutcome) -> ClaimOutcome {
+    match outcome {
+        ClaimOutcome::Done {
+            status,
+            content_type,
+            body,
+        } => ClaimOutcome::Done {
+            status: *status,
+            content_type: content_type.clone().filter(|text| is_small(text)),
+            body: body.clone().filter(|text| is_small(text)),
+        },
+        other => other.clone(),
+    }
+}
+
+fn is_small(text: &str) -> bool {
+    text.len() <= KEPT_BODY_MAX_BYTES
+}
+
+fn is_too_old(id: &RequestId, now_unix_ms: u64) -> bool {
+    id.unix_ms().saturating_add(CLAIM_WINDOW_MS) < now_unix_ms
+}
--- /dev/null
+++ b/crates/state/src/confirm.rs
@@ -0,0 +1,332 @@
+//! The pass that records plans and puts them into effect.
+
+use std::hash::Hasher;
+
+use sapphirepost_protocol::operator::Confirmed;
+use sapphirepost_protocol::operator::Refusal;
+use sapphirepost_types::Intent;
+use sapphirepost_types::JobId;
+use sapphirepost_types::JobSpec;
+use sapphirepost_types::Name;
+use sapphirepost_types::OperationId;
+use sapphirepost_types::Plan;
+use sapphirepost_types::PlanId;
+use sapphirepost_types::Resources;
+use sapphirepost_types::RestsOn;
+use serde::Serialize;
+use siphasher::sip::SipHasher13;
+
+use crate::command::PlanDraft;
+use crate::jobs::Job;
+use crate::jobs::JobName;
+use crate::jobs::JobPhase;
+use crate::operations::Answer;
+use crate::operations::Lookup;
+use crate::outcome::Change;
+use crate::outcome::Verdict;
+use crate::quotas::TEAMS_MAX;
+use crate::state::State;
+use crate::tasks::Task;
+use crate::workers::Contact;
+
+type Detail = Result<String, Refusal>;
+
+impl State {
+    /// What the record says about a request for a plan.
+    pub fn lookup_propose(&self, operation: &OperationId, intent: &Intent) -> Lookup {
+        let content = content_digest("propose", intent);
+        self.operations
+            .lookup(operation, content, self.clock_unix_ms)
+    }
+
+    /// What the record says about a confirmation.
+    pub fn lookup_confirm(&self, operation: &OperationId, plan: PlanId) -> Lookup {
+        let content = content_digest("confirm", &plan);
+        self.operations
+            .lookup(operation, content, self.clock_unix_ms)
+    }
+
+    pub(crate) fn record_plan(
+        &mut self,
+        operation: Option<&OperationId>,
+        draft: &PlanDraft,
+    ) -> Verdict {
+        let Some(operation) = operation else {
+            return Verdict::Planned(self.plans.add(draft.clone(), self.clock_unix_ms));
+        };
+        match self.lookup_propose(operation, &draft.intent) {
+            Lookup::Answered(answer) => verdict(answer),
+            Lookup::Refused(refusal) => Verdict::Refused(refusal),
+            Lookup::New => {
+                let id = self.plans.add(draft.clone(), self.clock_unix_ms);
+                let content = content_digest("propose", &draft.intent);
+                self.operations
+                    .record(operation.clone(), content, Answer::Planned(id));
+                Verdict::Planned(id)
+            }
+        }
+    }
+
+    pub(crate) fn confirm_plan(&mut self, operation: &OperationId, plan: PlanId) -> Verdict {
+        match self.lookup_confirm(operation, plan) {
+            Lookup::Answered(answer) => verdict(answer),
+            Lookup::Refused(refusal) => Verdict::Refused(refusal),
+            Lookup::New => {
+                let answer = match self.try_confirm(operation, plan) {
+                    Ok(confirmed) => Answer::Confirmed(confirmed),
+                    Err(refusal) => Answer::Refused(refusal),
+                };
+                let content = content_digest("confirm", &plan);
+                self.operations
+                    .record(operation.clone(), content, answer.clone());
+                verdict(answer)
+            }
+        }
+    }
+
+    fn try_confirm(
+        &mut self,
+        operation: &OperationId,
+        plan_id: PlanId,
+    ) -> Result<Confirmed, Refusal> {
+        let Some(record) = self.plans.get(plan_id) else {
+            return Err(Refusal::NotFound {
+                what: plan_id.to_string(),
+            });
+        };
+        if let Some(by) = &record.confirmed_by {
+            return Err(Refusal::AlreadyConfirmed { by: by.clone() });
+        }
+        self.check_current(&record.plan)?;
+        let intent = record.plan.intent.clone();
+        let detail = self.put_into_effect(operation, plan_id, &intent)?;
+        self.plans.confirm(plan_id, operation);
+        let changes_config = matches!(intent, Intent::SetConfig { .. });
+        Ok(Confirmed {
+            plan: plan_id,
+            operation: operation.clone(),
+            config_version: changes_config.then(|| self.config.version()),
+            detail,
+        })
+    }
+
+    fn check_current(&self, plan: &Plan) -> Result<(), Refusal> {
+        if self.disabled.stale_check {
+            return Ok(());
+        }
+        let mut changed = Vec::new();
+        let mut won = None;
+        for rests_on in &plan.rests_on {
+            let (version, by) = self.version_of(&rests_on.object);
+            if version == rests_on.version {
+                continue;
+            }
+            won = won.or(by);
+            changed.push(RestsOn {
+                object: rests_on.object.clone(),
+                version,
+            });
+        }
+        if changed.is_empty() {
+            return Ok(());
+        }
+        Err(Refusal::Stale {
+            changed,
+            won,
+            fresh: None,
+        })
+    }
+
+    fn put_into_effect(
+        &mut self,
+        operation: &OperationId,
+        plan: PlanId,
+        intent: &Intent,
+    ) -> Detail {
+        match intent {
+            Intent::Run(spec) => self.run(plan, spec),
+            Intent::Resize { job, tasks } => self.resize(plan, job, *tasks),
+            Intent::Cancel { job } => self.cancel(plan, job),
+            Intent::Drain {
+                worker,
+                allow_interruption,
+            } => self.drain(plan, worker, true, *allow_interruption),
+            Intent::Undrain { worker } => self.drain(plan, worker, false, false),
+            Intent::DeclareLost { worker } => self.declare_lost(plan, worker),
+            Intent::SetQuota { team, limit } => self.set_quota(plan, team, *limit),
+            Intent::SetConfig { key, value, .. } => self.set_config(operation, plan, key, value),
+        }
+    }
+
+    fn run(&mut self, plan: PlanId, spec: &JobSpec) -> Detail {
+        if self.jobs.active(&spec.name).is_some() {
+            return Err(invalid(format!("a job named {} runs already", spec.name)));
+        }
+        let job = self.jobs.add(Job {
+            spec: spec.clone(),
+            phase: JobPhase::Active,
+            tasks: Default::default(),
+            placed: 0,
+            finished: 0,
+            failed: 0,
+            created_unix_ms: self.clock_unix_ms,
+            ended_unix_ms: None,
+        });
+        for _ in 0..spec.tasks {
+            self.add_task(job, Task::new(job, false));
+        }
+        self.touch_name(&spec.name, job, plan);
+        Ok(format!("{job}: {} tasks wait for room", spec.tasks))
+    }
+
+    fn resize(&mut self, plan: PlanId, name: &Name, tasks: u32) -> Detail {
+        let Some((id, job)) = self.jobs.active(name) else {
+            return Err(not_found("job", name));
+        };
+        if !job.is_service() {
+            return Err(invalid(format!("{name} is no service")));
+        }
+        let before = job.spec.tasks;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.spec.tasks = tasks;
+        }
+        self.touch_name(name, id, plan);
+        self.fit_service(id);
+        Ok(format!("{id}: from {before} to {tasks} tasks"))
+    }
+
+    /// Costs the same for every size of the job: the tasks are not touched.
+    fn cancel(&mut self, plan: PlanId, name: &Name) -> Detail {
+        let Some((id, job)) = self.jobs.by_name(name) else {
+            return Err(not_found("job", name));
+        };
+        if !job.is_active() {
+            return Ok(format!("{id} had ended before; nothing was cancelled"));
+        }
+        let placed = job.placed;
+        let never_started = (job.tasks.len() as u32)
+            .saturating_sub(placed)
+            .saturating_sub(job.finished)
+            .saturating_sub(job.failed);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.phase = JobPhase::Cancelled;
+        }
+        self.touch_name(name, id, plan);
+        self.end_job_if_empty(id);
+        Ok(format!(
+            "{id}: {placed} placed tasks are stopped, {never_started} waiting tasks will not start"
+        ))
+    }
+
+    fn drain(
+        &mut self,
+        plan: PlanId,
+        name: &Name,
+        draining: bool,
+        allow_interruption: bool,
+    ) -> Detail {
+        let version = self.next_version();
+        let Some(id) = self.workers.id(name) else {
+            return Err(not_found("worker", name));
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Err(not_found("worker", name));
+        };
+        worker.draining = draining;
+        worker.allow_interruption = allow_interruption;
+        worker.version = version;
+        worker.changed_by = Some(plan);
+        let held = worker.held.len();
+        self.changed(Change::Worker(id));
+        match draining {
+            true => Ok(format!("{name} takes no more tasks; {held} are there now")),
+            false => Ok(format!("{name} takes tasks again")),
+        }
+    }
+
+    fn declare_lost(&mut self, plan: PlanId, name: &Name) -> Detail {
+        let version = self.next_version();
+        let Some(id) = self.workers.id(name) else {
+            return Err(not_found("worker", name));
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Err(not_found("worker", name));
+        };
+        let Contact::Expired { since_unix_ms, .. } = worker.contact else {
+            return Err(invalid(format!("{name} is in contact")));
+        };
+        worker.contact = Contact::Expired {
+            since_unix_ms,
+            lost: true,
+        };
+        worker.version = version;
+        worker.changed_by = Some(plan);
+        let count = self.lose_all(id);
+        Ok(format!("{name} is lost; {count} attempts were given up"))
+    }
+
+    fn set_quota(&mut self, plan: PlanId, team: &Name, limit: Option<Resources>) -> Detail {
+        if self.quotas.get(team).is_none() && self.quotas.len() >= TEAMS_MAX {
+            return Err(invalid(format!("{TEAMS_MAX} teams are the limit")));
+        }
+        let version = self.next_version();
+        self.quotas.set(team, limit, version, plan);
+        self.quota_changed(team);
+        Ok(match limit {
+            Some(limit) => format!("the quota of {team} is {limit}"),
+            None => format!("{team} has no quota"),
+        })
+    }
+
+    fn set_config(
+        &mut self,
+        operation: &OperationId,
+        plan: PlanId,
+        key: &Name,
+        value: &Option<String>,
+    ) -> Detail {
+        let now_unix_ms = self.clock_unix_ms;
+        let version = self.config.set(key, value, operation, plan, now_unix_ms);
+        self.changed(Change::Config);
+        Ok(format!("{key} is changed in {version}"))
+    }
+
+    fn touch_name(&mut self, name: &Name, job: JobId, plan: PlanId) {
+        let record = JobName {
+            job,
+            version: self.next_version(),
+            changed_by: plan,
+            changed_unix_ms: self.clock_unix_ms,
+        };
+        self.jobs.set_name(name, record);
+        self.changed(Change::Job(job));
+    }
+}
+
+fn verdict(answer: Answer) -> Verdict {
+    match answer {
+        Answer::Planned(plan) => Verdict::Planned(plan),
+        Answer::Confirmed(confirmed) => Verdict::Confirmed(confirmed),
+        Answer::Refused(refusal) => Verdict::Refused(refusal),
+    }
+}
+
+fn invalid(reason: String) -> Refusal {
+    Refusal::Invalid { reason }
+}
+
+fn not_found(kind: &str, name: &Name) -> Refusal {
+    Refusal::NotFound {
+        what: format!("{kind} {name}"),
+    }
+}
+
+fn content_digest(verb: &str, content: &impl Serialize) -> u64 {
+    let bytes = serde_json::to_vec(content).unwrap_or_else(|error| {
+        unreachable!("intents and plan ids have a JSON form: {error}");
+    });
+    let mut hasher = SipHasher13::new();
+    hasher.write(verb.as_bytes());
+    hasher.write(&bytes);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/state/src/ending.rs
@@ -0,0 +1,201 @@
+//! The pass that ends attempts and decides what becomes of the task and its job.
+
+use sapphirepost_protocol::worker::AttemptKey;
+use sapphirepost_types::JobId;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::jobs::Job;
+use crate::jobs::JobPhase;
+use crate::outcome::Change;
+use crate::state::State;
+use crate::tasks::Phase;
+use crate::tasks::Stop;
+use crate::tasks::StopReason;
+use crate::tasks::Task;
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptEnd {
+    /// By itself, with success.
+    Finished,
+    /// By itself, with an error.
+    Failed,
+    /// On command, or at the end of the lease.
+    Stopped,
+    /// The worker certainly does not run it any more.
+    Lost,
+}
+
+/// What becomes of a task after its attempt.
+enum Next {
+    Wait,
+    Remove,
+    End { success: bool },
+}
+
+impl State {
+    /// Releases the room of an attempt. An attempt that holds none has ended before, so a report
+    /// that arrives again changes nothing.
+    pub(crate) fn end_attempt(&mut self, worker_id: WorkerId, key: AttemptKey, end: AttemptEnd) {
+        let released = self
+            .workers
+            .get_mut(worker_id)
+            .and_then(|worker| worker.release(key));
+        if released.is_none() && !self.disabled.attempt_fencing {
+            return;
+        }
+        self.changed(Change::Worker(worker_id));
+        if self.is_current(worker_id, key) {
+            self.end_current(key.task, worker_id, end);
+        }
+    }
+
+    /// Whether the key names the attempt that the task has now on that worker.
+    pub(crate) fn is_current(&self, worker: WorkerId, key: AttemptKey) -> bool {
+        let Some(task) = self.tasks.get(key.task) else {
+            return false;
+        };
+        if self.disabled.attempt_fencing {
+            return task.worker().is_some();
+        }
+        task.attempt == key.attempt && task.worker() == Some(worker)
+    }
+
+    fn end_current(&mut self, id: TaskId, worker: WorkerId, end: AttemptEnd) {
+        let now_unix_ms = self.clock_unix_ms;
+        let Some(task) = self.tasks.get_mut(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        let job_id = task.job;
+        job.placed = job.placed.saturating_sub(1);
+        let was_charged = !task.unreachable;
+        let next = next_after(task, job, worker, end, now_unix_ms);
+        task.stop = None;
+        task.unreachable = false;
+        task.phase = match next {
+            Next::Wait | Next::Remove => Phase::Waiting,
+            Next::End { success } => Phase::Ended { success },
+        };
+        match next {
+            Next::End { success: true } => job.finished += 1,
+            Next::End { success: false } if job.is_active() => job.failed += 1,
+            _ => {}
+        }
+        if was_charged {
+            let team = job.spec.team.clone();
+            let resources = job.spec.resources;
+            self.quotas.release(&team, &resources);
+        }
+        self.task_changed(id);
+        if matches!(next, Next::Remove) {
+            self.remove_task(job_id, id);
+        }
+        self.settle_job(job_id);
+    }
+
+    /// Brings a job in line after one of its tasks changed.
+    pub(crate) fn settle_job(&mut self, id: JobId) {
+        self.break_gang(id);
+        self.fit_service(id);
+        self.end_job_if_done(id);
+        self.end_job_if_empty(id);
+    }
+
+    /// Stops the rest of a gang when one of its tasks waits or is stopped: its tasks start
+    /// together.
+    pub(crate) fn break_gang(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if !job.is_gang() || !job.is_active() {
+            return;
+        }
+        let checkpoint = job.spec.checkpoint_cost_ms.is_some();
+        let members: Vec<TaskId> = job.tasks.iter().copied().collect();
+        let is_broken = members
+            .iter()
+            .filter_map(|member| self.tasks.get(*member))
+            .any(|task| task.is_waiting() || task.stop.is_some());
+        if !is_broken {
+            return;
+        }
+        for member in members {
+            let Some(task) = self.tasks.get_mut(member) else {
+                continue;
+            };
+            if task.worker().is_none() || task.stop.is_some() {
+                continue;
+            }
+            task.stop = Some(Stop {
+                reason: StopReason::GangBroken,
+                checkpoint,
+            });
+            self.task_changed(member);
+        }
+    }
+
+    fn end_job_if_done(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.is_active() || job.is_service() {
+            return;
+        }
+        let is_given_up = job.is_gang() && job.failed > 0;
+        let is_done = job.finished + job.failed == job.tasks.len() as u32;
+        if !is_given_up && !is_done {
+            return;
+        }
+        job.phase = match job.failed {
+            0 => JobPhase::Finished,
+            failed => JobPhase::Failed {
+                reason: format!("{failed} tasks failed after repeated attempts"),
+            },
+        };
+        self.changed(Change::Job(id));
+    }
+
+    /// Notes the end of a job that is not active and holds no room.
+    pub(crate) fn end_job_if_empty(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.is_active() || job.placed > 0 || job.ended_unix_ms.is_some() {
+            return;
+        }
+        self.jobs.note_end(id, self.clock_unix_ms);
+        self.changed(Change::Job(id));
+    }
+}
+
+fn next_after(
+    task: &mut Task,
+    job: &Job,
+    worker: WorkerId,
+    end: AttemptEnd,
+    now_unix_ms: u64,
+) -> Next {
+    let is_service = job.is_service();
+    if end == AttemptEnd::Finished && !is_service {
+        return Next::End { success: true };
+    }
+    if !job.is_active() {
+        return Next::End { success: false };
+    }
+    if task.is_surplus() {
+        return Next::Remove;
+    }
+    let ended_by_itself = matches!(end, AttemptEnd::Finished | AttemptEnd::Failed);
+    if !ended_by_itself || task.stop.is_some() {
+        return Next::Wait;
+    }
+    task.count_failure(worker, now_unix_ms);
+    match task.is_exhausted() && !is_service {
+        true => Next::End { success: false },
+        false => Next::Wait,
+    }
+}
--- /dev/null
+++ b/crates/state/src/expiry.rs
@@ -0,0 +1,111 @@
+//! The pass that ends leases.
+
+use std::collections::BTreeSet;
+
+use sapphirepost_protocol::worker::AttemptKey;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::JobId;
+use sapphirepost_types::OnPartition;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::ending::AttemptEnd;
+use crate::outcome::Change;
+use crate::outcome::Verdict;
+use crate::state::State;
+use crate::workers::Contact;
+
+impl State {
+    /// Ends the lease of a worker: attempts that move are over, attempts that are kept are out of
+    /// contact and hold their room.
+    pub(crate) fn expire_worker(&mut self, id: WorkerId, incarnation: Incarnation) -> Verdict {
+        let now_unix_ms = self.clock_unix_ms;
+        let version = self.next_version();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Verdict::Ignored;
+        };
+        if worker.incarnation != incarnation || worker.is_expired() {
+            return Verdict::Ignored;
+        }
+        worker.contact = Contact::Expired {
+            since_unix_ms: now_unix_ms,
+            lost: false,
+        };
+        worker.version = version;
+        worker.changed_by = None;
+        let keys: Vec<AttemptKey> = worker.held.iter().map(|held| held.key()).collect();
+        self.changed(Change::Worker(id));
+        for key in keys {
+            self.expire_attempt(id, key);
+        }
+        Verdict::Applied
+    }
+
+    fn expire_attempt(&mut self, worker: WorkerId, key: AttemptKey) {
+        match self.on_partition(key.task) {
+            Some(OnPartition::Keep) if self.is_current(worker, key) => {
+                self.set_unreachable(key.task, true);
+            }
+            Some(OnPartition::Move) => self.end_attempt(worker, key, AttemptEnd::Lost),
+            // An older attempt that is kept, or one of a forgotten job, may run on; it holds its
+            // room until the worker reports its end.
+            _ => {}
+        }
+    }
+
+    fn on_partition(&self, task: TaskId) -> Option<OnPartition> {
+        let task = self.tasks.get(task)?;
+        Some(self.jobs.get(task.job)?.spec.on_partition())
+    }
+
+    /// Gives up every attempt on a worker that an operator declared lost.
+    pub(crate) fn lose_all(&mut self, id: WorkerId) -> usize {
+        let Some(worker) = self.workers.get(id) else {
+            return 0;
+        };
+        let keys: Vec<AttemptKey> = worker.held.iter().map(|held| held.key()).collect();
+        self.changed(Change::Worker(id));
+        for key in &keys {
+            self.end_attempt(id, *key, AttemptEnd::Lost);
+        }
+        keys.len()
+    }
+
+    pub(crate) fn regain(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let keys: Vec<AttemptKey> = worker.held.iter().map(|held| held.key()).collect();
+        let mut jobs = BTreeSet::new();
+        for key in keys {
+            if self.is_current(id, key) {
+                jobs.extend(self.set_unreachable(key.task, false));
+            }
+        }
+        for job in jobs {
+            self.settle_job(job);
+        }
+    }
+
+    /// Marks a task and moves its charge; the job is returned if the mark changed.
+    fn set_unreachable(&mut self, id: TaskId, unreachable: bool) -> Option<JobId> {
+        let task = self.tasks.get_mut(id)?;
+        if task.unreachable == unreachable {
+            return None;
+        }
+        task.unreachable = unreachable;
+        let job_id = task.job;
+        let job = self.jobs.get(job_id)?;
+        let resources = job.spec.resources;
+        let team = job.spec.team.clone();
+        match unreachable {
+            true => self.quotas.release(&team, &resources),
+            false => self.quotas.charge(&team, &resources),
+        }
+        self.task_changed(id);
+        if unreachable {
+            self.fit_service(job_id);
+        }
+        Some(job_id)
+    }
+}
--- /dev/null
+++ b/crates/state/src/quotas.rs
@@ -0,0 +1,102 @@
+//! Quotas of teams and what their tasks use.
+
+use std::collections::BTreeMap;
+
+use sapphirepost_types::Name;
+use sapphirepost_types::ObjectVersion;
+use sapphirepost_types::PlanId;
+use sapphirepost_types::Resources;
+use sapphirepost_types::resources::ResourceKind;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The most teams with a quota.
+pub const TEAMS_MAX: usize = 10_000;
+
+/// The quota of one team.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quota {
+    /// The most that the team's tasks may use together.
+    pub limit: Option<Resources>,
+    /// What they use. Tasks out of contact do not count, so that a service at its quota can
+    /// still get replicas in place of those that are cut off.
+    pub used: Resources,
+    /// The version of the limit; 0 if it was never set.
+    pub version: ObjectVersion,
+    /// The plan that set it.
+    pub changed_by: Option<PlanId>,
+}
+
+impl Quota {
+    /// The resource of which too little is left for `more`.
+    pub fn limiting(&self, more: &Resources) -> Option<ResourceKind> {
+        let limit = self.limit?;
+        match self.used.checked_add(more) {
+            Some(sum) => sum.limiting(&limit),
+            None => Some(ResourceKind::Processor),
+        }
+    }
+}
+
+/// The quotas of all teams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quotas {
+    teams: BTreeMap<Name, Quota>,
+}
+
+impl Quotas {
+    /// The quota of a team, if it has one or uses anything.
+    pub fn get(&self, team: &Name) -> Option<&Quota> {
+        self.teams.get(team)
+    }
+
+    /// All teams that have a quota or use anything.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Quota)> {
+        self.teams.iter()
+    }
+
+    /// How many teams are known.
+    pub fn len(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Whether no team is known.
+    pub fn is_empty(&self) -> bool {
+        self.teams.is_empty()
+    }
+
+    /// The resource of which the team has too little left for `more`.
+    pub fn limiting(&self, team: &Name, more: &Resources) -> Option<ResourceKind> {
+        self.teams.get(team)?.limiting(more)
+    }
+
+    pub(crate) fn set(
+        &mut self,
+        team: &Name,
+        limit: Option<Resources>,
+        version: ObjectVersion,
+        plan: PlanId,
+    ) {
+        let quota = self.teams.entry(team.clone()).or_default();
+        quota.limit = limit;
+        quota.version = version;
+        quota.changed_by = Some(plan);
+    }
+
+    pub(crate) fn charge(&mut self, team: &Name, amount: &Resources) {
+        let quota = self.teams.entry(team.clone()).or_default();
+        quota.used = quota.used.checked_add(amount).unwrap_or(quota.used);
+    }
+
+    pub(crate) fn release(&mut self, team: &Name, amount: &Resources) {
+        let Some(quota) = self.teams.get_mut(team) else {
+            return;
+        };
+        quota.used = quota.used.saturating_sub(amount);
+        if quota.used.is_zero() && quota.version == ObjectVersion::default() {
+            self.teams.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/reporting.rs
@@ -0,0 +1,200 @@
+//! The pass that registers workers and applies their reports.
+//!
+//! Room of older attempts counts as used until their end is reported: a report of an attempt that
+//! is not expected takes room, and only its end, or its absence from a full report after it was
+//! reported, gives the room back.
+
+use std::collections::BTreeSet;
+
+use sapphirepost_protocol::worker::AttemptKey;
+use sapphirepost_protocol::worker::TaskReport;
+use sapphirepost_protocol::worker::TaskStatus;
+use sapphirepost_protocol::worker::WorkerSpec;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::Name;
+use sapphirepost_types::ObjectVersion;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::ending::AttemptEnd;
+use crate::outcome::Change;
+use crate::outcome::Verdict;
+use crate::state::State;
+use crate::tasks::Phase;
+use crate::workers::Contact;
+use crate::workers::Held;
+use crate::workers::Worker;
+
+impl State {
+    pub(crate) fn register_worker(
+        &mut self,
+        name: &Name,
+        incarnation: Incarnation,
+        spec: &WorkerSpec,
+    ) -> Verdict {
+        let version = self.next_version();
+        let Some(id) = self.workers.id(name) else {
+            let worker = new_worker(name, incarnation, spec, version);
+            let id = self.workers.add(worker);
+            self.changed(Change::Worker(id));
+            return Verdict::Registered(id);
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Verdict::Ignored;
+        };
+        if incarnation < worker.incarnation {
+            return Verdict::Ignored;
+        }
+        if incarnation == worker.incarnation && worker.spec == *spec {
+            return Verdict::Registered(id);
+        }
+        if incarnation > worker.incarnation {
+            worker.incarnation = incarnation;
+            worker.sequence = 0;
+            worker.contact = Contact::Reporting;
+        }
+        worker.spec = spec.clone();
+        worker.version = version;
+        worker.changed_by = None;
+        self.changed(Change::Worker(id));
+        Verdict::Registered(id)
+    }
+
+    pub(crate) fn report_tasks(
+        &mut self,
+        id: WorkerId,
+        incarnation: Incarnation,
+        sequence: u64,
+        full: bool,
+        reports: &[TaskReport],
+    ) -> Verdict {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Verdict::Ignored;
+        };
+        if worker.incarnation != incarnation || sequence <= worker.sequence {
+            return Verdict::Ignored;
+        }
+        if !full && worker.contact != Contact::Connected {
+            return Verdict::Ignored;
+        }
+        worker.sequence = sequence;
+        if full {
+            self.end_missing(id, reports);
+        }
+        for report in reports {
+            self.apply_report(id, report);
+        }
+        if full {
+            self.connect(id);
+        }
+        Verdict::Applied
+    }
+
+    /// Ends the attempts that the worker ran before and does not have any more. An attempt that
+    /// was never reported may still be on its way to the worker.
+    fn end_missing(&mut self, id: WorkerId, reports: &[TaskReport]) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let present: BTreeSet<AttemptKey> = reports.iter().map(key_of).collect();
+        let missing: Vec<AttemptKey> = worker
+            .held
+            .iter()
+            .filter(|held| held.reported && !present.contains(&held.key()))
+            .map(|held| held.key())
+            .collect();
+        for key in missing {
+            self.end_attempt(id, key, AttemptEnd::Lost);
+        }
+    }
+
+    fn apply_report(&mut self, worker: WorkerId, report: &TaskReport) {
+        let key = key_of(report);
+        match report.status {
+            TaskStatus::Running => self.note_running(worker, key),
+            TaskStatus::Finished => self.end_attempt(worker, key, AttemptEnd::Finished),
+            TaskStatus::Failed { .. } => self.end_attempt(worker, key, AttemptEnd::Failed),
+            TaskStatus::Stopped { .. } => self.end_attempt(worker, key, AttemptEnd::Stopped),
+        }
+    }
+
+    fn note_running(&mut self, id: WorkerId, key: AttemptKey) {
+        let resources = self.resources_of(key.task);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.held(key).is_some() {
+            worker.mark_reported(key);
+        } else {
+            // An attempt of unknown size counts as the whole VM.
+            worker.hold(Held {
+                task: key.task,
+                attempt: key.attempt,
+                resources: resources.unwrap_or(worker.spec.capacity),
+                reported: true,
+            });
+            self.changed(Change::Worker(id));
+        }
+        if !self.is_current(id, key) {
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(key.task) else {
+            return;
+        };
+        if task.phase != Phase::Running(id) {
+            task.phase = Phase::Running(id);
+            self.task_changed(key.task);
+        }
+    }
+
+    fn resources_of(&self, task: TaskId) -> Option<Resources> {
+        let task = self.tasks.get(task)?;
+        Some(self.jobs.get(task.job)?.spec.resources)
+    }
+
+    fn connect(&mut self, id: WorkerId) {
+        let version = self.next_version();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.contact == Contact::Connected {
+            return;
+        }
+        if worker.is_expired() {
+            worker.version = version;
+            worker.changed_by = None;
+        }
+        worker.contact = Contact::Connected;
+        self.changed(Change::Worker(id));
+        self.regain(id);
+    }
+}
+
+fn new_worker(
+    name: &Name,
+    incarnation: Incarnation,
+    spec: &WorkerSpec,
+    version: ObjectVersion,
+) -> Worker {
+    Worker {
+        name: name.clone(),
+        spec: spec.clone(),
+        incarnation,
+        sequence: 0,
+        contact: Contact::Reporting,
+        draining: false,
+        allow_interruption: false,
+        version,
+        changed_by: None,
+        held: Vec::new(),
+        used: Resources::ZERO,
+    }
+}
+
+fn key_of(report: &TaskReport) -> AttemptKey {
+    AttemptKey {
+        task: report.task,
+        attempt: report.attempt,
+    }
+}
--- /dev/null
+++ b/crates/state/src/retention.rs
@@ -0,0 +1,66 @@
+//! The pass that drops what is past its retention.
+
+use crate::outcome::Change;
+use crate::plans::PLAN_WINDOW_MS;
+use crate::state::State;
+use crate::workers::Contact;
+use crate::workers::WORKER_WINDOW_MS;
+
+/// How often the pass runs. Claims, operations and plans are refused by their age in between, so
+/// the interval only bounds memory.
+const PRUNE_INTERVAL_MS: u64 = 1_000;
+/// The most ended jobs dropped by one pass, so that a burst of ends does not stall a command.
+const JOBS_PER_PASS: usize = 200;
+
+impl State {
+    pub(crate) fn prune_when_due(&mut self) {
+        let now_unix_ms = self.clock_unix_ms;
+        if now_unix_ms < self.last_prune_unix_ms + PRUNE_INTERVAL_MS {
+            return;
+        }
+        self.last_prune_unix_ms = now_unix_ms;
+        self.claims.prune(now_unix_ms);
+        self.operations.prune(now_unix_ms);
+        self.plans.prune(now_unix_ms);
+        self.roster.prune(now_unix_ms);
+        self.prune_jobs();
+        self.prune_workers();
+    }
+
+    fn prune_jobs(&mut self) {
+        let mut dropped = 0;
+        while dropped < JOBS_PER_PASS {
+            let Some((id, job)) = self.jobs.take_expired(self.clock_unix_ms) else {
+                break;
+            };
+            for task in job.tasks {
+                self.tasks.remove(task);
+            }
+            self.changed(Change::Job(id));
+            dropped += 1;
+        }
+        if dropped > 0 {
+            self.jobs.prune_names(self.clock_unix_ms, PLAN_WINDOW_MS);
+        }
+    }
+
+    fn prune_workers(&mut self) {
+        let now_unix_ms = self.clock_unix_ms;
+        let forgotten: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.held.is_empty())
+            .filter(|(_, worker)| match worker.contact {
+                Contact::Expired { since_unix_ms, .. } => {
+                    since_unix_ms.saturating_add(WORKER_WINDOW_MS) < now_unix_ms
+                }
+                _ => false,
+            })
+            .map(|(id, _)| id)
+            .collect();
+        for id in forgotten {
+            self.workers.remove(id);
+            self.changed(Change::Worker(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/sizing.rs
@@ -0,0 +1,99 @@
+//! The pass that keeps services at their size.
+//!
+//! Replicas without contact may run on, so they are neither counted nor given up: replicas with
+//! identities of their own stand in for them and are the first to leave when the others return.
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::TaskId;
+
+use crate::outcome::Change;
+use crate::state::State;
+use crate::tasks::Phase;
+use crate::tasks::Stop;
+use crate::tasks::StopReason;
+use crate::tasks::Task;
+
+impl State {
+    pub(crate) fn add_task(&mut self, job: JobId, task: Task) {
+        let id = self.tasks.add(task);
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.tasks.insert(id);
+        }
+        self.task_changed(id);
+        self.changed(Change::Job(job));
+    }
+
+    pub(crate) fn remove_task(&mut self, job: JobId, id: TaskId) {
+        self.tasks.remove(id);
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.tasks.remove(&id);
+        }
+        self.task_changed(id);
+        self.changed(Change::Job(job));
+    }
+
+    pub(crate) fn fit_service(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if !job.is_service() || !job.is_active() {
+            return;
+        }
+        let wanted = job.spec.tasks as usize;
+        let live: Vec<(TaskId, &Task)> = job
+            .tasks
+            .iter()
+            .filter_map(|id| self.tasks.get(*id).map(|task| (*id, task)))
+            .filter(|(_, task)| !task.is_surplus())
+            .collect();
+        let has_unreachable = live.iter().any(|(_, task)| task.unreachable);
+        let reachable: Vec<(TaskId, &Task)> = live
+            .into_iter()
+            .filter(|(_, task)| !task.unreachable)
+            .collect();
+        if reachable.len() < wanted {
+            for _ in reachable.len()..wanted {
+                self.add_task(id, Task::new(id, has_unreachable));
+            }
+            return;
+        }
+        let leaving = choose_surplus(reachable, wanted);
+        for task in leaving {
+            self.drop_replica(id, task);
+        }
+    }
+
+    fn drop_replica(&mut self, job: JobId, id: TaskId) {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return;
+        };
+        if task.is_waiting() {
+            self.remove_task(job, id);
+            return;
+        }
+        task.stop = Some(Stop {
+            reason: StopReason::Surplus,
+            checkpoint: false,
+        });
+        self.task_changed(id);
+    }
+}
+
+/// Replicas that hold no room leave first, then additional ones, then those that do not run yet,
+/// then the newest.
+fn choose_surplus(mut replicas: Vec<(TaskId, &Task)>, wanted: usize) -> Vec<TaskId> {
+    replicas.sort_by_key(|(id, task)| {
+        let is_running = matches!(task.phase, Phase::Running(_));
+        let is_kept = !task.is_waiting();
+        let is_original = !task.additional;
+        let is_steady = is_running && task.stop.is_none();
+        let age = u32::MAX - id.0;
+        (is_kept, is_original, is_steady, age)
+    });
+    let surplus = replicas.len().saturating_sub(wanted);
+    replicas
+        .into_iter()
+        .take(surplus)
+        .map(|(id, _)| id)
+        .collect()
+}
--- /dev/null
+++ b/crates/state/src/state.rs
@@ -0,0 +1,262 @@
+//! The state as a whole: dispatch of commands, snapshots, digest.
+
+use std::hash::Hasher;
+
+use sapphirepost_types::Name;
+use sapphirepost_types::ObjectKey;
+use sapphirepost_types::ObjectVersion;
+use sapphirepost_types::PlanId;
+use sapphirepost_types::TaskId;
+use serde::Deserialize;
+use serde::Serialize;
+use siphasher::sip::SipHasher13;
+use thiserror::Error;
+
+use crate::claims::Claims;
+use crate::command::Command;
+use crate::command::Request;
+use crate::config::Config;
+use crate::entries::Roster;
+use crate::jobs::Jobs;
+use crate::operations::Operations;
+use crate::outcome::Change;
+use crate::outcome::Outcome;
+use crate::outcome::Verdict;
+use crate::plans::Plans;
+use crate::quotas::Quotas;
+use crate::tasks::Task;
+use crate::tasks::Tasks;
+use crate::workers::Workers;
+
+/// A snapshot that cannot be read.
+#[derive(Debug, Error)]
+#[error("the snapshot is not readable: {0}")]
+pub struct StateError(#[from] serde_json::Error);
+
+/// Mechanisms that tests switch off to show that their checks notice.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Disabled {
+    /// Reports of older attempts change newer ones.
+    pub attempt_fencing: bool,
+    /// A request to stop releases the room at once.
+    pub release_on_confirmed_stop: bool,
+    /// Confirmations do not compare versions.
+    pub stale_check: bool,
+    /// Claims of any age are granted.
+    pub claim_window: bool,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    pub(crate) applied: u64,
+    pub(crate) clock_unix_ms: u64,
+    pub(crate) last_version: ObjectVersion,
+    pub(crate) last_prune_unix_ms: u64,
+    pub(crate) config: Config,
+    pub(crate) plans: Plans,
+    pub(crate) jobs: Jobs,
+    pub(crate) tasks: Tasks,
+    pub(crate) workers: Workers,
+    pub(crate) quotas: Quotas,
+    pub(crate) claims: Claims,
+    pub(crate) operations: Operations,
+    pub(crate) roster: Roster,
+    #[serde(skip)]
+    pub(crate) disabled: Disabled,
+    #[serde(skip)]
+    pub(crate) changes: Vec<Change>,
+}
+
+impl State {
+    /// The state before the first command.
+    pub fn new() -> State {
+        State::default()
+    }
+
+    /// Switches mechanisms off.
+    #[doc(hidden)]
+    pub fn disable(&mut self, disabled: Disabled) {
+        self.disabled = disabled;
+    }
+
+    /// Applies the command at a log index. An index that was applied before changes nothing.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        if index <= self.applied {
+            return self.outcome(Verdict::Ignored);
+        }
+        self.applied = index;
+        self.clock_unix_ms = self.clock_unix_ms.max(command.at_unix_ms);
+        self.changes.clear();
+        self.prune_when_due();
+        let verdict = self.dispatch(&command.request);
+        self.outcome(verdict)
+    }
+
+    fn dispatch(&mut self, request: &Request) -> Verdict {
+        match request {
+            Request::Tick => Verdict::Applied,
+            Request::RecordPlan { operation, draft } => self.record_plan(operation.as_ref(), draft),
+            Request::ConfirmPlan { operation, plan } => self.confirm_plan(operation, *plan),
+            Request::RegisterWorker {
+                worker,
+                incarnation,
+                spec,
+            } => self.register_worker(worker, *incarnation, spec),
+            Request::ReportTasks {
+                worker,
+                incarnation,
+                sequence,
+                full,
+                tasks,
+            } => self.report_tasks(*worker, *incarnation, *sequence, *full, tasks),
+            Request::PlaceTasks { groups } => self.place_groups(groups),
+            Request::StopTasks { stops } => self.stop_tasks(stops),
+            Request::ExpireWorker {
+                worker,
+                incarnation,
+            } => self.expire_worker(*worker, *incarnation),
+            Request::Claims(batch) => {
+                let check_window = !self.disabled.claim_window;
+                let verdicts = self.claims.apply(batch, self.clock_unix_ms, check_window);
+                Verdict::Claimed(verdicts)
+            }
+            Request::NoteEntry { entry } => {
+                self.roster.note_entry(*entry, self.clock_unix_ms);
+                Verdict::Applied
+            }
+            Request::SetMemberAddress { member, address } => {
+                self.roster.set_address(*member, address);
+                Verdict::Applied
+            }
+        }
+    }
+
+    fn outcome(&mut self, verdict: Verdict) -> Outcome {
+        let mut changes = std::mem::take(&mut self.changes);
+        changes.sort_unstable();
+        changes.dedup();
+        Outcome { verdict, changes }
+    }
+
+    /// The state as bytes; equal states give equal bytes.
+    pub fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_else(|error| {
+            unreachable!("every map of the state has keys that JSON can hold: {error}")
+        })
+    }
+
+    /// Reads a snapshot.
+    pub fn restore(bytes: &[u8]) -> Result<State, StateError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+
+    /// A digest of the whole state, for comparing members; costs a snapshot.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        hasher.write(&self.snapshot());
+        hasher.finish()
+    }
+
+    /// The index of the newest applied command.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The clock of the state, in milliseconds since the Unix epoch.
+    pub fn clock_unix_ms(&self) -> u64 {
+        self.clock_unix_ms
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The plans.
+    pub fn plans(&self) -> &Plans {
+        &self.plans
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// The tasks.
+    pub fn tasks(&self) -> &Tasks {
+        &self.tasks
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &Workers {
+        &self.workers
+    }
+
+    /// The quotas.
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
+    /// The claims.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The operations.
+    pub fn operations(&self) -> &Operations {
+        &self.operations
+    }
+
+    /// The entries and the addresses of control processes.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Whether the task's current attempt is wanted: its job is active and no stop was asked for.
+    pub fn is_wanted(&self, task: &Task) -> bool {
+        let is_active = self.jobs.get(task.job).is_some_and(|job| job.is_active());
+        is_active && task.stop.is_none()
+    }
+
+    /// The version of an object with the plan that made it; version 0 if the object is absent.
+    pub fn version_of(&self, object: &ObjectKey) -> (ObjectVersion, Option<PlanId>) {
+        match object {
+            ObjectKey::Job(name) => self.jobs.name(name).map_or(Default::default(), |name| {
+                (name.version, Some(name.changed_by))
+            }),
+            ObjectKey::Worker(name) => self
+                .workers
+                .by_name(name)
+                .map_or(Default::default(), |(_, worker)| {
+                    (worker.version, worker.changed_by)
+                }),
+            ObjectKey::Quota(team) => self.quotas.get(team).map_or(Default::default(), |quota| {
+                (quota.version, quota.changed_by)
+            }),
+            ObjectKey::Config => (
+                ObjectVersion(self.config.version().0),
+                self.config.changed_by(),
+            ),
+        }
+    }
+
+    pub(crate) fn next_version(&mut self) -> ObjectVersion {
+        self.last_version = self.last_version.next();
+        self.last_version
+    }
+
+    pub(crate) fn changed(&mut self, change: Change) {
+        self.changes.push(change);
+    }
+
+    pub(crate) fn task_changed(&mut self, task: TaskId) {
+        self.changed(Change::Task(task));
+    }
+
+    pub(crate) fn quota_changed(&mut self, team: &Name) {
+        self.changed(Change::Quota(team.clone()));
+    }
+}
