Add the verifier of recorded histories

Cause: simulations and experiments need checks of the invariants that do not repeat a fault of the code they check.

Ruled out: checking the state machine's own counters; a wrong counter would then confirm itself.

Change: crates/verifier checks room, one place per task, requests told as not run, runs at most once, answers to confirmations and the configuration over a list of events.

Figures: 10 tests pass; 9 of them feed faulty histories and find each violation reported under its invariant.

--- /dev/null
+++ b/crates/verifier/src/answers.rs
@@ -0,0 +1,56 @@
+//! Answers to confirmations: the same operation gets the same answer, and of two accepted
+//! confirmations no two rest on the same version of an object.
+
+use std::collections::BTreeMap;
+
+use sapphirepost_types::PlanId;
+
+use crate::event::Answer;
+use crate::event::Event;
+use crate::event::Timed;
+use crate::violation::Invariant;
+use crate::violation::Violation;
+
+pub(crate) fn check(history: &[Timed], violations: &mut Vec<Violation>) {
+    let mut by_operation: BTreeMap<&str, (PlanId, &Answer)> = BTreeMap::new();
+    let mut by_plan: BTreeMap<PlanId, &str> = BTreeMap::new();
+    let mut by_version: BTreeMap<(&str, u64), PlanId> = BTreeMap::new();
+    for timed in history {
+        let Event::ConfirmAnswered {
+            operation,
+            plan,
+            answer,
+        } = &timed.event
+        else {
+            continue;
+        };
+        let mut report = |detail: String| {
+            violations.push(Violation {
+                invariant: Invariant::Answers,
+                at_ms: timed.at_ms,
+                detail,
+            });
+        };
+        let known = by_operation.entry(operation).or_insert((*plan, answer));
+        if *known != (*plan, answer) {
+            report(format!("operation {operation} was answered in two ways"));
+        }
+        let Answer::Accepted { rests_on, .. } = answer else {
+            continue;
+        };
+        let winner = by_plan.entry(*plan).or_insert(operation);
+        if winner != operation {
+            report(format!(
+                "{plan} was accepted for {winner} and for {operation}"
+            ));
+        }
+        for (object, version) in rests_on {
+            let accepted = by_version.entry((object, *version)).or_insert(*plan);
+            if accepted != plan {
+                report(format!(
+                    "{accepted} and {plan} were both accepted over version {version} of {object}"
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/verifier/tests/faulty_histories.rs
@@ -0,0 +1,242 @@
+//! Guards against a verifier that overlooks a violation: each faulty history must be reported
+//! under its invariant, and the sound one must not be reported at all.
+
+use sapphirepost_types::Attempt;
+use sapphirepost_types::Name;
+use sapphirepost_types::PlanId;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_verifier::Answer;
+use sapphirepost_verifier::Event;
+use sapphirepost_verifier::Invariant;
+use sapphirepost_verifier::Limits;
+use sapphirepost_verifier::Outcome;
+use sapphirepost_verifier::Timed;
+use sapphirepost_verifier::check;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn at(at_ms: u64, event: Event) -> Timed {
+    Timed { at_ms, event }
+}
+
+fn size(worker: &str) -> Event {
+    Event::WorkerSize {
+        worker: name(worker),
+        capacity: Resources::new(4_000, 4_096, 1),
+    }
+}
+
+fn start(worker: &str, task: u32, attempt: u32, resources: Resources) -> Event {
+    Event::TaskStarted {
+        worker: name(worker),
+        task: TaskId(task),
+        attempt: Attempt(attempt),
+        resources,
+    }
+}
+
+fn stop(worker: &str, task: u32, attempt: u32, finished: bool) -> Event {
+    Event::TaskStopped {
+        worker: name(worker),
+        task: TaskId(task),
+        attempt: Attempt(attempt),
+        finished,
+    }
+}
+
+fn accepted(operation: &str, plan: u64, expected: u64, config: Option<(u64, &str)>) -> Event {
+    Event::ConfirmAnswered {
+        operation: operation.to_owned(),
+        plan: PlanId(plan),
+        answer: Answer::Accepted {
+            rests_on: vec![("config".to_owned(), expected)],
+            config: config.map(|(version, value)| (version, name("limit"), Some(value.to_owned()))),
+        },
+    }
+}
+
+fn applied(process: &str, version: u64, value: &str) -> Event {
+    Event::ConfigApplied {
+        process: name(process),
+        version,
+        values: vec![(name("limit"), value.to_owned())],
+    }
+}
+
+fn ran(request: &str) -> Event {
+    Event::RequestRan {
+        request: request.to_owned(),
+        idempotent: false,
+    }
+}
+
+fn told(request: &str, outcome: Outcome) -> Event {
+    Event::CallerTold {
+        request: request.to_owned(),
+        outcome,
+    }
+}
+
+fn found(events: Vec<Event>) -> Vec<Invariant> {
+    let history: Vec<Timed> = events
+        .into_iter()
+        .enumerate()
+        .map(|(position, event)| at(position as u64, event))
+        .collect();
+    check(&history, &Limits::default())
+        .into_iter()
+        .map(|violation| violation.invariant)
+        .collect()
+}
+
+const HALF: Resources = Resources::new(2_000, 2_048, 0);
+
+#[test]
+fn a_sound_history_is_not_reported() {
+    let events = vec![
+        size("w1"),
+        size("w2"),
+        start("w1", 1, 1, HALF),
+        start("w1", 2, 1, HALF),
+        stop("w1", 1, 1, false),
+        start("w2", 1, 2, HALF),
+        stop("w2", 1, 2, true),
+        Event::WorkerLost { worker: name("w1") },
+        start("w2", 2, 2, HALF),
+        Event::ProcessStarted {
+            process: name("e1"),
+        },
+        accepted("1-a", 1, 0, Some((1, "5"))),
+        accepted("1-a", 1, 0, Some((1, "5"))),
+        accepted("1-b", 2, 1, Some((2, "6"))),
+        applied("e1", 2, "6"),
+        told("r1", Outcome::NotRun),
+        ran("r1"),
+        told("r1", Outcome::Done),
+        ran("r2"),
+        told("r2", Outcome::Unknown),
+    ];
+    assert_eq!(found(events), []);
+}
+
+#[test]
+fn more_work_than_a_vm_holds_is_reported() {
+    for third in [
+        Resources::new(1, 0, 0),
+        Resources::new(0, 1, 0),
+        Resources::new(0, 0, 2),
+    ] {
+        let events = vec![
+            size("w1"),
+            start("w1", 1, 1, HALF),
+            start("w1", 2, 1, HALF),
+            start("w1", 3, 1, third),
+        ];
+        assert_eq!(found(events), [Invariant::Room], "{third}");
+    }
+}
+
+#[test]
+fn two_places_at_once_are_reported() {
+    let events = vec![
+        size("w1"),
+        size("w2"),
+        start("w1", 1, 1, HALF),
+        start("w2", 1, 2, HALF),
+    ];
+    assert_eq!(found(events), [Invariant::OnePlace]);
+}
+
+#[test]
+fn a_run_after_a_finish_is_reported() {
+    let events = vec![
+        size("w1"),
+        start("w1", 1, 1, HALF),
+        stop("w1", 1, 1, true),
+        start("w1", 1, 2, HALF),
+    ];
+    assert_eq!(found(events), [Invariant::OnePlace]);
+}
+
+#[test]
+fn a_refused_request_that_ran_is_reported() {
+    let before = vec![ran("r"), told("r", Outcome::NotRun)];
+    assert_eq!(found(before), [Invariant::NotRun]);
+    let after = vec![told("r", Outcome::NotRun), ran("r")];
+    assert_eq!(found(after), [Invariant::NotRun]);
+}
+
+#[test]
+fn a_second_run_is_reported() {
+    let events = vec![ran("r"), ran("r"), told("r", Outcome::Done)];
+    assert_eq!(found(events), [Invariant::AtMostOnce]);
+}
+
+#[test]
+fn two_winners_over_one_version_are_reported() {
+    let events = vec![
+        accepted("1-a", 1, 0, Some((1, "5"))),
+        accepted("1-b", 2, 0, Some((2, "6"))),
+    ];
+    assert_eq!(found(events), [Invariant::Answers]);
+}
+
+#[test]
+fn a_changed_answer_is_reported() {
+    let refused = Event::ConfirmAnswered {
+        operation: "1-a".to_owned(),
+        plan: PlanId(1),
+        answer: Answer::Refused,
+    };
+    let events = vec![accepted("1-a", 1, 0, Some((1, "5"))), refused];
+    assert_eq!(found(events), [Invariant::Answers]);
+}
+
+#[test]
+fn a_reverted_configuration_is_reported() {
+    let changes = || {
+        vec![
+            Event::ProcessStarted {
+                process: name("e1"),
+            },
+            accepted("1-a", 1, 0, Some((1, "5"))),
+            accepted("1-b", 2, 1, Some((2, "6"))),
+        ]
+    };
+    let mut back = changes();
+    back.extend([applied("e1", 2, "6"), applied("e1", 1, "5")]);
+    assert_eq!(found(back), [Invariant::Configuration]);
+    let mut old_value = changes();
+    old_value.push(applied("e1", 2, "5"));
+    assert_eq!(found(old_value), [Invariant::Configuration]);
+}
+
+#[test]
+fn a_configuration_that_does_not_arrive_is_reported() {
+    let history = |cut_off: bool| {
+        vec![
+            at(
+                0,
+                Event::ProcessStarted {
+                    process: name("e1"),
+                },
+            ),
+            at(
+                1,
+                Event::ProcessCutOff {
+                    process: name("e1"),
+                    cut_off,
+                },
+            ),
+            at(2, accepted("1-a", 1, 0, Some((1, "5")))),
+            at(20_000, size("w1")),
+        ]
+    };
+    let reachable = check(&history(false), &Limits::default());
+    assert_eq!(reachable.len(), 1);
+    assert_eq!(reachable[0].invariant, Invariant::Configuration);
+    assert_eq!(check(&history(true), &Limits::default()), []);
+}
