Add the leader's decisions over the state

Cause: the control process needs lease deadlines, worker commands, plans, confirmations and the distribution of the configuration.

Ruled out: answering a sync while its report is on its way into the state (the commands would repeat what the report answers); releasing a lease on the report of a worker whose expiry is proposed.

Change: crates/leader with one module per pass, over a trait for the placement. The verifier relates "not run" to one sending of a request.

--- /dev/null
+++ b/crates/leader/src/commands.rs
@@ -0,0 +1,202 @@
+//! The pass that answers syncs: commands, acknowledgements and the lease.
+
+use sapphirepost_protocol::worker::AttemptKey;
+use sapphirepost_protocol::worker::WorkerCommand;
+use sapphirepost_protocol::worker::WorkerSyncReply;
+use sapphirepost_state::State;
+use sapphirepost_state::tasks::Phase;
+use sapphirepost_state::tasks::Task;
+use sapphirepost_state::workers::Contact;
+use sapphirepost_state::workers::Held;
+use sapphirepost_state::workers::Worker;
+use sapphirepost_types::Millis;
+use sapphirepost_types::WorkerId;
+
+use crate::config::LeaderConfig;
+use crate::leader::Leader;
+use crate::message::Context;
+use crate::message::Output;
+use crate::message::Reply;
+use crate::renewal::empty_reply;
+use crate::sessions::Sent;
+use crate::sessions::SentKind;
+use crate::sessions::Session;
+
+impl Leader {
+    /// Answers the held syncs of workers for which something changed.
+    pub(crate) fn answer_touched(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        for id in std::mem::take(&mut self.touched) {
+            self.answer(ctx, id, out);
+        }
+    }
+
+    /// Answers the held syncs whose time is over.
+    pub(crate) fn answer_due_syncs(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        self.expire_reports(ctx, out);
+        for (id, session) in &self.sessions.by_worker {
+            if !session.held.is_empty() {
+                self.touched.insert(*id);
+            }
+        }
+        self.answer_touched(ctx, out);
+    }
+
+    fn answer(&mut self, ctx: &Context<'_>, id: WorkerId, out: &mut Output) {
+        let Some(session) = self.sessions.by_worker.get_mut(&id) else {
+            return;
+        };
+        let Some(worker) = ctx.state.workers().get(id) else {
+            return;
+        };
+        while session.held.len() > 1 {
+            if let Some(older) = session.held.pop_front() {
+                out.reply(older.token, Reply::Worker(empty_reply(older.sequence)));
+            }
+        }
+        let Some(newest) = session.held.front() else {
+            return;
+        };
+        let is_over = ctx.now >= newest.until;
+        // While a report is on its way into the state, the commands would repeat what it answers.
+        if !session.pending.is_empty() && !is_over {
+            return;
+        }
+        let is_leased = is_leased(&self.config, worker, session);
+        let commands = match is_leased {
+            true => due_commands(&self.config, ctx, id, worker, session),
+            false => Vec::new(),
+        };
+        let has_news =
+            !commands.is_empty() || !session.acknowledged.is_empty() || session.wants_full;
+        // A sync of an expiring worker waits for the expiry, which decides what it must report.
+        let may_answer = is_over || (has_news && session.expiring.is_none());
+        if !may_answer {
+            return;
+        }
+        let Some(newest) = session.held.pop_front() else {
+            return;
+        };
+        for command in &commands {
+            session.note_sent(command, ctx.now);
+        }
+        if is_leased {
+            session.lease_until = ctx.now + self.config.certain_end_ms();
+        }
+        let reply = WorkerSyncReply {
+            sequence: newest.sequence,
+            lease_ms: if is_leased { self.config.lease_ms } else { 0 },
+            send_spec: false,
+            send_full: session.wants_full,
+            commands,
+            acknowledged: std::mem::take(&mut session.acknowledged),
+        };
+        out.reply(newest.token, Reply::Worker(reply));
+    }
+}
+
+fn is_leased(config: &LeaderConfig, worker: &Worker, session: &Session) -> bool {
+    let is_expiring = session.expiring.is_some() && !config.disabled.no_renewal_while_expiring;
+    worker.contact == Contact::Connected && !is_expiring
+}
+
+/// The commands that no report has confirmed and that were not sent lately.
+fn due_commands(
+    config: &LeaderConfig,
+    ctx: &Context<'_>,
+    id: WorkerId,
+    worker: &Worker,
+    session: &mut Session,
+) -> Vec<WorkerCommand> {
+    session
+        .sent
+        .retain(|key, _| worker.held.iter().any(|held| held.key() == *key));
+    session.throttled.retain(|task, _| {
+        let held = worker.held.iter();
+        held.into_iter().any(|held| held.task == *task)
+    });
+    worker
+        .held
+        .iter()
+        .filter_map(|held| wanted_command(ctx.state, id, held, session))
+        .filter(|command| session.is_due(command, ctx.now, config.repeat_ms))
+        .collect()
+}
+
+fn wanted_command(
+    state: &State,
+    id: WorkerId,
+    held: &Held,
+    session: &Session,
+) -> Option<WorkerCommand> {
+    let task = state.tasks().get(held.task);
+    let current = task.filter(|task| task.attempt == held.attempt && task.worker() == Some(id));
+    let Some(task) = current else {
+        return Some(stop(held, false));
+    };
+    if !state.is_wanted(task) {
+        return Some(stop(held, task.stop.is_some_and(|stop| stop.checkpoint)));
+    }
+    match task.phase {
+        Phase::Starting(_) => start(state, held, task),
+        _ => session
+            .throttled
+            .get(&held.task)
+            .map(|percent| WorkerCommand::Throttle {
+                task: held.task,
+                attempt: held.attempt,
+                percent: *percent,
+            }),
+    }
+}
+
+fn stop(held: &Held, checkpoint: bool) -> WorkerCommand {
+    WorkerCommand::Stop {
+        task: held.task,
+        attempt: held.attempt,
+        checkpoint,
+    }
+}
+
+fn start(state: &State, held: &Held, task: &Task) -> Option<WorkerCommand> {
+    let job = state.jobs().get(task.job)?;
+    Some(WorkerCommand::Start {
+        task: held.task,
+        attempt: held.attempt,
+        job: job.spec.name.clone(),
+        resources: held.resources,
+        on_partition: job.spec.on_partition(),
+        payload: job.spec.payload.clone(),
+        run_time_ms: job.spec.kind.run_time_ms(),
+    })
+}
+
+impl Session {
+    fn is_due(&self, command: &WorkerCommand, now: Millis, repeat_ms: u64) -> bool {
+        let (key, kind) = identity(command);
+        match self.sent.get(&key) {
+            // A throttle has no report, so it is sent once for each value.
+            Some(sent) if sent.kind == kind => {
+                !matches!(kind, SentKind::Throttle(_)) && now.since(sent.at) >= repeat_ms
+            }
+            _ => true,
+        }
+    }
+
+    fn note_sent(&mut self, command: &WorkerCommand, at: Millis) {
+        let (key, kind) = identity(command);
+        self.sent.insert(key, Sent { kind, at });
+    }
+}
+
+fn identity(command: &WorkerCommand) -> (AttemptKey, SentKind) {
+    let (task, attempt, kind) = match command {
+        WorkerCommand::Start { task, attempt, .. } => (*task, *attempt, SentKind::Start),
+        WorkerCommand::Stop { task, attempt, .. } => (*task, *attempt, SentKind::Stop),
+        WorkerCommand::Throttle {
+            task,
+            attempt,
+            percent,
+        } => (*task, *attempt, SentKind::Throttle(*percent)),
+    };
+    (AttemptKey { task, attempt }, kind)
+}
--- /dev/null
+++ b/crates/leader/src/deciding.rs
@@ -0,0 +1,166 @@
+//! The pass that proposes placements, displacements and throttles.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use sapphirepost_state::Placement;
+use sapphirepost_state::Request;
+use sapphirepost_state::StopRequest;
+use sapphirepost_state::Verdict;
+use sapphirepost_state::tasks::StopReason;
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::leader::Leader;
+use crate::message::Context;
+use crate::message::Output;
+use crate::placing;
+use crate::placing::TaskEnd;
+use crate::placing::Throttle;
+
+/// Decisions that were proposed and not applied yet.
+#[derive(Debug, Default)]
+pub(crate) struct Deciding {
+    placements: BTreeMap<TaskId, Millis>,
+    pub(crate) stops: BTreeMap<TaskId, Millis>,
+    pub(crate) set_aside: BTreeSet<WorkerId>,
+}
+
+impl Leader {
+    pub(crate) fn decide(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        self.give_up_lost_decisions(ctx);
+        let decisions = self.placing.decide(ctx.now, self.config.decide_budget);
+        for (worker, is_set_aside) in decisions.set_aside {
+            match is_set_aside {
+                true => self.deciding.set_aside.insert(worker),
+                false => self.deciding.set_aside.remove(&worker),
+            };
+        }
+        self.propose_placements(ctx, &decisions.placements, out);
+        self.propose_displacements(ctx, &decisions.displacements, out);
+        self.note_throttles(&decisions.throttles);
+    }
+
+    fn give_up_lost_decisions(&mut self, ctx: &Context<'_>) {
+        let timeout_ms = self.config.proposal_timeout_ms;
+        let is_lost = |since: &Millis| ctx.now.since(*since) >= timeout_ms;
+        self.deciding.stops.retain(|_, since| !is_lost(since));
+        let lost: Vec<TaskId> = self
+            .deciding
+            .placements
+            .iter()
+            .filter(|(_, since)| is_lost(since))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in lost {
+            self.deciding.placements.remove(&task);
+            self.placing.release(ctx.now, task, TaskEnd::Rejected);
+        }
+    }
+
+    fn propose_placements(
+        &mut self,
+        ctx: &Context<'_>,
+        placements: &[placing::Placement],
+        out: &mut Output,
+    ) {
+        let mut groups: Vec<Vec<Placement>> = Vec::new();
+        let mut last_gang: Option<JobId> = None;
+        for decided in placements {
+            let Some(task) = ctx.state.tasks().get(decided.task) else {
+                self.placing
+                    .release(ctx.now, decided.task, TaskEnd::Cancelled);
+                continue;
+            };
+            let placement = Placement {
+                task: decided.task,
+                attempt: task.attempt.next(),
+                worker: decided.worker,
+            };
+            self.deciding.placements.insert(decided.task, ctx.now);
+            let job = ctx.state.jobs().get(task.job);
+            let gang = job.filter(|job| job.is_gang()).map(|_| task.job);
+            match groups.last_mut() {
+                Some(group) if gang.is_some() && gang == last_gang => group.push(placement),
+                _ => groups.push(vec![placement]),
+            }
+            last_gang = gang;
+        }
+        if !groups.is_empty() {
+            out.propose(ctx, Request::PlaceTasks { groups });
+        }
+    }
+
+    fn propose_displacements(
+        &mut self,
+        ctx: &Context<'_>,
+        displacements: &[placing::Displacement],
+        out: &mut Output,
+    ) {
+        let stops: Vec<StopRequest> = displacements
+            .iter()
+            .filter_map(|displacement| {
+                let task = ctx.state.tasks().get(displacement.task)?;
+                Some(StopRequest {
+                    task: displacement.task,
+                    attempt: task.attempt,
+                    reason: StopReason::Displaced,
+                    checkpoint: displacement.checkpoint,
+                })
+            })
+            .collect();
+        self.propose_stops(ctx, stops, out);
+    }
+
+    pub(crate) fn propose_stops(
+        &mut self,
+        ctx: &Context<'_>,
+        stops: Vec<StopRequest>,
+        out: &mut Output,
+    ) {
+        if stops.is_empty() {
+            return;
+        }
+        for stop in &stops {
+            self.deciding.stops.insert(stop.task, ctx.now);
+        }
+        out.propose(ctx, Request::StopTasks { stops });
+    }
+
+    fn note_throttles(&mut self, throttles: &[Throttle]) {
+        for throttle in throttles {
+            if let Some(session) = self.sessions.by_worker.get_mut(&throttle.worker) {
+                session.throttled.insert(throttle.task, throttle.percent);
+                self.touched.insert(throttle.worker);
+            }
+        }
+    }
+
+    pub(crate) fn placements_applied(
+        &mut self,
+        ctx: &Context<'_>,
+        groups: &[Vec<Placement>],
+        verdict: &Verdict,
+    ) {
+        let Verdict::Placed(results) = verdict else {
+            return;
+        };
+        for (group, result) in groups.iter().zip(results) {
+            for placement in group {
+                let was_expected = self.deciding.placements.remove(&placement.task).is_some();
+                if result.is_err() && was_expected {
+                    self.placing
+                        .release(ctx.now, placement.task, TaskEnd::Rejected);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn stops_applied(&mut self, stops: &[StopRequest]) {
+        for stop in stops {
+            self.deciding.stops.remove(&stop.task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/leader/src/operators.rs
@@ -0,0 +1,343 @@
+//! Requests of operators.
+//!
+//! A request for a plan or a confirmation is answered when its command was applied. The record
+//! of operations is asked first, so that a resend gets the recorded answer without a command.
+
+use sapphirepost_protocol::operator::Confirm;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::operator::Propose;
+use sapphirepost_protocol::operator::Refusal;
+use sapphirepost_state::PlanDraft;
+use sapphirepost_state::Request;
+use sapphirepost_state::Verdict;
+use sapphirepost_state::operations::Answer;
+use sapphirepost_state::operations::Lookup;
+use sapphirepost_types::Intent;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Name;
+use sapphirepost_types::OperationId;
+use sapphirepost_types::Plan;
+use sapphirepost_types::PlanId;
+
+use crate::leader::Leader;
+use crate::message::Context;
+use crate::message::Output;
+use crate::message::Reply;
+use crate::message::ReplyToken;
+use crate::planning;
+use crate::status;
+
+/// What an operator's call waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Awaited {
+    Plan {
+        operation: OperationId,
+        intent: Intent,
+    },
+    Confirmation {
+        operation: OperationId,
+        plan: PlanId,
+    },
+    /// A new plan that goes with the refusal of a stale one.
+    FreshPlan {
+        draft: Box<PlanDraft>,
+        refusal: Refusal,
+    },
+}
+
+struct Call {
+    awaited: Awaited,
+    token: ReplyToken,
+    since: Millis,
+}
+
+/// Calls that wait for a command.
+#[derive(Default)]
+pub(crate) struct OperatorCalls {
+    calls: Vec<Call>,
+}
+
+impl Leader {
+    /// Takes an operator's request. For an answer that is called current, the caller must have
+    /// confirmed its leadership with a quorum before. Membership requests are the caller's.
+    pub fn operator(
+        &mut self,
+        ctx: &Context<'_>,
+        request: OperatorRequest,
+        token: ReplyToken,
+        out: &mut Output,
+    ) {
+        if self.operators.calls.len() >= self.config.waiting_calls_max {
+            out.reply(token, Reply::Busy);
+            return;
+        }
+        match request {
+            OperatorRequest::Propose(propose) => self.propose_plan(ctx, propose, token, out),
+            OperatorRequest::Confirm(confirm) => self.confirm_plan(ctx, confirm, token, out),
+            OperatorRequest::ShowPlan { plan } => out.operator(token, plan_reply(ctx, plan)),
+            OperatorRequest::Status => {
+                let cluster = status::cluster(ctx, &self.config, &self.deciding.set_aside);
+                out.operator(token, OperatorReply::Status(Box::new(cluster)));
+            }
+            OperatorRequest::Explain { job } => {
+                let reply = self.explain(ctx, &job);
+                out.operator(token, reply);
+            }
+            OperatorRequest::GetConfig => out.operator(token, config_reply(ctx)),
+            OperatorRequest::ConfigHistory { limit } => {
+                let records = ctx.state.config().history().take(limit as usize);
+                out.operator(token, OperatorReply::History(records.cloned().collect()));
+            }
+            OperatorRequest::WaitConfig { version, wait_ms } => {
+                self.wait_config(ctx, version, wait_ms, token, out);
+            }
+            OperatorRequest::ListMembers
+            | OperatorRequest::AddMember { .. }
+            | OperatorRequest::RemoveMember { .. } => {
+                let refusal = Refusal::Invalid {
+                    reason: "membership requests are answered by the control process".to_owned(),
+                };
+                out.operator(token, OperatorReply::Refused(refusal));
+            }
+        }
+    }
+
+    fn propose_plan(
+        &mut self,
+        ctx: &Context<'_>,
+        propose: Propose,
+        token: ReplyToken,
+        out: &mut Output,
+    ) {
+        let Propose { operation, intent } = propose;
+        match ctx.state.lookup_propose(&operation, &intent) {
+            Lookup::Answered(answer) => return out.operator(token, recorded(ctx, answer)),
+            Lookup::Refused(refusal) => {
+                return out.operator(token, OperatorReply::Refused(refusal));
+            }
+            Lookup::New => {}
+        }
+        let draft = match planning::plan(ctx, &intent) {
+            Ok(draft) => draft,
+            Err(refusal) => return out.operator(token, OperatorReply::Refused(refusal)),
+        };
+        let awaited = Awaited::Plan {
+            operation: operation.clone(),
+            intent,
+        };
+        let request = Request::RecordPlan {
+            operation: Some(operation),
+            draft: Box::new(draft),
+        };
+        self.await_command(ctx, awaited, token, request, out);
+    }
+
+    fn confirm_plan(
+        &mut self,
+        ctx: &Context<'_>,
+        confirm: Confirm,
+        token: ReplyToken,
+        out: &mut Output,
+    ) {
+        let Confirm { operation, plan } = confirm;
+        match ctx.state.lookup_confirm(&operation, plan) {
+            Lookup::Answered(Answer::Refused(refusal)) => {
+                return self.refuse(ctx, plan, refusal, token, out);
+            }
+            Lookup::Answered(answer) => return out.operator(token, recorded(ctx, answer)),
+            Lookup::Refused(refusal) => {
+                return out.operator(token, OperatorReply::Refused(refusal));
+            }
+            Lookup::New => {}
+        }
+        let awaited = Awaited::Confirmation {
+            operation: operation.clone(),
+            plan,
+        };
+        let request = Request::ConfirmPlan { operation, plan };
+        self.await_command(ctx, awaited, token, request, out);
+    }
+
+    /// Proposes a command, unless another call waits for the same one.
+    fn await_command(
+        &mut self,
+        ctx: &Context<'_>,
+        awaited: Awaited,
+        token: ReplyToken,
+        request: Request,
+        out: &mut Output,
+    ) {
+        let is_proposed = self
+            .operators
+            .calls
+            .iter()
+            .any(|call| call.awaited == awaited);
+        if !is_proposed {
+            out.propose(ctx, request);
+        }
+        self.operators.calls.push(Call {
+            awaited,
+            token,
+            since: ctx.now,
+        });
+    }
+
+    fn take_calls(&mut self, is_answered: impl Fn(&Awaited) -> bool) -> Vec<Call> {
+        let calls = std::mem::take(&mut self.operators.calls);
+        let (answered, waiting) = calls
+            .into_iter()
+            .partition(|call| is_answered(&call.awaited));
+        self.operators.calls = waiting;
+        answered
+    }
+
+    pub(crate) fn plan_recorded(
+        &mut self,
+        ctx: &Context<'_>,
+        operation: Option<&OperationId>,
+        draft: &PlanDraft,
+        verdict: &Verdict,
+        out: &mut Output,
+    ) {
+        let calls = self.take_calls(|awaited| match (awaited, operation) {
+            (Awaited::Plan { operation, intent }, Some(applied)) => {
+                operation == applied && *intent == draft.intent
+            }
+            (Awaited::FreshPlan { draft: awaited, .. }, None) => **awaited == *draft,
+            _ => false,
+        });
+        for call in calls {
+            let reply = match (verdict, call.awaited) {
+                (Verdict::Planned(id), Awaited::FreshPlan { refusal, .. }) => {
+                    OperatorReply::Refused(with_fresh(ctx, refusal, *id))
+                }
+                (Verdict::Planned(id), _) => plan_reply(ctx, *id),
+                (Verdict::Refused(refusal), _) => OperatorReply::Refused(refusal.clone()),
+                _ => continue,
+            };
+            out.operator(call.token, reply);
+        }
+    }
+
+    pub(crate) fn plan_confirmed(
+        &mut self,
+        ctx: &Context<'_>,
+        operation: &OperationId,
+        plan: PlanId,
+        verdict: &Verdict,
+        out: &mut Output,
+    ) {
+        let applied = Awaited::Confirmation {
+            operation: operation.clone(),
+            plan,
+        };
+        for call in self.take_calls(|awaited| *awaited == applied) {
+            match verdict {
+                Verdict::Confirmed(confirmed) => {
+                    out.operator(call.token, OperatorReply::Confirmed(confirmed.clone()));
+                }
+                Verdict::Refused(refusal) => {
+                    self.refuse(ctx, plan, refusal.clone(), call.token, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Refuses a confirmation; a stale one with a new plan for the same intent, if there is one.
+    fn refuse(
+        &mut self,
+        ctx: &Context<'_>,
+        plan: PlanId,
+        refusal: Refusal,
+        token: ReplyToken,
+        out: &mut Output,
+    ) {
+        let is_stale = matches!(refusal, Refusal::Stale { .. });
+        let intent = ctx
+            .state
+            .plans()
+            .get(plan)
+            .filter(|_| is_stale)
+            .map(|record| &record.plan.intent);
+        let draft = intent.and_then(|intent| planning::plan(ctx, intent).ok());
+        let Some(draft) = draft else {
+            out.operator(token, OperatorReply::Refused(refusal));
+            return;
+        };
+        let draft = Box::new(draft);
+        let request = Request::RecordPlan {
+            operation: None,
+            draft: draft.clone(),
+        };
+        let awaited = Awaited::FreshPlan { draft, refusal };
+        self.await_command(ctx, awaited, token, request, out);
+    }
+
+    pub(crate) fn expire_calls(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        self.expire_claims(ctx, out);
+        let timeout_ms = self.config.proposal_timeout_ms;
+        self.operators.calls.retain(|call| {
+            let is_lost = ctx.now.since(call.since) >= timeout_ms;
+            if is_lost {
+                out.reply(call.token, Reply::OutcomeUnknown);
+            }
+            !is_lost
+        });
+    }
+
+    fn explain(&self, ctx: &Context<'_>, name: &Name) -> OperatorReply {
+        let Some((id, job)) = ctx.state.jobs().by_name(name) else {
+            return OperatorReply::Refused(Refusal::NotFound {
+                what: format!("job {name}"),
+            });
+        };
+        let mut lines = status::explain(ctx, id, job);
+        if job.is_active() {
+            lines.extend(self.placing.explain(id));
+        }
+        OperatorReply::Explanation { lines }
+    }
+}
+
+fn recorded(ctx: &Context<'_>, answer: Answer) -> OperatorReply {
+    match answer {
+        Answer::Planned(plan) => plan_reply(ctx, plan),
+        Answer::Confirmed(confirmed) => OperatorReply::Confirmed(confirmed),
+        Answer::Refused(refusal) => OperatorReply::Refused(refusal),
+    }
+}
+
+fn plan_of(ctx: &Context<'_>, id: PlanId) -> Option<Box<Plan>> {
+    let record = ctx.state.plans().get(id)?;
+    Some(Box::new(record.plan.clone()))
+}
+
+fn plan_reply(ctx: &Context<'_>, id: PlanId) -> OperatorReply {
+    match plan_of(ctx, id) {
+        Some(plan) => OperatorReply::Plan(plan),
+        None => OperatorReply::Refused(Refusal::NotFound {
+            what: id.to_string(),
+        }),
+    }
+}
+
+fn with_fresh(ctx: &Context<'_>, refusal: Refusal, id: PlanId) -> Refusal {
+    match refusal {
+        Refusal::Stale { changed, won, .. } => Refusal::Stale {
+            changed,
+            won,
+            fresh: plan_of(ctx, id),
+        },
+        other => other,
+    }
+}
+
+fn config_reply(ctx: &Context<'_>) -> OperatorReply {
+    let config = ctx.state.config();
+    OperatorReply::Config {
+        version: config.version(),
+        values: config.values().clone(),
+    }
+}
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -2,7 +2,8 @@
 //!
 //! One sync renews the lease of the worker, reports its tasks and brings back commands. The
 //! worker counts the lease from when it sent the sync. Reports of ended tasks are repeated until
-//! they are acknowledged, so that no end is lost.
+//! they are acknowledged, also by a later run of the agent, so that no end is lost: a task whose
+//! end is lost runs again.
 
 use std::hash::Hash;
 use std::hash::Hasher;
--- a/crates/verifier/src/event.rs
+++ b/crates/verifier/src/event.rs
@@ -114,15 +114,17 @@
     },
     /// A runner began to run a request.
     RequestRan {
-        /// The request.
+        /// The request; a resend carries the same one.
         request: String,
+        /// Which sending of the request ran.
+        submission: u64,
         /// Whether it may run more than once.
         idempotent: bool,
     },
-    /// A caller was told how its request ended.
+    /// A caller was told how one sending of a request ended.
     CallerTold {
-        /// The request.
-        request: String,
+        /// Which sending of the request.
+        submission: u64,
         /// The outcome.
         outcome: Outcome,
     },
