Add the consensus package

Cause: the control processes need one replicated log (design 5.1 and 7.1). Ruled out: a voter list in Config (it would compete with the membership in the log) and separate heartbeat messages (an empty append detects a lost tail of the pipeline as well).

--- /dev/null
+++ b/crates/consensus/src/election.rs
@@ -0,0 +1,333 @@
+//! Elections: pre-vote, votes, check-quorum and leadership transfer.
+//!
+//! A vote request is sent, and a vote is counted or granted, only after the term and the vote are
+//! synced; otherwise a restarted member could vote twice in a term.
+
+use sapphirepost_types::MemberId;
+
+use crate::entry::HardState;
+use crate::entry::Index;
+use crate::entry::Payload;
+use crate::entry::Term;
+use crate::membership::MembershipChange;
+use crate::message::Body;
+use crate::message::Message;
+use crate::node::Node;
+use crate::node::ProposeError;
+use crate::node::Role;
+use crate::node::Transfer;
+use crate::progress::Mode;
+use crate::progress::Progress;
+
+impl Node {
+    /// Hands the leadership to the voter that is furthest ahead, for a planned stop. Proposals are
+    /// refused as busy until another member leads or an election timeout has passed.
+    pub fn transfer_leadership(
+        &mut self,
+        now: sapphirepost_types::Millis,
+    ) -> Result<MemberId, ProposeError> {
+        self.observe(now);
+        self.check_leading()?;
+        let candidates = self
+            .progress
+            .iter()
+            .filter(|(id, _)| self.membership().is_voter(**id));
+        let best = candidates.max_by_key(|(_, progress)| (progress.matched, progress.last_heard));
+        let target = best.map(|(id, _)| *id).ok_or(ProposeError::QuorumLost)?;
+        let deadline = self.now + self.config.election_timeout_ms;
+        self.transfer = Some(Transfer {
+            target,
+            deadline,
+            is_sent: false,
+        });
+        self.continue_transfer();
+        Ok(target)
+    }
+
+    pub(crate) fn continue_transfer(&mut self) {
+        let Some(transfer) = &mut self.transfer else {
+            return;
+        };
+        let matched = self
+            .progress
+            .get(&transfer.target)
+            .map_or(0, |progress| progress.matched);
+        if transfer.is_sent || matched < self.log.last_index() {
+            return;
+        }
+        transfer.is_sent = true;
+        let target = transfer.target;
+        self.send(target, Body::TimeoutNow);
+    }
+
+    pub(crate) fn tick_election(&mut self) {
+        if self.now < self.election_due {
+            return;
+        }
+        self.leader = None;
+        self.reset_election_timer();
+        if self.membership().is_voter(self.config.id) {
+            self.is_transfer_campaign = false;
+            if self.config.faults.no_pre_vote {
+                self.campaign();
+            } else {
+                self.pre_campaign();
+            }
+        }
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        if self
+            .transfer
+            .is_some_and(|transfer| self.now >= transfer.deadline)
+        {
+            self.transfer = None;
+        }
+        if self.now < self.heartbeat_due {
+            return;
+        }
+        self.heartbeat_due = self.now + self.config.heartbeat_ms;
+        self.replicate_all(true);
+        self.promote_caught_up();
+    }
+
+    /// Steps down if a quorum was not heard from for an election timeout.
+    pub(crate) fn check_quorum(&mut self) {
+        let heard = |id: MemberId| {
+            self.progress
+                .get(&id)
+                .map_or(self.now, |other| other.last_heard)
+        };
+        let contact = self.membership().quorum_value(heard).unwrap_or(self.now);
+        let is_lost = self.now.since(contact) >= self.config.election_timeout_ms;
+        if is_lost && !self.config.faults.no_check_quorum {
+            self.become_follower(self.term(), None);
+        }
+    }
+
+    /// Whether a message is a vote request that must not disturb a live leader.
+    pub(crate) fn is_disturbing_vote(&self, message: &Message) -> bool {
+        let is_request = match message.body {
+            Body::PreVote { .. } => true,
+            Body::Vote { transfer, .. } => !transfer,
+            _ => false,
+        };
+        is_request && self.hears_leader() && !self.config.faults.no_pre_vote
+    }
+
+    fn hears_leader(&self) -> bool {
+        if self.role == Role::Leader {
+            return true;
+        }
+        let timeout_ms = self.config.election_timeout_ms;
+        let is_recent = self
+            .leader_contact
+            .is_some_and(|at| self.now.since(at) < timeout_ms);
+        self.leader.is_some() && is_recent
+    }
+
+    /// Follows the sender of a message of the current term that only a leader sends.
+    pub(crate) fn follow(&mut self, leader: MemberId) {
+        assert!(
+            self.role != Role::Leader,
+            "two leaders in term {}",
+            self.term()
+        );
+        self.become_follower(self.term(), Some(leader));
+        self.leader_contact = Some(self.now);
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<MemberId>) {
+        if term > self.term() {
+            self.set_hard_state(HardState {
+                term,
+                voted_for: None,
+                ..self.hard_state
+            });
+            self.incoming = None;
+        }
+        if self.role == Role::Leader {
+            self.reads.abort();
+            self.progress.clear();
+            self.transfer = None;
+            self.uncommitted_bytes = 0;
+            // The leader heard itself until now, so that callers see an election first.
+            self.leader_contact = Some(self.now);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.reset_election_timer();
+    }
+
+    fn pre_campaign(&mut self) {
+        self.role = Role::PreCandidate;
+        self.votes.clear();
+        let body = Body::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for voter in self.other_voters() {
+            self.send_at_term(voter, self.term() + 1, body.clone());
+        }
+        self.record_vote(self.config.id, true);
+    }
+
+    fn campaign(&mut self) {
+        let id = self.config.id;
+        let term = self.term() + 1;
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.votes.clear();
+        self.reset_election_timer();
+        self.set_hard_state(HardState {
+            term,
+            voted_for: Some(id),
+            ..self.hard_state
+        });
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer: self.is_transfer_campaign,
+        };
+        for voter in self.other_voters() {
+            self.send_durable(voter, body.clone());
+        }
+        if self.config.faults.ack_before_sync {
+            self.record_vote(id, true);
+        }
+    }
+
+    fn other_voters(&self) -> Vec<MemberId> {
+        self.membership()
+            .voters()
+            .filter(|&voter| voter != self.config.id)
+            .collect()
+    }
+
+    pub(crate) fn record_vote(&mut self, from: MemberId, granted: bool) {
+        self.votes.insert(from, granted);
+        let membership = self.membership();
+        let granting = self
+            .votes
+            .iter()
+            .filter(|(id, granted)| **granted && membership.is_voter(**id));
+        if granting.count() < membership.quorum() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.config.id);
+        self.votes.clear();
+        self.uncommitted_bytes = 0;
+        self.heartbeat_due = self.now + self.config.heartbeat_ms;
+        self.progress.clear();
+        self.align_progress();
+        self.append_own(Payload::Noop);
+        self.replicate_all(true);
+    }
+
+    /// Keeps one progress for each other member.
+    pub(crate) fn align_progress(&mut self) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let membership = self.memberships.current();
+        self.progress
+            .retain(|id, _| membership.members.contains_key(id));
+        let next = self.log.last_index() + 1;
+        for id in membership
+            .members
+            .keys()
+            .filter(|id| **id != self.config.id)
+        {
+            self.progress
+                .entry(*id)
+                .or_insert_with(|| Progress::new(next, self.now));
+        }
+    }
+
+    pub(crate) fn handle_pre_vote(&mut self, from: MemberId, term: Term, index: Index, last: Term) {
+        let granted = term > self.term() && self.log.is_up_to_date(index, last);
+        let reply_term = if granted { term } else { self.term() };
+        self.send_at_term(from, reply_term, Body::PreVoteReply { granted });
+    }
+
+    pub(crate) fn handle_pre_vote_reply(&mut self, from: MemberId, term: Term, granted: bool) {
+        if self.role == Role::PreCandidate && granted && term == self.term() + 1 {
+            self.record_vote(from, true);
+        }
+    }
+
+    pub(crate) fn handle_vote(&mut self, from: MemberId, index: Index, last: Term) {
+        let is_free = self.hard_state.voted_for.is_none_or(|voted| voted == from);
+        let granted = is_free && self.role != Role::Leader && self.log.is_up_to_date(index, last);
+        if granted {
+            self.set_hard_state(HardState {
+                voted_for: Some(from),
+                ..self.hard_state
+            });
+            self.reset_election_timer();
+        }
+        self.send_durable(from, Body::VoteReply { granted });
+    }
+
+    pub(crate) fn handle_vote_reply(&mut self, from: MemberId, granted: bool) {
+        if self.role == Role::Candidate {
+            self.record_vote(from, granted);
+        }
+    }
+
+    pub(crate) fn handle_timeout_now(&mut self) {
+        if self.membership().is_voter(self.config.id) && self.role != Role::Leader {
+            self.is_transfer_campaign = true;
+            self.campaign();
+        }
+    }
+
+    /// Answers a message of an earlier term, so that its sender learns the current one.
+    pub(crate) fn handle_stale(&mut self, from: MemberId, body: &Body) {
+        match body {
+            Body::PreVote { .. } => self.send(from, Body::PreVoteReply { granted: false }),
+            Body::Append { .. } | Body::SnapshotChunk { .. } => {
+                // An isolated member may have reached a higher term; the leader has to follow it,
+                // since this member can no longer accept anything of the leader's term.
+                let hint = self.log.last_index();
+                self.send_durable(
+                    from,
+                    Body::Rejected {
+                        prev_index: 0,
+                        hint,
+                        round: 0,
+                    },
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives a vote to a joining member whose synced log is complete.
+    fn promote_caught_up(&mut self) {
+        let membership = self.membership();
+        let ready = self.progress.iter().find(|(id, progress)| {
+            let is_joining = membership
+                .members
+                .get(id)
+                .is_some_and(|member| member.role == crate::membership::MemberRole::Joining);
+            let is_recent = self.now.since(progress.last_heard) < self.config.election_timeout_ms;
+            let is_streaming = matches!(progress.mode, Mode::Replicate);
+            is_joining && is_recent && is_streaming && progress.matched >= self.commit
+        });
+        if let Some(member) = ready.map(|(id, _)| *id) {
+            // Refused while another change is under way; the next heartbeat tries again.
+            let _ = self.propose_membership(self.now, MembershipChange::Promote { member });
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,151 @@
+//! The log in memory.
+//!
+//! Entries start after `base_index`. `stable` is the last index known to be synced; entries from
+//! `unsaved` on have not been handed out for storage yet.
+
+use std::collections::VecDeque;
+
+use crate::entry::Entry;
+use crate::entry::Index;
+use crate::entry::Record;
+use crate::entry::Restored;
+use crate::entry::Snapshot;
+use crate::entry::Term;
+
+#[derive(Debug)]
+pub(crate) struct Log {
+    base_index: Index,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    snapshot: Option<Snapshot>,
+    stable: Index,
+    unsaved: Index,
+    pending_truncate: Option<Index>,
+}
+
+impl Log {
+    pub(crate) fn new(restored: Restored) -> Log {
+        let meta = restored.snapshot.as_ref().map(|snapshot| &snapshot.meta);
+        let (base_index, base_term) = meta.map_or((0, 0), |meta| (meta.index, meta.term));
+        let entries = VecDeque::from(restored.entries);
+        let last = base_index + entries.len() as u64;
+        Log {
+            base_index,
+            base_term,
+            entries,
+            snapshot: restored.snapshot,
+            stable: last,
+            unsaved: last + 1,
+            pending_truncate: None,
+        }
+    }
+
+    pub(crate) fn last_index(&self) -> Index {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    pub(crate) fn stable(&self) -> Index {
+        self.stable
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// The term of an entry, or `None` if it is compacted or does not exist.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let position = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(position as usize)
+    }
+
+    /// Whether a log that ends with the given entry contains all that may be committed here.
+    pub(crate) fn is_up_to_date(&self, last_index: Index, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.last_term(), self.last_index())
+    }
+
+    /// Entries from `from` on, up to `max_bytes` but at least one if there is one.
+    pub(crate) fn slice(&self, from: Index, max_bytes: usize) -> Vec<Entry> {
+        let mut size_bytes = 0;
+        let mut batch = Vec::new();
+        for index in from..=self.last_index() {
+            let Some(entry) = self.get(index) else { break };
+            size_bytes += entry.size_bytes();
+            if size_bytes > max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.last_index() + 1, "gap in the log");
+        self.entries.push_back(entry);
+    }
+
+    pub(crate) fn truncate_after(&mut self, index: Index) {
+        let keep = index.saturating_sub(self.base_index) as usize;
+        self.entries.truncate(keep);
+        self.stable = self.stable.min(index);
+        self.unsaved = self.unsaved.min(index + 1);
+    }
+
+    /// Marks entries as synced. A late report about an entry that was replaced is ignored.
+    pub(crate) fn mark_stable(&mut self, index: Index, term: Term) {
+        if self.term(index) == Some(term) {
+            self.stable = self.stable.max(index);
+        }
+    }
+
+    /// Drops entries that a snapshot of this member contains, except for `trailing` ones.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, trailing: u64) {
+        let upto = snapshot.meta.index.saturating_sub(trailing);
+        while self.base_index < upto {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces the log by a received snapshot.
+    pub(crate) fn reset(&mut self, snapshot: Snapshot) {
+        self.base_index = snapshot.meta.index;
+        self.base_term = snapshot.meta.term;
+        self.entries.clear();
+        self.stable = 0;
+        self.unsaved = self.base_index + 1;
+        self.pending_truncate = Some(self.base_index);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Records that have not been handed out yet.
+    pub(crate) fn take_unsaved(&mut self) -> Vec<Record> {
+        let truncate = self
+            .pending_truncate
+            .take()
+            .map(|after| Record::Truncate { after });
+        let entries = (self.unsaved..=self.last_index()).filter_map(|index| self.get(index));
+        let records = truncate
+            .into_iter()
+            .chain(entries.cloned().map(Record::Entry))
+            .collect();
+        self.unsaved = self.last_index() + 1;
+        records
+    }
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,1 @@
-//! Durable log and snapshots in one data folder.
+//! Durable log.
