Add the storage package

Cause: votes and entries must survive a restart, and damage must be told from a torn tail (design 5.2 and 7.1). Ruled out: taking every bad record as damage (a crash during an unsynced write would prevent the start) and every bad record in the last segment as torn (damage to synced votes would pass).

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -104,10 +104,10 @@
 pub enum Record {
     /// Replaces the earlier hard state.
     HardState(HardState),
-    /// Discards the entries after an index; written when a received snapshot replaces the log.
-    Truncate {
-        /// The last index that remains.
-        after: Index,
+    /// A received snapshot replaces the log; all earlier entries are discarded.
+    Reset {
+        /// The last index of the snapshot.
+        index: Index,
     },
     /// An entry; it discards the entry with the same index and all later ones.
     Entry(Entry),
@@ -151,7 +151,7 @@
     pub fn apply(&mut self, record: Record) {
         match record {
             Record::HardState(hard_state) => self.hard_state = hard_state,
-            Record::Truncate { after } => self.truncate_after(after),
+            Record::Reset { .. } => self.entries.clear(),
             Record::Entry(entry) => {
                 self.truncate_after(entry.index - 1);
                 self.entries.push(entry);
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -20,7 +20,7 @@
     snapshot: Option<Snapshot>,
     stable: Index,
     unsaved: Index,
-    pending_truncate: Option<Index>,
+    pending_reset: Option<Index>,
 }
 
 impl Log {
@@ -36,7 +36,7 @@
             snapshot: restored.snapshot,
             stable: last,
             unsaved: last + 1,
-            pending_truncate: None,
+            pending_reset: None,
         }
     }
 
@@ -130,18 +130,18 @@
         self.entries.clear();
         self.stable = 0;
         self.unsaved = self.base_index + 1;
-        self.pending_truncate = Some(self.base_index);
+        self.pending_reset = Some(self.base_index);
         self.snapshot = Some(snapshot);
     }
 
     /// Records that have not been handed out yet.
     pub(crate) fn take_unsaved(&mut self) -> Vec<Record> {
-        let truncate = self
-            .pending_truncate
+        let reset = self
+            .pending_reset
             .take()
-            .map(|after| Record::Truncate { after });
+            .map(|index| Record::Reset { index });
         let entries = (self.unsaved..=self.last_index()).filter_map(|index| self.get(index));
-        let records = truncate
+        let records = reset
             .into_iter()
             .chain(entries.cloned().map(Record::Entry))
             .collect();
--- /dev/null
+++ b/crates/storage/src/disk.rs
@@ -0,0 +1,210 @@
+//! The store on disk.
+//!
+//! Layout of the data directory: `lock`, `identity.json`, `log-<number>.seg` and
+//! `snapshot-<index>.snap`. A failed write or sync makes the store unusable, since the operating
+//! system may have dropped the unwritten pages.
+
+use std::fs;
+use std::fs::File;
+use std::fs::TryLockError;
+use std::path::Path;
+use std::path::PathBuf;
+
+use sapphirepost_consensus::HardState;
+use sapphirepost_consensus::Index;
+use sapphirepost_consensus::Record;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::SnapshotMeta;
+use sapphirepost_types::MemberId;
+
+use crate::error::StoreError;
+use crate::identity;
+use crate::segment;
+use crate::segment::Active;
+use crate::segment::Sealed;
+use crate::snapshot_file;
+use crate::store::LogStore;
+
+const LOCK_FILE_NAME: &str = "lock";
+
+/// Parameters of a [`DiskStore`].
+#[derive(Clone, Debug)]
+pub struct DiskOptions {
+    /// A segment that has reached this size is followed by a new one.
+    pub segment_bytes: u64,
+}
+
+impl Default for DiskOptions {
+    fn default() -> DiskOptions {
+        DiskOptions {
+            segment_bytes: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// A store in a data directory that no other process uses.
+pub struct DiskStore {
+    directory: PathBuf,
+    options: DiskOptions,
+    member: MemberId,
+    sealed: Vec<Sealed>,
+    active: Active,
+    hard_state: Option<HardState>,
+    restored: Option<Restored>,
+    is_failed: bool,
+    /// Holds the lock until the store is dropped.
+    _lock: File,
+}
+
+impl DiskStore {
+    /// Opens a data directory, or creates it with a new identity.
+    pub fn open(directory: &Path, options: DiskOptions) -> Result<DiskStore, StoreError> {
+        create_directory(directory)?;
+        let lock = lock(directory)?;
+        let has_log = !segment::list(directory)?.is_empty();
+        let has_data = has_log || !snapshot_file::list(directory)?.is_empty();
+        let member = identity::load_or_create(directory, has_data)?;
+        let snapshot = snapshot_file::load(directory)?;
+        let mut restored = Restored::default();
+        let mut hard_state = None;
+        let (sealed, active) = segment::open_all(directory, |record| {
+            if let Record::HardState(found) = &record {
+                hard_state = Some(*found);
+            }
+            restored.apply(record);
+        })?;
+        if let Some(snapshot) = snapshot {
+            restored.install(snapshot);
+        }
+        check_sequence(directory, &restored)?;
+        Ok(DiskStore {
+            directory: directory.to_owned(),
+            options,
+            member,
+            sealed,
+            active,
+            hard_state,
+            restored: Some(restored),
+            is_failed: false,
+            _lock: lock,
+        })
+    }
+
+    /// The member that owns the directory.
+    pub fn member(&self) -> MemberId {
+        self.member
+    }
+
+    /// Runs a write; after a failure all further calls fail.
+    fn guarded(
+        &mut self,
+        write: impl FnOnce(&mut DiskStore) -> Result<(), StoreError>,
+    ) -> Result<(), StoreError> {
+        if self.is_failed {
+            return Err(StoreError::Failed);
+        }
+        self.restored = None;
+        let result = write(self);
+        self.is_failed = result.is_err();
+        result
+    }
+
+    /// Starts a new segment. It begins with the hard state, so that older ones can be deleted.
+    fn roll(&mut self) -> Result<(), StoreError> {
+        let sealed = self.active.roll(&self.directory)?;
+        self.sealed.push(sealed);
+        if let Some(hard_state) = self.hard_state {
+            self.active
+                .write_records(&[Record::HardState(hard_state)])?;
+            self.active.sync()?;
+        }
+        Ok(())
+    }
+
+    /// Deletes the oldest segments as long as the snapshot contains all their entries.
+    fn delete_sealed(&mut self, snapshot_index: Index) -> Result<(), StoreError> {
+        let is_obsolete = |segment: &&Sealed| segment.max_index <= snapshot_index;
+        let count = self.sealed.iter().take_while(is_obsolete).count();
+        for segment in self.sealed.drain(..count) {
+            fs::remove_file(&segment.path).map_err(StoreError::io("delete", &segment.path))?;
+        }
+        if count > 0 {
+            identity::sync_directory(&self.directory)?;
+        }
+        Ok(())
+    }
+}
+
+impl LogStore for DiskStore {
+    fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        self.guarded(|store| {
+            for record in records {
+                if let Record::HardState(hard_state) = record {
+                    store.hard_state = Some(*hard_state);
+                }
+            }
+            store.active.write_records(records)
+        })
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        self.guarded(|store| {
+            store.active.sync()?;
+            if store.active.length_bytes() >= store.options.segment_bytes {
+                store.roll()?;
+            }
+            Ok(())
+        })
+    }
+
+    fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        self.guarded(|store| {
+            snapshot_file::save(&store.directory, meta, data)?;
+            store.delete_sealed(meta.index)
+        })
+    }
+
+    fn restore(&mut self) -> Result<Restored, StoreError> {
+        self.restored.take().ok_or(StoreError::Failed)
+    }
+}
+
+fn create_directory(directory: &Path) -> Result<(), StoreError> {
+    if directory.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(directory).map_err(StoreError::io("create", directory))?;
+    match directory.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => identity::sync_directory(parent),
+        _ => Ok(()),
+    }
+}
+
+fn lock(directory: &Path) -> Result<File, StoreError> {
+    let path = directory.join(LOCK_FILE_NAME);
+    let file = File::options()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&path);
+    let file = file.map_err(StoreError::io("open", &path))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(StoreError::Locked { path }),
+        Err(TryLockError::Error(error)) => Err(StoreError::io("lock", &path)(error)),
+    }
+}
+
+/// The entries must follow the snapshot without gaps; a missing segment shows up here.
+fn check_sequence(directory: &Path, restored: &Restored) -> Result<(), StoreError> {
+    let meta = restored.snapshot.as_ref().map(|snapshot| &snapshot.meta);
+    let (mut index, mut term) = meta.map_or((0, 0), |meta| (meta.index, meta.term));
+    for entry in &restored.entries {
+        if entry.index != index + 1 || entry.term < term {
+            let reason = format!("entry {} follows entry {index}", entry.index);
+            return Err(StoreError::corrupt(directory, 0, reason));
+        }
+        (index, term) = (entry.index, entry.term);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/storage/src/error.rs
@@ -0,0 +1,66 @@
+//! Errors of a store.
+
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+/// Why a store cannot be opened, read or written.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// A file operation failed.
+    #[error("cannot {action} {path}: {source}")]
+    Io {
+        /// What was attempted.
+        action: &'static str,
+        /// The file or directory.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Another process uses the directory.
+    #[error("{path} is locked by another process")]
+    Locked {
+        /// The lock file.
+        path: PathBuf,
+    },
+    /// Synced data is damaged. Starting without it could break a promise to other members.
+    #[error("{path} is damaged at offset {offset}: {reason}")]
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// Where the damaged part starts, in bytes.
+        offset: u64,
+        /// What is wrong.
+        reason: String,
+    },
+    /// The directory holds data but no identity.
+    #[error("{path} holds a log but no identity file")]
+    NoIdentity {
+        /// The directory.
+        path: PathBuf,
+    },
+    /// An earlier write or sync failed, so it is unknown what is on the disk.
+    #[error("an earlier write or sync failed")]
+    Failed,
+}
+
+impl StoreError {
+    pub(crate) fn io(action: &'static str, path: &Path) -> impl FnOnce(io::Error) -> StoreError {
+        let path = path.to_owned();
+        move |source| StoreError::Io {
+            action,
+            path,
+            source,
+        }
+    }
+
+    pub(crate) fn corrupt(path: &Path, offset: u64, reason: impl Into<String>) -> StoreError {
+        StoreError::Corrupt {
+            path: path.to_owned(),
+            offset,
+            reason: reason.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/identity.rs
@@ -0,0 +1,92 @@
+//! The identity of a member, drawn when its data directory is created.
+//!
+//! An empty directory yields a new identity: a member that lost its disk has also lost its votes
+//! and entries, so it must not act under the old one.
+
+use std::fs;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+
+use sapphirepost_types::MemberId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::StoreError;
+
+const FILE_NAME: &str = "identity.json";
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Identity {
+    member: MemberId,
+    /// CRC-32 of the member number in decimal.
+    checksum: u32,
+}
+
+fn checksum(member: MemberId) -> u32 {
+    crc32fast::hash(member.0.to_string().as_bytes())
+}
+
+/// Reads the identity, or draws one if the directory is new.
+pub(crate) fn load_or_create(directory: &Path, has_data: bool) -> Result<MemberId, StoreError> {
+    let path = directory.join(FILE_NAME);
+    match fs::read(&path) {
+        Ok(bytes) => parse(&path, &bytes),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
+            if has_data {
+                return Err(StoreError::NoIdentity {
+                    path: directory.to_owned(),
+                });
+            }
+            create(directory, &path)
+        }
+        Err(error) => Err(StoreError::io("read", &path)(error)),
+    }
+}
+
+fn parse(path: &Path, bytes: &[u8]) -> Result<MemberId, StoreError> {
+    let parsed: Result<Identity, _> = serde_json::from_slice(bytes);
+    let identity = parsed.map_err(|error| StoreError::corrupt(path, 0, error.to_string()))?;
+    if identity.checksum != checksum(identity.member) {
+        return Err(StoreError::corrupt(path, 0, "checksum mismatch"));
+    }
+    Ok(identity.member)
+}
+
+fn create(directory: &Path, path: &Path) -> Result<MemberId, StoreError> {
+    // At most 2^53 - 1, so that programs that read JSON numbers as floating point keep the value.
+    let member = MemberId(rand::random_range(1..1 << 53));
+    let identity = Identity {
+        member,
+        checksum: checksum(member),
+    };
+    let text = serde_json::to_vec(&identity).map_err(std::io::Error::from);
+    let text = text.map_err(StoreError::io("encode", path))?;
+    write_durably(directory, path, &[&text])?;
+    Ok(member)
+}
+
+/// Writes a file so that after a crash it exists completely or not at all.
+pub(crate) fn write_durably(
+    directory: &Path,
+    path: &Path,
+    parts: &[&[u8]],
+) -> Result<(), StoreError> {
+    let temporary = path.with_extension("tmp");
+    let mut file = File::create(&temporary).map_err(StoreError::io("create", &temporary))?;
+    for part in parts {
+        file.write_all(part)
+            .map_err(StoreError::io("write", &temporary))?;
+    }
+    file.sync_all()
+        .map_err(StoreError::io("sync", &temporary))?;
+    fs::rename(&temporary, path).map_err(StoreError::io("rename", &temporary))?;
+    sync_directory(directory)
+}
+
+/// Makes created, renamed and deleted names durable.
+pub(crate) fn sync_directory(directory: &Path) -> Result<(), StoreError> {
+    let handle = File::open(directory).map_err(StoreError::io("open", directory))?;
+    handle.sync_all().map_err(StoreError::io("sync", directory))
+}
--- /dev/null
+++ b/crates/storage/src/memory.rs
@@ -0,0 +1,79 @@
+//! A fake store for tests that loses unsynced records on a crash.
+
+use sapphirepost_consensus::Record;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::Snapshot;
+use sapphirepost_consensus::SnapshotMeta;
+
+use crate::error::StoreError;
+use crate::store::LogStore;
+
+/// A store in memory.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    durable: Restored,
+    unsynced: Vec<Record>,
+    is_sync_failing: bool,
+}
+
+impl MemoryStore {
+    /// An empty store.
+    pub fn new() -> MemoryStore {
+        MemoryStore::default()
+    }
+
+    /// Crashes: of the unsynced records only the first `surviving` remain.
+    pub fn crash(&mut self, surviving: usize) {
+        let records: Vec<Record> = self.unsynced.drain(..).take(surviving).collect();
+        records
+            .into_iter()
+            .for_each(|record| self.durable.apply(record));
+    }
+
+    /// How many records a crash could lose.
+    pub fn unsynced(&self) -> usize {
+        self.unsynced.len()
+    }
+
+    /// Makes all further syncs fail.
+    pub fn fail_syncs(&mut self) {
+        self.is_sync_failing = true;
+    }
+}
+
+impl LogStore for MemoryStore {
+    fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        self.unsynced.extend_from_slice(records);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        if self.is_sync_failing {
+            return Err(StoreError::Failed);
+        }
+        let records = std::mem::take(&mut self.unsynced);
+        records
+            .into_iter()
+            .for_each(|record| self.durable.apply(record));
+        Ok(())
+    }
+
+    fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        let data = bytes::Bytes::copy_from_slice(data);
+        self.durable.install(Snapshot {
+            meta: meta.clone(),
+            data,
+        });
+        Ok(())
+    }
+
+    fn restore(&mut self) -> Result<Restored, StoreError> {
+        let mut restored = self.durable.clone();
+        if let Some(snapshot) = restored.snapshot.clone() {
+            // Records of entries that the snapshot contains may have been synced after it.
+            restored.install(snapshot);
+        }
+        self.durable = restored.clone();
+        Ok(restored)
+    }
+}
--- /dev/null
+++ b/crates/storage/src/segment.rs
@@ -0,0 +1,224 @@
+//! Segment files of the log.
+//!
+//! Only the last segment is written to; the others are synced completely before the next one is
+//! created. Damage in an earlier segment, or before the last synced offset, is an error; what
+//! follows that offset in the last segment may be torn and is cut off.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use sapphirepost_consensus::Index;
+use sapphirepost_consensus::Record;
+
+use crate::error::StoreError;
+use crate::frame;
+use crate::frame::Frame;
+use crate::identity::sync_directory;
+use crate::snapshot_file::list_files;
+
+const MAGIC: &[u8; 8] = b"splog001";
+const PREFIX: &str = "log-";
+const SUFFIX: &str = ".seg";
+
+/// A segment that is no longer written to.
+pub(crate) struct Sealed {
+    pub(crate) path: PathBuf,
+    pub(crate) max_index: Index,
+}
+
+/// The segment that is written to.
+pub(crate) struct Active {
+    path: PathBuf,
+    file: File,
+    number: u64,
+    length_bytes: u64,
+    max_index: Index,
+}
+
+/// What one segment file contains.
+struct Content {
+    records: Vec<Record>,
+    intact_bytes: u64,
+}
+
+fn path_of(directory: &Path, number: u64) -> PathBuf {
+    directory.join(format!("{PREFIX}{number:020}{SUFFIX}"))
+}
+
+/// The segment files, the oldest first.
+pub(crate) fn list(directory: &Path) -> Result<Vec<PathBuf>, StoreError> {
+    list_files(directory, PREFIX, SUFFIX)
+}
+
+/// Reads all segments, passes their records on, and opens the last one for writing.
+pub(crate) fn open_all(
+    directory: &Path,
+    mut on_record: impl FnMut(Record),
+) -> Result<(Vec<Sealed>, Active), StoreError> {
+    let mut paths = list(directory)?;
+    let last = paths.pop();
+    let mut sealed = Vec::new();
+    for path in paths {
+        let content = read(&path, false)?;
+        let max_index = max_index(&content.records);
+        content.records.into_iter().for_each(&mut on_record);
+        sealed.push(Sealed { path, max_index });
+    }
+    let Some(path) = last else {
+        return Ok((sealed, Active::create(directory, 1)?));
+    };
+    let content = read(&path, true)?;
+    let max_index = max_index(&content.records);
+    content.records.into_iter().for_each(&mut on_record);
+    let active = Active::reopen(directory, path, content.intact_bytes, max_index)?;
+    Ok((sealed, active))
+}
+
+fn max_index(records: &[Record]) -> Index {
+    let indexes = records.iter().map(|record| match record {
+        Record::Entry(entry) => entry.index,
+        Record::HardState(_) | Record::Reset { .. } => 0,
+    });
+    indexes.max().unwrap_or(0)
+}
+
+fn read(path: &Path, is_last: bool) -> Result<Content, StoreError> {
+    let bytes = fs::read(path).map_err(StoreError::io("read", path))?;
+    let mut content = Content {
+        records: Vec::new(),
+        intact_bytes: 0,
+    };
+    if !bytes.starts_with(MAGIC) {
+        if is_last && bytes.len() < MAGIC.len() {
+            // The process stopped while it created the segment.
+            return Ok(content);
+        }
+        return Err(StoreError::corrupt(path, 0, "not a log segment"));
+    }
+    let mut offset = MAGIC.len();
+    while offset < bytes.len() {
+        match frame::decode(&bytes, offset) {
+            Ok((Frame::Record(record), next)) => {
+                content.records.push(record);
+                offset = next;
+            }
+            Ok((Frame::Marker(_), next)) => offset = next,
+            Err(error) => {
+                let synced = frame::last_marker(&bytes, offset);
+                let is_synced = synced.is_some_and(|synced| synced > offset as u64);
+                if is_synced || !is_last {
+                    return Err(StoreError::corrupt(path, offset as u64, error.reason()));
+                }
+                break;
+            }
+        }
+    }
+    content.intact_bytes = offset as u64;
+    Ok(content)
+}
+
+impl Active {
+    fn create(directory: &Path, number: u64) -> Result<Active, StoreError> {
+        let path = path_of(directory, number);
+        let options = OpenOptions::new().append(true).create(true).to_owned();
+        let mut file = options
+            .open(&path)
+            .map_err(StoreError::io("create", &path))?;
+        file.write_all(MAGIC)
+            .map_err(StoreError::io("write", &path))?;
+        file.sync_all().map_err(StoreError::io("sync", &path))?;
+        sync_directory(directory)?;
+        let length_bytes = MAGIC.len() as u64;
+        Ok(Active {
+            path,
+            file,
+            number,
+            length_bytes,
+            max_index: 0,
+        })
+    }
+
+    /// Opens the last segment and cuts off its torn tail.
+    fn reopen(
+        directory: &Path,
+        path: PathBuf,
+        intact_bytes: u64,
+        max_index: Index,
+    ) -> Result<Active, StoreError> {
+        let number = number_of(&path)?;
+        let options = OpenOptions::new().append(true).to_owned();
+        let file = options.open(&path).map_err(StoreError::io("open", &path))?;
+        file.set_len(intact_bytes)
+            .map_err(StoreError::io("truncate", &path))?;
+        let length_bytes = intact_bytes;
+        let mut active = Active {
+            path,
+            file,
+            number,
+            length_bytes,
+            max_index,
+        };
+        if intact_bytes == 0 {
+            active.write(MAGIC)?;
+        }
+        active.sync()?;
+        sync_directory(directory)?;
+        Ok(active)
+    }
+
+    pub(crate) fn length_bytes(&self) -> u64 {
+        self.length_bytes
+    }
+
+    pub(crate) fn write_records(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        let mut buffer = Vec::new();
+        for record in records {
+            let encoded = frame::encode_record(record, &mut buffer).map_err(std::io::Error::from);
+            encoded.map_err(StoreError::io("encode a record for", &self.path))?;
+        }
+        self.max_index = self.max_index.max(max_index(records));
+        self.write(&buffer)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), StoreError> {
+        self.file
+            .write_all(bytes)
+            .map_err(StoreError::io("write", &self.path))?;
+        self.length_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Syncs and then notes the synced offset. The marker itself becomes durable with the next
+    /// sync, but it survives the end of the process.
+    pub(crate) fn sync(&mut self) -> Result<(), StoreError> {
+        self.file
+            .sync_data()
+            .map_err(StoreError::io("sync", &self.path))?;
+        self.write(&frame::encode_marker(self.length_bytes))
+    }
+
+    /// Starts the next segment; this one must be synced.
+    pub(crate) fn roll(&mut self, directory: &Path) -> Result<Sealed, StoreError> {
+        let next = Active::create(directory, self.number + 1)?;
+        let old = std::mem::replace(self, next);
+        Ok(Sealed {
+            path: old.path,
+            max_index: old.max_index,
+        })
+    }
+}
+
+fn number_of(path: &Path) -> Result<u64, StoreError> {
+    let name = path
+        .file_name()
+        .map(|name| name.to_string_lossy().into_owned());
+    let digits = name
+        .as_deref()
+        .and_then(|name| name.strip_prefix(PREFIX)?.strip_suffix(SUFFIX));
+    let number = digits.and_then(|digits| digits.parse().ok());
+    number.ok_or_else(|| StoreError::corrupt(path, 0, "unexpected file name"))
+}
