Test consensus and storage with faults

Ruled out: threads and sockets in the tests (a failure could not be replayed). Change: a simulated cluster with message loss, duplication, delay, crashes between any two steps, lost disks, clock skew, freezes and isolation; a separate checker; scenario files; property tests for damage and torn tails of the log. The node is split into node, outbox and status. Conclusion: each mechanism is covered by a permanent test.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -4,11 +4,13 @@
 //! synced; otherwise a restarted member could vote twice in a term.
 
 use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
 
 use crate::entry::HardState;
 use crate::entry::Index;
 use crate::entry::Payload;
 use crate::entry::Term;
+use crate::membership::MemberRole;
 use crate::membership::MembershipChange;
 use crate::message::Body;
 use crate::message::Message;
@@ -22,10 +24,7 @@
 impl Node {
     /// Hands the leadership to the voter that is furthest ahead, for a planned stop. Proposals are
     /// refused as busy until another member leads or an election timeout has passed.
-    pub fn transfer_leadership(
-        &mut self,
-        now: sapphirepost_types::Millis,
-    ) -> Result<MemberId, ProposeError> {
+    pub fn transfer_leadership(&mut self, now: Millis) -> Result<MemberId, ProposeError> {
         self.observe(now);
         self.check_leading()?;
         let candidates = self
@@ -320,7 +319,7 @@
             let is_joining = membership
                 .members
                 .get(id)
-                .is_some_and(|member| member.role == crate::membership::MemberRole::Joining);
+                .is_some_and(|member| member.role == MemberRole::Joining);
             let is_recent = self.now.since(progress.last_heard) < self.config.election_timeout_ms;
             let is_streaming = matches!(progress.mode, Mode::Replicate);
             is_joining && is_recent && is_streaming && progress.matched >= self.commit
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,7 +4,6 @@
 //! output. The mechanisms are in the modules `election`, `replication`, `reads` and `snapshot`.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
 use bytes::Bytes;
 use rand::Rng;
@@ -16,7 +15,6 @@
 
 use crate::config::Config;
 use crate::entry::Entry;
-use crate::entry::GroupId;
 use crate::entry::HardState;
 use crate::entry::Index;
 use crate::entry::Payload;
@@ -24,15 +22,13 @@
 use crate::entry::Snapshot;
 use crate::entry::Term;
 use crate::log::Log;
-use crate::membership::Membership;
 use crate::membership::MembershipError;
 use crate::membership::MembershipHistory;
 use crate::message::Body;
 use crate::message::Message;
-use crate::message::Outgoing;
+use crate::outbox::Outbox;
 use crate::progress::Progress;
 use crate::reads::Reads;
-use crate::ready::Persisted;
 use crate::ready::Ready;
 use crate::ready::RoleChange;
 use crate::snapshot::Incoming;
@@ -70,15 +66,6 @@
     Membership(#[from] MembershipError),
 }
 
-/// What the leader knows of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MemberProgress {
-    /// The last index that the member is known to have synced.
-    pub matched: Index,
-    /// Milliseconds since the member was last heard from; `None` for the leader itself.
-    pub silent_ms: Option<u64>,
-}
-
 /// A planned hand-over of the leadership.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Transfer {
@@ -87,15 +74,6 @@
     pub(crate) is_sent: bool,
 }
 
-/// The log end and hard state of a `Ready` that is not reported as synced yet.
-#[derive(Clone, Copy, Debug)]
-struct Persisting {
-    number: u64,
-    last_index: Index,
-    last_term: Term,
-    has_hard_state: bool,
-}
-
 /// One member of a replicated group.
 #[derive(Debug)]
 pub struct Node {
@@ -122,11 +100,7 @@
     pub(crate) incoming: Option<Incoming>,
     pub(crate) received_snapshot: Option<Snapshot>,
     rng: Pcg64Mcg,
-    messages: Vec<Outgoing>,
-    durable_messages: Vec<Outgoing>,
-    is_hard_state_dirty: bool,
-    persisting: VecDeque<Persisting>,
-    ready_number: u64,
+    pub(crate) outbox: Outbox,
     reported: RoleChange,
 }
 
@@ -165,11 +139,7 @@
             incoming: None,
             received_snapshot: None,
             rng,
-            messages: Vec::new(),
-            durable_messages: Vec::new(),
-            is_hard_state_dirty: false,
-            persisting: VecDeque::new(),
-            ready_number: 0,
+            outbox: Outbox::default(),
             reported,
         };
         node.reset_election_timer();
@@ -225,49 +195,27 @@
         Ok(self.append_own(Payload::Command(payload)))
     }
 
-    /// Says that the storage has synced all `Ready` values up to a number.
-    pub fn persisted(&mut self, now: Millis, upto: Persisted) {
-        self.observe(now);
-        let mut is_progress = false;
-        while self
-            .persisting
-            .front()
-            .is_some_and(|first| first.number <= upto.number)
-        {
-            if let Some(done) = self.persisting.pop_front() {
-                self.log.mark_stable(done.last_index, done.last_term);
-                is_progress = true;
-            }
-        }
-        if !is_progress {
-            return;
-        }
-        if self.role == Role::Candidate && self.is_hard_state_synced() {
-            self.record_vote(self.config.id, true);
-        }
-        if self.role == Role::Leader {
-            self.advance_commit();
-        }
-    }
-
     /// Collects the output since the last call.
     pub fn ready(&mut self) -> Ready {
         if self.role == Role::Leader {
             self.replicate_all(false);
         }
-        self.ready_number += 1;
+        self.outbox.ready_number += 1;
         let mut ready = Ready {
-            number: self.ready_number,
+            number: self.outbox.ready_number,
             snapshot: self.received_snapshot.take(),
             records: self.take_records(),
             committed: self.take_committed(),
             reads: self.reads.take_confirmed(),
             aborted_reads: self.reads.take_aborted(),
             role_change: self.take_role_change(),
-            messages: std::mem::take(&mut self.messages),
-            messages_after_persist: std::mem::take(&mut self.durable_messages),
+            messages: std::mem::take(&mut self.outbox.messages),
+            messages_after_persist: std::mem::take(&mut self.outbox.durable_messages),
         };
-        if ready.records.is_empty() && ready.snapshot.is_none() && self.persisting.is_empty() {
+        if ready.records.is_empty()
+            && ready.snapshot.is_none()
+            && self.outbox.is_everything_synced()
+        {
             ready.messages.append(&mut ready.messages_after_persist);
         }
         ready
@@ -292,72 +240,6 @@
         self.log.compact(snapshot, self.config.trailing_entries);
     }
 
-    /// This member.
-    pub fn id(&self) -> MemberId {
-        self.config.id
-    }
-
-    /// The group, if this member has one.
-    pub fn group(&self) -> Option<GroupId> {
-        self.hard_state.group
-    }
-
-    /// The role.
-    pub fn role(&self) -> Role {
-        self.role
-    }
-
-    /// The term.
-    pub fn term(&self) -> Term {
-        self.hard_state.term
-    }
-
-    /// The leader, if it is known.
-    pub fn leader(&self) -> Option<MemberId> {
-        self.leader
-    }
-
-    /// The last committed index that this member knows.
-    pub fn commit(&self) -> Index {
-        self.commit
-    }
-
-    /// The last index of the log.
-    pub fn last_index(&self) -> Index {
-        self.log.last_index()
-    }
-
-    /// The term of an entry, or `None` if it is compacted or does not exist.
-    pub fn term_at(&self, index: Index) -> Option<Term> {
-        self.log.term(index)
-    }
-
-    /// The membership in effect.
-    pub fn membership(&self) -> &Membership {
-        self.memberships.current()
-    }
-
-    /// The membership in effect at an applied index, for a snapshot.
-    pub fn membership_at(&self, index: Index) -> &Membership {
-        self.memberships.at(index)
-    }
-
-    /// What the leader knows of a member; `None` if this member does not lead.
-    pub fn member_progress(&self, id: MemberId) -> Option<MemberProgress> {
-        if self.role == Role::Leader && id == self.config.id {
-            return Some(MemberProgress {
-                matched: self.log.stable(),
-                silent_ms: None,
-            });
-        }
-        let progress = self.progress.get(&id)?;
-        let silent_ms = Some(self.now.since(progress.last_heard));
-        Some(MemberProgress {
-            matched: progress.matched,
-            silent_ms,
-        })
-    }
-
     /// Takes the time and checks the quorum first, so that a leader that was paused does not
     /// decide anything before it notices.
     pub(crate) fn observe(&mut self, now: Millis) {
@@ -406,52 +288,12 @@
         self.align_progress();
     }
 
-    pub(crate) fn set_hard_state(&mut self, hard_state: HardState) {
-        if self.hard_state != hard_state {
-            self.hard_state = hard_state;
-            self.is_hard_state_dirty = true;
-        }
-    }
-
-    pub(crate) fn is_hard_state_synced(&self) -> bool {
-        !self.is_hard_state_dirty && !self.persisting.iter().any(|entry| entry.has_hard_state)
-    }
-
     pub(crate) fn reset_election_timer(&mut self) {
         let timeout_ms = self.config.election_timeout_ms;
         let delay_ms = self.rng.random_range(timeout_ms..2 * timeout_ms);
         self.election_due = self.now + delay_ms;
     }
 
-    /// Sends a message that promises nothing about the disk.
-    pub(crate) fn send(&mut self, to: MemberId, body: Body) {
-        let term = self.term();
-        self.send_at_term(to, term, body);
-    }
-
-    pub(crate) fn send_at_term(&mut self, to: MemberId, term: Term, body: Body) {
-        if let Some(group) = self.hard_state.group {
-            self.messages.push(Outgoing {
-                to,
-                message: Message { group, term, body },
-            });
-        }
-    }
-
-    /// Sends a message once everything up to now is synced.
-    pub(crate) fn send_durable(&mut self, to: MemberId, body: Body) {
-        if self.config.faults.ack_before_sync {
-            return self.send(to, body);
-        }
-        let term = self.term();
-        if let Some(group) = self.hard_state.group {
-            self.durable_messages.push(Outgoing {
-                to,
-                message: Message { group, term, body },
-            });
-        }
-    }
-
     fn accepts_group(&mut self, message: &Message) -> bool {
         if let Some(group) = self.hard_state.group {
             return group == message.group;
@@ -526,22 +368,6 @@
         }
     }
 
-    fn take_records(&mut self) -> Vec<crate::entry::Record> {
-        let has_hard_state = std::mem::take(&mut self.is_hard_state_dirty);
-        let hard_state = has_hard_state.then_some(crate::entry::Record::HardState(self.hard_state));
-        let mut records: Vec<_> = hard_state.into_iter().collect();
-        records.extend(self.log.take_unsaved());
-        if !records.is_empty() {
-            self.persisting.push_back(Persisting {
-                number: self.ready_number,
-                last_index: self.log.last_index(),
-                last_term: self.log.last_term(),
-                has_hard_state,
-            });
-        }
-        records
-    }
-
     fn take_committed(&mut self) -> Vec<Entry> {
         let from = self.applied + 1;
         self.applied = self.commit;
--- /dev/null
+++ b/crates/consensus/tests/common/mod.rs
@@ -0,0 +1,526 @@
+//! A simulated cluster: nodes on `MemoryStore`, a message queue and clocks, driven by one seed.
+
+#![allow(dead_code)] // Each test binary uses a part of it.
+
+pub mod checker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use sapphirepost_consensus::Config;
+use sapphirepost_consensus::Faults;
+use sapphirepost_consensus::GroupId;
+use sapphirepost_consensus::Index;
+use sapphirepost_consensus::MemberRole;
+use sapphirepost_consensus::Membership;
+use sapphirepost_consensus::MembershipChange;
+use sapphirepost_consensus::Message;
+use sapphirepost_consensus::Node;
+use sapphirepost_consensus::Outgoing;
+use sapphirepost_consensus::Payload;
+use sapphirepost_consensus::Persisted;
+use sapphirepost_consensus::Ready;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::Role;
+use sapphirepost_consensus::Snapshot;
+use sapphirepost_consensus::SnapshotMeta;
+use sapphirepost_consensus::Term;
+use sapphirepost_storage::LogStore;
+use sapphirepost_storage::MemoryStore;
+use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
+
+use self::checker::Checker;
+use self::checker::Shown;
+use self::checker::Verdict;
+
+const GROUP: GroupId = GroupId(77);
+
+/// How the network and the disks behave.
+#[derive(Clone, Copy)]
+pub struct Weather {
+    pub loss_percent: u32,
+    pub duplicate_percent: u32,
+    pub delay_ms: u64,
+    pub sync_ms: u64,
+}
+
+impl Weather {
+    pub const CALM: Weather = Weather {
+        loss_percent: 0,
+        duplicate_percent: 0,
+        delay_ms: 1,
+        sync_ms: 1,
+    };
+}
+
+struct Job {
+    number: u64,
+    ready: Ready,
+    is_written: bool,
+    due: u64,
+}
+
+pub struct Host {
+    pub id: MemberId,
+    pub store: MemoryStore,
+    pub node: Option<Node>,
+    pub shown: Shown,
+    pub frozen_until: u64,
+    /// Pauses the storage, so that nothing is synced.
+    pub is_disk_stuck: bool,
+    rate_percent: u64,
+    offset_ms: u64,
+    jobs: VecDeque<Job>,
+    /// Proposals by index, with their term.
+    proposals: BTreeMap<Index, Term>,
+    /// What callers knew when each read started.
+    reads: BTreeMap<u64, Index>,
+}
+
+pub struct Sim {
+    pub time: u64,
+    pub rng: Pcg64Mcg,
+    pub hosts: Vec<Host>,
+    pub weather: Weather,
+    pub faults: Faults,
+    pub checker: Checker,
+    /// Hosts that cannot communicate with any other.
+    pub isolated: BTreeSet<usize>,
+    /// Whether a host that lost its disk keeps its identity (switches the mechanism off).
+    pub reuses_identity: bool,
+    /// Entries after which a member saves a snapshot; 0 for never.
+    pub snapshot_interval: u64,
+    network: BTreeMap<(u64, u64), (usize, MemberId, Message, MemberId)>,
+    sequence: u64,
+}
+
+impl Sim {
+    pub fn new(seed: u64, voters: usize, weather: Weather, faults: Faults) -> Sim {
+        let mut sim = Sim {
+            time: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            hosts: Vec::new(),
+            weather,
+            faults,
+            checker: Checker::default(),
+            isolated: BTreeSet::new(),
+            reuses_identity: false,
+            snapshot_interval: 0,
+            network: BTreeMap::new(),
+            sequence: 0,
+        };
+        let ids = (1..=voters as u64).map(|id| (MemberId(id), format!("host{id}")));
+        let membership = Membership::of_voters(ids);
+        for _ in 0..voters {
+            let host = sim.add_host();
+            let store = &mut sim.hosts[host].store;
+            store
+                .append(&Restored::bootstrap_records(GROUP, membership.clone()))
+                .unwrap();
+            store.sync().unwrap();
+            sim.start(host);
+        }
+        sim
+    }
+
+    /// Adds a host with an empty disk, not started.
+    pub fn add_host(&mut self) -> usize {
+        let is_calm = self.weather.delay_ms <= 1;
+        self.hosts.push(Host {
+            id: MemberId(self.hosts.len() as u64 + 1),
+            store: MemoryStore::new(),
+            node: None,
+            shown: Shown::default(),
+            frozen_until: 0,
+            is_disk_stuck: false,
+            rate_percent: if is_calm {
+                100
+            } else {
+                self.rng.random_range(95..=105)
+            },
+            offset_ms: if is_calm {
+                0
+            } else {
+                self.rng.random_range(0..1_000_000)
+            },
+            jobs: VecDeque::new(),
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+        });
+        self.hosts.len() - 1
+    }
+
+    pub fn start(&mut self, host: usize) {
+        let now = self.now(host);
+        let seed = self.rng.random();
+        let found = &mut self.hosts[host];
+        let restored = found.store.restore().unwrap();
+        found.shown = restored
+            .snapshot
+            .as_ref()
+            .map_or(Shown::default(), read_snapshot);
+        let mut config = Config::new(found.id, seed);
+        config.faults = self.faults;
+        config.max_batch_bytes = 300;
+        config.max_inflight_messages = 4;
+        config.snapshot_chunk_bytes = 5;
+        config.trailing_entries = 3;
+        found.node = Some(Node::new(config, restored, now));
+    }
+
+    /// Stops a host between any two steps; of its unsynced records a random part survives.
+    pub fn crash(&mut self, host: usize) {
+        let surviving = self.rng.random_range(0..=self.hosts[host].store.unsynced());
+        self.crash_keeping(host, surviving);
+    }
+
+    pub fn crash_keeping(&mut self, host: usize, surviving: usize) {
+        let found = &mut self.hosts[host];
+        found.store.crash(surviving);
+        found.node = None;
+        found.jobs.clear();
+        found.proposals.clear();
+        found.reads.clear();
+    }
+
+    /// Replaces the disk of a stopped host by an empty one.
+    pub fn lose_disk(&mut self, host: usize) {
+        let fresh = self.hosts.iter().map(|other| other.id.0).max().unwrap() + 1;
+        let found = &mut self.hosts[host];
+        found.store = MemoryStore::new();
+        if !self.reuses_identity {
+            found.id = MemberId(fresh);
+        }
+    }
+
+    pub fn now(&self, host: usize) -> Millis {
+        let found = &self.hosts[host];
+        Millis(found.offset_ms + self.time * found.rate_percent / 100)
+    }
+
+    pub fn node(&self, host: usize) -> &Node {
+        self.hosts[host].node.as_ref().expect("host is stopped")
+    }
+
+    pub fn host_of(&self, id: MemberId) -> Option<usize> {
+        self.hosts.iter().position(|host| host.id == id)
+    }
+
+    /// The running leader with the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let nodes = self
+            .hosts
+            .iter()
+            .enumerate()
+            .filter_map(|(i, host)| Some((i, host.node.as_ref()?)));
+        let leaders = nodes.filter(|(_, node)| node.role() == Role::Leader);
+        leaders.max_by_key(|(_, node)| node.term()).map(|(i, _)| i)
+    }
+
+    /// Runs some input on a node and handles its output.
+    pub fn with<T>(
+        &mut self,
+        host: usize,
+        input: impl FnOnce(&mut Node, Millis) -> T,
+    ) -> Result<T, String> {
+        let now = self.now(host);
+        let node = self.hosts[host].node.as_mut().expect("host is stopped");
+        let result = input(node, now);
+        self.pump(host)?;
+        Ok(result)
+    }
+
+    pub fn propose(&mut self, host: usize, text: String) -> Result<bool, String> {
+        let proposed = self.with_unpumped(host, |node, now| {
+            node.propose(now, Bytes::from(text))
+                .ok()
+                .map(|index| (index, node.term()))
+        });
+        if let Some((index, term)) = proposed {
+            self.hosts[host].proposals.insert(index, term);
+        }
+        self.pump(host)?;
+        Ok(proposed.is_some())
+    }
+
+    pub fn read(&mut self, host: usize) -> Verdict {
+        self.sequence += 1;
+        let (token, known) = (self.sequence, self.checker.known);
+        self.hosts[host].reads.insert(token, known);
+        self.with(host, |node, now| node.read_index(now, token).ok())?;
+        Ok(())
+    }
+
+    fn with_unpumped<T>(&mut self, host: usize, input: impl FnOnce(&mut Node, Millis) -> T) -> T {
+        let now = self.now(host);
+        input(
+            self.hosts[host].node.as_mut().expect("host is stopped"),
+            now,
+        )
+    }
+
+    fn pump(&mut self, host: usize) -> Verdict {
+        let Some(node) = self.hosts[host].node.as_mut() else {
+            return Ok(());
+        };
+        let mut ready = node.ready();
+        if node.role() == Role::Leader {
+            self.checker.leads(node)?;
+        }
+        self.send(host, std::mem::take(&mut ready.messages));
+        let found = &mut self.hosts[host];
+        if let Some(snapshot) = &ready.snapshot {
+            let before = found.shown.index;
+            found.shown = read_snapshot(snapshot);
+            self.checker.state(found.id, before, found.shown)?;
+        }
+        for entry in std::mem::take(&mut ready.committed) {
+            self.checker.commits(found.id, &entry)?;
+            let before = found.shown.index;
+            found.shown.apply(&entry);
+            self.checker.state(found.id, before, found.shown)?;
+            if found.proposals.remove(&entry.index) == Some(entry.term) {
+                self.checker.acknowledge(entry.index);
+            }
+        }
+        for read in &ready.reads {
+            assert!(found.shown.index >= read.index);
+            let known = found.reads.remove(&read.token).unwrap();
+            self.checker.read(known, found.shown.index)?;
+        }
+        if ready
+            .role_change
+            .is_some_and(|change| change.role != Role::Leader)
+        {
+            found.proposals.clear();
+            found.reads.clear();
+        }
+        if ready.needs_storage() {
+            let due = self.time + self.rng.random_range(0..=self.weather.sync_ms);
+            found.jobs.push_back(Job {
+                number: ready.number,
+                ready,
+                is_written: false,
+                due,
+            });
+        }
+        self.save_snapshot(host);
+        Ok(())
+    }
+
+    fn save_snapshot(&mut self, host: usize) {
+        let found = &mut self.hosts[host];
+        let Some(node) = found.node.as_mut() else {
+            return;
+        };
+        let (index, interval) = (found.shown.index, self.snapshot_interval);
+        // A snapshot that is received must be stored before later ones.
+        let is_busy = found.jobs.iter().any(|job| job.ready.snapshot.is_some());
+        if interval == 0 || is_busy || index % interval != 0 {
+            return;
+        }
+        let Some(term) = node.term_at(index) else {
+            return;
+        };
+        let meta = SnapshotMeta {
+            index,
+            term,
+            membership: node.membership_at(index).clone(),
+        };
+        let text = format!("{} {}", found.shown.index, found.shown.digest);
+        found.store.save_snapshot(&meta, text.as_bytes()).unwrap();
+        node.compact(Snapshot {
+            meta,
+            data: Bytes::from(text),
+        });
+    }
+
+    fn send(&mut self, host: usize, messages: Vec<Outgoing>) {
+        let from = self.hosts[host].id;
+        for Outgoing { to, message } in messages {
+            let copies = 1 + u32::from(self.percent(self.weather.duplicate_percent));
+            for _ in 0..copies {
+                if self.percent(self.weather.loss_percent) {
+                    continue;
+                }
+                let at = self.time + self.rng.random_range(1..=self.weather.delay_ms);
+                self.sequence += 1;
+                self.network
+                    .insert((at, self.sequence), (host, from, message.clone(), to));
+            }
+        }
+    }
+
+    pub fn percent(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+
+    /// Lets one millisecond pass.
+    pub fn advance(&mut self) -> Verdict {
+        self.time += 1;
+        while let Some((&(at, sequence), _)) = self.network.first_key_value() {
+            if at > self.time {
+                break;
+            }
+            let envelope = self.network.remove(&(at, sequence)).unwrap();
+            self.deliver(sequence, envelope)?;
+        }
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].frozen_until > self.time {
+                continue;
+            }
+            self.run_storage(host)?;
+            let now = self.now(host);
+            if self.hosts[host]
+                .node
+                .as_ref()
+                .is_some_and(|node| node.next_due() <= now)
+            {
+                self.with(host, |node, now| node.tick(now))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(
+        &mut self,
+        sequence: u64,
+        envelope: (usize, MemberId, Message, MemberId),
+    ) -> Verdict {
+        let (sender, from, ref message, to) = envelope;
+        let Some(host) = self.host_of(to) else {
+            return Ok(());
+        };
+        let frozen_until = self.hosts[host].frozen_until;
+        let is_cut = self.isolated.contains(&sender) || self.isolated.contains(&host);
+        if is_cut || self.hosts[host].node.is_none() {
+            return Ok(());
+        }
+        if frozen_until > self.time {
+            self.network.insert((frozen_until, sequence), envelope);
+            return Ok(());
+        }
+        let message = message.clone();
+        self.with(host, |node, now| node.step(now, from, message))
+    }
+
+    /// Writes and syncs are separate steps, so that a crash can come between them.
+    fn run_storage(&mut self, host: usize) -> Verdict {
+        let found = &mut self.hosts[host];
+        let Some(job) = found.jobs.front_mut() else {
+            return Ok(());
+        };
+        if found.is_disk_stuck || job.due > self.time {
+            return Ok(());
+        }
+        if !job.is_written {
+            if let Some(snapshot) = job.ready.snapshot.take() {
+                found
+                    .store
+                    .save_snapshot(&snapshot.meta, &snapshot.data)
+                    .unwrap();
+            }
+            found.store.append(&job.ready.records).unwrap();
+            job.is_written = true;
+            job.due = self.time + self.weather.sync_ms;
+            return Ok(());
+        }
+        found.store.sync().unwrap();
+        let job = found.jobs.pop_front().unwrap();
+        let messages = job.ready.messages_after_persist;
+        self.send(host, messages);
+        self.with(host, |node, now| {
+            node.persisted(now, Persisted { number: job.number })
+        })
+    }
+
+    pub fn run(&mut self, ms: u64) -> Verdict {
+        for _ in 0..ms {
+            self.advance()?;
+        }
+        Ok(())
+    }
+
+    /// Runs until a leader has committed an entry of its term.
+    pub fn elect(&mut self) -> usize {
+        for _ in 0..5_000 {
+            self.advance().unwrap();
+            let leader = self
+                .leader()
+                .filter(|&host| self.node(host).is_own_term_committed());
+            if let Some(host) = leader {
+                return host;
+            }
+        }
+        panic!("no leader after 5 s");
+    }
+
+    /// The leader if the membership is settled and consists of exactly the present hosts.
+    pub fn settled(&self) -> Option<usize> {
+        let leader = self.leader()?;
+        let node = self.node(leader);
+        let membership = node.membership();
+        let is_settled =
+            node.is_own_term_committed() && node.membership_at(node.commit()) == membership;
+        let ids: BTreeSet<MemberId> = self.hosts.iter().map(|host| host.id).collect();
+        (is_settled && membership.voters().collect::<BTreeSet<_>>() == ids).then_some(leader)
+    }
+
+    /// Does what an operator does after a disk was lost: adds the new member, removes the old one.
+    pub fn repair(&mut self) -> Verdict {
+        let Some(leader) = self.leader() else {
+            return Ok(());
+        };
+        let members = self.node(leader).membership().members.clone();
+        let fresh = self
+            .hosts
+            .iter()
+            .find(|host| !members.contains_key(&host.id));
+        let gone = members
+            .keys()
+            .find(|id| self.host_of(**id).is_none())
+            .copied();
+        let change = if let Some(host) = fresh {
+            MembershipChange::Add {
+                member: host.id,
+                address: String::new(),
+                promote: true,
+            }
+        } else if let Some(member) = gone.filter(|_| is_all_promoted(&members)) {
+            MembershipChange::Remove { member }
+        } else {
+            return Ok(());
+        };
+        self.with(leader, |node, now| {
+            node.propose_membership(now, change).ok()
+        })?;
+        Ok(())
+    }
+}
+
+fn is_all_promoted(members: &BTreeMap<MemberId, sapphirepost_consensus::Member>) -> bool {
+    members
+        .values()
+        .all(|member| member.role == MemberRole::Voter)
+}
+
+fn read_snapshot(snapshot: &Snapshot) -> Shown {
+    let text = std::str::from_utf8(&snapshot.data).unwrap();
+    let (index, digest) = text.split_once(' ').unwrap();
+    Shown {
+        index: index.parse().unwrap(),
+        digest: digest.parse().unwrap(),
+    }
+}
+
+/// Describes an entry for scenario files.
+pub fn is_command(payload: &Payload) -> bool {
+    matches!(payload, Payload::Command(_))
+}
--- /dev/null
+++ b/crates/consensus/tests/mechanisms.rs
@@ -0,0 +1,278 @@
+//! Each mechanism, and what happens without it.
+
+mod common;
+
+use sapphirepost_consensus::Body;
+use sapphirepost_consensus::Config;
+use sapphirepost_consensus::Entry;
+use sapphirepost_consensus::Faults;
+use sapphirepost_consensus::GroupId;
+use sapphirepost_consensus::HardState;
+use sapphirepost_consensus::Membership;
+use sapphirepost_consensus::Message;
+use sapphirepost_consensus::Node;
+use sapphirepost_consensus::Payload;
+use sapphirepost_consensus::Persisted;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::Role;
+use sapphirepost_consensus::Term;
+use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
+
+use crate::common::Sim;
+use crate::common::Weather;
+use crate::common::checker::Checker;
+use crate::common::checker::Verdict;
+
+/// The terms before and after a follower returns from isolation.
+fn terms_around_return(faults: Faults) -> (Term, Term) {
+    let mut sim = Sim::new(1, 3, Weather::CALM, faults);
+    let leader = sim.elect();
+    let before = sim.node(leader).term();
+    sim.isolated.insert((leader + 1) % 3);
+    sim.run(3_000).unwrap();
+    sim.isolated.clear();
+    sim.run(3_000).unwrap();
+    let leader = sim.elect();
+    (before, sim.node(leader).term())
+}
+
+/// Guards against an election each time a member returns.
+#[test]
+fn a_returning_member_does_not_depose_the_leader() {
+    let (before, after) = terms_around_return(Faults::default());
+    assert_eq!(before, after);
+    let (before, after) = terms_around_return(Faults {
+        no_pre_vote: true,
+        ..Faults::default()
+    });
+    assert!(
+        after > before,
+        "without pre-vote the return must force an election"
+    );
+}
+
+/// Whether a leader without contact still takes proposals.
+fn isolated_leader_decides(faults: Faults) -> bool {
+    let mut sim = Sim::new(1, 3, Weather::CALM, faults);
+    let leader = sim.elect();
+    sim.isolated.insert(leader);
+    sim.run(300).unwrap();
+    sim.propose(leader, "late".to_owned()).unwrap()
+}
+
+/// Guards against decisions of a leader that does not notice its isolation.
+#[test]
+fn an_isolated_leader_stops_deciding() {
+    assert!(!isolated_leader_decides(Faults::default()));
+    assert!(isolated_leader_decides(Faults {
+        no_check_quorum: true,
+        ..Faults::default()
+    }));
+}
+
+/// Guards against decisions of a leader that was frozen, before its first timer runs.
+#[test]
+fn a_thawed_leader_refuses_the_first_proposal() {
+    let mut sim = Sim::new(1, 3, Weather::CALM, Faults::default());
+    let leader = sim.elect();
+    sim.hosts[leader].frozen_until = sim.time + 2_000;
+    sim.run(1_999).unwrap();
+    assert!(!sim.propose(leader, "late".to_owned()).unwrap());
+}
+
+/// A committed entry is on a voter that loses its disk; then the leader is isolated and the voter
+/// that lacks the entry returns.
+fn lose_a_disk(reuses_identity: bool) -> Verdict {
+    let mut sim = Sim::new(1, 3, Weather::CALM, Faults::default());
+    sim.reuses_identity = reuses_identity;
+    let leader = sim.elect();
+    let (emptied, lagging) = ((leader + 1) % 3, (leader + 2) % 3);
+    sim.isolated.insert(lagging);
+    sim.propose(leader, "kept".to_owned())?;
+    sim.run(100)?;
+    assert_eq!(sim.checker.acknowledged, 1);
+    sim.crash(emptied);
+    sim.lose_disk(emptied);
+    sim.start(emptied);
+    sim.run(100)?;
+    sim.isolated = [leader].into();
+    sim.run(3_000)
+}
+
+/// Guards against the loss of a committed entry with the disk of one member.
+#[test]
+fn an_emptied_member_does_not_vote() {
+    assert_eq!(lose_a_disk(false), Ok(()));
+    let verdict = lose_a_disk(true);
+    assert!(verdict.is_err_and(|error| error.contains("lacks committed entry")));
+}
+
+const GROUP: GroupId = GroupId(7);
+
+fn restored(entry_terms: &[Term], term: Term) -> Restored {
+    let voters = (1..=5).map(|id| (MemberId(id), String::new()));
+    let membership = Payload::Membership(Membership::of_voters(voters));
+    let mut entries = vec![Entry {
+        index: 1,
+        term: 1,
+        payload: membership,
+    }];
+    for (offset, term) in entry_terms.iter().enumerate() {
+        let payload = Payload::Command(format!("term {term}").into());
+        entries.push(Entry {
+            index: offset as u64 + 2,
+            term: *term,
+            payload,
+        });
+    }
+    let hard_state = HardState {
+        group: Some(GROUP),
+        term,
+        voted_for: None,
+    };
+    Restored {
+        hard_state,
+        snapshot: None,
+        entries,
+    }
+}
+
+/// Elects a node by answers of the members 2 and 3.
+fn elect(config: Config, restored: Restored) -> (Node, Millis) {
+    let mut node = Node::new(config, restored, Millis(0));
+    let mut now = node.next_due();
+    node.tick(now);
+    let term = node.term() + 1;
+    for body in [
+        Body::PreVoteReply { granted: true },
+        Body::VoteReply { granted: true },
+    ] {
+        for member in [2, 3] {
+            let message = Message {
+                group: GROUP,
+                term,
+                body: body.clone(),
+            };
+            node.step(now, MemberId(member), message);
+        }
+        let number = node.ready().number;
+        now = now + 1;
+        node.persisted(now, Persisted { number });
+    }
+    assert_eq!((node.role(), node.term()), (Role::Leader, term));
+    (node, now)
+}
+
+/// Member 1 made entry 2 in term 2 and leads again in term 4; entry 2 reaches a majority, but
+/// member 5, which has another entry 2 of term 3, can still win with the votes of 3 and 4.
+fn replace_entry_of_earlier_term(faults: Faults) -> Verdict {
+    let mut checker = Checker::default();
+    let config = |id| Config {
+        faults,
+        ..Config::new(MemberId(id), 1)
+    };
+    let (mut first, now) = elect(config(1), restored(&[2], 3));
+    for member in [2, 3] {
+        let body = Body::Accepted {
+            matched: 2,
+            round: 0,
+        };
+        first.step(
+            now,
+            MemberId(member),
+            Message {
+                group: GROUP,
+                term: 4,
+                body,
+            },
+        );
+    }
+    for entry in first.ready().committed {
+        checker.commits(MemberId(1), &entry)?;
+    }
+    let mut voter = Node::new(config(3), restored(&[2], 4), Millis(0));
+    let body = Body::Vote {
+        last_index: 2,
+        last_term: 3,
+        transfer: false,
+    };
+    voter.step(
+        Millis(1_000),
+        MemberId(5),
+        Message {
+            group: GROUP,
+            term: 5,
+            body,
+        },
+    );
+    let granted = |body: &Body| matches!(body, Body::VoteReply { granted: true });
+    assert!(
+        voter
+            .ready()
+            .messages_after_persist
+            .iter()
+            .any(|sent| granted(&sent.message.body))
+    );
+    let (fifth, _) = elect(config(5), restored(&[3], 4));
+    checker.leads(&fifth)
+}
+
+/// Guards against commits by counting replicas of an entry of an earlier term.
+#[test]
+fn only_entries_of_the_own_term_are_counted() {
+    assert_eq!(replace_entry_of_earlier_term(Faults::default()), Ok(()));
+    let faults = Faults {
+        commit_any_term: true,
+        ..Faults::default()
+    };
+    assert!(replace_entry_of_earlier_term(faults).is_err());
+}
+
+/// Guards against a member that acts on messages of another group after an address was reused.
+#[test]
+fn messages_of_another_group_are_ignored() {
+    let mut node = Node::new(Config::new(MemberId(1), 1), restored(&[], 1), Millis(0));
+    let body = Body::Append {
+        prev_index: 1,
+        prev_term: 1,
+        entries: vec![],
+        commit: 1,
+        round: 0,
+    };
+    node.step(
+        Millis(1),
+        MemberId(2),
+        Message {
+            group: GroupId(8),
+            term: 9,
+            body,
+        },
+    );
+    assert_eq!((node.term(), node.leader(), node.commit()), (1, None, 0));
+}
+
+/// Guards against messages that another process cannot read back.
+#[test]
+fn messages_survive_their_text_form() {
+    let entry = Entry {
+        index: 1,
+        term: 2,
+        payload: Payload::Command(vec![0, 255, 7].into()),
+    };
+    let entries = vec![entry];
+    let body = Body::Append {
+        prev_index: 0,
+        prev_term: 0,
+        entries,
+        commit: 0,
+        round: 3,
+    };
+    let message = Message {
+        group: GROUP,
+        term: 2,
+        body,
+    };
+    let text = serde_json::to_string(&message).unwrap();
+    assert_eq!(serde_json::from_str::<Message>(&text).unwrap(), message);
+}
--- /dev/null
+++ b/crates/storage/tests/disk.rs
@@ -0,0 +1,234 @@
+//! The store on disk: damage, torn tails, locks and identities.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use proptest::prelude::*;
+use tempfile::TempDir;
+
+use sapphirepost_consensus::Entry;
+use sapphirepost_consensus::HardState;
+use sapphirepost_consensus::Membership;
+use sapphirepost_consensus::Payload;
+use sapphirepost_consensus::Record;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::SnapshotMeta;
+use sapphirepost_storage::DiskOptions;
+use sapphirepost_storage::DiskStore;
+use sapphirepost_storage::LogStore;
+use sapphirepost_storage::StoreError;
+
+fn entry(index: u64, term: u64) -> Record {
+    let payload = Payload::Command(format!("entry {index} of term {term}").into());
+    Record::Entry(Entry {
+        index,
+        term,
+        payload,
+    })
+}
+
+fn hard_state(term: u64) -> Record {
+    Record::HardState(HardState {
+        group: None,
+        term,
+        voted_for: None,
+    })
+}
+
+fn open(directory: &Path) -> Result<DiskStore, StoreError> {
+    DiskStore::open(directory, DiskOptions { segment_bytes: 400 })
+}
+
+fn restore(directory: &Path) -> Result<Restored, StoreError> {
+    open(directory)?.restore()
+}
+
+fn files(directory: &Path, suffix: &str) -> Vec<PathBuf> {
+    let items = fs::read_dir(directory)
+        .unwrap()
+        .map(|item| item.unwrap().path());
+    let mut found: Vec<_> = items
+        .filter(|path| path.to_string_lossy().ends_with(suffix))
+        .collect();
+    found.sort();
+    found
+}
+
+/// Writes `synced` batches of two entries, and then one entry without a sync.
+fn write(directory: &Path, synced: u64) -> Restored {
+    let mut store = open(directory).unwrap();
+    let mut expected = store.restore().unwrap();
+    for batch in 0..synced {
+        let records = [
+            hard_state(batch + 1),
+            entry(2 * batch + 1, batch + 1),
+            entry(2 * batch + 2, batch + 1),
+        ];
+        store.append(&records).unwrap();
+        store.sync().unwrap();
+        records
+            .into_iter()
+            .for_each(|record| expected.apply(record));
+    }
+    store.append(&[entry(2 * synced + 1, synced + 1)]).unwrap();
+    expected
+}
+
+/// Without the last, unsynced entry.
+fn synced_part(mut restored: Restored, expected: &Restored) -> Restored {
+    restored.entries.truncate(expected.entries.len());
+    restored
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Guards against a start without synced records after damage anywhere in the log.
+    #[test]
+    fn damage_is_reported_or_harmless(synced in 1u64..12, place in any::<prop::sample::Index>(), bit in 0u8..8) {
+        let directory = TempDir::new().unwrap();
+        let expected = write(directory.path(), synced);
+        let logs = files(directory.path(), ".seg");
+        let sizes: Vec<usize> = logs.iter().map(|path| fs::read(path).unwrap().len()).collect();
+        let mut offset = place.index(sizes.iter().sum());
+        let mut file = 0;
+        while offset >= sizes[file] {
+            offset -= sizes[file];
+            file += 1;
+        }
+        let mut bytes = fs::read(&logs[file]).unwrap();
+        bytes[offset] ^= 1 << bit;
+        fs::write(&logs[file], &bytes).unwrap();
+        match restore(directory.path()) {
+            Ok(restored) => prop_assert_eq!(synced_part(restored, &expected), expected),
+            Err(StoreError::Corrupt { path, offset: reported, .. }) => {
+                prop_assert_eq!(&path, &logs[file]);
+                prop_assert!(reported as usize <= offset);
+            }
+            Err(error) => prop_assert!(false, "unexpected error {error}"),
+        }
+    }
+
+    /// Guards against a refused start, or a lost synced record, after a write was cut short.
+    #[test]
+    fn a_torn_tail_is_cut_off(synced in 1u64..12, cut in any::<prop::sample::Index>(), junk in any::<Vec<u8>>()) {
+        let directory = TempDir::new().unwrap();
+        let expected = write(directory.path(), synced);
+        let log = files(directory.path(), ".seg").pop().unwrap();
+        let mut bytes = fs::read(&log).unwrap();
+        let unsynced = 2 * synced + 1;
+        let text = format!("\"index\":{unsynced},");
+        let body = bytes.windows(text.len()).rposition(|window| window == text.as_bytes()).unwrap();
+        bytes.truncate(body + cut.index(bytes.len() - body));
+        bytes.extend(junk);
+        fs::write(&log, &bytes).unwrap();
+        prop_assert_eq!(restore(directory.path()).unwrap(), expected.clone());
+        // The store goes on after the cut.
+        let mut store = open(directory.path()).unwrap();
+        store.append(&[entry(unsynced, 90)]).unwrap();
+        store.sync().unwrap();
+        drop(store);
+        let restored = restore(directory.path()).unwrap();
+        prop_assert_eq!(restored.entries.last().map(|entry| entry.term), Some(90));
+    }
+}
+
+/// Guards against entries that come back after they were replaced.
+#[test]
+fn replaced_entries_stay_replaced() {
+    let directory = TempDir::new().unwrap();
+    let mut store = open(directory.path()).unwrap();
+    store
+        .append(&[entry(1, 1), entry(2, 1), entry(3, 1)])
+        .unwrap();
+    store.append(&[entry(2, 2)]).unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let terms: Vec<u64> = restore(directory.path())
+        .unwrap()
+        .entries
+        .iter()
+        .map(|entry| entry.term)
+        .collect();
+    assert_eq!(terms, [1, 2]);
+}
+
+/// Guards against stale entries behind a received snapshot, and against segments that are never
+/// deleted.
+#[test]
+fn a_snapshot_replaces_earlier_entries() {
+    let directory = TempDir::new().unwrap();
+    write(directory.path(), 12);
+    let before = files(directory.path(), ".seg").len();
+    let mut store = open(directory.path()).unwrap();
+    let meta = SnapshotMeta {
+        index: 23,
+        term: 50,
+        membership: Membership::default(),
+    };
+    store.save_snapshot(&meta, b"state").unwrap();
+    store
+        .append(&[hard_state(51), Record::Reset { index: 23 }, entry(24, 51)])
+        .unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let restored = restore(directory.path()).unwrap();
+    assert_eq!(restored.snapshot.unwrap().data, "state");
+    assert_eq!(restored.hard_state.term, 51);
+    let entries: Vec<_> = restored
+        .entries
+        .iter()
+        .map(|entry| (entry.index, entry.term))
+        .collect();
+    assert_eq!(entries, [(24, 51)]);
+    assert!(files(directory.path(), ".seg").len() < before);
+
+    let path = files(directory.path(), ".snap").pop().unwrap();
+    let mut bytes = fs::read(&path).unwrap();
+    *bytes.last_mut().unwrap() ^= 1;
+    fs::write(&path, bytes).unwrap();
+    assert!(
+        matches!(restore(directory.path()), Err(StoreError::Corrupt { path: p, .. }) if p == path)
+    );
+}
+
+/// Guards against a start without a segment in the middle.
+#[test]
+fn a_missing_segment_is_reported() {
+    let directory = TempDir::new().unwrap();
+    write(directory.path(), 12);
+    fs::remove_file(&files(directory.path(), ".seg")[1]).unwrap();
+    assert!(matches!(
+        restore(directory.path()),
+        Err(StoreError::Corrupt { .. })
+    ));
+}
+
+/// Guards against two processes in one data directory.
+#[test]
+fn a_directory_in_use_is_refused() {
+    let directory = TempDir::new().unwrap();
+    let first = open(directory.path()).unwrap();
+    assert!(matches!(
+        open(directory.path()),
+        Err(StoreError::Locked { .. })
+    ));
+    drop(first);
+    assert!(open(directory.path()).is_ok());
+}
+
+/// Guards against a member that votes under its old identity after it lost its disk.
+#[test]
+fn an_emptied_directory_is_a_new_member() {
+    let directory = TempDir::new().unwrap();
+    let path = directory.path().join("data");
+    let first = open(&path).unwrap().member();
+    assert_eq!(open(&path).unwrap().member(), first);
+    fs::remove_dir_all(&path).unwrap();
+    assert_ne!(open(&path).unwrap().member(), first);
+    let log = path.join("log-00000000000000000001.seg");
+    assert!(log.exists());
+    fs::remove_file(path.join("identity.json")).unwrap();
+    assert!(matches!(open(&path), Err(StoreError::NoIdentity { .. })));
+}
