--- /dev/null
+++ b/crates/placement/src/config.rs
@@ -0,0 +1,85 @@
+//! Settings of the placement.
+
+/// Settings of a [`Placer`](crate::Placer).
+#[derive(Clone, Debug)]
+pub struct PlacementConfig {
+    /// How many fitting workers are scored for one task.
+    pub sample: usize,
+    /// How long a gang waits before it obtains a reservation.
+    pub gang_reserve_after_ms: u64,
+    /// How often one task is displaced at most.
+    pub max_displacements: u8,
+    /// How long an urgent task waits for a displaced task to stop, beyond its checkpoint cost,
+    /// before it looks elsewhere.
+    pub displacement_timeout_ms: u64,
+    /// On how many distinct workers a task fails before it is held to be faulty.
+    pub faulty_task_workers: u8,
+    /// How many distinct tasks fail on a worker before it is quarantined.
+    pub faulty_worker_tasks: usize,
+    /// The first quarantine of a worker; each one that follows is twice as long.
+    pub quarantine_ms: u64,
+    /// The longest quarantine of a worker.
+    pub quarantine_max_ms: u64,
+    /// How long a task of a service must run to count as a success.
+    pub trial_ms: u64,
+    /// How many trial tasks a worker on probation takes at a time, and how many successes end it.
+    pub trial_tasks: u32,
+    /// The largest share of the workers that is quarantined, in percent.
+    pub quarantine_share_percent: usize,
+    /// How long an observed usage counts.
+    pub usage_valid_ms: u64,
+    /// Mechanisms that tests switch off to show that their checks notice.
+    #[doc(hidden)]
+    pub mechanisms: Mechanisms,
+}
+
+impl Default for PlacementConfig {
+    fn default() -> PlacementConfig {
+        PlacementConfig {
+            sample: 24,
+            gang_reserve_after_ms: 10_000,
+            max_displacements: 3,
+            displacement_timeout_ms: 5_000,
+            faulty_task_workers: 3,
+            faulty_worker_tasks: 3,
+            quarantine_ms: 60_000,
+            quarantine_max_ms: 3_600_000,
+            trial_ms: 30_000,
+            trial_tasks: 2,
+            quarantine_share_percent: 20,
+            usage_valid_ms: 30_000,
+            mechanisms: Mechanisms::default(),
+        }
+    }
+}
+
+/// Mechanisms that tests switch off.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug)]
+pub struct Mechanisms {
+    /// A waiting gang ages into a reservation.
+    pub reservation: bool,
+    /// Failing workers are set aside.
+    pub quarantine: bool,
+    /// The quota of a team is checked.
+    pub quota: bool,
+    /// Services are spread over failure domains and racks.
+    pub spread: bool,
+    /// Run times are learned from ended tasks.
+    pub learning: bool,
+    /// Urgent work displaces other tasks.
+    pub displacement: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Mechanisms {
+        Mechanisms {
+            reservation: true,
+            quarantine: true,
+            quota: true,
+            spread: true,
+            learning: true,
+            displacement: true,
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,33 @@
 //! Placement decisions.
+//!
+//! [`Placer`] holds a volatile picture of workers, jobs and running tasks and decides which
+//! waiting task starts where. It uses no clock, thread, socket or file: time is an input, and
+//! its random numbers come from a seed, so that a run can be replayed.
+
+pub mod config;
+pub mod decision;
+pub mod explanation;
+pub mod placer;
+pub mod view;
+
+pub use crate::config::Mechanisms;
+pub use crate::config::PlacementConfig;
+pub use crate::decision::Decisions;
+pub use crate::decision::Displacement;
+pub use crate::decision::FaultyTask;
+pub use crate::decision::Health;
+pub use crate::decision::HealthChange;
+pub use crate::decision::LateWarning;
+pub use crate::decision::NeverCause;
+pub use crate::decision::NeverFits;
+pub use crate::decision::Placement;
+pub use crate::decision::StopCause;
+pub use crate::decision::Throttle;
+pub use crate::explanation::Explanation;
+pub use crate::placer::Placer;
+pub use crate::view::JobPolicy;
+pub use crate::view::JobView;
+pub use crate::view::TaskEnd;
+pub use crate::view::TaskView;
+pub use crate::view::WorkerMode;
+pub use crate::view::WorkerView;
