--- /dev/null
+++ b/crates/placement/src/admission.rs
@@ -0,0 +1,247 @@
+//! Jobs come and go: submission, replacement and removal.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Priority;
+use sapphirepost_types::TaskId;
+
+use crate::estimate::Estimate;
+use crate::estimate::SeriesKey;
+use crate::job::Job;
+use crate::job::Place;
+use crate::job::WaitReason;
+use crate::placer::Placer;
+use crate::policy::batch;
+use crate::queue::QueueClass;
+use crate::queue::QueueKey;
+use crate::view::JobPolicy;
+use crate::view::JobView;
+
+impl Placer {
+    pub(crate) fn admit(&mut self, view: JobView) {
+        let id = view.id;
+        match self.jobs.contains_key(&id) {
+            true => self.replace_job(&view),
+            false => self.add_job(&view),
+        }
+        for task in &view.tasks {
+            self.admit_task(&view, task);
+        }
+        if let JobPolicy::Batch {
+            deadline: Some(deadline),
+            ..
+        } = view.policy
+        {
+            self.dated.insert((deadline, id));
+        }
+        self.enqueue(id);
+        self.remove_if_ended(id);
+    }
+
+    fn add_job(&mut self, view: &JobView) {
+        let team = self.quotas.id(&view.team);
+        let job = Job {
+            id: view.id,
+            team,
+            name: view.name.clone(),
+            series: SeriesKey::new(team, &view.name),
+            policy: view.policy,
+            priority: view.priority,
+            need: view.resources,
+            checkpoint_cost_ms: view.checkpoint_cost_ms,
+            submitted: view.submitted,
+            waiting: VecDeque::new(),
+            bound: Vec::new(),
+            delayed: 0,
+            key: None,
+            reason: WaitReason::Queued,
+            never: None,
+            failed_at_gain: 0,
+            checked_at_shape: 0,
+            warned_late: false,
+            in_domain: FxHashMap::default(),
+            in_rack: FxHashMap::default(),
+            failed_on: Default::default(),
+            succeeded: false,
+        };
+        self.jobs.insert(view.id, job);
+    }
+
+    fn replace_job(&mut self, view: &JobView) {
+        let wanted: FxHashSet<TaskId> = view.tasks.iter().map(|task| task.id).collect();
+        let Some(job) = self.jobs.get_mut(&view.id) else {
+            return;
+        };
+        if let Some(key) = job.key.take() {
+            self.queue.remove(&key);
+        }
+        if let JobPolicy::Batch {
+            deadline: Some(deadline),
+            ..
+        } = job.policy
+        {
+            self.dated.remove(&(deadline, view.id));
+        }
+        job.policy = view.policy;
+        job.priority = view.priority;
+        job.need = view.resources;
+        job.checkpoint_cost_ms = view.checkpoint_cost_ms;
+        job.failed_at_gain = 0;
+        job.checked_at_shape = 0;
+        job.never = None;
+        self.never.remove(&view.id);
+        let unwanted = job
+            .waiting
+            .iter()
+            .copied()
+            .filter(|task| !wanted.contains(task));
+        for task in unwanted.collect::<Vec<TaskId>>() {
+            self.drop_task(task);
+        }
+    }
+
+    fn admit_task(&mut self, view: &JobView, task: &crate::view::TaskView) {
+        let Some(known) = self.tasks.get_mut(&task.id) else {
+            let record = Placer::new_task(view.id, view.resources, task);
+            self.tasks.insert(task.id, record);
+            if let Some(job) = self.jobs.get_mut(&view.id) {
+                job.waiting.push_back(task.id);
+            }
+            return;
+        };
+        known.displaced = known.displaced.max(task.displaced);
+        match known.place {
+            Place::Bound { .. } if known.job.is_none() => {
+                known.job = Some(view.id);
+                self.adopt_bound(view.id, task);
+            }
+            Place::Bound { .. } => {}
+            Place::Waiting | Place::Delayed => known.resources = view.resources,
+        }
+    }
+
+    /// Puts a job with startable tasks into the queue.
+    pub(crate) fn enqueue(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.key.is_some() || job.waiting.is_empty() {
+            return;
+        }
+        let key = self.key_of(job);
+        self.queue.insert(key);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.key = Some(key);
+        }
+    }
+
+    /// The position of a job in the queue.
+    pub(crate) fn key_of(&self, job: &Job) -> QueueKey {
+        let (class, order) = match job.policy {
+            _ if job.priority == Priority::Urgent => (QueueClass::Urgent, job.submitted.0),
+            JobPolicy::Service => (QueueClass::Service, job.submitted.0),
+            JobPolicy::Gang { .. } => (QueueClass::Gang, job.submitted.0),
+            JobPolicy::Batch {
+                deadline,
+                run_time_ms,
+            } => {
+                let estimate = self.estimates.estimate(&job.series, run_time_ms);
+                let order = batch::latest_start(job.submitted, deadline, self.now, &estimate);
+                (QueueClass::Batch, order.0)
+            }
+        };
+        QueueKey {
+            class,
+            order,
+            job: job.id,
+        }
+    }
+
+    /// Moves a job to its place in the queue after its estimate changed.
+    pub(crate) fn reposition(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let (old, new) = (job.key, self.key_of(job));
+        if old == Some(new) || old.is_none() {
+            return;
+        }
+        if let Some(old) = old {
+            self.queue.remove(&old);
+        }
+        self.queue.insert(new);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.key = Some(new);
+        }
+    }
+
+    /// Removes what refers to a job that ended or was cancelled; costs a constant time. Its
+    /// entry in the queue stays until it is met.
+    pub(crate) fn forget_job(&mut self, job: &Job) {
+        self.never.remove(&job.id);
+        if self
+            .reservation
+            .as_ref()
+            .is_some_and(|held| held.gang == job.id)
+        {
+            self.drop_reservation();
+        }
+    }
+
+    /// Forgets a job none of whose tasks are left.
+    pub(crate) fn remove_if_ended(&mut self, id: JobId) {
+        if !self.jobs.get(&id).is_some_and(Job::has_ended) {
+            return;
+        }
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.forget_job(&job);
+        if let Some(key) = job.key {
+            self.queue.remove(&key);
+        }
+        if let JobPolicy::Batch {
+            deadline: Some(deadline),
+            ..
+        } = job.policy
+        {
+            self.dated.remove(&(deadline, id));
+        }
+    }
+
+    /// Forgets a task that holds no room.
+    pub(crate) fn drop_task(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.remove(&id) else {
+            return;
+        };
+        if let Some(hold) = task.hold {
+            self.free_hold(&hold);
+        }
+        let Some(job) = task.job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        match task.place {
+            Place::Waiting => job.waiting.retain(|&waiting| waiting != id),
+            Place::Delayed => job.delayed -= 1,
+            Place::Bound { .. } => job.bound.retain(|&bound| bound != id),
+        }
+    }
+
+    /// The estimate of one task of a job; `None` for a service.
+    pub(crate) fn estimate_of(&self, job: &Job) -> Option<Estimate> {
+        let declared_ms = job.policy.run_time_ms()?;
+        Some(self.estimates.estimate(&job.series, declared_ms))
+    }
+
+    /// When a task of the job that starts now has ended by the pessimistic estimate.
+    pub(crate) fn pessimistic_end(&self, job: &Job, started: Millis) -> Millis {
+        match self.estimate_of(job) {
+            Some(estimate) => started + estimate.pessimistic_ms,
+            None => Millis(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/binding.rs
@@ -0,0 +1,234 @@
+//! Room is taken and freed.
+//!
+//! Invariant: for each worker, `taken` is the sum of the declared resources of the tasks in its
+//! list, and each of these tasks is `Bound` to it.
+
+use rustc_hash::FxHashMap;
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::job::Hold;
+use crate::job::Place;
+use crate::job::Stopping;
+use crate::job::Task;
+use crate::placer::Placer;
+use crate::view::TaskView;
+
+impl Placer {
+    pub(crate) fn bind_task(&mut self, id: TaskId, worker: WorkerId, resources: Resources) {
+        match self.tasks.get(&id).map(|task| (task.place, task.resources)) {
+            Some((Place::Bound { worker: at, .. }, held)) if at == worker && held == resources => {
+                return;
+            }
+            Some((Place::Bound { .. }, _)) => {
+                self.vacate(id);
+            }
+            Some((Place::Waiting | Place::Delayed, _)) => self.unqueue_task(id),
+            None => {
+                let record = Task {
+                    job: None,
+                    ..Placer::new_task(JobId(0), resources, &TaskView::new(id))
+                };
+                self.tasks.insert(id, record);
+            }
+        }
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.resources = resources;
+        }
+        self.occupy(id, worker);
+    }
+
+    /// Takes a waiting task out of its job's lists.
+    fn unqueue_task(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get(&id) else {
+            return;
+        };
+        let Some(job) = task.job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        match task.place {
+            Place::Waiting if job.waiting.front() == Some(&id) => {
+                job.waiting.pop_front();
+            }
+            Place::Waiting => job.waiting.retain(|&waiting| waiting != id),
+            Place::Delayed => job.delayed -= 1,
+            Place::Bound { .. } => {}
+        }
+    }
+
+    /// Places a waiting task on a worker.
+    pub(crate) fn start_task(&mut self, id: TaskId, worker: WorkerId) {
+        self.unqueue_task(id);
+        if let Some(hold) = self.tasks.get_mut(&id).and_then(|task| task.hold.take()) {
+            self.free_hold(&hold);
+        }
+        self.occupy(id, worker);
+    }
+
+    /// Marks a task as bound and counts it everywhere.
+    fn occupy(&mut self, id: TaskId, worker: WorkerId) {
+        let now = self.now;
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return;
+        };
+        task.place = Place::Bound {
+            worker,
+            started: now,
+            ends: Millis(u64::MAX),
+            stopping: Stopping::No,
+        };
+        let job = task.job;
+        match self.workers.slot(worker) {
+            Some(slot) => self.charge_worker(slot, id),
+            None => self.sweeps.has_orphans = true,
+        }
+        if let Some(job) = job {
+            self.charge_job(job, id, now);
+        }
+    }
+
+    /// Counts a bound task on its worker.
+    pub(crate) fn charge_worker(&mut self, slot: usize, id: TaskId) {
+        let Some(task) = self.tasks.get(&id) else {
+            return;
+        };
+        let resources = task.resources;
+        self.workers.change(slot, |worker| {
+            worker.taken = worker.taken.checked_add(&resources).unwrap_or(worker.taken);
+            worker.tasks.push(id);
+        });
+    }
+
+    /// Counts a bound task for its job and its team.
+    fn charge_job(&mut self, id: JobId, task_id: TaskId, started: Millis) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let end = self.pessimistic_end(job, started);
+        let team = job.team;
+        let Some(task) = self.tasks.get_mut(&task_id) else {
+            return;
+        };
+        let resources = task.resources;
+        task.charged = Some(team);
+        let Place::Bound {
+            worker,
+            started: at,
+            ends,
+            ..
+        } = &mut task.place
+        else {
+            return;
+        };
+        *at = started;
+        *ends = end;
+        let slot = self.workers.slot(*worker);
+        self.quotas.charge(team, &resources);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.bound.push(task_id);
+        if let Some(slot) = slot {
+            self.count_spread(slot, task_id, true);
+        }
+    }
+
+    /// Counts a task in the failure domain and the rack of its worker, or takes it out.
+    pub(crate) fn count_spread(&mut self, slot: usize, task: TaskId, add: bool) {
+        let job = self.tasks.get(&task).and_then(|task| task.job);
+        let Some(job) = job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        let Some(worker) = self.workers.get(slot) else {
+            return;
+        };
+        if add {
+            *job.in_domain.entry(worker.domain).or_default() += 1;
+            *job.in_rack.entry(worker.rack).or_default() += 1;
+        } else {
+            decrement(&mut job.in_domain, worker.domain);
+            decrement(&mut job.in_rack, worker.rack);
+        }
+    }
+
+    /// Counts a task that was bound before its job was submitted.
+    pub(crate) fn adopt_bound(&mut self, job: JobId, view: &TaskView) {
+        let started = view.started.unwrap_or(self.now);
+        self.charge_job(job, view.id, started);
+    }
+
+    /// Frees the room of a bound task, which is left without a place in its job's lists.
+    pub(crate) fn vacate(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return;
+        };
+        let Place::Bound { worker, .. } = task.place else {
+            return;
+        };
+        let resources = task.resources;
+        let job = task.job;
+        if let Some(team) = task.charged.take() {
+            self.quotas.credit(team, &resources);
+        }
+        let slot = self.workers.slot(worker);
+        if let Some(slot) = slot {
+            self.discharge_worker(slot, id, &resources);
+            self.count_spread(slot, id, false);
+        }
+        let Some(job) = job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        if let Some(position) = job.bound.iter().position(|&bound| bound == id) {
+            job.bound.swap_remove(position);
+        }
+    }
+
+    fn discharge_worker(&mut self, slot: usize, id: TaskId, resources: &Resources) {
+        self.workers.change(slot, |worker| {
+            let Some(position) = worker.tasks.iter().position(|&bound| bound == id) else {
+                return;
+            };
+            worker.tasks.swap_remove(position);
+            worker.taken = worker.taken.saturating_sub(resources);
+            // The use of the ended task is part of the last observation.
+            if let Some((_, usage)) = &mut worker.usage {
+                *usage = usage.saturating_sub(resources);
+            }
+        });
+    }
+
+    /// Keeps room on a worker for an urgent task.
+    pub(crate) fn add_hold(&mut self, id: TaskId, hold: Hold) {
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.hold = Some(hold);
+        }
+        let Some(slot) = self.workers.slot(hold.worker) else {
+            return;
+        };
+        self.workers.change(slot, |worker| {
+            worker.held = worker.held.checked_add(&hold.amount).unwrap_or(worker.held);
+        });
+    }
+
+    /// Gives up room that was kept.
+    pub(crate) fn free_hold(&mut self, hold: &Hold) {
+        let Some(slot) = self.workers.slot(hold.worker) else {
+            return;
+        };
+        self.workers.change(slot, |worker| {
+            worker.held = worker.held.saturating_sub(&hold.amount);
+        });
+    }
+}
+
+fn decrement(counts: &mut FxHashMap<usize, u32>, key: usize) {
+    if let Some(count) = counts.get_mut(&key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/decide.rs
@@ -0,0 +1,141 @@
+//! One call of `decide`: waiting jobs are looked at in their order within a budget.
+
+use sapphirepost_types::Millis;
+
+use crate::decision::Decisions;
+use crate::job::Place;
+use crate::job::Stopping;
+use crate::placer::Placer;
+use crate::queue::QueueKey;
+
+/// Jobs looked at in one call for each unit of the budget. A job that needs no search, because
+/// nothing gained room since it was looked at last, uses no budget but some time.
+const VISITS_PER_BUDGET: usize = 4;
+
+/// Jobs looked at in one call at least.
+const MIN_VISITS: usize = 64;
+
+/// What one pass over a part of the queue used.
+struct Pass {
+    used: usize,
+    /// The last job looked at, if the pass ended before the queue did.
+    stopped_at: Option<QueueKey>,
+}
+
+impl Placer {
+    /// Decides about waiting tasks, about `budget` of them at most; a gang counts once for each
+    /// task and is never split.
+    pub fn decide(&mut self, now: Millis, budget: usize) -> Decisions {
+        self.advance(now);
+        self.rotate();
+        let mut out = std::mem::take(&mut self.pending);
+        out.displacements.retain(|stop| self.is_stopping(stop.task));
+        self.wake_delayed();
+        self.keep_house(&mut out);
+        self.recheck_never(&mut out);
+        self.maintain_reservation();
+        self.serve_queue(budget.max(1), &mut out);
+        out
+    }
+
+    /// Whether a stop that was decided between two calls is still needed.
+    fn is_stopping(&self, task: sapphirepost_types::TaskId) -> bool {
+        let place = self.tasks.get(&task).map(|task| task.place);
+        matches!(place, Some(Place::Bound { stopping, .. }) if stopping != Stopping::No)
+    }
+
+    /// Looks again at jobs that could never run, after workers or quotas changed.
+    fn recheck_never(&mut self, out: &mut Decisions) {
+        if self.never_checked == self.workers.shape_changes {
+            return;
+        }
+        self.never_checked = self.workers.shape_changes;
+        let mut never: Vec<_> = self.never.iter().copied().collect();
+        never.sort_unstable();
+        for job in never {
+            if self.check_feasible(job, &mut out.never_fits) {
+                self.enqueue(job);
+            }
+        }
+    }
+
+    /// Spends the budget at the head of the queue; if an earlier call did not reach the end,
+    /// half of it is spent from where that call stopped.
+    fn serve_queue(&mut self, budget: usize, out: &mut Decisions) {
+        let cursor = self.queue.cursor();
+        let head_budget = match cursor {
+            Some(_) => budget.div_ceil(2),
+            None => budget,
+        };
+        let head = self.serve_from(None, head_budget, out);
+        let Some(stopped_at) = head.stopped_at else {
+            self.queue.set_cursor(None);
+            return;
+        };
+        out.more = true;
+        let Some(cursor) = cursor.map(|cursor| cursor.max(stopped_at)) else {
+            self.queue.set_cursor(Some(stopped_at));
+            return;
+        };
+        let rest = budget.saturating_sub(head.used).max(1);
+        let tail = self.serve_from(Some(cursor), rest, out);
+        self.queue.set_cursor(tail.stopped_at);
+        out.more = tail.stopped_at.is_some() || !out.placements.is_empty();
+    }
+
+    fn serve_from(&mut self, after: Option<QueueKey>, budget: usize, out: &mut Decisions) -> Pass {
+        let visits = (budget * VISITS_PER_BUDGET).max(MIN_VISITS);
+        let mut page = std::mem::take(&mut self.page);
+        self.queue.page(after, visits, &mut page);
+        let mut used = 0;
+        let mut stopped_at = match page.len() < visits {
+            true => None,
+            false => page.last().copied(),
+        };
+        for key in &page {
+            used += self.serve(key, budget - used, out);
+            if used >= budget {
+                stopped_at = Some(*key);
+                break;
+            }
+        }
+        self.page = page;
+        Pass { used, stopped_at }
+    }
+
+    /// Looks at one entry of the queue and returns how much of the budget it used.
+    fn serve(&mut self, key: &QueueKey, budget: usize, out: &mut Decisions) -> usize {
+        let current = self
+            .jobs
+            .get(&key.job)
+            .map(|job| (job.key, job.waiting.is_empty()));
+        let Some((Some(current), false)) = current else {
+            self.queue.remove(key);
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.key = None;
+            }
+            return 0;
+        };
+        if current != *key {
+            return 0;
+        }
+        if !self.check_feasible(key.job, &mut out.never_fits) {
+            self.queue.remove(key);
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.key = None;
+            }
+            return 0;
+        }
+        let used = self.try_job(key.job, budget, out);
+        let emptied = self
+            .jobs
+            .get_mut(&key.job)
+            .filter(|job| job.waiting.is_empty());
+        if let Some(job) = emptied
+            && let Some(key) = job.key.take()
+        {
+            self.queue.remove(&key);
+        }
+        used
+    }
+}
--- /dev/null
+++ b/crates/placement/src/ends.rs
@@ -0,0 +1,238 @@
+//! Ends of tasks: what is learned from them, and what waits again.
+
+use std::cmp::Reverse;
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::decision::Displacement;
+use crate::decision::FaultyTask;
+use crate::decision::StopCause;
+use crate::job::Place;
+use crate::job::Stopping;
+use crate::placer::Placer;
+use crate::view::JobPolicy;
+use crate::view::TaskEnd;
+
+/// The first delay before a failed task starts again; doubled with each failure.
+const RETRY_DELAY_MS: u64 = 1_000;
+
+/// The longest delay before a failed task starts again.
+const RETRY_DELAY_MAX_MS: u64 = 300_000;
+
+/// A bound task at its end.
+#[derive(Clone, Copy)]
+struct Ended {
+    task: TaskId,
+    worker: WorkerId,
+    started: Millis,
+    stopping: Stopping,
+}
+
+impl Placer {
+    /// Frees the room of a task. Unless the end is final, the task waits again.
+    pub fn release(&mut self, now: Millis, task: TaskId, end: TaskEnd) {
+        self.advance(now);
+        let Some(record) = self.tasks.get(&task) else {
+            return;
+        };
+        let job = record.job;
+        let Place::Bound {
+            worker,
+            started,
+            stopping,
+            ..
+        } = record.place
+        else {
+            self.release_waiting(task, end);
+            return;
+        };
+        let ended = Ended {
+            task,
+            worker,
+            started,
+            stopping,
+        };
+        self.vacate(task);
+        match job.filter(|job| self.jobs.contains_key(job)) {
+            Some(job) => self.settle(job, &ended, end),
+            None => {
+                self.tasks.remove(&task);
+            }
+        }
+    }
+
+    /// A task that holds no room is only taken out by an end that is final.
+    fn release_waiting(&mut self, task: TaskId, end: TaskEnd) {
+        if !matches!(end, TaskEnd::Finished | TaskEnd::Cancelled) {
+            return;
+        }
+        let job = self.tasks.get(&task).and_then(|task| task.job);
+        self.drop_task(task);
+        if let Some(job) = job {
+            self.remove_if_ended(job);
+        }
+    }
+
+    fn settle(&mut self, job: JobId, ended: &Ended, end: TaskEnd) {
+        match end {
+            TaskEnd::Finished => self.settle_finished(job, ended),
+            TaskEnd::Failed => self.settle_failed(job, ended),
+            TaskEnd::Stopped => self.settle_stopped(job, ended),
+            TaskEnd::Lost | TaskEnd::Rejected => self.set_waiting(ended.task, true),
+            TaskEnd::Cancelled => {
+                self.tasks.remove(&ended.task);
+            }
+        }
+        if !matches!(end, TaskEnd::Finished | TaskEnd::Cancelled) {
+            self.break_gang(job);
+        }
+        self.enqueue(job);
+        self.remove_if_ended(job);
+    }
+
+    fn settle_finished(&mut self, id: JobId, ended: &Ended) {
+        self.note_success(ended.worker);
+        let displaced = self.tasks.get(&ended.task).map_or(0, |task| task.displaced);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.succeeded = true;
+        if job.policy == JobPolicy::Service {
+            self.delay(ended.task);
+            return;
+        }
+        // The last attempt of a displaced task shows only a part of its run time.
+        if let Some(declared_ms) = job.policy.run_time_ms()
+            && displaced == 0
+            && self.config.mechanisms.learning
+        {
+            let actual_ms = self.now.since(ended.started);
+            self.estimates.learn(&job.series, declared_ms, actual_ms);
+        }
+        self.tasks.remove(&ended.task);
+    }
+
+    fn settle_failed(&mut self, id: JobId, ended: &Ended) {
+        self.note_failed_task(id, ended.task, ended.worker);
+        let is_service = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.policy == JobPolicy::Service);
+        let Some(task) = self.tasks.get_mut(&ended.task) else {
+            return;
+        };
+        task.failures += 1;
+        if !task.failed_on.contains(&ended.worker) {
+            task.failed_on.push(ended.worker);
+        }
+        let workers = task.failed_on.len() as u8;
+        if is_service && workers >= self.config.faulty_task_workers {
+            // A service is kept at its size, so its tasks are tried again, with growing delays.
+            task.failed_on.clear();
+        } else if workers >= self.config.faulty_task_workers {
+            self.tasks.remove(&ended.task);
+            self.pending.faulty_tasks.push(FaultyTask {
+                job: id,
+                task: ended.task,
+                workers,
+            });
+            return;
+        }
+        self.delay(ended.task);
+    }
+
+    fn settle_stopped(&mut self, job: JobId, ended: &Ended) {
+        if let Some(task) = self.tasks.get_mut(&ended.task)
+            && ended.stopping == Stopping::Displaced
+        {
+            task.displaced = task.displaced.saturating_add(1);
+        }
+        let is_wanted = self.jobs.contains_key(&job);
+        if is_wanted {
+            self.set_waiting(ended.task, false);
+        }
+    }
+
+    /// Puts a task into its job's list of waiting tasks.
+    pub(crate) fn set_waiting(&mut self, id: TaskId, front: bool) {
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return;
+        };
+        task.place = Place::Waiting;
+        let Some(job) = task.job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        match front {
+            true => job.waiting.push_front(id),
+            false => job.waiting.push_back(id),
+        }
+        job.failed_at_gain = 0;
+    }
+
+    /// Lets a task wait before it starts again.
+    fn delay(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return;
+        };
+        task.place = Place::Delayed;
+        let doublings = task.failures.saturating_sub(1).min(16);
+        let delay_ms = (RETRY_DELAY_MS << doublings).min(RETRY_DELAY_MAX_MS);
+        let Some(job) = task.job.and_then(|job| self.jobs.get_mut(&job)) else {
+            return;
+        };
+        job.delayed += 1;
+        self.delayed.push(Reverse((self.now + delay_ms, id)));
+    }
+
+    /// Puts tasks whose delay has passed back into their queues.
+    pub(crate) fn wake_delayed(&mut self) {
+        while let Some(&Reverse((at, id))) = self.delayed.peek() {
+            if at > self.now {
+                return;
+            }
+            self.delayed.pop();
+            let Some(task) = self.tasks.get(&id) else {
+                continue;
+            };
+            let (place, job) = (task.place, task.job);
+            let Some(job) = job.filter(|_| place == Place::Delayed) else {
+                continue;
+            };
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.delayed -= 1;
+            }
+            self.set_waiting(id, false);
+            self.enqueue(job);
+        }
+    }
+
+    /// Stops the rest of a gang of which a task ended early.
+    fn break_gang(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.is_gang()) else {
+            return;
+        };
+        let checkpoint = job.checkpoint_cost_ms.is_some();
+        for task in job.bound.clone() {
+            let place = self.tasks.get(&task).map(|task| task.place);
+            let Some(Place::Bound {
+                worker,
+                stopping: Stopping::No,
+                ..
+            }) = place
+            else {
+                continue;
+            };
+            self.ask_to_stop(task, Stopping::GangBroken);
+            self.pending.displacements.push(Displacement {
+                job: id,
+                task,
+                worker,
+                checkpoint,
+                cause: StopCause::GangBroken,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/explain.rs
@@ -0,0 +1,169 @@
+//! Explanations: computed on request by a scan, so that decisions keep no texts.
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::resources::ResourceKind;
+
+use crate::decision::Health;
+use crate::explanation::Explanation;
+use crate::job::Job;
+use crate::job::Place;
+use crate::job::WaitReason;
+use crate::placer::Placer;
+use crate::view::WorkerMode;
+
+/// Running tasks that are listed.
+const LISTED_TASKS: usize = 16;
+
+/// Workers counted by what keeps a task off them.
+#[derive(Default)]
+struct Obstacles {
+    draining: u32,
+    disconnected: u32,
+    quarantined: u32,
+    on_probation: u32,
+    short: [u32; 3],
+    fitting: u32,
+}
+
+impl Placer {
+    /// Says why a job waits, runs where it runs, or was refused.
+    pub fn explain(&self, job: JobId) -> Explanation {
+        let lines = match self.jobs.get(&job) {
+            Some(job) => self.explain_job(job),
+            None => vec![format!(
+                "{job} is not known: it ended, was cancelled, or never existed"
+            )],
+        };
+        Explanation { job, lines }
+    }
+
+    fn explain_job(&self, job: &Job) -> Vec<String> {
+        let mut lines = vec![format!(
+            "{} of team {}: {} running, {} waiting, {} delayed after an end",
+            job.name,
+            self.quotas.team(job.team).name,
+            job.bound.len(),
+            job.waiting.len(),
+            job.delayed,
+        )];
+        if let Some(cause) = &job.never {
+            lines.push(format!("can never run as things are: {cause}"));
+        } else if !job.waiting.is_empty() {
+            lines.push(self.explain_waiting(job));
+            if job.reason != WaitReason::Queued {
+                lines.push(self.explain_room(&job.need));
+            }
+        }
+        if job.warned_late {
+            lines.push("will probably miss its deadline".to_owned());
+        }
+        let listed = job.bound.iter().take(LISTED_TASKS);
+        lines.extend(listed.filter_map(|&task| self.explain_bound(task)));
+        if job.bound.len() > LISTED_TASKS {
+            lines.push(format!("and {} more tasks", job.bound.len() - LISTED_TASKS));
+        }
+        lines
+    }
+
+    fn explain_bound(&self, id: TaskId) -> Option<String> {
+        let Place::Bound { worker, .. } = self.tasks.get(&id)?.place else {
+            return None;
+        };
+        Some(format!("{id} on {worker}"))
+    }
+
+    fn explain_waiting(&self, job: &Job) -> String {
+        if job.is_gang() && !job.bound.is_empty() {
+            return "waits until its remaining tasks have stopped, to start as a whole".to_owned();
+        }
+        match job.reason {
+            WaitReason::Queued => "has not been looked at yet".to_owned(),
+            WaitReason::NoRoom => format!("no worker has room for {}", job.need),
+            WaitReason::Reserved { gang } => {
+                format!(
+                    "the room that would do is reserved for the gang {}",
+                    self.name_of(gang)
+                )
+            }
+            WaitReason::Quota(kind) => {
+                let team = self.quotas.team(job.team);
+                format!("the quota of team {} has too little {kind} left", team.name)
+            }
+            WaitReason::Displacing => "waits until displaced tasks have stopped".to_owned(),
+            WaitReason::GangRoom { fit } => format!(
+                "needs room for {} tasks at once and {fit} fit{}",
+                job.waiting.len(),
+                self.explain_reservation(job.id)
+            ),
+            WaitReason::GangVolume(kind) => format!(
+                "needs room for {} tasks at once and too little {kind} is free{}",
+                job.waiting.len(),
+                self.explain_reservation(job.id)
+            ),
+        }
+    }
+
+    fn explain_reservation(&self, job: JobId) -> String {
+        match &self.reservation {
+            Some(held) if held.gang == job => {
+                let ms = held.starts.since(self.now);
+                format!("; room is reserved, expected in {ms} ms at the latest")
+            }
+            _ => String::new(),
+        }
+    }
+
+    fn name_of(&self, job: JobId) -> String {
+        match self.jobs.get(&job) {
+            Some(job) => job.name.to_string(),
+            None => job.to_string(),
+        }
+    }
+
+    fn explain_room(&self, need: &Resources) -> String {
+        let obstacles = self.obstacles(need);
+        let short = |kind: ResourceKind, count| (format!("have too little {kind}"), count);
+        let causes = [
+            short(ResourceKind::Processor, obstacles.short[0]),
+            short(ResourceKind::Memory, obstacles.short[1]),
+            short(ResourceKind::Accelerator, obstacles.short[2]),
+            ("are draining".to_owned(), obstacles.draining),
+            ("have no contact".to_owned(), obstacles.disconnected),
+            ("are quarantined".to_owned(), obstacles.quarantined),
+            (
+                "are on probation and busy".to_owned(),
+                obstacles.on_probation,
+            ),
+            ("have room for one task".to_owned(), obstacles.fitting),
+        ];
+        let causes = causes.into_iter().filter(|&(_, count)| count > 0);
+        let causes: Vec<String> = causes
+            .map(|(text, count)| format!("{count} {text}"))
+            .collect();
+        format!("of {} workers, {}", self.workers.len(), causes.join(", "))
+    }
+
+    fn obstacles(&self, need: &Resources) -> Obstacles {
+        let mut obstacles = Obstacles::default();
+        for (slot, worker) in self.workers.iter() {
+            let counter = match (worker.mode, worker.health.state) {
+                (WorkerMode::Draining, _) => &mut obstacles.draining,
+                (WorkerMode::Disconnected, _) => &mut obstacles.disconnected,
+                (_, Health::Quarantined) => &mut obstacles.quarantined,
+                (_, Health::Probation) if !self.workers.eligible.contains(slot) => {
+                    &mut obstacles.on_probation
+                }
+                _ => match need.limiting(&worker.free) {
+                    Some(ResourceKind::Processor) => &mut obstacles.short[0],
+                    Some(ResourceKind::Memory) => &mut obstacles.short[1],
+                    Some(ResourceKind::Accelerator) => &mut obstacles.short[2],
+                    None => &mut obstacles.fitting,
+                },
+            };
+            *counter += 1;
+        }
+        obstacles
+    }
+}
--- /dev/null
+++ b/crates/placement/src/feasibility.rs
@@ -0,0 +1,116 @@
+//! Whether a job could ever run, with all workers empty.
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::Resources;
+
+use crate::decision::NeverCause;
+use crate::decision::NeverFits;
+use crate::free_index::amounts;
+use crate::job::Job;
+use crate::placer::Placer;
+use crate::reservation::count_in;
+
+impl Placer {
+    /// Why tasks of this size, or a gang of this many of them, can never run.
+    pub(crate) fn never_cause(
+        &self,
+        need: &Resources,
+        gang: Option<u32>,
+        quota: Option<&Resources>,
+    ) -> Option<NeverCause> {
+        if let Some(cause) = self.never_on_workers(need) {
+            return Some(cause);
+        }
+        let whole = need.checked_mul(gang.unwrap_or(1));
+        let whole = whole.unwrap_or(Resources::new(u64::MAX, u64::MAX, u32::MAX));
+        if let Some(kind) = quota.and_then(|quota| whole.limiting(quota)) {
+            return Some(NeverCause::Quota(kind));
+        }
+        self.never_as_gang(need, gang?)
+    }
+
+    fn never_on_workers(&self, need: &Resources) -> Option<NeverCause> {
+        let shapes = &self.workers.shapes;
+        if shapes.keys().any(|shape| need.fits_in(shape)) {
+            return None;
+        }
+        // The resource that no worker has enough of; if each alone is met somewhere, the one
+        // that is short on the worker that comes closest.
+        let largest = shapes
+            .keys()
+            .fold(Resources::ZERO, |largest, shape| largest.max(shape));
+        if let Some(kind) = need.limiting(&largest) {
+            return Some(NeverCause::Worker(kind));
+        }
+        let missing = |shape: &Resources| {
+            let pairs = amounts(need).into_iter().zip(amounts(shape));
+            pairs.filter(|(need, have)| need > have).count()
+        };
+        let closest = shapes
+            .keys()
+            .min_by_key(|shape| (missing(shape), shape.millicores, shape.memory_mib))?;
+        need.limiting(closest).map(NeverCause::Worker)
+    }
+
+    fn never_as_gang(&self, need: &Resources, tasks: u32) -> Option<NeverCause> {
+        let mut hold = 0u32;
+        for (shape, &workers) in &self.workers.shapes {
+            hold = hold.saturating_add(count_in(shape, need).saturating_mul(workers));
+        }
+        if hold >= tasks {
+            return None;
+        }
+        let whole = need.checked_mul(tasks).unwrap_or(*need);
+        let shares = amounts(&whole)
+            .into_iter()
+            .zip(amounts(&self.workers.total_capacity));
+        let shares = shares.map(|(need, have)| need as f64 / have.max(1) as f64);
+        let kinds = [
+            sapphirepost_types::resources::ResourceKind::Processor,
+            sapphirepost_types::resources::ResourceKind::Memory,
+            sapphirepost_types::resources::ResourceKind::Accelerator,
+        ];
+        let largest = kinds
+            .into_iter()
+            .zip(shares)
+            .max_by(|a, b| a.1.total_cmp(&b.1));
+        largest.map(|(limiting, _)| NeverCause::Gang { hold, limiting })
+    }
+
+    fn never_cause_of(&self, job: &Job) -> Option<NeverCause> {
+        let gang = job.is_gang().then_some(job.waiting.len() as u32);
+        let limit = self.quotas.team(job.team).limit.as_ref();
+        self.never_cause(&job.need, gang, limit)
+    }
+
+    /// Checks a waiting job once for each change of workers or quotas. Returns whether it could
+    /// run.
+    pub(crate) fn check_feasible(&mut self, id: JobId, out: &mut Vec<NeverFits>) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        if job.checked_at_shape == self.workers.shape_changes {
+            return job.never.is_none();
+        }
+        let cause = self.never_cause_of(job);
+        let changed = cause != job.never;
+        let changes = self.workers.shape_changes;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.checked_at_shape = changes;
+            job.never = cause;
+            job.failed_at_gain = 0;
+        }
+        match cause {
+            Some(cause) => {
+                self.never.insert(id);
+                if changed {
+                    out.push(NeverFits { job: id, cause });
+                }
+            }
+            None => {
+                self.never.remove(&id);
+            }
+        }
+        cause.is_none()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/housekeeping.rs
@@ -0,0 +1,183 @@
+//! Work that is spread over many calls of `decide`: each call does a bounded part.
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::TaskId;
+
+use crate::decision::Decisions;
+use crate::decision::LateWarning;
+use crate::free_index::amounts;
+use crate::job::Job;
+use crate::job::Place;
+use crate::placer::Placer;
+use crate::queue::QueueClass;
+use crate::queue::QueueKey;
+use crate::view::JobPolicy;
+
+/// Workers looked at in one call.
+const WORKERS_PER_CALL: usize = 16;
+
+/// Batch jobs with a deadline looked at in one call.
+const JOBS_PER_CALL: usize = 16;
+
+/// Tasks of cancelled jobs forgotten in one call.
+const FORGET_PER_CALL: usize = 1_024;
+
+/// How far the sweeps have come.
+#[derive(Default)]
+pub(crate) struct Sweeps {
+    next_worker: usize,
+    next_running: Option<(Millis, JobId)>,
+    next_waiting: Option<QueueKey>,
+    /// Run time of the waiting batch tasks met so far in the sweep, as time of the whole cluster.
+    work_ahead_ms: f64,
+    /// No reservation is sought before this time.
+    pub(crate) next_reservation: Millis,
+    /// Whether tasks were ever bound to workers that are not known.
+    pub(crate) has_orphans: bool,
+}
+
+impl Placer {
+    pub(crate) fn keep_house(&mut self, out: &mut Decisions) {
+        self.forget_cancelled();
+        self.sweep_workers(out);
+        self.sweep_running(out);
+        self.sweep_waiting(out);
+    }
+
+    fn forget_cancelled(&mut self) {
+        let mut budget = FORGET_PER_CALL;
+        while budget > 0 {
+            let Some(mut job) = self.cancelled.pop() else {
+                return;
+            };
+            if let Some(key) = job.key.take() {
+                self.queue.remove(&key);
+            }
+            if let JobPolicy::Batch {
+                deadline: Some(deadline),
+                ..
+            } = job.policy
+            {
+                self.dated.remove(&(deadline, job.id));
+            }
+            let count = job.waiting.len().min(budget);
+            for task in job.waiting.drain(..count).collect::<Vec<TaskId>>() {
+                self.drop_task(task);
+            }
+            // A job counts even without waiting tasks, so that a wave of them is spread too.
+            budget -= count.max(1);
+            if !job.waiting.is_empty() {
+                self.cancelled.push(job);
+            }
+        }
+    }
+
+    fn sweep_workers(&mut self, out: &mut Decisions) {
+        for _ in 0..WORKERS_PER_CALL.min(self.workers.end()) {
+            let slot = self.sweeps.next_worker % self.workers.end();
+            self.sweeps.next_worker = slot + 1;
+            self.review_usage(slot, &mut out.throttles);
+            self.review_health(slot, &mut out.health);
+        }
+    }
+
+    /// Warns about running tasks that outlast their estimates.
+    fn sweep_running(&mut self, out: &mut Decisions) {
+        let from = self.sweeps.next_running.unwrap_or_default();
+        let page: Vec<(Millis, JobId)> = self
+            .dated
+            .range(from..)
+            .take(JOBS_PER_CALL)
+            .copied()
+            .collect();
+        self.sweeps.next_running = match page.len() < JOBS_PER_CALL {
+            true => None,
+            false => page.last().map(|&(deadline, job)| (deadline, job.next())),
+        };
+        for (deadline, id) in page {
+            let Some(job) = self.jobs.get(&id).filter(|job| !job.warned_late) else {
+                continue;
+            };
+            let expected = self.expected_end_of_bound(job);
+            if expected > deadline {
+                self.warn_late(id, expected, deadline, out);
+            }
+        }
+    }
+
+    fn expected_end_of_bound(&self, job: &Job) -> Millis {
+        let Some(estimate) = self.estimate_of(job) else {
+            return Millis::ZERO;
+        };
+        let places = job.bound.iter().filter_map(|task| self.tasks.get(task));
+        let ends = places.filter_map(|task| match task.place {
+            Place::Bound { started, .. } => Some((started + estimate.median_ms).max(self.now)),
+            Place::Waiting | Place::Delayed => None,
+        });
+        ends.max().unwrap_or_default()
+    }
+
+    /// Warns about waiting jobs that cannot meet their deadline, counting the work ahead of them.
+    fn sweep_waiting(&mut self, out: &mut Decisions) {
+        let from = self.sweeps.next_waiting.unwrap_or(QueueKey {
+            class: QueueClass::Gang,
+            order: u64::MAX,
+            job: JobId(u32::MAX),
+        });
+        let mut page = std::mem::take(&mut self.page);
+        self.queue.page(Some(from), JOBS_PER_CALL, &mut page);
+        for key in &page {
+            self.review_waiting(key, out);
+        }
+        self.sweeps.next_waiting = match page.len() < JOBS_PER_CALL {
+            true => None,
+            false => page.last().copied(),
+        };
+        if self.sweeps.next_waiting.is_none() {
+            self.sweeps.work_ahead_ms = 0.0;
+        }
+        self.page = page;
+    }
+
+    fn review_waiting(&mut self, key: &QueueKey, out: &mut Decisions) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(estimate) = self.estimate_of(job) else {
+            return;
+        };
+        let share = self.share_of_cluster(job);
+        let expected = self.now + self.sweeps.work_ahead_ms as u64 + estimate.median_ms;
+        self.sweeps.work_ahead_ms += share * job.waiting.len() as f64 * estimate.median_ms as f64;
+        if let JobPolicy::Batch {
+            deadline: Some(deadline),
+            ..
+        } = job.policy
+            && !job.warned_late
+            && expected > deadline
+        {
+            self.warn_late(key.job, expected, deadline, out);
+        }
+    }
+
+    /// The largest share of any resource of the cluster that one task needs.
+    fn share_of_cluster(&self, job: &Job) -> f64 {
+        let pairs = amounts(&job.need)
+            .into_iter()
+            .zip(amounts(&self.workers.total_capacity));
+        let shares = pairs.map(|(need, have)| need as f64 / have.max(1) as f64);
+        shares.fold(0.0, f64::max)
+    }
+
+    fn warn_late(&mut self, id: JobId, expected: Millis, deadline: Millis, out: &mut Decisions) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.warned_late = true;
+        }
+        out.late.push(LateWarning {
+            job: id,
+            expected,
+            deadline,
+        });
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,11 +4,30 @@
 //! waiting task starts where. It uses no clock, thread, socket or file: time is an input, and
 //! its random numbers come from a seed, so that a run can be replayed.
 
+mod admission;
+mod binding;
+mod bitset;
 pub mod config;
+mod decide;
 pub mod decision;
+mod ends;
+mod estimate;
+mod explain;
 pub mod explanation;
+mod feasibility;
+mod free_index;
+mod health;
+mod housekeeping;
+mod job;
 pub mod placer;
+mod policy;
+mod queue;
+mod quota;
+mod reservation;
+mod search;
+mod standing;
 pub mod view;
+mod workers;
 
 pub use crate::config::Mechanisms;
 pub use crate::config::PlacementConfig;
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -1,5 +1,13 @@
 //! The placer: calls in, decisions out.
 
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 use sapphirepost_types::JobId;
 use sapphirepost_types::Millis;
 use sapphirepost_types::Name;
@@ -7,58 +15,215 @@
 use sapphirepost_types::TaskId;
 use sapphirepost_types::WorkerId;
 
+use crate::bitset::SlotSet;
 use crate::config::PlacementConfig;
 use crate::decision::Decisions;
-use crate::explanation::Explanation;
+use crate::decision::NeverCause;
+use crate::estimate::Estimates;
+use crate::housekeeping::Sweeps;
+use crate::job::Job;
+use crate::job::Place;
+use crate::job::Task;
+use crate::queue::Queue;
+use crate::queue::QueueKey;
+use crate::quota::Quotas;
+use crate::reservation::Reservation;
+use crate::search::FailureMemo;
+use crate::view::JobPolicy;
 use crate::view::JobView;
-use crate::view::TaskEnd;
+use crate::view::TaskView;
 use crate::view::WorkerView;
+use crate::workers::Workers;
 
 /// Decides which waiting task starts where. Volatile; rebuilt from the replicated state.
-pub struct Placer;
+pub struct Placer {
+    pub(crate) config: PlacementConfig,
+    pub(crate) rng: Pcg64Mcg,
+    /// The latest time that was passed in.
+    pub(crate) now: Millis,
+    pub(crate) workers: Workers,
+    pub(crate) jobs: FxHashMap<JobId, Job>,
+    pub(crate) tasks: FxHashMap<TaskId, Task>,
+    pub(crate) quotas: Quotas,
+    pub(crate) estimates: Estimates,
+    pub(crate) queue: Queue,
+    pub(crate) reservation: Option<Reservation>,
+    /// Jobs that can never run.
+    pub(crate) never: FxHashSet<JobId>,
+    /// The value of `Workers::shape_changes` when `never` was last looked at.
+    pub(crate) never_checked: u64,
+    /// Tasks that wait for the end of a backoff.
+    pub(crate) delayed: BinaryHeap<Reverse<(Millis, TaskId)>>,
+    /// Cancelled jobs whose tasks are not forgotten yet.
+    pub(crate) cancelled: Vec<Job>,
+    /// Batch jobs with a deadline.
+    pub(crate) dated: BTreeSet<(Millis, JobId)>,
+    /// What was found between two calls of `decide`.
+    pub(crate) pending: Decisions,
+    pub(crate) memo: FailureMemo,
+    pub(crate) sweeps: Sweeps,
+    pub(crate) page: Vec<QueueKey>,
+    /// Where the bucket walks of a search start.
+    pub(crate) rotation: usize,
+    /// Failure domain masks of a search, kept for their memory.
+    pub(crate) scratch: SlotSet,
+}
 
 impl Placer {
     /// A placer without workers and jobs.
-    pub fn new(_config: PlacementConfig, _seed: u64) -> Placer {
-        Placer
+    pub fn new(config: PlacementConfig, seed: u64) -> Placer {
+        Placer {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: Millis::ZERO,
+            workers: Workers::new(config.trial_tasks),
+            jobs: FxHashMap::default(),
+            tasks: FxHashMap::default(),
+            quotas: Quotas::default(),
+            estimates: Estimates::default(),
+            queue: Queue::default(),
+            reservation: None,
+            never: FxHashSet::default(),
+            never_checked: 0,
+            delayed: BinaryHeap::new(),
+            cancelled: Vec::new(),
+            dated: BTreeSet::new(),
+            pending: Decisions::default(),
+            memo: FailureMemo::default(),
+            sweeps: Sweeps::default(),
+            page: Vec::new(),
+            rotation: 0,
+            scratch: SlotSet::default(),
+            config,
+        }
     }
 
     /// Adds a worker or replaces what is known of it; its tasks stay bound.
-    pub fn upsert_worker(&mut self, _worker: WorkerView) {}
+    pub fn upsert_worker(&mut self, worker: WorkerView) {
+        let id = worker.id;
+        let known = self.workers.slot(id).is_some();
+        let slot = self.workers.upsert(worker);
+        if !known {
+            self.adopt_tasks(id, slot);
+        }
+    }
+
+    /// Counts tasks that were bound to a worker before the worker was known.
+    fn adopt_tasks(&mut self, id: WorkerId, slot: usize) {
+        let on_it = |task: &Task| matches!(task.place, Place::Bound { worker, .. } if worker == id);
+        if !self.sweeps.has_orphans {
+            return;
+        }
+        let tasks = self.tasks.iter().filter(|(_, task)| on_it(task));
+        let mut found: Vec<TaskId> = tasks.map(|(&id, _)| id).collect();
+        found.sort_unstable();
+        for task in found {
+            self.charge_worker(slot, task);
+            self.count_spread(slot, task, true);
+        }
+    }
 
     /// Forgets a worker. Tasks that are still bound to it must be released by the caller.
-    pub fn remove_worker(&mut self, _worker: WorkerId) {}
+    pub fn remove_worker(&mut self, worker: WorkerId) {
+        let Some(slot) = self.workers.slot(worker) else {
+            return;
+        };
+        self.drop_reservation_on(slot);
+        let tasks = self.workers.get(slot).map(|worker| worker.tasks.clone());
+        for task in tasks.unwrap_or_default() {
+            self.sweeps.has_orphans = true;
+            self.count_spread(slot, task, false);
+        }
+        self.workers.remove(worker);
+    }
 
     /// Sets the quota of a team; `None` lifts the limit.
-    pub fn set_quota(&mut self, _team: &Name, _limit: Option<Resources>) {}
+    pub fn set_quota(&mut self, team: &Name, limit: Option<Resources>) {
+        self.quotas.set_limit(team, limit);
+        self.workers.shape_changes += 1;
+    }
 
     /// Adds a job, or replaces what is known of it: tasks that are new wait, tasks that are
     /// missing do not wait any more, bound tasks stay bound.
-    pub fn submit(&mut self, _now: Millis, _job: JobView) {}
+    pub fn submit(&mut self, now: Millis, job: JobView) {
+        self.advance(now);
+        self.admit(job);
+    }
 
     /// Stops placing the tasks of a job. Bound tasks hold their room until they are released.
-    pub fn cancel(&mut self, _now: Millis, _job: JobId) {}
+    ///
+    /// The cost does not depend on the number of tasks: they are forgotten in later calls of
+    /// [`Placer::decide`].
+    pub fn cancel(&mut self, now: Millis, job: JobId) {
+        self.advance(now);
+        if let Some(job) = self.jobs.remove(&job) {
+            self.forget_job(&job);
+            self.cancelled.push(job);
+        }
+    }
 
     /// Records that a task holds room on a worker; confirms a placement if it matches one.
-    pub fn bind(&mut self, _task: TaskId, _worker: WorkerId, _resources: Resources) {}
+    pub fn bind(&mut self, task: TaskId, worker: WorkerId, resources: Resources) {
+        self.bind_task(task, worker, resources);
+    }
+
+    /// Whether a job with these needs could ever run here, with all workers empty.
+    pub fn check(&self, job: &JobView) -> Result<(), NeverCause> {
+        let limit = self.quotas.find(&job.team).and_then(|team| team.limit);
+        let gang = match job.policy {
+            JobPolicy::Gang { .. } => Some(job.tasks.len() as u32),
+            _ => None,
+        };
+        match self.never_cause(&job.resources, gang, limit.as_ref()) {
+            Some(cause) => Err(cause),
+            None => Ok(()),
+        }
+    }
+
+    /// How many of `tasks` tasks have room now. Scans all workers; meant for plans.
+    pub fn would_fit(&self, need: Resources, tasks: u32) -> u32 {
+        let free = self.workers.eligible.iter();
+        let free = free.filter_map(|slot| self.workers.get(slot).map(|worker| worker.free));
+        let mut fit = 0;
+        for free in free {
+            fit += crate::reservation::count_in(&free, &need);
+            if fit >= tasks {
+                return tasks;
+            }
+        }
+        fit
+    }
 
-    /// Frees the room of a task. Unless the end is final, the task waits again.
-    pub fn release(&mut self, _now: Millis, _task: TaskId, _end: TaskEnd) {}
+    /// The number of tasks that hold room.
+    pub fn bound_tasks(&self) -> usize {
+        self.workers
+            .iter()
+            .map(|(_, worker)| worker.tasks.len())
+            .sum()
+    }
 
-    /// Records the observed use of a worker, which lags and only ever raises what is taken.
-    pub fn report_usage(&mut self, _now: Millis, _worker: WorkerId, _usage: Resources) {}
+    /// The number of jobs with waiting tasks.
+    pub fn waiting_jobs(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| !job.waiting.is_empty())
+            .count()
+    }
 
-    /// Decides about waiting tasks, about `budget` of them at most; a gang counts once for each
-    /// task and is never split.
-    pub fn decide(&mut self, _now: Millis, _budget: usize) -> Decisions {
-        Decisions::default()
+    pub(crate) fn advance(&mut self, now: Millis) {
+        self.now = self.now.max(now);
     }
 
-    /// Says why a job waits, runs where it runs, or was refused.
-    pub fn explain(&self, job: JobId) -> Explanation {
-        Explanation {
-            job,
-            lines: Vec::new(),
+    /// A task in the form that the tables hold.
+    pub(crate) fn new_task(job: JobId, need: Resources, view: &TaskView) -> Task {
+        Task {
+            job: Some(job),
+            place: Place::Waiting,
+            resources: need,
+            displaced: view.displaced,
+            failures: 0,
+            failed_on: Default::default(),
+            hold: None,
+            charged: None,
         }
     }
 }
--- /dev/null
+++ b/crates/placement/src/policy/gang.rs
@@ -0,0 +1,101 @@
+//! Gangs: all tasks start in one decision, or none does.
+
+use sapphirepost_types::TaskId;
+
+use crate::decision::Decisions;
+use crate::decision::Placement;
+use crate::job::WaitReason;
+use crate::placer::Placer;
+use crate::policy::Brief;
+use crate::search::Found;
+use crate::search::Request;
+
+impl Placer {
+    /// Places a whole gang or nothing of it; returns the budget used, one for each task tried.
+    pub(crate) fn place_gang(&mut self, job: &Brief, out: &mut Decisions) -> usize {
+        let Some(waiting) = self.jobs.get(&job.id).map(|job| &job.waiting) else {
+            return 0;
+        };
+        let tasks: Vec<TaskId> = waiting.iter().copied().collect();
+        let count = tasks.len() as u32;
+        if self.is_over_quota(job, count) {
+            return 0;
+        }
+        let whole = job.need.checked_mul(count).unwrap_or(job.need);
+        if let Some(kind) = whole.limiting(&self.workers.total_free) {
+            self.note_failure(job, WaitReason::GangVolume(kind));
+            return 0;
+        }
+        let gains = self.workers.gains;
+        let first = out.placements.len();
+        for &task in &tasks {
+            match self.find_for_gang(job) {
+                Found::At(slot) => self.place_tentatively(job, task, slot, out),
+                found => {
+                    let fit = (out.placements.len() - first) as u32;
+                    self.roll_back(&out.placements[first..]);
+                    out.placements.truncate(first);
+                    // The rollback restores the room, so earlier failures still hold.
+                    self.workers.gains = gains;
+                    let reason = match found {
+                        Found::Reserved(gang) => WaitReason::Reserved { gang },
+                        _ => WaitReason::GangRoom { fit },
+                    };
+                    self.note_failure(job, reason);
+                    return fit as usize + 1;
+                }
+            }
+        }
+        self.finish_gang(job, &out.placements[first..]);
+        tasks.len()
+    }
+
+    fn find_for_gang(&mut self, job: &Brief) -> Found {
+        let owns = self
+            .reservation
+            .as_ref()
+            .is_some_and(|held| held.gang == job.id);
+        self.find(&Request {
+            need: job.need,
+            ends: job.ends,
+            avoid: &[],
+            respect_reservation: !owns,
+        })
+    }
+
+    fn place_tentatively(&mut self, job: &Brief, task: TaskId, slot: usize, out: &mut Decisions) {
+        let Some(worker) = self.workers.get(slot).map(|worker| worker.id) else {
+            return;
+        };
+        self.start_task(task, worker);
+        out.placements.push(Placement {
+            job: job.id,
+            task,
+            worker,
+        });
+    }
+
+    /// Puts all tasks back into the list of waiting tasks, in their order.
+    fn roll_back(&mut self, placements: &[Placement]) {
+        for placement in placements.iter().rev() {
+            self.vacate(placement.task);
+            self.set_waiting(placement.task, true);
+        }
+    }
+
+    fn finish_gang(&mut self, job: &Brief, placements: &[Placement]) {
+        let owns = self
+            .reservation
+            .as_ref()
+            .is_some_and(|held| held.gang == job.id);
+        if owns {
+            self.drop_reservation();
+            return;
+        }
+        for placement in placements {
+            if let Some(slot) = self.workers.slot(placement.worker) {
+                self.note_start(slot, &job.need, job.ends);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy/urgent.rs
@@ -0,0 +1,264 @@
+//! Urgent work: served first, and allowed to displace other tasks.
+//!
+//! Room is sought first beside reservations, then within them, and then by stopping the tasks
+//! that checkpoint cheapest on a sample of the workers. The room of stopping tasks is held for
+//! the urgent task until they have ended.
+
+use rand::seq::IndexedRandom;
+use sapphirepost_types::Priority;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::resources::ResourceKind;
+use smallvec::SmallVec;
+
+use crate::decision::Decisions;
+use crate::decision::Displacement;
+use crate::decision::StopCause;
+use crate::job::Hold;
+use crate::job::Place;
+use crate::job::Stopping;
+use crate::job::WaitReason;
+use crate::placer::Placer;
+use crate::policy::Brief;
+use crate::search::Found;
+use crate::search::Request;
+use crate::view::JobPolicy;
+
+/// Workers whose tasks are compared for one displacement.
+const WORKER_SAMPLE: usize = 48;
+
+/// Waiting tasks of one job that are looked at in one call.
+const MAX_TASKS: usize = 256;
+
+/// The extra cost of a task that cannot write a checkpoint and loses its work.
+const NO_CHECKPOINT_COST_MS: u64 = 3_600_000;
+
+/// A task that may be displaced.
+#[derive(Clone, Copy)]
+struct Victim {
+    task: TaskId,
+    cost_ms: u64,
+    resources: Resources,
+    checkpoint_cost_ms: Option<u64>,
+}
+
+/// Victims on one worker that make room for one urgent task.
+struct Choice {
+    slot: usize,
+    cost_ms: u64,
+    victims: SmallVec<[Victim; 8]>,
+}
+
+impl Placer {
+    pub(crate) fn place_urgent(
+        &mut self,
+        job: &Brief,
+        budget: usize,
+        out: &mut Decisions,
+    ) -> usize {
+        let waiting = self.jobs.get(&job.id).map(|job| &job.waiting);
+        let waiting = waiting.into_iter().flatten().copied();
+        let tasks: Vec<TaskId> = waiting.take(MAX_TASKS.min(budget)).collect();
+        let mut used = 0;
+        for task in tasks {
+            if self.is_over_quota(job, 1) {
+                break;
+            }
+            used += 1;
+            if !self.place_urgent_task(job, task, out) {
+                break;
+            }
+        }
+        used
+    }
+
+    /// Returns whether the next task of the job should be tried too.
+    fn place_urgent_task(&mut self, job: &Brief, task: TaskId, out: &mut Decisions) -> bool {
+        let hold = self.tasks.get(&task).and_then(|task| task.hold);
+        if let Some(hold) = hold {
+            return self.place_on_hold(job, task, &hold, out);
+        }
+        match self.find_urgent(job, task) {
+            Found::At(slot) => {
+                self.place(job, task, slot, out);
+                true
+            }
+            found => self.displace_for(job, task, found, out),
+        }
+    }
+
+    fn find_urgent(&mut self, job: &Brief, task: TaskId) -> Found {
+        let spread = job.policy == JobPolicy::Service;
+        let found = match spread {
+            true => self.find_spread(job, task),
+            false => self.find_batch(job, task),
+        };
+        match found {
+            Found::Reserved(_) => self.find(&Request {
+                need: job.need,
+                ends: job.ends,
+                avoid: &[],
+                respect_reservation: false,
+            }),
+            found => found,
+        }
+    }
+
+    /// Uses held room once the displaced tasks have ended.
+    fn place_on_hold(
+        &mut self,
+        job: &Brief,
+        task: TaskId,
+        hold: &Hold,
+        out: &mut Decisions,
+    ) -> bool {
+        let slot = self.workers.slot(hold.worker);
+        let eligible = slot.filter(|&slot| self.workers.eligible.contains(slot));
+        let worker = eligible.and_then(|slot| self.workers.get(slot));
+        let fits = worker.is_some_and(|worker| job.need.fits_in(&worker.free_with(&hold.amount)));
+        if let (true, Some(slot)) = (fits, eligible) {
+            self.place(job, task, slot, out);
+            return true;
+        }
+        if eligible.is_some() && self.now < hold.until {
+            return true;
+        }
+        self.free_hold(hold);
+        if let Some(task) = self.tasks.get_mut(&task) {
+            task.hold = None;
+        }
+        true
+    }
+
+    /// Asks the cheapest tasks to stop, and holds their room.
+    fn displace_for(
+        &mut self,
+        job: &Brief,
+        task: TaskId,
+        found: Found,
+        out: &mut Decisions,
+    ) -> bool {
+        let choice = match self.config.mechanisms.displacement {
+            true => self.choose_victims(&job.need),
+            false => None,
+        };
+        let Some(choice) = choice else {
+            self.note_not_found(job, found);
+            return false;
+        };
+        let Some(worker) = self.workers.get(choice.slot).map(|worker| worker.id) else {
+            return false;
+        };
+        let mut slowest_ms = 0;
+        for victim in &choice.victims {
+            slowest_ms = slowest_ms.max(victim.checkpoint_cost_ms.unwrap_or(0));
+            self.ask_to_stop(victim.task, Stopping::Displaced);
+            let job_of_victim = self.tasks.get(&victim.task).and_then(|task| task.job);
+            out.displacements
+                .extend(job_of_victim.map(|displaced| Displacement {
+                    job: displaced,
+                    task: victim.task,
+                    worker,
+                    checkpoint: victim.checkpoint_cost_ms.is_some(),
+                    cause: StopCause::Displaced { by: job.id },
+                }));
+        }
+        let until = self.now + slowest_ms + self.config.displacement_timeout_ms;
+        let hold = Hold {
+            worker,
+            amount: job.need,
+            until,
+        };
+        self.add_hold(task, hold);
+        if let Some(job) = self.jobs.get_mut(&job.id) {
+            job.reason = WaitReason::Displacing;
+        }
+        true
+    }
+
+    /// Marks a bound task as asked to stop.
+    pub(crate) fn ask_to_stop(&mut self, task: TaskId, why: Stopping) {
+        let place = self.tasks.get_mut(&task).map(|task| &mut task.place);
+        if let Some(Place::Bound { stopping, .. }) = place {
+            *stopping = why;
+        }
+    }
+
+    fn choose_victims(&mut self, need: &Resources) -> Option<Choice> {
+        let candidates: Vec<usize> = self.workers.eligible.iter().collect();
+        let sample = candidates.choose_multiple(&mut self.rng, WORKER_SAMPLE);
+        let sample: Vec<usize> = sample.copied().collect();
+        let choices = sample.into_iter();
+        let choices = choices.filter_map(|slot| self.victims_on(slot, need));
+        choices.min_by_key(|choice| (choice.cost_ms, choice.victims.len(), choice.slot))
+    }
+
+    /// The cheapest tasks on a worker whose end makes room.
+    fn victims_on(&self, slot: usize, need: &Resources) -> Option<Choice> {
+        let worker = self.workers.get(slot)?;
+        if !need.fits_in(&worker.capacity) {
+            return None;
+        }
+        let mut victims: SmallVec<[Victim; 16]> = worker
+            .tasks
+            .iter()
+            .filter_map(|&task| self.victim(task))
+            .collect();
+        victims.sort_unstable_by_key(|victim| (victim.cost_ms, victim.task));
+        let mut room = worker.free;
+        let mut choice = Choice {
+            slot,
+            cost_ms: 0,
+            victims: SmallVec::new(),
+        };
+        for victim in victims {
+            let Some(kind) = need.limiting(&room) else {
+                break;
+            };
+            if !frees(&victim.resources, kind) {
+                continue;
+            }
+            room = room.checked_add(&victim.resources)?;
+            choice.cost_ms = choice.cost_ms.saturating_add(victim.cost_ms);
+            choice.victims.push(victim);
+        }
+        (need.fits_in(&room) && !choice.victims.is_empty()).then_some(choice)
+    }
+
+    /// A task that may be displaced, with its cost. Urgent work, gangs, and services that cannot
+    /// checkpoint are never displaced.
+    fn victim(&self, id: TaskId) -> Option<Victim> {
+        let task = self.tasks.get(&id)?;
+        let job = self.jobs.get(&task.job?)?;
+        let Place::Bound {
+            started,
+            stopping: Stopping::No,
+            ..
+        } = task.place
+        else {
+            return None;
+        };
+        let exempt = job.priority == Priority::Urgent
+            || job.is_gang()
+            || (job.policy == JobPolicy::Service && job.checkpoint_cost_ms.is_none())
+            || task.displaced >= self.config.max_displacements;
+        if exempt {
+            return None;
+        }
+        let lost_ms = || NO_CHECKPOINT_COST_MS.saturating_add(self.now.since(started));
+        Some(Victim {
+            task: id,
+            cost_ms: job.checkpoint_cost_ms.unwrap_or_else(lost_ms),
+            resources: task.resources,
+            checkpoint_cost_ms: job.checkpoint_cost_ms,
+        })
+    }
+}
+
+fn frees(resources: &Resources, kind: ResourceKind) -> bool {
+    match kind {
+        ResourceKind::Processor => resources.millicores > 0,
+        ResourceKind::Memory => resources.memory_mib > 0,
+        ResourceKind::Accelerator => resources.accelerators > 0,
+    }
+}
--- /dev/null
+++ b/crates/placement/src/search.rs
@@ -0,0 +1,140 @@
+//! The search for a worker with room.
+//!
+//! A bounded sample of the fitting workers is scored, those with the least free room of the
+//! scarcest resource first.
+
+use std::ops::ControlFlow;
+
+use rand::Rng;
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
+use sapphirepost_types::WorkerId;
+use smallvec::SmallVec;
+
+use crate::bitset::SlotSet;
+use crate::placer::Placer;
+use crate::workers::Worker;
+
+/// Failed searches that are remembered.
+const MEMO_ENTRIES: usize = 16;
+
+/// Weight of the imbalance of what is left against its amount.
+const IMBALANCE_WEIGHT: f64 = 1.0;
+
+/// What is sought.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request<'a> {
+    pub(crate) need: Resources,
+    /// When the task has ended by the pessimistic estimate.
+    pub(crate) ends: Millis,
+    /// Workers to leave out.
+    pub(crate) avoid: &'a [WorkerId],
+    /// Whether room that is reserved for a gang is left alone.
+    pub(crate) respect_reservation: bool,
+}
+
+/// The result of a search.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Found {
+    /// The slot of the chosen worker.
+    At(usize),
+    /// There is room, but it is reserved for this gang.
+    Reserved(JobId),
+    /// There is no room.
+    Nothing,
+}
+
+/// Sizes for which no room was found since any worker last gained room.
+#[derive(Default)]
+pub(crate) struct FailureMemo {
+    gains: u64,
+    /// Sizes with the end of the task that was sought for.
+    entries: SmallVec<[(Resources, Millis); MEMO_ENTRIES]>,
+}
+
+impl FailureMemo {
+    /// Whether the search must fail because a smaller and shorter task found no room.
+    pub(crate) fn covers(&self, gains: u64, need: &Resources, ends: Millis) -> bool {
+        let covered = |(size, end): &(Resources, Millis)| size.fits_in(need) && *end <= ends;
+        self.gains == gains && self.entries.iter().any(covered)
+    }
+
+    pub(crate) fn add(&mut self, gains: u64, need: &Resources, ends: Millis) {
+        if self.gains != gains {
+            self.gains = gains;
+            self.entries.clear();
+        }
+        self.entries
+            .retain(|(size, end)| !(need.fits_in(size) && ends <= *end));
+        if self.entries.len() < MEMO_ENTRIES {
+            self.entries.push((*need, ends));
+        }
+    }
+}
+
+impl Placer {
+    /// Finds the eligible worker on which the task leaves the least unusable room.
+    pub(crate) fn find(&mut self, request: &Request<'_>) -> Found {
+        if request.need.accelerators == 0 {
+            // Room beside free accelerators is left to tasks that use them.
+            let plain = self.find_among(request, &self.workers.plain);
+            if matches!(plain.0, Found::At(_)) {
+                return plain.0;
+            }
+        }
+        self.find_among(request, &self.workers.eligible).0
+    }
+
+    /// Finds a worker within `mask`, and says whether its bucket walk met any worker.
+    pub(crate) fn find_among(&self, request: &Request<'_>, mask: &SlotSet) -> (Found, usize) {
+        let need = &request.need;
+        let by = self.workers.scarcest(need);
+        let mut best: Option<(f64, usize)> = None;
+        let mut reserved = None;
+        let mut sampled = 0;
+        let rotation = self.rotation;
+        self.workers.index.visit(need, by, mask, rotation, |slot| {
+            let Some(worker) = self.workers.get(slot) else {
+                return ControlFlow::Continue(());
+            };
+            if !need.fits_in(&worker.free) || request.avoid.contains(&worker.id) {
+                return ControlFlow::Continue(());
+            }
+            if request.respect_reservation
+                && let Some(gang) = self.reserved_against(slot, need, request.ends)
+            {
+                reserved = Some(gang);
+                return ControlFlow::Continue(());
+            }
+            let score = packing_score(worker, need);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, slot));
+            }
+            sampled += 1;
+            match sampled < self.config.sample {
+                true => ControlFlow::Continue(()),
+                false => ControlFlow::Break(()),
+            }
+        });
+        let found = match (best, reserved) {
+            (Some((_, slot)), _) => Found::At(slot),
+            (None, Some(gang)) => Found::Reserved(gang),
+            (None, None) => Found::Nothing,
+        };
+        (found, sampled)
+    }
+
+    /// Draws a new start for the bucket walks.
+    pub(crate) fn rotate(&mut self) {
+        self.rotation = self.rng.random_range(0..1024);
+    }
+}
+
+/// How much room a worker would have left, and how unevenly; lower is better.
+pub(crate) fn packing_score(worker: &Worker, need: &Resources) -> f64 {
+    let left = worker.free.saturating_sub(need);
+    let processors = left.millicores as f64 / worker.capacity.millicores.max(1) as f64;
+    let memory = left.memory_mib as f64 / worker.capacity.memory_mib.max(1) as f64;
+    processors + memory + IMBALANCE_WEIGHT * (processors - memory).abs()
+}
--- /dev/null
+++ b/crates/placement/src/standing.rs
@@ -0,0 +1,243 @@
+//! The standing of workers: quarantine, probation, observed use.
+
+use sapphirepost_types::JobId;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Priority;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::decision::Health;
+use crate::decision::HealthChange;
+use crate::decision::Throttle;
+use crate::job::Place;
+use crate::placer::Placer;
+use crate::view::JobPolicy;
+
+/// The share of its processors that a throttled task keeps.
+const THROTTLE_PERCENT: u8 = 50;
+
+/// The least time between two throttles on one worker; observed use lags.
+const THROTTLE_INTERVAL_MS: u64 = 10_000;
+
+impl Placer {
+    /// Records the observed use of a worker, which lags and only ever raises what is taken.
+    pub fn report_usage(&mut self, now: Millis, worker: WorkerId, usage: Resources) {
+        self.advance(now);
+        let Some(slot) = self.workers.slot(worker) else {
+            return;
+        };
+        let now = self.now;
+        self.workers
+            .change(slot, |worker| worker.usage = Some((now, usage)));
+    }
+
+    /// Forgets an old observation, and chooses a task to throttle on an overused worker.
+    pub(crate) fn review_usage(&mut self, slot: usize, out: &mut Vec<Throttle>) {
+        let Some((worker, usage)) = self.workers.get(slot).and_then(|w| Some((w, w.usage?))) else {
+            return;
+        };
+        if self.now.since(usage.0) > self.config.usage_valid_ms {
+            self.workers.change(slot, |worker| worker.usage = None);
+            return;
+        }
+        let overused = usage.1.millicores > worker.capacity.millicores;
+        if !overused || self.now < worker.throttle_after {
+            return;
+        }
+        let id = worker.id;
+        let candidates = worker
+            .tasks
+            .iter()
+            .filter_map(|&task| self.throttle_rank(task));
+        let Some((_, task)) = candidates.max() else {
+            return;
+        };
+        out.push(Throttle {
+            task,
+            worker: id,
+            percent: THROTTLE_PERCENT,
+        });
+        let after = self.now + THROTTLE_INTERVAL_MS;
+        self.workers
+            .change(slot, |worker| worker.throttle_after = after);
+    }
+
+    /// Batch work that is not urgent is throttled first, and the largest task of it.
+    fn throttle_rank(&self, id: TaskId) -> Option<((bool, bool, u64), TaskId)> {
+        let task = self.tasks.get(&id)?;
+        let job = self.jobs.get(&task.job?)?;
+        let normal = job.priority == Priority::Normal;
+        let batch = matches!(job.policy, JobPolicy::Batch { .. });
+        Some(((normal, batch, task.resources.millicores), id))
+    }
+
+    /// Counts a success for a worker.
+    pub(crate) fn note_success(&mut self, worker: WorkerId) {
+        let Some(slot) = self.workers.slot(worker) else {
+            return;
+        };
+        self.workers.change(slot, |worker| {
+            worker.health.add_success();
+            if worker.health.state == Health::Probation {
+                worker.health.trials += 1;
+            }
+        });
+        self.end_probation(slot);
+    }
+
+    fn end_probation(&mut self, slot: usize) {
+        let needed = self.config.trial_tasks;
+        let Some(worker) = self.workers.get(slot) else {
+            return;
+        };
+        if worker.health.state != Health::Probation || worker.health.trials < needed {
+            return;
+        }
+        let id = worker.id;
+        self.workers.change(slot, |worker| {
+            worker.health.state = Health::Healthy;
+            worker.health.strikes = 0;
+            worker.health.clear_failures();
+        });
+        self.pending.health.push(HealthChange {
+            worker: id,
+            health: Health::Healthy,
+        });
+    }
+
+    /// Counts a failure for a worker and a job, and judges both.
+    pub(crate) fn note_failed_task(&mut self, id: JobId, task: TaskId, worker: WorkerId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !job.failed_on.contains(&worker) {
+            job.failed_on.push(worker);
+        }
+        if self.is_faulty_job(id) {
+            self.exonerate_workers(id);
+            return;
+        }
+        let Some(slot) = self.workers.slot(worker) else {
+            return;
+        };
+        let now = self.now;
+        self.workers
+            .change(slot, |worker| worker.health.add_failure(now, task, id));
+        self.judge(slot, id);
+    }
+
+    /// A job whose tasks fail on several distinct workers and succeed on none.
+    fn is_faulty_job(&self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let limit = usize::from(self.config.faulty_task_workers);
+        job.failed_on.len() >= limit && !self.has_success(id)
+    }
+
+    /// Whether a task of the job ended well or has run for long.
+    fn has_success(&self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let ran_long = |task: &TaskId| match self.tasks.get(task).map(|task| task.place) {
+            Some(Place::Bound { started, .. }) => self.now.since(started) >= self.config.trial_ms,
+            _ => false,
+        };
+        job.succeeded || job.bound.iter().any(ran_long)
+    }
+
+    fn exonerate_workers(&mut self, id: JobId) {
+        let workers = self.jobs.get(&id).map(|job| job.failed_on.clone());
+        for worker in workers.unwrap_or_default() {
+            if let Some(slot) = self.workers.slot(worker) {
+                self.workers
+                    .change(slot, |worker| worker.health.exonerate(id));
+            }
+        }
+    }
+
+    /// Quarantines a worker on which enough distinct tasks failed.
+    fn judge(&mut self, slot: usize, id: JobId) {
+        let Some(worker) = self.workers.get(slot) else {
+            return;
+        };
+        let (tasks, jobs) = worker.health.distinct();
+        // Failures of a single job tell a faulty worker from a faulty job only if the job does
+        // well elsewhere.
+        let convincing = jobs >= 2 || self.has_success(id);
+        let faulty = match worker.health.state {
+            Health::Healthy => tasks >= self.config.faulty_worker_tasks && convincing,
+            Health::Probation => true,
+            Health::Quarantined => false,
+        };
+        if !faulty || !self.config.mechanisms.quarantine || !self.may_quarantine(slot) {
+            return;
+        }
+        let doublings = worker.health.strikes.min(16);
+        let quarantine_ms = self.config.quarantine_ms << doublings;
+        let until = self.now + quarantine_ms.min(self.config.quarantine_max_ms);
+        let id = worker.id;
+        self.workers.change(slot, |worker| {
+            worker.health.state = Health::Quarantined;
+            worker.health.strikes += 1;
+            worker.health.until = until;
+        });
+        self.drop_reservation_on(slot);
+        self.pending.health.push(HealthChange {
+            worker: id,
+            health: Health::Quarantined,
+        });
+    }
+
+    /// Whether one more worker may be set aside. Workers on probation count, so that the share
+    /// holds when their trials fail.
+    fn may_quarantine(&self, slot: usize) -> bool {
+        let others = self.workers.iter().filter(|&(other, _)| other != slot);
+        let aside = others.filter(|(_, worker)| worker.health.state != Health::Healthy);
+        let aside = aside.count() + 1;
+        aside * 100 <= self.workers.len() * self.config.quarantine_share_percent
+    }
+
+    /// Ends a quarantine, and counts tasks of services that survive their trial.
+    pub(crate) fn review_health(&mut self, slot: usize, out: &mut Vec<HealthChange>) {
+        let Some(worker) = self.workers.get(slot) else {
+            return;
+        };
+        let id = worker.id;
+        match worker.health.state {
+            Health::Healthy => {}
+            Health::Quarantined if self.now >= worker.health.until => {
+                self.workers.change(slot, |worker| {
+                    worker.health.state = Health::Probation;
+                    worker.health.trials = 0;
+                    worker.health.until = Millis::ZERO;
+                });
+                out.push(HealthChange {
+                    worker: id,
+                    health: Health::Probation,
+                });
+            }
+            Health::Quarantined => {}
+            Health::Probation => self.count_survivors(slot),
+        }
+    }
+
+    fn count_survivors(&mut self, slot: usize) {
+        let Some(worker) = self.workers.get(slot) else {
+            return;
+        };
+        let ran_long = |task: &&TaskId| match self.tasks.get(*task).map(|task| task.place) {
+            Some(Place::Bound { started, .. }) => self.now.since(started) >= self.config.trial_ms,
+            _ => false,
+        };
+        let survivors = worker.tasks.iter().filter(ran_long).count() as u32;
+        if survivors < self.config.trial_tasks {
+            return;
+        }
+        self.workers
+            .change(slot, |worker| worker.health.trials = survivors);
+        self.end_probation(slot);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/workers.rs
@@ -0,0 +1,299 @@
+//! Workers with their room, failure domains and racks.
+//!
+//! Each worker has a dense slot. Invariant: the index holds each worker under its current free
+//! room, and `eligible` holds exactly the workers that may take a new task now.
+
+use rustc_hash::FxHashMap;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Name;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::bitset::SlotSet;
+use crate::decision::Health;
+use crate::free_index::FreeIndex;
+use crate::free_index::ResourceIndex;
+use crate::free_index::amounts;
+use crate::health::HealthRecord;
+use crate::view::WorkerMode;
+use crate::view::WorkerView;
+
+/// One worker.
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    pub(crate) domain: usize,
+    pub(crate) rack: usize,
+    pub(crate) capacity: Resources,
+    pub(crate) mode: WorkerMode,
+    /// Declared by the tasks that are bound here.
+    pub(crate) taken: Resources,
+    /// Kept for urgent tasks that wait for a displaced task to stop.
+    pub(crate) held: Resources,
+    /// The last observed use.
+    pub(crate) usage: Option<(Millis, Resources)>,
+    /// No throttle is asked for before this time.
+    pub(crate) throttle_after: Millis,
+    pub(crate) tasks: Vec<TaskId>,
+    pub(crate) health: HealthRecord,
+    /// Capacity without what is taken or observed, and without what is held.
+    pub(crate) free: Resources,
+}
+
+impl Worker {
+    /// Free room for the task that `held` of this worker's held room belongs to.
+    pub(crate) fn free_with(&self, held: &Resources) -> Resources {
+        let others = self.held.saturating_sub(held);
+        self.unused().saturating_sub(&others)
+    }
+
+    fn unused(&self) -> Resources {
+        let observed = self.usage.map_or(Resources::ZERO, |(_, usage)| usage);
+        // Accelerators are handed out whole, so an observed use says nothing about them.
+        let observed = Resources {
+            accelerators: 0,
+            ..observed
+        };
+        self.capacity.saturating_sub(&self.taken.max(&observed))
+    }
+
+    fn is_eligible(&self, trial_tasks: u32) -> bool {
+        let healthy = match self.health.state {
+            Health::Healthy => true,
+            Health::Quarantined => false,
+            Health::Probation => (self.tasks.len() as u32) < trial_tasks,
+        };
+        healthy && self.mode == WorkerMode::Ready
+    }
+}
+
+/// A failure domain or a rack.
+#[derive(Default)]
+pub(crate) struct Group {
+    pub(crate) members: SlotSet,
+}
+
+/// All workers.
+pub(crate) struct Workers {
+    slots: Vec<Option<Worker>>,
+    vacant: Vec<usize>,
+    by_id: FxHashMap<WorkerId, usize>,
+    domain_ids: FxHashMap<Name, usize>,
+    rack_ids: FxHashMap<(usize, Name), usize>,
+    pub(crate) domains: Vec<Group>,
+    pub(crate) racks: Vec<Group>,
+    pub(crate) eligible: SlotSet,
+    /// Eligible workers without a free accelerator.
+    pub(crate) plain: SlotSet,
+    pub(crate) index: FreeIndex,
+    /// Free room of all eligible workers.
+    pub(crate) total_free: Resources,
+    pub(crate) total_capacity: Resources,
+    /// The number of workers of each capacity.
+    pub(crate) shapes: FxHashMap<Resources, u32>,
+    /// Raised whenever a worker gains room, so that earlier failures to find room are void.
+    pub(crate) gains: u64,
+    /// Raised whenever `shapes` changes.
+    pub(crate) shape_changes: u64,
+    trial_tasks: u32,
+}
+
+impl Workers {
+    pub(crate) fn new(trial_tasks: u32) -> Workers {
+        Workers {
+            slots: Vec::new(),
+            vacant: Vec::new(),
+            by_id: FxHashMap::default(),
+            domain_ids: FxHashMap::default(),
+            rack_ids: FxHashMap::default(),
+            domains: Vec::new(),
+            racks: Vec::new(),
+            eligible: SlotSet::default(),
+            plain: SlotSet::default(),
+            index: FreeIndex::new(),
+            total_free: Resources::ZERO,
+            total_capacity: Resources::ZERO,
+            shapes: FxHashMap::default(),
+            gains: 1,
+            shape_changes: 1,
+            trial_tasks,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// One past the highest slot.
+    pub(crate) fn end(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub(crate) fn slot(&self, id: WorkerId) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn get(&self, slot: usize) -> Option<&Worker> {
+        self.slots.get(slot)?.as_ref()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (usize, &Worker)> {
+        self.slots
+            .iter()
+            .enumerate()
+            .filter_map(|(slot, worker)| worker.as_ref().map(|worker| (slot, worker)))
+    }
+
+    /// Changes a worker and brings the index up to date. Nothing happens for an empty slot.
+    pub(crate) fn change(&mut self, slot: usize, change: impl FnOnce(&mut Worker)) {
+        let Some(worker) = self.slots.get_mut(slot).and_then(Option::as_mut) else {
+            return;
+        };
+        let old = worker.free;
+        change(worker);
+        let new = worker.free_with(&Resources::ZERO);
+        worker.free = new;
+        let eligible = worker.is_eligible(self.trial_tasks);
+        self.index.update(slot, &old, &new);
+        let was_eligible = self.eligible.contains(slot);
+        if was_eligible {
+            self.total_free = self.total_free.saturating_sub(&old);
+        }
+        if eligible {
+            self.total_free = self.total_free.checked_add(&new).unwrap_or(self.total_free);
+        }
+        if eligible && (!was_eligible || !new.fits_in(&old)) {
+            self.gains += 1;
+        }
+        self.eligible.set(slot, eligible);
+        self.plain.set(slot, eligible && new.accelerators == 0);
+    }
+
+    /// Adds or replaces a worker and returns its slot.
+    pub(crate) fn upsert(&mut self, view: WorkerView) -> usize {
+        let domain = self.domain_id(&view.failure_domain);
+        let rack = self.rack_id(domain, &view.rack);
+        let slot = match self.slot(view.id) {
+            Some(slot) => slot,
+            None => self.add(&view, domain, rack),
+        };
+        self.regroup(slot, domain, rack);
+        self.reshape(slot, &view.capacity);
+        self.change(slot, |worker| worker.mode = view.mode);
+        slot
+    }
+
+    fn add(&mut self, view: &WorkerView, domain: usize, rack: usize) -> usize {
+        let slot = self.vacant.pop().unwrap_or(self.slots.len());
+        if slot == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.slots[slot] = Some(Worker {
+            id: view.id,
+            domain,
+            rack,
+            capacity: Resources::ZERO,
+            mode: view.mode,
+            taken: Resources::ZERO,
+            held: Resources::ZERO,
+            usage: None,
+            throttle_after: Millis::ZERO,
+            tasks: Vec::new(),
+            health: HealthRecord::default(),
+            free: Resources::ZERO,
+        });
+        self.by_id.insert(view.id, slot);
+        *self.shapes.entry(Resources::ZERO).or_default() += 1;
+        self.index.grow(self.slots.len());
+        self.index.insert(slot, &Resources::ZERO);
+        slot
+    }
+
+    fn regroup(&mut self, slot: usize, domain: usize, rack: usize) {
+        let Some(worker) = self.slots[slot].as_mut() else {
+            return;
+        };
+        self.domains[worker.domain].members.remove(slot);
+        self.racks[worker.rack].members.remove(slot);
+        worker.domain = domain;
+        worker.rack = rack;
+        self.domains[domain].members.insert(slot);
+        self.racks[rack].members.insert(slot);
+    }
+
+    fn reshape(&mut self, slot: usize, capacity: &Resources) {
+        let Some(worker) = self.get(slot) else {
+            return;
+        };
+        let old = worker.capacity;
+        if old == *capacity {
+            return;
+        }
+        self.drop_shape(&old);
+        *self.shapes.entry(*capacity).or_default() += 1;
+        self.total_capacity = self.total_capacity.saturating_sub(&old);
+        self.total_capacity = self
+            .total_capacity
+            .checked_add(capacity)
+            .unwrap_or(self.total_capacity);
+        self.change(slot, |worker| worker.capacity = *capacity);
+    }
+
+    fn drop_shape(&mut self, capacity: &Resources) {
+        self.shape_changes += 1;
+        if let Some(count) = self.shapes.get_mut(capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.shapes.remove(capacity);
+            }
+        }
+    }
+
+    /// Forgets a worker and returns it.
+    pub(crate) fn remove(&mut self, id: WorkerId) -> Option<Worker> {
+        let slot = self.by_id.remove(&id)?;
+        self.change(slot, |worker| worker.mode = WorkerMode::Draining);
+        let worker = self.slots[slot].take()?;
+        self.index.remove(slot, &worker.free);
+        self.drop_shape(&worker.capacity);
+        self.total_capacity = self.total_capacity.saturating_sub(&worker.capacity);
+        self.domains[worker.domain].members.remove(slot);
+        self.racks[worker.rack].members.remove(slot);
+        self.vacant.push(slot);
+        Some(worker)
+    }
+
+    fn domain_id(&mut self, name: &Name) -> usize {
+        if let Some(&id) = self.domain_ids.get(name) {
+            return id;
+        }
+        self.domains.push(Group::default());
+        self.domain_ids.insert(name.clone(), self.domains.len() - 1);
+        self.domains.len() - 1
+    }
+
+    fn rack_id(&mut self, domain: usize, name: &Name) -> usize {
+        let key = (domain, name.clone());
+        if let Some(&id) = self.rack_ids.get(&key) {
+            return id;
+        }
+        self.racks.push(Group::default());
+        self.rack_ids.insert(key, self.racks.len() - 1);
+        self.racks.len() - 1
+    }
+
+    /// The resource of which `need` takes the largest share of what is free in the cluster.
+    pub(crate) fn scarcest(&self, need: &Resources) -> ResourceIndex {
+        let free = amounts(&self.total_free);
+        let mut scarcest = 0;
+        let mut largest = -1.0;
+        for (resource, amount) in amounts(need).into_iter().enumerate() {
+            let share = amount as f64 / free[resource].max(1) as f64;
+            if share > largest {
+                largest = share;
+                scarcest = resource;
+            }
+        }
+        scarcest
+    }
+}
