Add the routing decisions of an entry

Cause: the entry needs a deterministic core for requests. Change: upstream table, shares, admission, choice, retries, connections, claims and endings, tied together by one router that does no I/O.

--- /dev/null
+++ b/crates/routing/src/claims.rs
@@ -0,0 +1,137 @@
+//! Claims that are waiting to be sent, and outcomes that are waiting to be acknowledged.
+//!
+//! Claims that arrive while a call is under way share the next call, so that each costs a part of
+//! one commit. Outcomes of a failed call are sent again. A claim whose call failed may have been
+//! granted; it is not used, and `NotRun` is reported so that the ID can be claimed again.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use sapphirepost_protocol::claim::Claim;
+use sapphirepost_protocol::claim::ClaimDone;
+use sapphirepost_protocol::claim::ClaimOutcome;
+use sapphirepost_protocol::claim::ClaimVerdict;
+
+use crate::event::CallKey;
+use crate::event::ClaimFailure;
+use crate::event::RequestKey;
+
+/// The most calls under way.
+const CALLS_MAX: usize = 2;
+/// The most claims and outcomes of one call.
+const BATCH_MAX: usize = 256;
+/// Outcomes kept for sending. Beyond it the oldest are dropped; their IDs then stay in progress,
+/// which is safe.
+const OUTCOMES_MAX: usize = 8_192;
+
+#[derive(Clone, Debug)]
+struct Call {
+    claims: Vec<(RequestKey, Claim)>,
+    outcomes: Vec<ClaimDone>,
+}
+
+/// What a call brought for one request.
+pub type Verdict = (RequestKey, Claim, Result<ClaimVerdict, ClaimFailure>);
+
+/// The claims and outcomes of this entry.
+#[derive(Clone, Debug, Default)]
+pub struct Claims {
+    waiting: VecDeque<(RequestKey, Claim)>,
+    outcomes: VecDeque<ClaimDone>,
+    calls: BTreeMap<CallKey, Call>,
+    next_call: u64,
+    paused: bool,
+}
+
+impl Claims {
+    /// Asks for a claim.
+    pub fn ask(&mut self, request: RequestKey, claim: Claim) {
+        self.waiting.push_back((request, claim));
+    }
+
+    /// Drops a claim that was not sent yet. Returns whether it was found.
+    pub fn withdraw(&mut self, request: RequestKey) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|(key, _)| *key != request);
+        self.waiting.len() < before
+    }
+
+    /// Reports how a granted claim ended.
+    pub fn report(&mut self, claim: &Claim, outcome: ClaimOutcome) {
+        if self.outcomes.len() >= OUTCOMES_MAX {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back(ClaimDone {
+            service: claim.service.clone(),
+            request: claim.request.clone(),
+            outcome,
+        });
+    }
+
+    /// Whether nothing is waiting or under way.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.outcomes.is_empty() && self.calls.is_empty()
+    }
+
+    /// Lets outcomes of a failed call be sent again.
+    pub fn resume(&mut self) {
+        self.paused = false;
+    }
+
+    /// The next call, if one is due.
+    pub fn next_call(&mut self) -> Option<(CallKey, Vec<Claim>, Vec<ClaimDone>)> {
+        let due = !self.waiting.is_empty() || !self.outcomes.is_empty() && !self.paused;
+        if !due || self.calls.len() >= CALLS_MAX {
+            return None;
+        }
+        let claims: Vec<_> = take(&mut self.waiting);
+        let outcomes = take(&mut self.outcomes);
+        let key = CallKey(self.next_call);
+        self.next_call += 1;
+        let wire = claims.iter().map(|(_, claim)| claim.clone()).collect();
+        let call = Call {
+            claims,
+            outcomes: outcomes.clone(),
+        };
+        self.calls.insert(key, call);
+        Some((key, wire, outcomes))
+    }
+
+    /// A call has ended; returns what it brought for each of its claims.
+    pub fn answered(
+        &mut self,
+        key: CallKey,
+        result: Result<Vec<ClaimVerdict>, ClaimFailure>,
+    ) -> Vec<Verdict> {
+        let Some(call) = self.calls.remove(&key) else {
+            return Vec::new();
+        };
+        let result = match result {
+            Ok(verdicts) if verdicts.len() != call.claims.len() => Err(ClaimFailure::Unknown),
+            other => other,
+        };
+        match result {
+            Ok(verdicts) => call
+                .claims
+                .into_iter()
+                .zip(verdicts)
+                .map(|((request, claim), verdict)| (request, claim, Ok(verdict)))
+                .collect(),
+            Err(failure) => {
+                self.paused = true;
+                for outcome in call.outcomes.into_iter().rev() {
+                    self.outcomes.push_front(outcome);
+                }
+                call.claims
+                    .into_iter()
+                    .map(|(request, claim)| (request, claim, Err(failure)))
+                    .collect()
+            }
+        }
+    }
+}
+
+fn take<T>(queue: &mut VecDeque<T>) -> Vec<T> {
+    let count = queue.len().min(BATCH_MAX);
+    queue.drain(..count).collect()
+}
--- /dev/null
+++ b/crates/routing/src/router/upstreams.rs
@@ -0,0 +1,372 @@
+//! Upstreams as the router uses them: shares, health, connections and periodic work.
+
+use rustc_hash::FxHashMap;
+use sapphirepost_protocol::gossip::Announcement;
+use sapphirepost_protocol::gossip::UpstreamStatus;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Name;
+use smallvec::SmallVec;
+
+use crate::admission::Queued;
+use crate::connections::Connections;
+use crate::event::Action;
+use crate::event::ConnectionKey;
+use crate::event::RefusalReason;
+use crate::health::Health;
+use crate::roster::RosterChange;
+use crate::roster::Share;
+use crate::router::Router;
+use crate::router::Send;
+use crate::router::Upstream;
+use crate::router::UpstreamKey;
+
+/// One upstream in this many may be ejected at a time.
+const EJECTED_SHARE: usize = 3;
+/// An upstream counts as tried recently for this time.
+const RECENT_MS: u64 = 10_000;
+
+impl Router {
+    pub(super) fn roster_changed(
+        &mut self,
+        now: Millis,
+        roster: RosterChange,
+        actions: &mut Vec<Action>,
+    ) {
+        self.table.set_peers(&roster.peers(self.config.entry));
+        self.roster = roster;
+        self.sync_upstreams(now, actions);
+    }
+
+    /// Brings the upstreams in line with the table, and uses slots that became free.
+    pub(super) fn sync_upstreams(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let table: FxHashMap<Name, Announcement> = self
+            .table
+            .announcements()
+            .map(|announcement| (announcement.name.clone(), announcement.clone()))
+            .collect();
+        self.retire_replaced(&table, actions);
+        let mut services: Vec<Name> = Vec::new();
+        let mut announced: Vec<&Announcement> = table.values().collect();
+        announced.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        for announcement in announced {
+            self.sync_upstream(announcement);
+            if !services.contains(&announcement.service) {
+                services.push(announcement.service.clone());
+            }
+        }
+        for service in services {
+            self.dispatch(now, &service, actions);
+        }
+    }
+
+    /// Stops using runs of upstreams that are gone, moved or were replaced.
+    fn retire_replaced(
+        &mut self,
+        table: &FxHashMap<Name, Announcement>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut retired: Vec<(Name, UpstreamKey)> = Vec::new();
+        for (name, &key) in &self.current {
+            let same = table.get(name).is_some_and(|announcement| {
+                let upstream = &self.upstreams[&key];
+                upstream.incarnation == announcement.incarnation
+                    && upstream.address == announcement.address
+                    && upstream.service == announcement.service
+            });
+            if !same {
+                retired.push((name.clone(), key));
+            }
+        }
+        retired.sort_unstable();
+        for (name, key) in retired {
+            self.current.remove(&name);
+            if let Some(upstream) = self.upstreams.get_mut(&key) {
+                upstream.serving = false;
+            }
+            self.close_idle(key, Millis(u64::MAX), 0, actions);
+        }
+    }
+
+    fn sync_upstream(&mut self, announcement: &Announcement) {
+        let key = match self.current.get(&announcement.name) {
+            Some(&key) => key,
+            None => self.add_upstream(announcement),
+        };
+        let share = self.share_of(announcement);
+        let leaving = announcement.status == UpstreamStatus::Leaving;
+        let serving = !leaving || self.config.without.leaving;
+        let upstream = self.upstreams.get_mut(&key).expect("current or just added");
+        upstream.share = share;
+        upstream.serving = serving;
+    }
+
+    fn add_upstream(&mut self, announcement: &Announcement) -> UpstreamKey {
+        let key = UpstreamKey(self.next_upstream);
+        self.next_upstream += 1;
+        let upstream = Upstream {
+            name: announcement.name.clone(),
+            service: announcement.service.clone(),
+            address: announcement.address.clone(),
+            failure_domain: announcement.failure_domain.clone(),
+            incarnation: announcement.incarnation,
+            serving: false,
+            share: Share::default(),
+            general_used: 0,
+            lookup_used: 0,
+            health: Health::default(),
+            connections: Connections::default(),
+            outstanding: SmallVec::new(),
+        };
+        self.upstreams.insert(key, upstream);
+        self.current.insert(announcement.name.clone(), key);
+        key
+    }
+
+    fn share_of(&self, announcement: &Announcement) -> Share {
+        let without = self.config.without;
+        let roster = if without.two_step_roster {
+            RosterChange::settled(match &self.roster.next {
+                Some(next) => next.clone(),
+                None => self.roster.current.clone(),
+            })
+        } else {
+            self.roster.clone()
+        };
+        let mut share = roster.share(
+            self.config.entry,
+            &announcement.name,
+            &announcement.failure_domain,
+            announcement.slots,
+            announcement.connections,
+        );
+        if without.shares {
+            share.general = announcement.slots;
+            share.connections = announcement.connections;
+        }
+        if without.lookup_slots {
+            share.general += share.lookup_only;
+            share.lookup_only = 0;
+        }
+        share
+    }
+
+    /// Whether no runner is used beyond this entry's share, which is the condition for
+    /// confirming the first step of a roster change.
+    pub fn is_within_shares(&self) -> bool {
+        self.upstreams.values().all(|upstream| {
+            upstream.general_used <= upstream.share.general
+                && upstream.lookup_used <= upstream.share.lookup_only
+                && upstream.connections.count() <= usize::from(upstream.share.connections)
+        })
+    }
+
+    /// Uses a slot that became free at an upstream.
+    pub(super) fn dispatch_upstream(
+        &mut self,
+        now: Millis,
+        key: UpstreamKey,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(upstream) = self.upstreams.get(&key) {
+            let service = upstream.service.clone();
+            self.dispatch(now, &service, actions);
+        }
+    }
+
+    pub(super) fn note_success(&mut self, now: Millis, state: Send) {
+        let took_ms = state.sent.map_or(0, |sent| now.since(sent));
+        let Some(upstream) = self.upstreams.get_mut(&state.upstream) else {
+            return;
+        };
+        upstream.health.success(now, state.class, took_ms);
+        let service = upstream.service.clone();
+        self.service(&service).queues[state.class as usize].served(took_ms);
+    }
+
+    pub(super) fn note_failure(&mut self, now: Millis, state: Send) {
+        let Some(upstream) = self.upstreams.get_mut(&state.upstream) else {
+            return;
+        };
+        upstream.health.failure(now);
+        if self.config.without.ejection || !upstream.health.should_eject() {
+            return;
+        }
+        let service = upstream.service.clone();
+        if self.may_eject(&service)
+            && let Some(upstream) = self.upstreams.get_mut(&state.upstream)
+        {
+            self.stats.ejections += 1;
+            upstream.health.eject(now);
+        }
+    }
+
+    fn may_eject(&self, service: &Name) -> bool {
+        let count = self.serving(service).count();
+        let ejected = self
+            .serving(service)
+            .filter(|(_, upstream)| upstream.health.is_ejected())
+            .count();
+        let limit = if count < 2 {
+            0
+        } else {
+            (count / EJECTED_SHARE).max(1)
+        };
+        ejected < limit && !self.own_fault
+    }
+
+    pub(super) fn periodic(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if now >= self.next_gossip {
+            self.next_gossip = now + self.config.gossip_interval_ms;
+            self.gossip(now, actions);
+        }
+        if !self.table.expire(now).is_empty() {
+            self.sync_upstreams(now, actions);
+        }
+        self.claims.resume();
+        self.watch_own_fault(now);
+        for upstream in self.upstreams.values_mut() {
+            upstream.health.tick(now);
+        }
+        self.close_old(now, actions);
+        self.forget_retired();
+        let mut services: Vec<Name> = self.services.keys().cloned().collect();
+        services.sort_unstable();
+        for service in services {
+            if self.serving(&service).next().is_none() {
+                self.refuse_queued(now, &service, actions);
+            } else {
+                self.dispatch(now, &service, actions);
+            }
+        }
+    }
+
+    fn gossip(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let from = self.config.entry;
+        let incarnation = self.config.incarnation;
+        let messages = self.table.differences(now, from, incarnation);
+        actions.extend(
+            messages
+                .into_iter()
+                .map(|(peer, gossip)| Action::Gossip { peer, gossip }),
+        );
+    }
+
+    /// When every upstream that was tried seems dead, the fault is taken to be this entry's:
+    /// ejections end and errors do not count in the choice until a try succeeds.
+    fn watch_own_fault(&mut self, now: Millis) {
+        let mut tried = 0;
+        let mut dead = 0;
+        for &key in self.current.values() {
+            let health = &self.upstreams[&key].health;
+            let recent = health
+                .last_try()
+                .is_some_and(|last| now.since(last) < RECENT_MS);
+            if recent {
+                tried += 1;
+                dead += usize::from(health.seems_dead());
+            }
+        }
+        self.own_fault = tried >= 2 && dead == tried;
+        if self.own_fault {
+            for upstream in self.upstreams.values_mut() {
+                upstream.health.reinstate();
+            }
+        }
+    }
+
+    fn refuse_queued(&mut self, now: Millis, name: &Name, actions: &mut Vec<Action>) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let mut waiting: Vec<Queued> = Vec::new();
+        for queue in &mut service.queues {
+            waiting.extend(std::iter::from_fn(|| queue.pop()));
+        }
+        for queued in waiting {
+            self.refuse(now, queued.key, RefusalReason::NoUpstream, actions);
+        }
+    }
+
+    fn close_old(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let mut keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        keys.sort_unstable();
+        for key in keys {
+            let upstream = &self.upstreams[&key];
+            let excess = upstream.connections.count() > usize::from(upstream.share.connections);
+            if !upstream.serving || excess {
+                self.close_idle(key, now, 0, actions);
+            } else {
+                self.close_idle(key, now, self.config.idle_timeout_ms, actions);
+            }
+        }
+    }
+
+    fn close_idle(
+        &mut self,
+        key: UpstreamKey,
+        now: Millis,
+        idle_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        for connection in upstream.connections.idle_since(now, idle_ms) {
+            self.close(connection, actions);
+        }
+    }
+
+    fn forget_retired(&mut self) {
+        let current = &self.current;
+        self.upstreams.retain(|key, upstream| {
+            current.get(&upstream.name) == Some(key)
+                || upstream.used() > 0
+                || upstream.connections.count() > 0
+        });
+    }
+
+    /// Notes a sign of life and closes the connections that it proves silent.
+    pub(super) fn sign(
+        &mut self,
+        now: Millis,
+        connection: ConnectionKey,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(owner) = self.connection_owner.get(&connection) else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.get_mut(owner) else {
+            return;
+        };
+        for silent in upstream.connections.sign(now, connection) {
+            self.close(silent, actions);
+        }
+    }
+
+    pub(super) fn close(&mut self, connection: ConnectionKey, actions: &mut Vec<Action>) {
+        let Some(owner) = self.connection_owner.get(&connection) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(owner)
+            && upstream.connections.close(connection)
+        {
+            actions.push(Action::Close(connection));
+        }
+    }
+
+    pub(super) fn release_connection(&mut self, now: Millis, connection: ConnectionKey) {
+        if let Some(owner) = self.connection_owner.get(&connection)
+            && let Some(upstream) = self.upstreams.get_mut(owner)
+        {
+            upstream.connections.release(now, connection);
+        }
+    }
+
+    pub(super) fn forget_connection(&mut self, connection: ConnectionKey) {
+        if let Some(owner) = self.connection_owner.remove(&connection)
+            && let Some(upstream) = self.upstreams.get_mut(&owner)
+        {
+            upstream.connections.remove(connection);
+        }
+    }
+}
