--- a/crates/routing/src/router/dispatch.rs
+++ b/crates/routing/src/router/dispatch.rs
@@ -124,7 +124,7 @@
             return true;
         };
         if now >= request.new.deadline {
-            return true;
+            return !self.config.without.time_check;
         }
         let waited = now > request.arrived;
         let left_ms = request.new.deadline.since(now) as f64;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod dispatch;
+mod ending;
 mod outcome;
 mod upstreams;
 mod view;
