Add settings, logs, listeners and JSON-RPC wrappers

Cause: every program needs the same settings, logs, admin listener, keys and calls between processes.

Ruled out: the `ws-client` feature of jsonrpsee, which brings a TLS stack that the inner network does not use; the client is built from its transport and its asynchronous client instead. A redirection limit of 0 makes the library attempt no connection at all, so the limit is 1. Socket timeouts on the admin listener: rouille offers none; its requests run on a pool of 4 threads.

Change: crates/process with settings, logging, rate limiter, clock, metrics, readiness, admin listener, shutdown signals, shared key, and rpc (server with a key check in the handshake, client with reconnection after a back-off with jitter, own timeout per call, typed errors that tell "not sent" from "no answer"). Parameters travel as one positional value. New dependencies: tower (the layer interface of jsonrpsee), humantime (log time stamps).

Conclusion: control and entry can build on it.

--- /dev/null
+++ b/crates/process/tests/admin_and_logs.rs
@@ -0,0 +1,91 @@
+//! Guards what operators see of a process: health, readiness, metrics, dump and log lines.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use log::Level;
+use log::Record;
+use prometheus_client::metrics::counter::Counter;
+use sapphirepost_process::Readiness;
+use sapphirepost_process::admin::AdminParts;
+use sapphirepost_process::admin::AdminServer;
+use sapphirepost_process::admin::dump_from_ring;
+use sapphirepost_process::logging::LogLevels;
+use sapphirepost_process::logging::format_line;
+use sapphirepost_process::metrics::Metrics;
+use sapphirepost_process::rate_limit::RateLimiter;
+use sapphirepost_types::Millis;
+
+fn get(server: &AdminServer, path: &str) -> (u16, String) {
+    let url = format!("http://{}{path}", server.address());
+    let response = attohttpc::get(url).send().unwrap();
+    (response.status().as_u16(), response.text().unwrap())
+}
+
+#[test]
+fn each_path_shows_its_part() {
+    let (ring, requests) = flume::bounded::<flume::Sender<serde_json::Value>>(1);
+    let parts = AdminParts {
+        readiness: Readiness::new(),
+        metrics: Metrics::new(),
+        dump: dump_from_ring(ring, Duration::from_millis(100)),
+    };
+    let starts: Counter = parts
+        .metrics
+        .register("starts", "Starts", Counter::default());
+    starts.inc();
+    let readiness = parts.readiness.clone();
+    let server = AdminServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), parts).unwrap();
+    assert_eq!(get(&server, "/healthz").0, 200);
+    assert_eq!(get(&server, "/readyz").0, 200);
+    readiness.block("config", "the current version is not known");
+    let (status, reasons) = get(&server, "/readyz");
+    assert_eq!(
+        (status, reasons.as_str()),
+        (503, "config: the current version is not known\n")
+    );
+    assert!(
+        get(&server, "/metrics")
+            .1
+            .contains("sapphirepost_starts_total 1")
+    );
+    assert_eq!(get(&server, "/dump").0, 503, "the owner does not answer");
+    drop(requests.try_recv());
+    thread::spawn(move || {
+        let reply = requests.recv().unwrap();
+        reply.send(serde_json::json!({"tasks": 3})).unwrap();
+    });
+    assert_eq!(get(&server, "/dump"), (200, r#"{"tasks":3}"#.to_owned()));
+}
+
+/// A caller's text with a line end could otherwise forge a second event.
+#[test]
+fn an_event_is_one_line() {
+    let pairs = [("request", "1-a\nb"), ("status", "503"), ("empty", "")];
+    let record = Record::builder()
+        .level(Level::Info)
+        .target("entry")
+        .key_values(&pairs)
+        .build();
+    let line = format_line(UNIX_EPOCH, &format_args!("refused\nforged"), &record);
+    let expected = r#"1970-01-01T00:00:00.000Z INFO entry refused\nforged request="1-a\nb" status=503 empty="""#;
+    assert_eq!(line, expected);
+}
+
+#[test]
+fn levels_are_set_by_module() {
+    let levels: LogLevels = "warn,sapphirepost_routing=debug".parse().unwrap();
+    assert_eq!(levels.to_string(), "warn,sapphirepost_routing=debug");
+    assert!("loud".parse::<LogLevels>().is_err());
+}
+
+#[test]
+fn repeated_events_are_counted_instead_of_logged() {
+    let limiter = RateLimiter::new(1000);
+    assert_eq!(limiter.pass("refused", Millis(0)), Some(0));
+    assert_eq!(limiter.pass("refused", Millis(10)), None);
+    assert_eq!(limiter.pass("other", Millis(10)), Some(0));
+    assert_eq!(limiter.pass("refused", Millis(1000)), Some(1));
+}
