Number the claims of an entry run

Cause: the state package fences claim outcomes by a token, and the routing package was written before the token existed, so the two did not build together.

Ruled out: a token chosen per request, because a request that claims again after a lost call would reuse it and a late `NotRun` could free the newer claim.

Change: `Claims::ask` gives each claim the next token; an outcome carries the token of its claim; a full record of claims is answered as overload.

Conclusion: the packages fit together.

--- a/crates/routing/src/claims.rs
+++ b/crates/routing/src/claims.rs
@@ -40,12 +40,15 @@
     outcomes: VecDeque<ClaimDone>,
     calls: BTreeMap<CallKey, Call>,
     next_call: u64,
+    next_token: u64,
     paused: bool,
 }
 
 impl Claims {
-    /// Asks for a claim.
-    pub fn ask(&mut self, request: RequestKey, claim: Claim) {
+    /// Asks for a claim, under the next token of this entry run.
+    pub fn ask(&mut self, request: RequestKey, mut claim: Claim) {
+        claim.token = self.next_token;
+        self.next_token += 1;
         self.waiting.push_back((request, claim));
     }
 
@@ -64,6 +67,7 @@
         self.outcomes.push_back(ClaimDone {
             service: claim.service.clone(),
             request: claim.request.clone(),
+            token: claim.token,
             outcome,
         });
     }
--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -78,6 +78,7 @@
             service: new.service.clone(),
             request: id,
             digest: new.digest,
+            token: 0,
         })
     }
 
@@ -207,6 +208,7 @@
                 let reason = UnknownReason::EarlierRun;
                 self.finish(now, key, Answer::Unknown { reason }, None, actions);
             }
+            ClaimVerdict::Full => self.refuse(now, key, RefusalReason::Overload, actions),
             ClaimVerdict::TooOld => self.refuse(now, key, RefusalReason::IdTooOld, actions),
             ClaimVerdict::TooNew => self.refuse(now, key, RefusalReason::IdTooNew, actions),
             ClaimVerdict::Mismatch => self.refuse(now, key, RefusalReason::IdMismatch, actions),
