Measure speed and packing of the placement

Cause: the targets of the placement had no figures. Change: the experiments placement and packing with first-fit, random and best-fit baselines in the same run. Ruled out: the use of the fullest resource as the measure of packing; it is 1 as soon as all accelerators are taken. The measure is the use relative to what the same jobs use when the cluster counts as one worker.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,39 @@
-//! The `sapphirepost-load` program.
+//! The `sapphirepost-load` program: experiments that measure sapphirepost against its targets.
+//!
+//! Each experiment prints one JSON object on one line and exits with 0, whether its targets were
+//! met or not. The baseline runs in the same run.
 
-fn main() {}
+use argh::FromArgs;
+
+mod clusters;
+mod packing;
+mod placement;
+mod report;
+mod simple;
+mod waiting;
+
+/// Measures sapphirepost against its targets.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Experiment {
+    Placement(placement::Arguments),
+    Packing(packing::Arguments),
+    Waiting(waiting::Arguments),
+}
+
+fn main() -> anyhow::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let report = match arguments.experiment {
+        Experiment::Placement(arguments) => placement::run(&arguments),
+        Experiment::Packing(arguments) => packing::run(&arguments),
+        Experiment::Waiting(arguments) => waiting::run(&arguments),
+    };
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -201,6 +201,16 @@
             .sum()
     }
 
+    /// The share of the processors of all workers that is taken by bound tasks, from 0 to 1.
+    pub fn used_processors(&self) -> f64 {
+        let taken = self
+            .workers
+            .iter()
+            .map(|(_, worker)| worker.taken.millicores);
+        let taken: u64 = taken.sum();
+        taken as f64 / self.workers.total_capacity.millicores.max(1) as f64
+    }
+
     /// The number of jobs with waiting tasks.
     pub fn waiting_jobs(&self) -> usize {
         self.jobs
