--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,9 +5,11 @@
 
 use argh::FromArgs;
 
+mod arrivals;
 mod clusters;
 mod packing;
 mod placement;
+mod replay;
 mod report;
 mod simple;
 mod waiting;
