--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod gossip;
 pub mod method;
 pub mod operator;
+pub mod operator_http;
 pub mod worker;
