--- /dev/null
+++ b/crates/entry/tests/control_path.rs
@@ -0,0 +1,203 @@
+//! Guards the path from an entry to the leader against a fake group of control processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sapphirepost_entry::config_watch;
+use sapphirepost_entry::config_watch::AppliedConfig;
+use sapphirepost_entry::config_watch::Watcher;
+use sapphirepost_entry::config_watch::advance;
+use sapphirepost_entry::control_client::CallOptions;
+use sapphirepost_entry::control_client::ControlClient;
+use sapphirepost_entry::control_client::ControlError;
+use sapphirepost_entry::control_client::Repeat;
+use sapphirepost_process::Readiness;
+use sapphirepost_process::RpcError;
+use sapphirepost_process::SharedKey;
+use sapphirepost_process::rpc::RpcMethods;
+use sapphirepost_process::rpc::RpcServer;
+use sapphirepost_process::rpc::RpcServerConfig;
+use sapphirepost_process::rpc::runtime;
+use sapphirepost_protocol::config::ConfigReply;
+use sapphirepost_protocol::config::ConfigUpdate;
+use sapphirepost_protocol::config::WatchConfig;
+use sapphirepost_protocol::method;
+use sapphirepost_types::ConfigVersion;
+use sapphirepost_types::EntryId;
+use sapphirepost_types::Incarnation;
+use tokio::runtime::Runtime;
+
+fn local() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn unused() -> SocketAddr {
+    TcpListener::bind(local()).unwrap().local_addr().unwrap()
+}
+
+fn key() -> Option<SharedKey> {
+    Some(SharedKey::new("0123456789abcdef").unwrap())
+}
+
+fn start(runtime: &Runtime, address: SocketAddr, methods: RpcMethods) -> RpcServer {
+    let config = RpcServerConfig::new(address, key());
+    RpcServer::start(runtime.handle(), config, methods).unwrap()
+}
+
+fn follower(runtime: &Runtime, leader: Option<String>) -> RpcServer {
+    let mut methods = RpcMethods::new();
+    methods
+        .handle("act", move |_: u64| {
+            let hint = leader.clone();
+            async move { Err::<u64, _>(RpcError::NotLeader { hint }) }
+        })
+        .unwrap();
+    start(runtime, local(), methods)
+}
+
+/// A leader that acts on each call and answers only every second one.
+fn forgetful_leader(runtime: &Runtime, acted: Arc<AtomicU64>) -> RpcServer {
+    let mut methods = RpcMethods::new();
+    methods
+        .handle("act", move |n: u64| {
+            let calls = acted.fetch_add(1, Ordering::SeqCst) + 1;
+            async move {
+                if calls % 2 == 1 {
+                    tokio::time::sleep(Duration::from_secs(30)).await;
+                }
+                Ok(n)
+            }
+        })
+        .unwrap();
+    start(runtime, local(), methods)
+}
+
+fn options(repeat: Repeat) -> CallOptions {
+    CallOptions {
+        total: Duration::from_secs(3),
+        attempt: Duration::from_millis(200),
+        repeat,
+    }
+}
+
+fn client(runtime: &Runtime, addresses: &[SocketAddr]) -> ControlClient {
+    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    ControlClient::new(runtime.handle().clone(), &addresses, key())
+}
+
+#[test]
+fn hints_lead_to_the_leader_past_a_process_that_is_gone() {
+    let runtime = runtime(2).unwrap();
+    let leader = forgetful_leader(&runtime, Arc::new(AtomicU64::new(1)));
+    let follower = follower(&runtime, Some(leader.address().to_string()));
+    let client = client(&runtime, &[unused(), follower.address()]);
+    let answer = client.call_blocking("act", &7u64, options(Repeat::Never));
+    assert_eq!(answer, Ok(7u64));
+    let found = client.leader_address();
+    assert_eq!(found, Some(leader.address().to_string()));
+}
+
+/// A membership change has no operation ID, so a second send could act twice.
+#[test]
+fn a_call_without_an_id_is_sent_once_and_ends_as_unknown() {
+    let runtime = runtime(2).unwrap();
+    for (repeat, acts) in [(Repeat::Never, 1), (Repeat::Safe, 2)] {
+        let acted = Arc::new(AtomicU64::new(0));
+        let leader = forgetful_leader(&runtime, acted.clone());
+        let client = client(&runtime, &[leader.address()]);
+        let answer = client.call_blocking::<_, u64>("act", &7u64, options(repeat));
+        match repeat {
+            Repeat::Never => assert!(matches!(answer, Err(ControlError::OutcomeUnknown(_)))),
+            Repeat::Safe => assert_eq!(answer, Ok(7)),
+        }
+        assert_eq!(acted.load(Ordering::SeqCst), acts);
+    }
+}
+
+#[test]
+fn a_group_without_a_leader_is_unavailable_not_unknown() {
+    let runtime = runtime(2).unwrap();
+    let follower = follower(&runtime, None);
+    let client = client(&runtime, &[follower.address()]);
+    let mut options = options(Repeat::Safe);
+    options.total = Duration::from_millis(300);
+    let answer = client.call_blocking::<_, u64>("act", &7u64, options);
+    assert!(
+        matches!(answer, Err(ControlError::Unavailable(_))),
+        "{answer:?}"
+    );
+}
+
+fn config(version: u64, value: &str) -> AppliedConfig {
+    AppliedConfig {
+        version: ConfigVersion(version),
+        values: Arc::new(BTreeMap::from([("a".parse().unwrap(), value.to_owned())])),
+    }
+}
+
+/// A control process that lags must not make an entry go back to an older configuration.
+#[test]
+fn a_lower_version_is_never_applied() {
+    let offered = |version, value: &str| ConfigReply {
+        version: ConfigVersion(version),
+        update: ConfigUpdate::Whole(config(0, value).values.as_ref().clone()),
+    };
+    let applied = config(7, "new");
+    assert_eq!(advance(Some(&applied), offered(6, "old")), None);
+    let newer = advance(Some(&applied), offered(8, "newer"));
+    assert_eq!(newer, Some(config(8, "newer")));
+    assert_eq!(advance(None, offered(6, "old")), Some(config(6, "old")));
+    let current = ConfigReply {
+        version: ConfigVersion(8),
+        update: ConfigUpdate::Current,
+    };
+    assert_eq!(advance(Some(&applied), current), None);
+}
+
+/// An entry that has not heard the current version must not report that it is ready.
+#[test]
+fn an_entry_is_ready_only_once_it_knows_the_current_version() {
+    let runtime = runtime(2).unwrap();
+    let port = unused();
+    let readiness = Readiness::new();
+    let watcher = Watcher {
+        entry: EntryId(1),
+        incarnation: Incarnation(1),
+    };
+    let control = client(&runtime, &[port]);
+    let watch = config_watch::start(
+        runtime.handle(),
+        control,
+        watcher,
+        readiness.clone(),
+        |_| {},
+    );
+    thread::sleep(Duration::from_millis(300));
+    assert!(!readiness.is_ready());
+    let mut methods = RpcMethods::new();
+    methods
+        .handle(method::WATCH_CONFIG, |watch: WatchConfig| async move {
+            let update = match watch.applied {
+                Some(_) => ConfigUpdate::Current,
+                None => ConfigUpdate::Whole(BTreeMap::new()),
+            };
+            tokio::time::sleep(Duration::from_millis(watch.wait_ms)).await;
+            let version = ConfigVersion(3);
+            Ok(ConfigReply { version, update })
+        })
+        .unwrap();
+    let _server = start(&runtime, port, methods);
+    let until = Instant::now() + Duration::from_secs(5);
+    while !readiness.is_ready() {
+        assert!(Instant::now() < until, "not ready within 5 s");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(watch.applied().unwrap().version, ConfigVersion(3));
+}
--- a/crates/process/tests/rpc.rs
+++ b/crates/process/tests/rpc.rs
@@ -1,8 +1,14 @@
 //! Guards the call wrappers: a lost connection, a wrong key or a full ring must be told apart
 //! from a call that may have had an effect.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -88,7 +94,7 @@
     }
 }
 
-/// The default limits of the library are below the syncs of 800 workers that an entry holds.
+/// An entry holds the syncs of up to 800 workers; a limit below that would refuse some of them.
 #[test]
 fn a_thousand_held_calls_do_not_delay_a_short_one() {
     let runtime = runtime(2).unwrap();
@@ -126,13 +132,46 @@
     }
 }
 
+/// Copies bytes until `silent` is set; then it keeps the connection open and copies nothing.
+fn copy(mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>) {
+    let mut buffer = [0; 4096];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        if !silent.load(Ordering::SeqCst) {
+            to.write_all(&buffer[..length]).unwrap();
+        }
+    }
+}
+
+/// A relay whose first connection goes silent once the flag is set; later ones work.
+fn relay(target: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind(local(0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let silent = Arc::new(AtomicBool::new(false));
+    let mut flag = silent.clone();
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let server = TcpStream::connect(target).unwrap();
+            let (client_copy, server_copy) =
+                (client.try_clone().unwrap(), server.try_clone().unwrap());
+            let (there, back) = (flag.clone(), flag.clone());
+            thread::spawn(move || copy(client_copy, server, there));
+            thread::spawn(move || copy(server_copy, client, back));
+            flag = Arc::new(AtomicBool::new(false));
+        }
+    });
+    (address, silent)
+}
+
 /// A connection whose peer has gone silent must not be used for the next call.
 #[test]
 fn a_timed_out_call_may_have_acted_and_the_next_one_uses_a_new_connection() {
     let runtime = runtime(2).unwrap();
     let server = serve(&runtime, local(0));
-    let client = client(&runtime, server.address(), Some(key()));
-    let late = client.call_blocking::<_, u64>("hold", &3000u64, Duration::from_millis(50));
+    let (address, silent) = relay(server.address());
+    let client = client(&runtime, address, Some(key()));
+    assert_eq!(client.call_blocking("double", &3, SECOND), Ok(6u64));
+    silent.store(true, Ordering::SeqCst);
+    let late = client.call_blocking::<_, u64>("double", &3, Duration::from_millis(100));
     assert!(matches!(late, Err(RpcError::NoAnswer(_))));
     assert!(!late.unwrap_err().is_certain());
     assert_eq!(client.call_blocking("double", &4, SECOND), Ok(8u64));
