Decide through the placement package

Cause: the leader decided through a trait with a first-fit implementation in its tests until the placement package was merged.

Ruled out: keeping the trait with an adapter; the types of the two were the same, so the trait only copied them.

The delay after a failure is the placement's alone; the state counts failures and gives a task up.

Conclusion: state, leader and placement run together.

--- a/crates/leader/src/config.rs
+++ b/crates/leader/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings of the leader.
 
+use sapphirepost_placement::PlacementConfig;
 use sapphirepost_types::MemberId;
 
 /// Settings of a [`Leader`](crate::Leader).
@@ -27,6 +28,8 @@
     pub watch_max_ms: u64,
     /// The most calls that wait for proposals.
     pub waiting_calls_max: usize,
+    /// Settings of the placement.
+    pub placement: PlacementConfig,
     /// The most waiting tasks looked at by one decision.
     pub decide_budget: usize,
     /// Mechanisms that tests switch off to show that their checks notice.
@@ -60,6 +63,7 @@
             proposal_timeout_ms: 5_000,
             watch_max_ms: 30_000,
             waiting_calls_max: 10_000,
+            placement: PlacementConfig::default(),
             decide_budget: 512,
             disabled: Disabled::default(),
         }
--- a/crates/leader/src/deciding.rs
+++ b/crates/leader/src/deciding.rs
@@ -3,6 +3,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use sapphirepost_placement::Displacement;
+use sapphirepost_placement::Health;
+use sapphirepost_placement::LateWarning;
+use sapphirepost_placement::StopCause;
+use sapphirepost_placement::TaskEnd;
+use sapphirepost_placement::Throttle;
 use sapphirepost_state::Placement;
 use sapphirepost_state::Request;
 use sapphirepost_state::StopRequest;
@@ -16,28 +22,41 @@
 use crate::leader::Leader;
 use crate::message::Context;
 use crate::message::Output;
-use crate::placing;
-use crate::placing::TaskEnd;
-use crate::placing::Throttle;
 
 /// Decisions that were proposed and not applied yet.
 #[derive(Debug, Default)]
 pub(crate) struct Deciding {
     placements: BTreeMap<TaskId, Millis>,
     pub(crate) stops: BTreeMap<TaskId, Millis>,
-    pub(crate) set_aside: BTreeSet<WorkerId>,
+    /// Workers set aside because many distinct tasks failed on them.
+    pub(crate) quarantined: BTreeSet<WorkerId>,
+    /// Active jobs that will probably miss their deadline.
+    pub(crate) late: BTreeMap<JobId, LateWarning>,
 }
 
 impl Leader {
     pub(crate) fn decide(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.give_up_lost_decisions(ctx);
-        let decisions = self.placing.decide(ctx.now, self.config.decide_budget);
-        for (worker, is_set_aside) in decisions.set_aside {
-            match is_set_aside {
-                true => self.deciding.set_aside.insert(worker),
-                false => self.deciding.set_aside.remove(&worker),
+        let decisions = self.placer.decide(ctx.now, self.config.decide_budget);
+        for change in &decisions.health {
+            match change.health {
+                Health::Quarantined => self.deciding.quarantined.insert(change.worker),
+                Health::Healthy | Health::Probation => {
+                    self.deciding.quarantined.remove(&change.worker)
+                }
             };
         }
+        for faulty in &decisions.faulty_tasks {
+            // The state counts failures across leaders and decides when a task is given up.
+            self.mirror.submit(ctx, faulty.job, &mut self.placer);
+        }
+        for warning in &decisions.late {
+            self.deciding.late.insert(warning.job, *warning);
+        }
+        let jobs = ctx.state.jobs();
+        self.deciding
+            .late
+            .retain(|job, _| jobs.get(*job).is_some_and(|job| job.is_active()));
         self.propose_placements(ctx, &decisions.placements, out);
         self.propose_displacements(ctx, &decisions.displacements, out);
         self.note_throttles(&decisions.throttles);
@@ -56,21 +75,21 @@
             .collect();
         for task in lost {
             self.deciding.placements.remove(&task);
-            self.placing.release(ctx.now, task, TaskEnd::Rejected);
+            self.placer.release(ctx.now, task, TaskEnd::Rejected);
         }
     }
 
     fn propose_placements(
         &mut self,
         ctx: &Context<'_>,
-        placements: &[placing::Placement],
+        placements: &[sapphirepost_placement::Placement],
         out: &mut Output,
     ) {
         let mut groups: Vec<Vec<Placement>> = Vec::new();
         let mut last_gang: Option<JobId> = None;
         for decided in placements {
             let Some(task) = ctx.state.tasks().get(decided.task) else {
-                self.placing
+                self.placer
                     .release(ctx.now, decided.task, TaskEnd::Cancelled);
                 continue;
             };
@@ -96,7 +115,7 @@
     fn propose_displacements(
         &mut self,
         ctx: &Context<'_>,
-        displacements: &[placing::Displacement],
+        displacements: &[Displacement],
         out: &mut Output,
     ) {
         let stops: Vec<StopRequest> = displacements
@@ -106,7 +125,10 @@
                 Some(StopRequest {
                     task: displacement.task,
                     attempt: task.attempt,
-                    reason: StopReason::Displaced,
+                    reason: match displacement.cause {
+                        StopCause::Displaced { .. } => StopReason::Displaced,
+                        StopCause::GangBroken => StopReason::GangBroken,
+                    },
                     checkpoint: displacement.checkpoint,
                 })
             })
@@ -151,7 +173,7 @@
             for placement in group {
                 let was_expected = self.deciding.placements.remove(&placement.task).is_some();
                 if result.is_err() && was_expected {
-                    self.placing
+                    self.placer
                         .release(ctx.now, placement.task, TaskEnd::Rejected);
                 }
             }
--- a/crates/leader/src/leader.rs
+++ b/crates/leader/src/leader.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use sapphirepost_placement::Placer;
 use sapphirepost_protocol::worker::AttemptKey;
 use sapphirepost_state::Change;
 use sapphirepost_state::Command;
@@ -22,7 +23,6 @@
 use crate::message::Output;
 use crate::mirror::Mirror;
 use crate::operators::OperatorCalls;
-use crate::placing::Placing;
 use crate::sessions::Session;
 use crate::sessions::Sessions;
 
@@ -36,7 +36,7 @@
 /// The leader's decisions.
 pub struct Leader {
     pub(crate) config: LeaderConfig,
-    pub(crate) placing: Box<dyn Placing>,
+    pub(crate) placer: Placer,
     pub(crate) mirror: Mirror,
     pub(crate) sessions: Sessions,
     pub(crate) deciding: Deciding,
@@ -50,13 +50,14 @@
 }
 
 impl Leader {
-    /// A leader that decides through `placing`, which must be empty.
-    pub fn with_placing(
+    /// A leader over the state as applied so far. Runs with equal inputs and an equal seed are
+    /// equal.
+    pub fn new(
         config: LeaderConfig,
-        mut placing: Box<dyn Placing>,
         state: &State,
         now: Millis,
         unix_ms: u64,
+        seed: u64,
     ) -> Leader {
         let ctx = Context {
             state,
@@ -64,11 +65,12 @@
             unix_ms,
         };
         let mut mirror = Mirror::default();
-        mirror.rebuild(&ctx, placing.as_mut());
+        let mut placer = Placer::new(config.placement.clone(), seed);
+        mirror.rebuild(&ctx, &mut placer);
         let sessions = first_sessions(&config, &ctx);
         Leader {
             config,
-            placing,
+            placer,
             mirror,
             sessions,
             deciding: Deciding::default(),
@@ -92,7 +94,7 @@
         out: &mut Output,
     ) {
         self.mirror
-            .follow(ctx, command, &outcome.changes, self.placing.as_mut());
+            .follow(ctx, command, &outcome.changes, &mut self.placer);
         self.touch(ctx, &outcome.changes);
         self.follow_request(ctx, command, outcome, out);
         if outcome.changes.contains(&Change::Config) {
@@ -105,7 +107,6 @@
     pub fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.expire_leases(ctx, out);
         self.expire_calls(ctx, out);
-        self.mirror.retry_due(ctx, self.placing.as_mut());
         self.decide(ctx, out);
         self.drain_workers(ctx, out);
         self.tick_distribution(ctx, out);
--- a/crates/leader/src/lib.rs
+++ b/crates/leader/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod config;
 pub mod leader;
 pub mod message;
-pub mod placing;
 
 mod claims;
 mod commands;
--- a/crates/leader/src/mirror.rs
+++ b/crates/leader/src/mirror.rs
@@ -3,6 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use sapphirepost_placement::JobPolicy;
+use sapphirepost_placement::JobView;
+use sapphirepost_placement::Placer;
+use sapphirepost_placement::TaskEnd;
+use sapphirepost_placement::TaskView;
+use sapphirepost_placement::WorkerMode;
+use sapphirepost_placement::WorkerView;
 use sapphirepost_protocol::worker::TaskStatus;
 use sapphirepost_state::Change;
 use sapphirepost_state::Command;
@@ -20,44 +27,35 @@
 use sapphirepost_types::WorkerId;
 
 use crate::message::Context;
-use crate::placing::JobPolicy;
-use crate::placing::JobView;
-use crate::placing::Placing;
-use crate::placing::TaskEnd;
-use crate::placing::TaskView;
-use crate::placing::WorkerMode;
-use crate::placing::WorkerView;
 
 /// What the placement was told.
 #[derive(Debug, Default)]
 pub(crate) struct Mirror {
     bound: BTreeMap<TaskId, WorkerId>,
-    /// When jobs with a task that waits after a failure are submitted again, by wall clock.
-    retries: BTreeSet<(u64, JobId)>,
 }
 
 impl Mirror {
     /// Tells an empty placement everything.
-    pub(crate) fn rebuild(&mut self, ctx: &Context<'_>, placing: &mut dyn Placing) {
+    pub(crate) fn rebuild(&mut self, ctx: &Context<'_>, placer: &mut Placer) {
         for (team, quota) in ctx.state.quotas().iter() {
-            placing.set_quota(team, quota.limit);
+            placer.set_quota(team, quota.limit);
         }
         for (id, worker) in ctx.state.workers().iter() {
-            placing.upsert_worker(worker_view(ctx, id, worker));
+            placer.upsert_worker(worker_view(ctx, id, worker));
         }
         for (id, job) in ctx.state.jobs().iter() {
             if job.is_active() || job.placed > 0 {
-                self.submit_view(ctx, id, job, placing);
+                self.submit_view(ctx, id, job, placer);
             }
         }
         for (id, task) in ctx.state.tasks().iter() {
             if let Some(worker) = task.worker() {
-                self.bind(ctx, id, task, worker, placing);
+                self.bind(ctx, id, task, worker, placer);
             }
         }
         for (id, job) in ctx.state.jobs().iter() {
             if !job.is_active() && job.placed > 0 {
-                placing.cancel(ctx.now, id);
+                placer.cancel(ctx.now, id);
             }
         }
     }
@@ -68,42 +66,31 @@
         ctx: &Context<'_>,
         command: &Command,
         changes: &[Change],
-        placing: &mut dyn Placing,
+        placer: &mut Placer,
     ) {
         let mut jobs = BTreeSet::new();
         for change in changes {
             match change {
                 Change::Task(id) => {
-                    self.follow_task(ctx, command, *id, placing);
+                    self.follow_task(ctx, command, *id, placer);
                     jobs.extend(ctx.state.tasks().get(*id).map(|task| task.job));
                 }
                 Change::Job(id) => {
                     jobs.insert(*id);
                 }
                 Change::Worker(id) => match ctx.state.workers().get(*id) {
-                    Some(worker) => placing.upsert_worker(worker_view(ctx, *id, worker)),
-                    None => placing.remove_worker(*id),
+                    Some(worker) => placer.upsert_worker(worker_view(ctx, *id, worker)),
+                    None => placer.remove_worker(*id),
                 },
                 Change::Quota(team) => {
                     let limit = ctx.state.quotas().get(team).and_then(|quota| quota.limit);
-                    placing.set_quota(team, limit);
+                    placer.set_quota(team, limit);
                 }
                 Change::Config => {}
             }
         }
         for job in jobs {
-            self.submit(ctx, job, placing);
-        }
-    }
-
-    /// Submits jobs again whose wait after a failure is over.
-    pub(crate) fn retry_due(&mut self, ctx: &Context<'_>, placing: &mut dyn Placing) {
-        while let Some((at_unix_ms, job)) = self.retries.first().copied() {
-            if at_unix_ms > ctx.wall_ms() {
-                break;
-            }
-            self.retries.pop_first();
-            self.submit(ctx, job, placing);
+            self.submit(ctx, job, placer);
         }
     }
 
@@ -112,17 +99,17 @@
         ctx: &Context<'_>,
         command: &Command,
         id: TaskId,
-        placing: &mut dyn Placing,
+        placer: &mut Placer,
     ) {
         let task = ctx.state.tasks().get(id);
         if let Some((task, worker)) = task.and_then(|task| Some((task, task.worker()?))) {
             if self.bound.get(&id) != Some(&worker) {
-                self.bind(ctx, id, task, worker, placing);
+                self.bind(ctx, id, task, worker, placer);
             }
             return;
         }
         if self.bound.remove(&id).is_some() {
-            placing.release(ctx.now, id, end_of(command, id, task));
+            placer.release(ctx.now, id, end_of(command, id, task));
         }
     }
 
@@ -132,61 +119,41 @@
         id: TaskId,
         task: &Task,
         worker: WorkerId,
-        placing: &mut dyn Placing,
+        placer: &mut Placer,
     ) {
         let Some(job) = ctx.state.jobs().get(task.job) else {
             return;
         };
         self.bound.insert(id, worker);
-        placing.bind(id, worker, job.spec.resources);
+        placer.bind(id, worker, job.spec.resources);
     }
 
-    fn submit(&mut self, ctx: &Context<'_>, id: JobId, placing: &mut dyn Placing) {
+    /// Tells the placement the job as it is now.
+    pub(crate) fn submit(&mut self, ctx: &Context<'_>, id: JobId, placer: &mut Placer) {
         match ctx.state.jobs().get(id) {
-            Some(job) if job.is_active() => self.submit_view(ctx, id, job, placing),
-            _ => placing.cancel(ctx.now, id),
+            Some(job) if job.is_active() => self.submit_view(ctx, id, job, placer),
+            _ => placer.cancel(ctx.now, id),
         }
     }
 
-    fn submit_view(&mut self, ctx: &Context<'_>, id: JobId, job: &Job, placing: &mut dyn Placing) {
-        let tasks = self.task_views(ctx, id, job);
-        placing.submit(ctx.now, job_view(ctx, id, job, tasks));
+    fn submit_view(&mut self, ctx: &Context<'_>, id: JobId, job: &Job, placer: &mut Placer) {
+        let tasks = task_views(ctx, job);
+        placer.submit(ctx.now, job_view(ctx, id, job, tasks));
     }
+}
 
-    fn task_views(&mut self, ctx: &Context<'_>, id: JobId, job: &Job) -> Vec<TaskView> {
-        let wall_ms = ctx.wall_ms();
-        let live: Vec<(TaskId, &Task)> = job
-            .tasks
-            .iter()
-            .filter_map(|id| ctx.state.tasks().get(*id).map(|task| (*id, task)))
-            .filter(|(_, task)| !task.is_ended())
-            .collect();
-        let retry_at = live
-            .iter()
-            .filter(|(_, task)| task.is_waiting() && task.retry_at_unix_ms > wall_ms)
-            .map(|(_, task)| task.retry_at_unix_ms)
-            .max();
-        if let Some(retry_at) = retry_at {
-            self.retries.insert((retry_at, id));
-        }
-        // A gang starts as a whole, so none of its tasks waits for room before all do.
-        let is_gang_ready = retry_at.is_none() && live.iter().all(|(_, task)| task.is_waiting());
-        live.into_iter()
-            .filter(|(_, task)| {
-                let may_wait = match job.is_gang() {
-                    true => is_gang_ready,
-                    false => task.retry_at_unix_ms <= wall_ms,
-                };
-                !task.is_waiting() || may_wait
-            })
-            .map(|(id, task)| TaskView {
-                id,
-                displaced: task.displacements,
-                started: matches!(task.phase, Phase::Running(_))
-                    .then(|| monotonic(ctx, task.placed_unix_ms)),
-            })
-            .collect()
-    }
+fn task_views(ctx: &Context<'_>, job: &Job) -> Vec<TaskView> {
+    job.tasks
+        .iter()
+        .filter_map(|id| ctx.state.tasks().get(*id).map(|task| (*id, task)))
+        .filter(|(_, task)| !task.is_ended())
+        .map(|(id, task)| TaskView {
+            id,
+            displaced: task.displacements,
+            started: matches!(task.phase, Phase::Running(_))
+                .then(|| monotonic(ctx, task.placed_unix_ms)),
+        })
+        .collect()
 }
 
 /// A point of the wall clock on the monotonic clock.
--- a/crates/leader/src/operators.rs
+++ b/crates/leader/src/operators.rs
@@ -77,7 +77,7 @@
             OperatorRequest::Confirm(confirm) => self.confirm_plan(ctx, confirm, token, out),
             OperatorRequest::ShowPlan { plan } => out.operator(token, plan_reply(ctx, plan)),
             OperatorRequest::Status => {
-                let cluster = status::cluster(ctx, &self.config, &self.deciding.set_aside);
+                let cluster = status::cluster(ctx, &self.config, &self.deciding.quarantined);
                 out.operator(token, OperatorReply::Status(Box::new(cluster)));
             }
             OperatorRequest::Explain { job } => {
@@ -295,7 +295,9 @@
         };
         let mut lines = status::explain(ctx, id, job);
         if job.is_active() {
-            lines.extend(self.placing.explain(id));
+            lines.extend(self.placer.explain(id).lines);
+            let late = self.deciding.late.get(&id);
+            lines.extend(late.map(|late| status::late_line(ctx, late)));
         }
         OperatorReply::Explanation { lines }
     }
--- a/crates/leader/src/renewal.rs
+++ b/crates/leader/src/renewal.rs
@@ -48,7 +48,7 @@
         self.ensure_session(ctx, id, worker);
         self.note_spec(ctx, worker, &sync, out);
         if let Some(usage) = sync.usage {
-            self.placing.report_usage(ctx.now, id, usage);
+            self.placer.report_usage(ctx.now, id, usage);
         }
         self.take_sync(ctx, id, worker, sync, token, out);
         self.touched.insert(id);
--- a/crates/leader/src/status.rs
+++ b/crates/leader/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use sapphirepost_placement::LateWarning;
 use sapphirepost_protocol::operator::ClusterStatus;
 use sapphirepost_protocol::operator::JobStatus;
 use sapphirepost_protocol::operator::WorkerStatus;
@@ -25,14 +26,14 @@
 pub(crate) fn cluster(
     ctx: &Context<'_>,
     config: &LeaderConfig,
-    set_aside: &BTreeSet<WorkerId>,
+    quarantined: &BTreeSet<WorkerId>,
 ) -> ClusterStatus {
     let jobs = ctx.state.jobs().iter();
     let workers = ctx.state.workers().iter();
     ClusterStatus {
         jobs: jobs.map(|(_, job)| job_status(ctx, job)).collect(),
         workers: workers
-            .map(|(id, worker)| worker_status(worker, set_aside.contains(&id)))
+            .map(|(id, worker)| worker_status(worker, quarantined.contains(&id)))
             .collect(),
         config_version: ctx.state.config().version(),
         leader: config.member,
@@ -133,11 +134,12 @@
         Phase::Ended { success: false } => format!("{id} ended without success"),
         Phase::Ended { success: true } => return None,
         Phase::Waiting if !job.is_active() => return None,
-        Phase::Waiting if task.retry_at_unix_ms > ctx.wall_ms() => format!(
-            "{id} failed {} times and waits {} ms before the next attempt",
-            task.failures,
-            task.retry_at_unix_ms - ctx.wall_ms()
-        ),
+        Phase::Waiting if task.failures > 0 => {
+            format!(
+                "{id} failed {} times and waits to be tried again",
+                task.failures
+            )
+        }
         Phase::Waiting if task.attempt.0 > 0 => {
             format!("{id} waits for room after {}", task.attempt)
         }
@@ -154,6 +156,12 @@
     Some(line)
 }
 
+pub(crate) fn late_line(ctx: &Context<'_>, late: &LateWarning) -> String {
+    let late_ms = late.expected.since(late.deadline);
+    let due_ms = late.deadline.since(ctx.now);
+    format!("its deadline is in {due_ms} ms; it will probably end {late_ms} ms after it")
+}
+
 fn stop_reason(task: &Task) -> &'static str {
     match task.stop.map(|stop| stop.reason) {
         Some(StopReason::Displaced) => "urgent work needs its room",
--- a/crates/state/src/ending.rs
+++ b/crates/state/src/ending.rs
@@ -91,7 +91,6 @@
     }
 
     fn end_current(&mut self, id: TaskId, worker: WorkerId, end: AttemptEnd) {
-        let now_unix_ms = self.clock_unix_ms;
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -101,7 +100,7 @@
         let job_id = task.job;
         job.placed = job.placed.saturating_sub(1);
         let was_charged = !task.unreachable;
-        let next = next_after(task, job, worker, end, now_unix_ms);
+        let next = next_after(task, job, worker, end);
         task.stop = None;
         task.unreachable = false;
         task.phase = match next {
@@ -200,13 +199,7 @@
     }
 }
 
-fn next_after(
-    task: &mut Task,
-    job: &Job,
-    worker: WorkerId,
-    end: AttemptEnd,
-    now_unix_ms: u64,
-) -> Next {
+fn next_after(task: &mut Task, job: &Job, worker: WorkerId, end: AttemptEnd) -> Next {
     let is_service = job.is_service();
     if end == AttemptEnd::Finished && !is_service {
         return Next::End { success: true };
@@ -221,7 +214,7 @@
     if !ended_by_itself || task.stop.is_some() {
         return Next::Wait;
     }
-    task.count_failure(worker, now_unix_ms);
+    task.count_failure(worker);
     match task.is_exhausted() && !is_service {
         true => Next::End { success: false },
         false => Next::Wait,
--- a/crates/state/src/tasks.rs
+++ b/crates/state/src/tasks.rs
@@ -16,11 +16,6 @@
 pub const FAILED_WORKERS_MAX: usize = 3;
 /// How often a task fails in all before it is given up, for clusters with few workers.
 pub const FAILURES_MAX: u32 = 6;
-/// The wait after the first failure; each one that follows doubles it.
-pub const RETRY_MIN_MS: u64 = 500;
-/// The longest wait after a failure.
-pub const RETRY_MAX_MS: u64 = 60_000;
-
 /// Where a task is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -84,8 +79,6 @@
     pub failed_on: SmallVec<[WorkerId; 3]>,
     /// How often it was displaced.
     pub displacements: u8,
-    /// When it may be placed again, in milliseconds since the Unix epoch.
-    pub retry_at_unix_ms: u64,
     /// When the current attempt was placed, in milliseconds since the Unix epoch.
     pub placed_unix_ms: u64,
 }
@@ -102,7 +95,6 @@
             failures: 0,
             failed_on: SmallVec::new(),
             displacements: 0,
-            retry_at_unix_ms: 0,
             placed_unix_ms: 0,
         }
     }
@@ -131,14 +123,11 @@
             .is_some_and(|stop| stop.reason == StopReason::Surplus)
     }
 
-    pub(crate) fn count_failure(&mut self, worker: WorkerId, now_unix_ms: u64) {
+    pub(crate) fn count_failure(&mut self, worker: WorkerId) {
         self.failures += 1;
         if !self.failed_on.contains(&worker) && self.failed_on.len() < FAILED_WORKERS_MAX {
             self.failed_on.push(worker);
         }
-        let doublings = (self.failures - 1).min(16);
-        let wait_ms = (RETRY_MIN_MS << doublings).min(RETRY_MAX_MS);
-        self.retry_at_unix_ms = now_unix_ms + wait_ms;
     }
 
     pub(crate) fn is_exhausted(&self) -> bool {
