Keep quarantines short in the simulation

Ruled out: a fault of the leader; its explanation names the quarantined worker.

Conclusion: the check after the quiet period stands unchanged.

--- a/crates/leader/tests/support/sim.rs
+++ b/crates/leader/tests/support/sim.rs
@@ -13,6 +13,7 @@
 use sapphirepost_leader::Output;
 use sapphirepost_leader::Reply;
 use sapphirepost_leader::ReplyToken;
+use sapphirepost_placement::PlacementConfig;
 use sapphirepost_protocol::worker::WorkerSpec;
 use sapphirepost_state::Change;
 use sapphirepost_state::Command;
@@ -253,6 +254,12 @@
         if self.leader.is_none() && self.now >= self.leader_at {
             let config = LeaderConfig {
                 disabled: self.options.leader,
+                placement: PlacementConfig {
+                    // Shorter than the quiet period, so that a worker that was bad returns.
+                    quarantine_ms: 5_000,
+                    quarantine_max_ms: 10_000,
+                    ..PlacementConfig::default()
+                },
                 ..LeaderConfig::default()
             };
             let seed = self.rng.random();
