Show that each mechanism is needed

Cause: a mechanism that no check misses may be broken without notice.

Ruled out: unit tests of the mechanisms alone; they would not show that the verifier notices.

Change: tests/mechanisms.rs switches off the drift bound, the wait of a new leader, the refusal of renewals while an expiry is proposed, attempt fencing, the release on a confirmed stop, the stale check and the claim window, and expects the named violation; the same seed passes with the mechanism on.

Conclusion: each of the seven is noticed.

--- /dev/null
+++ b/crates/leader/tests/mechanisms.rs
@@ -0,0 +1,174 @@
+//! Guards against mechanisms that no check needs, and against checks that notice nothing: with
+//! each mechanism switched off, some seed of the simulation must break the named invariant. The
+//! same seeds pass with it in `simulation.rs`.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use sapphirepost_leader::Disabled;
+use sapphirepost_protocol::claim::Claim;
+use sapphirepost_protocol::claim::ClaimBatch;
+use sapphirepost_protocol::claim::ClaimVerdict;
+use sapphirepost_state::Command;
+use sapphirepost_state::Disabled as StateDisabled;
+use sapphirepost_state::Request;
+use sapphirepost_state::State;
+use sapphirepost_state::Verdict;
+use sapphirepost_types::EntryId;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::RequestId;
+use sapphirepost_verifier::Event;
+use sapphirepost_verifier::Invariant;
+use sapphirepost_verifier::Limits;
+use sapphirepost_verifier::Timed;
+use sapphirepost_verifier::check;
+
+use crate::support::sim::Options;
+use crate::support::sim::Sim;
+
+/// The seeds that are tried until one breaks the invariant.
+const SEEDS: u64 = 300;
+
+fn broken(options: Options) -> BTreeSet<Invariant> {
+    let mut sim = Sim::new(options);
+    sim.run();
+    sim.violations().iter().map(|v| v.invariant).collect()
+}
+
+fn assert_breaks(invariant: Invariant, leader: Disabled, state: StateDisabled) {
+    assert_breaks_at(invariant, leader, state, 30);
+}
+
+fn assert_breaks_at(
+    invariant: Invariant,
+    leader: Disabled,
+    state: StateDisabled,
+    commit_max_ms: u64,
+) {
+    for seed in 0..SEEDS {
+        let sound = Options {
+            quiet_ms: 1_000,
+            commit_max_ms,
+            ..Options::new(seed)
+        };
+        let faulty = Options {
+            leader,
+            state,
+            ..sound
+        };
+        if broken(faulty).contains(&invariant) {
+            println!("{invariant} is broken by seed {seed}");
+            assert!(!broken(sound).contains(&invariant), "seed {seed}");
+            return;
+        }
+    }
+    panic!("no seed below {SEEDS} breaks {invariant}");
+}
+
+#[test]
+fn without_the_drift_bound_a_task_runs_twice() {
+    let leader = Disabled {
+        drift_bound: true,
+        ..Disabled::default()
+    };
+    assert_breaks(Invariant::OnePlace, leader, StateDisabled::default());
+}
+
+#[test]
+fn without_the_wait_of_a_new_leader_a_task_runs_twice() {
+    let leader = Disabled {
+        new_leader_waits: true,
+        ..Disabled::default()
+    };
+    assert_breaks(Invariant::OnePlace, leader, StateDisabled::default());
+}
+
+#[test]
+fn renewals_while_an_expiry_is_proposed_let_a_task_run_twice() {
+    let leader = Disabled {
+        no_renewal_while_expiring: true,
+        ..Disabled::default()
+    };
+    // With slow commits a renewal meets a proposed expiry often enough.
+    assert_breaks_at(Invariant::OnePlace, leader, StateDisabled::default(), 2_000);
+}
+
+#[test]
+fn without_attempt_fencing_a_task_runs_twice() {
+    let state = StateDisabled {
+        attempt_fencing: true,
+        ..StateDisabled::default()
+    };
+    assert_breaks(Invariant::OnePlace, Disabled::default(), state);
+}
+
+#[test]
+fn room_released_by_a_stop_command_overfills_a_worker() {
+    let state = StateDisabled {
+        release_on_confirmed_stop: true,
+        ..StateDisabled::default()
+    };
+    assert_breaks(Invariant::Room, Disabled::default(), state);
+}
+
+#[test]
+fn without_the_stale_check_two_confirmations_win() {
+    let state = StateDisabled {
+        stale_check: true,
+        ..StateDisabled::default()
+    };
+    assert_breaks(Invariant::Answers, Disabled::default(), state);
+}
+
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Two entries claim one request, the second `later_ms` after the first, whose outcome was lost;
+/// each runs what it is granted.
+fn runs_of_one_request(disabled: StateDisabled, later_ms: u64) -> Vec<Invariant> {
+    let mut state = State::new();
+    state.disable(disabled);
+    let mut history = Vec::new();
+    for (entry, at_ms) in [(1, 0), (2, later_ms)] {
+        let batch = ClaimBatch {
+            entry: EntryId(entry),
+            incarnation: Incarnation(1),
+            claims: vec![Claim {
+                service: support::name("grades"),
+                request: RequestId::new(START_UNIX_MS, "composite-run").unwrap(),
+                digest: 1,
+                token: 1,
+            }],
+            outcomes: Vec::new(),
+        };
+        let command = Command {
+            at_unix_ms: START_UNIX_MS + at_ms,
+            request: Request::Claims(batch),
+        };
+        let outcome = state.apply(u64::from(entry), &command);
+        if outcome.verdict == Verdict::Claimed(vec![ClaimVerdict::Granted]) {
+            let event = Event::RequestRan {
+                request: "composite-run".to_owned(),
+                submission: u64::from(entry),
+                idempotent: false,
+            };
+            history.push(Timed { at_ms, event });
+        }
+    }
+    let violations = check(&history, &Limits::default());
+    violations.iter().map(|v| v.invariant).collect()
+}
+
+#[test]
+fn without_the_claim_window_a_late_resend_runs_again() {
+    let disabled = StateDisabled {
+        claim_window: true,
+        ..StateDisabled::default()
+    };
+    let eleven_minutes_ms = 11 * 60 * 1_000;
+    let faulty = runs_of_one_request(disabled, eleven_minutes_ms);
+    assert_eq!(faulty, [Invariant::AtMostOnce]);
+    for later_ms in [1, 9 * 60 * 1_000, 10 * 60 * 1_000, eleven_minutes_ms] {
+        assert_eq!(runs_of_one_request(StateDisabled::default(), later_ms), []);
+    }
+}
--- a/crates/leader/tests/support/sim.rs
+++ b/crates/leader/tests/support/sim.rs
@@ -52,6 +52,8 @@
     pub busy_ms: u64,
     pub quiet_ms: u64,
     pub faults: bool,
+    /// The longest time from a proposal to its application.
+    pub commit_max_ms: u64,
     pub leader: Disabled,
     pub state: sapphirepost_state::Disabled,
 }
@@ -63,6 +65,7 @@
             busy_ms: 40_000,
             quiet_ms: 45_000,
             faults: true,
+            commit_max_ms: 30,
             leader: Disabled::default(),
             state: sapphirepost_state::Disabled::default(),
         }
@@ -284,7 +287,7 @@
         let mut out = Output::default();
         call(leader, &ctx, &mut out);
         for command in out.proposals {
-            let at = self.now + self.rng.random_range(2..30);
+            let at = self.now + self.rng.random_range(2..self.options.commit_max_ms);
             self.proposals.push_back((at, command));
         }
         for (token, reply) in out.replies {
