Describe intents by scenarios; report news at once

Cause: text scenarios showed four faults: an operation on a fresh or idle cluster was refused as too new, because the record was asked with the clock of the state, which stands still without commands; the end of a stopped task was reported only when the held sync ended, up to 1 s later; explanations listed running tasks twice; a replica was called additional after those it stood in for had been declared lost.

Ruled out: moving the clock of an idle state with every request (one command for each read).

--- a/crates/leader/src/operators.rs
+++ b/crates/leader/src/operators.rs
@@ -111,7 +111,7 @@
         out: &mut Output,
     ) {
         let Propose { operation, intent } = propose;
-        match ctx.state.lookup_propose(&operation, &intent) {
+        match ctx.state.lookup_propose(&operation, &intent, ctx.wall_ms()) {
             Lookup::Answered(answer) => return out.operator(token, recorded(ctx, answer)),
             Lookup::Refused(refusal) => {
                 return out.operator(token, OperatorReply::Refused(refusal));
@@ -141,7 +141,7 @@
         out: &mut Output,
     ) {
         let Confirm { operation, plan } = confirm;
-        match ctx.state.lookup_confirm(&operation, plan) {
+        match ctx.state.lookup_confirm(&operation, plan, ctx.wall_ms()) {
             Lookup::Answered(Answer::Refused(refusal)) => {
                 return self.refuse(ctx, plan, refusal, token, out);
             }
@@ -295,7 +295,9 @@
         };
         let mut lines = status::explain(ctx, id, job);
         if job.is_active() {
-            lines.extend(self.placer.explain(id).lines);
+            // The placement lists running tasks by the ids of workers; they stand above by name.
+            let placed = self.placer.explain(id).lines;
+            lines.extend(placed.into_iter().filter(|line| !line.starts_with("task")));
             let late = self.deciding.late.get(&id);
             lines.extend(late.map(|late| status::late_line(ctx, late)));
         }
--- /dev/null
+++ b/crates/leader/tests/support/bench.rs
@@ -0,0 +1,350 @@
+//! A cluster without faults that is driven step by step by text.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use datadriven::TestCase;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::LeaderConfig;
+use sapphirepost_leader::Output;
+use sapphirepost_leader::Reply;
+use sapphirepost_leader::ReplyToken;
+use sapphirepost_protocol::operator::Confirm;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::operator::Propose;
+use sapphirepost_protocol::operator::Refusal;
+use sapphirepost_protocol::worker::WorkerSpec;
+use sapphirepost_state::Command;
+use sapphirepost_state::State;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Name;
+use sapphirepost_types::OperationId;
+use sapphirepost_types::Plan;
+use sapphirepost_types::PlanId;
+use sapphirepost_types::Resources;
+use sapphirepost_verifier::Event;
+use sapphirepost_verifier::Limits;
+use sapphirepost_verifier::Timed;
+use sapphirepost_verifier::check;
+
+use super::worker::SimWorker;
+
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+const STEP_MS: u64 = 20;
+
+pub struct Bench {
+    now: u64,
+    rng: Pcg64,
+    state: State,
+    leader: Leader,
+    index: u64,
+    proposals: VecDeque<Command>,
+    replies: Vec<(ReplyToken, Reply)>,
+    tokens: u64,
+    /// The worker of each sync, and the operation of each call of an operator.
+    callers: BTreeMap<u64, usize>,
+    operations: BTreeMap<u64, String>,
+    workers: Vec<SimWorker>,
+    cut: Vec<Name>,
+    /// Whether proposals wait for a `commit`.
+    is_held: bool,
+    history: Vec<Timed>,
+}
+
+impl Bench {
+    pub fn new() -> Bench {
+        let state = State::new();
+        Bench {
+            now: 0,
+            rng: Pcg64::seed_from_u64(1),
+            leader: new_leader(&state, 0),
+            state,
+            index: 0,
+            proposals: VecDeque::new(),
+            replies: Vec::new(),
+            tokens: 0,
+            callers: BTreeMap::new(),
+            operations: BTreeMap::new(),
+            workers: Vec::new(),
+            cut: Vec::new(),
+            is_held: false,
+            history: Vec::new(),
+        }
+    }
+
+    pub fn run(&mut self, case: &mut TestCase) -> String {
+        match case.directive.clone().as_str() {
+            "worker" => self.add_worker(case),
+            "propose" => self.propose(case),
+            "confirm" => self.confirm(case),
+            "explain" => {
+                let job = case.take_arg("job").unwrap();
+                self.operator(OperatorRequest::Explain { job })
+            }
+            "history" => self.operator(OperatorRequest::ConfigHistory { limit: 10 }),
+            "advance" => {
+                let until = self.now + case.take_arg::<u64>("ms").unwrap();
+                while self.now < until {
+                    self.step();
+                }
+                self.summary()
+            }
+            "show" => self.summary(),
+            "cut" => {
+                self.cut.push(case.take_arg("worker").unwrap());
+                String::new()
+            }
+            "heal" => {
+                self.cut.clear();
+                String::new()
+            }
+            "lose" => {
+                let name: Name = case.take_arg("worker").unwrap();
+                let now = self.now;
+                let worker = self.workers.iter_mut().find(|w| w.name == name).unwrap();
+                worker.vanish(now, &mut self.history);
+                String::new()
+            }
+            "hold" => {
+                self.is_held = true;
+                String::new()
+            }
+            "commit" => {
+                self.is_held = false;
+                self.settle();
+                self.deliver();
+                let replies = std::mem::take(&mut self.replies);
+                let texts = replies.into_iter().map(|(token, reply)| {
+                    let operation = self.operations.remove(&token.0).unwrap_or_default();
+                    format!("{operation}: {}", describe(reply))
+                });
+                texts.collect()
+            }
+            "new-leader" => {
+                self.proposals.clear();
+                self.leader = new_leader(&self.state, self.now);
+                String::new()
+            }
+            "verify" => {
+                let violations = check(&self.history, &Limits::default());
+                violations
+                    .iter()
+                    .map(|violation| format!("{violation}\n"))
+                    .collect()
+            }
+            other => panic!("unknown directive {other}"),
+        }
+    }
+
+    fn add_worker(&mut self, case: &mut TestCase) -> String {
+        let name: Name = case.take_arg("name").unwrap();
+        let accelerators = case.try_take_arg("accelerators").unwrap().unwrap_or(0);
+        let millicores = case.take_arg("millicores").unwrap();
+        let memory_mib = case.take_arg("memory_mib").unwrap();
+        let capacity = Resources::new(millicores, memory_mib, accelerators);
+        let spec = WorkerSpec {
+            failure_domain: case.take_arg("domain").unwrap(),
+            rack: super::name("rack"),
+            capacity,
+        };
+        let event = Event::WorkerSize {
+            worker: name.clone(),
+            capacity,
+        };
+        self.history.push(Timed {
+            at_ms: self.now,
+            event,
+        });
+        let mut worker = SimWorker::new(name, spec, 0);
+        worker.is_calm = true;
+        self.workers.push(worker);
+        self.step();
+        self.step();
+        String::new()
+    }
+
+    fn propose(&mut self, case: &mut TestCase) -> String {
+        let operation = self.operation(case);
+        let intent = serde_json::from_str(&case.input).unwrap();
+        self.operator(OperatorRequest::Propose(Propose { operation, intent }))
+    }
+
+    fn confirm(&mut self, case: &mut TestCase) -> String {
+        let operation = self.operation(case);
+        let plan: PlanId = case.take_arg("plan").unwrap();
+        self.operator(OperatorRequest::Confirm(Confirm { operation, plan }))
+    }
+
+    fn operation(&self, case: &mut TestCase) -> OperationId {
+        let text: String = case.take_arg("op").unwrap();
+        let age_ms = case.try_take_arg::<u64>("age_ms").unwrap().unwrap_or(0);
+        OperationId::new(START_UNIX_MS - age_ms, &text).unwrap()
+    }
+
+    fn operator(&mut self, request: OperatorRequest) -> String {
+        let token = self.token();
+        let operation = match &request {
+            OperatorRequest::Propose(propose) => propose.operation.to_string(),
+            OperatorRequest::Confirm(confirm) => confirm.operation.to_string(),
+            _ => String::new(),
+        };
+        self.operations.insert(token.0, operation);
+        self.call(|leader, ctx, out| leader.operator(ctx, request, token, out));
+        self.settle();
+        let position = self
+            .replies
+            .iter()
+            .position(|(replied, _)| *replied == token);
+        match position {
+            Some(position) => describe(self.replies.remove(position).1),
+            None => "waits\n".to_owned(),
+        }
+    }
+
+    fn token(&mut self) -> ReplyToken {
+        self.tokens += 1;
+        ReplyToken(self.tokens)
+    }
+
+    fn call(&mut self, call: impl FnOnce(&mut Leader, &Context<'_>, &mut Output)) {
+        let ctx = Context {
+            state: &self.state,
+            now: Millis(self.now),
+            unix_ms: START_UNIX_MS + self.now,
+        };
+        let mut out = Output::default();
+        call(&mut self.leader, &ctx, &mut out);
+        self.proposals.extend(out.proposals);
+        self.replies.extend(out.replies);
+    }
+
+    fn settle(&mut self) {
+        while !self.is_held {
+            let Some(command) = self.proposals.pop_front() else {
+                return;
+            };
+            self.index += 1;
+            let index = self.index;
+            let outcome = self.state.apply(index, &command);
+            self.call(|leader, ctx, out| leader.applied(ctx, index, &command, &outcome, out));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.call(|leader, ctx, out| leader.tick(ctx, out));
+        self.settle();
+        for id in 0..self.workers.len() {
+            let worker = &mut self.workers[id];
+            let sync = worker.step(self.now, &mut self.rng, &mut self.history);
+            let is_cut = self.cut.contains(&self.workers[id].name);
+            if let Some(sync) = sync.filter(|_| !is_cut) {
+                let token = self.token();
+                self.callers.insert(token.0, id);
+                self.call(|leader, ctx, out| leader.worker_sync(ctx, sync, token, out));
+            }
+        }
+        self.settle();
+        self.deliver();
+    }
+
+    fn deliver(&mut self) {
+        for (token, reply) in std::mem::take(&mut self.replies) {
+            let Reply::Worker(reply) = reply else {
+                self.replies.push((token, reply));
+                continue;
+            };
+            if let Some(id) = self.callers.remove(&token.0) {
+                let (rng, history) = (&mut self.rng, &mut self.history);
+                self.workers[id].reply(self.now, reply, rng, history);
+            }
+        }
+    }
+
+    fn summary(&self) -> String {
+        let mut text = String::new();
+        for (_, job) in self.state.jobs().iter() {
+            text += &format!("{}: {:?}", job.spec.name, job.phase);
+            for task in job
+                .tasks
+                .iter()
+                .filter_map(|id| self.state.tasks().get(*id))
+            {
+                let worker = task.worker().and_then(|id| self.state.workers().get(id));
+                let place = worker.map_or("-", |worker| worker.name.as_str());
+                let phase = format!("{:?}", task.phase).to_lowercase();
+                let phase = phase.split(['(', ' ']).next().unwrap_or("").to_owned();
+                let mark = if task.unreachable { " unreachable" } else { "" };
+                let added = if task.additional { " additional" } else { "" };
+                let stop = if task.stop.is_some() { " stopping" } else { "" };
+                text += &format!("\n  {phase} {place} {}{mark}{added}{stop}", task.attempt);
+            }
+            text.push('\n');
+        }
+        text
+    }
+}
+
+fn new_leader(state: &State, now: u64) -> Leader {
+    let config = LeaderConfig::default();
+    Leader::new(config, state, Millis(now), START_UNIX_MS + now, 1)
+}
+
+fn describe(reply: Reply) -> String {
+    let Reply::Operator(reply) = reply else {
+        return format!("{reply:?}\n");
+    };
+    match reply {
+        OperatorReply::Plan(plan) => describe_plan(&plan),
+        OperatorReply::Confirmed(confirmed) => {
+            let version = confirmed.config_version.map(|v| format!(" ({v})"));
+            format!(
+                "confirmed: {}{}\n",
+                confirmed.detail,
+                version.unwrap_or_default()
+            )
+        }
+        OperatorReply::Refused(Refusal::Stale {
+            changed,
+            won,
+            fresh,
+        }) => {
+            let mut text = "refused: stale\n".to_owned();
+            for on in changed {
+                text += &format!("  {} is at {}\n", on.object, on.version);
+            }
+            text += &won.map(|won| format!("  {won} won\n")).unwrap_or_default();
+            text + &fresh.map(|plan| describe_plan(&plan)).unwrap_or_default()
+        }
+        OperatorReply::Refused(refusal) => format!("refused: {refusal:?}\n"),
+        OperatorReply::Explanation { lines } => lines.join("\n") + "\n",
+        OperatorReply::History(records) => records
+            .iter()
+            .map(|r| {
+                format!(
+                    "{} {} {:?} -> {:?} by {}\n",
+                    r.version, r.key, r.old, r.new, r.operation
+                )
+            })
+            .collect(),
+        other => format!("{other:?}\n"),
+    }
+}
+
+fn describe_plan(plan: &Plan) -> String {
+    let mut text = format!("{}\n", plan.id);
+    for effect in &plan.effects {
+        text += &format!("  {effect}\n");
+    }
+    for warning in &plan.warnings {
+        text += &format!("  warning: {warning}\n");
+    }
+    for on in &plan.rests_on {
+        text += &format!("  rests on {} at {}\n", on.object, on.version);
+    }
+    text
+}
--- a/crates/leader/tests/support/mod.rs
+++ b/crates/leader/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod bench;
 pub mod entries;
 pub mod network;
 pub mod operators;
--- a/crates/leader/tests/support/worker.rs
+++ b/crates/leader/tests/support/worker.rs
@@ -26,6 +26,7 @@
 /// the simulation it stays below the stop time that the leader assumes.
 const STOP_MAX_MS: u64 = 900;
 const SYNC_TIMEOUT_MS: u64 = 2_000;
+const OUTSTANDING_MAX: usize = 3;
 
 struct Running {
     resources: Resources,
@@ -36,7 +37,6 @@
 }
 
 struct Outstanding {
-    sequence: u64,
     sent_at: u64,
     keys: Vec<AttemptKey>,
 }
@@ -58,7 +58,10 @@
     running: BTreeMap<AttemptKey, Running>,
     fences: BTreeMap<TaskId, Attempt>,
     ended: BTreeMap<AttemptKey, TaskStatus>,
-    outstanding: Option<Outstanding>,
+    /// Syncs without an answer by their sequence numbers.
+    outstanding: BTreeMap<u64, Outstanding>,
+    /// Whether something happened that no sync has told yet.
+    has_news: bool,
     lease_until: u64,
     wants_spec: bool,
     wants_full: bool,
@@ -81,7 +84,8 @@
             running: BTreeMap::new(),
             fences: BTreeMap::new(),
             ended: BTreeMap::new(),
-            outstanding: None,
+            outstanding: BTreeMap::new(),
+            has_news: false,
             lease_until: 0,
             wants_spec: true,
             wants_full: true,
@@ -112,7 +116,7 @@
     pub fn restart_agent(&mut self) {
         self.incarnation += 1;
         self.sequence = 0;
-        self.outstanding = None;
+        self.outstanding.clear();
         self.wants_spec = true;
         self.wants_full = true;
     }
@@ -145,11 +149,14 @@
             self.stop_what_moves(now, rng);
         }
         self.end_due(now, history);
-        let is_waiting = self
-            .outstanding
-            .as_ref()
-            .is_some_and(|outstanding| now < outstanding.sent_at + SYNC_TIMEOUT_MS);
-        (!is_waiting).then(|| self.sync(now))
+        let timeout = SYNC_TIMEOUT_MS;
+        self.outstanding
+            .retain(|_, sync| now < sync.sent_at + timeout);
+        let is_due = match self.has_news {
+            true => self.outstanding.len() < OUTSTANDING_MAX,
+            false => self.outstanding.is_empty(),
+        };
+        is_due.then(|| self.sync(now))
     }
 
     /// A paused VM runs nothing.
@@ -203,6 +210,7 @@
             self.running.remove(&key);
             self.leave(now, key, status == TaskStatus::Finished, history);
             self.ended.insert(key, status);
+            self.has_news = true;
         }
     }
 
@@ -225,11 +233,12 @@
             .map(|key| report(*key, &TaskStatus::Running))
             .chain(ended)
             .collect();
-        self.outstanding = Some(Outstanding {
-            sequence: self.sequence,
+        self.has_news = false;
+        let outstanding = Outstanding {
             sent_at: now,
             keys: listed,
-        });
+        };
+        self.outstanding.insert(self.sequence, outstanding);
         WorkerSync {
             worker: self.name.clone(),
             incarnation: Incarnation(self.incarnation),
@@ -253,14 +262,13 @@
         if self.is_gone || self.is_paused || now < self.paused_until {
             return;
         }
-        let Some(outstanding) = self
-            .outstanding
-            .take_if(|sync| sync.sequence == reply.sequence)
-        else {
+        let Some(outstanding) = self.outstanding.remove(&reply.sequence) else {
             return;
         };
-        self.wants_spec = reply.send_spec;
-        self.wants_full = reply.send_full;
+        if reply.sequence == self.sequence {
+            self.wants_spec = reply.send_spec;
+            self.wants_full = reply.send_full;
+        }
         for key in outstanding.keys {
             if let Some(task) = self.running.get_mut(&key) {
                 task.reported = true;
@@ -316,6 +324,7 @@
                     reported: false,
                 };
                 self.running.insert(key, running);
+                self.has_news = true;
             }
             WorkerCommand::Stop { task, attempt, .. } => {
                 let key = AttemptKey { task, attempt };
@@ -330,6 +339,7 @@
                             checkpointed: false,
                         };
                         self.ended.entry(key).or_insert(status);
+                        self.has_news = true;
                     }
                 }
             }
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -102,9 +102,12 @@
 /// A command to a worker. Each is repeated until a report shows that it was carried out.
 ///
 /// A worker carries out the commands of a reply only while the lease that the reply grants, counted
-/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere. It drops
-/// a reply to any sync but its newest, so that a late `Start` cannot repeat an attempt that has
-/// ended and been acknowledged.
+/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere. For at
+/// least as long it remembers the highest attempt of each task that it started or was told to
+/// stop, so that a `Start` that arrives again or late cannot repeat an attempt that has ended.
+///
+/// A worker that has something to report does not wait for the answer to a sync that is held: it
+/// sends another, upon which the leader answers the one before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum WorkerCommand {
--- a/crates/state/src/confirm.rs
+++ b/crates/state/src/confirm.rs
@@ -32,18 +32,28 @@
 type Detail = Result<String, Refusal>;
 
 impl State {
-    /// What the record says about a request for a plan.
-    pub fn lookup_propose(&self, operation: &OperationId, intent: &Intent) -> Lookup {
+    /// What the record says about a request for a plan at a time, which may lie after the clock of
+    /// the state.
+    pub fn lookup_propose(
+        &self,
+        operation: &OperationId,
+        intent: &Intent,
+        now_unix_ms: u64,
+    ) -> Lookup {
         let content = content_digest("propose", intent);
-        self.operations
-            .lookup(operation, content, self.clock_unix_ms)
+        self.operations.lookup(operation, content, now_unix_ms)
     }
 
-    /// What the record says about a confirmation.
-    pub fn lookup_confirm(&self, operation: &OperationId, plan: PlanId) -> Lookup {
+    /// What the record says about a confirmation at a time, which may lie after the clock of the
+    /// state.
+    pub fn lookup_confirm(
+        &self,
+        operation: &OperationId,
+        plan: PlanId,
+        now_unix_ms: u64,
+    ) -> Lookup {
         let content = content_digest("confirm", &plan);
-        self.operations
-            .lookup(operation, content, self.clock_unix_ms)
+        self.operations.lookup(operation, content, now_unix_ms)
     }
 
     pub(crate) fn record_plan(
@@ -54,7 +64,7 @@
         let Some(operation) = operation else {
             return Verdict::Planned(self.plans.add(draft.clone(), self.clock_unix_ms));
         };
-        match self.lookup_propose(operation, &draft.intent) {
+        match self.lookup_propose(operation, &draft.intent, self.clock_unix_ms) {
             Lookup::Answered(answer) => verdict(answer),
             Lookup::Refused(refusal) => Verdict::Refused(refusal),
             Lookup::New => {
@@ -68,7 +78,7 @@
     }
 
     pub(crate) fn confirm_plan(&mut self, operation: &OperationId, plan: PlanId) -> Verdict {
-        match self.lookup_confirm(operation, plan) {
+        match self.lookup_confirm(operation, plan, self.clock_unix_ms) {
             Lookup::Answered(answer) => verdict(answer),
             Lookup::Refused(refusal) => Verdict::Refused(refusal),
             Lookup::New => {
--- a/crates/state/src/sizing.rs
+++ b/crates/state/src/sizing.rs
@@ -61,6 +61,21 @@
         for task in leaving {
             self.drop_replica(id, task);
         }
+        if !has_unreachable {
+            self.keep_additional(id);
+        }
+    }
+
+    /// Replicas that stood in for others belong to the service once none is out of contact.
+    fn keep_additional(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        for task in &job.tasks {
+            if let Some(task) = self.tasks.get_mut(*task) {
+                task.additional = false;
+            }
+        }
     }
 
     fn drop_replica(&mut self, job: JobId, id: TaskId) {
