Keep the cost of a task's end independent of the size of its job

Cause: each change of a task described its whole job to the placement again, so a batch of n tasks cost n squared over its life; a cancel listed all tasks at once; each tick computed the commands of every worker with a held sync.

Ruled out: describing jobs less often by a timer; the placement would place tasks that have ended.

Change: a job is described only when its size or phase changes; ends are told one by one; cancelled jobs are walked in slices; held syncs are looked at when their time is over or something changed. Workers are bounded at 20,000.

The cost itself was not measured here.

Conclusion: no pass of the leader is quadratic in the size of a job.

--- a/crates/leader/src/commands.rs
+++ b/crates/leader/src/commands.rs
@@ -30,11 +30,12 @@
         }
     }
 
-    /// Answers the held syncs whose time is over.
+    /// Answers the held syncs whose time is over. Others are looked at when something changes.
     pub(crate) fn answer_due_syncs(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.expire_reports(ctx, out);
         for (id, session) in &self.sessions.by_worker {
-            if !session.held.is_empty() {
+            let newest = session.held.back();
+            if newest.is_some_and(|held| ctx.now >= held.until) {
                 self.touched.insert(*id);
             }
         }
--- a/crates/leader/src/leader.rs
+++ b/crates/leader/src/leader.rs
@@ -4,7 +4,6 @@
 use std::collections::VecDeque;
 
 use sapphirepost_placement::Placer;
-use sapphirepost_protocol::worker::AttemptKey;
 use sapphirepost_state::Change;
 use sapphirepost_state::Command;
 use sapphirepost_state::Outcome;
@@ -13,6 +12,7 @@
 use sapphirepost_state::workers::Contact;
 use sapphirepost_types::JobId;
 use sapphirepost_types::Millis;
+use sapphirepost_types::TaskId;
 use sapphirepost_types::WorkerId;
 
 use crate::claims::ClaimCalls;
@@ -45,7 +45,8 @@
     pub(crate) distribution: Distribution,
     /// Workers whose commands may have changed.
     pub(crate) touched: BTreeSet<WorkerId>,
-    cancelled: VecDeque<AttemptKey>,
+    /// Cancelled jobs with the next task whose worker is to be woken.
+    cancelled: VecDeque<(JobId, TaskId)>,
     last_tick_proposed: Millis,
 }
 
@@ -96,6 +97,7 @@
         self.mirror
             .follow(ctx, command, &outcome.changes, &mut self.placer);
         self.touch(ctx, &outcome.changes);
+        self.touch_cancelled(ctx);
         self.follow_request(ctx, command, outcome, out);
         if outcome.changes.contains(&Change::Config) {
             self.answer_watchers(ctx, out);
@@ -167,24 +169,25 @@
         if job.is_active() || job.placed == 0 {
             return;
         }
-        let attempts = job.tasks.iter().filter_map(|task_id| {
-            let task = ctx.state.tasks().get(*task_id)?;
-            task.worker()?;
-            Some(AttemptKey {
-                task: *task_id,
-                attempt: task.attempt,
-            })
-        });
-        self.cancelled.extend(attempts);
+        self.cancelled.push_back((id, TaskId::default()));
     }
 
     fn touch_cancelled(&mut self, ctx: &Context<'_>) {
-        for _ in 0..CANCELLED_PER_CALL {
-            let Some(key) = self.cancelled.pop_front() else {
-                return;
+        let mut budget = CANCELLED_PER_CALL;
+        while let Some((id, from)) = self.cancelled.pop_front() {
+            let Some(job) = ctx.state.jobs().get(id) else {
+                continue;
             };
-            let task = ctx.state.tasks().get(key.task);
-            self.touched.extend(task.and_then(|task| task.worker()));
+            let mut rest = job.tasks.range(from..);
+            for task in rest.by_ref().take(budget) {
+                budget -= 1;
+                let task = ctx.state.tasks().get(*task);
+                self.touched.extend(task.and_then(|task| task.worker()));
+            }
+            if let Some(next) = rest.next() {
+                self.cancelled.push_front((id, *next));
+                return;
+            }
         }
     }
 
--- a/crates/leader/src/mirror.rs
+++ b/crates/leader/src/mirror.rs
@@ -1,7 +1,6 @@
 //! Keeps the placement's picture in line with the state.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use sapphirepost_placement::JobPolicy;
 use sapphirepost_placement::JobView;
@@ -60,7 +59,9 @@
         }
     }
 
-    /// Tells the placement what a command changed.
+    /// Tells the placement what a command changed. A job is described as a whole only when its
+    /// size or phase changed, because that costs a pass over its tasks; jobs come first in the
+    /// order of changes, so their new tasks are known before they are bound.
     pub(crate) fn follow(
         &mut self,
         ctx: &Context<'_>,
@@ -68,16 +69,10 @@
         changes: &[Change],
         placer: &mut Placer,
     ) {
-        let mut jobs = BTreeSet::new();
         for change in changes {
             match change {
-                Change::Task(id) => {
-                    self.follow_task(ctx, command, *id, placer);
-                    jobs.extend(ctx.state.tasks().get(*id).map(|task| task.job));
-                }
-                Change::Job(id) => {
-                    jobs.insert(*id);
-                }
+                Change::Task(id) => self.follow_task(ctx, command, *id, placer),
+                Change::Job(id) => self.submit(ctx, *id, placer),
                 Change::Worker(id) => match ctx.state.workers().get(*id) {
                     Some(worker) => placer.upsert_worker(worker_view(ctx, *id, worker)),
                     None => placer.remove_worker(*id),
@@ -89,9 +84,6 @@
                 Change::Config => {}
             }
         }
-        for job in jobs {
-            self.submit(ctx, job, placer);
-        }
     }
 
     fn follow_task(
@@ -108,7 +100,9 @@
             }
             return;
         }
-        if self.bound.remove(&id).is_some() {
+        let was_bound = self.bound.remove(&id).is_some();
+        let is_over = task.is_none_or(Task::is_ended);
+        if was_bound || is_over {
             placer.release(ctx.now, id, end_of(command, id, task));
         }
     }
--- a/crates/state/src/reporting.rs
+++ b/crates/state/src/reporting.rs
@@ -24,6 +24,7 @@
 use crate::tasks::Phase;
 use crate::workers::Contact;
 use crate::workers::Held;
+use crate::workers::WORKERS_MAX;
 use crate::workers::Worker;
 
 impl State {
@@ -35,6 +36,9 @@
     ) -> Verdict {
         let version = self.next_version();
         let Some(id) = self.workers.id(name) else {
+            if self.workers.len() >= WORKERS_MAX {
+                return Verdict::Ignored;
+            }
             let worker = new_worker(name, incarnation, spec, version);
             let id = self.workers.add(worker);
             self.changed(Change::Worker(id));
--- a/crates/state/src/workers.rs
+++ b/crates/state/src/workers.rs
@@ -15,6 +15,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The most workers that are remembered; more cannot register.
+pub const WORKERS_MAX: usize = 20_000;
 /// How long an expired worker that holds nothing is remembered.
 pub const WORKER_WINDOW_MS: u64 = 24 * 60 * 60 * 1_000;
 
