--- a/crates/leader/tests/simulation.rs
+++ b/crates/leader/tests/simulation.rs
@@ -21,7 +21,11 @@
 
 fn run_seeds(part: u64, parts: u64) {
     for seed in (0..seeds()).filter(|seed| seed % parts == part) {
-        let mut sim = Sim::new(Options::new(seed));
+        let mut options = Options::new(seed);
+        if seed % 5 == 0 {
+            options.commit_max_ms = 1_000;
+        }
+        let mut sim = Sim::new(options);
         sim.run();
         let violations = sim.violations();
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
@@ -30,6 +34,7 @@
             sim.state.digest(),
             "seed {seed}: replay"
         );
+        assert_consistent(&sim, seed);
         assert_settled(&sim, seed);
     }
 }
@@ -83,6 +88,32 @@
     );
 }
 
+/// What the state adds up as it goes must equal what can be counted.
+fn assert_consistent(sim: &Sim, seed: u64) {
+    let state = &sim.state;
+    for (id, worker) in state.workers().iter() {
+        let held = worker.held.iter().map(|held| held.resources);
+        assert_eq!(worker.used, sum(held), "seed {seed}: {id}");
+    }
+    let mut charged = Resources::ZERO;
+    for (id, job) in state.jobs().iter() {
+        let tasks = job.tasks.iter().filter_map(|id| state.tasks().get(*id));
+        let placed: Vec<_> = tasks.filter(|task| task.worker().is_some()).collect();
+        assert_eq!(placed.len(), job.placed as usize, "seed {seed}: {id}");
+        let reachable = placed.iter().filter(|task| !task.unreachable);
+        charged = sum([charged]
+            .into_iter()
+            .chain(reachable.map(|_| job.spec.resources)));
+    }
+    let quota = state.quotas().get(&support::name("team"));
+    let used = quota.map_or(Resources::ZERO, |quota| quota.used);
+    assert_eq!(used, charged, "seed {seed}: quota");
+}
+
+fn sum(amounts: impl Iterator<Item = Resources>) -> Resources {
+    amounts.fold(Resources::ZERO, |sum, more| sum.checked_add(&more).unwrap())
+}
+
 fn room_for(sim: &Sim, one: &Resources) -> usize {
     let workers = sim.state.workers().iter();
     let open = workers.filter(|(_, worker)| worker.is_open());
--- a/crates/leader/tests/support/bench.rs
+++ b/crates/leader/tests/support/bench.rs
@@ -12,6 +12,8 @@
 use sapphirepost_leader::Output;
 use sapphirepost_leader::Reply;
 use sapphirepost_leader::ReplyToken;
+use sapphirepost_protocol::config::WatchConfig;
+use sapphirepost_protocol::operator::ClusterStatus;
 use sapphirepost_protocol::operator::Confirm;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::OperatorRequest;
@@ -20,6 +22,7 @@
 use sapphirepost_protocol::worker::WorkerSpec;
 use sapphirepost_state::Command;
 use sapphirepost_state::State;
+use sapphirepost_types::Incarnation;
 use sapphirepost_types::Millis;
 use sapphirepost_types::Name;
 use sapphirepost_types::OperationId;
@@ -86,6 +89,24 @@
                 self.operator(OperatorRequest::Explain { job })
             }
             "history" => self.operator(OperatorRequest::ConfigHistory { limit: 10 }),
+            "watch" => {
+                let watch = WatchConfig {
+                    entry: case.take_arg("entry").unwrap(),
+                    incarnation: Incarnation(1),
+                    applied: case.try_take_arg("applied").unwrap(),
+                    wait_ms: 1_000,
+                };
+                let token = self.token();
+                self.call(|leader, ctx, out| leader.watch_config(ctx, watch, token, out));
+                self.settle();
+                self.answer(token)
+            }
+            "wait-config" => self.operator(OperatorRequest::WaitConfig {
+                version: case.take_arg("version").unwrap(),
+                wait_ms: 2_000,
+            }),
+            "status" => self.operator(OperatorRequest::Status),
+            "replies" => self.take_replies(),
             "advance" => {
                 let until = self.now + case.take_arg::<u64>("ms").unwrap();
                 while self.now < until {
@@ -117,12 +138,7 @@
                 self.is_held = false;
                 self.settle();
                 self.deliver();
-                let replies = std::mem::take(&mut self.replies);
-                let texts = replies.into_iter().map(|(token, reply)| {
-                    let operation = self.operations.remove(&token.0).unwrap_or_default();
-                    format!("{operation}: {}", describe(reply))
-                });
-                texts.collect()
+                self.take_replies()
             }
             "new-leader" => {
                 self.proposals.clear();
@@ -195,6 +211,10 @@
         self.operations.insert(token.0, operation);
         self.call(|leader, ctx, out| leader.operator(ctx, request, token, out));
         self.settle();
+        self.answer(token)
+    }
+
+    fn answer(&mut self, token: ReplyToken) -> String {
         let position = self
             .replies
             .iter()
@@ -205,6 +225,15 @@
         }
     }
 
+    fn take_replies(&mut self) -> String {
+        let replies = std::mem::take(&mut self.replies);
+        let texts = replies.into_iter().map(|(token, reply)| {
+            let operation = self.operations.remove(&token.0).unwrap_or_default();
+            format!("{operation}: {}", describe(reply))
+        });
+        texts.collect()
+    }
+
     fn token(&mut self) -> ReplyToken {
         self.tokens += 1;
         ReplyToken(self.tokens)
@@ -295,8 +324,10 @@
 }
 
 fn describe(reply: Reply) -> String {
-    let Reply::Operator(reply) = reply else {
-        return format!("{reply:?}\n");
+    let reply = match reply {
+        Reply::Operator(reply) => reply,
+        Reply::Config(reply) => return format!("{}: {:?}\n", reply.version, reply.update),
+        other => return format!("{other:?}\n"),
     };
     match reply {
         OperatorReply::Plan(plan) => describe_plan(&plan),
@@ -331,10 +362,47 @@
                 )
             })
             .collect(),
+        OperatorReply::InForce {
+            version,
+            applied,
+            lacking,
+        } => {
+            format!("{version} is applied by {applied:?}, not by {lacking:?}\n")
+        }
+        OperatorReply::Status(status) => describe_status(&status),
         other => format!("{other:?}\n"),
     }
 }
 
+fn describe_status(status: &ClusterStatus) -> String {
+    let mut text = format!("{}\n", status.config_version);
+    for job in &status.jobs {
+        text += &format!(
+            "{}: wants {}, runs {}, starting {}, waiting {}, unreachable {}, finished {}, failed {}\n",
+            job.name,
+            job.wanted,
+            job.running,
+            job.starting,
+            job.waiting,
+            job.unreachable,
+            job.finished,
+            job.failed
+        );
+    }
+    for worker in &status.workers {
+        text += &format!(
+            "{}: {} of {}, {} tasks, connected {}, draining {}\n",
+            worker.name,
+            worker.used,
+            worker.capacity,
+            worker.tasks,
+            worker.connected,
+            worker.draining
+        );
+    }
+    text
+}
+
 fn describe_plan(plan: &Plan) -> String {
     let mut text = format!("{}\n", plan.id);
     for effect in &plan.effects {
