Add the control process without the leader's decisions

Ruled out: first voters named by address only (a process that lost its disk would found a second group with the same flags); one ring per kind of event (the core thread would have to poll them).

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -195,6 +195,12 @@
         Ok(self.append_own(Payload::Command(payload)))
     }
 
+    /// Checks that this member leads and has contact with a quorum.
+    pub fn ensure_leading(&mut self, now: Millis) -> Result<(), ProposeError> {
+        self.observe(now);
+        self.check_leading()
+    }
+
     /// Collects the output since the last call.
     pub fn ready(&mut self) -> Ready {
         if self.role == Role::Leader {
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -43,6 +43,16 @@
         let is_recorded = self.snapshot.is_some() || !self.records.is_empty();
         is_recorded || !self.messages_after_persist.is_empty()
     }
+
+    /// Whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        !self.needs_storage()
+            && self.messages.is_empty()
+            && self.committed.is_empty()
+            && self.reads.is_empty()
+            && self.aborted_reads.is_empty()
+            && self.role_change.is_none()
+    }
 }
 
 /// Says that all values up to a number are synced.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,34 @@
+//! The control process: one member of the replicated group, and the leader's decisions.
+//!
+//! The core thread owns the consensus node, the state and, while it leads, the decisions. The
+//! storage thread owns the log; the network threads hold the listener and a client per peer.
+//! Everything reaches the core thread through one bounded ring.
+
+mod calls;
+mod core;
+mod decisions;
+mod event;
+mod founders;
+mod leading;
+mod members;
+mod methods;
+mod metrics;
+mod peers;
+mod requests;
+mod settings;
+mod snapshots;
+mod start;
+mod storage_thread;
+
+pub use crate::event::Event;
+pub use crate::event::EventRing;
+pub use crate::founders::Founder;
+pub use crate::founders::Founders;
+pub use crate::metrics::CoreMetrics;
+pub use crate::settings::Flags;
+pub use crate::settings::Mode;
+pub use crate::settings::Settings;
+pub use crate::start::init;
+pub use crate::start::run;
+pub use crate::storage_thread::Job;
+pub use crate::storage_thread::StorageThread;
--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,101 @@
+//! Requests of operators about the membership.
+
+use sapphirepost_consensus::MemberRole;
+use sapphirepost_consensus::MembershipChange;
+use sapphirepost_consensus::MembershipError;
+use sapphirepost_consensus::ProposeError;
+use sapphirepost_process::rpc::Responder;
+use sapphirepost_protocol::operator::MemberStatus;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::operator::Refusal;
+use sapphirepost_types::MemberId;
+
+use crate::calls::Changing;
+use crate::core::Core;
+
+impl Core {
+    /// Handles a membership request; gives any other one back.
+    pub(crate) fn membership_request(
+        &mut self,
+        request: OperatorRequest,
+        done: Responder<OperatorReply>,
+    ) -> Option<(OperatorRequest, Responder<OperatorReply>)> {
+        match request {
+            OperatorRequest::ListMembers => done.send(Ok(OperatorReply::Members(self.members()))),
+            OperatorRequest::AddMember { member, address } => {
+                self.add_member(member, address, done);
+            }
+            OperatorRequest::RemoveMember { member } => {
+                let detail = format!("{member} is removed");
+                self.change(MembershipChange::Remove { member }, detail, done);
+            }
+            other => return Some((other, done)),
+        }
+        None
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let status = |(id, member): (&MemberId, &sapphirepost_consensus::Member)| {
+            let progress = self.node.member_progress(*id);
+            MemberStatus {
+                member: *id,
+                address: member.address.clone(),
+                voter: member.role == MemberRole::Voter,
+                leader: *id == self.node.id(),
+                matched: progress.map_or(0, |progress| progress.matched),
+                silent_ms: progress.and_then(|progress| progress.silent_ms),
+            }
+        };
+        self.node.membership().members.iter().map(status).collect()
+    }
+
+    fn add_member(&mut self, member: MemberId, address: String, done: Responder<OperatorReply>) {
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            let reason = format!("`{address}` is no address, expected ip:port");
+            return done.send(Ok(OperatorReply::Refused(Refusal::Invalid { reason })));
+        }
+        let known = self.node.membership().members.get(&member);
+        if known.is_some_and(|known| known.address == address) {
+            // A resend of a request whose answer was lost.
+            let detail = format!("{member} is a member already");
+            return done.send(Ok(OperatorReply::MembershipChanged { detail }));
+        }
+        let detail = format!("{member} joins without a vote until it has caught up");
+        let change = MembershipChange::Add {
+            member,
+            address,
+            promote: true,
+        };
+        self.change(change, detail, done);
+    }
+
+    fn change(&mut self, change: MembershipChange, detail: String, done: Responder<OperatorReply>) {
+        match self.node.propose_membership(self.clock.now(), change) {
+            Ok(index) => {
+                let term = self.node.term();
+                self.calls.change(Changing {
+                    index,
+                    term,
+                    done,
+                    detail,
+                });
+            }
+            Err(ProposeError::Membership(error)) => {
+                done.send(Ok(OperatorReply::Refused(refusal(&error))));
+            }
+            Err(error) => done.send(Err(self.rpc_error(error))),
+        }
+    }
+}
+
+fn refusal(error: &MembershipError) -> Refusal {
+    match error {
+        MembershipError::Unknown(member) => Refusal::NotFound {
+            what: member.to_string(),
+        },
+        error => Refusal::Invalid {
+            reason: error.to_string(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,48 @@
+//! Metrics of the control process.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+
+use sapphirepost_process::metrics::Metrics;
+
+/// Metrics of the core and storage threads.
+#[derive(Clone, Debug, Default)]
+pub struct CoreMetrics {
+    /// The term.
+    pub term: Gauge,
+    /// 1 while this member leads.
+    pub is_leader: Gauge,
+    /// The commit index.
+    pub commit: Gauge,
+    /// The applied index.
+    pub applied: Gauge,
+    /// Commands proposed.
+    pub proposals: Counter,
+    /// Syncs of the log.
+    pub syncs: Counter,
+    /// Records made durable.
+    pub synced_records: Counter,
+}
+
+impl CoreMetrics {
+    /// Registers all metrics.
+    pub fn register(metrics: &Metrics) -> CoreMetrics {
+        CoreMetrics {
+            term: metrics.register("control_term", "Current term", Gauge::default()),
+            is_leader: metrics.register("control_is_leader", "1 while leading", Gauge::default()),
+            commit: metrics.register("control_commit_index", "Commit index", Gauge::default()),
+            applied: metrics.register("control_applied_index", "Applied index", Gauge::default()),
+            proposals: metrics.register(
+                "control_proposals",
+                "Commands proposed",
+                Counter::default(),
+            ),
+            syncs: metrics.register("control_syncs", "Syncs of the log", Counter::default()),
+            synced_records: metrics.register(
+                "control_synced_records",
+                "Log records made durable",
+                Counter::default(),
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/requests.rs
@@ -0,0 +1,157 @@
+//! Calls of entries.
+//!
+//! An operator's request and a configuration call wait until a quorum has confirmed this leader,
+//! since their answers count as current. A sync and a claim go to the decisions at once: a lease
+//! is safe by its own bounds, and a claim is granted only by a commit.
+
+use serde_json::Value;
+use serde_json::json;
+
+use sapphirepost_consensus::ProposeError;
+use sapphirepost_process::RpcError;
+use sapphirepost_process::rpc::Responder;
+use sapphirepost_protocol::claim::ClaimBatch;
+use sapphirepost_protocol::claim::ClaimReply;
+use sapphirepost_protocol::config::ConfigReply;
+use sapphirepost_protocol::config::WatchConfig;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::worker::WorkerSync;
+use sapphirepost_protocol::worker::WorkerSyncReply;
+use sapphirepost_types::Millis;
+
+use crate::calls::Reading;
+use crate::calls::Waiting;
+use crate::core::Core;
+
+impl Core {
+    pub(crate) fn operator(
+        &mut self,
+        now: Millis,
+        request: Box<OperatorRequest>,
+        done: Responder<OperatorReply>,
+    ) {
+        let token = self.calls.read(Reading::Operator(request, done));
+        self.start_read(now, token);
+    }
+
+    pub(crate) fn watch_config(
+        &mut self,
+        now: Millis,
+        watch: WatchConfig,
+        done: Responder<ConfigReply>,
+    ) {
+        let token = self.calls.read(Reading::Config(watch, done));
+        self.start_read(now, token);
+    }
+
+    fn start_read(&mut self, now: Millis, token: u64) {
+        let Err(error) = self.node.read_index(now, token) else {
+            return;
+        };
+        if let Some(read) = self.calls.take_read(token) {
+            read.fail(self.rpc_error(error));
+        }
+    }
+
+    /// A quorum has confirmed this leader after the call arrived.
+    pub(crate) fn confirmed(&mut self, token: u64) {
+        match self.calls.take_read(token) {
+            Some(Reading::Operator(request, done)) => self.current_operator(*request, done),
+            Some(Reading::Config(watch, done)) => {
+                let token = self.calls.wait(Waiting::Config(done));
+                self.decide(|decisions, ctx, out| decisions.watch_config(ctx, watch, token, out));
+            }
+            None => {}
+        }
+    }
+
+    fn current_operator(&mut self, request: OperatorRequest, done: Responder<OperatorReply>) {
+        let Some((request, done)) = self.membership_request(request, done) else {
+            return;
+        };
+        let changes = matches!(
+            request,
+            OperatorRequest::Propose(_) | OperatorRequest::Confirm(_)
+        );
+        let token = self.calls.wait(Waiting::Operator { done, changes });
+        self.decide(|decisions, ctx, out| decisions.operator(ctx, request, token, out));
+    }
+
+    pub(crate) fn worker_sync(
+        &mut self,
+        now: Millis,
+        sync: WorkerSync,
+        done: Responder<WorkerSyncReply>,
+    ) {
+        if let Err(error) = self.node.ensure_leading(now) {
+            return done.send(Err(self.rpc_error(error)));
+        }
+        let token = self.calls.wait(Waiting::Worker(done));
+        if !self.decide(|decisions, ctx, out| decisions.worker_sync(ctx, sync, token, out)) {
+            self.calls.reply(token, crate::decisions::Reply::Busy);
+        }
+    }
+
+    pub(crate) fn claims(&mut self, now: Millis, batch: ClaimBatch, done: Responder<ClaimReply>) {
+        if let Err(error) = self.node.ensure_leading(now) {
+            return done.send(Err(self.rpc_error(error)));
+        }
+        let token = self.calls.wait(Waiting::Claims(done));
+        if !self.decide(|decisions, ctx, out| decisions.claims(ctx, batch, token, out)) {
+            self.calls.reply(token, crate::decisions::Reply::Busy);
+        }
+    }
+
+    /// The error of a call that had no effect.
+    pub(crate) fn rpc_error(&self, error: ProposeError) -> RpcError {
+        match error {
+            ProposeError::NotLeader { hint } => {
+                let membership = self.node.membership();
+                let hint = hint.and_then(|leader| self.peers.address(leader, membership));
+                RpcError::NotLeader { hint }
+            }
+            ProposeError::QuorumLost => RpcError::NoQuorum,
+            ProposeError::Busy => RpcError::Busy,
+            ProposeError::Membership(error) => RpcError::Invalid(error.to_string()),
+        }
+    }
+
+    pub(crate) fn not_leading(&self) -> RpcError {
+        self.rpc_error(ProposeError::NotLeader {
+            hint: self.node.leader(),
+        })
+    }
+
+    pub(crate) fn dump(&self) -> Value {
+        let node = &self.node;
+        let members: Vec<Value> = node
+            .membership()
+            .members
+            .iter()
+            .map(|(id, member)| {
+                let progress = node.member_progress(*id);
+                json!({
+                    "member": id.to_string(),
+                    "address": member.address,
+                    "role": member.role,
+                    "matched": progress.map(|progress| progress.matched),
+                    "silent_ms": progress.and_then(|progress| progress.silent_ms),
+                })
+            })
+            .collect();
+        json!({
+            "member": node.id().to_string(),
+            "group": node.group().map(|group| group.to_string()),
+            "role": format!("{:?}", node.role()),
+            "term": node.term(),
+            "leader": node.leader().map(|leader| leader.to_string()),
+            "commit": node.commit(),
+            "applied": self.applied,
+            "last_index": node.last_index(),
+            "members": members,
+            "state_digest": self.state.digest(),
+            "config_version": self.state.config().version().to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,169 @@
+//! Settings of the control process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use sapphirepost_process::SharedKey;
+use sapphirepost_process::logging::LogLevels;
+use sapphirepost_process::settings::Number;
+use sapphirepost_process::settings::Reader;
+use sapphirepost_process::settings::SettingsErrors;
+
+use crate::founders::Founder;
+use crate::founders::Founders;
+
+const ELECTION_TIMEOUT: Number = Number::new(250, 50, 10_000, "ms");
+const HEARTBEAT: Number = Number::new(60, 10, 5_000, "ms");
+const LEASE: Number = Number::new(6_000, 1_000, 60_000, "ms");
+const SNAPSHOT_ENTRIES: Number = Number::new(20_000, 10, 1_000_000, "entries");
+const SEGMENT_BYTES: Number = Number::new(16 << 20, 4096, 1 << 30, "bytes");
+
+/// A heartbeat must fit into an election timeout several times, so that one that is late does not
+/// cause an election.
+const HEARTBEATS_PER_TIMEOUT: u64 = 3;
+
+/// One member of the replicated group of a sapphirepost cluster.
+#[derive(Clone, Debug, Default, FromArgs)]
+pub struct Flags {
+    /// directory with the log, the snapshots and the identity of this member
+    #[argh(option)]
+    pub data_dir: Option<String>,
+    /// address of the inner listener, as ip:port
+    #[argh(option)]
+    pub inner_address: Option<String>,
+    /// inner address under which other members reach this one; default: the inner address
+    #[argh(option)]
+    pub advertise_address: Option<String>,
+    /// address of the admin listener, as ip:port
+    #[argh(option)]
+    pub admin_address: Option<String>,
+    /// file with the key of the inner protocol
+    #[argh(option)]
+    pub inner_key_file: Option<String>,
+    /// first voters of a new group, as member<number>@ip:port,...; ignored once the data
+    /// directory holds a log
+    #[argh(option)]
+    pub bootstrap: Option<String>,
+    /// shortest election timeout in milliseconds
+    #[argh(option)]
+    pub election_timeout_ms: Option<String>,
+    /// time between heartbeats of the leader in milliseconds
+    #[argh(option)]
+    pub heartbeat_ms: Option<String>,
+    /// length of a worker's lease in milliseconds
+    #[argh(option)]
+    pub lease_ms: Option<String>,
+    /// entries between two snapshots
+    #[argh(option)]
+    pub snapshot_entries: Option<String>,
+    /// size of a log segment in bytes
+    #[argh(option)]
+    pub segment_bytes: Option<String>,
+    /// log levels, as <level>[,<module>=<level>]...
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// create the data directory, print the identity of this member and exit
+    #[argh(switch)]
+    pub init: bool,
+    /// check the settings and exit
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// What the process is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Check the settings.
+    Check,
+    /// Create the data directory.
+    Init,
+    /// Run.
+    Run,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What to do.
+    pub mode: Mode,
+    /// The data directory.
+    pub data_dir: PathBuf,
+    /// Where the inner listener binds.
+    pub inner_address: SocketAddr,
+    /// Where other members reach this one.
+    pub advertise_address: SocketAddr,
+    /// Where the admin listener binds.
+    pub admin_address: SocketAddr,
+    /// The key of the inner protocol.
+    pub inner_key: SharedKey,
+    /// The first voters.
+    pub founders: Founders,
+    /// The shortest election timeout.
+    pub election_timeout_ms: u64,
+    /// Time between heartbeats.
+    pub heartbeat_ms: u64,
+    /// Length of a worker's lease.
+    pub lease_ms: u64,
+    /// Entries between two snapshots.
+    pub snapshot_entries: u64,
+    /// Size of a log segment.
+    pub segment_bytes: u64,
+    /// Log levels.
+    pub log_levels: LogLevels,
+}
+
+impl Settings {
+    /// Checks all settings.
+    pub fn read(flags: Flags, reader: &mut Reader) -> Result<Settings, SettingsErrors> {
+        let mode = match (flags.check, flags.init) {
+            (true, _) => Mode::Check,
+            (false, true) => Mode::Init,
+            (false, false) => Mode::Run,
+        };
+        let data_dir = reader.path("data-dir", flags.data_dir);
+        let inner_address = reader.required("inner-address", flags.inner_address);
+        let advertise_address = reader.optional("advertise-address", flags.advertise_address);
+        let admin_address = reader.required("admin-address", flags.admin_address);
+        let has_key = flags.inner_key_file.is_some();
+        let inner_key = reader.key_file("inner-key-file", flags.inner_key_file);
+        if inner_key.is_none() && !has_key {
+            reader.error("inner-key-file", "must be given".to_owned());
+        }
+        let founders: Vec<Founder> = reader.list("bootstrap", flags.bootstrap);
+        let timeout = flags.election_timeout_ms;
+        let election_timeout_ms = reader.number("election-timeout-ms", timeout, ELECTION_TIMEOUT);
+        let heartbeat_ms = reader.number("heartbeat-ms", flags.heartbeat_ms, HEARTBEAT);
+        if heartbeat_ms * HEARTBEATS_PER_TIMEOUT > election_timeout_ms {
+            let problem = format!(
+                "must be at most {} ms",
+                election_timeout_ms / HEARTBEATS_PER_TIMEOUT
+            );
+            reader.error("heartbeat-ms", problem);
+        }
+        let lease_ms = reader.number("lease-ms", flags.lease_ms, LEASE);
+        let entries = flags.snapshot_entries;
+        let snapshot_entries = reader.number("snapshot-entries", entries, SNAPSHOT_ENTRIES);
+        let segment_bytes = reader.number("segment-bytes", flags.segment_bytes, SEGMENT_BYTES);
+        let log_levels = reader.value("log-level", flags.log_level, LogLevels::default());
+        reader.finish(|| {
+            let inner_address = inner_address?;
+            Some(Settings {
+                mode,
+                data_dir: data_dir?,
+                inner_address,
+                advertise_address: advertise_address.unwrap_or(inner_address),
+                admin_address: admin_address?,
+                inner_key: inner_key?,
+                founders: Founders(founders),
+                election_timeout_ms,
+                heartbeat_ms,
+                lease_ms,
+                snapshot_entries,
+                segment_bytes,
+                log_levels,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/start.rs
@@ -0,0 +1,183 @@
+//! Assembles the process and runs it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+
+use sapphirepost_consensus::Config;
+use sapphirepost_consensus::Node;
+use sapphirepost_consensus::Restored;
+use sapphirepost_process::Readiness;
+use sapphirepost_process::SystemClock;
+use sapphirepost_process::admin::AdminParts;
+use sapphirepost_process::admin::AdminServer;
+use sapphirepost_process::admin::DumpError;
+use sapphirepost_process::admin::DumpSource;
+use sapphirepost_process::metrics::Metrics;
+use sapphirepost_process::rpc;
+use sapphirepost_process::rpc::RpcServer;
+use sapphirepost_process::rpc::RpcServerConfig;
+use sapphirepost_process::shutdown;
+use sapphirepost_state::State;
+use sapphirepost_storage::DiskOptions;
+use sapphirepost_storage::DiskStore;
+use sapphirepost_storage::LogStore;
+use sapphirepost_types::Clock;
+use sapphirepost_types::MemberId;
+
+use crate::calls::Calls;
+use crate::core::Core;
+use crate::core::LedState;
+use crate::event::Event;
+use crate::event::EventRing;
+use crate::founders::Founders;
+use crate::leading;
+use crate::methods;
+use crate::metrics::CoreMetrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::snapshots::Snapshots;
+use crate::storage_thread::StorageThread;
+
+/// Threads of the asynchronous runtime; the decisions run on the core thread.
+const NETWORK_THREADS: usize = 2;
+/// How long the admin listener waits for a dump.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long replies that were just answered may take to leave the process at its end.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// Creates the data directory, if it is new, and returns the identity of this member.
+pub fn init(settings: &Settings) -> anyhow::Result<MemberId> {
+    Ok(open(settings)?.member())
+}
+
+/// Runs the process until it is asked to stop.
+pub fn run(settings: Settings) -> anyhow::Result<()> {
+    let mut store = open(&settings)?;
+    let member = store.member();
+    let restored = restore_or_found(&mut store, &settings.founders)?;
+    let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
+    let (ring, events) = EventRing::new();
+    let metrics = Metrics::new();
+    let core_metrics = CoreMetrics::register(&metrics);
+    let storage = StorageThread::start(Box::new(store), ring.clone(), core_metrics.clone())?;
+
+    let server_config =
+        RpcServerConfig::new(settings.inner_address, Some(settings.inner_key.clone()));
+    let server = RpcServer::start(runtime.handle(), server_config, methods::methods(&ring)?)?;
+    let readiness = Readiness::new();
+    readiness.block("consensus", "no leader is known");
+    let dump = dump_source(ring.clone());
+    let parts = AdminParts {
+        readiness: readiness.clone(),
+        metrics,
+        dump,
+    };
+    let admin = AdminServer::start(settings.admin_address, parts)?;
+    let signals = ring.clone();
+    shutdown::on_shutdown(move |kind| signals.message(Event::Shutdown(kind)))
+        .context("cannot handle signals")?;
+    log::info!(member:%, inner:% = server.address(), admin:% = admin.address(); "started");
+
+    let peers = Peers::new(
+        runtime.handle().clone(),
+        settings.inner_key.clone(),
+        member,
+        settings.advertise_address.to_string(),
+    );
+    let core = core(
+        &settings,
+        member,
+        restored,
+        peers,
+        &storage,
+        readiness,
+        core_metrics,
+    )?;
+    let result = core.run(&events);
+    server.stop();
+    // The storage thread ends by itself once the core and snapshot threads have dropped the ring.
+    if result.is_ok() {
+        drop(events);
+        storage.finish();
+    }
+    runtime.shutdown_timeout(LINGER);
+    log::info!("stopped");
+    Ok(result?)
+}
+
+fn open(settings: &Settings) -> anyhow::Result<DiskStore> {
+    let options = DiskOptions {
+        segment_bytes: settings.segment_bytes,
+    };
+    DiskStore::open(&settings.data_dir, options).context("cannot open the data directory")
+}
+
+/// Restores the log; a first voter with an empty log founds the group.
+fn restore_or_found(store: &mut DiskStore, founders: &Founders) -> anyhow::Result<Restored> {
+    let mut restored = store.restore()?;
+    let member = store.member();
+    if !restored.is_empty() {
+        return Ok(restored);
+    }
+    if !founders.contains(member) {
+        log::warn!(member:%; "not a first voter; waiting to be added as a member");
+        return Ok(restored);
+    }
+    let records = founders.records();
+    store.append(&records)?;
+    store.sync()?;
+    records
+        .into_iter()
+        .for_each(|record| restored.apply(record));
+    Ok(restored)
+}
+
+fn core(
+    settings: &Settings,
+    member: MemberId,
+    restored: Restored,
+    peers: Peers,
+    storage: &StorageThread,
+    readiness: Readiness,
+    metrics: CoreMetrics,
+) -> anyhow::Result<Core> {
+    let clock = Arc::new(SystemClock::new());
+    let (state, applied) = match &restored.snapshot {
+        Some(snapshot) => (State::restore(&snapshot.data)?, snapshot.meta.index),
+        None => (State::new(), 0),
+    };
+    let seed = clock.unix_ms();
+    let mut config = Config::new(member, seed);
+    config.election_timeout_ms = settings.election_timeout_ms;
+    config.heartbeat_ms = settings.heartbeat_ms;
+    let node = Node::new(config, restored, clock.now());
+    let jobs = storage.jobs();
+    let snapshots = Snapshots::start(settings.snapshot_entries, applied, jobs.clone())?;
+    Ok(Core {
+        clock,
+        node,
+        state,
+        applied,
+        calls: Calls::default(),
+        peers,
+        jobs,
+        snapshots,
+        readiness,
+        metrics,
+        make_decisions: leading::make(member, settings.lease_ms),
+        led: LedState::default(),
+    })
+}
+
+fn dump_source(ring: EventRing) -> DumpSource {
+    Arc::new(move || {
+        let (sender, receiver) = flume::bounded(1);
+        let reply = Box::new(move |dump| drop(sender.try_send(dump)));
+        ring.call(Event::Dump(reply)).map_err(|_| DumpError::Busy)?;
+        receiver
+            .recv_timeout(DUMP_TIMEOUT)
+            .map_err(|_| DumpError::TimedOut)
+    })
+}
