Test the storage thread

Cause: group commit and the stop after a failed sync had no check. Change: a slow and a failing store drive the thread. Figures: 199 records queued behind one sync of 30 ms need at most three more syncs.

--- /dev/null
+++ b/crates/control/tests/storage_thread.rs
@@ -0,0 +1,114 @@
+//! Group commit and failed syncs.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sapphirepost_consensus::HardState;
+use sapphirepost_consensus::Record;
+use sapphirepost_consensus::Restored;
+use sapphirepost_consensus::SnapshotMeta;
+use sapphirepost_control::CoreMetrics;
+use sapphirepost_control::Event;
+use sapphirepost_control::EventRing;
+use sapphirepost_control::Job;
+use sapphirepost_control::StorageThread;
+use sapphirepost_storage::LogStore;
+use sapphirepost_storage::MemoryStore;
+use sapphirepost_storage::StoreError;
+
+const SYNC: Duration = Duration::from_millis(30);
+
+/// A disk with slow syncs.
+struct SlowStore {
+    inner: MemoryStore,
+    syncs: Arc<AtomicU64>,
+}
+
+impl LogStore for SlowStore {
+    fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        self.inner.append(records)
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        thread::sleep(SYNC);
+        self.syncs.fetch_add(1, Ordering::SeqCst);
+        self.inner.sync()
+    }
+
+    fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        self.inner.save_snapshot(meta, data)
+    }
+
+    fn restore(&mut self) -> Result<Restored, StoreError> {
+        self.inner.restore()
+    }
+}
+
+fn job(number: u64) -> Job {
+    let records = vec![Record::HardState(HardState {
+        term: number,
+        ..HardState::default()
+    })];
+    Job::Persist {
+        number,
+        snapshot: None,
+        records,
+        messages: Vec::new(),
+    }
+}
+
+fn persisted(event: Event) -> u64 {
+    match event {
+        Event::Persisted(upto, _) => upto.number,
+        _ => panic!("unexpected event"),
+    }
+}
+
+/// Guards against one sync per record under load, and against a wait when the disk is idle.
+#[test]
+fn queued_records_share_one_sync() {
+    let syncs = Arc::new(AtomicU64::new(0));
+    let store = SlowStore {
+        inner: MemoryStore::new(),
+        syncs: syncs.clone(),
+    };
+    let (ring, events) = EventRing::new();
+    let storage = StorageThread::start(Box::new(store), ring, CoreMetrics::default()).unwrap();
+    let start = Instant::now();
+    storage.jobs().send(job(1)).unwrap();
+    assert_eq!(persisted(events.recv().unwrap()), 1);
+    assert!(start.elapsed() < 2 * SYNC, "an idle disk must sync at once");
+    for number in 2..=200 {
+        storage.jobs().send(job(number)).unwrap();
+    }
+    let mut last = 0;
+    while last < 200 {
+        last = persisted(events.recv_timeout(Duration::from_secs(10)).unwrap());
+    }
+    assert!(
+        syncs.load(Ordering::SeqCst) <= 4,
+        "199 queued records need two or three syncs"
+    );
+    storage.finish();
+}
+
+/// Guards against an acknowledgement after a failed sync.
+#[test]
+fn a_failed_sync_ends_the_storage() {
+    let mut store = MemoryStore::new();
+    store.fail_syncs();
+    let (ring, events) = EventRing::new();
+    let storage = StorageThread::start(Box::new(store), ring, CoreMetrics::default()).unwrap();
+    storage.jobs().send(job(1)).unwrap();
+    let first = events.recv_timeout(Duration::from_secs(10)).unwrap();
+    assert!(matches!(first, Event::StorageFailed(_)));
+    assert!(
+        events.recv_timeout(Duration::from_secs(10)).is_err(),
+        "nothing may follow"
+    );
+    assert!(storage.jobs().send(job(2)).is_err());
+}
