Run control processes with the leader's decisions and test them

Ruled out: comparing operation ids with the leader's clock only (members would differ). Change: the trait is replaced by Leader over Placer; a new leader first commits a command that moves the state's clock, and holds confirmed calls until then. Process tests kill, freeze, cut off and empty real processes.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -4,6 +4,8 @@
 
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::Term;
+use sapphirepost_leader::Reply;
+use sapphirepost_leader::ReplyToken;
 use sapphirepost_process::RpcError;
 use sapphirepost_process::rpc::Responder;
 use sapphirepost_protocol::claim::ClaimReply;
@@ -13,9 +15,6 @@
 use sapphirepost_protocol::operator::OperatorRequest;
 use sapphirepost_protocol::worker::WorkerSyncReply;
 
-use crate::decisions::Reply;
-use crate::decisions::ReplyToken;
-
 /// A call that was handed to the leader's decisions.
 pub(crate) enum Waiting {
     /// An operator's call; `changes` if it may have an effect.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -21,20 +21,21 @@
 use sapphirepost_consensus::Role;
 use sapphirepost_consensus::SnapshotMeta;
 use sapphirepost_consensus::Term;
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::Output;
 use sapphirepost_process::Readiness;
 use sapphirepost_process::RpcError;
 use sapphirepost_process::shutdown::Shutdown;
 use sapphirepost_state::Command;
+use sapphirepost_state::Request;
 use sapphirepost_state::State;
 use sapphirepost_types::Clock;
 use sapphirepost_types::Millis;
 
 use crate::calls::Calls;
-use crate::decisions::Context;
-use crate::decisions::Decisions;
-use crate::decisions::MakeDecisions;
-use crate::decisions::Output;
 use crate::event::Event;
+use crate::leading::Leading;
 use crate::metrics::CoreMetrics;
 use crate::peers::Peers;
 use crate::snapshots::Snapshots;
@@ -66,7 +67,7 @@
 /// The decisions of a term.
 struct Led {
     term: Term,
-    decisions: Box<dyn Decisions>,
+    leader: Leader,
     ticked: Millis,
 }
 
@@ -81,7 +82,7 @@
     pub(crate) snapshots: Snapshots,
     pub(crate) readiness: Readiness,
     pub(crate) metrics: CoreMetrics,
-    pub(crate) make_decisions: MakeDecisions,
+    pub(crate) leading: Leading,
     pub(crate) led: LedState,
 }
 
@@ -92,6 +93,10 @@
     output: Output,
     /// Commands that the node has not taken yet.
     backlog: VecDeque<Command>,
+    /// The command that moves the state's clock at the start of a term.
+    clock_command: Option<(Term, Index)>,
+    /// Confirmed calls that wait for the decisions.
+    early: Vec<u64>,
     /// When a graceful stop no longer waits.
     stop_by: Option<Millis>,
 }
@@ -204,6 +209,9 @@
             log::info!(role:? = change.role, term = change.term, leader; "role changed");
         }
         self.follow_role();
+        if !ready.committed.is_empty() {
+            self.decide(|leader, ctx, out| leader.tick(ctx, out));
+        }
         for token in ready.aborted_reads {
             if let Some(read) = self.calls.take_read(token) {
                 read.fail(self.not_leading());
@@ -228,8 +236,8 @@
                 let command: Result<Command, _> = serde_json::from_slice(bytes);
                 let command = command.map_err(|error| apply_error(entry.index, error))?;
                 let outcome = self.state.apply(entry.index, &command);
-                self.decide(|decisions, ctx, out| {
-                    decisions.applied(ctx, entry.index, &command, &outcome, out);
+                self.decide(|leader, ctx, out| {
+                    leader.applied(ctx, entry.index, &command, &outcome, out);
                 });
             }
         }
@@ -240,39 +248,79 @@
     fn follow_role(&mut self) {
         let is_leading = self.node.role() == Role::Leader;
         let term = self.node.term();
-        if self
+        let is_other_term = self
             .led
             .current
             .as_ref()
-            .is_some_and(|led| !is_leading || led.term != term)
-        {
+            .is_some_and(|led| led.term != term);
+        if !is_leading || is_other_term {
             self.led.current = None;
             self.led.output = Output::default();
             self.led.backlog.clear();
+            self.led.early.clear();
             let error = self.not_leading();
             self.calls.abandon(&error);
         }
-        if self.led.current.is_none() && self.node.is_own_term_committed() {
-            let ticked = self.clock.now();
-            let ctx = Context {
-                state: &self.state,
-                now: ticked,
-                unix_ms: self.clock.unix_ms(),
-            };
-            let decisions = (self.make_decisions)(term, &ctx);
-            self.led.current = Some(Led {
-                term,
-                decisions,
-                ticked,
-            });
-            log::info!(term; "leading");
+        if self.led.current.is_none() && self.is_clock_current(term) {
+            self.start_leading(term);
+        }
+    }
+
+    /// Whether the state's clock was moved in this term. It stands still while no member leads,
+    /// and the state compares the ids of operations with it.
+    fn is_clock_current(&mut self, term: Term) -> bool {
+        if !self.node.is_own_term_committed() {
+            return false;
+        }
+        if let Some((proposed, index)) = self.led.clock_command
+            && proposed == term
+        {
+            return self.applied >= index;
+        }
+        let at_unix_ms = self.clock.unix_ms().max(self.state.clock_unix_ms());
+        let command = Command {
+            at_unix_ms,
+            request: Request::Tick,
+        };
+        if let Ok(bytes) = serde_json::to_vec(&command) {
+            let proposed = self.node.propose(self.clock.now(), Bytes::from(bytes));
+            self.led.clock_command = proposed.ok().map(|index| (term, index));
         }
+        false
+    }
+
+    fn start_leading(&mut self, term: Term) {
+        let ticked = self.clock.now();
+        let ctx = Context {
+            state: &self.state,
+            now: ticked,
+            unix_ms: self.clock.unix_ms(),
+        };
+        let leader = self.leading.leader(term, &ctx);
+        self.led.current = Some(Led {
+            term,
+            leader,
+            ticked,
+        });
+        log::info!(term; "leading");
+        for token in std::mem::take(&mut self.led.early) {
+            self.confirmed(token);
+        }
+    }
+
+    pub(crate) fn is_leading(&self) -> bool {
+        self.led.current.is_some()
+    }
+
+    /// Keeps a confirmed call until the decisions are made.
+    pub(crate) fn hold(&mut self, token: u64) {
+        self.led.early.push(token);
     }
 
     /// Calls the decisions, if this member leads. Returns whether it does.
     pub(crate) fn decide(
         &mut self,
-        call: impl FnOnce(&mut dyn Decisions, &Context<'_>, &mut Output),
+        call: impl FnOnce(&mut Leader, &Context<'_>, &mut Output),
     ) -> bool {
         let Some(led) = &mut self.led.current else {
             return false;
@@ -283,7 +331,7 @@
             now,
             unix_ms,
         };
-        call(led.decisions.as_mut(), &ctx, &mut self.led.output);
+        call(&mut led.leader, &ctx, &mut self.led.output);
         true
     }
 
@@ -294,7 +342,7 @@
         };
         if now.since(led.ticked) >= DECISION_INTERVAL_MS {
             led.ticked = now;
-            self.decide(|decisions, ctx, out| decisions.tick(ctx, out));
+            self.decide(|leader, ctx, out| leader.tick(ctx, out));
         }
     }
 
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -1,51 +1,33 @@
-//! The decisions of a leader, until the package `leader` provides them.
+//! Makes the decisions of a term that this member leads.
 
-use sapphirepost_protocol::claim::ClaimBatch;
-use sapphirepost_protocol::config::WatchConfig;
-use sapphirepost_protocol::operator::OperatorRequest;
-use sapphirepost_protocol::worker::WorkerSync;
-use sapphirepost_state::Command;
-use sapphirepost_state::Outcome;
+use sapphirepost_consensus::Term;
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::LeaderConfig;
+use sapphirepost_placement::PlacementConfig;
+use sapphirepost_placement::Placer;
 use sapphirepost_types::MemberId;
 
-use crate::decisions::Context;
-use crate::decisions::Decisions;
-use crate::decisions::MakeDecisions;
-use crate::decisions::Output;
-use crate::decisions::Reply;
-use crate::decisions::ReplyToken;
+use crate::placer::ConnectedPlacer;
 
-struct None;
-
-pub(crate) fn make(_member: MemberId, _lease_ms: u64) -> MakeDecisions {
-    Box::new(|_, _| Box::new(None))
+/// Settings of the decisions.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leading {
+    pub(crate) member: MemberId,
+    pub(crate) lease_ms: u64,
 }
 
-impl Decisions for None {
-    fn operator(
-        &mut self,
-        _: &Context<'_>,
-        _: OperatorRequest,
-        token: ReplyToken,
-        out: &mut Output,
-    ) {
-        out.replies.push((token, Reply::Busy));
-    }
-    fn worker_sync(&mut self, _: &Context<'_>, _: WorkerSync, token: ReplyToken, out: &mut Output) {
-        out.replies.push((token, Reply::Busy));
-    }
-    fn claims(&mut self, _: &Context<'_>, _: ClaimBatch, token: ReplyToken, out: &mut Output) {
-        out.replies.push((token, Reply::Busy));
-    }
-    fn watch_config(
-        &mut self,
-        _: &Context<'_>,
-        _: WatchConfig,
-        token: ReplyToken,
-        out: &mut Output,
-    ) {
-        out.replies.push((token, Reply::Busy));
+impl Leading {
+    /// The decisions over the state as applied by a new leader.
+    pub(crate) fn leader(&self, term: Term, ctx: &Context<'_>) -> Leader {
+        let config = LeaderConfig {
+            member: self.member,
+            term,
+            lease_ms: self.lease_ms,
+            ..LeaderConfig::default()
+        };
+        let placer = Placer::new(PlacementConfig::default(), ctx.unix_ms ^ term);
+        let placing = Box::new(ConnectedPlacer(placer));
+        Leader::with_placing(config, placing, ctx.state, ctx.now, ctx.unix_ms)
     }
-    fn applied(&mut self, _: &Context<'_>, _: u64, _: &Command, _: &Outcome, _: &mut Output) {}
-    fn tick(&mut self, _: &Context<'_>, _: &mut Output) {}
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod calls;
 mod core;
-mod decisions;
 mod event;
 mod founders;
 mod leading;
@@ -14,6 +13,7 @@
 mod methods;
 mod metrics;
 mod peers;
+mod placer;
 mod requests;
 mod settings;
 mod snapshots;
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use sapphirepost_consensus::ProposeError;
+use sapphirepost_leader::Reply;
 use sapphirepost_process::RpcError;
 use sapphirepost_process::rpc::Responder;
 use sapphirepost_protocol::claim::ClaimBatch;
@@ -56,11 +57,14 @@
 
     /// A quorum has confirmed this leader after the call arrived.
     pub(crate) fn confirmed(&mut self, token: u64) {
+        if !self.is_leading() {
+            return self.hold(token);
+        }
         match self.calls.take_read(token) {
             Some(Reading::Operator(request, done)) => self.current_operator(*request, done),
             Some(Reading::Config(watch, done)) => {
                 let token = self.calls.wait(Waiting::Config(done));
-                self.decide(|decisions, ctx, out| decisions.watch_config(ctx, watch, token, out));
+                self.decide(|leader, ctx, out| leader.watch_config(ctx, watch, token, out));
             }
             None => {}
         }
@@ -75,7 +79,7 @@
             OperatorRequest::Propose(_) | OperatorRequest::Confirm(_)
         );
         let token = self.calls.wait(Waiting::Operator { done, changes });
-        self.decide(|decisions, ctx, out| decisions.operator(ctx, request, token, out));
+        self.decide(|leader, ctx, out| leader.operator(ctx, request, token, out));
     }
 
     pub(crate) fn worker_sync(
@@ -88,8 +92,8 @@
             return done.send(Err(self.rpc_error(error)));
         }
         let token = self.calls.wait(Waiting::Worker(done));
-        if !self.decide(|decisions, ctx, out| decisions.worker_sync(ctx, sync, token, out)) {
-            self.calls.reply(token, crate::decisions::Reply::Busy);
+        if !self.decide(|leader, ctx, out| leader.worker_sync(ctx, sync, token, out)) {
+            self.calls.reply(token, Reply::Busy);
         }
     }
 
@@ -98,8 +102,8 @@
             return done.send(Err(self.rpc_error(error)));
         }
         let token = self.calls.wait(Waiting::Claims(done));
-        if !self.decide(|decisions, ctx, out| decisions.claims(ctx, batch, token, out)) {
-            self.calls.reply(token, crate::decisions::Reply::Busy);
+        if !self.decide(|leader, ctx, out| leader.claims(ctx, batch, token, out)) {
+            self.calls.reply(token, Reply::Busy);
         }
     }
 
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -32,7 +32,7 @@
 use crate::event::Event;
 use crate::event::EventRing;
 use crate::founders::Founders;
-use crate::leading;
+use crate::leading::Leading;
 use crate::methods;
 use crate::metrics::CoreMetrics;
 use crate::peers::Peers;
@@ -166,7 +166,10 @@
         snapshots,
         readiness,
         metrics,
-        make_decisions: leading::make(member, settings.lease_ms),
+        leading: Leading {
+            member,
+            lease_ms: settings.lease_ms,
+        },
         led: LedState::default(),
     })
 }
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,335 @@
+//! A cluster of real processes, and an operator that resends until an answer is certain.
+
+#![allow(dead_code)] // Each test binary uses a part of it.
+
+pub mod relay;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+use sapphirepost_process::RpcError;
+use sapphirepost_process::SharedKey;
+use sapphirepost_process::rpc;
+use sapphirepost_process::rpc::RpcClient;
+use sapphirepost_process::rpc::RpcClientConfig;
+use sapphirepost_protocol::method;
+use sapphirepost_protocol::operator::Confirm;
+use sapphirepost_protocol::operator::MemberStatus;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::operator::Propose;
+use sapphirepost_types::Intent;
+use sapphirepost_types::MemberId;
+use sapphirepost_types::Name;
+use sapphirepost_types::OperationId;
+
+use self::relay::Relay;
+
+const KEY: &str = "a-key-for-tests-0123456789";
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+pub struct Process {
+    pub member: MemberId,
+    pub data_dir: PathBuf,
+    pub relay: Relay,
+    pub inner: SocketAddr,
+    pub admin: SocketAddr,
+    child: Option<Child>,
+}
+
+pub struct Cluster {
+    pub processes: Vec<Process>,
+    /// Accepted configuration values.
+    pub accepted: BTreeMap<Name, String>,
+    operations: u64,
+    bootstrap: String,
+    directory: TempDir,
+    runtime: Runtime,
+    extra: Vec<String>,
+}
+
+impl Cluster {
+    /// Starts a group of voters.
+    pub fn start(voters: usize, extra: &[&str]) -> Cluster {
+        let directory = TempDir::new().unwrap();
+        std::fs::write(directory.path().join("key"), KEY).unwrap();
+        let mut cluster = Cluster {
+            processes: Vec::new(),
+            accepted: BTreeMap::new(),
+            operations: 0,
+            bootstrap: String::new(),
+            directory,
+            runtime: rpc::runtime(2).unwrap(),
+            extra: extra.iter().map(|text| (*text).to_owned()).collect(),
+        };
+        for _ in 0..voters {
+            cluster.create();
+        }
+        let founders = cluster
+            .processes
+            .iter()
+            .map(|p| format!("{}@{}", p.member, p.relay.address));
+        cluster.bootstrap = founders.collect::<Vec<_>>().join(",");
+        for index in 0..voters {
+            cluster.spawn(index);
+        }
+        cluster
+    }
+
+    /// Draws an identity in a new data directory.
+    pub fn create(&mut self) -> usize {
+        let index = self.processes.len();
+        let (inner, admin) = (free_address(), free_address());
+        self.processes.push(Process {
+            member: MemberId(0),
+            data_dir: self.directory.path().join(format!("data{index}")),
+            relay: Relay::start(inner),
+            inner,
+            admin,
+            child: None,
+        });
+        self.draw_identity(index);
+        index
+    }
+
+    pub fn draw_identity(&mut self, index: usize) {
+        let output = self.command(index, &["--init"]).output().unwrap();
+        assert!(output.status.success(), "{output:?}");
+        let text = String::from_utf8(output.stdout).unwrap();
+        self.processes[index].member = text.trim().parse().unwrap();
+    }
+
+    fn command(&self, index: usize, more: &[&str]) -> Command {
+        let process = &self.processes[index];
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirepost-control"));
+        command.arg("--data-dir").arg(&process.data_dir);
+        command
+            .arg("--inner-key-file")
+            .arg(self.directory.path().join("key"));
+        command.args(["--inner-address", &process.inner.to_string()]);
+        command.args(["--advertise-address", &process.relay.address.to_string()]);
+        command.args(["--admin-address", &process.admin.to_string()]);
+        if !self.bootstrap.is_empty() {
+            command.args(["--bootstrap", &self.bootstrap]);
+        }
+        command.args(&self.extra).args(more).stdin(Stdio::null());
+        command
+    }
+
+    pub fn spawn(&mut self, index: usize) {
+        let log = self.directory.path().join(format!("log{index}"));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .unwrap();
+        let child = self.command(index, &[]).stderr(log).spawn().unwrap();
+        self.processes[index].child = Some(child);
+    }
+
+    /// Runs a second process on the directory of another one, to its end.
+    pub fn run_again(&self, index: usize) -> Output {
+        self.command(index, &[]).output().unwrap()
+    }
+
+    /// Ends a process with SIGKILL.
+    pub fn kill(&mut self, index: usize) {
+        let mut child = self.processes[index].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Sends a signal by process id.
+    pub fn signal(&self, index: usize, signal: &str) {
+        let id = self.processes[index]
+            .child
+            .as_ref()
+            .unwrap()
+            .id()
+            .to_string();
+        assert!(
+            Command::new("kill")
+                .args([signal, &id])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    /// Waits for the end of a process and returns whether it reported success.
+    pub fn wait(&mut self, index: usize) -> bool {
+        self.processes[index]
+            .child
+            .take()
+            .unwrap()
+            .wait()
+            .unwrap()
+            .success()
+    }
+
+    pub fn dump(&self, index: usize) -> Option<Value> {
+        let url = format!("http://{}/dump", self.processes[index].admin);
+        let response = attohttpc::get(url)
+            .timeout(Duration::from_millis(500))
+            .send()
+            .ok()?;
+        response.json().ok()
+    }
+
+    pub fn call(&self, index: usize, request: &OperatorRequest) -> Result<OperatorReply, RpcError> {
+        let key = SharedKey::new(KEY).unwrap();
+        let config = RpcClientConfig::new(self.processes[index].inner.to_string(), Some(key));
+        let client = RpcClient::new(self.runtime.handle().clone(), config);
+        client.call_blocking(method::OPERATOR, request, CALL_TIMEOUT)
+    }
+
+    /// Resends a request to all processes until one answers it.
+    pub fn operate(&self, request: &OperatorRequest) -> OperatorReply {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            for index in 0..self.processes.len() {
+                if self.processes[index].child.is_some()
+                    && let Ok(reply) = self.call(index, request)
+                {
+                    return reply;
+                }
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no answer to {request:?}: {:?}", self.dumps());
+    }
+
+    pub fn dumps(&self) -> Vec<Option<Value>> {
+        (0..self.processes.len())
+            .map(|index| self.dump(index))
+            .collect()
+    }
+
+    fn operation(&mut self) -> OperationId {
+        self.operations += 1;
+        let unix = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap();
+        format!("{}-test{}", unix.as_millis(), self.operations)
+            .parse()
+            .unwrap()
+    }
+
+    /// Changes a configuration value; returns when that is accepted.
+    pub fn set(&mut self) {
+        let (operation, confirmation) = (self.operation(), self.operation());
+        let key = Name::new(&format!("key{}", self.operations)).unwrap();
+        let value = format!("value{}", self.operations);
+        let intent = Intent::SetConfig {
+            key: key.clone(),
+            value: Some(value.clone()),
+            expected: None,
+        };
+        let reply = self.operate(&OperatorRequest::Propose(Propose { operation, intent }));
+        let OperatorReply::Plan(plan) = reply else {
+            panic!("{reply:?}")
+        };
+        let confirm = Confirm {
+            operation: confirmation,
+            plan: plan.id,
+        };
+        let reply = self.operate(&OperatorRequest::Confirm(confirm));
+        assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
+        self.accepted.insert(key, value);
+    }
+
+    /// Checks that exactly the accepted values are in force.
+    pub fn check_accepted(&self) {
+        let reply = self.operate(&OperatorRequest::GetConfig);
+        let OperatorReply::Config { version, values } = reply else {
+            panic!("{reply:?}")
+        };
+        assert_eq!(values, self.accepted);
+        assert_eq!(
+            version.0,
+            self.accepted.len() as u64,
+            "a change was applied twice"
+        );
+    }
+
+    pub fn members(&self) -> Vec<MemberStatus> {
+        match self.operate(&OperatorRequest::ListMembers) {
+            OperatorReply::Members(members) => members,
+            reply => panic!("{reply:?}"),
+        }
+    }
+
+    /// The leader as the group sees it.
+    pub fn leader(&self) -> usize {
+        let leader = self
+            .members()
+            .into_iter()
+            .find(|member| member.leader)
+            .unwrap()
+            .member;
+        self.processes
+            .iter()
+            .position(|process| process.member == leader)
+            .unwrap()
+    }
+
+    pub fn wait_for(&self, what: &str, condition: impl Fn(&Cluster) -> bool) {
+        let start = Instant::now();
+        while !condition(self) {
+            assert!(start.elapsed() < PATIENCE, "{what}: {:?}", self.dumps());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until all processes show the same state.
+    pub fn wait_until_equal(&self) {
+        let shown = |cluster: &Cluster, index| {
+            let dump = cluster.dump(index)?;
+            Some((dump["applied"].clone(), dump["state_digest"].clone()))
+        };
+        self.wait_for("the members differ", |cluster| {
+            let first = shown(cluster, 0);
+            first.is_some() && (1..cluster.processes.len()).all(|i| shown(cluster, i) == first)
+        });
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if thread::panicking() {
+            for index in 0..self.processes.len() {
+                let log =
+                    std::fs::read_to_string(self.directory.path().join(format!("log{index}")));
+                eprintln!("--- log of process {index}\n{}", log.unwrap_or_default());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/common/relay.rs
@@ -0,0 +1,90 @@
+//! A TCP relay in front of a process, to cut or silence its incoming connections.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+#[derive(Default)]
+struct Control {
+    is_cut: AtomicBool,
+    /// Connections of an earlier generation swallow everything.
+    generation: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+pub struct Relay {
+    pub address: SocketAddr,
+    control: Arc<Control>,
+}
+
+impl Relay {
+    pub fn start(target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let control = Arc::new(Control::default());
+        let shared = control.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if !shared.is_cut.load(Ordering::SeqCst) {
+                    let _ = connect(stream, target, &shared);
+                }
+            }
+        });
+        Relay { address, control }
+    }
+
+    /// Closes all connections and admits no new ones.
+    pub fn cut(&self) {
+        self.control.is_cut.store(true, Ordering::SeqCst);
+        for stream in self.control.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn heal(&self) {
+        self.control.is_cut.store(false, Ordering::SeqCst);
+    }
+
+    /// Open connections stay open but carry nothing any more; new ones work.
+    pub fn silence_open(&self) {
+        self.control.generation.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+fn connect(inward: TcpStream, target: SocketAddr, control: &Arc<Control>) -> std::io::Result<()> {
+    let outward = TcpStream::connect(target)?;
+    let generation = control.generation.load(Ordering::SeqCst);
+    for stream in [&inward, &outward] {
+        stream.set_nodelay(true)?;
+        control.open.lock().unwrap().push(stream.try_clone()?);
+    }
+    let pairs = [
+        (inward.try_clone()?, outward.try_clone()?),
+        (outward, inward),
+    ];
+    for (from, to) in pairs {
+        let control = control.clone();
+        thread::spawn(move || copy(from, to, generation, &control));
+    }
+    Ok(())
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, generation: u64, control: &Control) {
+    let mut buffer = [0; 16 * 1024];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        let is_silent = control.generation.load(Ordering::SeqCst) != generation;
+        if !is_silent && to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/control/tests/processes.rs
@@ -0,0 +1,190 @@
+//! The real program, killed, frozen, cut off and without its disk.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sapphirepost_process::RpcError;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+
+use crate::common::Cluster;
+
+/// Guards against accepted operations that get lost, or are applied twice, when leaders die.
+#[test]
+fn accepted_operations_survive_kills() {
+    let mut cluster = Cluster::start(3, &["--snapshot-entries", "20", "--segment-bytes", "4096"]);
+    cluster.set();
+    let mut waits = Vec::new();
+    let kills = std::env::var("SAPPHIREPOST_TEST_KILLS").map_or(6, |text| text.parse().unwrap());
+    for _ in 0..kills {
+        (0..10).for_each(|_| cluster.set());
+        let leader = cluster.leader();
+        let start = Instant::now();
+        cluster.kill(leader);
+        cluster.set();
+        waits.push(start.elapsed().as_millis());
+        cluster.spawn(leader);
+    }
+    println!("ms from kill to the next accepted operation: {waits:?}");
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+    // All at once, as in an outage of the whole site.
+    (0..3).for_each(|index| cluster.kill(index));
+    (0..3).for_each(|index| cluster.spawn(index));
+    cluster.check_accepted();
+    cluster.set();
+    cluster.check_accepted();
+}
+
+/// Guards against answers of a leader that was frozen while another one took over.
+#[test]
+fn a_thawed_leader_does_not_answer() {
+    let mut cluster = Cluster::start(3, &[]);
+    cluster.set();
+    let frozen = cluster.leader();
+    cluster.signal(frozen, "-STOP");
+    thread::sleep(Duration::from_millis(1_000));
+    cluster.set();
+    cluster.signal(frozen, "-CONT");
+    let reply = cluster.call(frozen, &OperatorRequest::GetConfig);
+    match reply {
+        // It may already know the new leader, or still look for one.
+        Err(RpcError::NotLeader { .. } | RpcError::NoQuorum) => {}
+        other => panic!("the thawed leader answered {other:?}"),
+    }
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
+/// Guards against votes of a member that lost its disk, and a group that cannot be repaired.
+#[test]
+fn a_lost_disk_is_replaced_by_a_new_member() {
+    let mut cluster = Cluster::start(3, &["--snapshot-entries", "20"]);
+    (0..30).for_each(|_| cluster.set());
+    let lost = (cluster.leader() + 1) % 3;
+    let former = cluster.processes[lost].member;
+    cluster.kill(lost);
+    std::fs::remove_dir_all(&cluster.processes[lost].data_dir).unwrap();
+    // The same flags, `--bootstrap` included, must neither found a group nor revive the member.
+    cluster.spawn(lost);
+    cluster.wait_for("no dump", |cluster| cluster.dump(lost).is_some());
+    let dump = cluster.dump(lost).unwrap();
+    assert_eq!(dump["group"], serde_json::Value::Null);
+    let member = dump["member"].as_str().unwrap().parse().unwrap();
+    assert_ne!(member, former);
+    cluster.processes[lost].member = member;
+    cluster.set();
+
+    let address = cluster.processes[lost].relay.address.to_string();
+    let reply = cluster.operate(&OperatorRequest::AddMember { member, address });
+    assert!(
+        matches!(reply, OperatorReply::MembershipChanged { .. }),
+        "{reply:?}"
+    );
+    cluster.wait_for("the new member was not promoted", |cluster| {
+        cluster
+            .members()
+            .iter()
+            .any(|status| status.member == member && status.voter)
+    });
+    let reply = cluster.operate(&OperatorRequest::RemoveMember { member: former });
+    assert!(
+        matches!(reply, OperatorReply::MembershipChanged { .. }),
+        "{reply:?}"
+    );
+    assert_eq!(cluster.members().len(), 3);
+    // A second loss right after the repair: the new voter must carry the group.
+    let leader = cluster.leader();
+    let second = (0..3)
+        .find(|index| *index != lost && *index != leader)
+        .unwrap_or(leader);
+    cluster.kill(second);
+    cluster.set();
+    cluster.check_accepted();
+}
+
+/// Guards against a leader that nobody can answer and that keeps the others from electing one.
+#[test]
+fn a_leader_without_incoming_connections_is_replaced() {
+    let mut cluster = Cluster::start(3, &[]);
+    cluster.set();
+    let cut = cluster.leader();
+    cluster.processes[cut].relay.cut();
+    cluster.wait_for("no other leader", |cluster| cluster.leader() != cut);
+    cluster.set();
+    cluster.processes[cut].relay.heal();
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
+/// Guards against a group that waits on connections that went silent while new ones work.
+#[test]
+fn silent_connections_are_replaced() {
+    let mut cluster = Cluster::start(3, &[]);
+    cluster.set();
+    let start = Instant::now();
+    cluster
+        .processes
+        .iter()
+        .for_each(|process| process.relay.silence_open());
+    cluster.set();
+    println!(
+        "ms from silence to the next accepted operation: {}",
+        start.elapsed().as_millis()
+    );
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
+/// Guards against a planned stop that costs an election timeout or loses operations.
+#[test]
+fn a_stopping_leader_hands_over() {
+    let mut cluster = Cluster::start(3, &[]);
+    cluster.set();
+    let leader = cluster.leader();
+    let start = Instant::now();
+    cluster.signal(leader, "-TERM");
+    assert!(cluster.wait(leader), "a graceful stop reports success");
+    println!(
+        "ms from SIGTERM to the end: {}",
+        start.elapsed().as_millis()
+    );
+    cluster.set();
+    println!(
+        "ms from SIGTERM to the next accepted operation: {}",
+        start.elapsed().as_millis()
+    );
+    cluster.spawn(leader);
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
+/// Guards against decisions without a quorum, and against an answer that hides the reason.
+#[test]
+fn a_member_without_a_quorum_says_so() {
+    let mut cluster = Cluster::start(3, &[]);
+    cluster.set();
+    let leader = cluster.leader();
+    (0..3)
+        .filter(|index| *index != leader)
+        .for_each(|index| cluster.kill(index));
+    cluster.wait_for("still answers", |cluster| {
+        cluster.call(leader, &OperatorRequest::GetConfig) == Err(RpcError::NoQuorum)
+    });
+}
+
+/// Guards against two processes that write to one data directory.
+#[test]
+fn a_second_process_on_a_directory_is_refused() {
+    let mut cluster = Cluster::start(1, &[]);
+    cluster.set();
+    let output = cluster.run_again(0);
+    assert!(!output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("locked by another process"), "{text}");
+    cluster.set();
+    cluster.check_accepted();
+}
