--- a/crates/routing/src/claims.rs
+++ b/crates/routing/src/claims.rs
@@ -3,6 +3,10 @@
 //! Claims that arrive while a call is under way share the next call, so that each costs a part of
 //! one commit. Outcomes of a failed call are sent again. A claim whose call failed may have been
 //! granted; it is not used, and `NotRun` is reported so that the ID can be claimed again.
+//!
+//! An ID is claimed by at most one request of this entry at a time, until its outcome is
+//! acknowledged. Otherwise a repeated `NotRun` of the first request would free the claim under
+//! which the second one runs.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -11,6 +15,8 @@
 use sapphirepost_protocol::claim::ClaimDone;
 use sapphirepost_protocol::claim::ClaimOutcome;
 use sapphirepost_protocol::claim::ClaimVerdict;
+use sapphirepost_types::Name;
+use sapphirepost_types::RequestId;
 
 use crate::event::CallKey;
 use crate::event::ClaimFailure;
@@ -30,6 +36,15 @@
     outcomes: Vec<ClaimDone>,
 }
 
+/// What this entry knows of an ID that it has claimed before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    /// A request with the ID is under way or has ended; it may run or have run.
+    InProgress,
+    /// The earlier request was not run, which the group has not acknowledged yet.
+    GivingBack,
+}
+
 /// What a call brought for one request.
 pub type Verdict = (RequestKey, Claim, Result<ClaimVerdict, ClaimFailure>);
 
@@ -39,27 +54,47 @@
     waiting: VecDeque<(RequestKey, Claim)>,
     outcomes: VecDeque<ClaimDone>,
     calls: BTreeMap<CallKey, Call>,
+    held: BTreeMap<(Name, RequestId), Held>,
     next_call: u64,
     paused: bool,
 }
 
 impl Claims {
-    /// Asks for a claim.
-    pub fn ask(&mut self, request: RequestKey, claim: Claim) {
+    /// Asks for a claim, unless this entry holds the ID already.
+    pub fn ask(&mut self, request: RequestKey, claim: Claim) -> Result<(), Held> {
+        let id = (claim.service.clone(), claim.request.clone());
+        if let Some(&held) = self.held.get(&id) {
+            return Err(held);
+        }
+        self.held.insert(id, Held::InProgress);
         self.waiting.push_back((request, claim));
+        Ok(())
+    }
+
+    /// Drops a claim that was not sent yet.
+    pub fn withdraw(&mut self, request: RequestKey) {
+        let position = self.waiting.iter().position(|(key, _)| *key == request);
+        if let Some((_, claim)) = position.and_then(|position| self.waiting.remove(position)) {
+            self.let_go(&claim);
+        }
     }
 
-    /// Drops a claim that was not sent yet. Returns whether it was found.
-    pub fn withdraw(&mut self, request: RequestKey) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|(key, _)| *key != request);
-        self.waiting.len() < before
+    /// A claim was not granted, so nothing is to be reported.
+    pub fn let_go(&mut self, claim: &Claim) {
+        self.held
+            .remove(&(claim.service.clone(), claim.request.clone()));
     }
 
     /// Reports how a granted claim ended.
     pub fn report(&mut self, claim: &Claim, outcome: ClaimOutcome) {
-        if self.outcomes.len() >= OUTCOMES_MAX {
-            self.outcomes.pop_front();
+        if self.outcomes.len() >= OUTCOMES_MAX
+            && let Some(dropped) = self.outcomes.pop_front()
+        {
+            self.held.remove(&(dropped.service, dropped.request));
+        }
+        if outcome == ClaimOutcome::NotRun {
+            let id = (claim.service.clone(), claim.request.clone());
+            self.held.insert(id, Held::GivingBack);
         }
         self.outcomes.push_back(ClaimDone {
             service: claim.service.clone(),
@@ -111,12 +146,16 @@
             other => other,
         };
         match result {
-            Ok(verdicts) => call
-                .claims
-                .into_iter()
-                .zip(verdicts)
-                .map(|((request, claim), verdict)| (request, claim, Ok(verdict)))
-                .collect(),
+            Ok(verdicts) => {
+                for done in call.outcomes {
+                    self.held.remove(&(done.service, done.request));
+                }
+                call.claims
+                    .into_iter()
+                    .zip(verdicts)
+                    .map(|((request, claim), verdict)| (request, claim, Ok(verdict)))
+                    .collect()
+            }
             Err(failure) => {
                 self.paused = true;
                 for outcome in call.outcomes.into_iter().rev() {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 pub use crate::choice::Candidate;
 pub use crate::choice::choose;
 pub use crate::claims::Claims;
+pub use crate::claims::Held;
 pub use crate::config::ClassLimits;
 pub use crate::config::RouterConfig;
 pub use crate::config::Without;
--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -10,6 +10,7 @@
 
 use crate::admission::Admission;
 use crate::admission::Queued;
+use crate::claims::Held;
 use crate::config::RouterConfig;
 use crate::event::Action;
 use crate::event::Answer;
@@ -66,12 +67,31 @@
             Some(claim) => {
                 let wait_over = now + self.config.claim_timeout_ms;
                 self.timers.set(wait_over, Timer::ClaimWait(key));
-                self.claims.ask(key, claim);
+                if let Err(held) = self.claims.ask(key, claim) {
+                    self.held_already(now, key, held, actions);
+                }
             }
             None => self.enqueue(now, key, actions),
         }
     }
 
+    /// Another request with the same ID is under way at this entry.
+    fn held_already(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        held: Held,
+        actions: &mut Vec<Action>,
+    ) {
+        match held {
+            Held::InProgress => {
+                let reason = UnknownReason::EarlierRun;
+                self.finish(now, key, Answer::Unknown { reason }, None, actions);
+            }
+            Held::GivingBack => self.refuse(now, key, RefusalReason::ClaimUnavailable, actions),
+        }
+    }
+
     fn claim_of(&self, new: &NewRequest) -> Option<Claim> {
         let id = new.id.clone()?;
         (!new.idempotent && !self.config.without.claims).then(|| Claim {
@@ -159,11 +179,10 @@
                 .is_some_and(|request| request.phase == Phase::Claiming);
             if waits {
                 self.claim_decided(now, key, claim, verdict, actions);
-            } else if matches!(
-                verdict,
-                Ok(ClaimVerdict::Granted) | Err(ClaimFailure::Unknown)
-            ) {
+            } else if may_be_granted(&verdict) {
                 self.give_back(&claim);
+            } else {
+                self.claims.let_go(&claim);
             }
         }
     }
@@ -176,6 +195,9 @@
         verdict: Result<ClaimVerdict, ClaimFailure>,
         actions: &mut Vec<Action>,
     ) {
+        if !may_be_granted(&verdict) {
+            self.claims.let_go(&claim);
+        }
         let verdict = match verdict {
             Ok(verdict) => verdict,
             Err(failure) => {
@@ -227,7 +249,9 @@
     }
 
     pub(super) fn give_back(&mut self, claim: &Claim) {
-        if !self.config.without.claim_return {
+        if self.config.without.claim_return {
+            self.claims.let_go(claim);
+        } else {
             self.claims.report(claim, ClaimOutcome::NotRun);
         }
     }
@@ -267,3 +291,10 @@
         }
     }
 }
+
+fn may_be_granted(verdict: &Result<ClaimVerdict, ClaimFailure>) -> bool {
+    matches!(
+        verdict,
+        Ok(ClaimVerdict::Granted) | Err(ClaimFailure::Unknown)
+    )
+}
--- a/crates/routing/src/router/ending.rs
+++ b/crates/routing/src/router/ending.rs
@@ -38,9 +38,7 @@
             }
             // The connection is kept once it is open.
             Phase::Trying(send) => self.free_slot(send),
-            Phase::Claiming => {
-                self.claims.withdraw(key);
-            }
+            Phase::Claiming => self.claims.withdraw(key),
             Phase::Queued => self.service(&name).queues[class as usize].remove(caller, key),
             Phase::Retrying => {}
         }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -44,7 +44,7 @@
 /// The time between two rounds of periodic work.
 const PERIOD_MS: u64 = 100;
 
-/// One run of an upstream at one address.
+/// An upstream at one address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct UpstreamKey(u32);
 
--- a/crates/routing/src/router/upstreams.rs
+++ b/crates/routing/src/router/upstreams.rs
@@ -49,7 +49,7 @@
         let mut announced: Vec<&Announcement> = table.values().collect();
         announced.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         for announcement in announced {
-            self.sync_upstream(announcement);
+            self.sync_upstream(announcement, actions);
             if !services.contains(&announcement.service) {
                 services.push(announcement.service.clone());
             }
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Stops using runs of upstreams that are gone, moved or were replaced.
+    /// Stops using upstreams that are gone or have moved.
     fn retire_replaced(
         &mut self,
         table: &FxHashMap<Name, Announcement>,
@@ -69,9 +69,7 @@
         for (name, &key) in &self.current {
             let same = table.get(name).is_some_and(|announcement| {
                 let upstream = &self.upstreams[&key];
-                upstream.incarnation == announcement.incarnation
-                    && upstream.address == announcement.address
-                    && upstream.service == announcement.service
+                upstream.address == announcement.address && upstream.service == announcement.service
             });
             if !same {
                 retired.push((name.clone(), key));
@@ -87,11 +85,16 @@
         }
     }
 
-    fn sync_upstream(&mut self, announcement: &Announcement) {
+    fn sync_upstream(&mut self, announcement: &Announcement, actions: &mut Vec<Action>) {
         let key = match self.current.get(&announcement.name) {
             Some(&key) => key,
-            None => self.add_upstream(announcement),
+            None => self
+                .revive(announcement)
+                .unwrap_or_else(|| self.add_upstream(announcement)),
         };
+        if self.upstreams[&key].incarnation != announcement.incarnation {
+            self.restarted(key, announcement, actions);
+        }
         let share = self.share_of(announcement);
         let leaving = announcement.status == UpstreamStatus::Leaving;
         let serving = !leaving || self.config.without.leaving;
@@ -100,6 +103,38 @@
         upstream.serving = serving;
     }
 
+    /// The upstream has restarted at the same address. Its slots stay in use, because a request
+    /// that was sent before the news arrived may be at the new process.
+    fn restarted(
+        &mut self,
+        key: UpstreamKey,
+        announcement: &Announcement,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.incarnation = announcement.incarnation;
+            upstream.health = Health::default();
+        }
+        self.close_idle(key, Millis(u64::MAX), 0, actions);
+    }
+
+    /// An upstream that was removed comes back while requests or connections of before are left;
+    /// they count towards its share.
+    fn revive(&mut self, announcement: &Announcement) -> Option<UpstreamKey> {
+        let same = |upstream: &Upstream| {
+            upstream.name == announcement.name
+                && upstream.address == announcement.address
+                && upstream.service == announcement.service
+        };
+        let key = *self
+            .upstreams
+            .iter()
+            .find(|(_, upstream)| same(upstream))?
+            .0;
+        self.current.insert(announcement.name.clone(), key);
+        Some(key)
+    }
+
     fn add_upstream(&mut self, announcement: &Announcement) -> UpstreamKey {
         let key = UpstreamKey(self.next_upstream);
         self.next_upstream += 1;
