--- a/crates/routing/src/claims.rs
+++ b/crates/routing/src/claims.rs
@@ -56,17 +56,21 @@
     calls: BTreeMap<CallKey, Call>,
     held: BTreeMap<(Name, RequestId), Held>,
     next_call: u64,
+    next_token: u64,
     paused: bool,
 }
 
 impl Claims {
-    /// Asks for a claim, unless this entry holds the ID already.
-    pub fn ask(&mut self, request: RequestKey, claim: Claim) -> Result<(), Held> {
+    /// Asks for a claim under the next token of this entry run, unless this entry holds the ID
+    /// already.
+    pub fn ask(&mut self, request: RequestKey, mut claim: Claim) -> Result<(), Held> {
         let id = (claim.service.clone(), claim.request.clone());
         if let Some(&held) = self.held.get(&id) {
             return Err(held);
         }
         self.held.insert(id, Held::InProgress);
+        claim.token = self.next_token;
+        self.next_token += 1;
         self.waiting.push_back((request, claim));
         Ok(())
     }
@@ -99,6 +103,7 @@
         self.outcomes.push_back(ClaimDone {
             service: claim.service.clone(),
             request: claim.request.clone(),
+            token: claim.token,
             outcome,
         });
     }
--- a/crates/routing/tests/one/mod.rs
+++ b/crates/routing/tests/one/mod.rs
@@ -98,7 +98,8 @@
             self.now = self.now + 1;
             let before = self.actions.len();
             self.event(Event::Timer);
-            for action in self.actions[before..].to_vec() {
+            let new: Vec<Action> = self.actions[before..].to_vec();
+            for action in new {
                 if let Action::Close(connection) = action {
                     self.event(Event::Closed(connection));
                 }
