Add stand-in workers and upstreams

Cause: test runs and first steps need workers and runners that meet the system through its published interfaces and record what really ran.

Change: sapphirepost-standin with a worker (leases from sending, attempts, checkpoint, throttle, misbehaviour) and an upstream (slots, connections, announcements, leaving, misbehaviour); journals with one JSON line an event; header names in the protocol package. An upstream confirms "not run" by answering with `sapphirepost-outcome: refused`.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod consensus;
 pub mod error;
 pub mod gossip;
+pub mod header;
 pub mod method;
 pub mod operator;
 pub mod operator_http;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,220 @@
 //! The `sapphirepost-standin` program.
 
-fn main() {}
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use sapphirepost_process::SharedKey;
+use sapphirepost_process::logging;
+use sapphirepost_process::logging::LogLevels;
+use sapphirepost_standin::entries::Entries;
+use sapphirepost_standin::journal::Journal;
+use sapphirepost_standin::upstream;
+use sapphirepost_standin::upstream::Faults;
+use sapphirepost_standin::upstream::UpstreamOptions;
+use sapphirepost_standin::worker;
+use sapphirepost_standin::worker::WorkerOptions;
+use sapphirepost_types::Name;
+use sapphirepost_types::Resources;
+
+/// Stand-in workers and upstream runners.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Worker(WorkerArguments),
+    Upstream(UpstreamArguments),
+}
+
+/// Run stand-in workers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "worker")]
+struct WorkerArguments {
+    /// platform addresses of entries, comma-separated
+    #[argh(option)]
+    entries: String,
+    /// file with the platform key
+    #[argh(option)]
+    key_file: PathBuf,
+    /// name, or prefix of the names with --count
+    #[argh(option)]
+    name: String,
+    /// failure domain
+    #[argh(option)]
+    failure_domain: Name,
+    /// workers in this process
+    #[argh(option, default = "1")]
+    count: u32,
+    /// workers in one rack
+    #[argh(option, default = "8")]
+    rack_size: u32,
+    /// capacity of each, as <millicores>m/<memory>Mi/<accelerators>a
+    #[argh(option, default = "Resources::new(64_000, 262_144, 0)")]
+    capacity: Resources,
+    /// used share of the declared resources in percent
+    #[argh(option, default = "60")]
+    usage_percent: u64,
+    /// time that a stop takes, in milliseconds
+    #[argh(option, default = "20")]
+    stop_ms: u64,
+    /// time that a checkpoint takes, in milliseconds
+    #[argh(option, default = "100")]
+    checkpoint_ms: u64,
+    /// file that gets a line for each start and stop of a task
+    #[argh(option)]
+    journal: Option<PathBuf>,
+    /// fail every task
+    #[argh(switch)]
+    fail_all: bool,
+    /// ignore stop commands
+    #[argh(switch)]
+    ignore_stops: bool,
+    /// pause the process's work this long after its start, in milliseconds
+    #[argh(option)]
+    pause_after_ms: Option<u64>,
+    /// length of the pause in milliseconds
+    #[argh(option, default = "10_000")]
+    pause_ms: u64,
+}
+
+/// Run stand-in upstream runners.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamArguments {
+    /// platform addresses of entries, comma-separated
+    #[argh(option)]
+    entries: String,
+    /// file with the platform key
+    #[argh(option)]
+    key_file: PathBuf,
+    /// name, or prefix of the names with --count
+    #[argh(option)]
+    name: String,
+    /// service
+    #[argh(option)]
+    service: Name,
+    /// failure domain
+    #[argh(option)]
+    failure_domain: Name,
+    /// upstreams in this process
+    #[argh(option, default = "1")]
+    count: u32,
+    /// address to listen on; port 0 takes a free one, and with --count each takes the next port
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    listen: SocketAddr,
+    /// requests at a time
+    #[argh(option, default = "8")]
+    slots: u16,
+    /// connections at a time
+    #[argh(option, default = "64")]
+    connections: u16,
+    /// time that a request takes without `run_ms` in its query, in milliseconds
+    #[argh(option, default = "1")]
+    run_ms: u64,
+    /// time from the leaving announcement to the end, in milliseconds
+    #[argh(option, default = "5000")]
+    leave_ms: u64,
+    /// file that gets a line for each request that ran
+    #[argh(option)]
+    journal: Option<PathBuf>,
+    /// accept requests and never answer
+    #[argh(switch)]
+    stall: bool,
+    /// cut the body of each answer short
+    #[argh(switch)]
+    truncate: bool,
+    /// answer later by this many milliseconds
+    #[argh(option, default = "0")]
+    late_ms: u64,
+    /// fail every request at once
+    #[argh(switch)]
+    fail_fast: bool,
+    /// go silent on the connections that are open when the faults begin
+    #[argh(switch)]
+    silent: bool,
+    /// run each request and answer that it was not run
+    #[argh(switch)]
+    lie: bool,
+    /// faults begin this long after the start, in milliseconds
+    #[argh(option, default = "0")]
+    fault_after_ms: u64,
+    /// the first upstreams of this process have the faults; default: all
+    #[argh(option)]
+    faulty: Option<u32>,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let result = logging::init(&LogLevels::default())
+        .map_err(anyhow::Error::from)
+        .and_then(|()| match arguments.command {
+            Command::Worker(arguments) => run_workers(arguments),
+            Command::Upstream(arguments) => run_upstreams(arguments),
+        });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sapphirepost-standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_workers(arguments: WorkerArguments) -> anyhow::Result<()> {
+    let options = WorkerOptions {
+        entries: Entries::new(
+            &arguments.entries,
+            SharedKey::from_file(&arguments.key_file)?,
+        )?,
+        name: arguments.name,
+        failure_domain: arguments.failure_domain,
+        count: arguments.count,
+        rack_size: arguments.rack_size.max(1),
+        capacity: arguments.capacity,
+        usage_percent: arguments.usage_percent,
+        stop_ms: arguments.stop_ms,
+        checkpoint_ms: arguments.checkpoint_ms,
+        journal: Journal::open(arguments.journal.as_deref())?,
+        fail_all: arguments.fail_all,
+        ignore_stops: arguments.ignore_stops,
+        pause_after_ms: arguments.pause_after_ms,
+        pause_ms: arguments.pause_ms,
+    };
+    worker::run(options)
+}
+
+fn run_upstreams(arguments: UpstreamArguments) -> anyhow::Result<()> {
+    let options = UpstreamOptions {
+        entries: Entries::new(
+            &arguments.entries,
+            SharedKey::from_file(&arguments.key_file)?,
+        )?,
+        name: arguments.name,
+        service: arguments.service,
+        failure_domain: arguments.failure_domain,
+        count: arguments.count,
+        listen: arguments.listen,
+        slots: arguments.slots,
+        connections: arguments.connections,
+        run_ms: arguments.run_ms,
+        leave_ms: arguments.leave_ms,
+        journal: Journal::open(arguments.journal.as_deref())?,
+        faults: Faults {
+            stall: arguments.stall,
+            truncate: arguments.truncate,
+            late_ms: arguments.late_ms,
+            fail_fast: arguments.fail_fast,
+            silent: arguments.silent,
+            lie: arguments.lie,
+            after_ms: arguments.fault_after_ms,
+        },
+        faulty: arguments.faulty.unwrap_or(arguments.count),
+    };
+    upstream::run(options)
+}
