Carry callers' requests through the entry

Cause: the entry had no caller path. Change: caller listener, router thread, upstream connections, gossip and claims over the inner protocol, settings, metrics, dump and planned stop. A request whose connection ended before it was read from the connection's channel is reported as not sent, so that it may be tried elsewhere. Ruled out: sending on from the router thread, which must not block.

--- /dev/null
+++ b/crates/entry/src/caller/reply.rs
@@ -0,0 +1,203 @@
+//! From the router's answer to the caller's response.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use sapphirepost_protocol::error::ErrorBody;
+use sapphirepost_protocol::header as names;
+use sapphirepost_routing::Answer as Decided;
+use sapphirepost_routing::RefusalReason;
+use sapphirepost_routing::UnknownReason;
+use sapphirepost_types::RequestId;
+
+use crate::caller::Answer;
+use crate::caller::request::Rejected;
+use crate::upstream::Complete;
+
+/// `Retry-After` of refusals by the listener itself, in seconds.
+const BUSY_RETRY_S: u32 = 2;
+
+/// The response of an upstream.
+pub fn forward(response: Complete) -> Answer {
+    let mut answer = Response::new(Full::new(response.body));
+    *answer.status_mut() = response.status;
+    *answer.headers_mut() = response.headers;
+    set_outcome(&mut answer, names::OUTCOME_DONE);
+    answer
+}
+
+/// An answer of the listener itself.
+pub fn rejected(rejected: &Rejected) -> Answer {
+    let mut answer = error(rejected.status, rejected.error, rejected.message.clone());
+    // A lost router may have handed the request on; everything else was not run.
+    let outcome = if rejected.status == StatusCode::BAD_GATEWAY {
+        names::OUTCOME_UNKNOWN
+    } else {
+        names::OUTCOME_REFUSED
+    };
+    set_outcome(&mut answer, outcome);
+    if rejected.status == StatusCode::SERVICE_UNAVAILABLE {
+        let value = HeaderValue::from(BUSY_RETRY_S);
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    if rejected.close {
+        close(&mut answer);
+    }
+    answer
+}
+
+/// Announces the end of the connection.
+pub fn close(answer: &mut Answer) {
+    let value = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, value);
+}
+
+/// An answer of the router other than an upstream's response.
+pub fn own(decided: &Decided, id: Option<&RequestId>) -> Answer {
+    match decided {
+        Decided::Recorded {
+            status,
+            content_type,
+            body,
+        } => recorded(*status, content_type.as_deref(), body.as_deref()),
+        Decided::Refused {
+            reason,
+            retry_after_s,
+        } => refused(*reason, *retry_after_s),
+        Decided::Unknown { reason } => {
+            if let Some(id) = id {
+                log::warn!(request:% = id, reason:? = reason; "request may have run");
+            }
+            unknown(*reason)
+        }
+        Decided::Forward(_) => unknown(UnknownReason::Broken),
+    }
+}
+
+fn recorded(status: u16, content_type: Option<&str>, body: Option<&str>) -> Answer {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let Some(body) = body else {
+        let message = format!(
+            "the request ran and was answered with status {}; the body was too long to be kept",
+            status.as_u16()
+        );
+        let mut answer = error(StatusCode::CONFLICT, "already_done", message);
+        set_outcome(&mut answer, names::OUTCOME_DONE);
+        return answer;
+    };
+    let mut answer = Response::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
+    *answer.status_mut() = status;
+    if let Some(value) = content_type.and_then(|text| HeaderValue::from_str(text).ok()) {
+        answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    set_outcome(&mut answer, names::OUTCOME_DONE);
+    answer
+}
+
+fn refused(reason: RefusalReason, retry_after_s: Option<u32>) -> Answer {
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let (status, word, message) = match reason {
+        RefusalReason::Overload => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "overload",
+            "the wait would be too long",
+        ),
+        RefusalReason::Deadline => (
+            unavailable,
+            "deadline",
+            "the request could not be run before its deadline",
+        ),
+        RefusalReason::NoUpstream => (
+            unavailable,
+            "no_upstream",
+            "no upstream of this service is known",
+        ),
+        RefusalReason::TableUnknown => (
+            unavailable,
+            "starting",
+            "the entry has not learnt the upstreams yet",
+        ),
+        RefusalReason::Unreachable => (
+            unavailable,
+            "unreachable",
+            "no upstream of this service could be reached",
+        ),
+        RefusalReason::UpstreamRefused => (
+            unavailable,
+            "upstream_refused",
+            "the upstream did not run the request",
+        ),
+        RefusalReason::ClaimUnavailable => (
+            unavailable,
+            "claim_unavailable",
+            "the group that guards against a second run is out of reach",
+        ),
+        RefusalReason::Stopping => (unavailable, "stopping", "the entry is stopping"),
+        RefusalReason::IdTooOld => (
+            StatusCode::CONFLICT,
+            "id_too_old",
+            "the request ID is older than the record, so a second run cannot be ruled out",
+        ),
+        RefusalReason::IdTooNew => (
+            StatusCode::BAD_REQUEST,
+            "id_too_new",
+            "the time of the request ID lies in the future",
+        ),
+        RefusalReason::IdMismatch => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "id_mismatch",
+            "the request ID was used for another request",
+        ),
+    };
+    let mut answer = error(status, word, message.to_owned());
+    set_outcome(&mut answer, names::OUTCOME_REFUSED);
+    if let Some(seconds) = retry_after_s {
+        let value = HeaderValue::from(seconds);
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+fn unknown(reason: UnknownReason) -> Answer {
+    let (status, word, message) = match reason {
+        UnknownReason::Deadline => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline",
+            "the deadline passed while an upstream had the request; it may have run",
+        ),
+        UnknownReason::Broken => (
+            StatusCode::BAD_GATEWAY,
+            "broken",
+            "the connection to the upstream broke; the request may have run",
+        ),
+        UnknownReason::EarlierRun => (
+            StatusCode::BAD_GATEWAY,
+            "earlier_run",
+            "an earlier request with this ID is under way or its end is not known",
+        ),
+    };
+    let mut answer = error(status, word, message.to_owned());
+    set_outcome(&mut answer, names::OUTCOME_UNKNOWN);
+    answer
+}
+
+fn error(status: StatusCode, word: &str, message: String) -> Answer {
+    let body = ErrorBody {
+        error: word.to_owned(),
+        message,
+    };
+    let bytes = serde_json::to_vec(&body).unwrap_or_default();
+    let mut answer = Response::new(Full::new(Bytes::from(bytes)));
+    *answer.status_mut() = status;
+    let value = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    answer
+}
+
+fn set_outcome(answer: &mut Answer, outcome: &'static str) {
+    let value = HeaderValue::from_static(outcome);
+    answer.headers_mut().insert(names::OUTCOME, value);
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,294 @@
+//! Starts all parts of an entry and ends them in order.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use sapphirepost_process::Readiness;
+use sapphirepost_process::admin;
+use sapphirepost_process::admin::AdminParts;
+use sapphirepost_process::admin::AdminServer;
+use sapphirepost_process::metrics::Metrics;
+use sapphirepost_process::rpc;
+use sapphirepost_process::rpc::RpcMethods;
+use sapphirepost_process::rpc::RpcServer;
+use sapphirepost_process::rpc::RpcServerConfig;
+use sapphirepost_process::shutdown;
+use sapphirepost_process::shutdown::Shutdown;
+use sapphirepost_routing::Event;
+use sapphirepost_routing::PlannedStop;
+use sapphirepost_routing::RosterChange;
+use sapphirepost_routing::RouterConfig;
+use sapphirepost_routing::StopPhase;
+use sapphirepost_types::Incarnation;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+
+use crate::caller::CallerConfig;
+use crate::caller::CallerServer;
+use crate::clock::EntryClock;
+use crate::config_watch;
+use crate::config_watch::AppliedConfig;
+use crate::config_watch::ConfigWatch;
+use crate::config_watch::Watcher;
+use crate::control_client::ControlClient;
+use crate::metrics::EntryMetrics;
+use crate::operators::OperatorConfig;
+use crate::operators::OperatorServer;
+use crate::peers;
+use crate::peers::Peers;
+use crate::platform::PlatformConfig;
+use crate::platform::PlatformServer;
+use crate::roster;
+use crate::router_thread;
+use crate::router_thread::Input;
+use crate::router_thread::Inputs;
+use crate::router_thread::Parts;
+use crate::router_thread::SharedStatus;
+use crate::settings::Settings;
+
+/// The time between two looks at status and stop.
+const POLL: Duration = Duration::from_millis(20);
+/// The longest wait for a dump.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(1);
+/// Announcements that may wait for the router.
+const ANNOUNCEMENTS: usize = 4096;
+/// The longest wait for workers' syncs that control holds.
+const LAST_SYNCS: Duration = Duration::from_secs(3);
+/// The part of the process that the readiness names for the upstream table.
+const TABLE: &str = "upstreams";
+/// The same for a stop.
+const STOP: &str = "stop";
+
+/// Runs an entry until a signal ends it.
+pub fn run(settings: &Settings) -> anyhow::Result<()> {
+    let signals = shutdown::shutdown_ring().context("signals")?;
+    let runtime = rpc::runtime(settings.network_threads).context("runtime")?;
+    let entry = Entry::start(settings, runtime.handle())?;
+    entry.serve(settings, &signals, runtime.handle());
+    // Connections that were cut off must not delay the end.
+    runtime.shutdown_background();
+    Ok(())
+}
+
+struct Entry {
+    clock: EntryClock,
+    inputs: Inputs,
+    status: SharedStatus,
+    readiness: Readiness,
+    metrics: EntryMetrics,
+    callers: CallerServer,
+    platform: PlatformServer,
+    _operators: Option<OperatorServer>,
+    _config: Option<ConfigWatch>,
+    _inner: RpcServer,
+    _admin: AdminServer,
+}
+
+impl Entry {
+    fn start(settings: &Settings, runtime: &Handle) -> anyhow::Result<Entry> {
+        let clock = EntryClock::new();
+        let incarnation = Incarnation(clock.unix_ms());
+        let ring = router_thread::ring();
+        let inputs = ring.0.clone();
+        let readiness = Readiness::new();
+        readiness.block(TABLE, "the upstreams are not known yet");
+        let metrics = Metrics::new();
+        let key = settings.inner_key.clone();
+        let control = (!settings.control.is_empty())
+            .then(|| ControlClient::new(runtime.clone(), &settings.control, key.clone()));
+        let peers = Peers::new(
+            runtime.clone(),
+            inputs.clone(),
+            settings.member.id,
+            incarnation,
+            control.clone(),
+            key.clone(),
+        );
+        peers.set_members(&settings.members);
+        let mut methods = RpcMethods::new();
+        peers::serve(&mut methods, inputs.clone())?;
+        let address = settings.member.address;
+        let inner = RpcServer::start(runtime, RpcServerConfig::new(address, key), methods)?;
+        let (dump_sender, dumps) = flume::bounded(4);
+        let status = SharedStatus::default();
+        let roster = RosterChange::settled(settings.members.roster());
+        let domain = settings.failure_domain().clone();
+        router_thread::start(Parts {
+            config: RouterConfig::new(settings.member.id, incarnation, domain, roster),
+            seed: incarnation.0 ^ u64::from(settings.member.id.0) << 48,
+            inputs: ring,
+            dumps,
+            runtime: runtime.clone(),
+            clock,
+            budget: Arc::new(Semaphore::new(settings.body_memory_kib)),
+            peers: peers.clone(),
+            status: status.clone(),
+        })?;
+        let admin_parts = AdminParts {
+            readiness: readiness.clone(),
+            metrics: metrics.clone(),
+            dump: admin::dump_from_ring(dump_sender, DUMP_TIMEOUT),
+        };
+        let admin = AdminServer::start(settings.admin, admin_parts)?;
+        let config = control.clone().map(|control| {
+            let watcher = Watcher {
+                entry: settings.member.id,
+                incarnation,
+            };
+            let on_change = roster_updates(settings, runtime, &inputs, &peers);
+            config_watch::start(runtime, control, watcher, readiness.clone(), on_change)
+        });
+        // Without control processes there is nobody to whom operators' requests could go.
+        let operators = control
+            .clone()
+            .map(|control| {
+                let config = OperatorConfig {
+                    address: settings.operators,
+                    key: settings.operator_key.clone(),
+                };
+                OperatorServer::start(config, control)
+            })
+            .transpose()?;
+        let platform = start_platform(settings, runtime, &inputs, control)?;
+        let callers = start_callers(settings, runtime, &inputs, clock)?;
+        log::info!(
+            entry:% = settings.member.id,
+            callers:% = callers.address(),
+            platform:% = platform.address(),
+            inner:% = inner.address(),
+            admin:% = admin.address();
+            "entry started"
+        );
+        Ok(Entry {
+            clock,
+            inputs,
+            status,
+            readiness,
+            metrics: EntryMetrics::new(&metrics),
+            callers,
+            platform,
+            _operators: operators,
+            _config: config,
+            _inner: inner,
+            _admin: admin,
+        })
+    }
+
+    /// Serves until a signal, then stops in the order of [`PlannedStop`].
+    fn serve(&self, settings: &Settings, signals: &flume::Receiver<Shutdown>, runtime: &Handle) {
+        let mut stop = PlannedStop::new(settings.stop_notice_ms, settings.stop_finish_ms);
+        loop {
+            if signals.recv_timeout(POLL).is_ok() {
+                stop.signal(self.clock.now());
+            }
+            let status = self.status.get();
+            self.metrics.refresh(&status);
+            if status.knows_table {
+                self.readiness.clear(TABLE);
+            }
+            let before = stop.phase();
+            let in_flight = status.in_flight + self.callers.open() + usize::from(!status.is_idle);
+            let phase = stop.tick(self.clock.now(), in_flight);
+            if stop.phase() >= StopPhase::NotReady {
+                self.readiness.block(STOP, "the entry is stopping");
+            }
+            if phase != before {
+                log::info!(phase:? = phase, in_flight = status.in_flight; "planned stop");
+            }
+            match phase {
+                StopPhase::Serving => {}
+                StopPhase::NotReady => self.callers.ask_to_close(),
+                StopPhase::Finishing => self.callers.stop_accepting(),
+                StopPhase::Finished => break,
+            }
+        }
+        self.finish(runtime);
+    }
+
+    fn finish(&self, runtime: &Handle) {
+        let status = self.status.get();
+        if status.in_flight > 0 || self.callers.open() > 0 {
+            log::warn!(
+                requests = status.in_flight,
+                connections = self.callers.open();
+                "stopped before everything was finished; these were cut off"
+            );
+            return;
+        }
+        self.inputs.try_send(Input::Event(Event::Stopping));
+        let held = runtime.block_on(self.platform.stop(LAST_SYNCS));
+        if held > 0 {
+            log::warn!(connections = held; "platform connections cut off");
+        }
+        log::info!("entry stopped");
+    }
+}
+
+fn start_platform(
+    settings: &Settings,
+    runtime: &Handle,
+    inputs: &Inputs,
+    control: Option<ControlClient>,
+) -> anyhow::Result<PlatformServer> {
+    let (sender, receiver) = flume::bounded(ANNOUNCEMENTS);
+    let inputs = inputs.clone();
+    runtime.spawn(async move {
+        while let Ok(announcement) = receiver.recv_async().await {
+            inputs
+                .send(Input::Event(Event::Announced(announcement)))
+                .await;
+        }
+    });
+    let config = PlatformConfig {
+        address: settings.platform,
+        key: settings.platform_key.clone(),
+    };
+    let key = settings.inner_key.clone();
+    let control = control.unwrap_or_else(|| ControlClient::new(runtime.clone(), &[], key));
+    PlatformServer::start(runtime, config, control, sender).context("platform listener")
+}
+
+fn start_callers(
+    settings: &Settings,
+    runtime: &Handle,
+    inputs: &Inputs,
+    clock: EntryClock,
+) -> anyhow::Result<CallerServer> {
+    let config = CallerConfig {
+        address: settings.callers,
+        connections_max: settings.caller_connections,
+        head_timeout: settings.head_timeout,
+        body_timeout: settings.body_timeout,
+        write_timeout: settings.write_timeout,
+        request_budget_kib: settings.body_memory_kib,
+    };
+    CallerServer::start(runtime, config, inputs.clone(), clock).context("caller listener")
+}
+
+/// Hands rosters of new configurations to the router, in their order.
+fn roster_updates(
+    settings: &Settings,
+    runtime: &Handle,
+    inputs: &Inputs,
+    peers: &Peers,
+) -> impl Fn(&AppliedConfig) + Send + Sync + 'static {
+    let (sender, receiver) = flume::unbounded::<RosterChange>();
+    let inputs = inputs.clone();
+    runtime.spawn(async move {
+        while let Ok(change) = receiver.recv_async().await {
+            inputs
+                .send(Input::Event(Event::RosterChanged(change)))
+                .await;
+        }
+    });
+    let initial = settings.members.clone();
+    let peers = peers.clone();
+    move |config| match roster::from_config(&config.values, &initial) {
+        Ok((change, members)) => {
+            peers.set_members(&members);
+            let _ = sender.send(change);
+        }
+        Err(error) => log::error!(version = config.version.0; "roster not applied: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/hop.rs
@@ -0,0 +1,44 @@
+//! Headers that concern one connection only and are not passed on.
+
+use hyper::HeaderMap;
+use hyper::header;
+use hyper::header::HeaderName;
+
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the headers of the connection, those that `connection` names included.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
+
+/// Whether the headers announce the end of the connection.
+pub fn closes(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,19 @@
 //! [`platform::PlatformServer::start`], [`operators::OperatorServer::start`] and
 //! [`config_watch::start`].
 
+pub mod caller;
+pub mod clock;
 pub mod config_watch;
 pub mod control_client;
+pub mod daemon;
+pub mod dump;
+pub mod hop;
+pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod platform;
+pub mod roster;
+pub mod router_thread;
+pub mod settings;
+pub mod upstream;
+pub mod write_timeout;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,38 @@
 //! The `sapphirepost-entry` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use sapphirepost_entry::daemon;
+use sapphirepost_entry::settings::Flags;
+use sapphirepost_entry::settings::Settings;
+use sapphirepost_process::logging;
+use sapphirepost_process::settings::Reader;
+
+fn main() -> ExitCode {
+    let flags: Flags = argh::from_env();
+    let check = flags.check;
+    let mut reader = Reader::from_environment();
+    let settings = match Settings::read(flags, &mut reader) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(2);
+        }
+    };
+    if check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logging::init(&settings.log) {
+        eprintln!("cannot start the log: {error}");
+        return ExitCode::FAILURE;
+    }
+    reader.log_effective();
+    match daemon::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("entry ended: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/routing/src/router/view.rs
+++ b/crates/routing/src/router/view.rs
@@ -115,6 +115,11 @@
         self.own_fault
     }
 
+    /// How many upstreams are known.
+    pub fn upstream_count(&self) -> usize {
+        self.current.len()
+    }
+
     /// The digest of the upstream table.
     pub fn table_digest(&self) -> u64 {
         self.table.digest()
