Add the command line

Cause: operators need plans, confirmations and answers that tell "refused" from "unknown" from "unreachable".

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,44 @@
-//! The `sapphirepost` program.
+//! The `sapphirepost` program: the operators' command line.
 
-fn main() {}
+mod arguments;
+mod change;
+mod client;
+mod commands;
+mod failure;
+mod intents;
+mod settings;
+mod show;
+mod table;
+
+use std::env;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::arguments::Arguments;
+use crate::failure::Failure;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["sapphirepost"], &words) {
+        Ok(arguments) => arguments,
+        Err(exit) => return early_exit(&exit),
+    };
+    match commands::run(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("sapphirepost: {failure}");
+            ExitCode::from(failure.exit_code())
+        }
+    }
+}
+
+fn early_exit(exit: &argh::EarlyExit) -> ExitCode {
+    if exit.status.is_ok() {
+        println!("{}", exit.output);
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("{}", exit.output);
+    ExitCode::from(Failure::Usage(String::new()).exit_code())
+}
