--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod logging;
 pub mod metrics;
+mod process_metrics;
 pub mod rate_limit;
 pub mod readiness;
 pub mod rpc;
--- a/crates/process/src/metrics.rs
+++ b/crates/process/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::registry::Metric;
 use prometheus_client::registry::Registry;
 
+use crate::process_metrics::ProcessCollector;
+
 /// The content type of the text that [`Metrics::encode`] returns.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -19,10 +21,12 @@
 }
 
 impl Metrics {
-    /// An empty registry.
+    /// A registry with the processor time and memory of this process.
     pub fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("sapphirepost");
+        registry.register_collector(Box::new(ProcessCollector));
         Metrics {
-            registry: Arc::new(Mutex::new(Registry::with_prefix("sapphirepost"))),
+            registry: Arc::new(Mutex::new(registry)),
         }
     }
 
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -46,6 +46,11 @@
         (status, reasons.as_str()),
         (503, "config: the current version is not known\n")
     );
+    let metrics = get(&server, "/metrics").1;
+    assert!(
+        metrics.contains("sapphirepost_process_resident_memory_bytes "),
+        "{metrics}"
+    );
     assert!(
         get(&server, "/metrics")
             .1
