--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -3,6 +3,7 @@
 //! An address that does not answer is passed over. What may have taken effect is sent again only
 //! if the receiver recognises a resend by its operation ID, and then unchanged.
 
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::thread;
@@ -12,6 +13,7 @@
 use attohttpc::Method;
 use attohttpc::ProxySettings;
 use attohttpc::RequestBuilder;
+use attohttpc::Response;
 use sapphirepost_protocol::error::ErrorBody;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::Refusal;
@@ -143,11 +145,7 @@
         Some(body) => request.json(body).and_then(|request| request.send()),
         None => request.send(),
     };
-    let answer = answer.and_then(|answer| {
-        let status = answer.status().as_u16();
-        Ok((status, answer.text()?))
-    });
-    match answer {
+    match answer.and_then(read_whole) {
         Ok((STATUS_UNAVAILABLE, text)) => Attempt::NotDone(message(&text)),
         Ok((STATUS_GATEWAY_TIMEOUT, text)) => Attempt::Unknown(message(&text)),
         Ok((status, text)) => Attempt::Answered(status, text),
@@ -155,6 +153,18 @@
     }
 }
 
+/// The status and the body. The library accepts a body that is shorter than declared.
+fn read_whole(answer: Response) -> attohttpc::Result<(u16, String)> {
+    let status = answer.status().as_u16();
+    let declared = answer.headers().get("content-length").cloned();
+    let text = answer.text()?;
+    let declared = declared.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| text.len() < length) {
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+    }
+    Ok((status, text))
+}
+
 fn request<B>(
     settings: &Settings,
     address: SocketAddr,
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -2,6 +2,7 @@
 //! that a change is sent again only unchanged.
 
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::process::Command;
@@ -125,6 +126,23 @@
     address
 }
 
+/// An entry that sends a part of its answer.
+fn truncating() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut buffer = [0; 4096];
+            let mut stream = stream.unwrap();
+            if stream.read(&mut buffer).is_ok_and(|length| length > 0) {
+                let part = b"HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{\"confirmed\":";
+                stream.write_all(part).unwrap();
+            }
+        }
+    });
+    address
+}
+
 fn no_leader(_: &Request) -> Response {
     error(
         503,
@@ -154,6 +172,7 @@
         ("FAKE", serve(fake)),
         ("NO_LEADER", serve(no_leader)),
         ("FORGETFUL", forgetful()),
+        ("TRUNCATING", truncating()),
         ("GONE", gone()),
     ];
     datadriven::walk("tests/cli", |file| {
--- a/crates/entry/tests/listeners.rs
+++ b/crates/entry/tests/listeners.rs
@@ -1,6 +1,9 @@
 //! Guards the platform and operator listeners: invalid input is refused before it is passed on.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -210,3 +213,36 @@
     assert!(began.elapsed() < Duration::from_secs(3));
     assert_eq!(announcements.try_recv().unwrap().name.as_str(), "u1");
 }
+
+/// A sender that stops in the middle must not hold a connection of the entry for ever.
+#[test]
+fn a_head_or_body_that_does_not_arrive_ends_its_connection() {
+    let runtime = runtime(2).unwrap();
+    let leader = leader(&runtime);
+    let config = PlatformConfig {
+        address: local(),
+        key: key(),
+    };
+    let (sender, _announcements) = flume::bounded(1);
+    let control = control(&runtime, &leader);
+    let server = PlatformServer::start(runtime.handle(), config, control, sender).unwrap();
+    let head = format!("POST /v1/workers/sync HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
+    let body = format!("{head}content-length: 100\r\n\r\n{{");
+    let cases = [head, body].map(|part| {
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        stream.write_all(part.as_bytes()).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(15)))
+            .unwrap();
+        stream
+    });
+    for mut stream in cases {
+        let mut text = String::new();
+        let read = stream.read_to_string(&mut text);
+        assert!(read.is_ok(), "still open after 15 s: {read:?}");
+        assert!(
+            text.is_empty() || text.starts_with("HTTP/1.1 408"),
+            "{text}"
+        );
+    }
+}
