Drop the adapter between leader and placement

Ruled out: keeping the leader's own trait; its types were copies of those of the placement package.

Change: crates/control/src/placer.rs is removed; `Leader::new` takes the seed.

Conclusion: control, leader and placement share one set of types.

--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -4,12 +4,8 @@
 use sapphirepost_leader::Context;
 use sapphirepost_leader::Leader;
 use sapphirepost_leader::LeaderConfig;
-use sapphirepost_placement::PlacementConfig;
-use sapphirepost_placement::Placer;
 use sapphirepost_types::MemberId;
 
-use crate::placer::ConnectedPlacer;
-
 /// Settings of the decisions.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Leading {
@@ -26,8 +22,7 @@
             lease_ms: self.lease_ms,
             ..LeaderConfig::default()
         };
-        let placer = Placer::new(PlacementConfig::default(), ctx.unix_ms ^ term);
-        let placing = Box::new(ConnectedPlacer(placer));
-        Leader::with_placing(config, placing, ctx.state, ctx.now, ctx.unix_ms)
+        let seed = ctx.unix_ms ^ term;
+        Leader::new(config, ctx.state, ctx.now, ctx.unix_ms, seed)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,7 +13,6 @@
 mod methods;
 mod metrics;
 mod peers;
-mod placer;
 mod requests;
 mod settings;
 mod snapshots;
