Measure requests, overload, faults and leaving

Cause: the targets for callers' requests had no experiments. Change: five subcommands with real entry processes and runners in this process.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod replay;
 mod report;
+mod requests;
 mod simple;
 mod waiting;
 
@@ -27,6 +28,11 @@
     Placement(placement::Arguments),
     Packing(packing::Arguments),
     Waiting(waiting::Arguments),
+    Requests(requests::latency::Arguments),
+    Overload(requests::overload::Arguments),
+    Faults(requests::faults::Arguments),
+    Leaving(requests::leaving::Arguments),
+    Connections(requests::connections::Arguments),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -35,6 +41,11 @@
         Experiment::Placement(arguments) => placement::run(&arguments),
         Experiment::Packing(arguments) => packing::run(&arguments),
         Experiment::Waiting(arguments) => waiting::run(&arguments),
+        Experiment::Requests(arguments) => requests::latency::run(&arguments)?,
+        Experiment::Overload(arguments) => requests::overload::run(&arguments)?,
+        Experiment::Faults(arguments) => requests::faults::run(&arguments)?,
+        Experiment::Leaving(arguments) => requests::leaving::run(&arguments)?,
+        Experiment::Connections(arguments) => requests::connections::run(&arguments)?,
     };
     println!("{}", serde_json::to_string(&report)?);
     Ok(())
