Serve the admin and operator listeners with hyper

Cause: on rouille 3.6 (tiny_http 0.12) the rest of a declared body is read into one allocation after the answer, before any key matters. One request with a content-length of 99,999,999,999,999 ended the process; four stalled requests stopped a listener with four threads.

Ruled out: checking the key or the length in the handler (the library reads after the answer either way); keeping the body's reader alive (the request itself owns the buffer that is drained); tiny_http directly (same code).

Conclusion: no request without a key can stop a listener or its process in the ways tried.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// The runtime that the calls run on.
+    pub fn runtime(&self) -> &Handle {
+        &self.inner.runtime
+    }
+
     /// The address of the process that led last.
     pub fn leader_address(&self) -> Option<String> {
         let targets = self.inner.lock();
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -5,8 +5,7 @@
 //! again after a lost answer; membership changes carry none and are sent once. Invalid input is
 //! answered with a 4xx and an [`ErrorBody`] before anything is sent.
 //!
-//! `rouille` has no socket timeouts. The key is checked before the body is read, so that only
-//! holders of the key can occupy the pool with slow bodies; the pool has [`POOL_SIZE`] threads.
+//! The key is checked before the body is read.
 //!
 //! `main` calls [`OperatorServer::start`].
 
@@ -14,14 +13,20 @@
 mod route;
 
 use std::net::SocketAddr;
-use std::sync::mpsc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
-use rouille::Request;
-use rouille::Response;
-use rouille::Server;
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::http::request::Parts;
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::http;
+use sapphirepost_process::http::HttpAnswer;
+use sapphirepost_process::http::HttpError;
+use sapphirepost_process::http::HttpHandler;
+use sapphirepost_process::http::HttpLimits;
+use sapphirepost_process::http::HttpServer;
 use sapphirepost_protocol::method;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::OperatorRequest;
@@ -30,10 +35,15 @@
 use crate::control_client::CallOptions;
 use crate::control_client::ControlClient;
 use crate::control_client::Repeat;
-use crate::operators::answer::Refused;
 
-/// Threads that run requests; a wait for a configuration version holds one of them.
-const POOL_SIZE: usize = 32;
+const LIMITS: HttpLimits = HttpLimits {
+    connections_max: 128,
+    head_max_bytes: 16 * 1024,
+    // The payload of a job is the only long text.
+    body_max_bytes: 256 * 1024,
+    head_timeout: Duration::from_secs(10),
+    body_timeout: Duration::from_secs(5),
+};
 /// The longest time for an operator's request over all attempts; several elections fit in.
 const TOTAL: Duration = Duration::from_secs(8);
 /// The longest time for one attempt; a commit takes some milliseconds.
@@ -53,11 +63,7 @@
 
 /// The running listener; it stops when dropped.
 #[derive(Debug)]
-pub struct OperatorServer {
-    address: SocketAddr,
-    stop: mpsc::Sender<()>,
-    _thread: JoinHandle<()>,
-}
+pub struct OperatorServer(HttpServer);
 
 /// The address could not be bound.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -70,69 +76,70 @@
 }
 
 impl OperatorServer {
-    /// Binds the address and starts to serve.
+    /// Binds the address and starts to serve. Must not be called on the runtime.
     pub fn start(
         config: OperatorConfig,
         control: ControlClient,
     ) -> Result<OperatorServer, OperatorBindError> {
         let address = config.address;
-        let key = config.key;
-        let server = Server::new(address, move |request| handle(request, &key, &control))
-            .map_err(|error| OperatorBindError {
-                address,
-                problem: error.to_string(),
-            })?
-            .pool_size(POOL_SIZE);
-        let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
-        Ok(OperatorServer {
+        let runtime = control.runtime().clone();
+        let operators = Operators {
+            key: config.key,
+            control,
+        };
+        let starting = HttpServer::start(&runtime, address, LIMITS, operators);
+        let bound = runtime.block_on(starting).map(OperatorServer);
+        bound.map_err(|error| OperatorBindError {
             address,
-            stop,
-            _thread: thread,
+            problem: error.to_string(),
         })
     }
 
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.0.address()
     }
-}
 
-impl Drop for OperatorServer {
-    fn drop(&mut self) {
-        let _ = self.stop.send(());
+    /// Stops accepting, and waits up to `limit` for requests in progress; the number still open.
+    pub async fn stop(&self, limit: Duration) -> usize {
+        self.0.stop(limit).await
     }
 }
 
-fn handle(request: &Request, key: &Option<SharedKey>, control: &ControlClient) -> Response {
-    match check_key(request, key).and_then(|()| route::parse(request)) {
-        Ok(operator_request) => relay(&operator_request, control),
-        Err(refused) => refused.into_response(),
-    }
+struct Operators {
+    key: Option<SharedKey>,
+    control: ControlClient,
 }
 
-fn check_key(request: &Request, key: &Option<SharedKey>) -> Result<(), Refused> {
-    match key {
-        Some(key) if key.matches(request.header("authorization")) => Ok(()),
-        Some(_) => Err(Refused::new(
-            401,
-            "unauthorized",
-            "the operator key is missing or wrong",
-        )),
-        None if request.method() == "GET" => Ok(()),
-        None => Err(Refused::new(
-            403,
-            "no_key",
-            "this entry has no operator key, so it refuses changes",
-        )),
+impl HttpHandler for Operators {
+    fn admit(&self, head: &Parts) -> Result<(), HttpError> {
+        match &self.key {
+            Some(key) => http::check_key(key, head),
+            None if head.method == Method::GET => Ok(()),
+            None => {
+                let message = "this entry has no operator key, so it refuses changes";
+                Err(HttpError::new(StatusCode::FORBIDDEN, "no_key", message))
+            }
+        }
+    }
+
+    async fn handle(&self, request: Request<Bytes>) -> HttpAnswer {
+        match route::parse(&request) {
+            Ok(request) => self.relay(&request).await,
+            Err(error) => error.into_answer(),
+        }
     }
 }
 
-fn relay(request: &OperatorRequest, control: &ControlClient) -> Response {
-    log_change(request);
-    let reply =
-        control.call_blocking::<_, OperatorReply>(method::OPERATOR, request, limits(request));
-    answer::from_reply(reply)
+impl Operators {
+    async fn relay(&self, request: &OperatorRequest) -> HttpAnswer {
+        log_change(request);
+        let reply = self
+            .control
+            .call::<_, OperatorReply>(method::OPERATOR, request, limits(request))
+            .await;
+        answer::from_reply(reply)
+    }
 }
 
 fn limits(request: &OperatorRequest) -> CallOptions {
--- a/crates/entry/src/operators/answer.rs
+++ b/crates/entry/src/operators/answer.rs
@@ -1,73 +1,48 @@
 //! Answers to operators.
 
-use rouille::Response;
-use sapphirepost_protocol::error::ErrorBody;
+use hyper::StatusCode;
+use sapphirepost_process::http;
+use sapphirepost_process::http::HttpAnswer;
+use sapphirepost_process::http::HttpError;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::Refusal;
-use serde::Serialize;
 
 use crate::control_client::ControlError;
 
-/// A request that is not passed on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Refused {
-    status: u16,
-    body: ErrorBody,
-}
-
-impl Refused {
-    pub(crate) fn new(status: u16, error: &str, message: &str) -> Refused {
-        let body = ErrorBody {
-            error: error.to_owned(),
-            message: message.to_owned(),
-        };
-        Refused { status, body }
-    }
-
-    pub(crate) fn bad_request(message: &str) -> Refused {
-        Refused::new(400, "bad_request", message)
-    }
-
-    pub(crate) fn into_response(self) -> Response {
-        json(self.status, &self.body)
-    }
-}
-
 /// The answer for the outcome of a call to the leader.
-pub(crate) fn from_reply(reply: Result<OperatorReply, ControlError>) -> Response {
-    match reply {
-        Ok(reply) => json(status(&reply), &reply),
-        Err(ControlError::Invalid(problem)) => Refused::bad_request(&problem).into_response(),
-        Err(error @ ControlError::Unavailable(_)) => {
-            Refused::new(503, "cannot_decide", &error.to_string())
-                .into_response()
-                .with_additional_header("retry-after", "1")
+pub(crate) fn from_reply(reply: Result<OperatorReply, ControlError>) -> HttpAnswer {
+    let error = match reply {
+        Ok(reply) => return http::json(status(&reply), &reply),
+        Err(error) => error,
+    };
+    let message = error.to_string();
+    match error {
+        ControlError::Invalid(_) => HttpError::bad_request(message),
+        ControlError::Unavailable(_) => {
+            HttpError::new(StatusCode::SERVICE_UNAVAILABLE, "cannot_decide", message)
         }
-        Err(error @ ControlError::OutcomeUnknown(_)) => {
-            Refused::new(504, "outcome_unknown", &error.to_string()).into_response()
+        ControlError::OutcomeUnknown(_) => {
+            HttpError::new(StatusCode::GATEWAY_TIMEOUT, "outcome_unknown", message)
         }
     }
+    .into_answer()
 }
 
-fn status(reply: &OperatorReply) -> u16 {
+fn status(reply: &OperatorReply) -> StatusCode {
     match reply {
         OperatorReply::Refused(refusal) => refusal_status(refusal),
-        _ => 200,
+        _ => StatusCode::OK,
     }
 }
 
-fn refusal_status(refusal: &Refusal) -> u16 {
+fn refusal_status(refusal: &Refusal) -> StatusCode {
     match refusal {
-        Refusal::Invalid { .. } | Refusal::NeverFits { .. } => 422,
+        Refusal::Invalid { .. } | Refusal::NeverFits { .. } => StatusCode::UNPROCESSABLE_ENTITY,
         Refusal::Stale { .. } | Refusal::AlreadyConfirmed { .. } | Refusal::OperationMismatch => {
-            409
+            StatusCode::CONFLICT
         }
-        Refusal::OperationTooOld => 410,
-        Refusal::OperationTooNew => 400,
-        Refusal::NotFound { .. } => 404,
+        Refusal::OperationTooOld => StatusCode::GONE,
+        Refusal::OperationTooNew => StatusCode::BAD_REQUEST,
+        Refusal::NotFound { .. } => StatusCode::NOT_FOUND,
     }
 }
-
-fn json<T: Serialize>(status: u16, value: &T) -> Response {
-    Response::json(value).with_status_code(status)
-}
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -1,27 +1,46 @@
 //! The admin listener: `/healthz`, `/readyz`, `/metrics` and `/dump`.
 //!
-//! `rouille` offers no socket timeouts, so a stalled peer holds one of the library's threads
-//! until it disconnects; requests themselves run on a bounded pool. The listener belongs on an
-//! inner address.
+//! It runs on a thread and a runtime of its own, so that it answers while the other threads are
+//! busy. Dumps wait on a bounded number of threads, since the owner of the state may be slow.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc;
-use std::thread::JoinHandle;
+use std::thread;
 use std::time::Duration;
 
-use rouille::Request;
-use rouille::Response;
-use rouille::Server;
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::http::request::Parts;
 use serde_json::Value;
 use thiserror::Error;
-
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+
+use crate::http;
+use crate::http::HttpAnswer;
+use crate::http::HttpError;
+use crate::http::HttpHandler;
+use crate::http::HttpLimits;
+use crate::http::HttpServer;
 use crate::metrics;
 use crate::metrics::Metrics;
 use crate::readiness::Readiness;
 
-/// Threads that run requests.
-const POOL_SIZE: usize = 4;
+/// Threads that wait for dumps.
+const DUMP_THREADS: usize = 4;
+
+const LIMITS: HttpLimits = HttpLimits {
+    connections_max: 64,
+    head_max_bytes: 16 * 1024,
+    body_max_bytes: 0,
+    head_timeout: Duration::from_secs(10),
+    body_timeout: Duration::from_secs(1),
+};
 
 /// The dump could not be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -63,24 +82,36 @@
 }
 
 /// The running listener; it stops when dropped.
+#[derive(Debug)]
 pub struct AdminServer {
     address: SocketAddr,
-    stop: mpsc::Sender<()>,
-    _thread: JoinHandle<()>,
+    _stop: oneshot::Sender<()>,
 }
 
 impl AdminServer {
     /// Binds `address` and starts to serve.
     pub fn start(address: SocketAddr, parts: AdminParts) -> Result<AdminServer, AdminError> {
-        let server = Server::new(address, move |request| handle(request, &parts))
-            .map_err(|error| AdminError::Bind(address, error.to_string()))?
-            .pool_size(POOL_SIZE);
-        let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
+        let bind_error = |error: io::Error| AdminError::Bind(address, error.to_string());
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .max_blocking_threads(DUMP_THREADS)
+            .build()
+            .map_err(bind_error)?;
+        let handler = Admin {
+            parts,
+            runtime: runtime.handle().clone(),
+        };
+        let starting = HttpServer::start(runtime.handle(), address, LIMITS, handler);
+        let server = runtime.block_on(starting).map_err(bind_error)?;
+        let address = server.address();
+        let (stop, stopped) = oneshot::channel();
+        thread::Builder::new()
+            .name("admin".to_owned())
+            .spawn(move || run(runtime, server, stopped))
+            .map_err(bind_error)?;
         Ok(AdminServer {
             address,
-            stop,
-            _thread: thread,
+            _stop: stop,
         })
     }
 
@@ -90,10 +121,11 @@
     }
 }
 
-impl Drop for AdminServer {
-    fn drop(&mut self) {
-        let _ = self.stop.send(());
-    }
+fn run(runtime: Runtime, server: HttpServer, stopped: oneshot::Receiver<()>) {
+    let _ = runtime.block_on(stopped);
+    drop(server);
+    // A dump that is still awaited must not delay the end of the process.
+    runtime.shutdown_background();
 }
 
 /// Why the listener did not start.
@@ -104,41 +136,62 @@
     Bind(SocketAddr, String),
 }
 
-fn handle(request: &Request, parts: &AdminParts) -> Response {
-    if request.method() != "GET" {
-        return Response::text("use GET\n").with_status_code(405);
+struct Admin {
+    parts: AdminParts,
+    runtime: Handle,
+}
+
+impl HttpHandler for Admin {
+    fn admit(&self, head: &Parts) -> Result<(), HttpError> {
+        if head.method == Method::GET {
+            return Ok(());
+        }
+        let status = StatusCode::METHOD_NOT_ALLOWED;
+        Err(HttpError::new(status, "method", "use GET"))
+    }
+
+    async fn handle(&self, request: Request<Bytes>) -> HttpAnswer {
+        match request.uri().path() {
+            "/healthz" => http::text(StatusCode::OK, "ok\n"),
+            "/readyz" => ready(&self.parts.readiness),
+            "/metrics" => encode(&self.parts.metrics),
+            "/dump" => self.dump().await,
+            _ => HttpError::new(StatusCode::NOT_FOUND, "not_found", "no such path").into_answer(),
+        }
     }
-    match request.url().as_str() {
-        "/healthz" => Response::text("ok\n"),
-        "/readyz" => ready(&parts.readiness),
-        "/metrics" => encode(&parts.metrics),
-        "/dump" => dump(&parts.dump),
-        _ => Response::text("not found\n").with_status_code(404),
+}
+
+impl Admin {
+    async fn dump(&self) -> HttpAnswer {
+        let source = self.parts.dump.clone();
+        match self.runtime.spawn_blocking(move || source()).await {
+            Ok(Ok(value)) => http::json(StatusCode::OK, &value),
+            Ok(Err(error)) => dump_error(&error),
+            Err(error) => dump_error(&error),
+        }
     }
 }
 
-fn ready(readiness: &Readiness) -> Response {
+fn dump_error(error: &dyn std::error::Error) -> HttpAnswer {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    HttpError::new(status, "unavailable", error.to_string()).into_answer()
+}
+
+fn ready(readiness: &Readiness) -> HttpAnswer {
     let reasons = readiness.reasons();
     if reasons.is_empty() {
-        return Response::text("ready\n");
+        return http::text(StatusCode::OK, "ready\n");
     }
     let lines: String = reasons
         .iter()
         .map(|(part, reason)| format!("{part}: {reason}\n"))
         .collect();
-    Response::text(lines).with_status_code(503)
+    http::text(StatusCode::SERVICE_UNAVAILABLE, lines)
 }
 
-fn encode(metrics: &Metrics) -> Response {
+fn encode(metrics: &Metrics) -> HttpAnswer {
     match metrics.encode() {
-        Ok(text) => Response::from_data(metrics::CONTENT_TYPE, text),
-        Err(error) => Response::text(format!("{error}\n")).with_status_code(500),
-    }
-}
-
-fn dump(source: &DumpSource) -> Response {
-    match source() {
-        Ok(value) => Response::from_data("application/json", value.to_string()),
-        Err(error) => Response::text(format!("{error}\n")).with_status_code(503),
+        Ok(text) => http::content(StatusCode::OK, metrics::CONTENT_TYPE, text),
+        Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
     }
 }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod http;
 pub mod logging;
 pub mod metrics;
 mod process_metrics;
--- a/crates/process/src/rpc/server.rs
+++ b/crates/process/src/rpc/server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::BatchRequestConfig;
@@ -26,6 +27,10 @@
 use crate::rpc::error::RpcError;
 use crate::shared_key::SharedKey;
 
+/// A connection without a handshake for this long is closed, so that silent ones cannot take all
+/// places.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The place for the answer to one call.
 ///
 /// It may be moved to another thread. When it is dropped unanswered, the caller learns that the
@@ -216,6 +221,7 @@
         .set_batch_request_config(BatchRequestConfig::Disabled)
         .set_message_buffer_capacity(config.calls_per_connection_max)
         .set_tcp_no_delay(true)
+        .set_first_request_timeout(Some(HANDSHAKE_TIMEOUT))
         .enable_ws_ping(ping)
         .build()
 }
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -1,8 +1,12 @@
 //! Guards what operators see of a process: health, readiness, metrics, dump and log lines.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::UNIX_EPOCH;
 
 use log::Level;
@@ -65,6 +69,31 @@
     assert_eq!(get(&server, "/dump"), (200, r#"{"tasks":3}"#.to_owned()));
 }
 
+/// A listener that reads the declared body before it goes on is stopped by a sender that stalls,
+/// and ended by one that declares more than the memory holds.
+#[test]
+fn declared_bodies_neither_block_nor_end_the_listener() {
+    let parts = AdminParts {
+        readiness: Readiness::new(),
+        metrics: Metrics::new(),
+        dump: Arc::new(|| Ok(serde_json::json!({}))),
+    };
+    let server = AdminServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), parts).unwrap();
+    let lengths = [5000, 5000, 5000, 5000, 99_999_999_999_999_u64];
+    let _held = ["GET", "POST"].map(|method| {
+        lengths.map(|length| {
+            let head = format!("{method} /healthz HTTP/1.1\r\ncontent-length: {length}\r\n\r\n");
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+    });
+    thread::sleep(Duration::from_millis(100));
+    let began = Instant::now();
+    assert_eq!(get(&server, "/healthz").0, 200);
+    assert!(began.elapsed() < Duration::from_millis(500));
+}
+
 /// A caller's text with a line end could otherwise forge a second event.
 #[test]
 fn an_event_is_one_line() {
