--- a/crates/state/src/ending.rs
+++ b/crates/state/src/ending.rs
@@ -43,6 +43,7 @@
             .get_mut(worker_id)
             .and_then(|worker| worker.release(key));
         if released.is_none() && !self.disabled.attempt_fencing {
+            self.adopt_late_finish(key, end);
             return;
         }
         self.changed(Change::Worker(worker_id));
@@ -51,6 +52,33 @@
         }
     }
 
+    /// Whether a finish reported now still counts although the room was released before: the
+    /// lease had ended, and no newer attempt was placed since.
+    pub fn is_late_finish(&self, key: AttemptKey) -> bool {
+        let Some(task) = self.tasks.get(key.task) else {
+            return false;
+        };
+        let job = self.jobs.get(task.job);
+        let is_wanted = job.is_some_and(|job| job.is_active() && !job.is_service());
+        is_wanted && task.is_waiting() && task.attempt == key.attempt
+    }
+
+    fn adopt_late_finish(&mut self, key: AttemptKey, end: AttemptEnd) {
+        if end != AttemptEnd::Finished || !self.is_late_finish(key) {
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(key.task) else {
+            return;
+        };
+        task.phase = Phase::Ended { success: true };
+        let job_id = task.job;
+        if let Some(job) = self.jobs.get_mut(job_id) {
+            job.finished += 1;
+        }
+        self.task_changed(key.task);
+        self.settle_job(job_id);
+    }
+
     /// Whether the key names the attempt that the task has now on that worker.
     pub(crate) fn is_current(&self, worker: WorkerId, key: AttemptKey) -> bool {
         let Some(task) = self.tasks.get(key.task) else {
@@ -63,7 +91,6 @@
     }
 
     fn end_current(&mut self, id: TaskId, worker: WorkerId, end: AttemptEnd) {
-        let now_unix_ms = self.clock_unix_ms;
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -73,7 +100,7 @@
         let job_id = task.job;
         job.placed = job.placed.saturating_sub(1);
         let was_charged = !task.unreachable;
-        let next = next_after(task, job, worker, end, now_unix_ms);
+        let next = next_after(task, job, worker, end);
         task.stop = None;
         task.unreachable = false;
         task.phase = match next {
@@ -172,13 +199,7 @@
     }
 }
 
-fn next_after(
-    task: &mut Task,
-    job: &Job,
-    worker: WorkerId,
-    end: AttemptEnd,
-    now_unix_ms: u64,
-) -> Next {
+fn next_after(task: &mut Task, job: &Job, worker: WorkerId, end: AttemptEnd) -> Next {
     let is_service = job.is_service();
     if end == AttemptEnd::Finished && !is_service {
         return Next::End { success: true };
@@ -193,7 +214,7 @@
     if !ended_by_itself || task.stop.is_some() {
         return Next::Wait;
     }
-    task.count_failure(worker, now_unix_ms);
+    task.count_failure(worker);
     match task.is_exhausted() && !is_service {
         true => Next::End { success: false },
         false => Next::Wait,
