Take ports of process tests from below the range of outgoing connections

A port that was free when it was chosen went to a relay or an outgoing connection before the process started or restarted. Ruled out: a fault of the processes (the log of the failed one ends with "Address already in use"). Change: ports are counted up from a range that the operating system does not hand out. Conclusion: a fault of the tests, not of the program.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -13,6 +13,8 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -46,11 +48,21 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// First port of the range for tests. It ends below the range that the operating system gives to
+/// outgoing connections, so that none of them takes a port before its process has started.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub struct Process {
