--- /dev/null
+++ b/crates/control/src/leading.rs
@@ -0,0 +1,28 @@
+//! Makes the decisions of a term that this member leads.
+
+use sapphirepost_consensus::Term;
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::LeaderConfig;
+use sapphirepost_types::MemberId;
+
+/// Settings of the decisions.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leading {
+    pub(crate) member: MemberId,
+    pub(crate) lease_ms: u64,
+}
+
+impl Leading {
+    /// The decisions over the state as applied by a new leader.
+    pub(crate) fn leader(&self, term: Term, ctx: &Context<'_>) -> Leader {
+        let config = LeaderConfig {
+            member: self.member,
+            term,
+            lease_ms: self.lease_ms,
+            ..LeaderConfig::default()
+        };
+        let seed = ctx.unix_ms ^ term;
+        Leader::new(config, ctx.state, ctx.now, ctx.unix_ms, seed)
+    }
+}
