Measure commits and recovery with real control processes

Cause: the targets for placements committed through three control processes and for the time from a kill of the leader to the next confirmed intent had no measurement.

Ruled out: measuring the consensus package in one process, because sockets, codec and disk are what these targets are about; free ports picked by the operating system, because a restarted process may find its port in use.

Change: `sapphirepost-load commits` drives 800 simulated workers over six connections against a group of three and, as the baseline, of one; `sapphirepost-load recovery` kills leaders and, as the baseline, followers, and counts accepted changes. Both use a loopback address of their own.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -7,6 +7,8 @@
 
 mod arrivals;
 mod clusters;
+mod group;
+mod loopback;
 mod packing;
 mod placement;
 mod replay;
@@ -28,6 +30,8 @@
     Placement(placement::Arguments),
     Packing(packing::Arguments),
     Waiting(waiting::Arguments),
+    Commits(group::commits::Arguments),
+    Recovery(group::recovery::Arguments),
     Requests(requests::latency::Arguments),
     Overload(requests::overload::Arguments),
     Faults(requests::faults::Arguments),
@@ -41,6 +45,8 @@
         Experiment::Placement(arguments) => placement::run(&arguments),
         Experiment::Packing(arguments) => packing::run(&arguments),
         Experiment::Waiting(arguments) => waiting::run(&arguments),
+        Experiment::Commits(arguments) => group::commits::run(&arguments)?,
+        Experiment::Recovery(arguments) => group::recovery::run(&arguments)?,
         Experiment::Requests(arguments) => requests::latency::run(&arguments)?,
         Experiment::Overload(arguments) => requests::overload::run(&arguments)?,
         Experiment::Faults(arguments) => requests::faults::run(&arguments)?,
