Keep the factors of run-time estimates

Cause: each visit of a waiting job hashed the name of its series and computed four exponentials. Change: jobs hold the id of their series, and a series keeps its factors until it learns.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -10,7 +10,6 @@
 use sapphirepost_types::TaskId;
 
 use crate::estimate::Estimate;
-use crate::estimate::SeriesKey;
 use crate::job::Job;
 use crate::job::Place;
 use crate::job::WaitReason;
@@ -48,7 +47,7 @@
             id: view.id,
             team,
             name: view.name.clone(),
-            series: SeriesKey::new(team, &view.name),
+            series: self.estimates.series(team, &view.name),
             policy: view.policy,
             priority: view.priority,
             need: view.resources,
@@ -149,7 +148,7 @@
                 deadline,
                 run_time_ms,
             } => {
-                let estimate = self.estimates.estimate(&job.series, run_time_ms);
+                let estimate = self.estimates.estimate(job.series, run_time_ms);
                 let position = batch::position(job.submitted, deadline, self.now, &estimate);
                 (position.0, position.1.0)
             }
@@ -228,7 +227,7 @@
     /// The estimate of one task of a job; `None` for a service.
     pub(crate) fn estimate_of(&self, job: &Job) -> Option<Estimate> {
         let declared_ms = job.policy.run_time_ms()?;
-        Some(self.estimates.estimate(&job.series, declared_ms))
+        Some(self.estimates.estimate(job.series, declared_ms))
     }
 
     /// When a task of the job that starts now has ended by the pessimistic estimate.
--- a/crates/placement/src/ends.rs
+++ b/crates/placement/src/ends.rs
@@ -110,7 +110,7 @@
             && self.config.mechanisms.learning
         {
             let actual_ms = self.now.since(ended.started);
-            self.estimates.learn(&job.series, declared_ms, actual_ms);
+            self.estimates.learn(job.series, declared_ms, actual_ms);
         }
         self.tasks.remove(&ended.task);
     }
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -26,23 +26,18 @@
 /// Series that are tracked; the memory of the placer stays bounded when names are random.
 const MAX_SERIES: usize = 8_192;
 
-/// What identifies similar tasks.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct SeriesKey {
-    pub(crate) team: TeamId,
-    pub(crate) prefix: Box<str>,
+/// A series of similar tasks. Ids of an earlier generation are void.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SeriesId {
+    generation: u32,
+    position: u32,
 }
 
-impl SeriesKey {
-    /// The key for a job's name: the name without trailing numbers and separators.
-    pub(crate) fn new(team: TeamId, name: &str) -> SeriesKey {
-        let is_counter = |c: char| c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
-        let prefix = name.trim_end_matches(is_counter);
-        SeriesKey {
-            team,
-            prefix: prefix.into(),
-        }
-    }
+/// A team and a job's name without trailing numbers and separators.
+type SeriesKey = (TeamId, Box<str>);
+
+fn prefix_of(name: &str) -> &str {
+    name.trim_end_matches(|c: char| c.is_ascii_digit() || matches!(c, '-' | '_' | '.'))
 }
 
 /// Mean and variance of the logarithm of actual over declared run time.
@@ -73,6 +68,27 @@
     }
 }
 
+/// Estimates relative to the declared run time; kept, since they are needed for each waiting job
+/// in each decision and their exponentials are slow.
+#[derive(Clone, Copy, Debug)]
+struct Factors {
+    optimistic: f64,
+    median: f64,
+    cautious: f64,
+    pessimistic: f64,
+}
+
+impl Factors {
+    fn of(series: &Series) -> Factors {
+        Factors {
+            optimistic: series.quantile(-Z_PESSIMISTIC),
+            median: series.quantile(0.0),
+            cautious: series.quantile(Z_CAUTIOUS),
+            pessimistic: series.quantile(Z_PESSIMISTIC),
+        }
+    }
+}
+
 /// Estimates of one task's run time in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Estimate {
@@ -87,37 +103,71 @@
 }
 
 /// All series.
-#[derive(Default)]
 pub(crate) struct Estimates {
-    series: FxHashMap<SeriesKey, Series>,
+    ids: FxHashMap<SeriesKey, u32>,
+    series: Vec<(Series, Factors)>,
+    generation: u32,
+    unknown: Factors,
 }
 
 impl Estimates {
-    /// Learns from a task that ended by itself.
-    pub(crate) fn learn(&mut self, key: &SeriesKey, declared_ms: u64, actual_ms: u64) {
-        let value = (actual_ms.max(1) as f64 / declared_ms.max(1) as f64).ln();
-        if let Some(series) = self.series.get_mut(key) {
-            series.add(value);
-            return;
+    pub(crate) fn new() -> Estimates {
+        Estimates {
+            ids: FxHashMap::default(),
+            series: Vec::new(),
+            generation: 0,
+            unknown: Factors::of(&Series::default()),
+        }
+    }
+
+    /// The series of a job.
+    pub(crate) fn series(&mut self, team: TeamId, name: &str) -> SeriesId {
+        let key: SeriesKey = (team, prefix_of(name).into());
+        if let Some(&position) = self.ids.get(&key) {
+            return self.id(position);
         }
         if self.series.len() >= MAX_SERIES {
             // Names that carry random text would otherwise fill the memory. Starting over loses
-            // some learning, which the cautious prior covers.
+            // some learning, which the spread without samples covers.
+            self.ids.clear();
             self.series.clear();
+            self.generation += 1;
+        }
+        let position = self.series.len() as u32;
+        self.series.push((Series::default(), self.unknown));
+        self.ids.insert(key, position);
+        self.id(position)
+    }
+
+    fn id(&self, position: u32) -> SeriesId {
+        SeriesId {
+            generation: self.generation,
+            position,
+        }
+    }
+
+    /// Learns from a task that ended by itself.
+    pub(crate) fn learn(&mut self, id: SeriesId, declared_ms: u64, actual_ms: u64) {
+        if id.generation != self.generation {
+            return;
+        }
+        let value = (actual_ms.max(1) as f64 / declared_ms.max(1) as f64).ln();
+        if let Some((series, factors)) = self.series.get_mut(id.position as usize) {
+            series.add(value);
+            *factors = Factors::of(series);
         }
-        let mut series = Series::default();
-        series.add(value);
-        self.series.insert(key.clone(), series);
     }
 
-    pub(crate) fn estimate(&self, key: &SeriesKey, declared_ms: u64) -> Estimate {
-        let series = self.series.get(key).copied().unwrap_or_default();
-        let at = |z| (declared_ms as f64 * series.quantile(z)) as u64;
+    pub(crate) fn estimate(&self, id: SeriesId, declared_ms: u64) -> Estimate {
+        let known = self.series.get(id.position as usize);
+        let known = known.filter(|_| id.generation == self.generation);
+        let factors = known.map_or(&self.unknown, |(_, factors)| factors);
+        let at = |factor| (declared_ms as f64 * factor) as u64;
         Estimate {
-            optimistic_ms: at(-Z_PESSIMISTIC),
-            median_ms: at(0.0),
-            cautious_ms: at(Z_CAUTIOUS),
-            pessimistic_ms: at(Z_PESSIMISTIC),
+            optimistic_ms: at(factors.optimistic),
+            median_ms: at(factors.median),
+            cautious_ms: at(factors.cautious),
+            pessimistic_ms: at(factors.pessimistic),
         }
     }
 }
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 
 use crate::decision::NeverCause;
-use crate::estimate::SeriesKey;
+use crate::estimate::SeriesId;
 use crate::queue::QueueKey;
 use crate::quota::TeamId;
 use crate::view::JobPolicy;
@@ -46,7 +46,7 @@
     pub(crate) id: JobId,
     pub(crate) team: TeamId,
     pub(crate) name: Name,
-    pub(crate) series: SeriesKey,
+    pub(crate) series: SeriesId,
     pub(crate) policy: JobPolicy,
     pub(crate) priority: Priority,
     pub(crate) need: Resources,
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -80,7 +80,7 @@
             jobs: FxHashMap::default(),
             tasks: FxHashMap::default(),
             quotas: Quotas::default(),
-            estimates: Estimates::default(),
+            estimates: Estimates::new(),
             queue: Queue::default(),
             reservations: SmallVec::new(),
             never: FxHashSet::default(),
