--- /dev/null
+++ b/crates/leader/src/mirror.rs
@@ -0,0 +1,235 @@
+//! Keeps the placement's picture in line with the state.
+
+use std::collections::BTreeMap;
+
+use sapphirepost_placement::JobPolicy;
+use sapphirepost_placement::JobView;
+use sapphirepost_placement::Placer;
+use sapphirepost_placement::TaskEnd;
+use sapphirepost_placement::TaskView;
+use sapphirepost_placement::WorkerMode;
+use sapphirepost_placement::WorkerView;
+use sapphirepost_protocol::worker::TaskStatus;
+use sapphirepost_state::Change;
+use sapphirepost_state::Command;
+use sapphirepost_state::Request;
+use sapphirepost_state::jobs::Job;
+use sapphirepost_state::tasks::Phase;
+use sapphirepost_state::tasks::Task;
+use sapphirepost_state::workers::Contact;
+use sapphirepost_state::workers::Worker;
+use sapphirepost_types::JobId;
+use sapphirepost_types::JobKind;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+use sapphirepost_types::WorkerId;
+
+use crate::message::Context;
+
+/// What the placement was told.
+#[derive(Debug, Default)]
+pub(crate) struct Mirror {
+    bound: BTreeMap<TaskId, WorkerId>,
+}
+
+impl Mirror {
+    /// Tells an empty placement everything.
+    pub(crate) fn rebuild(&mut self, ctx: &Context<'_>, placer: &mut Placer) {
+        for (team, quota) in ctx.state.quotas().iter() {
+            placer.set_quota(team, quota.limit);
+        }
+        for (id, worker) in ctx.state.workers().iter() {
+            placer.upsert_worker(worker_view(ctx, id, worker));
+        }
+        for (id, job) in ctx.state.jobs().iter() {
+            if job.is_active() || job.placed > 0 {
+                self.submit_view(ctx, id, job, placer);
+            }
+        }
+        for (id, task) in ctx.state.tasks().iter() {
+            if let Some(worker) = task.worker() {
+                self.bind(ctx, id, task, worker, placer);
+            }
+        }
+        for (id, job) in ctx.state.jobs().iter() {
+            if !job.is_active() && job.placed > 0 {
+                placer.cancel(ctx.now, id);
+            }
+        }
+    }
+
+    /// Tells the placement what a command changed. A job is described as a whole only when its
+    /// size or phase changed, because that costs a pass over its tasks; jobs come first in the
+    /// order of changes, so their new tasks are known before they are bound.
+    pub(crate) fn follow(
+        &mut self,
+        ctx: &Context<'_>,
+        command: &Command,
+        changes: &[Change],
+        placer: &mut Placer,
+    ) {
+        for change in changes {
+            match change {
+                Change::Task(id) => self.follow_task(ctx, command, *id, placer),
+                Change::Job(id) => self.submit(ctx, *id, placer),
+                Change::Worker(id) => match ctx.state.workers().get(*id) {
+                    Some(worker) => placer.upsert_worker(worker_view(ctx, *id, worker)),
+                    None => placer.remove_worker(*id),
+                },
+                Change::Quota(team) => {
+                    let limit = ctx.state.quotas().get(team).and_then(|quota| quota.limit);
+                    placer.set_quota(team, limit);
+                }
+                Change::Config => {}
+            }
+        }
+    }
+
+    fn follow_task(
+        &mut self,
+        ctx: &Context<'_>,
+        command: &Command,
+        id: TaskId,
+        placer: &mut Placer,
+    ) {
+        let task = ctx.state.tasks().get(id);
+        if let Some((task, worker)) = task.and_then(|task| Some((task, task.worker()?))) {
+            if self.bound.get(&id) != Some(&worker) {
+                self.bind(ctx, id, task, worker, placer);
+            }
+            return;
+        }
+        let was_bound = self.bound.remove(&id).is_some();
+        let is_over = task.is_none_or(Task::is_ended);
+        if was_bound || is_over {
+            placer.release(ctx.now, id, end_of(command, id, task));
+        }
+    }
+
+    fn bind(
+        &mut self,
+        ctx: &Context<'_>,
+        id: TaskId,
+        task: &Task,
+        worker: WorkerId,
+        placer: &mut Placer,
+    ) {
+        let Some(job) = ctx.state.jobs().get(task.job) else {
+            return;
+        };
+        self.bound.insert(id, worker);
+        placer.bind(id, worker, job.spec.resources);
+    }
+
+    /// Tells the placement the job as it is now.
+    pub(crate) fn submit(&mut self, ctx: &Context<'_>, id: JobId, placer: &mut Placer) {
+        match ctx.state.jobs().get(id) {
+            Some(job) if job.is_active() => self.submit_view(ctx, id, job, placer),
+            _ => placer.cancel(ctx.now, id),
+        }
+    }
+
+    fn submit_view(&mut self, ctx: &Context<'_>, id: JobId, job: &Job, placer: &mut Placer) {
+        let tasks = task_views(ctx, job);
+        placer.submit(ctx.now, job_view(ctx, id, job, tasks));
+    }
+}
+
+fn task_views(ctx: &Context<'_>, job: &Job) -> Vec<TaskView> {
+    job.tasks
+        .iter()
+        .filter_map(|id| ctx.state.tasks().get(*id).map(|task| (*id, task)))
+        .filter(|(_, task)| !task.is_ended())
+        .map(|(id, task)| TaskView {
+            id,
+            displaced: task.displacements,
+            started: matches!(task.phase, Phase::Running(_))
+                .then(|| monotonic(ctx, task.placed_unix_ms)),
+        })
+        .collect()
+}
+
+/// A point of the wall clock on the monotonic clock.
+fn monotonic(ctx: &Context<'_>, unix_ms: u64) -> Millis {
+    match unix_ms >= ctx.unix_ms {
+        true => ctx.now + (unix_ms - ctx.unix_ms),
+        false => Millis(ctx.now.0.saturating_sub(ctx.unix_ms - unix_ms)),
+    }
+}
+
+fn job_view(ctx: &Context<'_>, id: JobId, job: &Job, tasks: Vec<TaskView>) -> JobView {
+    let policy = match job.spec.kind {
+        JobKind::Service => JobPolicy::Service,
+        JobKind::Batch {
+            deadline_unix_ms,
+            run_time_ms,
+        } => JobPolicy::Batch {
+            deadline: deadline_unix_ms.map(|unix_ms| monotonic(ctx, unix_ms)),
+            run_time_ms,
+        },
+        JobKind::Gang { run_time_ms } => JobPolicy::Gang { run_time_ms },
+    };
+    JobView {
+        id,
+        name: job.spec.name.clone(),
+        team: job.spec.team.clone(),
+        policy,
+        priority: job.spec.priority,
+        resources: job.spec.resources,
+        checkpoint_cost_ms: job.spec.checkpoint_cost_ms,
+        submitted: monotonic(ctx, job.created_unix_ms),
+        tasks,
+    }
+}
+
+fn worker_view(ctx: &Context<'_>, id: WorkerId, worker: &Worker) -> WorkerView {
+    let mode = match worker.contact {
+        Contact::Connected if worker.draining => WorkerMode::Draining,
+        Contact::Connected => WorkerMode::Ready,
+        Contact::Reporting | Contact::Expired { .. } => WorkerMode::Disconnected,
+    };
+    WorkerView {
+        id,
+        failure_domain: worker.spec.failure_domain.clone(),
+        rack: worker.spec.rack.clone(),
+        capacity: worker
+            .spec
+            .capacity
+            .saturating_sub(&older_attempts(ctx, id, worker)),
+        mode,
+    }
+}
+
+/// What attempts hold that are not the current ones of their tasks; the placement knows only the
+/// current ones, so this is taken off the capacity.
+fn older_attempts(ctx: &Context<'_>, id: WorkerId, worker: &Worker) -> Resources {
+    worker
+        .held
+        .iter()
+        .filter(|held| {
+            let task = ctx.state.tasks().get(held.task);
+            !task.is_some_and(|task| task.attempt == held.attempt && task.worker() == Some(id))
+        })
+        .fold(Resources::ZERO, |sum, held| {
+            sum.checked_add(&held.resources).unwrap_or(sum)
+        })
+}
+
+fn end_of(command: &Command, id: TaskId, task: Option<&Task>) -> TaskEnd {
+    let status = match &command.request {
+        Request::ReportTasks { tasks, .. } => tasks
+            .iter()
+            .find(|report| report.task == id)
+            .map(|report| &report.status),
+        _ => None,
+    };
+    let is_over = task.is_none_or(Task::is_ended);
+    match status {
+        Some(TaskStatus::Finished) => TaskEnd::Finished,
+        _ if is_over => TaskEnd::Cancelled,
+        Some(TaskStatus::Failed { .. }) => TaskEnd::Failed,
+        Some(TaskStatus::Stopped { .. } | TaskStatus::Running) => TaskEnd::Stopped,
+        None => TaskEnd::Lost,
+    }
+}
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -2,7 +2,8 @@
 //!
 //! One sync renews the lease of the worker, reports its tasks and brings back commands. The
 //! worker counts the lease from when it sent the sync. Reports of ended tasks are repeated until
-//! they are acknowledged, so that no end is lost.
+//! they are acknowledged, also by a later run of the agent, so that no end is lost: a task whose
+//! end is lost runs again.
 
 use std::hash::Hash;
 use std::hash::Hasher;
@@ -99,6 +100,14 @@
 }
 
 /// A command to a worker. Each is repeated until a report shows that it was carried out.
+///
+/// A worker carries out the commands of a reply only while the lease that the reply grants, counted
+/// from when the sync was sent, lasts: a later `Start` could meet a successor elsewhere. For at
+/// least as long it remembers the highest attempt of each task that it started or was told to
+/// stop, so that a `Start` that arrives again or late cannot repeat an attempt that has ended.
+///
+/// A worker that has something to report does not wait for the answer to a sync that is held: it
+/// sends another, upon which the leader answers the one before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum WorkerCommand {
@@ -120,6 +129,9 @@
         run_time_ms: Option<u64>,
     },
     /// Stop an attempt; the report of its end confirms it.
+    ///
+    /// A worker that does not know the attempt reports it as stopped and ignores a later `Start`
+    /// of this or a lower attempt, because the two commands may arrive in either order.
     Stop {
         /// The task.
         task: TaskId,
