Keep the start of running tasks when the placer is rebuilt

Cause: tasks that the leader submits and then binds after an election counted from the bind, so their ends and deadlines were judged too late and learned run times came out too short. Test: a_rebuilt_placer_knows_when_tasks_started fails without either change. Conclusion: a late warning for a deadline that is met does not appear.

--- a/crates/placement/src/binding.rs
+++ b/crates/placement/src/binding.rs
@@ -74,9 +74,10 @@
         let Some(task) = self.tasks.get_mut(&id) else {
             return;
         };
+        let started = task.started.take().unwrap_or(now);
         task.place = Place::Bound {
             worker,
-            started: now,
+            started,
             ends: Millis(u64::MAX),
             stopping: Stopping::No,
         };
@@ -86,7 +87,7 @@
             None => self.sweeps.has_orphans = true,
         }
         if let Some(job) = job {
-            self.charge_job(job, id, now);
+            self.charge_job(job, id, started);
         }
     }
 
--- a/crates/placement/src/housekeeping.rs
+++ b/crates/placement/src/housekeeping.rs
@@ -141,7 +141,12 @@
     }
 
     fn review_waiting(&mut self, key: &QueueKey, out: &mut Decisions) {
-        let Some(job) = self.jobs.get(&key.job) else {
+        // The entry of a job that has started in the meantime stays until it is met.
+        let Some(job) = self
+            .jobs
+            .get(&key.job)
+            .filter(|job| !job.waiting.is_empty())
+        else {
             return;
         };
         let Some(estimate) = self.estimate_of(job) else {
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -133,6 +133,8 @@
     pub(crate) place: Place,
     pub(crate) resources: Resources,
     pub(crate) displaced: u8,
+    /// When the attempt that is bound next started, if it runs already.
+    pub(crate) started: Option<Millis>,
     pub(crate) failures: u32,
     pub(crate) failed_on: FailedOn,
     pub(crate) hold: Option<Hold>,
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -231,6 +231,7 @@
             place: Place::Waiting,
             resources: need,
             displaced: view.displaced,
+            started: view.started,
             failures: 0,
             failed_on: Default::default(),
             hold: None,
--- a/crates/placement/tests/invariants.rs
+++ b/crates/placement/tests/invariants.rs
@@ -207,6 +207,27 @@
     }
 }
 
+/// Guards against run times that count from a change of the leader: a rebuilt placer would warn
+/// of deadlines that are met, and learn run times that are too short.
+#[test]
+fn a_rebuilt_placer_knows_when_tasks_started() {
+    let mut cluster = Cluster::new(PlacementConfig::default(), 5);
+    cluster.add_workers(1, 1, 1, CAPACITY);
+    cluster.now = Millis(90_000);
+    let policy = JobPolicy::Batch {
+        deadline: Some(Millis(100_000)),
+        run_time_ms: 60_000,
+    };
+    let mut view = cluster.view(policy, 1, Resources::new(1_000, 512, 0));
+    view.tasks[0].started = Some(Millis(1_000));
+    cluster.placer.submit(cluster.now, view);
+    cluster
+        .placer
+        .bind(TaskId(0), WorkerId(0), Resources::new(1_000, 512, 0));
+    let decisions = cluster.placer.decide(cluster.now, 10);
+    assert_eq!(decisions.late, []);
+}
+
 /// Guards against a cancel wave that stalls the decisions, and against cancelled work that starts.
 #[test]
 fn a_cancel_wave_of_many_tasks_costs_the_decisions_little() {
