--- a/crates/load/src/requests/overload.rs
+++ b/crates/load/src/requests/overload.rs
@@ -72,6 +72,10 @@
             refusal,
             REFUSAL_TARGET_MS,
         );
+        let median = quantile_ms(&entries, End::Refused, 0.5);
+        report.figure(format!("refusal_p50_ms_{times}x"), median);
+        let p90 = quantile_ms(&entries, End::Refused, 0.9);
+        report.figure(format!("refusal_p90_ms_{times}x"), p90);
         let unknown = count(&entries, End::Unknown) + count(&entries, End::Lost);
         report.figure(format!("unknown_or_lost_{times}x"), unknown as f64);
         let p99 = quantile_ms(&entries, End::Done, 0.99);
@@ -80,6 +84,7 @@
     lookups(arguments, &cluster, &mut report, duration);
     // The unlimited baseline comes last, because its backlog outlives it.
     let direct = cluster.run(standard(cluster.direct(), "", capacity * 2.0));
+    report.baseline("load_average", load_average());
     report.baseline("goodput_2x", goodput(&direct, duration) / capacity);
     report.baseline("done_p99_ms_2x", quantile_ms(&direct, End::Done, 0.99));
     Ok(report)
@@ -155,3 +160,11 @@
     });
     done.load(Ordering::Relaxed) as f64 / duration.as_secs_f64()
 }
+
+/// The load average of the machine; other work on it delays every wakeup.
+fn load_average() -> f64 {
+    std::fs::read_to_string("/proc/loadavg")
+        .ok()
+        .and_then(|text| text.split(' ').next()?.parse().ok())
+        .unwrap_or(0.0)
+}
