Pass over a silent entry, and end frozen tasks at the lease

Cause: with the first entry paused (SIGSTOP) the command line waited for it until its whole time was used up and reported "unreachable", although five entries were there. A stand-in worker that was frozen beyond its lease would have reported tasks as finished whose time passed while it was frozen.

Conclusion: a paused entry costs one third of the time, 3.3 s by default.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -24,6 +24,9 @@
 use crate::show;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A request that may be sent again waits for this part of the whole time at one address, so that
+/// an entry that accepts connections and never answers does not use up all of it.
+const ATTEMPT_PART: u32 = 3;
 /// The pause after all addresses were tried, while an election may be under way.
 const ROUND_PAUSE: Duration = Duration::from_millis(150);
 const STATUS_UNAVAILABLE: u16 = 503;
@@ -140,7 +143,11 @@
         return Attempt::NotDone(error.to_string());
     }
     let left = deadline.saturating_duration_since(Instant::now());
-    let request = request(settings, address, call, left);
+    let limit = match call.resend {
+        Resend::Allowed => left.min(settings.timeout / ATTEMPT_PART + call.hold),
+        Resend::Never => left,
+    };
+    let request = request(settings, address, call, limit);
     let answer = match call.body {
         Some(body) => request.json(body).and_then(|request| request.send()),
         None => request.send(),
@@ -169,14 +176,14 @@
     settings: &Settings,
     address: SocketAddr,
     call: &Call<'_, B>,
-    left: Duration,
+    limit: Duration,
 ) -> RequestBuilder {
     let url = format!("http://{address}{}", call.path);
     let mut request = RequestBuilder::new(call.method.clone(), url)
         .proxy_settings(ProxySettings::builder().build())
         .connect_timeout(CONNECT_TIMEOUT)
-        .read_timeout(left)
-        .timeout(left);
+        .read_timeout(limit)
+        .timeout(limit);
     if let Some(key) = &settings.key {
         request = request.header("authorization", key.authorization());
     }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -228,13 +228,26 @@
             kind(&job.kind).to_owned(),
             job.team.to_string(),
         ];
-        let state = if job.cancelled { "cancelled" } else { "active" };
         let counts = counts.iter().map(u32::to_string);
-        table.row(head.into_iter().chain(counts).chain([state.to_owned()]));
+        table.row(
+            head.into_iter()
+                .chain(counts)
+                .chain([job_state(job).to_owned()]),
+        );
     }
     table.text()
 }
 
+fn job_state(job: &JobStatus) -> &'static str {
+    let ended = job.finished + job.failed;
+    match job.kind {
+        _ if job.cancelled => "cancelled",
+        JobKind::Service => "active",
+        _ if ended >= job.wanted => "finished",
+        _ => "active",
+    }
+}
+
 fn workers(workers: &[WorkerStatus]) -> String {
     let mut table = Table::new(&[
         "WORKER",
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -100,7 +100,9 @@
             "used": {"millicores": 500, "memory_mib": 256}, "tasks": 1, "connected": connected,
             "draining": draining, "quarantined": false})
     };
-    json!({"status": {"jobs": [job("web", json!("service"), false),
+    let mut done = job("train", json!({"gang": {"run_time_ms": 1000}}), false);
+    done["finished"] = json!(3);
+    json!({"status": {"jobs": [done, job("web", json!("service"), false),
             job("nightly", json!({"batch": {"deadline_unix_ms": null, "run_time_ms": 90000}}), true)],
         "workers": [worker("a-000", true, false), worker("a-001", false, true)],
         "config_version": 5, "leader": 1, "term": 3}})
@@ -143,6 +145,17 @@
     address
 }
 
+/// An entry that accepts connections and never answers, like a paused process.
+fn silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let held: Vec<_> = listener.incoming().collect();
+        drop(held);
+    });
+    address
+}
+
 fn no_leader(_: &Request) -> Response {
     error(
         503,
@@ -173,6 +186,7 @@
         ("NO_LEADER", serve(no_leader)),
         ("FORGETFUL", forgetful()),
         ("TRUNCATING", truncating()),
+        ("SILENT", silent()),
         ("GONE", gone()),
     ];
     datadriven::walk("tests/cli", |file| {
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -139,26 +139,35 @@
 
     /// Lets time pass: tasks end, stops complete, the lease runs out.
     pub fn tick(&mut self, now: Millis) {
-        let is_leased = now < self.lease_until;
         let ends: Vec<(TaskId, TaskStatus, &'static str)> = self
             .tasks
             .iter()
-            .filter_map(|(id, task)| {
-                if let Some(status) = task.end(now) {
-                    let reason = reason_of(&status);
-                    return Some((*id, status, reason));
-                }
-                let must_stop = !is_leased && task.on_partition == OnPartition::Move;
-                let checkpointed = false;
-                let stopped = TaskStatus::Stopped { checkpointed };
-                must_stop.then_some((*id, stopped, "lease_end"))
-            })
+            .filter_map(|(id, task)| self.end_of(now, task).map(|(end, why)| (*id, end, why)))
             .collect();
         for (id, status, reason) in ends {
-            self.end(id, status, reason);
+            self.end(now, id, status, reason);
         }
     }
 
+    /// How a task has ended by `now`. A `move` task does not run beyond the lease, even if the
+    /// end of the lease is noticed late.
+    fn end_of(&self, now: Millis, task: &Task) -> Option<(TaskStatus, &'static str)> {
+        let must_move = task.on_partition == OnPartition::Move;
+        let until = if must_move {
+            now.min(self.lease_until)
+        } else {
+            now
+        };
+        if let Some(status) = task.end(until) {
+            let reason = reason_of(&status);
+            return Some((status, reason));
+        }
+        let is_leased = now < self.lease_until;
+        let checkpointed = false;
+        let stopped = TaskStatus::Stopped { checkpointed };
+        (must_move && !is_leased).then_some((stopped, "lease_end"))
+    }
+
     fn running(&self) -> impl Iterator<Item = AttemptKey> {
         self.tasks.iter().map(|(id, task)| AttemptKey {
             task: *id,
@@ -289,7 +298,7 @@
         });
     }
 
-    fn end(&mut self, id: TaskId, status: TaskStatus, reason: &'static str) {
+    fn end(&mut self, now: Millis, id: TaskId, status: TaskStatus, reason: &'static str) {
         let Some(task) = self.tasks.remove(&id) else {
             return;
         };
@@ -299,6 +308,7 @@
             attempt: task.attempt,
             finished: status == TaskStatus::Finished,
             reason,
+            late_ms: now.since(self.lease_until),
         });
         let attempt = task.attempt;
         self.ended.insert(AttemptKey { task: id, attempt }, status);
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -55,6 +55,9 @@
         finished: bool,
         /// Why it ended.
         reason: &'static str,
+        /// How long after the end of the lease it ended, in milliseconds. A process that was
+        /// frozen notices the end late, and its tasks were frozen with it.
+        late_ms: u64,
     },
     /// A runner began to run a request.
     RequestRan {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -3,6 +3,8 @@
 # and upstreams. Each step prints its result; the last line is "quickstart: ok". All processes are
 # ended by their id, also on failure. With SAPPHIREPOST_BIN the programs are taken from there
 # instead of being built. Needs curl.
+#
+# quickstart.sh --stay starts the cluster, prints how to reach it, and runs until interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -211,6 +213,16 @@
 start_cluster
 show 4 control list
 
+if [ "${1:-}" = --stay ]; then
+  step "the cluster runs until interrupted"
+  echo "export SAPPHIREPOST_ENTRIES=$(join $(for e in "${entries[@]}"; do operators "$e"; done))"
+  echo "export SAPPHIREPOST_KEY_FILE=$dir/operator.key"
+  echo "callers: $(join $(for e in "${entries[@]}"; do callers "$e"; done))"
+  echo "logs and journals: $dir"
+  for name in "${!pids[@]}"; do echo "$name: process ${pids[$name]}"; done | sort
+  while sleep 1; do :; done
+fi
+
 step "a service of 6 tasks"
 show_and_confirm 1 4 run service web --team front --tasks 6 --resources 1000m/1024Mi
 wait_for "6 tasks of web run" 20 has_status web 5 6
