Move on from a control process that does not answer

Cause: a call that is not repeated, such as a worker's sync, returned before the next process was chosen, so that each sync through an entry could meet the same paused leader.

Change: the next process is chosen before the call ends as unknown.

Figures: the new test fails without the change in its order (the leader's address stays) and passes with it.

Conclusion: one unanswered call moves the following ones on.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -149,13 +149,15 @@
             if let RpcError::Invalid(problem) = error {
                 return Err(ControlError::Invalid(problem));
             }
+            // Also before a call that is not repeated ends, so that the next one goes elsewhere.
+            let next = self.inner.next(&client, &error);
             if !error.is_certain() {
                 if options.repeat == Repeat::Never {
                     return Err(ControlError::OutcomeUnknown(last));
                 }
                 may_have_acted = Some(last.clone());
             }
-            match self.inner.next(&client, &error) {
+            match next {
                 Next::Hinted => {}
                 Next::Other => misses += 1,
             }
--- a/crates/entry/tests/control_path.rs
+++ b/crates/entry/tests/control_path.rs
@@ -121,6 +121,21 @@
     }
 }
 
+/// A leader that is paused accepts connections and calls. Calls that are not repeated, such as
+/// the syncs of workers, would all end at it if none of them moved on to the next process.
+#[test]
+fn after_an_unanswered_call_the_next_one_goes_elsewhere() {
+    let runtime = runtime(2).unwrap();
+    let paused = forgetful_leader(&runtime, Arc::new(AtomicU64::new(0)));
+    let leader = forgetful_leader(&runtime, Arc::new(AtomicU64::new(1)));
+    let client = client(&runtime, &[paused.address(), leader.address()]);
+    let first = client.call_blocking::<_, u64>("act", &7u64, options(Repeat::Never));
+    assert!(matches!(first, Err(ControlError::OutcomeUnknown(_))));
+    assert_eq!(client.leader_address(), Some(leader.address().to_string()));
+    let second = client.call_blocking::<_, u64>("act", &7u64, options(Repeat::Never));
+    assert_eq!(second, Ok(7));
+}
+
 #[test]
 fn a_group_without_a_leader_is_unavailable_not_unknown() {
     let runtime = runtime(2).unwrap();
