--- a/crates/leader/tests/support/sim.rs
+++ b/crates/leader/tests/support/sim.rs
@@ -13,6 +13,7 @@
 use sapphirepost_leader::Output;
 use sapphirepost_leader::Reply;
 use sapphirepost_leader::ReplyToken;
+use sapphirepost_placement::PlacementConfig;
 use sapphirepost_protocol::worker::WorkerSpec;
 use sapphirepost_state::Change;
 use sapphirepost_state::Command;
@@ -51,6 +52,8 @@
     pub busy_ms: u64,
     pub quiet_ms: u64,
     pub faults: bool,
+    /// The longest time from a proposal to its application.
+    pub commit_max_ms: u64,
     pub leader: Disabled,
     pub state: sapphirepost_state::Disabled,
 }
@@ -62,6 +65,7 @@
             busy_ms: 40_000,
             quiet_ms: 45_000,
             faults: true,
+            commit_max_ms: 30,
             leader: Disabled::default(),
             state: sapphirepost_state::Disabled::default(),
         }
@@ -253,6 +257,12 @@
         if self.leader.is_none() && self.now >= self.leader_at {
             let config = LeaderConfig {
                 disabled: self.options.leader,
+                placement: PlacementConfig {
+                    // Shorter than the quiet period, so that a worker that was bad returns.
+                    quarantine_ms: 5_000,
+                    quarantine_max_ms: 10_000,
+                    ..PlacementConfig::default()
+                },
                 ..LeaderConfig::default()
             };
             let seed = self.rng.random();
@@ -277,7 +287,7 @@
         let mut out = Output::default();
         call(leader, &ctx, &mut out);
         for command in out.proposals {
-            let at = self.now + self.rng.random_range(2..30);
+            let at = self.now + self.rng.random_range(2..self.options.commit_max_ms);
             self.proposals.push_back((at, command));
         }
         for (token, reply) in out.replies {
