Run the quick start without curl and on any loopback address

Cause: the quick start needed curl, which the toolchain does not bring, and used fixed ports on 127.0.0.1. A run beside another one reported ready processes that belonged to the other and failed 20 s later.

Ruled out: a request command in one of the programs, since bash sends one HTTP request by itself.

Change: scripts/quickstart.sh sends requests over bash's own TCP connections, takes its address from SAPPHIREPOST_QUICKSTART_IP, and fails as soon as one of its processes has ended, with the last line of its log.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -2,12 +2,14 @@
 # A first session on loopback: 3 failure domains, 6 entries, 3 control processes, stand-in workers
 # and upstreams. Each step prints its result; the last line is "quickstart: ok". All processes are
 # ended by their id, also on failure. With SAPPHIREPOST_BIN the programs are taken from there
-# instead of being built. Needs curl.
+# instead of being built. SAPPHIREPOST_QUICKSTART_IP selects another loopback address than
+# 127.0.0.1, so that two sessions can run at a time.
 #
 # quickstart.sh --stay starts the cluster, prints how to reach it, and runs until interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+ip=${SAPPHIREPOST_QUICKSTART_IP:-127.0.0.1}
 domains=(a b c)
 entries=(1 2 3 4 5 6)
 controls=(1 2 3)
@@ -15,13 +17,13 @@
 dir=$(mktemp -d)
 keep_dir=yes
 
-callers() { echo "127.0.0.1:$((21000 + $1))"; }
-platform() { echo "127.0.0.1:$((21100 + $1))"; }
-operators() { echo "127.0.0.1:$((21200 + $1))"; }
-entry_admin() { echo "127.0.0.1:$((21300 + $1))"; }
-entry_inner() { echo "127.0.0.1:$((21400 + $1))"; }
-control_inner() { echo "127.0.0.1:$((21500 + $1))"; }
-control_admin() { echo "127.0.0.1:$((21600 + $1))"; }
+callers() { echo "$ip:$((21000 + $1))"; }
+platform() { echo "$ip:$((21100 + $1))"; }
+operators() { echo "$ip:$((21200 + $1))"; }
+entry_admin() { echo "$ip:$((21300 + $1))"; }
+entry_inner() { echo "$ip:$((21400 + $1))"; }
+control_inner() { echo "$ip:$((21500 + $1))"; }
+control_admin() { echo "$ip:$((21600 + $1))"; }
 entry_domain() { echo "${domains[$((($1 - 1) / 2))]}"; }
 
 join() {
@@ -82,6 +84,14 @@
   pids[$name]=$!
 }
 
+# Fails as soon as a process has ended by itself, for instance because its port is in use.
+check_running() {
+  local name
+  for name in "${!pids[@]}"; do
+    is_running "${pids[$name]}" || fail "$name has ended: $(tail -n 1 "$dir/$name.log")"
+  done
+}
+
 # Repeats a check until it succeeds.
 wait_for() {
   local what=$1 seconds=$2
@@ -91,6 +101,7 @@
       echo "$what"
       return
     fi
+    check_running
     sleep 0.1
   done
   fail "not within $seconds s: $what"
@@ -121,7 +132,21 @@
   show "$other" confirm "$plan"
 }
 
-is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$1/readyz")" = 200 ]; }
+# Sends one HTTP request: address, method, path, body and header lines. Prints the response.
+http() {
+  local address=$1 method=$2 path=$3 body=$4 header
+  shift 4
+  exec 3<>"/dev/tcp/${address%:*}/${address##*:}"
+  {
+    printf '%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n' "$method" "$path" "$address"
+    for header in "$@"; do printf '%s\r\n' "$header"; done
+    printf 'content-length: %s\r\n\r\n%s' "${#body}" "$body"
+  } >&3
+  timeout 10 cat <&3 | tr -d '\r'
+  exec 3>&-
+}
+
+is_ready() { http "$1" GET /readyz "" | head -n 1 | grep -q ' 200 '; }
 
 # A column of the row of a job or a worker in the status tables.
 status_of() { operate 1 status | awk -v name="$1" -v column="$2" '$1 == name {print $column}'; }
@@ -168,12 +193,16 @@
   wait_for "9 workers are connected" 20 has_workers 9
 }
 
-# Sends a request to one entry; prints status, outcome and body.
+# Sends a request to one entry; prints the body, then status and outcome.
 request() {
-  local entry=$1 path=$2
-  shift 2
-  curl -s --max-time 10 -w '\n%{http_code} %header{sapphirepost-outcome}\n' "$@" \
-    "http://$(callers "$entry")$path"
+  local entry=$1 method=$2 path=$3 body=$4
+  shift 4
+  http "$(callers "$entry")" "$method" "$path" "$body" "$@" | awk '
+    NR == 1 {status = $2}
+    !in_body && tolower($1) == "sapphirepost-outcome:" {outcome = $2}
+    in_body {print}
+    /^$/ {in_body = 1}
+    END {print status, outcome}'
 }
 
 is_answered() { [ "$(request "$@" | tail -n 1)" = "200 done" ]; }
@@ -197,7 +226,7 @@
   head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/$role.key"
 done
 members=()
-founders=member1@127.0.0.1:1
+founders=member1@$ip:1
 for control in "${controls[@]}"; do
   set_control_command "$control"
   members+=("$("${command[@]}" --init)@$(control_inner "$control")")
@@ -245,17 +274,17 @@
 
 step "a lookup through two entries"
 for entry in 1 6; do
-  wait_for "entry $entry answers" 10 is_answered "$entry" /logbook/ascents/7
-  request "$entry" /logbook/ascents/7 -H 'sapphirepost-class: lookup'
+  wait_for "entry $entry answers" 10 is_answered "$entry" GET /logbook/ascents/7 ""
+  request "$entry" GET /logbook/ascents/7 "" 'sapphirepost-class: lookup'
 done
 
 step "a non-idempotent request, and its resend at an entry of another failure domain"
 id="$(date +%s%3N)-ascent-7"
-ascent=(-X POST -d '{"route":"7a"}' -H 'content-type: application/json'
-  -H "sapphirepost-request-id: $id")
-first=$(request 2 /logbook/ascents "${ascent[@]}")
+ascent=(POST /logbook/ascents '{"route":"7a"}' 'content-type: application/json'
+  "sapphirepost-request-id: $id")
+first=$(request 2 "${ascent[@]}")
 echo "$first"
-again=$(request 5 /logbook/ascents "${ascent[@]}")
+again=$(request 5 "${ascent[@]}")
 echo "$again"
 [ "$first" = "$again" ] || fail "the resend got another answer"
 runs=$(runs_of "$id")
@@ -273,7 +302,7 @@
 show 1 config history
 wait_for "6 tasks of web run" 60 has_status web 5 6
 show 2 status
-again=$(request 3 /logbook/ascents "${ascent[@]}")
+again=$(request 3 "${ascent[@]}")
 echo "$again"
 [ "$first" = "$again" ] || fail "the resend after the restart got another answer"
 runs=$(runs_of "$id")
