Tell operators why a task failed or stays

Cause: the reason that a worker gives for a failure was dropped, and the explanation of a task on a drained worker did not say why it stays.

Ruled out: keeping every failure; only the last is kept, 256 bytes at most.

Change: the last reason is part of the task and of the end of its job; the explanation names the drain.

--- a/crates/leader/src/draining.rs
+++ b/crates/leader/src/draining.rs
@@ -44,6 +44,21 @@
         .then_some(Stays::NoCheckpoint)
 }
 
+/// Why the task stays, for operators.
+pub(crate) fn stay_reason(why: Stays, job: &Job, worker: &str) -> String {
+    match why {
+        Stays::OnlyReplica => {
+            format!("its only replica is on {worker}; allow an interruption to move it")
+        }
+        Stays::NoCheckpoint => match job.spec.kind.run_time_ms() {
+            Some(run_time_ms) => format!(
+                "it cannot write a checkpoint and runs to its end (declared {run_time_ms} ms)"
+            ),
+            None => "it cannot write a checkpoint".to_owned(),
+        },
+    }
+}
+
 impl Leader {
     pub(crate) fn drain_workers(&mut self, ctx: &Context<'_>, out: &mut Output) {
         let draining: Vec<&Worker> = ctx
--- a/crates/leader/src/planning.rs
+++ b/crates/leader/src/planning.rs
@@ -23,7 +23,7 @@
 use smallvec::SmallVec;
 use smallvec::smallvec;
 
-use crate::draining::Stays;
+use crate::draining::stay_reason;
 use crate::draining::stays;
 use crate::estimate::FreeRoom;
 use crate::estimate::never_fits;
@@ -294,20 +294,6 @@
         .collect()
 }
 
-fn stay_reason(why: Stays, job: &Job, worker: &Name) -> String {
-    match why {
-        Stays::OnlyReplica => {
-            format!("its only replica is on {worker}; allow an interruption to move it")
-        }
-        Stays::NoCheckpoint => match job.spec.kind.run_time_ms() {
-            Some(run_time_ms) => format!(
-                "it cannot write a checkpoint and runs to its end (declared {run_time_ms} ms)"
-            ),
-            None => "it cannot write a checkpoint".to_owned(),
-        },
-    }
-}
-
 fn plan_undrain(ctx: &Context<'_>, intent: &Intent, name: &Name) -> Planned {
     let (_, worker) = worker(ctx, name)?;
     if !worker.draining {
--- a/crates/leader/src/status.rs
+++ b/crates/leader/src/status.rs
@@ -18,6 +18,8 @@
 use sapphirepost_types::WorkerId;
 
 use crate::config::LeaderConfig;
+use crate::draining::stay_reason;
+use crate::draining::stays;
 use crate::message::Context;
 
 /// The most tasks that an explanation names one by one.
@@ -131,15 +133,17 @@
     let place = worker.map_or("no worker", |worker| worker.name.as_str());
     let line = match task.phase {
         _ if task.unreachable => format!("{id} is on {place}, which has no contact; it is kept"),
-        Phase::Ended { success: false } => format!("{id} ended without success"),
+        Phase::Ended { success: false } => match &task.last_failure {
+            Some(reason) => format!("{id} failed {} times, last with: {reason}", task.failures),
+            None => format!("{id} ended without success"),
+        },
         Phase::Ended { success: true } => return None,
         Phase::Waiting if !job.is_active() => return None,
-        Phase::Waiting if task.failures > 0 => {
-            format!(
-                "{id} failed {} times and waits to be tried again",
-                task.failures
-            )
-        }
+        Phase::Waiting if task.failures > 0 => format!(
+            "{id} failed {} times and waits to be tried again; the last reason was: {}",
+            task.failures,
+            task.last_failure.as_deref().unwrap_or("unknown")
+        ),
         Phase::Waiting if task.attempt.0 > 0 => {
             format!("{id} waits for room after {}", task.attempt)
         }
@@ -147,6 +151,14 @@
         Phase::Starting(_) | Phase::Running(_) if task.stop.is_some() || !job.is_active() => {
             format!("{id} is being stopped on {place}: {}", stop_reason(task))
         }
+        Phase::Running(_) if worker.is_some_and(|worker| worker.draining) => {
+            let allow_interruption = worker.is_some_and(|worker| worker.allow_interruption);
+            let why = match stays(job, allow_interruption) {
+                Some(why) => stay_reason(why, job, place),
+                None => "it moves when there is room elsewhere and its other tasks run".to_owned(),
+            };
+            format!("{id} runs on {place}, which is drained: {why}")
+        }
         Phase::Starting(_) => format!("{id} starts on {place}"),
         Phase::Running(_) if task.additional => {
             format!("{id} runs on {place} in place of a replica without contact")
--- a/crates/state/src/ending.rs
+++ b/crates/state/src/ending.rs
@@ -178,10 +178,19 @@
         if !is_given_up && !is_done {
             return;
         }
+        let last_failure = job
+            .tasks
+            .iter()
+            .filter_map(|id| self.tasks.get(*id))
+            .filter(|task| task.phase == Phase::Ended { success: false })
+            .find_map(|task| task.last_failure.clone());
         job.phase = match job.failed {
             0 => JobPhase::Finished,
             failed => JobPhase::Failed {
-                reason: format!("{failed} tasks failed after repeated attempts"),
+                reason: format!(
+                    "{failed} tasks failed after repeated attempts, one with: {}",
+                    last_failure.unwrap_or_default()
+                ),
             },
         };
         self.changed(Change::Job(id));
--- a/crates/state/src/reporting.rs
+++ b/crates/state/src/reporting.rs
@@ -115,10 +115,16 @@
 
     fn apply_report(&mut self, worker: WorkerId, report: &TaskReport) {
         let key = key_of(report);
-        match report.status {
+        match &report.status {
             TaskStatus::Running => self.note_running(worker, key),
             TaskStatus::Finished => self.end_attempt(worker, key, AttemptEnd::Finished),
-            TaskStatus::Failed { .. } => self.end_attempt(worker, key, AttemptEnd::Failed),
+            TaskStatus::Failed { reason } => {
+                let is_current = self.is_current(worker, key);
+                if let Some(task) = self.tasks.get_mut(key.task).filter(|_| is_current) {
+                    task.note_failure(reason);
+                }
+                self.end_attempt(worker, key, AttemptEnd::Failed);
+            }
             TaskStatus::Stopped { .. } => self.end_attempt(worker, key, AttemptEnd::Stopped),
         }
     }
--- a/crates/state/src/tasks.rs
+++ b/crates/state/src/tasks.rs
@@ -16,6 +16,9 @@
 pub const FAILED_WORKERS_MAX: usize = 3;
 /// How often a task fails in all before it is given up, for clusters with few workers.
 pub const FAILURES_MAX: u32 = 6;
+/// The longest kept reason of a failure in bytes.
+pub const FAILURE_REASON_MAX_BYTES: usize = 256;
+
 /// Where a task is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -75,6 +78,8 @@
     pub additional: bool,
     /// How often it failed.
     pub failures: u32,
+    /// What its worker said about the last failure.
+    pub last_failure: Option<String>,
     /// The distinct workers that it failed on.
     pub failed_on: SmallVec<[WorkerId; 3]>,
     /// How often it was displaced.
@@ -93,6 +98,7 @@
             unreachable: false,
             additional,
             failures: 0,
+            last_failure: None,
             failed_on: SmallVec::new(),
             displacements: 0,
             placed_unix_ms: 0,
@@ -130,6 +136,11 @@
         }
     }
 
+    pub(crate) fn note_failure(&mut self, reason: &str) {
+        let end = reason.floor_char_boundary(FAILURE_REASON_MAX_BYTES);
+        self.last_failure = Some(reason[..end].to_owned());
+    }
+
     pub(crate) fn is_exhausted(&self) -> bool {
         self.failed_on.len() >= FAILED_WORKERS_MAX || self.failures >= FAILURES_MAX
     }
