Give up a worker that does not hear replies

Cause: a worker whose syncs arrive and whose replies are lost kept its lease on the leader's side for ever, and tasks placed there stayed in their start.

Ruled out: a field in the sync that names the last reply heard; the workers that exist do not send it.

Change: a start that is not confirmed for 10 s ends the renewal of the lease. The worker is connected again by a full report, which it sends only after it has received a reply.

Conclusion: a link that is silent in one direction no longer holds tasks.

--- a/crates/leader/src/commands.rs
+++ b/crates/leader/src/commands.rs
@@ -62,7 +62,8 @@
         if !session.pending.is_empty() && !is_over {
             return;
         }
-        let is_leased = is_leased(&self.config, worker, session);
+        session.forget_confirmed(worker);
+        let is_leased = is_leased(&self.config, ctx.now, worker, session);
         let commands = match is_leased {
             true => due_commands(&self.config, ctx, id, worker, session),
             false => Vec::new(),
@@ -99,9 +100,10 @@
     }
 }
 
-fn is_leased(config: &LeaderConfig, worker: &Worker, session: &Session) -> bool {
+fn is_leased(config: &LeaderConfig, now: Millis, worker: &Worker, session: &Session) -> bool {
     let is_expiring = session.expiring.is_some() && !config.disabled.no_renewal_while_expiring;
-    worker.contact == Contact::Connected && !is_expiring
+    let hears = !session.has_unheard_start(now, config.unheard_start_ms);
+    worker.contact == Contact::Connected && !is_expiring && hears
 }
 
 /// The commands that no report has confirmed and that were not sent lately.
@@ -112,11 +114,6 @@
     worker: &Worker,
     session: &mut Session,
 ) -> Vec<WorkerCommand> {
-    session.sent.retain(|key, sent| {
-        let held = worker.held(*key);
-        let is_started = sent.kind == SentKind::Start && held.is_some_and(|held| held.reported);
-        held.is_some() && !is_started
-    });
     session.throttled.retain(|task, _| {
         let held = worker.held.iter();
         held.into_iter().any(|held| held.task == *task)
@@ -178,6 +175,15 @@
 }
 
 impl Session {
+    /// Forgets commands that a report has confirmed.
+    fn forget_confirmed(&mut self, worker: &Worker) {
+        self.sent.retain(|key, sent| {
+            let held = worker.held(*key);
+            let is_started = sent.kind == SentKind::Start && held.is_some_and(|held| held.reported);
+            held.is_some() && !is_started
+        });
+    }
+
     /// Shortens the hold while a start or a stop is not confirmed.
     fn hold_shortly(&mut self, until: Millis) {
         let mut sent = self.sent.values();
@@ -200,9 +206,16 @@
         }
     }
 
+    fn has_unheard_start(&self, now: Millis, unheard_start_ms: u64) -> bool {
+        let mut sent = self.sent.values();
+        sent.any(|sent| sent.kind == SentKind::Start && now.since(sent.since) >= unheard_start_ms)
+    }
+
     fn note_sent(&mut self, command: &WorkerCommand, at: Millis) {
         let (key, kind) = identity(command);
-        self.sent.insert(key, Sent { kind, at });
+        let known = self.sent.get(&key).filter(|sent| sent.kind == kind);
+        let since = known.map_or(at, |sent| sent.since);
+        self.sent.insert(key, Sent { kind, since, at });
     }
 }
 
--- a/crates/leader/src/config.rs
+++ b/crates/leader/src/config.rs
@@ -26,6 +26,10 @@
     pub held_syncs_max: usize,
     /// When a command is sent again that no report has confirmed.
     pub repeat_ms: u64,
+    /// When a worker that syncs and does not carry out a start is taken to receive no replies. Its
+    /// lease is then left to end, so that its tasks start elsewhere; it is connected again by a
+    /// full report, which it sends only when it has received a reply that asks for one.
+    pub unheard_start_ms: u64,
     /// When a proposal that was not applied is taken for lost.
     pub proposal_timeout_ms: u64,
     /// The longest time that a configuration call is held.
@@ -65,6 +69,7 @@
             hold_pending_ms: 100,
             held_syncs_max: 2,
             repeat_ms: 500,
+            unheard_start_ms: 10_000,
             proposal_timeout_ms: 5_000,
             watch_max_ms: 30_000,
             waiting_calls_max: 10_000,
--- a/crates/leader/src/sessions.rs
+++ b/crates/leader/src/sessions.rs
@@ -55,6 +55,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Sent {
     pub(crate) kind: SentKind,
+    /// When it was sent first.
+    pub(crate) since: Millis,
+    /// When it was sent last.
     pub(crate) at: Millis,
 }
 
--- a/crates/leader/tests/support/bench.rs
+++ b/crates/leader/tests/support/bench.rs
@@ -130,7 +130,16 @@
                 self.cut.push(case.take_arg("worker").unwrap());
                 String::new()
             }
+            "deafen" => {
+                let worker: Name = case.take_arg("worker").unwrap();
+                let worker = self.workers.iter_mut().find(|w| w.name == worker).unwrap();
+                worker.deaf_until = u64::MAX;
+                String::new()
+            }
             "heal" => {
+                for worker in &mut self.workers {
+                    worker.deaf_until = 0;
+                }
                 self.cut.clear();
                 String::new()
             }
--- a/crates/leader/tests/support/faults.rs
+++ b/crates/leader/tests/support/faults.rs
@@ -15,6 +15,7 @@
         for worker in &mut self.workers {
             worker.paused_until = 0;
             worker.cut_until = 0;
+            worker.deaf_until = 0;
             worker.is_bad = false;
             worker.is_calm = true;
         }
@@ -45,6 +46,7 @@
                     worker.cut_until = until;
                 }
             }
+            46..50 => self.workers[target].deaf_until = until + 10_000,
             _ => {}
         }
     }
--- a/crates/leader/tests/support/worker.rs
+++ b/crates/leader/tests/support/worker.rs
@@ -57,6 +57,8 @@
     pub throttled: BTreeMap<TaskId, u8>,
     pub paused_until: u64,
     pub cut_until: u64,
+    /// Until when it receives no replies.
+    pub deaf_until: u64,
     sequence: u64,
     running: BTreeMap<AttemptKey, Running>,
     fences: BTreeMap<TaskId, Attempt>,
@@ -86,6 +88,7 @@
             throttled: BTreeMap::new(),
             paused_until: 0,
             cut_until: 0,
+            deaf_until: 0,
             sequence: 0,
             running: BTreeMap::new(),
             fences: BTreeMap::new(),
@@ -265,7 +268,8 @@
         rng: &mut Pcg64,
         history: &mut Vec<Timed>,
     ) {
-        if self.is_gone || self.is_paused || now < self.paused_until {
+        let is_deaf = now < self.deaf_until;
+        if is_deaf || self.is_gone || self.is_paused || now < self.paused_until {
             return;
         }
         let Some(outstanding) = self.outstanding.remove(&reply.sequence) else {
