Log when a member becomes unreachable and reachable

Cause: an operator could see an unreachable member only at debug level. Change: one warning when calls to a member start to fail, and one line when they succeed again.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -133,16 +133,16 @@
     }
 }
 
-/// Sends messages in order until the queue is closed.
+/// Sends messages in order until the queue is closed. Logs when the member cannot be reached any
+/// more and when it can be again.
 async fn send_all(client: RpcClient, steps: flume::Receiver<Step<Message>>) {
     let mut calls = FuturesUnordered::new();
+    let mut is_reachable = true;
     let call = async |step: Step<Message>| {
         let result = client
             .call::<_, ()>(method::CONSENSUS_STEP, &step, CALL_TIMEOUT)
             .await;
-        if let Err(error) = result {
-            log::debug!(to:% = step.to, error:% = error; "message not delivered");
-        }
+        (step.to, result)
     };
     loop {
         tokio::select! {
@@ -150,7 +150,17 @@
                 Ok(step) => calls.push(call(step)),
                 Err(_) => return,
             },
-            Some(()) = calls.next(), if !calls.is_empty() => {}
+            Some((member, result)) = calls.next(), if !calls.is_empty() => match result {
+                Ok(()) if !is_reachable => {
+                    is_reachable = true;
+                    log::info!(member:%, address = client.address(); "member reachable again");
+                }
+                Err(error) if is_reachable => {
+                    is_reachable = false;
+                    log::warn!(member:%, address = client.address(), error:%; "member not reachable");
+                }
+                _ => {}
+            }
         }
     }
 }
