Show that a read needs the confirmation of a quorum

Cause: the quorum confirmation of reads had no check that fails without it. Change: a directed test isolates a leader whose clock stands still; without the confirmation it shows a stale state. Figures: the test passes, and fails the checker with the confirmation switched off. Conclusion: reads do not rely on clocks; this needs no assumption about their rate.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -61,4 +61,6 @@
     pub ack_before_sync: bool,
     /// Entries of earlier terms are committed by counting replicas.
     pub commit_any_term: bool,
+    /// Reads are answered without asking a quorum.
+    pub unconfirmed_reads: bool,
 }
--- a/crates/consensus/src/reads.rs
+++ b/crates/consensus/src/reads.rs
@@ -82,7 +82,8 @@
         let round = self.reads.round;
         let confirmed = |id: MemberId| self.progress.get(&id).map_or(round, |other| other.round);
         let reached = self.membership().quorum_value(confirmed);
-        if self.reads.current.is_empty() || reached < Some(round) {
+        let is_reached = reached >= Some(round) || self.config.faults.unconfirmed_reads;
+        if self.reads.current.is_empty() || !is_reached {
             return;
         }
         self.reads.finish();
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -207,6 +207,12 @@
         Millis(found.offset_ms + self.time * found.rate_percent / 100)
     }
 
+    pub fn stop_clock(&mut self, host: usize) {
+        let now = self.now(host).0;
+        let found = &mut self.hosts[host];
+        (found.offset_ms, found.rate_percent) = (now, 0);
+    }
+
     pub fn node(&self, host: usize) -> &Node {
         self.hosts[host].node.as_ref().expect("host is stopped")
     }
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -82,6 +82,37 @@
     assert!(!sim.propose(leader, "late".to_owned()).unwrap());
 }
 
+/// A read at a leader that is isolated and whose clock stands still, so that it does not notice,
+/// after another leader has committed more.
+fn read_at_a_deposed_leader(faults: Faults) -> Verdict {
+    let mut sim = Sim::new(1, 3, Weather::CALM, faults);
+    let deposed = sim.elect();
+    sim.stop_clock(deposed);
+    sim.isolated.insert(deposed);
+    sim.run(1_500)?;
+    let leader = sim.elect();
+    assert_ne!(leader, deposed);
+    sim.propose(leader, "newer".to_owned())?;
+    sim.run(100)?;
+    assert_eq!(
+        (sim.checker.acknowledged, sim.node(deposed).role()),
+        (1, Role::Leader)
+    );
+    sim.read(deposed)?;
+    sim.run(100)
+}
+
+/// Guards against stale reads that rely on clocks.
+#[test]
+fn reads_are_confirmed_by_a_quorum() {
+    assert_eq!(read_at_a_deposed_leader(Faults::default()), Ok(()));
+    let faults = Faults {
+        unconfirmed_reads: true,
+        ..Faults::default()
+    };
+    assert!(read_at_a_deposed_leader(faults).is_err_and(|error| error.contains("a read shows")));
+}
+
 /// A committed entry is on a voter that loses its disk; then the leader is isolated and the voter
 /// that lacks the entry returns.
 fn lose_a_disk(reuses_identity: bool) -> Verdict {
