Measure how control grows with the cluster

Cause: the cost of control had no figures for different sizes. Change: the experiment control runs a leader with its state and workers that sync, start and end tasks on a virtual clock, for 50, 200 and 800 workers. Ruled out: a bare State filled by hand; the leader's own work on syncs and ticks is most of the cost.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -7,6 +7,7 @@
 
 mod arrivals;
 mod clusters;
+mod control;
 mod packing;
 mod placement;
 mod replay;
@@ -28,6 +29,7 @@
     Placement(placement::Arguments),
     Packing(packing::Arguments),
     Waiting(waiting::Arguments),
+    Control(control::Arguments),
     Requests(requests::latency::Arguments),
     Overload(requests::overload::Arguments),
     Faults(requests::faults::Arguments),
@@ -41,6 +43,7 @@
         Experiment::Placement(arguments) => placement::run(&arguments),
         Experiment::Packing(arguments) => packing::run(&arguments),
         Experiment::Waiting(arguments) => waiting::run(&arguments),
+        Experiment::Control(arguments) => control::run(&arguments)?,
         Experiment::Requests(arguments) => requests::latency::run(&arguments)?,
         Experiment::Overload(arguments) => requests::overload::run(&arguments)?,
         Experiment::Faults(arguments) => requests::faults::run(&arguments)?,
