Answer resends from outcomes that are not acknowledged yet

Cause: a resend that reached the same entry right after the end of the first request was answered with 502 earlier_run, although the entry knew the outcome (process test, 2 of 3 runs). Change: the entry keeps digest and outcome of an ID until the group has acknowledged it, and answers a resend from it. Periodic work has jitter. Tests take ports that the system does not give out, and wait for the caller listener, which starts last; before, they failed now and then with a refused connection. Conclusion: a resend gets the recorded answer at once.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -178,6 +178,7 @@
     /// Serves until a signal, then stops in the order of [`PlannedStop`].
     fn serve(&self, settings: &Settings, signals: &flume::Receiver<Shutdown>, runtime: &Handle) {
         let mut stop = PlannedStop::new(settings.stop_notice_ms, settings.stop_finish_ms);
+        let mut suspected = false;
         loop {
             if signals.recv_timeout(POLL).is_ok() {
                 stop.signal(self.clock.now());
@@ -187,6 +188,10 @@
             if status.knows_table {
                 self.readiness.clear(TABLE);
             }
+            if status.suspects_itself != suspected {
+                suspected = status.suspects_itself;
+                log::warn!(suspected = suspected; "fault of this entry: all upstreams seem dead");
+            }
             let before = stop.phase();
             let in_flight = status.in_flight + self.callers.open() + usize::from(!status.is_idle);
             let phase = stop.tick(self.clock.now(), in_flight);
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -6,6 +6,12 @@
 
 mod harness;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
 use harness::Cell;
 use harness::Upstream;
 use harness::call;
@@ -118,6 +124,29 @@
     assert_eq!(upstream.count(""), 0);
 }
 
+#[test]
+fn a_caller_that_does_not_read_is_cut_off() {
+    let cell = Cell::start(1, &["--write-timeout-ms", "300"]);
+    let upstream = Upstream::start();
+    cell.announce_and_wait(&upstream);
+    let mut stream = TcpStream::connect(cell.callers[0]).unwrap();
+    // More than the socket buffers of both ends hold.
+    let count = 40;
+    let request = "GET /logbook/x?bytes=1000000 HTTP/1.1\r\nhost: a\r\n\r\n".repeat(count);
+    stream.write_all(request.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(2_500));
+    let mut read = 0;
+    let mut buffer = vec![0; 1 << 20];
+    while let Ok(length @ 1..) = stream.read(&mut buffer) {
+        read += length;
+    }
+    assert!(
+        read < count * 1_000_000,
+        "{read} bytes were kept for the caller"
+    );
+    assert!(upstream.count("GET") < count);
+}
+
 #[test]
 fn answers_are_complete_and_headers_of_a_connection_stay_on_it() {
     let (cell, upstream) = cell();
--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -14,6 +14,8 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,9 +25,21 @@
 
 const KEY: &str = "0123456789abcdef";
 
+/// Ports from here on are not given out by the system for outgoing connections, so that a free one
+/// stays free until the entry binds it.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() * 61 % u32::from(PORTS)) as u16;
+    loop {
+        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
@@ -93,8 +107,10 @@
             .spawn()
             .unwrap();
         self.children[index] = Some(child);
-        wait_for("the admin listener", || {
-            self.get(index, "/healthz").0 == 200
+        // The caller listener is the last one to start.
+        let callers = self.callers[index];
+        wait_for("the caller listener", || {
+            TcpStream::connect(callers).is_ok()
         });
     }
 
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -100,7 +100,7 @@
     wait_for("the table", || {
         call(cell.callers[1], "GET /logbook/x", &[], "").0 == 200
     });
-    assert_eq!(cell.get(1, "/readyz").0, 200);
+    wait_for("readiness", || cell.get(1, "/readyz").0 == 200);
 }
 
 /// A control process that grants each ID once.
--- a/crates/load/src/requests/entry.rs
+++ b/crates/load/src/requests/entry.rs
@@ -7,6 +7,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +16,8 @@
 use anyhow::Context;
 use attohttpc::ProxySettings;
 
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
@@ -64,8 +68,19 @@
     }
 }
 
+/// A free address; its port is none that the system gives out for outgoing connections, so that it
+/// stays free until the entry binds it.
 fn free_address() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() * 61 % u32::from(PORTS)) as u16;
+    for _ in 0..PORTS {
+        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no free port")
 }
 
 /// What a process is started with.
--- a/crates/routing/src/claims.rs
+++ b/crates/routing/src/claims.rs
@@ -37,12 +37,20 @@
 }
 
 /// What this entry knows of an ID that it has claimed before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Held {
-    /// A request with the ID is under way or has ended; it may run or have run.
+    /// A request with the ID is under way; it may run.
     InProgress,
-    /// The earlier request was not run, which the group has not acknowledged yet.
-    GivingBack,
+    /// The request has ended; the group has not acknowledged the outcome yet.
+    Ended(ClaimOutcome),
+    /// The ID was used for another request.
+    Mismatch,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    digest: u64,
+    outcome: Option<ClaimOutcome>,
 }
 
 /// What a call brought for one request.
@@ -54,7 +62,7 @@
     waiting: VecDeque<(RequestKey, Claim)>,
     outcomes: VecDeque<ClaimDone>,
     calls: BTreeMap<CallKey, Call>,
-    held: BTreeMap<(Name, RequestId), Held>,
+    held: BTreeMap<(Name, RequestId), Holder>,
     next_call: u64,
     next_token: u64,
     paused: bool,
@@ -65,10 +73,14 @@
     /// already.
     pub fn ask(&mut self, request: RequestKey, mut claim: Claim) -> Result<(), Held> {
         let id = (claim.service.clone(), claim.request.clone());
-        if let Some(&held) = self.held.get(&id) {
-            return Err(held);
+        if let Some(holder) = self.held.get(&id) {
+            return Err(holder.held(claim.digest));
         }
-        self.held.insert(id, Held::InProgress);
+        let holder = Holder {
+            digest: claim.digest,
+            outcome: None,
+        };
+        self.held.insert(id, holder);
         claim.token = self.next_token;
         self.next_token += 1;
         self.waiting.push_back((request, claim));
@@ -96,10 +108,12 @@
         {
             self.held.remove(&(dropped.service, dropped.request));
         }
-        if outcome == ClaimOutcome::NotRun {
-            let id = (claim.service.clone(), claim.request.clone());
-            self.held.insert(id, Held::GivingBack);
-        }
+        let id = (claim.service.clone(), claim.request.clone());
+        let holder = Holder {
+            digest: claim.digest,
+            outcome: Some(outcome.clone()),
+        };
+        self.held.insert(id, holder);
         self.outcomes.push_back(ClaimDone {
             service: claim.service.clone(),
             request: claim.request.clone(),
@@ -175,6 +189,18 @@
     }
 }
 
+impl Holder {
+    fn held(&self, digest: u64) -> Held {
+        if self.digest != digest {
+            return Held::Mismatch;
+        }
+        match &self.outcome {
+            Some(outcome) => Held::Ended(outcome.clone()),
+            None => Held::InProgress,
+        }
+    }
+}
+
 fn take<T>(queue: &mut VecDeque<T>) -> Vec<T> {
     let count = queue.len().min(BATCH_MAX);
     queue.drain(..count).collect()
--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -88,7 +88,43 @@
                 let reason = UnknownReason::EarlierRun;
                 self.finish(now, key, Answer::Unknown { reason }, None, actions);
             }
-            Held::GivingBack => self.refuse(now, key, RefusalReason::ClaimUnavailable, actions),
+            // The record of the group may still hold the claim that is being given back.
+            Held::Ended(ClaimOutcome::NotRun) => {
+                self.refuse(now, key, RefusalReason::ClaimUnavailable, actions);
+            }
+            Held::Ended(outcome) => self.ended_before(now, key, outcome, actions),
+            Held::Mismatch => self.refuse(now, key, RefusalReason::IdMismatch, actions),
+        }
+    }
+
+    /// An earlier request with the same ID has ended.
+    fn ended_before(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        outcome: ClaimOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        match outcome {
+            ClaimOutcome::Done {
+                status,
+                content_type,
+                body,
+            } => {
+                let answer = Answer::Recorded {
+                    status,
+                    content_type,
+                    body,
+                };
+                self.finish(now, key, answer, None, actions);
+            }
+            ClaimOutcome::NotRun => {
+                self.refuse(now, key, RefusalReason::UpstreamRefused, actions);
+            }
+            ClaimOutcome::Unknown => {
+                let reason = UnknownReason::EarlierRun;
+                self.finish(now, key, Answer::Unknown { reason }, None, actions);
+            }
         }
     }
 
@@ -211,22 +247,8 @@
         };
         match verdict {
             ClaimVerdict::Granted => self.granted(now, key, claim, actions),
-            ClaimVerdict::Ended(ClaimOutcome::Done {
-                status,
-                content_type,
-                body,
-            }) => {
-                let answer = Answer::Recorded {
-                    status,
-                    content_type,
-                    body,
-                };
-                self.finish(now, key, answer, None, actions);
-            }
-            ClaimVerdict::Ended(ClaimOutcome::NotRun) => {
-                self.refuse(now, key, RefusalReason::UpstreamRefused, actions);
-            }
-            ClaimVerdict::Ended(ClaimOutcome::Unknown) | ClaimVerdict::InProgress => {
+            ClaimVerdict::Ended(outcome) => self.ended_before(now, key, outcome, actions),
+            ClaimVerdict::InProgress => {
                 let reason = UnknownReason::EarlierRun;
                 self.finish(now, key, Answer::Unknown { reason }, None, actions);
             }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod upstreams;
 mod view;
 
+use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
@@ -41,8 +42,9 @@
 pub use crate::router::view::Stats;
 pub use crate::router::view::UpstreamView;
 
-/// The time between two rounds of periodic work.
-const PERIOD_MS: u64 = 100;
+/// The time between two rounds of periodic work, drawn anew each time so that entries do not fall
+/// into step.
+const PERIOD_MS: std::ops::RangeInclusive<u64> = 90..=110;
 
 /// An upstream at one address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -274,7 +276,7 @@
             }
         }
         if self.next_period.is_some_and(|at| now >= at) {
-            self.next_period = Some(now + PERIOD_MS);
+            self.next_period = Some(now + self.rng.random_range(PERIOD_MS));
             self.periodic(now, actions);
         }
     }
--- a/crates/routing/src/router/upstreams.rs
+++ b/crates/routing/src/router/upstreams.rs
@@ -15,6 +15,7 @@
 use crate::health::Health;
 use crate::roster::RosterChange;
 use crate::roster::Share;
+use crate::router::PERIOD_MS;
 use crate::router::Router;
 use crate::router::Send;
 use crate::router::Upstream;
@@ -251,7 +252,8 @@
 
     pub(super) fn periodic(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if now >= self.next_gossip {
-            self.next_gossip = now + self.config.gossip_interval_ms;
+            // The interval is reached with the period that comes closest to it.
+            self.next_gossip = now + self.config.gossip_interval_ms - PERIOD_MS.start() / 2;
             self.gossip(now, actions);
         }
         if !self.table.expire(now).is_empty() {
--- a/crates/routing/tests/sim/check.rs
+++ b/crates/routing/tests/sim/check.rs
@@ -29,6 +29,8 @@
     pub errors: BTreeSet<(usize, SendKey)>,
     /// Errors of runners that were passed on, and unknown endings.
     pub failed: usize,
+    /// Whether an entry has taken the fault for its own.
+    pub own_fault: bool,
     pub retries: u64,
     pub timeouts: u64,
     runs: BTreeMap<(usize, RequestKey), u32>,
--- a/crates/routing/tests/sim/mod.rs
+++ b/crates/routing/tests/sim/mod.rs
@@ -366,6 +366,7 @@
         let mut actions = Vec::new();
         let state = &mut self.entries[entry];
         state.router.handle(Millis(self.now), event, &mut actions);
+        self.check.own_fault |= state.router.suspects_itself();
         let next = state.router.next_timer().map(|at| at.0.max(self.now + 1));
         if let Some(next) = next
             && state.wake.is_none_or(|wake| next < wake)
--- a/crates/routing/tests/without.rs
+++ b/crates/routing/tests/without.rs
@@ -180,3 +180,21 @@
         left_out.started
     );
 }
+
+#[test]
+fn only_a_fault_of_all_runners_at_once_is_taken_for_the_own() {
+    let failing = |count: usize| Options {
+        faults: (0..count)
+            .map(|r| (4_000, Fault::Mode(r, Mode::Stall)))
+            .collect(),
+        ..Options::quiet(Without::default(), 4, 100, [100, 0, 0])
+    };
+    assert!(World::new(failing(4)).run().own_fault);
+    let one = World::new(failing(1)).run();
+    assert!(!one.own_fault);
+    assert!(
+        one.failed * 100 <= one.answers.len(),
+        "{} failed",
+        one.failed
+    );
+}
