--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -22,7 +22,7 @@
     example = "Drain a worker, confirming the plan at once:
   sapphirepost drain wall-a-003 --yes",
     example = "Set a value and wait until every entry applies it:
-  sapphirepost config set routing.retry-budget 10 --yes --wait",
+  sapphirepost config set standings.season 2026 --yes --wait",
     note = "Changes show a plan and take effect once it is confirmed. Each change shows its
 operation ID; repeat a command whose outcome is unknown with --operation <id>.
 
@@ -242,8 +242,8 @@
     #[argh(
         subcommand,
         name = "set",
-        example = "sapphirepost config set routing.retry-budget 10 --yes --wait",
-        example = "sapphirepost config set routing.retry-budget --remove --yes"
+        example = "sapphirepost config set standings.season 2026 --yes --wait",
+        example = "sapphirepost config set standings.season --remove --yes"
     )]
     ConfigSetArguments {
         /// key
