Measure what each process of a running cluster uses

Ruled out: the byte counters of the network interface, because they count every process of the machine; the relays of this experiment count one cluster only, and an upper bound for TCP and IP headers is added.

Change: `sapphirepost-load cost` runs three control processes, three entries and stand-in workers at three sizes, with relays in front of entries and control processes; the figures of processor time and memory come from the process package.

--- /dev/null
+++ b/crates/load/src/group/cost.rs
@@ -0,0 +1,236 @@
+//! Cost: what each process of a running cluster uses, at three numbers of workers.
+//!
+//! Every worker runs a fixed number of service tasks and syncs through an entry. Slopes per
+//! worker come from a least-squares line over the sizes; the design size is computed from them.
+//! The baseline is the bytes of a worker that reports all of its tasks with each sync.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use sapphirepost_protocol::operator::ClusterStatus;
+use sapphirepost_protocol::operator::OperatorReply;
+use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::worker::TaskReport;
+use sapphirepost_protocol::worker::TaskStatus;
+use sapphirepost_types::Attempt;
+use sapphirepost_types::Intent;
+use sapphirepost_types::JobKind;
+use sapphirepost_types::JobSpec;
+use sapphirepost_types::Name;
+use sapphirepost_types::Priority;
+use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
+
+use crate::group::cluster::Cluster;
+use crate::group::cluster::ENTRIES;
+use crate::group::cluster::Usage;
+use crate::group::cluster::core_percent;
+use crate::report::Report;
+
+const SIZES: [usize; 3] = [90, 180, 360];
+const SIZES_QUICK: [usize; 3] = [30, 60, 90];
+const DESIGN_WORKERS: f64 = 800.0;
+const DESIGN_ENTRIES: f64 = 7.0;
+/// 5,500 tasks on 800 workers.
+const TASKS_PER_WORKER: usize = 7;
+const TASK: Resources = Resources::new(1_000, 1_024, 0);
+const PATIENCE: Duration = Duration::from_secs(40);
+const SETTLE: Duration = Duration::from_secs(2);
+const MEASURED: Duration = Duration::from_secs(15);
+const MEASURED_QUICK: Duration = Duration::from_secs(4);
+
+const WORKER_BYTES_TARGET: f64 = 3_000.0;
+const WORKER_CORE_TARGET_PERCENT: f64 = 2.3;
+const WORKER_MEMORY_TARGET_MIB: f64 = 256.0;
+
+/// Processor time, memory and bytes of each process.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+pub struct Arguments {
+    /// seed, reported only: the figures depend on the processes
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// smaller clusters and a shorter time
+    #[argh(switch)]
+    quick: bool,
+}
+
+/// Readings of all processes.
+#[derive(Clone, Copy)]
+struct Reading {
+    leader: Usage,
+    follower: Usage,
+    entry: Usage,
+    workers: Usage,
+    platform_bytes: u64,
+    platform_wire_bytes: u64,
+    inner_wire_bytes: u64,
+}
+
+/// Figures of one size, by name.
+type Sample = Vec<(&'static str, f64)>;
+
+/// Runs the experiment.
+pub fn run(arguments: &Arguments) -> anyhow::Result<Report> {
+    let mut report = Report::new("cost", arguments.seed);
+    let (sizes, time) = match arguments.quick {
+        true => (SIZES_QUICK, MEASURED_QUICK),
+        false => (SIZES, MEASURED),
+    };
+    let samples: Vec<Sample> = sizes
+        .iter()
+        .map(|workers| measure(*workers, time))
+        .collect::<anyhow::Result<_>>()?;
+    for (workers, sample) in sizes.iter().zip(&samples) {
+        for (name, value) in sample {
+            report.figure(format!("{name}_{workers}"), *value);
+        }
+    }
+    let largest = &samples[samples.len() - 1];
+    for (position, (name, _)) in largest.iter().enumerate() {
+        if name.starts_with("worker") {
+            continue;
+        }
+        let points: Vec<(f64, f64)> = sizes
+            .iter()
+            .zip(&samples)
+            .map(|(workers, sample)| (*workers as f64, sample[position].1))
+            .collect();
+        let (offset, slope) = line(&points);
+        report.figure(format!("{name}_slope"), slope);
+        // An entry serves its share of the workers; more entries stand at the design size.
+        let workers = match name.starts_with("entry") {
+            true => DESIGN_WORKERS * ENTRIES as f64 / DESIGN_ENTRIES,
+            false => DESIGN_WORKERS,
+        };
+        report.figure(format!("{name}_at_design_size"), offset + slope * workers);
+    }
+    let value = |name: &str| {
+        let found = largest.iter().find(|(other, _)| *other == name);
+        found.map_or(f64::NAN, |(_, value)| *value)
+    };
+    report.baseline(
+        "worker_bytes_per_s_full_reports",
+        full_report_bytes(value("worker_bytes_per_s"))?,
+    );
+    let bytes = value("worker_wire_bytes_per_s");
+    report.at_most("worker_wire_bytes_per_s", bytes, WORKER_BYTES_TARGET);
+    let core = value("worker_core_percent");
+    report.at_most("worker_core_percent", core, WORKER_CORE_TARGET_PERCENT);
+    let memory = value("worker_memory_mib");
+    report.at_most("worker_memory_mib", memory, WORKER_MEMORY_TARGET_MIB);
+    Ok(report)
+}
+
+fn measure(workers: usize, time: Duration) -> anyhow::Result<Sample> {
+    let mut cluster = Cluster::start(workers)?;
+    wait_for(&cluster, |status| {
+        status
+            .workers
+            .iter()
+            .filter(|worker| worker.connected)
+            .count()
+            == workers
+    })?;
+    let tasks = (workers * TASKS_PER_WORKER) as u32;
+    cluster.group.confirm(Intent::Run(service(tasks)?))?;
+    wait_for(&cluster, |status| {
+        status.jobs.iter().all(|job| job.running == tasks)
+    })?;
+    thread::sleep(SETTLE);
+    let before = read(&cluster)?;
+    let start = Instant::now();
+    thread::sleep(time);
+    let time = start.elapsed();
+    let after = read(&cluster)?;
+    let count = workers as f64;
+    let per_s = |before: u64, after: u64| (after - before) as f64 / time.as_secs_f64();
+    let bytes = per_s(before.platform_bytes, after.platform_bytes);
+    let wire_bytes = per_s(before.platform_wire_bytes, after.platform_wire_bytes);
+    let inner_bytes = per_s(before.inner_wire_bytes, after.inner_wire_bytes);
+    let core = |usage: fn(&Reading) -> Usage| core_percent(usage(&before), usage(&after), time);
+    Ok(vec![
+        ("leader_core_percent", core(|reading| reading.leader)),
+        ("leader_memory_mib", after.leader.memory_mib),
+        ("follower_core_percent", core(|reading| reading.follower)),
+        ("follower_memory_mib", after.follower.memory_mib),
+        ("entry_core_percent", core(|reading| reading.entry)),
+        ("entry_memory_mib", after.entry.memory_mib),
+        ("inner_wire_bytes_per_s", inner_bytes),
+        (
+            "worker_core_percent",
+            core(|reading| reading.workers) / count,
+        ),
+        ("worker_memory_mib", after.workers.memory_mib / count),
+        ("worker_bytes_per_s", bytes / count),
+        ("worker_wire_bytes_per_s", wire_bytes / count),
+    ])
+}
+
+fn read(cluster: &Cluster) -> anyhow::Result<Reading> {
+    Ok(Reading {
+        leader: cluster.leader()?,
+        follower: cluster.followers()?,
+        entry: cluster.entries()?,
+        workers: cluster.workers()?,
+        platform_bytes: cluster.platform.bytes(),
+        platform_wire_bytes: cluster.platform.wire_bytes(),
+        inner_wire_bytes: cluster.inner.wire_bytes(),
+    })
+}
+
+fn wait_for(cluster: &Cluster, done: impl Fn(&ClusterStatus) -> bool) -> anyhow::Result<()> {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        if let OperatorReply::Status(status) = cluster.group.operate(&OperatorRequest::Status)?
+            && done(&status)
+        {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    anyhow::bail!("the cluster did not settle within {PATIENCE:?}")
+}
+
+fn service(tasks: u32) -> anyhow::Result<JobSpec> {
+    Ok(JobSpec {
+        name: Name::new("web")?,
+        team: Name::new("front")?,
+        kind: JobKind::Service,
+        tasks,
+        resources: TASK,
+        priority: Priority::Normal,
+        on_partition: None,
+        checkpoint_cost_ms: None,
+        payload: String::new(),
+    })
+}
+
+/// Bytes a second of a worker that names all of its tasks with the one sync of each second.
+fn full_report_bytes(with_differences: f64) -> anyhow::Result<f64> {
+    let report = |number| TaskReport {
+        task: TaskId(number),
+        attempt: Attempt(1),
+        status: TaskStatus::Running,
+    };
+    let tasks: Vec<TaskReport> = (5_000..5_000 + TASKS_PER_WORKER as u32)
+        .map(report)
+        .collect();
+    Ok(with_differences + serde_json::to_string(&tasks)?.len() as f64)
+}
+
+/// The offset and the slope of the line that fits the points best.
+fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    (mean_y - slope * mean_x, slope)
+}
--- a/crates/load/src/group/processes.rs
+++ b/crates/load/src/group/processes.rs
@@ -56,11 +56,20 @@
     directory: TempDir,
     program: PathBuf,
     operations: u64,
+    /// Where other processes reach each member.
+    advertised: Vec<String>,
 }
 
 impl Group {
     /// Starts a group of `size` voters and waits until it has a leader.
     pub fn start(size: usize) -> anyhow::Result<Group> {
+        Group::start_advertised((0..size).map(inner_address).collect())
+    }
+
+    /// Starts a group that is reached at `advertised`, with a relay between each of these
+    /// addresses and [`inner_address`].
+    pub fn start_advertised(advertised: Vec<String>) -> anyhow::Result<Group> {
+        let size = advertised.len();
         let directory = tempfile::tempdir()?;
         std::fs::write(directory.path().join("key"), KEY)?;
         let runtime = rpc::runtime(4)?;
@@ -73,6 +82,7 @@
             directory,
             program: program("sapphirepost-control")?,
             operations: 0,
+            advertised,
         };
         for index in 0..size {
             let id = group.create_identity(index)?;
@@ -87,16 +97,12 @@
 
     /// A client of its own, with a connection of its own, as an entry has.
     pub fn new_client(&self) -> anyhow::Result<ControlClient> {
-        let inner = self.inner_addresses();
         let runtime = self.runtime.handle().clone();
-        Ok(ControlClient::new(runtime, &inner, Some(key()?)))
-    }
-
-    fn inner_addresses(&self) -> Vec<String> {
-        (0..self.members.len()).map(inner_address).collect()
+        Ok(ControlClient::new(runtime, &self.advertised, Some(key()?)))
     }
 
-    fn key_file(&self) -> PathBuf {
+    /// The file with the key of the group.
+    pub fn key_file(&self) -> PathBuf {
         self.directory.path().join("key")
     }
 
@@ -116,6 +122,11 @@
         Ok(())
     }
 
+    /// The process id of a running member.
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.members[index].child.as_ref().map(Child::id)
+    }
+
     /// The position of the leader.
     pub fn leader(&self) -> anyhow::Result<usize> {
         let members = self.list_members()?;
@@ -197,7 +208,7 @@
             .members
             .iter()
             .enumerate()
-            .map(|(index, member)| format!("{}@{}", member.id, inner_address(index)))
+            .map(|(index, member)| format!("{}@{}", member.id, self.advertised[index]))
             .collect();
         let mut command = Command::new(&self.program);
         command
@@ -206,6 +217,7 @@
             .arg("--inner-key-file")
             .arg(self.key_file())
             .args(["--inner-address", &inner_address(index)])
+            .args(["--advertise-address", &self.advertised[index]])
             .args(["--admin-address", &admin_address(index)])
             .args(["--log-level", "error"])
             .stdin(Stdio::null());
@@ -225,7 +237,7 @@
 }
 
 /// A program of this workspace, expected next to this one.
-fn program(name: &str) -> anyhow::Result<PathBuf> {
+pub fn program(name: &str) -> anyhow::Result<PathBuf> {
     let path = std::env::current_exe()?.with_file_name(name);
     anyhow::ensure!(
         path.exists(),
@@ -238,7 +250,8 @@
     Ok(SharedKey::new(KEY)?)
 }
 
-fn inner_address(index: usize) -> String {
+/// Where member `index` listens.
+pub fn inner_address(index: usize) -> String {
     loopback::address(FIRST_INNER_PORT + index as u16).to_string()
 }
 
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod http;
 pub mod logging;
 pub mod metrics;
-mod process_metrics;
+pub mod process_metrics;
 pub mod rate_limit;
 pub mod readiness;
 pub mod rpc;
--- a/crates/process/src/process_metrics.rs
+++ b/crates/process/src/process_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the process itself, for the cost of control: processor time and memory.
+//! Processor time and memory of a process, for the cost of control.
 
 use std::fs;
 
@@ -15,13 +15,16 @@
 const USER_TIME: usize = 11;
 const SYSTEM_TIME: usize = 12;
 
+/// Names the calling process.
+pub const OWN: &str = "self";
+
 /// Reads the figures of this process when the metrics are encoded.
 #[derive(Debug)]
 pub(crate) struct ProcessCollector;
 
 impl Collector for ProcessCollector {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
-        if let Some(seconds) = processor_seconds() {
+        if let Some(seconds) = processor_seconds(OWN) {
             let counter = ConstCounter::new(seconds);
             let metric = encoder.encode_descriptor(
                 "process_cpu_seconds",
@@ -31,7 +34,7 @@
             )?;
             counter.encode(metric)?;
         }
-        if let Some(bytes) = resident_bytes() {
+        if let Some(bytes) = resident_bytes(OWN) {
             let gauge = ConstGauge::new(bytes);
             let metric = encoder.encode_descriptor(
                 "process_resident_memory_bytes",
@@ -45,8 +48,9 @@
     }
 }
 
-fn processor_seconds() -> Option<f64> {
-    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+/// The processor time that a process has used, in seconds; `None` if there is no such process.
+pub fn processor_seconds(process: &str) -> Option<f64> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
     // The command name stands in parentheses and may contain spaces.
     let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
     let user: f64 = fields.get(USER_TIME)?.parse().ok()?;
@@ -54,8 +58,9 @@
     Some((user + system) / TICKS_PER_SECOND)
 }
 
-fn resident_bytes() -> Option<i64> {
-    let status = fs::read_to_string("/proc/self/status").ok()?;
+/// The resident memory of a process in bytes; `None` if there is no such process.
+pub fn resident_bytes(process: &str) -> Option<i64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
     let line = status
         .lines()
         .find_map(|line| line.strip_prefix("VmRSS:"))?;
