--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -291,6 +291,7 @@
             .get(&key)
             .is_some_and(|request| request.phase == Phase::Claiming);
         if claiming {
+            self.claims.withdraw(key);
             self.refuse(now, key, RefusalReason::ClaimUnavailable, actions);
         }
     }
