--- a/crates/process/tests/rpc.rs
+++ b/crates/process/tests/rpc.rs
@@ -189,3 +189,24 @@
     let busy = client.call_blocking::<_, u64>("double", &1, SECOND);
     assert_eq!(busy, Err(RpcError::Busy));
 }
+
+/// Whoever can reach the inner listener without the key must not be able to stop it.
+#[test]
+fn requests_without_a_handshake_neither_block_nor_end_the_listener() {
+    let runtime = runtime(2).unwrap();
+    let server = serve(&runtime, local(0));
+    let heads = [
+        "POST / HTTP/1.1\r\ncontent-length: 99999999999999\r\n\r\n",
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nfffffffffffffff0\r\n",
+        "GET / HTTP/1.1\r\nconnection: upgrade\r\n\r\n",
+        "GET / HTTP/1.1\r\n",
+    ];
+    let _held = heads.map(|head| {
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    });
+    thread::sleep(Duration::from_millis(100));
+    let client = client(&runtime, server.address(), Some(key()));
+    assert_eq!(client.call_blocking("double", &21, SECOND), Ok(42u64));
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -37,14 +37,18 @@
   exit 1
 }
 
-is_running() { kill -0 "$1" 2>/dev/null; }
+# Whether a process is still a child of this shell; its id may have been used again since it ended.
+is_running() { [ "$(sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d ' ' -f 2)" = $$ ]; }
 
 # Sends a signal to every process of this session and waits until all have ended. The shell's
 # reports of killed jobs go to /dev/null.
 end_all() {
   local signal=$1 name pid
   for name in "${!pids[@]}"; do
-    kill "-$signal" "${pids[$name]}" || true
+    pid=${pids[$name]}
+    if is_running "$pid"; then
+      kill "-$signal" "$pid" || true
+    fi
   done
   for name in "${!pids[@]}"; do
     pid=${pids[$name]}
