--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -7,6 +7,7 @@
 
 mod arrivals;
 mod clusters;
+mod control;
 mod group;
 mod loopback;
 mod packing;
@@ -32,6 +33,7 @@
     Waiting(waiting::Arguments),
     Commits(group::commits::Arguments),
     Recovery(group::recovery::Arguments),
+    Control(control::Arguments),
     Requests(requests::latency::Arguments),
     Overload(requests::overload::Arguments),
     Faults(requests::faults::Arguments),
@@ -47,6 +49,7 @@
         Experiment::Waiting(arguments) => waiting::run(&arguments),
         Experiment::Commits(arguments) => group::commits::run(&arguments)?,
         Experiment::Recovery(arguments) => group::recovery::run(&arguments)?,
+        Experiment::Control(arguments) => control::run(&arguments)?,
         Experiment::Requests(arguments) => requests::latency::run(&arguments)?,
         Experiment::Overload(arguments) => requests::overload::run(&arguments)?,
         Experiment::Faults(arguments) => requests::faults::run(&arguments)?,
