Keep the entries of a partitioned failure domain ready

Cause: an entry reported itself as not ready once its leader had been out of reach for 10 s. All entries of a partitioned failure domain do so at once, so the balancer would send them nothing, although each failure domain has to go on serving what it can.

Ruled out: no statement at all, because operators and `--wait` must see that the version may be old; a longer time, because a partition may last an hour.

Change: a part can report a limit that does not end readiness; `/readyz` answers 200 and names it. A restarted entry that has not heard the current version is still not ready.

Conclusion: a partition does not take a failure domain out of service.

--- a/crates/entry/src/config_watch.rs
+++ b/crates/entry/src/config_watch.rs
@@ -2,8 +2,9 @@
 //!
 //! The watch sends the version that it has applied and gets what is newer. A lower version, which
 //! a control process that lags could send, is never applied. The entry is not ready until the
-//! current version is known, and again when the leader has not confirmed it for
-//! [`UNCONFIRMED_MAX`]; it continues to serve with the applied version meanwhile.
+//! current version is known. When the leader has not confirmed it for [`UNCONFIRMED_MAX`], the
+//! entry says so and stays ready: all entries of a partitioned failure domain lose the leader at
+//! once, and the balancer would otherwise stop the service there.
 //!
 //! `main` calls [`start`] and reads the configuration from the returned [`ConfigWatch`].
 
@@ -175,7 +176,7 @@
         let seconds = UNCONFIRMED_MAX.as_secs();
         let version = applied.version;
         let reason = format!("{version} was not confirmed as current for {seconds} s");
-        self.readiness.block(PART, reason);
+        self.readiness.limit(PART, reason);
     }
 }
 
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -3,6 +3,7 @@
 //! It runs on a thread and a runtime of its own, so that it answers while the other threads are
 //! busy. Dumps wait on a bounded number of threads, since the owner of the state may be slow.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -180,13 +181,17 @@
 fn ready(readiness: &Readiness) -> HttpAnswer {
     let reasons = readiness.reasons();
     if reasons.is_empty() {
-        return http::text(StatusCode::OK, "ready\n");
+        let text = format!("ready\n{}", lines(&readiness.limits()));
+        return http::text(StatusCode::OK, text);
     }
-    let lines: String = reasons
+    http::text(StatusCode::SERVICE_UNAVAILABLE, lines(&reasons))
+}
+
+fn lines(reports: &BTreeMap<&'static str, String>) -> String {
+    reports
         .iter()
-        .map(|(part, reason)| format!("{part}: {reason}\n"))
-        .collect();
-    http::text(StatusCode::SERVICE_UNAVAILABLE, lines)
+        .map(|(part, text)| format!("{part}: {text}\n"))
+        .collect()
 }
 
 fn encode(metrics: &Metrics) -> HttpAnswer {
--- a/crates/process/src/readiness.rs
+++ b/crates/process/src/readiness.rs
@@ -1,14 +1,22 @@
-//! Why a process is not ready, if it is not.
+//! Why a process is not ready, if it is not, and what limits it while it is ready.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-/// The set of reasons for which a process is not ready; it is ready when the set is empty.
+/// What a part reports about itself.
+#[derive(Clone, Debug)]
+struct Report {
+    text: String,
+    is_blocking: bool,
+}
+
+/// The reports of the parts of a process; it is ready when none is blocking.
 #[derive(Clone, Debug, Default)]
 pub struct Readiness {
-    reasons: Arc<Mutex<BTreeMap<&'static str, String>>>,
+    reports: Arc<Mutex<BTreeMap<&'static str, Report>>>,
 }
 
 impl Readiness {
@@ -19,7 +27,12 @@
 
     /// Records that `part` is not ready, with the reason.
     pub fn block(&self, part: &'static str, reason: impl Into<String>) {
-        self.lock().insert(part, reason.into());
+        self.report(part, reason.into(), true);
+    }
+
+    /// Records that `part` is ready within a limit.
+    pub fn limit(&self, part: &'static str, limit: impl Into<String>) {
+        self.report(part, limit.into(), false);
     }
 
     /// Records that `part` is ready.
@@ -29,15 +42,32 @@
 
     /// Whether no part objects.
     pub fn is_ready(&self) -> bool {
-        self.lock().is_empty()
+        self.reasons().is_empty()
     }
 
     /// The parts that are not ready, with their reasons.
     pub fn reasons(&self) -> BTreeMap<&'static str, String> {
-        self.lock().clone()
+        self.texts(true)
+    }
+
+    /// The parts that are ready within a limit.
+    pub fn limits(&self) -> BTreeMap<&'static str, String> {
+        self.texts(false)
+    }
+
+    fn report(&self, part: &'static str, text: String, is_blocking: bool) {
+        self.lock().insert(part, Report { text, is_blocking });
+    }
+
+    fn texts(&self, is_blocking: bool) -> BTreeMap<&'static str, String> {
+        self.lock()
+            .iter()
+            .filter(|(_, report)| report.is_blocking == is_blocking)
+            .map(|(part, report)| (*part, report.text.clone()))
+            .collect()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<&'static str, String>> {
-        self.reasons.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<&'static str, Report>> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -44,6 +44,15 @@
     let server = AdminServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), parts).unwrap();
     assert_eq!(get(&server, "/healthz").0, 200);
     assert_eq!(get(&server, "/readyz").0, 200);
+    readiness.limit("config", "config3 was not confirmed as current for 10 s");
+    assert_eq!(
+        get(&server, "/readyz"),
+        (
+            200,
+            "ready\nconfig: config3 was not confirmed as current for 10 s\n".to_owned()
+        ),
+        "a partitioned failure domain would lose all of its entries at the balancer"
+    );
     readiness.block("config", "the current version is not known");
     let (status, reasons) = get(&server, "/readyz");
     assert_eq!(
