--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -61,6 +61,9 @@
     /// Too much is uncommitted, a membership change is under way, or the leader is stopping.
     #[error("busy")]
     Busy,
+    /// The payload is larger than an entry may be.
+    #[error("{0} bytes are too many for one entry")]
+    TooLarge(usize),
     /// The membership change does not fit the membership.
     #[error(transparent)]
     Membership(#[from] MembershipError),
@@ -91,6 +94,8 @@
     pub(crate) election_due: Millis,
     pub(crate) heartbeat_due: Millis,
     pub(crate) votes: BTreeMap<MemberId, bool>,
+    /// Campaigns since a leader was last heard from.
+    pub(crate) campaigns: u32,
     pub(crate) progress: BTreeMap<MemberId, Progress>,
     pub(crate) uncommitted_bytes: usize,
     pub(crate) transfer: Option<Transfer>,
@@ -131,6 +136,7 @@
             election_due: now,
             heartbeat_due: now,
             votes: BTreeMap::new(),
+            campaigns: 0,
             progress: BTreeMap::new(),
             uncommitted_bytes: 0,
             transfer: None,
@@ -189,6 +195,9 @@
     pub fn propose(&mut self, now: Millis, payload: Bytes) -> Result<Index, ProposeError> {
         self.observe(now);
         self.check_leading()?;
+        if payload.len() > self.config.max_entry_bytes {
+            return Err(ProposeError::TooLarge(payload.len()));
+        }
         if self.uncommitted_bytes > self.config.max_uncommitted_bytes || self.transfer.is_some() {
             return Err(ProposeError::Busy);
         }
@@ -295,7 +304,7 @@
     }
 
     pub(crate) fn reset_election_timer(&mut self) {
-        let timeout_ms = self.config.election_timeout_ms;
+        let timeout_ms = self.config.election_timeout_ms * self.patience();
         let delay_ms = self.rng.random_range(timeout_ms..2 * timeout_ms);
         self.election_due = self.now + delay_ms;
     }
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -13,6 +13,7 @@
 use sapphirepost_consensus::Node;
 use sapphirepost_consensus::Payload;
 use sapphirepost_consensus::Persisted;
+use sapphirepost_consensus::ProposeError;
 use sapphirepost_consensus::Restored;
 use sapphirepost_consensus::Role;
 use sapphirepost_consensus::Term;
@@ -81,6 +82,37 @@
     assert!(!sim.propose(leader, "late".to_owned()).unwrap());
 }
 
+/// A read at a leader that is isolated and whose clock stands still, so that it does not notice,
+/// after another leader has committed more.
+fn read_at_a_deposed_leader(faults: Faults) -> Verdict {
+    let mut sim = Sim::new(1, 3, Weather::CALM, faults);
+    let deposed = sim.elect();
+    sim.stop_clock(deposed);
+    sim.isolated.insert(deposed);
+    sim.run(1_500)?;
+    let leader = sim.elect();
+    assert_ne!(leader, deposed);
+    sim.propose(leader, "newer".to_owned())?;
+    sim.run(100)?;
+    assert_eq!(
+        (sim.checker.acknowledged, sim.node(deposed).role()),
+        (1, Role::Leader)
+    );
+    sim.read(deposed)?;
+    sim.run(100)
+}
+
+/// Guards against stale reads that rely on clocks.
+#[test]
+fn reads_are_confirmed_by_a_quorum() {
+    assert_eq!(read_at_a_deposed_leader(Faults::default()), Ok(()));
+    let faults = Faults {
+        unconfirmed_reads: true,
+        ..Faults::default()
+    };
+    assert!(read_at_a_deposed_leader(faults).is_err_and(|error| error.contains("a read shows")));
+}
+
 /// A committed entry is on a voter that loses its disk; then the leader is isolated and the voter
 /// that lacks the entry returns.
 fn lose_a_disk(reuses_identity: bool) -> Verdict {
@@ -261,6 +293,28 @@
     assert!(!granted(2, 1));
 }
 
+/// Guards against a group that elects nobody, or changes its leader, while disks are slower than
+/// an election timeout.
+#[test]
+fn slow_disks_do_not_prevent_a_leader() {
+    for seed in 0..20 {
+        let weather = Weather {
+            sync_ms: 300,
+            ..Weather::CALM
+        };
+        let mut sim = Sim::new(seed, 3, weather, Faults::default());
+        let leader = sim.elect();
+        let term = sim.node(leader).term();
+        sim.propose(leader, "slow".to_owned()).unwrap();
+        sim.run(5_000).unwrap();
+        assert_eq!(
+            (sim.node(leader).term(), sim.checker.acknowledged),
+            (term, 1),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Guards against a member that acts on messages of another group after an address was reused.
 #[test]
 fn messages_of_another_group_are_ignored() {
@@ -284,6 +338,14 @@
     assert_eq!((node.term(), node.leader(), node.commit()), (1, None, 0));
 }
 
+/// Guards against an entry that no message can carry, so that nothing after it is replicated.
+#[test]
+fn an_oversized_entry_is_refused() {
+    let (mut node, now) = elect(Config::new(MemberId(1), 1), restored(&[], 1));
+    let result = node.propose(now, vec![0; 5 << 20].into());
+    assert_eq!(result, Err(ProposeError::TooLarge(5 << 20)));
+}
+
 /// Guards against messages that another process cannot read back.
 #[test]
 fn messages_survive_their_text_form() {
--- a/crates/leader/tests/support/worker.rs
+++ b/crates/leader/tests/support/worker.rs
@@ -26,7 +26,6 @@
 /// the simulation it stays below the stop time that the leader assumes.
 const STOP_MAX_MS: u64 = 900;
 const SYNC_TIMEOUT_MS: u64 = 2_000;
-const OUTSTANDING_MAX: usize = 3;
 
 struct Running {
     resources: Resources,
@@ -52,8 +51,14 @@
     /// Fails no task that is not meant to fail.
     pub is_calm: bool,
     pub is_gone: bool,
+    /// How many syncs it sends without an answer when it has news.
+    pub outstanding_max: usize,
+    pub usage: Option<Resources>,
+    pub throttled: BTreeMap<TaskId, u8>,
     pub paused_until: u64,
     pub cut_until: u64,
+    /// Until when it receives no replies.
+    pub deaf_until: u64,
     sequence: u64,
     running: BTreeMap<AttemptKey, Running>,
     fences: BTreeMap<TaskId, Attempt>,
@@ -78,8 +83,12 @@
             is_bad: false,
             is_calm: false,
             is_gone: false,
+            outstanding_max: 3,
+            usage: None,
+            throttled: BTreeMap::new(),
             paused_until: 0,
             cut_until: 0,
+            deaf_until: 0,
             sequence: 0,
             running: BTreeMap::new(),
             fences: BTreeMap::new(),
@@ -153,7 +162,7 @@
         self.outstanding
             .retain(|_, sync| now < sync.sent_at + timeout);
         let is_due = match self.has_news {
-            true => self.outstanding.len() < OUTSTANDING_MAX,
+            true => self.outstanding.len() < self.outstanding_max,
             false => self.outstanding.is_empty(),
         };
         is_due.then(|| self.sync(now))
@@ -247,7 +256,7 @@
             full: self.wants_full,
             tasks,
             digest: tasks_digest(self.running.keys().copied()),
-            usage: None,
+            usage: self.usage,
             wait_ms: 1_000,
         }
     }
@@ -259,7 +268,8 @@
         rng: &mut Pcg64,
         history: &mut Vec<Timed>,
     ) {
-        if self.is_gone || self.is_paused || now < self.paused_until {
+        let is_deaf = now < self.deaf_until;
+        if is_deaf || self.is_gone || self.is_paused || now < self.paused_until {
             return;
         }
         let Some(outstanding) = self.outstanding.remove(&reply.sequence) else {
@@ -343,7 +353,9 @@
                     }
                 }
             }
-            WorkerCommand::Throttle { .. } => {}
+            WorkerCommand::Throttle { task, percent, .. } => {
+                self.throttled.insert(task, percent);
+            }
         }
     }
 
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -8,6 +8,8 @@
 mod arrivals;
 mod clusters;
 mod control;
+mod group;
+mod loopback;
 mod packing;
 mod placement;
 mod replay;
@@ -29,6 +31,9 @@
     Placement(placement::Arguments),
     Packing(packing::Arguments),
     Waiting(waiting::Arguments),
+    Commits(group::commits::Arguments),
+    Recovery(group::recovery::Arguments),
+    Cost(group::cost::Arguments),
     Control(control::Arguments),
     Requests(requests::latency::Arguments),
     Overload(requests::overload::Arguments),
@@ -43,6 +48,9 @@
         Experiment::Placement(arguments) => placement::run(&arguments),
         Experiment::Packing(arguments) => packing::run(&arguments),
         Experiment::Waiting(arguments) => waiting::run(&arguments),
+        Experiment::Commits(arguments) => group::commits::run(&arguments)?,
+        Experiment::Cost(arguments) => group::cost::run(&arguments)?,
+        Experiment::Recovery(arguments) => group::recovery::run(&arguments)?,
         Experiment::Control(arguments) => control::run(&arguments)?,
         Experiment::Requests(arguments) => requests::latency::run(&arguments)?,
         Experiment::Overload(arguments) => requests::overload::run(&arguments)?,
--- a/crates/state/src/ending.rs
+++ b/crates/state/src/ending.rs
@@ -99,7 +99,7 @@
         };
         let job_id = task.job;
         job.placed = job.placed.saturating_sub(1);
-        let was_charged = !task.unreachable;
+        let was_unreachable = task.unreachable;
         let next = next_after(task, job, worker, end);
         task.stop = None;
         task.unreachable = false;
@@ -112,10 +112,11 @@
             Next::End { success: false } if job.is_active() => job.failed += 1,
             _ => {}
         }
-        if was_charged {
-            let team = job.spec.team.clone();
-            let resources = job.spec.resources;
-            self.quotas.release(&team, &resources);
+        let team = job.spec.team.clone();
+        let resources = job.spec.resources;
+        match was_unreachable {
+            true => self.release_detached(&team, &resources),
+            false => self.quotas.release(&team, &resources),
         }
         self.task_changed(id);
         if matches!(next, Next::Remove) {
@@ -177,10 +178,19 @@
         if !is_given_up && !is_done {
             return;
         }
+        let last_failure = job
+            .tasks
+            .iter()
+            .filter_map(|id| self.tasks.get(*id))
+            .filter(|task| task.phase == Phase::Ended { success: false })
+            .find_map(|task| task.last_failure.clone());
         job.phase = match job.failed {
             0 => JobPhase::Finished,
             failed => JobPhase::Failed {
-                reason: format!("{failed} tasks failed after repeated attempts"),
+                reason: format!(
+                    "{failed} tasks failed after repeated attempts, one with: {}",
+                    last_failure.unwrap_or_default()
+                ),
             },
         };
         self.changed(Change::Job(id));
