--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -14,6 +14,7 @@
 use crate::control::bench::Bench;
 use crate::report::Report;
 
+mod agent;
 mod bench;
 
 /// The largest share of a core that control may take.
--- a/crates/load/src/control/bench.rs
+++ b/crates/load/src/control/bench.rs
@@ -1,6 +1,5 @@
 //! A leader with its state, and workers that sync as they do over long polls.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,25 +14,17 @@
 use sapphirepost_leader::Output;
 use sapphirepost_leader::Reply;
 use sapphirepost_leader::ReplyToken;
-use sapphirepost_protocol::worker::AttemptKey;
-use sapphirepost_protocol::worker::TaskReport;
-use sapphirepost_protocol::worker::TaskStatus;
-use sapphirepost_protocol::worker::WorkerCommand;
 use sapphirepost_protocol::worker::WorkerSpec;
-use sapphirepost_protocol::worker::WorkerSync;
 use sapphirepost_protocol::worker::WorkerSyncReply;
-use sapphirepost_protocol::worker::tasks_digest;
 use sapphirepost_state::Command;
 use sapphirepost_state::PlanDraft;
 use sapphirepost_state::Request;
 use sapphirepost_state::State;
 use sapphirepost_state::Verdict;
-use sapphirepost_types::Incarnation;
 use sapphirepost_types::Intent;
 use sapphirepost_types::JobKind;
 use sapphirepost_types::JobSpec;
 use sapphirepost_types::Millis;
-use sapphirepost_types::Name;
 use sapphirepost_types::ObjectKey;
 use sapphirepost_types::OperationId;
 use sapphirepost_types::Priority;
@@ -41,15 +32,13 @@
 
 use crate::clusters::Cluster;
 use crate::clusters::name;
+use crate::control::agent::Agent;
 
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 
 /// Between two ticks of the leader.
 const STEP_MS: u64 = 20;
 
-/// Between a reply to a worker and its next sync: two hops and the worker's own work.
-const GAP_MS: u64 = 4;
-
 /// The mean run time with which 110 starts a second keep 4,400 batch tasks running.
 const RUN_TIME_MS: u64 = 40_000;
 
@@ -61,20 +50,6 @@
 /// Tasks of services for each worker: a fifth of 5,500 for 800.
 const SERVICE_TASKS_PER_WORKER: f64 = 1_100.0 / 800.0;
 
-/// One worker's agent.
-struct Agent {
-    name: Name,
-    spec: WorkerSpec,
-    sequence: u64,
-    send_spec: bool,
-    send_full: bool,
-    /// When its next sync is sent; `None` while one is held.
-    sync_at: Option<Millis>,
-    /// Running attempts with their ends.
-    running: BTreeMap<AttemptKey, Millis>,
-    reports: Vec<TaskReport>,
-}
-
 /// The bench.
 pub struct Bench {
     cluster: Cluster,
@@ -100,19 +75,14 @@
         let config = LeaderConfig::default();
         let leader = Leader::new(config, &state, Millis::ZERO, START_UNIX_MS, seed);
         let views = cluster.views().into_iter().enumerate();
-        let agents = views.map(|(position, view)| Agent {
-            name: name(&format!("worker-{position}")),
-            spec: WorkerSpec {
+        let agents = views.map(|(position, view)| {
+            let first_sync = Millis(position as u64 * 1_000 / u64::from(cluster.workers));
+            let spec = WorkerSpec {
                 failure_domain: view.failure_domain,
                 rack: view.rack,
                 capacity: view.capacity,
-            },
-            sequence: 0,
-            send_spec: true,
-            send_full: true,
-            sync_at: Some(Millis(position as u64 * 1_000 / u64::from(cluster.workers))),
-            running: BTreeMap::new(),
-            reports: Vec::new(),
+            };
+            Agent::new(name(&format!("worker-{position}")), spec, first_sync)
         });
         let mut bench = Bench {
             agents: agents.collect(),
@@ -179,7 +149,7 @@
 
     /// Running attempts.
     pub fn running(&self) -> usize {
-        self.agents.iter().map(|agent| agent.running.len()).sum()
+        self.agents.iter().map(|agent| agent.running_count()).sum()
     }
 
     fn add_services(&mut self) {
@@ -249,23 +219,14 @@
     /// Notes attempts that end by themselves; their workers sync at once.
     fn end_tasks(&mut self) {
         for agent in &mut self.agents {
-            let due: Vec<AttemptKey> = agent
-                .running
-                .iter()
-                .filter(|(_, ends)| **ends <= self.now)
-                .map(|(key, _)| *key)
-                .collect();
-            for key in due {
-                agent.end(key, TaskStatus::Finished);
-                agent.sync_at = Some(self.now);
-            }
+            agent.finish_due(self.now);
         }
     }
 
     fn send_syncs(&mut self) {
         for position in 0..self.agents.len() {
             let agent = &mut self.agents[position];
-            if agent.sync_at.is_none_or(|at| at > self.now) {
+            if !agent.is_sync_due(self.now) {
                 continue;
             }
             let sync = agent.sync();
@@ -322,101 +283,10 @@
     fn handle_reply(&mut self, position: usize, reply: &WorkerSyncReply) {
         let now = self.now;
         let agent = &mut self.agents[position];
-        agent.sync_at.get_or_insert(now + GAP_MS);
-        agent.send_spec |= reply.send_spec;
-        agent.send_full |= reply.send_full;
-        agent.reports.retain(|report| {
-            let key = AttemptKey {
-                task: report.task,
-                attempt: report.attempt,
-            };
-            !report.status.is_ended() || !reply.acknowledged.contains(&key)
-        });
+        agent.read_reply(reply, now);
         for command in &reply.commands {
             let run_ms = self.rng.random_range(1..2 * RUN_TIME_MS);
             agent.obey(command, now, run_ms);
         }
     }
 }
-
-impl Agent {
-    fn sync(&mut self) -> WorkerSync {
-        self.sequence += 1;
-        self.sync_at = None;
-        let full = std::mem::take(&mut self.send_full);
-        let mut tasks = self.reports.clone();
-        self.reports.retain(|report| report.status.is_ended());
-        if full {
-            tasks.retain(|report| report.status.is_ended());
-            tasks.extend(self.running.keys().map(|key| running(*key)));
-        }
-        WorkerSync {
-            worker: self.name.clone(),
-            incarnation: Incarnation(1),
-            sequence: self.sequence,
-            spec: std::mem::take(&mut self.send_spec).then(|| self.spec.clone()),
-            full,
-            tasks,
-            digest: tasks_digest(self.running.keys().copied()),
-            usage: None,
-            wait_ms: 1_000,
-        }
-    }
-
-    fn obey(&mut self, command: &WorkerCommand, now: Millis, run_ms: u64) {
-        match command {
-            WorkerCommand::Start {
-                task,
-                attempt,
-                run_time_ms,
-                ..
-            } => {
-                let key = AttemptKey {
-                    task: *task,
-                    attempt: *attempt,
-                };
-                let is_known = self.running.contains_key(&key)
-                    || self.reports.iter().any(|report| report.task == *task);
-                if is_known {
-                    return;
-                }
-                let ends = run_time_ms.map_or(Millis(u64::MAX), |_| now + run_ms);
-                self.running.insert(key, ends);
-                self.reports.push(running(key));
-            }
-            WorkerCommand::Stop {
-                task,
-                attempt,
-                checkpoint,
-            } => {
-                let key = AttemptKey {
-                    task: *task,
-                    attempt: *attempt,
-                };
-                let checkpointed = *checkpoint;
-                self.end(key, TaskStatus::Stopped { checkpointed });
-            }
-            WorkerCommand::Throttle { .. } => {}
-        }
-    }
-
-    fn end(&mut self, key: AttemptKey, status: TaskStatus) {
-        if self.running.remove(&key).is_none() {
-            return;
-        }
-        self.reports.retain(|report| report.task != key.task);
-        self.reports.push(TaskReport {
-            task: key.task,
-            attempt: key.attempt,
-            status,
-        });
-    }
-}
-
-fn running(key: AttemptKey) -> TaskReport {
-    TaskReport {
-        task: key.task,
-        attempt: key.attempt,
-        status: TaskStatus::Running,
-    }
-}
