Check that the seeded runs reach displacements, gangs and urgent work

Cause: a run that reaches none of them would pass without showing anything. Change: the 60 seeds together must displace tasks and start gangs and urgent jobs.

--- a/crates/placement/tests/invariants.rs
+++ b/crates/placement/tests/invariants.rs
@@ -114,6 +114,7 @@
 /// displacements, and work that never runs, under wrong run times, drains, losses and cancels.
 #[test]
 fn random_faults_break_no_invariant_and_all_work_ends() {
+    let (mut displaced, mut gangs, mut urgent) = (0, 0, 0);
     for seed in 0..60 {
         let mut cluster = Cluster::new(PlacementConfig::default(), seed);
         cluster.add_workers(3, 2, 2, CAPACITY);
@@ -162,7 +163,25 @@
             cluster.running.len(),
             "seed {seed}"
         );
+        displaced += cluster
+            .displaced
+            .values()
+            .filter(|&&count| count > 0)
+            .count();
+        let started = cluster
+            .jobs
+            .values()
+            .filter(|job| job.first_start.is_some());
+        for job in started {
+            gangs += usize::from(matches!(job.view.policy, JobPolicy::Gang { .. }));
+            urgent += usize::from(job.view.priority == Priority::Urgent);
+        }
     }
+    // The runs would show little if they did not reach these paths.
+    assert!(
+        displaced > 60 && gangs > 600 && urgent > 300,
+        "{displaced} {gangs} {urgent}"
+    );
 }
 
 /// Guards against accounts that differ after a change of the leader: a rebuilt placer must see
