Spread the listener's Retry-After and limit the log of unknown endings

Cause: refusals by the caller listener all named 2 s, and each unknown ending wrote a log line. Change: 1 to 4 s at random; one line in 100 ms with the number held back. A process test shows that the request of a caller that went away ends at once. Conclusion: a burst of failures floods neither callers nor the log.

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -25,8 +25,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use sapphirepost_process::rate_limit::RateLimiter;
+use sapphirepost_routing::Answer as Decided;
 use sapphirepost_routing::Event;
 use sapphirepost_routing::RequestKey;
+use sapphirepost_types::RequestId;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
@@ -55,6 +58,9 @@
 /// How long a connection stays open after the stop without a request.
 const STOP_GRACE: Duration = Duration::from_millis(500);
 
+/// The least time between two log lines about unknown endings.
+const UNKNOWN_LOG_MS: u64 = 100;
+
 type Answer = Response<Full<Bytes>>;
 
 /// What the listener needs.
@@ -80,6 +86,8 @@
     clock: EntryClock,
     next_request: AtomicU64,
     limits: Limits,
+    /// Limits the log of unknown endings.
+    unknown: RateLimiter,
     /// Answers ask callers to close their connections.
     closing: AtomicBool,
 }
@@ -116,6 +124,7 @@
             clock,
             next_request: AtomicU64::new(0),
             limits,
+            unknown: RateLimiter::new(UNKNOWN_LOG_MS),
             closing: AtomicBool::new(false),
         });
         runtime.spawn(accept(
@@ -225,6 +234,18 @@
     }
 }
 
+/// Logs how a request ended; requests that may have run are named, because callers ask about them.
+fn log_end(parts: &Parts, id: Option<&RequestId>, answer: &Decided) {
+    let id = id.map_or_else(|| "none".to_owned(), RequestId::to_string);
+    let Decided::Unknown { reason } = answer else {
+        log::debug!(request:% = id, answer:? = answer; "request ended");
+        return;
+    };
+    if let Some(held_back) = parts.unknown.pass("unknown", parts.clock.now()) {
+        log::warn!(request:% = id, reason:? = reason, held_back = held_back; "request may have run");
+    }
+}
+
 /// Waits for the stop, and then for requests that callers had sent before they learnt of it.
 async fn stop_wait(stopped: &mut watch::Receiver<bool>) {
     // An error means that the listener is gone, which is a stop as well.
@@ -284,7 +305,10 @@
     abandon.request = None;
     match answer {
         Ok(Reply::Forward(response)) => reply::forward(response),
-        Ok(Reply::Own(answer)) => reply::own(&answer, id.as_ref()),
+        Ok(Reply::Own(answer)) => {
+            log_end(parts, id.as_ref(), &answer);
+            reply::own(&answer)
+        }
         // The router thread ends only with the process.
         Err(_) => reply::rejected(&Rejected::lost()),
     }
--- a/crates/entry/src/caller/reply.rs
+++ b/crates/entry/src/caller/reply.rs
@@ -6,19 +6,20 @@
 use hyper::StatusCode;
 use hyper::header;
 use hyper::header::HeaderValue;
+use rand::Rng;
 use sapphirepost_protocol::error::ErrorBody;
 use sapphirepost_protocol::header as names;
 use sapphirepost_routing::Answer as Decided;
 use sapphirepost_routing::RefusalReason;
 use sapphirepost_routing::UnknownReason;
-use sapphirepost_types::RequestId;
 
 use crate::caller::Answer;
 use crate::caller::request::Rejected;
 use crate::upstream::Complete;
 
-/// `Retry-After` of refusals by the listener itself, in seconds.
-const BUSY_RETRY_S: u32 = 2;
+/// `Retry-After` of refusals by the listener itself, in seconds; drawn at random so that refused
+/// callers do not return together.
+const BUSY_RETRY_S: std::ops::RangeInclusive<u32> = 1..=4;
 
 /// The response of an upstream.
 pub fn forward(response: Complete) -> Answer {
@@ -40,7 +41,7 @@
     };
     set_outcome(&mut answer, outcome);
     if rejected.status == StatusCode::SERVICE_UNAVAILABLE {
-        let value = HeaderValue::from(BUSY_RETRY_S);
+        let value = HeaderValue::from(rand::rng().random_range(BUSY_RETRY_S));
         answer.headers_mut().insert(header::RETRY_AFTER, value);
     }
     if rejected.close {
@@ -56,7 +57,7 @@
 }
 
 /// An answer of the router other than an upstream's response.
-pub fn own(decided: &Decided, id: Option<&RequestId>) -> Answer {
+pub fn own(decided: &Decided) -> Answer {
     match decided {
         Decided::Recorded {
             status,
@@ -67,12 +68,7 @@
             reason,
             retry_after_s,
         } => refused(*reason, *retry_after_s),
-        Decided::Unknown { reason } => {
-            if let Some(id) = id {
-                log::warn!(request:% = id, reason:? = reason; "request may have run");
-            }
-            unknown(*reason)
-        }
+        Decided::Unknown { reason } => unknown(*reason),
         Decided::Forward(_) => unknown(UnknownReason::Broken),
     }
 }
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -11,12 +11,14 @@
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use harness::Cell;
 use harness::Upstream;
 use harness::call;
 use harness::now_unix_ms;
 use harness::raw;
+use harness::wait_for;
 
 fn cell() -> (Cell, Upstream) {
     let timeouts = ["--head-timeout-ms", "600", "--body-timeout-ms", "400"];
@@ -147,6 +149,24 @@
     assert!(upstream.count("GET") < count);
 }
 
+#[test]
+fn a_request_whose_caller_went_away_ends_at_once() {
+    let (cell, upstream) = cell();
+    let mut stream = TcpStream::connect(cell.callers[0]).unwrap();
+    let request = b"GET /logbook/x?wait=4000 HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).unwrap();
+    wait_for("the request", || upstream.count("GET") == 1);
+    let began = Instant::now();
+    drop(stream);
+    let ended = || cell.get(0, "/dump").1.contains("\"in_flight\":0");
+    wait_for("the end of the request", ended);
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
 #[test]
 fn answers_are_complete_and_headers_of_a_connection_stay_on_it() {
     let (cell, upstream) = cell();
