Test added entries and a frozen peer

Cause: seeded runs removed entries from the roster but never added them, and no process test covered an entry whose peer does not answer.

--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -103,6 +103,24 @@
     wait_for("readiness", || cell.get(1, "/readyz").0 == 200);
 }
 
+#[test]
+fn an_entry_whose_peer_is_frozen_serves_what_it_hears_itself() {
+    let cell = Cell::start(2, &[]);
+    let upstream = Upstream::start();
+    cell.announce_and_wait(&upstream);
+    cell.signal(0, "-STOP");
+    for sequence in 2..9 {
+        cell.announce(1, &upstream, sequence);
+        let (status, ..) = call(cell.callers[1], "GET /logbook/x", &[], "");
+        assert_eq!(status, 200, "announcement {sequence}");
+        thread::sleep(Duration::from_millis(900));
+    }
+    cell.signal(0, "-CONT");
+    wait_for("the peer", || {
+        call(cell.callers[0], "GET /logbook/x", &[], "").0 == 200
+    });
+}
+
 /// A control process that grants each ID once.
 struct Control {
     server: RpcServer,
--- a/crates/routing/tests/sim/faults.rs
+++ b/crates/routing/tests/sim/faults.rs
@@ -27,8 +27,8 @@
     CutControl(usize),
     HealControl(usize),
     Pause(usize, u64),
-    /// Removes an entry from the roster in two steps.
-    RemoveEntry(usize),
+    /// Removes an entry from the roster, or adds it again, in two steps.
+    ChangeRoster(usize),
 }
 
 /// Faults at random times. The last part of the run is free of them.
@@ -71,7 +71,7 @@
                 plan.push((until, Fault::HealControl(entry)));
             }
             11 => plan.push((at, Fault::Pause(entry, rng.random_range(20..2_500)))),
-            _ => plan.push((at, Fault::RemoveEntry(entry))),
+            _ => plan.push((at, Fault::ChangeRoster(entry))),
         }
         at += rng.random_range(100..1_200);
     }
@@ -123,16 +123,21 @@
             let until = &mut world.entries[entry].paused_until;
             *until = (*until).max(world.now + duration_ms);
         }
-        Fault::RemoveEntry(entry) => remove_entry(world, entry),
+        Fault::ChangeRoster(entry) => change_roster(world, entry),
     }
 }
 
-fn remove_entry(world: &mut World, entry: usize) {
+fn change_roster(world: &mut World, entry: usize) {
     let mut live = world.live_entries();
-    if world.roster_pending.is_some() || live.len() < 3 || !live.contains(&entry) {
+    if world.roster_pending.is_some() {
         return;
     }
-    live.remove(&entry);
+    if !live.remove(&entry) {
+        live.insert(entry);
+    } else if live.len() < 2 {
+        return;
+    }
+    // An entry that is added gets requests from the second step on.
     world.entries[entry].in_roster = false;
     let next = roster(&live.into_iter().collect::<Vec<_>>());
     world.roster_step += 1;
@@ -173,6 +178,9 @@
         return;
     }
     if let Some((next, _)) = world.roster_pending.take() {
+        for member in &next.entries {
+            world.entries[usize::from(member.id.0)].in_roster = true;
+        }
         world.roster = next.clone();
         world.roster_step += 1;
         distribute(world, RosterChange::settled(next), step + 1);
