Check the journals of stand-ins with the verifier

Cause: the quick start showed that commands succeed, not that tasks and requests ran as the invariants ask.

Ruled out: a checker of its own; the verifier shares no code with what it checks.

Change: `sapphirepost-standin check` turns journals into a history for the verifier; the quick start ends with it. A read without any answer names the last problem instead of nothing.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -125,8 +125,9 @@
             thread::sleep(ROUND_PAUSE.min(deadline.saturating_duration_since(Instant::now())));
         }
     }
-    // A read without an answer has changed nothing.
-    match unknown.filter(|_| call.method != Method::GET) {
+    match unknown {
+        // A read without an answer has changed nothing.
+        Some(problem) if call.method == Method::GET => Err(Failure::Unreachable(problem)),
         Some(problem) => Err(Failure::Unknown(problem)),
         None => Err(Failure::Unreachable(last)),
     }
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -307,7 +307,7 @@
             task: id,
             attempt: task.attempt,
             finished: status == TaskStatus::Finished,
-            reason,
+            reason: reason.to_owned(),
             late_ms: now.since(self.lease_until),
         });
         let attempt = task.attempt;
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -17,10 +17,11 @@
 use sapphirepost_types::Name;
 use sapphirepost_types::Resources;
 use sapphirepost_types::TaskId;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// What happened.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Entry {
     /// A worker started with this much for tasks.
@@ -54,7 +55,7 @@
         /// Whether it ended by itself with success.
         finished: bool,
         /// Why it ended.
-        reason: &'static str,
+        reason: String,
         /// How long after the end of the lease it ended, in milliseconds. A process that was
         /// frozen notices the end late, and its tasks were frozen with it.
         late_ms: u64,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! really ran, against which a checker compares what the system reported.
 
 pub mod agent;
+pub mod check;
 pub mod entries;
 pub mod journal;
 pub mod task;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,6 +8,7 @@
 use sapphirepost_process::SharedKey;
 use sapphirepost_process::logging;
 use sapphirepost_process::logging::LogLevels;
+use sapphirepost_standin::check;
 use sapphirepost_standin::entries::Entries;
 use sapphirepost_standin::journal::Journal;
 use sapphirepost_standin::upstream;
@@ -30,6 +31,16 @@
 enum Command {
     Worker(WorkerArguments),
     Upstream(UpstreamArguments),
+    Check(CheckArguments),
+}
+
+/// Check journals against the invariants.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArguments {
+    /// journals of one session
+    #[argh(positional)]
+    journals: Vec<PathBuf>,
 }
 
 /// Run stand-in workers.
@@ -156,6 +167,7 @@
         .and_then(|()| match arguments.command {
             Command::Worker(arguments) => run_workers(arguments),
             Command::Upstream(arguments) => run_upstreams(arguments),
+            Command::Check(arguments) => run_check(&arguments),
         });
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -166,6 +178,20 @@
     }
 }
 
+fn run_check(arguments: &CheckArguments) -> anyhow::Result<()> {
+    let checked = check::check(&arguments.journals)?;
+    for violation in &checked.violations {
+        println!("{violation}");
+    }
+    let count = checked.violations.len();
+    println!(
+        "{} task starts, {} runs of requests with an ID, {count} violations",
+        checked.starts, checked.runs
+    );
+    anyhow::ensure!(count == 0, "the journals violate the invariants");
+    Ok(())
+}
+
 fn run_workers(arguments: WorkerArguments) -> anyhow::Result<()> {
     let options = WorkerOptions {
         entries: Entries::new(
--- a/scripts/leader-faults.sh
+++ b/scripts/leader-faults.sh
@@ -6,7 +6,7 @@
 #   leader-faults.sh <output of quickstart.sh --stay> <kills> <pauses>
 #
 # It ends with the number of accepted changes that the configuration lacks, which must be 0. The
-# control processes that it started are ended by their id.
+# control processes that it started are ended by their id, so the cluster may lack a quorum then.
 set -euo pipefail
 
 session=$1
@@ -36,7 +36,7 @@
 }
 trap end_started EXIT
 
-leader() { "$bin/sapphirepost" control list | sed -n 's/.*127.0.0.1:2150\([0-9]\)  *leader.*/\1/p'; }
+leader() { "$bin/sapphirepost" control list | sed -n 's/.*:2150\([0-9]\)  *leader.*/\1/p'; }
 
 # Changes a value and adds the time since $1 (in ms) to the times.
 change() {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -315,5 +315,8 @@
 
 step "stop"
 end_all TERM
-keep_dir=no
 echo "all processes have ended"
+
+step "check the journals of workers and upstreams"
+"$bin/sapphirepost-standin" check "$dir/tasks.journal" "$dir/requests.journal"
+keep_dir=no
