Measure urgent starts and changes in force on the running cluster

Cause: the targets for an urgent start (1.4 s) and for a change in force everywhere (12 s) were measured on a virtual clock and by hand only.

Ruled out: an experiment of its own, because `cost` already runs the cluster.

Change: `sapphirepost-load cost` measures the longest of five urgent starts and of five changes at each size.

Conclusion: both targets are checked with real processes.

--- a/crates/load/src/group/cost.rs
+++ b/crates/load/src/group/cost.rs
@@ -1,5 +1,6 @@
 //! Cost: what each process of a running cluster uses, at three numbers of workers.
 //!
+//! The longest of five urgent starts and of five changes of the configuration are measured as well.
 //! Every worker runs a fixed number of service tasks and syncs through an entry. Slopes per
 //! worker come from a least-squares line over the sizes; the design size is computed from them.
 //! The baseline is the bytes of a worker that reports all of its tasks with each sync.
@@ -8,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use anyhow::Context;
 use argh::FromArgs;
 use sapphirepost_protocol::operator::ClusterStatus;
 use sapphirepost_protocol::operator::OperatorReply;
@@ -41,6 +43,12 @@
 const MEASURED: Duration = Duration::from_secs(15);
 const MEASURED_QUICK: Duration = Duration::from_secs(4);
 
+const COARSE_POLL: Duration = Duration::from_millis(200);
+const FINE_POLL: Duration = Duration::from_millis(10);
+const REPETITIONS: u32 = 5;
+
+const URGENT_TARGET_MS: f64 = 1_400.0;
+const CONFIG_TARGET_MS: f64 = 12_000.0;
 const WORKER_BYTES_TARGET: f64 = 3_000.0;
 const WORKER_CORE_TARGET_PERCENT: f64 = 2.3;
 const WORKER_MEMORY_TARGET_MIB: f64 = 256.0;
@@ -90,7 +98,7 @@
     }
     let largest = &samples[samples.len() - 1];
     for (position, (name, _)) in largest.iter().enumerate() {
-        if name.starts_with("worker") {
+        if name.starts_with("worker") || name.ends_with("_ms") {
             continue;
         }
         let points: Vec<(f64, f64)> = sizes
@@ -115,6 +123,16 @@
         "worker_bytes_per_s_full_reports",
         full_report_bytes(value("worker_bytes_per_s"))?,
     );
+    report.at_most(
+        "urgent_start_ms",
+        value("urgent_start_ms"),
+        URGENT_TARGET_MS,
+    );
+    report.at_most(
+        "config_in_force_ms",
+        value("config_in_force_ms"),
+        CONFIG_TARGET_MS,
+    );
     let bytes = value("worker_wire_bytes_per_s");
     report.at_most("worker_wire_bytes_per_s", bytes, WORKER_BYTES_TARGET);
     let core = value("worker_core_percent");
@@ -145,6 +163,8 @@
     thread::sleep(time);
     let time = start.elapsed();
     let after = read(&cluster)?;
+    let urgent_ms = longest_ms(|number| urgent_start(&mut cluster, number))?;
+    let config_ms = longest_ms(|number| config_in_force(&mut cluster, number))?;
     let count = workers as f64;
     let per_s = |before: u64, after: u64| (after - before) as f64 / time.as_secs_f64();
     let bytes = per_s(before.platform_bytes, after.platform_bytes);
@@ -159,6 +179,8 @@
         ("entry_core_percent", core(|reading| reading.entry)),
         ("entry_memory_mib", after.entry.memory_mib),
         ("inner_wire_bytes_per_s", inner_bytes),
+        ("urgent_start_ms", urgent_ms),
+        ("config_in_force_ms", config_ms),
         (
             "worker_core_percent",
             core(|reading| reading.workers) / count,
@@ -169,6 +191,57 @@
     ])
 }
 
+/// The longest of several times, in milliseconds.
+fn longest_ms(mut run: impl FnMut(u32) -> anyhow::Result<Duration>) -> anyhow::Result<f64> {
+    let mut longest = Duration::ZERO;
+    for number in 0..REPETITIONS {
+        longest = longest.max(run(number)?);
+    }
+    Ok(longest.as_secs_f64() * 1_000.0)
+}
+
+/// From the confirmation of an urgent batch to the report that it runs.
+fn urgent_start(cluster: &mut Cluster, number: u32) -> anyhow::Result<Duration> {
+    let name = Name::new(&format!("urgent{number}"))?;
+    let spec = JobSpec {
+        name: name.clone(),
+        kind: JobKind::Batch {
+            deadline_unix_ms: None,
+            run_time_ms: 60_000,
+        },
+        priority: Priority::Urgent,
+        ..service(1)?
+    };
+    let start = Instant::now();
+    cluster.group.confirm(Intent::Run(spec))?;
+    wait_every(cluster, FINE_POLL, |status| {
+        status
+            .jobs
+            .iter()
+            .any(|job| job.name == name && job.running == 1)
+    })?;
+    Ok(start.elapsed())
+}
+
+/// From the proposal of a change to the confirmation by every entry.
+fn config_in_force(cluster: &mut Cluster, number: u32) -> anyhow::Result<Duration> {
+    let start = Instant::now();
+    let confirmed = cluster.group.confirm(Intent::SetConfig {
+        key: Name::new("measured")?,
+        value: Some(number.to_string()),
+        expected: None,
+    })?;
+    let version = confirmed.config_version.context("no version")?;
+    let request = OperatorRequest::WaitConfig {
+        version,
+        wait_ms: 12_000,
+    };
+    match cluster.group.operate_once(&request)? {
+        OperatorReply::InForce { lacking, .. } if lacking.is_empty() => Ok(start.elapsed()),
+        reply => anyhow::bail!("not in force everywhere: {reply:?}"),
+    }
+}
+
 fn read(cluster: &Cluster) -> anyhow::Result<Reading> {
     Ok(Reading {
         leader: cluster.leader()?,
@@ -182,6 +255,14 @@
 }
 
 fn wait_for(cluster: &Cluster, done: impl Fn(&ClusterStatus) -> bool) -> anyhow::Result<()> {
+    wait_every(cluster, COARSE_POLL, done)
+}
+
+fn wait_every(
+    cluster: &Cluster,
+    poll: Duration,
+    done: impl Fn(&ClusterStatus) -> bool,
+) -> anyhow::Result<()> {
     let until = Instant::now() + PATIENCE;
     while Instant::now() < until {
         if let OperatorReply::Status(status) = cluster.group.operate(&OperatorRequest::Status)?
@@ -189,7 +270,7 @@
         {
             return Ok(());
         }
-        thread::sleep(Duration::from_millis(200));
+        thread::sleep(poll);
     }
     anyhow::bail!("the cluster did not settle within {PATIENCE:?}")
 }
--- a/crates/load/src/group/processes.rs
+++ b/crates/load/src/group/processes.rs
@@ -183,6 +183,17 @@
             .call_blocking(method::OPERATOR, request, options)
     }
 
+    /// Sends a request that the leader may hold for some time.
+    pub fn operate_once(&self, request: &OperatorRequest) -> Result<OperatorReply, ControlError> {
+        let options = CallOptions {
+            total: PATIENCE,
+            attempt: PATIENCE,
+            repeat: Repeat::Never,
+        };
+        self.client
+            .call_blocking(method::OPERATOR, request, options)
+    }
+
     fn list_members(&self) -> anyhow::Result<Vec<MemberStatus>> {
         match self.operate(&OperatorRequest::ListMembers)? {
             OperatorReply::Members(members) => Ok(members),
