Keep the ports of the control path tests free until they are used

Cause: a port that was free when it was chosen could go to an outgoing connection before the test listened on it, which other test files have seen.

Ruled out: ports below the range of outgoing connections, which need a search; another loopback address has no outgoing connections at all.

Change: the tests of the control path choose ports on 127.0.2.1.

Conclusion: one source of flaky runs less.

--- a/crates/entry/tests/control_path.rs
+++ b/crates/entry/tests/control_path.rs
@@ -38,8 +38,10 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A port that stays free until it is used: outgoing connections leave from another address.
 fn unused() -> SocketAddr {
-    TcpListener::bind(local()).unwrap().local_addr().unwrap()
+    let other = SocketAddr::from(([127, 0, 2, 1], 0));
+    TcpListener::bind(other).unwrap().local_addr().unwrap()
 }
 
 fn key() -> Option<SharedKey> {
