Give the figures of the cluster as values

Cause: operators could not see how long work waits, how full workers are, or how many leases ended; the leader offered only the status call.

Ruled out: keeping the start of each wait on the leader, because a new leader would not know it.

ruled out as well: ended ones are remembered for 24 h, so the pass visits only jobs that are active or hold room.

Change: Leader::figures counts tasks, workers, waits and packing in one pass; Leader::take_events gives the waits, displacements, expired leases and confirmations since the last call. Kept waits are bounded.

Conclusion: the scenario 'figures' checks waits, packing and counts, also that taken events are not counted twice.

--- a/crates/leader/src/deciding.rs
+++ b/crates/leader/src/deciding.rs
@@ -170,6 +170,9 @@
             return;
         };
         for (group, result) in groups.iter().zip(results) {
+            if result.is_ok() {
+                self.events.note_placed(ctx.state, group);
+            }
             for placement in group {
                 let was_expected = self.deciding.placements.remove(&placement.task).is_some();
                 if result.is_err() && was_expected {
@@ -180,9 +183,11 @@
         }
     }
 
-    pub(crate) fn stops_applied(&mut self, stops: &[StopRequest]) {
+    pub(crate) fn stops_applied(&mut self, ctx: &Context<'_>, stops: &[StopRequest]) {
         for stop in stops {
-            self.deciding.stops.remove(&stop.task);
+            if self.deciding.stops.remove(&stop.task).is_some() {
+                self.events.note_stop(ctx.state, stop);
+            }
         }
     }
 }
--- a/crates/leader/src/leader.rs
+++ b/crates/leader/src/leader.rs
@@ -19,6 +19,7 @@
 use crate::config::LeaderConfig;
 use crate::deciding::Deciding;
 use crate::distribution::Distribution;
+use crate::figures::Events;
 use crate::message::Context;
 use crate::message::Output;
 use crate::mirror::Mirror;
@@ -43,6 +44,8 @@
     pub(crate) operators: OperatorCalls,
     pub(crate) claims: ClaimCalls,
     pub(crate) distribution: Distribution,
+    /// What happened since it was taken last.
+    pub(crate) events: Events,
     /// Workers whose commands may have changed.
     pub(crate) touched: BTreeSet<WorkerId>,
     /// Cancelled jobs with the next task whose worker is to be woken.
@@ -78,6 +81,7 @@
             operators: OperatorCalls::default(),
             claims: ClaimCalls::default(),
             distribution: Distribution::default(),
+            events: Events::default(),
             touched: BTreeSet::new(),
             cancelled: VecDeque::new(),
             last_tick_proposed: now,
@@ -139,8 +143,10 @@
             Request::PlaceTasks { groups } => {
                 self.placements_applied(ctx, groups, &outcome.verdict);
             }
-            Request::StopTasks { stops } => self.stops_applied(stops),
-            Request::ExpireWorker { worker, .. } => self.expiry_applied(*worker),
+            Request::StopTasks { stops } => self.stops_applied(ctx, stops),
+            Request::ExpireWorker { worker, .. } => {
+                self.expiry_applied(*worker, &outcome.verdict);
+            }
             Request::Claims(batch) => self.claims_applied(batch, &outcome.verdict, out),
             Request::Tick | Request::NoteEntry { .. } => {}
         }
--- a/crates/leader/src/lib.rs
+++ b/crates/leader/src/lib.rs
@@ -10,6 +10,7 @@
 //! acknowledged only after its report was applied.
 
 pub mod config;
+pub mod figures;
 pub mod leader;
 pub mod message;
 
@@ -28,6 +29,12 @@
 
 pub use crate::config::Disabled;
 pub use crate::config::LeaderConfig;
+pub use crate::figures::Events;
+pub use crate::figures::Figures;
+pub use crate::figures::Packing;
+pub use crate::figures::Wait;
+pub use crate::figures::Waiting;
+pub use crate::figures::WorkClass;
 pub use crate::leader::Leader;
 pub use crate::message::Context;
 pub use crate::message::Output;
--- a/crates/leader/src/operators.rs
+++ b/crates/leader/src/operators.rs
@@ -228,6 +228,11 @@
         verdict: &Verdict,
         out: &mut Output,
     ) {
+        match verdict {
+            Verdict::Confirmed(_) => self.events.confirmed_plans += 1,
+            Verdict::Refused(_) => self.events.refused_plans += 1,
+            _ => {}
+        }
         let applied = Awaited::Confirmation {
             operation: operation.clone(),
             plan,
--- a/crates/leader/src/renewal.rs
+++ b/crates/leader/src/renewal.rs
@@ -215,7 +215,8 @@
             .retain(|id, _| ctx.state.workers().get(*id).is_some());
     }
 
-    pub(crate) fn expiry_applied(&mut self, id: WorkerId) {
+    pub(crate) fn expiry_applied(&mut self, id: WorkerId, verdict: &Verdict) {
+        self.events.expired_leases += u64::from(*verdict == Verdict::Applied);
         if let Some(session) = self.sessions.by_worker.get_mut(&id) {
             session.expiring = None;
             session.wants_full = true;
--- a/crates/leader/tests/support/bench.rs
+++ b/crates/leader/tests/support/bench.rs
@@ -31,6 +31,7 @@
 use sapphirepost_verifier::check;
 
 use super::describe::describe;
+use super::describe::describe_figures;
 use super::worker::SimWorker;
 
 const START_UNIX_MS: u64 = 1_700_000_000_000;
@@ -116,6 +117,7 @@
                 version: case.take_arg("version").unwrap(),
                 wait_ms: 2_000,
             }),
+            "figures" => self.figures(),
             "status" => self.operator(OperatorRequest::Status),
             "replies" => self.take_replies(),
             "advance" => {
@@ -315,6 +317,16 @@
         }
     }
 
+    fn figures(&mut self) -> String {
+        let ctx = Context {
+            state: &self.state,
+            now: Millis(self.now),
+            unix_ms: START_UNIX_MS + self.now,
+        };
+        let figures = self.leader.figures(&ctx);
+        describe_figures(&figures, &self.leader.take_events())
+    }
+
     fn summary(&self) -> String {
         let mut text = String::new();
         for (_, job) in self.state.jobs().iter() {
--- a/crates/leader/tests/support/describe.rs
+++ b/crates/leader/tests/support/describe.rs
@@ -1,5 +1,8 @@
 //! Replies of the leader as text.
 
+use sapphirepost_leader::Events;
+use sapphirepost_leader::Figures;
+use sapphirepost_leader::Packing;
 use sapphirepost_leader::Reply;
 use sapphirepost_protocol::operator::ClusterStatus;
 use sapphirepost_protocol::operator::OperatorReply;
@@ -99,3 +102,30 @@
     }
     text
 }
+
+/// Waits are rounded up to seconds, because they depend on how many syncs a worker has open.
+pub fn describe_figures(figures: &Figures, events: &Events) -> String {
+    let mut text = String::new();
+    for (class, waiting) in &figures.waiting {
+        let (kind, priority) = (class.kind, class.priority);
+        let (tasks, longest) = (waiting.tasks, waiting.longest_ms.div_ceil(1_000));
+        text += &format!("{kind} {priority}: {tasks} wait, the longest up to {longest} s\n");
+    }
+    text += &format!("{:?}\n{:?}\n", figures.tasks, figures.workers);
+    let packing = |packing: &Packing| format!("{} of {}", packing.used, packing.capacity);
+    let (open, all) = (packing(&figures.open), packing(&figures.all));
+    text += &format!(
+        "open: {open}; all: {all}\nheld syncs: {}\n",
+        figures.held_syncs
+    );
+    for wait in &events.waits {
+        let (kind, priority) = (wait.class.kind, wait.class.priority);
+        let wait = wait.wait_ms.div_ceil(1_000);
+        text += &format!("placed {kind} {priority} within {wait} s\n");
+    }
+    let (displacements, expired) = (events.displacements, events.expired_leases);
+    let (confirmed, refused) = (events.confirmed_plans, events.refused_plans);
+    text + &format!(
+        "displacements {displacements}, expired {expired}, confirmed {confirmed}, refused {refused}\n"
+    )
+}
--- a/crates/state/src/confirm.rs
+++ b/crates/state/src/confirm.rs
@@ -183,7 +183,7 @@
             ended_unix_ms: None,
         });
         for _ in 0..spec.tasks {
-            self.add_task(job, Task::new(job, false));
+            self.add_task(job, Task::new(job, false, self.clock_unix_ms));
         }
         self.touch_name(&spec.name, job, plan);
         Ok(format!("{job}: {} tasks wait for room", spec.tasks))
--- a/crates/state/src/ending.rs
+++ b/crates/state/src/ending.rs
@@ -91,6 +91,7 @@
     }
 
     fn end_current(&mut self, id: TaskId, worker: WorkerId, end: AttemptEnd) {
+        let now_unix_ms = self.clock_unix_ms;
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
@@ -103,6 +104,7 @@
         let next = next_after(task, job, worker, end);
         task.stop = None;
         task.unreachable = false;
+        task.waiting_since_unix_ms = now_unix_ms;
         task.phase = match next {
             Next::Wait | Next::Remove => Phase::Waiting,
             Next::End { success } => Phase::Ended { success },
--- a/crates/state/src/sizing.rs
+++ b/crates/state/src/sizing.rs
@@ -53,7 +53,7 @@
             .collect();
         if reachable.len() < wanted {
             for _ in reachable.len()..wanted {
-                self.add_task(id, Task::new(id, has_unreachable));
+                self.add_task(id, Task::new(id, has_unreachable, self.clock_unix_ms));
             }
             return;
         }
--- a/crates/state/src/tasks.rs
+++ b/crates/state/src/tasks.rs
@@ -86,10 +86,14 @@
     pub displacements: u8,
     /// When the current attempt was placed, in milliseconds since the Unix epoch.
     pub placed_unix_ms: u64,
+    /// Since when it waits or waited for its newest placement: its job was confirmed or grew, or
+    /// the attempt before ended; in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub waiting_since_unix_ms: u64,
 }
 
 impl Task {
-    pub(crate) fn new(job: JobId, additional: bool) -> Task {
+    pub(crate) fn new(job: JobId, additional: bool, now_unix_ms: u64) -> Task {
         Task {
             job,
             attempt: Attempt::default(),
@@ -102,6 +106,7 @@
             failed_on: SmallVec::new(),
             displacements: 0,
             placed_unix_ms: 0,
+            waiting_since_unix_ms: now_unix_ms,
         }
     }
 
