Show the figures of the cluster as metrics

Cause: the figures of the decisions reached no operator.

Ruled out: a collector that asks the core thread at each scrape, because every scrape would then wait for the core thread. Gauges that a former leader keeps, because a sum over the members would count the cluster twice.

Change: the leading control process sets gauges once a second from Leader::figures, adds events to counters and histograms, and observes the time of each pass of decisions. Gauges go to zero when the member stops leading.

The cost of the pass was not measured.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -26,6 +26,7 @@
 use sapphirepost_types::Millis;
 
 use crate::calls::Calls;
+use crate::cluster_metrics::ClusterMetrics;
 use crate::event::Event;
 use crate::leading::Leading;
 use crate::led::DECISION_INTERVAL_MS;
@@ -67,6 +68,7 @@
     pub(crate) snapshots: Snapshots,
     pub(crate) readiness: Readiness,
     pub(crate) metrics: CoreMetrics,
+    pub(crate) cluster_metrics: ClusterMetrics,
     pub(crate) leading: Leading,
     pub(crate) led: LedState,
     /// When a graceful stop no longer waits.
@@ -181,7 +183,7 @@
         }
         self.follow_role();
         if !ready.committed.is_empty() {
-            self.decide(|leader, ctx, out| leader.tick(ctx, out));
+            self.tick_leader();
         }
         for token in ready.aborted_reads {
             if let Some(read) = self.calls.take_read(token) {
--- a/crates/control/src/led.rs
+++ b/crates/control/src/led.rs
@@ -2,6 +2,7 @@
 //! replies.
 
 use std::collections::VecDeque;
+use std::time::Instant;
 
 use bytes::Bytes;
 
@@ -10,6 +11,7 @@
 use sapphirepost_consensus::Role;
 use sapphirepost_consensus::Term;
 use sapphirepost_leader::Context;
+use sapphirepost_leader::Figures;
 use sapphirepost_leader::Leader;
 use sapphirepost_leader::Output;
 use sapphirepost_state::Command;
@@ -20,12 +22,16 @@
 
 /// How often the decisions are asked for what is due.
 pub(crate) const DECISION_INTERVAL_MS: u64 = 20;
+/// How often the metrics of the cluster are set.
+const MEASURE_INTERVAL_MS: u64 = 1_000;
 
 /// The decisions of a term.
 struct Led {
     term: Term,
     leader: Leader,
     ticked: Millis,
+    /// When the metrics were set last.
+    measured: Millis,
 }
 
 /// What only a leader has.
@@ -52,6 +58,7 @@
             .as_ref()
             .is_some_and(|led| led.term != term);
         if !is_leading || is_other_term {
+            self.stop_measuring();
             self.led.current = None;
             self.led.output = Output::default();
             self.led.backlog.clear();
@@ -99,6 +106,7 @@
             term,
             leader,
             ticked,
+            measured: Millis::ZERO,
         });
         log::info!(term; "leading");
         for token in std::mem::take(&mut self.led.early) {
@@ -140,7 +148,40 @@
         };
         if now.since(led.ticked) >= DECISION_INTERVAL_MS {
             led.ticked = now;
-            self.decide(|leader, ctx, out| leader.tick(ctx, out));
+            self.tick_leader();
+        }
+        self.measure();
+    }
+
+    /// Lets the decisions do what is due.
+    pub(crate) fn tick_leader(&mut self) {
+        let since = Instant::now();
+        if self.decide(|leader, ctx, out| leader.tick(ctx, out)) {
+            let seconds = since.elapsed().as_secs_f64();
+            self.cluster_metrics.note_decision(seconds);
+        }
+    }
+
+    fn measure(&mut self) {
+        let now = self.clock.now();
+        let Some(led) = &mut self.led.current else {
+            return;
+        };
+        if led.measured != Millis::ZERO && now.since(led.measured) < MEASURE_INTERVAL_MS {
+            return;
+        }
+        led.measured = now;
+        let metrics = self.cluster_metrics.clone();
+        self.decide(|leader, ctx, _| {
+            metrics.set(&leader.figures(ctx));
+            metrics.add_events(&leader.take_events());
+        });
+    }
+
+    fn stop_measuring(&mut self) {
+        if let Some(led) = &mut self.led.current {
+            self.cluster_metrics.add_events(&led.leader.take_events());
+            self.cluster_metrics.set(&Figures::default());
         }
     }
 
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -29,6 +29,7 @@
 use sapphirepost_types::MemberId;
 
 use crate::calls::Calls;
+use crate::cluster_metrics::ClusterMetrics;
 use crate::core::Core;
 use crate::event::Event;
 use crate::event::EventRing;
@@ -63,6 +64,7 @@
     let (ring, events) = EventRing::new();
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
+    let cluster_metrics = ClusterMetrics::register(&metrics);
     let storage = StorageThread::start(Box::new(store), ring.clone(), core_metrics.clone())?;
 
     let server_config =
@@ -94,7 +96,7 @@
         peers,
         &storage,
         readiness,
-        core_metrics,
+        (core_metrics, cluster_metrics),
     )?;
     let result = core.run(&events);
     if result.is_ok() {
@@ -157,7 +159,7 @@
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    metrics: CoreMetrics,
+    (metrics, cluster_metrics): (CoreMetrics, ClusterMetrics),
 ) -> anyhow::Result<Core> {
     let clock = Arc::new(SystemClock::new());
     let (state, applied) = match &restored.snapshot {
@@ -182,6 +184,7 @@
         snapshots,
         readiness,
         metrics,
+        cluster_metrics,
         leading: Leading {
             member,
             lease_ms: settings.lease_ms,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -247,6 +247,14 @@
         response.json().ok()
     }
 
+    /// The metrics of a process, or nothing while it does not answer.
+    pub fn metrics(&self, index: usize) -> String {
+        let url = format!("http://{}/metrics", self.processes[index].admin);
+        let request = attohttpc::get(url).timeout(Duration::from_millis(500));
+        let response = request.send().and_then(|response| response.text());
+        response.unwrap_or_default()
+    }
+
     fn client(&self, index: usize) -> RpcClient {
         let key = SharedKey::new(KEY).unwrap();
         let config = RpcClientConfig::new(self.processes[index].inner.to_string(), Some(key));
