Bound how far a leader's clock moves the state's clock

Cause: the state keeps the highest wall clock that a leader has written.

Ruled out: clocks in heartbeats, an allowance for each term, refusing to lead, faster catching up; docs/design.md 7.6 says why.

Change: ClockBound holds the wall clock to the clocks of applied commands, moved on by the monotonic clock, with an allowance of 60 s that refills at 0.1 s per second. Entries restored from the own log are left out.

A correct clock read every 300 us for 300 s is never held back, nor after an hour without commands. The use in the control process is covered only by its existing tests, which cannot set the clock.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -26,6 +26,7 @@
 use sapphirepost_types::Millis;
 
 use crate::calls::Calls;
+use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
 use crate::event::Event;
 use crate::leading::Leading;
@@ -68,6 +69,7 @@
     pub(crate) snapshots: Snapshots,
     pub(crate) readiness: Readiness,
     pub(crate) metrics: CoreMetrics,
+    pub(crate) cluster_clock: ClusterClock,
     pub(crate) cluster_metrics: ClusterMetrics,
     pub(crate) leading: Leading,
     pub(crate) led: LedState,
@@ -209,6 +211,8 @@
                 let command: Result<Command, _> = serde_json::from_slice(bytes);
                 let command = command.map_err(|error| apply_error(entry.index, error))?;
                 let outcome = self.state.apply(entry.index, &command);
+                let (now, clock_unix_ms) = (self.clock.now(), self.state.clock_unix_ms());
+                self.cluster_clock.applied(now, entry.index, clock_unix_ms);
                 self.decide(|leader, ctx, out| {
                     leader.applied(ctx, entry.index, &command, &outcome, out);
                 });
--- a/crates/control/src/led.rs
+++ b/crates/control/src/led.rs
@@ -82,7 +82,9 @@
         {
             return self.applied >= index;
         }
-        let at_unix_ms = self.clock.unix_ms().max(self.state.clock_unix_ms());
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
+        let at_unix_ms = unix_ms.max(state_unix_ms);
         let command = Command {
             at_unix_ms,
             request: Request::Tick,
@@ -96,10 +98,12 @@
 
     fn start_leading(&mut self, term: Term) {
         let ticked = self.clock.now();
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
         let ctx = Context {
             state: &self.state,
             now: ticked,
-            unix_ms: self.clock.unix_ms(),
+            unix_ms,
         };
         let leader = self.leading.leader(term, &ctx);
         self.led.current = Some(Led {
@@ -131,7 +135,9 @@
         let Some(led) = &mut self.led.current else {
             return false;
         };
-        let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+        let now = self.clock.now();
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
         let ctx = Context {
             state: &self.state,
             now,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! Everything reaches the core thread through one bounded ring.
 
 mod calls;
+mod cluster_clock;
 mod cluster_metrics;
 mod core;
 mod event;
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -29,6 +29,8 @@
 use sapphirepost_types::MemberId;
 
 use crate::calls::Calls;
+use crate::cluster_clock::ClockMetrics;
+use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
 use crate::core::Core;
 use crate::event::Event;
@@ -65,6 +67,7 @@
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
     let cluster_metrics = ClusterMetrics::register(&metrics);
+    let clock_metrics = ClockMetrics::register(&metrics);
     let storage = StorageThread::start(Box::new(store), ring.clone(), core_metrics.clone())?;
 
     let server_config =
@@ -96,7 +99,7 @@
         peers,
         &storage,
         readiness,
-        (core_metrics, cluster_metrics),
+        (core_metrics, cluster_metrics, clock_metrics),
     )?;
     let result = core.run(&events);
     if result.is_ok() {
@@ -159,7 +162,7 @@
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    (metrics, cluster_metrics): (CoreMetrics, ClusterMetrics),
+    (metrics, cluster_metrics, clock_metrics): (CoreMetrics, ClusterMetrics, ClockMetrics),
 ) -> anyhow::Result<Core> {
     let clock = Arc::new(SystemClock::new());
     let (state, applied) = match &restored.snapshot {
@@ -171,6 +174,7 @@
     config.election_timeout_ms = settings.election_timeout_ms;
     config.heartbeat_ms = settings.heartbeat_ms;
     let node = Node::new(config, restored, clock.now());
+    let cluster_clock = ClusterClock::new(node.last_index(), clock_metrics);
     let jobs = storage.jobs();
     let snapshots = Snapshots::start(settings.snapshot_entries, applied, jobs.clone())?;
     Ok(Core {
@@ -184,6 +188,7 @@
         snapshots,
         readiness,
         metrics,
+        cluster_clock,
         cluster_metrics,
         leading: Leading {
             member,
--- a/crates/leader/src/lib.rs
+++ b/crates/leader/src/lib.rs
@@ -9,6 +9,7 @@
 //! expiry is proposed only after the worker has certainly stopped what moves; an ended attempt is
 //! acknowledged only after its report was applied.
 
+pub mod clock_bound;
 pub mod config;
 pub mod figures;
 pub mod leader;
@@ -27,6 +28,7 @@
 mod sessions;
 mod status;
 
+pub use crate::clock_bound::ClockBound;
 pub use crate::config::Disabled;
 pub use crate::config::LeaderConfig;
 pub use crate::figures::Events;
--- /dev/null
+++ b/crates/leader/tests/clock_bound.rs
@@ -0,0 +1,123 @@
+//! Guards against a leader with a wrong clock that moves the clock of the state for good, and
+//! against a bound that holds back a correct clock.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use sapphirepost_leader::ClockBound;
+use sapphirepost_leader::clock_bound::JUMP_MAX_MS;
+use sapphirepost_protocol::claim::Claim;
+use sapphirepost_protocol::claim::ClaimBatch;
+use sapphirepost_protocol::claim::ClaimVerdict;
+use sapphirepost_state::Command;
+use sapphirepost_state::Request;
+use sapphirepost_state::State;
+use sapphirepost_state::Verdict;
+use sapphirepost_types::EntryId;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::Millis;
+use sapphirepost_types::RequestId;
+
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+const HOUR_MS: u64 = 60 * 60 * 1_000;
+const DAY_MS: u64 = 24 * HOUR_MS;
+
+#[test]
+fn a_clock_a_day_ahead_moves_the_state_slowly() {
+    let mut bound = ClockBound::default();
+    bound.follow(Millis(0), START_UNIX_MS);
+    let mut read = |at_ms| {
+        let wall_unix_ms = START_UNIX_MS + DAY_MS + at_ms;
+        bound.read(Millis(at_ms), wall_unix_ms).unix_ms - START_UNIX_MS
+    };
+    assert_eq!(read(0), JUMP_MAX_MS);
+    for at_ms in (0..HOUR_MS).step_by(20) {
+        assert!(read(at_ms) <= at_ms + at_ms / 10 + JUMP_MAX_MS);
+    }
+}
+
+#[test]
+fn changes_of_the_leader_do_not_add_up() {
+    let mut bound = ClockBound::default();
+    let mut clock_unix_ms = START_UNIX_MS;
+    bound.follow(Millis(0), clock_unix_ms);
+    for term in 1..=100 {
+        let now = Millis(term * 100);
+        let reading = bound.read(now, clock_unix_ms + DAY_MS);
+        clock_unix_ms = reading.unix_ms;
+        bound.follow(now, clock_unix_ms);
+    }
+    let most_ms = 10_000 + 1_000 + JUMP_MAX_MS;
+    assert!(clock_unix_ms <= START_UNIX_MS + most_ms);
+}
+
+#[test]
+fn a_correct_clock_is_never_held_back() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut bound = ClockBound::default();
+    // The clocks change their millisecond at different moments, read many times in each.
+    for at_us in (0..300_000_000).step_by(300) {
+        let now = Millis(at_us / 1_000);
+        let wall_unix_ms = START_UNIX_MS + (at_us + rng.random_range(0..900)) / 1_000;
+        assert_eq!(bound.read(now, wall_unix_ms).ahead_ms, 0, "at {at_us} us");
+    }
+    // An hour without a command, as without a quorum.
+    let reading = bound.read(Millis(300_000 + HOUR_MS), START_UNIX_MS + 300_000 + HOUR_MS);
+    assert_eq!(reading.ahead_ms, 0);
+}
+
+#[test]
+fn a_cluster_that_was_down_for_days_starts() {
+    let mut bound = ClockBound::default();
+    assert!(bound.is_unknown());
+    let wall_unix_ms = START_UNIX_MS + 5 * DAY_MS;
+    assert_eq!(bound.read(Millis(0), wall_unix_ms).unix_ms, wall_unix_ms);
+    assert!(!bound.is_unknown());
+}
+
+/// What a caller with a correct clock is told after a leader with the given clock.
+fn claim_after(at_unix_ms: u64) -> Verdict {
+    let mut state = State::new();
+    let request = Request::Tick;
+    state.apply(
+        1,
+        &Command {
+            at_unix_ms,
+            request,
+        },
+    );
+    let batch = ClaimBatch {
+        entry: EntryId(1),
+        incarnation: Incarnation(1),
+        claims: vec![Claim {
+            service: "grades".parse().unwrap(),
+            request: RequestId::new(START_UNIX_MS + 1_000, "composite-run").unwrap(),
+            digest: 1,
+            token: 1,
+        }],
+        outcomes: Vec::new(),
+    };
+    let at_unix_ms = START_UNIX_MS + 1_000;
+    let request = Request::Claims(batch);
+    state
+        .apply(
+            2,
+            &Command {
+                at_unix_ms,
+                request,
+            },
+        )
+        .verdict
+}
+
+#[test]
+fn correct_requests_are_granted_after_a_leader_with_a_wrong_clock() {
+    let wrong_unix_ms = START_UNIX_MS + DAY_MS;
+    let mut bound = ClockBound::default();
+    bound.follow(Millis(0), START_UNIX_MS);
+    let bounded_unix_ms = bound.read(Millis(0), wrong_unix_ms).unix_ms;
+    let granted = Verdict::Claimed(vec![ClaimVerdict::Granted]);
+    let too_old = Verdict::Claimed(vec![ClaimVerdict::TooOld]);
+    assert_eq!(claim_after(bounded_unix_ms), granted);
+    assert_eq!(claim_after(wrong_unix_ms), too_old);
+}
