Let a new leader outwait a late answer of the old one

Cause: a voter that restarted does not remember hearing the old leader, and an answer to a heartbeat may arrive late, so a deposed leader may answer a worker's renewal for about one election timeout after the election. The new leader took that lease for ended too early, and a task could run twice.

Ruled out: a setting of its own on the command line; drift and stop time have none either, and the margin follows from the election timeout.

Change: LeaderConfig::hand_over_ms, 1,000 ms by default, is added to the first deadline of every worker. The control process takes twice the shortest election timeout where that is longer.

Conclusion: the test with a renewal answered 400 ms after the election, a slow clock and a worker that uses its whole stop time finds the expiry after the end of that lease, and before it without the margin. Tasks of a worker that is silent over an election are moved 1 s later.

--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -11,16 +11,20 @@
 pub(crate) struct Leading {
     pub(crate) member: MemberId,
     pub(crate) lease_ms: u64,
+    /// The shortest election timeout; the longest is twice as long.
+    pub(crate) election_timeout_ms: u64,
 }
 
 impl Leading {
     /// The decisions over the state as applied by a new leader.
     pub(crate) fn leader(&self, term: Term, ctx: &Context<'_>) -> Leader {
+        let defaults = LeaderConfig::default();
         let config = LeaderConfig {
             member: self.member,
             term,
             lease_ms: self.lease_ms,
-            ..LeaderConfig::default()
+            hand_over_ms: defaults.hand_over_ms.max(2 * self.election_timeout_ms),
+            ..defaults
         };
         let seed = ctx.unix_ms ^ term;
         Leader::new(config, ctx.state, ctx.now, ctx.unix_ms, seed)
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -193,6 +193,7 @@
         leading: Leading {
             member,
             lease_ms: settings.lease_ms,
+            election_timeout_ms: settings.election_timeout_ms,
         },
         led: LedState::default(),
         stop_by: None,
--- a/crates/leader/src/config.rs
+++ b/crates/leader/src/config.rs
@@ -16,6 +16,11 @@
     pub drift_ms: u64,
     /// How long a worker takes to stop its tasks after the lease.
     pub stop_ms: u64,
+    /// How long after the start of this leader its predecessor may still answer a renewal. A voter
+    /// that restarted does not remember hearing the predecessor, and an answer to a heartbeat may
+    /// arrive late, so the predecessor may take itself for the leader for about one election
+    /// timeout longer. Must be at least the longest election timeout.
+    pub hand_over_ms: u64,
     /// The longest time that a sync is held. It shortens the lease that remains at its answer.
     pub hold_max_ms: u64,
     /// The longest time that a sync is held while the worker has commands that no report has
@@ -65,6 +70,7 @@
             lease_ms: 6_000,
             drift_ms: 1_000,
             stop_ms: 1_000,
+            hand_over_ms: 1_000,
             hold_max_ms: 1_000,
             hold_pending_ms: 100,
             held_syncs_max: 2,
--- a/crates/leader/src/leader.rs
+++ b/crates/leader/src/leader.rs
@@ -208,11 +208,11 @@
 }
 
 /// A new leader does not know when its predecessor answered last, so it takes every lease for
-/// renewed just now.
+/// renewed just now, and again until its predecessor has certainly stepped down.
 fn first_sessions(config: &LeaderConfig, ctx: &Context<'_>) -> Sessions {
     let wait_ms = match config.disabled.new_leader_waits {
         true => 0,
-        false => config.certain_end_ms(),
+        false => config.certain_end_ms() + config.hand_over_ms,
     };
     let mut sessions = Sessions::default();
     for (id, worker) in ctx.state.workers().iter() {
--- /dev/null
+++ b/crates/leader/tests/hand_over.rs
@@ -0,0 +1,121 @@
+//! Guards against a task that runs twice because a deposed leader answered a renewal after the
+//! new one was elected.
+
+mod support;
+
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::LeaderConfig;
+use sapphirepost_leader::Output;
+use sapphirepost_leader::Reply;
+use sapphirepost_leader::ReplyToken;
+use sapphirepost_protocol::worker::WorkerSpec;
+use sapphirepost_protocol::worker::WorkerSync;
+use sapphirepost_state::Command;
+use sapphirepost_state::Request;
+use sapphirepost_state::State;
+use sapphirepost_types::Incarnation;
+use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
+use sapphirepost_types::WorkerId;
+
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+const ELECTED_MS: u64 = 20_000;
+/// How long after the election the old leader answers.
+const LATE_MS: u64 = 400;
+
+fn context(state: &State, now: u64) -> Context<'_> {
+    Context {
+        state,
+        now: Millis(now),
+        unix_ms: START_UNIX_MS + now,
+    }
+}
+
+fn spec() -> WorkerSpec {
+    WorkerSpec {
+        failure_domain: support::name("a"),
+        rack: support::name("r1"),
+        capacity: Resources::new(1_000, 1_000, 0),
+    }
+}
+
+/// A state with one worker that is connected.
+fn connected() -> State {
+    let mut state = State::new();
+    let register = Request::RegisterWorker {
+        worker: support::name("w1"),
+        incarnation: Incarnation(1),
+        spec: spec(),
+    };
+    let report = Request::ReportTasks {
+        worker: WorkerId(0),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        full: true,
+        tasks: Vec::new(),
+    };
+    for (index, request) in (1..).zip([register, report]) {
+        let at_unix_ms = START_UNIX_MS;
+        state.apply(
+            index,
+            &Command {
+                at_unix_ms,
+                request,
+            },
+        );
+    }
+    state
+}
+
+/// When the lease that the old leader grants late has certainly ended: on a slow clock, with a
+/// worker that takes its whole stop time.
+fn late_end_ms(config: &LeaderConfig, state: &State) -> u64 {
+    let mut old = Leader::new(config.clone(), state, Millis(0), START_UNIX_MS, 1);
+    let sync = WorkerSync {
+        worker: support::name("w1"),
+        incarnation: Incarnation(1),
+        sequence: 2,
+        spec: None,
+        full: false,
+        tasks: Vec::new(),
+        digest: sapphirepost_protocol::worker::tasks_digest([]),
+        usage: None,
+        wait_ms: 0,
+    };
+    let sent_ms = ELECTED_MS + LATE_MS;
+    let mut out = Output::default();
+    old.worker_sync(&context(state, sent_ms), sync, ReplyToken(1), &mut out);
+    let Some((_, Reply::Worker(reply))) = out.replies.pop() else {
+        panic!("{out:?}")
+    };
+    assert_eq!(reply.lease_ms, config.lease_ms);
+    sent_ms + reply.lease_ms + config.drift_ms + config.stop_ms
+}
+
+/// When the new leader, which hears nothing of the worker, gives its tasks to others.
+fn expired_ms(config: &LeaderConfig, state: &State) -> u64 {
+    let at = Millis(ELECTED_MS);
+    let mut new = Leader::new(config.clone(), state, at, START_UNIX_MS + ELECTED_MS, 2);
+    let steps = (ELECTED_MS..ELECTED_MS + 60_000).step_by(20);
+    let expires = |now: &u64| {
+        let mut out = Output::default();
+        new.tick(&context(state, *now), &mut out);
+        let mut requests = out.proposals.iter().map(|command| &command.request);
+        requests.any(|request| matches!(request, Request::ExpireWorker { .. }))
+    };
+    steps.into_iter().find(expires).unwrap()
+}
+
+#[test]
+fn a_new_leader_outwaits_a_late_answer_of_the_old_one() {
+    let state = connected();
+    let config = LeaderConfig::default();
+    let late_end_ms = late_end_ms(&config, &state);
+    assert!(expired_ms(&config, &state) >= late_end_ms);
+    let without = LeaderConfig {
+        hand_over_ms: 0,
+        ..config
+    };
+    assert!(expired_ms(&without, &state) < late_end_ms);
+}
