--- /dev/null
+++ b/crates/leader/examples/figures_cost.rs
@@ -0,0 +1,68 @@
+//! Measures what the figures of a full cluster cost: 5,500 running tasks, 1,375 workers, 5,000
+//! ended jobs of 10 tasks.
+//!
+//! `cargo run --release -p sapphirepost-leader --example figures_cost`
+
+#[path = "../../state/tests/support/mod.rs"]
+mod support;
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use sapphirepost_leader::Context;
+use sapphirepost_leader::Leader;
+use sapphirepost_leader::LeaderConfig;
+use sapphirepost_types::Intent;
+use sapphirepost_types::Millis;
+use sapphirepost_types::WorkerId;
+
+use crate::support::BATCH;
+use crate::support::Machine;
+use crate::support::START_UNIX_MS;
+use crate::support::name;
+
+const ENDED_JOBS: u32 = 5_000;
+const TASKS_PER_ENDED_JOB: u32 = 10;
+const JOBS: u32 = 55;
+const TASKS_PER_JOB: u32 = 100;
+const TASKS_PER_WORKER: u32 = 4;
+const RUNS: usize = 101;
+
+fn main() {
+    let mut machine = Machine::new();
+    for job in 0..ENDED_JOBS {
+        machine.run(&format!("ended{job}"), BATCH, TASKS_PER_ENDED_JOB);
+        let job = name(&format!("ended{job}"));
+        machine.intend(Intent::Cancel { job });
+    }
+    let first = ENDED_JOBS * TASKS_PER_ENDED_JOB;
+    for job in 0..JOBS {
+        machine.run(&format!("job{job}"), BATCH, TASKS_PER_JOB);
+    }
+    let workers: Vec<WorkerId> = (0..JOBS * TASKS_PER_JOB / TASKS_PER_WORKER)
+        .map(|worker| machine.worker(&format!("w{worker}")))
+        .collect();
+    for task in 0..JOBS * TASKS_PER_JOB {
+        let worker = workers[(task / TASKS_PER_WORKER) as usize];
+        machine.place(&[(first + task, 1, worker)]).unwrap();
+    }
+    let ctx = Context {
+        state: &machine.state,
+        now: Millis(0),
+        unix_ms: START_UNIX_MS,
+    };
+    let leader = Leader::new(LeaderConfig::default(), ctx.state, ctx.now, ctx.unix_ms, 1);
+    let mut times: Vec<Duration> = (0..RUNS)
+        .map(|_| {
+            let since = Instant::now();
+            black_box(leader.figures(&ctx));
+            since.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    println!("{:?}", leader.figures(&ctx));
+    println!("{} tasks in the state", machine.state.tasks().len());
+    let (median, slowest) = (times[RUNS / 2], times[RUNS - 1]);
+    println!("figures: median {median:?}, slowest {slowest:?}");
+}
