Split the answer to a worker's sync

Cause: Leader::answer was the longest function of the package (55 lines) and mixed older syncs, the choice whether to answer, and the reply.

Change: answer_older, Session::has_news and Session::reply hold a part each. The note on REWRITE names its limit: both scenario tests write the same files, and a run of both cut three files short.

--- a/crates/leader/src/commands.rs
+++ b/crates/leader/src/commands.rs
@@ -49,11 +49,7 @@
         let Some(worker) = ctx.state.workers().get(id) else {
             return;
         };
-        while session.held.len() > 1 {
-            if let Some(older) = session.held.pop_front() {
-                out.reply(older.token, Reply::Worker(empty_reply(older.sequence)));
-            }
-        }
+        answer_older(session, out);
         let Some(newest) = session.held.front() else {
             return;
         };
@@ -68,10 +64,7 @@
             true => due_commands(&self.config, ctx, id, worker, session),
             false => Vec::new(),
         };
-        let has_news = !commands.is_empty()
-            || !session.acknowledged.is_empty()
-            || session.wants_full
-            || (is_leased && session.owes_lease);
+        let has_news = !commands.is_empty() || session.has_news(is_leased);
         // A sync of an expiring worker waits for the expiry, which decides what it must report.
         let may_answer = is_over || (has_news && session.expiring.is_none());
         if !may_answer {
@@ -81,25 +74,25 @@
         let Some(newest) = session.held.pop_front() else {
             return;
         };
-        for command in &commands {
-            session.note_sent(command, ctx.now);
-        }
+        let mut reply = session.reply(ctx.now, newest.sequence, commands);
         if is_leased {
             session.lease_until = ctx.now + self.config.certain_end_ms();
             session.owes_lease = false;
+            reply.lease_ms = self.config.lease_ms;
         }
-        let reply = WorkerSyncReply {
-            sequence: newest.sequence,
-            lease_ms: if is_leased { self.config.lease_ms } else { 0 },
-            send_spec: false,
-            send_full: session.wants_full,
-            commands,
-            acknowledged: std::mem::take(&mut session.acknowledged),
-        };
         out.reply(newest.token, Reply::Worker(reply));
     }
 }
 
+/// Answers all held syncs but the newest, which alone carries what is new.
+fn answer_older(session: &mut Session, out: &mut Output) {
+    while session.held.len() > 1 {
+        if let Some(older) = session.held.pop_front() {
+            out.reply(older.token, Reply::Worker(empty_reply(older.sequence)));
+        }
+    }
+}
+
 fn is_leased(config: &LeaderConfig, now: Millis, worker: &Worker, session: &Session) -> bool {
     let is_expiring = session.expiring.is_some() && !config.disabled.no_renewal_while_expiring;
     let hears = !session.has_unheard_start(now, config.unheard_start_ms);
@@ -175,6 +168,30 @@
 }
 
 impl Session {
+    /// Whether the worker is to hear something besides commands.
+    fn has_news(&self, is_leased: bool) -> bool {
+        let gets_first_lease = is_leased && self.owes_lease;
+        !self.acknowledged.is_empty() || self.wants_full || gets_first_lease
+    }
+
+    /// A reply with the commands, which are noted as sent. It grants no lease.
+    fn reply(
+        &mut self,
+        now: Millis,
+        sequence: u64,
+        commands: Vec<WorkerCommand>,
+    ) -> WorkerSyncReply {
+        for command in &commands {
+            self.note_sent(command, now);
+        }
+        WorkerSyncReply {
+            send_full: self.wants_full,
+            commands,
+            acknowledged: std::mem::take(&mut self.acknowledged),
+            ..empty_reply(sequence)
+        }
+    }
+
     /// Forgets commands that a report has confirmed.
     fn forget_confirmed(&mut self, worker: &Worker) {
         self.sent.retain(|key, sent| {
--- a/crates/leader/tests/scenarios.rs
+++ b/crates/leader/tests/scenarios.rs
@@ -1,5 +1,7 @@
 //! Guards against plans, confirmations and answers that are wrong or unclear to operators. Each
-//! file under `scenarios` says which failure it guards against; `REWRITE=1` renews the results.
+//! file under `scenarios` says which failure it guards against; `REWRITE=1` renews the
+//! results; run only one of the tests then (`-- --exact scenarios`), because both write the same
+//! files.
 
 mod support;
 
