--- a/crates/state/examples/snapshot_cost.rs
+++ b/crates/state/examples/snapshot_cost.rs
@@ -18,6 +18,7 @@
 use sapphirepost_state::Request;
 use sapphirepost_state::State;
 use sapphirepost_state::claims::CLAIMS_MAX;
+use sapphirepost_state::operations::OPERATIONS_MAX;
 use sapphirepost_types::EntryId;
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::RequestId;
@@ -27,6 +28,7 @@
 use crate::support::Machine;
 use crate::support::START_UNIX_MS;
 use crate::support::name;
+use crate::support::set_config;
 
 const JOBS: u32 = 55;
 const TASKS_PER_JOB: u32 = 100;
@@ -54,6 +56,7 @@
     report("encode", || state.snapshot());
     report("restore", || State::restore(&bytes).unwrap());
     report_claims(&mut machine);
+    report_operations();
 }
 
 fn add_tasks(machine: &mut Machine) {
@@ -141,6 +144,19 @@
     black_box(copy);
 }
 
+/// The clone of a state with the largest record of operations.
+fn report_operations() {
+    let mut machine = Machine::new();
+    for number in 0..OPERATIONS_MAX {
+        machine.at_ms = number as u64;
+        machine.plan(set_config("key", &number.to_string()));
+    }
+    let state = &machine.state;
+    let (operations, plans) = (state.operations().len(), state.plans().len());
+    println!("{operations} operations, {plans} plans");
+    report("clone", || state.clone());
+}
+
 fn report<T>(what: &str, mut run: impl FnMut() -> T) {
     let mut times: Vec<Duration> = (0..RUNS)
         .map(|_| {
--- a/crates/state/src/operations.rs
+++ b/crates/state/src/operations.rs
@@ -3,8 +3,9 @@
 //! An operation id is accepted once. Ids are ordered by their time, so the oldest are dropped
 //! first, exactly when an id of that age is refused as too old.
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use imbl::OrdMap;
 use sapphirepost_protocol::operator::Confirmed;
 use sapphirepost_protocol::operator::Refusal;
 use sapphirepost_types::OperationId;
@@ -54,7 +55,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operations {
-    records: BTreeMap<OperationId, Record>,
+    /// Copies share what has not changed since, as in the claims.
+    records: OrdMap<OperationId, Arc<Record>>,
 }
 
 impl Operations {
@@ -87,15 +89,17 @@
     }
 
     pub(crate) fn record(&mut self, id: OperationId, content: u64, answer: Answer) {
-        self.records.insert(id, Record { content, answer });
+        let record = Record { content, answer };
+        self.records.insert(id, Arc::new(record));
     }
 
     pub(crate) fn prune(&mut self, now_unix_ms: u64) {
-        while let Some(oldest) = self.records.first_entry() {
-            if !is_too_old(oldest.key(), now_unix_ms) {
+        while let Some((oldest, _)) = self.records.get_min() {
+            if !is_too_old(oldest, now_unix_ms) {
                 break;
             }
-            oldest.remove();
+            let oldest = oldest.clone();
+            self.records.remove(&oldest);
         }
     }
 }
--- a/crates/state/src/plans.rs
+++ b/crates/state/src/plans.rs
@@ -1,7 +1,8 @@
 //! Recorded plans.
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use imbl::OrdMap;
 use sapphirepost_types::OperationId;
 use sapphirepost_types::Plan;
 use sapphirepost_types::PlanId;
@@ -33,13 +34,14 @@
 #[serde(deny_unknown_fields)]
 pub struct Plans {
     next: PlanId,
-    records: BTreeMap<PlanId, PlanRecord>,
+    /// Copies share what has not changed since, as in the claims.
+    records: OrdMap<PlanId, Arc<PlanRecord>>,
 }
 
 impl Plans {
     /// A plan.
     pub fn get(&self, id: PlanId) -> Option<&PlanRecord> {
-        self.records.get(&id)
+        self.records.get(&id).map(Arc::as_ref)
     }
 
     /// How many plans are kept.
@@ -66,26 +68,24 @@
             plan,
             confirmed_by: None,
         };
-        self.records.insert(self.next, record);
+        self.records.insert(self.next, Arc::new(record));
         self.next
     }
 
     pub(crate) fn confirm(&mut self, id: PlanId, operation: &OperationId) {
         if let Some(record) = self.records.get_mut(&id) {
-            record.confirmed_by = Some(operation.clone());
+            Arc::make_mut(record).confirmed_by = Some(operation.clone());
         }
     }
 
     pub(crate) fn prune(&mut self, now_unix_ms: u64) {
-        while let Some(oldest) = self.records.first_entry() {
-            let age_ms = now_unix_ms.saturating_sub(oldest.get().plan.created_unix_ms);
-            if age_ms <= PLAN_WINDOW_MS {
+        while let Some((id, oldest)) = self.records.get_min() {
+            let age_ms = now_unix_ms.saturating_sub(oldest.plan.created_unix_ms);
+            if age_ms <= PLAN_WINDOW_MS && self.records.len() <= PLANS_MAX {
                 break;
             }
-            oldest.remove();
-        }
-        while self.records.len() > PLANS_MAX {
-            self.records.pop_first();
+            let id = *id;
+            self.records.remove(&id);
         }
     }
 }
