Keep the clock bound when old commands are applied late

Cause: a command from before a loss of the quorum is applied only afterwards. The bound took its clock for now, and held back the correct clock of the new leader by the length of the outage, at 0.1 s per second.

Ruled out: leaving such commands out by their term, because a member cannot tell how long an entry waited.

Change: the line is raised by followed clocks and never lowered. The slack of 1 s against millisecond rounding is no longer needed. The invariant is stated as it holds now.

Conclusion: the new test fails without the change; all others pass.

--- a/crates/leader/src/clock_bound.rs
+++ b/crates/leader/src/clock_bound.rs
@@ -2,9 +2,9 @@
 //!
 //! The state keeps the highest clock that a leader has written, so one leader whose wall clock is
 //! far ahead would move it for good, and requests with correct ids would be refused as too old
-//! until real time has caught up. Invariant: from the first reading or command that was seen, the
-//! readings advance in any time T of the monotonic clock by at most `1.1 T + 61 s`, whatever the
-//! wall clock shows and however often leaders change.
+//! until real time has caught up. Invariant: if the first clock that was seen is `c`, and the
+//! commands of other leaders keep to the bound, then every reading a time T of the monotonic clock
+//! later is at most `c + 1.1 T + 60 s`. Jumps of other leaders use up the same allowance.
 
 use sapphirepost_types::Millis;
 
@@ -14,9 +14,6 @@
 /// What each millisecond adds to a used allowance, in microseconds. A clock that is a day ahead
 /// moves the state 6 minutes an hour, less than the 10 minutes for which claims are remembered.
 const REFILL_US_PER_MS: u64 = 100;
-/// How far the reference may be ahead of the readings. Wall and monotonic clock change their
-/// millisecond at different moments, which must not use up the allowance.
-const SLACK_MS: u64 = 1_000;
 
 /// A reading of the wall clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,9 +58,9 @@
         let reference = self.advance(now, clock_unix_ms);
         let excess_ms = clock_unix_ms.saturating_sub(reference.unix_ms);
         self.allowance_us = self.allowance_us.saturating_sub(excess_ms * 1_000);
-        let highest = clock_unix_ms.saturating_add(SLACK_MS);
+        // Never lowered: after a time without a quorum, commands are applied whose clock is old.
         self.reference = Some(Reference {
-            unix_ms: reference.unix_ms.clamp(clock_unix_ms, highest),
+            unix_ms: reference.unix_ms.max(clock_unix_ms),
             at: reference.at,
         });
     }
--- a/crates/leader/tests/clock_bound.rs
+++ b/crates/leader/tests/clock_bound.rs
@@ -66,6 +66,17 @@
     assert_eq!(reading.ahead_ms, 0);
 }
 
+/// Guards against a clock that stands still after a loss of the quorum, because a command from
+/// before it is applied only then.
+#[test]
+fn an_old_command_does_not_hold_back_a_correct_clock() {
+    let mut bound = ClockBound::default();
+    bound.follow(Millis(0), START_UNIX_MS);
+    bound.follow(Millis(HOUR_MS), START_UNIX_MS + 10);
+    let reading = bound.read(Millis(HOUR_MS), START_UNIX_MS + HOUR_MS);
+    assert_eq!(reading.ahead_ms, 0);
+}
+
 #[test]
 fn a_cluster_that_was_down_for_days_starts() {
     let mut bound = ClockBound::default();
