--- a/crates/control/src/led.rs
+++ b/crates/control/src/led.rs
@@ -2,6 +2,7 @@
 //! replies.
 
 use std::collections::VecDeque;
+use std::time::Instant;
 
 use bytes::Bytes;
 
@@ -10,6 +11,7 @@
 use sapphirepost_consensus::Role;
 use sapphirepost_consensus::Term;
 use sapphirepost_leader::Context;
+use sapphirepost_leader::Figures;
 use sapphirepost_leader::Leader;
 use sapphirepost_leader::Output;
 use sapphirepost_state::Command;
@@ -20,12 +22,16 @@
 
 /// How often the decisions are asked for what is due.
 pub(crate) const DECISION_INTERVAL_MS: u64 = 20;
+/// How often the metrics of the cluster are set.
+const MEASURE_INTERVAL_MS: u64 = 1_000;
 
 /// The decisions of a term.
 struct Led {
     term: Term,
     leader: Leader,
     ticked: Millis,
+    /// When the metrics were set last.
+    measured: Millis,
 }
 
 /// What only a leader has.
@@ -52,6 +58,7 @@
             .as_ref()
             .is_some_and(|led| led.term != term);
         if !is_leading || is_other_term {
+            self.stop_measuring();
             self.led.current = None;
             self.led.output = Output::default();
             self.led.backlog.clear();
@@ -75,7 +82,9 @@
         {
             return self.applied >= index;
         }
-        let at_unix_ms = self.clock.unix_ms().max(self.state.clock_unix_ms());
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
+        let at_unix_ms = unix_ms.max(state_unix_ms);
         let command = Command {
             at_unix_ms,
             request: Request::Tick,
@@ -89,16 +98,19 @@
 
     fn start_leading(&mut self, term: Term) {
         let ticked = self.clock.now();
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
         let ctx = Context {
             state: &self.state,
             now: ticked,
-            unix_ms: self.clock.unix_ms(),
+            unix_ms,
         };
         let leader = self.leading.leader(term, &ctx);
         self.led.current = Some(Led {
             term,
             leader,
             ticked,
+            measured: Millis::ZERO,
         });
         log::info!(term; "leading");
         for token in std::mem::take(&mut self.led.early) {
@@ -123,7 +135,9 @@
         let Some(led) = &mut self.led.current else {
             return false;
         };
-        let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+        let now = self.clock.now();
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
         let ctx = Context {
             state: &self.state,
             now,
@@ -140,7 +154,40 @@
         };
         if now.since(led.ticked) >= DECISION_INTERVAL_MS {
             led.ticked = now;
-            self.decide(|leader, ctx, out| leader.tick(ctx, out));
+            self.tick_leader();
+        }
+        self.measure();
+    }
+
+    /// Lets the decisions do what is due.
+    pub(crate) fn tick_leader(&mut self) {
+        let since = Instant::now();
+        if self.decide(|leader, ctx, out| leader.tick(ctx, out)) {
+            let seconds = since.elapsed().as_secs_f64();
+            self.cluster_metrics.note_decision(seconds);
+        }
+    }
+
+    fn measure(&mut self) {
+        let now = self.clock.now();
+        let Some(led) = &mut self.led.current else {
+            return;
+        };
+        if led.measured != Millis::ZERO && now.since(led.measured) < MEASURE_INTERVAL_MS {
+            return;
+        }
+        led.measured = now;
+        let metrics = self.cluster_metrics.clone();
+        self.decide(|leader, ctx, _| {
+            metrics.set(&leader.figures(ctx));
+            metrics.add_events(&leader.take_events());
+        });
+    }
+
+    fn stop_measuring(&mut self) {
+        if let Some(led) = &mut self.led.current {
+            self.cluster_metrics.add_events(&led.leader.take_events());
+            self.cluster_metrics.set(&Figures::default());
         }
     }
 
--- a/crates/leader/src/lib.rs
+++ b/crates/leader/src/lib.rs
@@ -9,7 +9,9 @@
 //! expiry is proposed only after the worker has certainly stopped what moves; an ended attempt is
 //! acknowledged only after its report was applied.
 
+pub mod clock_bound;
 pub mod config;
+pub mod figures;
 pub mod leader;
 pub mod message;
 
@@ -26,8 +28,15 @@
 mod sessions;
 mod status;
 
+pub use crate::clock_bound::ClockBound;
 pub use crate::config::Disabled;
 pub use crate::config::LeaderConfig;
+pub use crate::figures::Events;
+pub use crate::figures::Figures;
+pub use crate::figures::Packing;
+pub use crate::figures::Wait;
+pub use crate::figures::Waiting;
+pub use crate::figures::WorkClass;
 pub use crate::leader::Leader;
 pub use crate::message::Context;
 pub use crate::message::Output;
