Run the whole system under faults from scenario files

Cause: the programs were tested together only by the quick start, without faults; nothing showed the invariants on the whole path.

--- /dev/null
+++ b/crates/scenarios/tests/harness/programs.rs
@@ -0,0 +1,39 @@
+//! The programs under test, next to the test binary.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::OnceLock;
+
+const PROGRAMS: [&str; 4] = [
+    "sapphirepost",
+    "sapphirepost-control",
+    "sapphirepost-entry",
+    "sapphirepost-standin",
+];
+
+/// The path of a program. If one is missing, all are built, once for all scenarios.
+pub fn path(name: &str) -> PathBuf {
+    static DIRECTORY: OnceLock<PathBuf> = OnceLock::new();
+    DIRECTORY.get_or_init(locate).join(name)
+}
+
+fn locate() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let directory = test.parent().and_then(Path::parent).unwrap().to_owned();
+    if PROGRAMS.iter().all(|name| directory.join(name).exists()) {
+        return directory;
+    }
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let mut command = Command::new(cargo);
+    command.args(["build", "-q", "-j4", "--target-dir"]);
+    command.arg(directory.parent().unwrap());
+    if directory.ends_with("release") {
+        command.arg("--release");
+    }
+    for name in PROGRAMS {
+        command.args(["-p", name]);
+    }
+    assert!(command.status().unwrap().success(), "the build failed");
+    directory
+}
