--- a/crates/load/src/group/processes.rs
+++ b/crates/load/src/group/processes.rs
@@ -92,11 +92,13 @@
         Ok(ControlClient::new(runtime, &inner, Some(key()?)))
     }
 
-    fn inner_addresses(&self) -> Vec<String> {
+    /// The inner addresses of all members.
+    pub fn inner_addresses(&self) -> Vec<String> {
         (0..self.members.len()).map(inner_address).collect()
     }
 
-    fn key_file(&self) -> PathBuf {
+    /// The file with the key of the group.
+    pub fn key_file(&self) -> PathBuf {
         self.directory.path().join("key")
     }
 
@@ -234,7 +236,8 @@
     Ok(path)
 }
 
-fn key() -> anyhow::Result<SharedKey> {
+/// The key of the group.
+pub fn key() -> anyhow::Result<SharedKey> {
     Ok(SharedKey::new(KEY)?)
 }
 
--- a/crates/load/src/requests/cluster.rs
+++ b/crates/load/src/requests/cluster.rs
@@ -66,6 +66,7 @@
             program: entry::program()?,
             key_file,
             roster: roster.join(","),
+            control: None,
         };
         let processes: Vec<EntryProcess> = addresses
             .iter()
--- a/crates/load/src/requests/entry.rs
+++ b/crates/load/src/requests/entry.rs
@@ -92,6 +92,8 @@
     pub key_file: PathBuf,
     /// All entries.
     pub roster: String,
+    /// Inner addresses of control processes, if there are any.
+    pub control: Option<String>,
 }
 
 /// The entry program next to this one.
@@ -121,7 +123,9 @@
         options: &EntryOptions,
     ) -> anyhow::Result<EntryProcess> {
         let key_file = options.key_file.to_string_lossy().into_owned();
+        let control = options.control.iter();
         let child = Command::new(&options.program)
+            .args(control.flat_map(|addresses| ["--control", addresses]))
             .args(["--entry", &addresses.name, "--roster", &options.roster])
             .args(["--callers-address", &addresses.callers.to_string()])
             .args(["--platform-address", &addresses.platform.to_string()])
--- a/crates/load/src/requests/runner.rs
+++ b/crates/load/src/requests/runner.rs
@@ -17,7 +17,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -36,6 +35,8 @@
 use tokio::runtime::Handle;
 use tokio::sync::Semaphore;
 
+use crate::requests::answer::Answer;
+
 /// Requests that a runner runs at a time.
 pub const SLOTS: u16 = 8;
 const CONNECTIONS: u16 = 64;
@@ -61,6 +62,18 @@
         runs.values().filter(|count| **count > 1).count()
     }
 
+    /// Counts a run.
+    fn record(&self, id: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// All runs by request ID, which are forgotten.
+    pub fn take_runs(&self) -> HashMap<String, u64> {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *runs)
+    }
+
     /// Whether a request with this ID ran.
     pub fn ran(&self, id: &str) -> bool {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
@@ -80,6 +93,10 @@
     pub stalls: AtomicBool,
     /// Fails every request at once.
     pub fails: AtomicBool,
+    /// Cuts the body of each answer short.
+    pub cuts: AtomicBool,
+    /// Whether requests that are failed or stalled have run.
+    pub runs_before_faults: AtomicBool,
     leaving: Mutex<Option<Instant>>,
     sequence: AtomicU64,
     observed: Arc<Observed>,
@@ -100,6 +117,8 @@
             slots: Semaphore::new(usize::from(SLOTS)),
             stalls: AtomicBool::new(false),
             fails: AtomicBool::new(false),
+            cuts: AtomicBool::new(false),
+            runs_before_faults: AtomicBool::new(false),
             leaving: Mutex::new(None),
             sequence: AtomicU64::new(0),
             observed,
@@ -181,7 +200,7 @@
     }
 }
 
-async fn handle(runner: &Runner, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(runner: &Runner, request: Request<Incoming>) -> Response<Answer> {
     let path = request.uri().to_string();
     let id = request
         .headers()
@@ -189,11 +208,19 @@
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
     let observed = &runner.observed;
-    if runner.stalls.load(Ordering::Relaxed) {
+    let (stalls, fails) = (&runner.stalls, &runner.fails);
+    let is_faulty = stalls.load(Ordering::Relaxed) || fails.load(Ordering::Relaxed);
+    if let Some(id) = &id
+        && is_faulty
+        && runner.runs_before_faults.load(Ordering::Relaxed)
+    {
+        observed.record(id);
+    }
+    if stalls.load(Ordering::Relaxed) {
         return std::future::pending().await;
     }
-    if runner.fails.load(Ordering::Relaxed) {
-        let mut answer = Response::new(Full::new(Bytes::from_static(b"fault")));
+    if fails.load(Ordering::Relaxed) {
+        let mut answer = Response::new(Answer::whole(Bytes::from_static(b"fault")));
         *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         return answer;
     }
@@ -207,12 +234,14 @@
         return Response::default();
     };
     if let Some(id) = id {
-        let mut runs = observed.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        *runs.entry(id).or_default() += 1;
+        observed.record(&id);
     }
     tokio::time::sleep(Duration::from_millis(run_ms(&path))).await;
     unanswered.0 = None;
-    Response::new(Full::new(Bytes::from(path)))
+    if runner.cuts.load(Ordering::Relaxed) {
+        return Response::new(Answer::cut(&Bytes::from(path)));
+    }
+    Response::new(Answer::whole(Bytes::from(path)))
 }
 
 fn run_ms(path: &str) -> u64 {
