--- a/crates/load/src/group/processes.rs
+++ b/crates/load/src/group/processes.rs
@@ -101,6 +101,11 @@
         Ok(ControlClient::new(runtime, &self.advertised, Some(key()?)))
     }
 
+    /// Where other processes reach the members.
+    pub fn advertised(&self) -> &[String] {
+        &self.advertised
+    }
+
     /// The file with the key of the group.
     pub fn key_file(&self) -> PathBuf {
         self.directory.path().join("key")
@@ -257,7 +262,8 @@
     Ok(path)
 }
 
-fn key() -> anyhow::Result<SharedKey> {
+/// The key of the group.
+pub fn key() -> anyhow::Result<SharedKey> {
     Ok(SharedKey::new(KEY)?)
 }
 
