--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -23,7 +23,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logging::init(&settings.log) {
+    if let Err(error) = logging::init(&settings.log_levels) {
         eprintln!("cannot start the log: {error}");
         return ExitCode::FAILURE;
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -50,7 +50,7 @@
     operator_key_file: Option<String>,
     /// log levels, as `<level>[,<module>=<level>]...`
     #[argh(option)]
-    log: Option<String>,
+    log_level: Option<String>,
     /// most connections of callers
     #[argh(option)]
     caller_connections: Option<String>,
@@ -104,7 +104,7 @@
     /// The key of operators.
     pub operator_key: Option<SharedKey>,
     /// Log levels.
-    pub log: LogLevels,
+    pub log_levels: LogLevels,
     /// The most connections of callers.
     pub caller_connections: usize,
     /// The longest time for a head.
@@ -136,7 +136,7 @@
         let inner_key = reader.key_file("inner-key-file", flags.inner_key_file);
         let platform_key = reader.key_file("platform-key-file", flags.platform_key_file);
         let operator_key = reader.key_file("operator-key-file", flags.operator_key_file);
-        let log = reader.value("log", flags.log, LogLevels::default());
+        let log_levels = reader.value("log-level", flags.log_level, LogLevels::default());
         let mut number = |name: &str, flag, number| reader.number(name, flag, number);
         let connections = Number::new(4096, 1, 65_536, "connections");
         let caller_connections =
@@ -166,7 +166,7 @@
                 inner_key,
                 platform_key,
                 operator_key,
-                log,
+                log_levels,
                 caller_connections: caller_connections as usize,
                 head_timeout: Duration::from_millis(head_ms),
                 body_timeout: Duration::from_millis(body_ms),
--- a/crates/load/src/group/cluster.rs
+++ b/crates/load/src/group/cluster.rs
@@ -155,7 +155,7 @@
             .arg(&key_file)
             .arg("--platform-key-file")
             .arg(&key_file)
-            .args(["--log", "error"])
+            .args(["--log-level", "error"])
             .stdin(Stdio::null())
             .spawn()
             .context("starting an entry")?;
--- a/crates/load/src/requests/entry.rs
+++ b/crates/load/src/requests/entry.rs
@@ -133,7 +133,7 @@
             .args(["--admin-address", &addresses.admin.to_string()])
             .args(["--inner-key-file", &key_file])
             .args(["--platform-key-file", &key_file])
-            .args(["--log", "warn"])
+            .args(["--log-level", "warn"])
             .stdin(Stdio::null())
             .spawn()
             .context("starting the entry program")?;
