End the control process with exit code 2 on wrong settings

Cause: the entry and the command line ended with 2 on wrong settings, the control process with 1, so a script could not tell a wrong setting from a failed start there; `--check` printed nothing on success.

Ruled out: 1 everywhere, because the command line documents 2.

Conclusion: one exit code for wrong settings in all programs.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -10,9 +10,20 @@
 use sapphirepost_process::logging;
 use sapphirepost_process::settings::Reader;
 
+/// The exit code of wrong settings, the same in all programs.
+const WRONG_SETTINGS: u8 = 2;
+
 fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
-    match start(flags) {
+    let mut reader = Reader::from_environment();
+    let settings = match Settings::read(flags, &mut reader) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("sapphirepost-control: {errors}");
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    match start(settings, &reader) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("sapphirepost-control: {error:#}");
@@ -21,11 +32,12 @@
     }
 }
 
-fn start(flags: Flags) -> anyhow::Result<()> {
-    let mut reader = Reader::from_environment();
-    let settings = Settings::read(flags, &mut reader)?;
+fn start(settings: Settings, reader: &Reader) -> anyhow::Result<()> {
     match settings.mode {
-        Mode::Check => return Ok(()),
+        Mode::Check => {
+            println!("settings are valid");
+            return Ok(());
+        }
         Mode::Init => {
             println!("{}", init(&settings)?);
             return Ok(());
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,6 +8,9 @@
 use sapphirepost_process::logging;
 use sapphirepost_process::settings::Reader;
 
+/// The exit code of wrong settings, the same in all programs.
+const WRONG_SETTINGS: u8 = 2;
+
 fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
     let check = flags.check;
@@ -15,8 +18,8 @@
     let settings = match Settings::read(flags, &mut reader) {
         Ok(settings) => settings,
         Err(errors) => {
-            eprintln!("{errors}");
-            return ExitCode::from(2);
+            eprintln!("sapphirepost-entry: {errors}");
+            return ExitCode::from(WRONG_SETTINGS);
         }
     };
     if check {
