Use one source of addresses and of memory figures in the load tool

Ruled out: leaving the search, because a port of 127.0.0.1 can be taken by another program while an entry restarts.

Change: entries of experiments get addresses from `loopback`; `control` calls `process_metrics::resident_bytes`.

--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -4,11 +4,11 @@
 //! virtual clock. The time spent in calls of the leader and the state, over the virtual time, is
 //! the share of a core that decisions take; codecs, sockets and disks are not part of it.
 
-use std::fs;
 use std::time::Instant;
 
 use anyhow::Context as _;
 use argh::FromArgs;
+use sapphirepost_process::process_metrics;
 
 use crate::clusters::DESIGN;
 use crate::control::bench::Bench;
@@ -117,9 +117,7 @@
 
 /// The resident memory of this process.
 fn resident_mib() -> anyhow::Result<f64> {
-    let status = fs::read_to_string("/proc/self/status").context("reading the memory use")?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    let kib: f64 = kib.context("the memory use is not listed")?.parse()?;
-    Ok(kib / 1_024.0)
+    let bytes = process_metrics::resident_bytes(process_metrics::OWN);
+    let bytes = bytes.context("the memory use is not listed")?;
+    Ok(bytes as f64 / (1_024.0 * 1_024.0))
 }
--- a/crates/load/src/group/claim_faults.rs
+++ b/crates/load/src/group/claim_faults.rs
@@ -45,9 +45,7 @@
     /// Starts all processes and waits until the entries are ready.
     pub fn start() -> anyhow::Result<Parts> {
         let group = Group::start(MEMBERS)?;
-        let addresses = (0..ENTRIES)
-            .map(EntryAddresses::free)
-            .collect::<anyhow::Result<Vec<_>>>()?;
+        let addresses: Vec<EntryAddresses> = (0..ENTRIES).map(EntryAddresses::next).collect();
         let roster: Vec<String> = addresses.iter().map(EntryAddresses::member).collect();
         let options = EntryOptions {
             program: entry::program()?,
--- a/crates/load/src/requests/cluster.rs
+++ b/crates/load/src/requests/cluster.rs
@@ -58,9 +58,7 @@
         let directory = tempfile::tempdir()?;
         let key_file = directory.path().join("key");
         std::fs::write(&key_file, KEY)?;
-        let addresses: Vec<EntryAddresses> = (0..entries)
-            .map(EntryAddresses::free)
-            .collect::<anyhow::Result<_>>()?;
+        let addresses: Vec<EntryAddresses> = (0..entries).map(EntryAddresses::next).collect();
         let roster: Vec<String> = addresses.iter().map(EntryAddresses::member).collect();
         let options = EntryOptions {
             program: entry::program()?,
--- a/crates/load/src/requests/entry.rs
+++ b/crates/load/src/requests/entry.rs
@@ -1,7 +1,6 @@
 //! One entry process.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -16,8 +15,10 @@
 use anyhow::Context;
 use attohttpc::ProxySettings;
 
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 12_000;
+use crate::loopback;
+
+/// Above the ports of the control group and its relays.
+const FIRST_PORT: u16 = 7_400;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
@@ -40,17 +41,17 @@
 }
 
 impl EntryAddresses {
-    /// Free addresses for entry `index`.
-    pub fn free(index: usize) -> anyhow::Result<EntryAddresses> {
-        Ok(EntryAddresses {
+    /// New addresses for entry `index`.
+    pub fn next(index: usize) -> EntryAddresses {
+        EntryAddresses {
             name: format!("entry{index}"),
             failure_domain: ["a", "b", "c"][index % 3],
-            inner: free_address()?,
-            callers: free_address()?,
-            platform: free_address()?,
-            operators: free_address()?,
-            admin: free_address()?,
-        })
+            inner: next_address(),
+            callers: next_address(),
+            platform: next_address(),
+            operators: next_address(),
+            admin: next_address(),
+        }
     }
 
     /// The form in the roster.
@@ -70,17 +71,10 @@
 
 /// A free address; its port is none that the system gives out for outgoing connections, so that it
 /// stays free until the entry binds it.
-fn free_address() -> anyhow::Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() * 61 % u32::from(PORTS)) as u16;
-    for _ in 0..PORTS {
-        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    anyhow::bail!("no free port")
+/// An address of this run that no other process of it has.
+fn next_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loopback::address(NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 /// What a process is started with.
