--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -13,6 +13,8 @@
 use sapphirepost_protocol::config::WatchConfig;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::queue::QueueCall;
+use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_protocol::worker::WorkerSyncReply;
 
 /// A call that was handed to the leader's decisions.
@@ -31,6 +33,7 @@
 pub(crate) enum Reading {
     Operator(Box<OperatorRequest>, Responder<OperatorReply>),
     Config(WatchConfig, Responder<ConfigReply>),
+    Queue(Box<QueueCall>, Responder<QueueReply>),
 }
 
 /// A membership change that waits for its commit.
@@ -145,6 +148,7 @@
         match self {
             Reading::Operator(_, done) => done.send(Err(error)),
             Reading::Config(_, done) => done.send(Err(error)),
+            Reading::Queue(_, done) => done.send(Err(error)),
         }
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -21,6 +21,7 @@
 use sapphirepost_process::Readiness;
 use sapphirepost_process::RpcError;
 use sapphirepost_state::Command;
+use sapphirepost_state::Request;
 use sapphirepost_state::State;
 use sapphirepost_types::Clock;
 use sapphirepost_types::Millis;
@@ -34,6 +35,7 @@
 use crate::led::LedState;
 use crate::metrics::CoreMetrics;
 use crate::peers::Peers;
+use crate::queues::Queues;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::Job;
 
@@ -73,6 +75,7 @@
     pub(crate) cluster_metrics: ClusterMetrics,
     pub(crate) leading: Leading,
     pub(crate) led: LedState,
+    pub(crate) queues: Queues,
     /// When a graceful stop no longer waits.
     pub(crate) stop_by: Option<Millis>,
 }
@@ -123,6 +126,8 @@
             Event::WorkerSync(sync, done) => self.worker_sync(now, *sync, done),
             Event::Claims(batch, done) => self.claims(now, batch, done),
             Event::WatchConfig(watch, done) => self.watch_config(now, watch, done),
+            Event::Queue(call, done) => self.queue_call(now, *call, done),
+            Event::OrderAnswered(order, result) => self.order_answered(now, &order, result),
             Event::Dump(reply) => reply(self.dump()),
             Event::Persisted(upto, messages) => {
                 self.node.persisted(now, upto);
@@ -145,6 +150,8 @@
         loop {
             self.flush();
             self.propose_backlog();
+            self.tick_queues();
+            self.propose_queues();
             let ready = self.node.ready();
             if ready.is_empty() {
                 break;
@@ -213,6 +220,9 @@
                 let outcome = self.state.apply(entry.index, &command);
                 let (now, clock_unix_ms) = (self.clock.now(), self.state.clock_unix_ms());
                 self.cluster_clock.applied(now, entry.index, clock_unix_ms);
+                if let Request::Queues(commands) = &command.request {
+                    self.queues_applied(entry.index, commands);
+                }
                 self.decide(|leader, ctx, out| {
                     leader.applied(ctx, entry.index, &command, &outcome, out);
                 });
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -14,8 +14,13 @@
 use sapphirepost_protocol::consensus::Step;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::queue::QueueCall;
+use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_protocol::worker::WorkerSync;
 use sapphirepost_protocol::worker::WorkerSyncReply;
+use sapphirepost_queues::scheduler::Order;
+use sapphirepost_queues::scheduler::OrderError;
+use sapphirepost_queues::scheduler::OrderReply;
 
 /// Room for calls; more are refused as busy.
 const CALLS_MAX: usize = 8_192;
@@ -34,6 +39,10 @@
     Claims(ClaimBatch, Responder<ClaimReply>),
     /// An entry asks for a newer configuration.
     WatchConfig(WatchConfig, Responder<ConfigReply>),
+    /// A call about queues.
+    Queue(Box<QueueCall>, Responder<QueueReply>),
+    /// The answer to an order to a worker.
+    OrderAnswered(Box<Order>, Result<OrderReply, OrderError>),
     /// Somebody wants to see the state.
     Dump(Box<dyn FnOnce(Value) + Send>),
     /// Records are synced; the messages may be sent now.
--- a/crates/control/src/led.rs
+++ b/crates/control/src/led.rs
@@ -63,6 +63,7 @@
             self.led.output = Output::default();
             self.led.backlog.clear();
             self.led.early.clear();
+            self.queues.stop_leading();
             let error = self.not_leading();
             self.calls.abandon(&error);
         }
@@ -113,6 +114,7 @@
             measured: Millis::ZERO,
         });
         log::info!(term; "leading");
+        self.start_queues(ticked, term, unix_ms);
         for token in std::mem::take(&mut self.led.early) {
             self.confirmed(token);
         }
--- a/crates/control/src/methods.rs
+++ b/crates/control/src/methods.rs
@@ -12,6 +12,7 @@
 use sapphirepost_protocol::consensus::Step;
 use sapphirepost_protocol::method;
 use sapphirepost_protocol::operator::OperatorRequest;
+use sapphirepost_protocol::queue::QueueCall;
 use sapphirepost_protocol::worker::WorkerSync;
 
 use crate::event::Event;
@@ -45,6 +46,10 @@
         hand_over(&events, Event::WatchConfig(watch, done));
     })?;
     let events = ring.clone();
+    methods.forward(method::QUEUE, move |call: QueueCall, done| {
+        hand_over(&events, Event::Queue(Box::new(call), done));
+    })?;
+    let events = ring.clone();
     methods.forward(method::DUMP, move |_: Value, done: Responder<Value>| {
         let reply = Box::new(move |dump| done.send(Ok(dump)));
         hand_over(&events, Event::Dump(reply));
@@ -52,7 +57,7 @@
     Ok(methods)
 }
 
-fn hand_over(events: &EventRing, event: Event) {
+pub(crate) fn hand_over(events: &EventRing, event: Event) {
     let Err(refused) = events.call(event) else {
         return;
     };
@@ -61,6 +66,7 @@
         Event::WorkerSync(_, done) => done.send(Err(RpcError::Busy)),
         Event::Claims(_, done) => done.send(Err(RpcError::Busy)),
         Event::WatchConfig(_, done) => done.send(Err(RpcError::Busy)),
+        Event::Queue(_, done) => done.send(Err(RpcError::Busy)),
         _ => {}
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -38,7 +38,7 @@
 /// The connections to the other members.
 pub(crate) struct Peers {
     runtime: Handle,
-    key: SharedKey,
+    key: Option<SharedKey>,
     member: MemberId,
     /// Where the others reach this member.
     own_address: String,
@@ -50,7 +50,7 @@
 impl Peers {
     pub(crate) fn new(
         runtime: Handle,
-        key: SharedKey,
+        key: Option<SharedKey>,
         member: MemberId,
         own_address: String,
     ) -> Peers {
@@ -123,7 +123,7 @@
         let (runtime, key) = (&self.runtime, &self.key);
         self.links.entry(member).or_insert_with(|| {
             let (queue, steps) = flume::bounded(QUEUE_MAX);
-            let mut config = RpcClientConfig::new(address.clone(), Some(key.clone()));
+            let mut config = RpcClientConfig::new(address.clone(), key.clone());
             config.connect_timeout = CONNECT_TIMEOUT;
             config.backoff_max = BACKOFF_MAX;
             let client = RpcClient::new(runtime.clone(), config);
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -46,7 +46,7 @@
         self.start_read(now, token);
     }
 
-    fn start_read(&mut self, now: Millis, token: u64) {
+    pub(crate) fn start_read(&mut self, now: Millis, token: u64) {
         let Err(error) = self.node.read_index(now, token) else {
             return;
         };
@@ -66,6 +66,7 @@
                 let token = self.calls.wait(Waiting::Config(done));
                 self.decide(|leader, ctx, out| leader.watch_config(ctx, watch, token, out));
             }
+            Some(Reading::Queue(call, done)) => self.confirmed_queue_call(*call, done),
             None => {}
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -10,6 +10,7 @@
 use sapphirepost_process::settings::Number;
 use sapphirepost_process::settings::Reader;
 use sapphirepost_process::settings::SettingsErrors;
+use sapphirepost_types::MemberId;
 
 use crate::founders::Founder;
 use crate::founders::Founders;
@@ -97,9 +98,11 @@
     /// Where the admin listener binds.
     pub admin_address: SocketAddr,
     /// The key of the inner protocol.
-    pub inner_key: SharedKey,
+    pub inner_key: Option<SharedKey>,
     /// The first voters.
     pub founders: Founders,
+    /// The identity that a new data directory is given; drawn if it is `None`.
+    pub new_member: Option<MemberId>,
     /// The shortest election timeout.
     pub election_timeout_ms: u64,
     /// Time between heartbeats.
@@ -155,8 +158,9 @@
                 inner_address,
                 advertise_address: advertise_address.unwrap_or(inner_address),
                 admin_address: admin_address?,
-                inner_key: inner_key?,
+                inner_key: Some(inner_key?),
                 founders: Founders(founders),
+                new_member: None,
                 election_timeout_ms,
                 heartbeat_ms,
                 lease_ms,
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -9,7 +9,10 @@
 use sapphirepost_consensus::Config;
 use sapphirepost_consensus::Node;
 use sapphirepost_consensus::Restored;
+use tokio::runtime::Handle;
+
 use sapphirepost_process::Readiness;
+use sapphirepost_process::RpcError;
 use sapphirepost_process::SystemClock;
 use sapphirepost_process::admin::AdminParts;
 use sapphirepost_process::admin::AdminServer;
@@ -17,10 +20,13 @@
 use sapphirepost_process::admin::DumpSource;
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_process::rpc;
+use sapphirepost_process::rpc::Responder;
 use sapphirepost_process::rpc::RpcServer;
 use sapphirepost_process::rpc::RpcServerConfig;
 use sapphirepost_process::shutdown;
 use sapphirepost_process::shutdown::Shutdown;
+use sapphirepost_protocol::queue::QueueCall;
+use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_state::State;
 use sapphirepost_storage::DiskOptions;
 use sapphirepost_storage::DiskStore;
@@ -41,6 +47,8 @@
 use crate::methods;
 use crate::metrics::CoreMetrics;
 use crate::peers::Peers;
+use crate::queues::QueueParts;
+use crate::queues::Queues;
 use crate::settings::Settings;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageThread;
@@ -59,6 +67,45 @@
 
 /// Runs the process until it is asked to stop.
 pub fn run(settings: Settings) -> anyhow::Result<()> {
+    run_embedded(settings, |_| Ok(None))
+}
+
+/// What a program around the process is given.
+pub struct Embedding {
+    /// The runtime of the network threads.
+    pub runtime: Handle,
+    /// The identity of this member.
+    pub member: MemberId,
+    /// The control process itself.
+    pub local: LocalControl,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// Whether it is ready.
+    pub readiness: Readiness,
+}
+
+/// Calls the control process of this program.
+#[derive(Clone)]
+pub struct LocalControl {
+    ring: EventRing,
+}
+
+impl LocalControl {
+    /// Calls the queues; only a leader answers.
+    pub async fn call(&self, call: QueueCall) -> Result<QueueReply, RpcError> {
+        let (done, answer) = Responder::pair();
+        methods::hand_over(&self.ring, Event::Queue(Box::new(call), done));
+        let dropped = |_| Err(RpcError::OutcomeUnknown("the call was dropped".to_owned()));
+        answer.await.unwrap_or_else(dropped)
+    }
+}
+
+/// Runs the process inside another program, which may add the calls of workers. `embed` is called
+/// before the process takes part in the group.
+pub fn run_embedded(
+    settings: Settings,
+    embed: impl FnOnce(&Embedding) -> anyhow::Result<Option<QueueParts>>,
+) -> anyhow::Result<()> {
     let mut store = open(&settings)?;
     let member = store.member();
     let restored = restore_or_found(&mut store, &settings.founders)?;
@@ -71,7 +118,7 @@
     let storage = StorageThread::start(Box::new(store), ring.clone(), core_metrics.clone())?;
 
     let server_config =
-        RpcServerConfig::new(settings.inner_address, Some(settings.inner_key.clone()));
+        RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
     let server = RpcServer::start(runtime.handle(), server_config, methods::methods(&ring)?)?;
     let readiness = Readiness::new();
     readiness.block("consensus", "no leader is known");
@@ -81,6 +128,14 @@
         metrics,
         dump,
     };
+    let embedding = Embedding {
+        runtime: runtime.handle().clone(),
+        member,
+        local: LocalControl { ring: ring.clone() },
+        metrics: parts.metrics.clone(),
+        readiness: readiness.clone(),
+    };
+    let queue_parts = embed(&embedding)?;
     let admin = AdminServer::start(settings.admin_address, parts)?;
     let signals = ring.clone();
     shutdown::on_shutdown(move |kind| stop(kind, &signals)).context("cannot handle signals")?;
@@ -100,6 +155,7 @@
         &storage,
         readiness,
         (core_metrics, cluster_metrics, clock_metrics),
+        Queues::new(queue_parts, ring.clone()),
     )?;
     let result = core.run(&events);
     if result.is_ok() {
@@ -131,6 +187,7 @@
 fn open(settings: &Settings) -> anyhow::Result<DiskStore> {
     let options = DiskOptions {
         segment_bytes: settings.segment_bytes,
+        new_member: settings.new_member,
     };
     DiskStore::open(&settings.data_dir, options).context("cannot open the data directory")
 }
@@ -163,6 +220,7 @@
     storage: &StorageThread,
     readiness: Readiness,
     (metrics, cluster_metrics, clock_metrics): (CoreMetrics, ClusterMetrics, ClockMetrics),
+    queues: Queues,
 ) -> anyhow::Result<Core> {
     let clock = Arc::new(SystemClock::new());
     let (state, applied) = match &restored.snapshot {
@@ -196,6 +254,7 @@
             election_timeout_ms: settings.election_timeout_ms,
         },
         led: LedState::default(),
+        queues,
         stop_by: None,
     })
 }
--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -105,6 +105,20 @@
         }
     }
 
+    /// Adds processes that a call may go to.
+    pub fn learn(&self, addresses: &[String]) {
+        let mut targets = self.inner.lock();
+        for address in addresses {
+            self.inner.position(&mut targets, address);
+        }
+    }
+
+    /// Sends further calls to the process at `address` first.
+    pub fn prefer(&self, address: &str) {
+        let mut targets = self.inner.lock();
+        targets.leader = self.inner.position(&mut targets, address);
+    }
+
     /// The runtime that the calls run on.
     pub fn runtime(&self) -> &Handle {
         &self.inner.runtime
--- a/crates/leader/src/leader.rs
+++ b/crates/leader/src/leader.rs
@@ -148,6 +148,8 @@
                 self.expiry_applied(*worker, &outcome.verdict);
             }
             Request::Claims(batch) => self.claims_applied(batch, &outcome.verdict, out),
+            // The scheduler of the queues follows these.
+            Request::Queues(_) => {}
             Request::Tick | Request::NoteEntry { .. } => {}
         }
     }
--- a/crates/process/src/clock.rs
+++ b/crates/process/src/clock.rs
@@ -1,23 +1,27 @@
 //! The clock of a running process.
 
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use sapphirepost_types::Clock;
 use sapphirepost_types::Millis;
 
 /// Monotonic time since the clock was created, and the wall clock of the operating system.
+///
+/// The monotonic time goes on while the VM is suspended. A clock that stood still then would let
+/// a leader that was suspended believe that its quorum had answered just now.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    origin: Instant,
+    origin_ms: u64,
 }
 
 impl SystemClock {
     /// A clock whose monotonic time starts at zero now.
     pub fn new() -> SystemClock {
         SystemClock {
-            origin: Instant::now(),
+            origin_ms: boot_ms(),
         }
     }
 }
@@ -30,7 +34,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        Millis(self.origin.elapsed().as_millis() as u64)
+        Millis(boot_ms().saturating_sub(self.origin_ms))
     }
 
     fn unix_ms(&self) -> u64 {
@@ -39,3 +43,9 @@
             .map_or(0, |since| since.as_millis() as u64)
     }
 }
+
+/// Time since the VM was started, with the time in which it was suspended.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -7,6 +7,10 @@
 use std::fmt::Write;
 use std::io;
 use std::str::FromStr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use log::LevelFilter;
@@ -87,6 +91,89 @@
     dispatch.chain(io::stderr()).apply()
 }
 
+/// Starts logging to standard output through a bounded ring.
+///
+/// A line for which the ring or the volume limit has no room is left out and counted; the count
+/// follows in a line of its own. Logging never waits for the reader of the output.
+pub fn init_bounded(levels: &LogLevels) -> Result<(), log::SetLoggerError> {
+    let (ring, lines) = flume::bounded(RING_LINES);
+    let writer = move || write_lines(&lines, &mut io::stdout().lock());
+    let started = thread::Builder::new().name("log".to_owned()).spawn(writer);
+    if let Err(error) = started {
+        eprintln!("cannot start the log thread: {error}");
+    }
+    let limit = Mutex::new(VolumeLimit::default());
+    let mut dispatch = fern::Dispatch::new()
+        .format(|out, message, record| {
+            let line = format_line(SystemTime::now(), message, record);
+            out.finish(format_args!("{line}"));
+        })
+        .level(levels.default)
+        .level_for("jsonrpsee", levels.default.min(LevelFilter::Warn));
+    for (module, level) in &levels.modules {
+        dispatch = dispatch.level_for(module.clone(), *level);
+    }
+    let output = fern::Output::call(move |record| {
+        let admitted = limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .admit(Instant::now());
+        let Some(left_out) = admitted else {
+            return;
+        };
+        if left_out > 0 {
+            let _ = ring.try_send(format!("log lines left out: {left_out}\n"));
+        }
+        let _ = ring.try_send(format!("{}\n", record.args()));
+    });
+    dispatch.chain(output).apply()
+}
+
+/// Lines that wait for the writer.
+const RING_LINES: usize = 4_096;
+/// Lines in a second, over which further ones are left out.
+const LINES_PER_SECOND_MAX: u32 = 1_000;
+
+/// Limits the lines of each second.
+#[derive(Debug, Default)]
+struct VolumeLimit {
+    second: Option<Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+impl VolumeLimit {
+    /// Whether a line may be written now; if so, how many were left out before it.
+    fn admit(&mut self, now: Instant) -> Option<u64> {
+        let is_new = self
+            .second
+            .is_none_or(|second| now.duration_since(second).as_secs() >= 1);
+        if is_new {
+            self.second = Some(now);
+            self.lines = 0;
+        }
+        if self.lines >= LINES_PER_SECOND_MAX {
+            self.left_out += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
+/// Writes the lines that wait together.
+fn write_lines(lines: &flume::Receiver<String>, output: &mut impl io::Write) {
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        for line in lines.try_iter() {
+            text.push_str(&line);
+        }
+        // Nobody can be told that the output is closed.
+        let _ = output.write_all(text.as_bytes());
+        let _ = output.flush();
+    }
+}
+
 /// The text of one event without the line end.
 pub fn format_line(at: SystemTime, message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut line = Line(String::with_capacity(160));
--- a/crates/process/src/rpc/server.rs
+++ b/crates/process/src/rpc/server.rs
@@ -39,6 +39,12 @@
 pub struct Responder<R>(oneshot::Sender<Result<R, RpcError>>);
 
 impl<R> Responder<R> {
+    /// A place for an answer, and where the answer arrives.
+    pub fn pair() -> (Responder<R>, oneshot::Receiver<Result<R, RpcError>>) {
+        let (sender, receiver) = oneshot::channel();
+        (Responder(sender), receiver)
+    }
+
     /// Answers the call; an answer to a caller that has gone is dropped.
     pub fn send(self, answer: Result<R, RpcError>) {
         let _ = self.0.send(answer);
--- a/crates/process/src/shutdown.rs
+++ b/crates/process/src/shutdown.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::thread;
 
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -33,6 +34,19 @@
     Ok(())
 }
 
+/// Installs a handler that calls `on_reload` on a thread of its own for each SIGHUP.
+pub fn on_reload(on_reload: impl Fn() + Send + 'static) -> io::Result<()> {
+    let mut signals = Signals::new([SIGHUP])?;
+    thread::Builder::new()
+        .name("reload".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                on_reload();
+            }
+        })?;
+    Ok(())
+}
+
 /// Installs the handlers and delivers each signal to a ring.
 pub fn shutdown_ring() -> io::Result<flume::Receiver<Shutdown>> {
     let (sender, receiver) = flume::bounded(2);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod method;
 pub mod operator;
 pub mod operator_http;
+pub mod queue;
 pub mod worker;
--- a/crates/protocol/src/method.rs
+++ b/crates/protocol/src/method.rs
@@ -14,3 +14,5 @@
 pub const GOSSIP: &str = "gossip";
 /// The state of a process.
 pub const DUMP: &str = "dump";
+/// A call about queues, called workers or permits, to the leader.
+pub const QUEUE: &str = "queue";
--- /dev/null
+++ b/crates/queues/src/ids.rs
@@ -0,0 +1,100 @@
+//! Identifiers of jobs, steps and tasks. Their `Display` forms are parsed back by `FromStr`.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Length of a job key in hexadecimal digits.
+const JOB_KEY_DIGITS: usize = 16;
+
+/// A text that is no identifier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("expected {0}")]
+pub struct ParseKeyError(&'static str);
+
+/// The caller's ID of a job: 16 lower-case hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobKey(pub u64);
+
+impl fmt::Display for JobKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobKey {
+    type Err = ParseKeyError;
+
+    fn from_str(text: &str) -> Result<JobKey, ParseKeyError> {
+        let error = ParseKeyError("16 lower-case hexadecimal digits");
+        let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != JOB_KEY_DIGITS || !text.bytes().all(is_digit) {
+            return Err(error);
+        }
+        u64::from_str_radix(text, 16).map(JobKey).map_err(|_| error)
+    }
+}
+
+/// One step of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobKey,
+    /// The position of the step in the job.
+    pub step: u16,
+}
+
+impl StepKey {
+    /// The task at `index` of the step.
+    pub fn task(self, index: u32) -> TaskKey {
+        TaskKey { step: self, index }
+    }
+}
+
+/// The occurrence of a job that runs once.
+const ONLY_OCCURRENCE: u32 = 0;
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{ONLY_OCCURRENCE}.{}", self.job, self.step)
+    }
+}
+
+/// One task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskKey {
+    /// The step.
+    pub step: StepKey,
+    /// The position of the task in the step.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskKey {
+    type Err = ParseKeyError;
+
+    fn from_str(text: &str) -> Result<TaskKey, ParseKeyError> {
+        let error = ParseKeyError("<job>.<occurrence>.<step>.<index>");
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or(error);
+        let job = next()?.parse()?;
+        let occurrence: u32 = next()?.parse().map_err(|_| error)?;
+        let step = next()?.parse().map_err(|_| error)?;
+        let index = next()?.parse().map_err(|_| error)?;
+        if occurrence != ONLY_OCCURRENCE || parts.next().is_some() {
+            return Err(error);
+        }
+        Ok(StepKey { job, step }.task(index))
+    }
+}
--- /dev/null
+++ b/crates/queues/src/scheduler/looks.rs
@@ -0,0 +1,239 @@
+//! Looks at workers: which ends are applied, when to look next, and what a look shows.
+//!
+//! A look is held open by the worker until a run ends, so it reports ends at once and renews the
+//! lease meanwhile. While ends are being committed no look is sent: the worker would answer at
+//! once with the same ends.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Millis;
+
+use crate::command::QueueCommand;
+use crate::command::RunEnd;
+use crate::ids::TaskKey;
+use crate::scheduler::Scheduler;
+use crate::scheduler::orders::LookReply;
+use crate::scheduler::orders::Order;
+use crate::scheduler::orders::OrderKind;
+use crate::scheduler::workers::RunStage;
+use crate::scheduler::workers::WorkerIndex;
+use crate::state::QueueState;
+
+/// How long a worker with runs holds a look open.
+const WAIT_BUSY_MS: u64 = 500;
+/// How long a worker without runs holds a look open.
+const WAIT_IDLE_MS: u64 = 1_500;
+/// The pause after a look that could not be sent.
+const RETRY_MS: u64 = 150;
+/// A worker that is silent for this long, runs nothing and sends no reports is forgotten.
+const FORGET_MS: u64 = 15_000;
+
+/// The looks at one worker.
+#[derive(Debug)]
+pub struct Looks {
+    /// Whether a look is under way.
+    is_under_way: bool,
+    /// When the next look is due.
+    due: Millis,
+    /// Ends up to this number are applied, so the worker may forget them.
+    applied_ends: u64,
+    /// Ends up to this number are proposed.
+    proposed_ends: u64,
+    /// Whether the end of the lease is proposed.
+    is_expiry_proposed: bool,
+}
+
+impl Looks {
+    /// No look yet.
+    pub fn new(applied_ends: u64, now: Millis) -> Looks {
+        Looks {
+            is_under_way: false,
+            due: now,
+            applied_ends,
+            proposed_ends: applied_ends,
+            is_expiry_proposed: false,
+        }
+    }
+
+    /// Whether ends are being committed.
+    fn is_committing(&self) -> bool {
+        self.proposed_ends > self.applied_ends
+    }
+}
+
+impl Scheduler {
+    /// Sends looks that are due, and ends what is certainly over on silent workers.
+    pub(crate) fn tick_contacts(&mut self, _state: &QueueState, now: Millis) {
+        for index in self.workers.indexes() {
+            self.look_if_due(index, now);
+            self.expire_if_over(index, now);
+        }
+    }
+
+    fn look_if_due(&mut self, index: WorkerIndex, now: Millis) {
+        let (term, lease_ms) = (self.config.term, self.config.lease_ms);
+        let Some(worker) = self.workers.get_mut(index) else {
+            return;
+        };
+        let looks = &mut worker.looks;
+        if looks.is_under_way || looks.is_committing() || now < looks.due {
+            return;
+        }
+        looks.is_under_way = true;
+        let has_answered = worker.contact.is_reachable();
+        let wait_ms = match (has_answered, worker.runs.is_empty()) {
+            (false, _) => 0,
+            (true, true) => WAIT_IDLE_MS,
+            (true, false) => WAIT_BUSY_MS,
+        };
+        let kind = OrderKind::Look {
+            until_ms: worker.contact.lease_until_ms(now, lease_ms),
+            acknowledged: worker.looks.applied_ends,
+            wait_ms,
+        };
+        let order = Order::new(&worker.record, term, now, kind);
+        self.actions.push(crate::Action::Order(order));
+    }
+
+    fn expire_if_over(&mut self, index: WorkerIndex, now: Millis) {
+        let (lease_ms, hand_over_ms) = (self.config.lease_ms, self.config.hand_over_ms);
+        let Some(worker) = self.workers.get_mut(index) else {
+            return;
+        };
+        if worker.contact.is_reachable() || worker.looks.is_expiry_proposed {
+            return;
+        }
+        if !worker.contact.is_lease_over(now, lease_ms, hand_over_ms) {
+            return;
+        }
+        let id = worker.record.id.clone();
+        let silent_ms = worker.contact.silent_ms(now);
+        if worker.runs.is_empty() {
+            let unreported_ms = now.since(worker.reported);
+            if silent_ms > FORGET_MS && unreported_ms > FORGET_MS {
+                worker.looks.is_expiry_proposed = true;
+                let checkpoints = Vec::new();
+                self.propose(QueueCommand::RemoveWorker {
+                    worker: id,
+                    checkpoints,
+                });
+            }
+            return;
+        }
+        if worker.runs.values().any(|run| run.stage == RunStage::Proposed) {
+            return;
+        }
+        worker.looks.is_expiry_proposed = true;
+        let checkpoints = worker.checkpoints();
+        self.propose(QueueCommand::Expire {
+            worker: id,
+            checkpoints,
+        });
+    }
+
+    /// A look had no answer.
+    pub(crate) fn look_missed(&mut self, index: WorkerIndex, sent: Millis, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(index) {
+            worker.looks.is_under_way = false;
+            worker.looks.due = if worker.contact.is_reachable() {
+                now
+            } else {
+                now + RETRY_MS
+            };
+            worker.contact.missed(sent);
+        }
+    }
+
+    /// A look was answered.
+    pub(crate) fn looked(
+        &mut self,
+        index: WorkerIndex,
+        sent: Millis,
+        reply: LookReply,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(index) else {
+            return;
+        };
+        worker.contact.answered(reply.clock_ms, now);
+        worker.looks.is_under_way = false;
+        worker.looks.due = now;
+        worker.looks.is_expiry_proposed = false;
+        let id = worker.record.id.clone();
+        let applied = worker.looks.applied_ends;
+        let new_ends = reply.ends.iter().filter(|(number, _)| *number > applied);
+        let ends: Vec<RunEnd> = new_ends.map(|(_, end)| end.clone()).collect();
+        let upto = reply.ends.iter().map(|(number, _)| *number).max();
+        self.note_rows(index, sent, &reply, &ends, now);
+        if let Some(upto) = upto.filter(|upto| *upto > applied) {
+            if let Some(worker) = self.workers.get_mut(index) {
+                worker.looks.proposed_ends = upto;
+            }
+            self.propose(QueueCommand::End {
+                worker: id,
+                upto,
+                ends,
+            });
+        }
+        self.is_placement_due = true;
+    }
+
+    /// Compares what runs on a worker with what should.
+    fn note_rows(
+        &mut self,
+        index: WorkerIndex,
+        sent: Millis,
+        reply: &LookReply,
+        ends: &[RunEnd],
+        now: Millis,
+    ) {
+        let stop_ms = self.config.stop_ms;
+        let mut never_began: Vec<(TaskKey, u32)> = Vec::new();
+        let mut strays: Vec<(TaskKey, u32)> = Vec::new();
+        let Some(worker) = self.workers.get_mut(index) else {
+            return;
+        };
+        for row in &reply.running {
+            match worker.runs.get_mut(&row.task) {
+                Some(run) if run.run == row.run => run.note(row, now),
+                _ => strays.push((row.task, row.run)),
+            }
+        }
+        let is_listed = |task: &TaskKey, run: u32| {
+            reply.running.iter().any(|row| row.task == *task && row.run == run)
+                || ends.iter().any(|end| end.task == *task && end.run == run)
+        };
+        for (task, run) in &worker.runs {
+            let is_certain = match run.stage {
+                // The look carried this leader's term, so orders of earlier ones have no effect.
+                RunStage::Unknown => true,
+                RunStage::StopAnswered { at } => sent > at + stop_ms,
+                _ => false,
+            };
+            if is_certain && !is_listed(task, run.run) {
+                never_began.push((*task, run.run));
+            }
+        }
+        let id: Arc<str> = worker.record.id.clone();
+        never_began.sort_unstable();
+        for (task, run) in never_began {
+            self.propose(QueueCommand::Release {
+                worker: id.clone(),
+                task,
+                run,
+            });
+        }
+        for (task, run) in strays {
+            self.order_stop(index, task, run, now);
+        }
+    }
+
+    /// Ends were committed, so the next look acknowledges them.
+    pub(crate) fn ends_applied(&mut self, id: &str, upto: u64, now: Millis) {
+        if let Some(worker) = self.workers.by_id_mut(id) {
+            worker.looks.applied_ends = worker.looks.applied_ends.max(upto);
+            worker.looks.proposed_ends = worker.looks.proposed_ends.max(upto);
+            worker.looks.due = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/queues/src/scheduler/mod.rs
@@ -0,0 +1,277 @@
+//! The decisions of a leader: which task runs where, what workers are told, whom to ask.
+//!
+//! Inputs are the applied changes of the [`QueueState`], the answers of workers and of the
+//! placement policy, and the time. Outputs are [`Action`]s. Nothing here blocks or reads a clock,
+//! so a run can be replayed.
+
+mod admission;
+mod contact;
+mod drain;
+mod health;
+mod looks;
+mod order;
+mod orders;
+mod permits;
+mod place;
+mod reserve;
+mod steps;
+mod workers;
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use sapphirepost_types::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::QueueCommand;
+use crate::ids::JobKey;
+use crate::ids::StepKey;
+use crate::scheduler::permits::PermitDesk;
+use crate::scheduler::steps::LATE_FACTOR;
+use crate::scheduler::steps::StepView;
+use crate::scheduler::steps::objective_ms;
+use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::WorkerView;
+use crate::scheduler::workers::Workers;
+use crate::spec::SubmittedSpec;
+use crate::state::QueueChange;
+use crate::state::QueueState;
+use crate::table::Queue;
+use crate::worker::WorkerRecord;
+
+pub use crate::scheduler::admission::Admission;
+pub use crate::scheduler::contact::RATE_MIN;
+pub use crate::scheduler::orders::LookReply;
+pub use crate::scheduler::orders::Order;
+pub use crate::scheduler::orders::OrderError;
+pub use crate::scheduler::orders::OrderKind;
+pub use crate::scheduler::orders::OrderReply;
+pub use crate::scheduler::orders::RejectReason;
+pub use crate::scheduler::orders::RunningRow;
+pub use crate::scheduler::permits::PermitAnswer;
+pub use crate::scheduler::permits::PermitRequest;
+
+/// Parameters of a [`Scheduler`], the same on every member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SchedulerConfig {
+    /// The term of the leader, which fences orders of earlier leaders.
+    pub term: u64,
+    /// How long a worker may run tasks without hearing from a leader.
+    pub lease_ms: u64,
+    /// The longest time in which a worker carries out a stop.
+    pub stop_ms: u64,
+    /// How long the members of a gang wait for each other.
+    pub gang_ms: u64,
+    /// After this time a former leader no longer sends orders.
+    pub hand_over_ms: u64,
+}
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Propose a command.
+    Propose(QueueCommand),
+    /// Send an order to a worker.
+    Order(Order),
+    /// Give a question to a caller of the placement policy that waits for one.
+    Ask {
+        /// The caller.
+        caller: Arc<str>,
+        /// The question.
+        request: PermitRequest,
+    },
+}
+
+/// Counts of events since the last call of [`Scheduler::take_counts`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Runs given to workers.
+    pub starts: u64,
+    /// Orders without an answer.
+    pub unanswered: u64,
+    /// Starts that a worker rejected.
+    pub rejected: u64,
+    /// Questions to the placement policy.
+    pub asks: u64,
+}
+
+/// The volatile decisions of one leader.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) config: SchedulerConfig,
+    pub(crate) started: Millis,
+    pub(crate) workers: Workers,
+    pub(crate) steps: FxHashMap<StepKey, StepView>,
+    /// The number of steps of each live job.
+    pub(crate) job_steps: FxHashMap<JobKey, u16>,
+    pub(crate) desk: PermitDesk,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) counts: Counts,
+    /// Whether something changed that may let a task be placed.
+    pub(crate) is_placement_due: bool,
+    pub(crate) placed_at: Millis,
+}
+
+impl Scheduler {
+    /// The decisions over the state as applied by a new leader.
+    pub fn new(
+        config: SchedulerConfig,
+        state: &QueueState,
+        now: Millis,
+        unix_ms: u64,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler {
+            config,
+            started: now,
+            workers: Workers::default(),
+            steps: FxHashMap::default(),
+            job_steps: FxHashMap::default(),
+            desk: PermitDesk::default(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+            is_placement_due: true,
+            placed_at: now,
+        };
+        for worker in state.workers() {
+            scheduler.worker_changed(state, &worker.record.id, now);
+            scheduler.adopt_runs(state, worker, now);
+        }
+        for job in state.jobs().filter(|job| !job.phase.has_ended()) {
+            let age_ms = unix_ms.saturating_sub(job.accepted_unix_ms);
+            scheduler.add_job(state, job.key, now - age_ms, true);
+        }
+        scheduler.note_adopted();
+        scheduler
+    }
+
+    /// Follows the changes of one applied command.
+    pub fn applied(
+        &mut self,
+        state: &QueueState,
+        command: &QueueCommand,
+        changes: &[QueueChange],
+        now: Millis,
+    ) {
+        for change in changes {
+            self.follow(state, change, now);
+        }
+        match command {
+            QueueCommand::Start { step, placements } => {
+                self.undo_unapplied(state, *step, placements);
+            }
+            QueueCommand::End { worker, upto, .. } => self.ends_applied(worker, *upto, now),
+            _ => {}
+        }
+        self.is_placement_due |= !changes.is_empty();
+    }
+
+    fn follow(&mut self, state: &QueueState, change: &QueueChange, now: Millis) {
+        match change {
+            QueueChange::Table => self.table_changed(state),
+            QueueChange::Accepted(job) => self.add_job(state, *job, now, true),
+            QueueChange::Ended(job) => self.job_ended(*job, now),
+            QueueChange::Worker(id) => self.worker_changed(state, id, now),
+            QueueChange::WorkerGone(id) => self.workers.remove(id),
+            QueueChange::Started(step, placements) => {
+                self.send_starts(state, *step, placements, now);
+            }
+            QueueChange::RunOver(worker, task, run, kind) => {
+                self.run_over(worker, *task, *run, *kind, now);
+            }
+            QueueChange::StepChanged(step) => self.step_changed(state, *step),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, state: &QueueState, now: Millis) {
+        self.tick_contacts(state, now);
+        self.tick_runs(state, now);
+        self.tick_permits(now);
+        if self.is_placement_due || now.since(self.placed_at) >= PLACEMENT_INTERVAL_MS {
+            self.is_placement_due = false;
+            self.placed_at = now;
+            self.place(state, now);
+        }
+        self.dispatch_questions(now);
+    }
+
+    /// What is to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The counts since the last call.
+    pub fn take_counts(&mut self) -> Counts {
+        std::mem::take(&mut self.counts)
+    }
+
+    pub(crate) fn propose(&mut self, command: QueueCommand) {
+        self.actions.push(Action::Propose(command));
+    }
+
+    pub(crate) fn index(&self, id: &str) -> Option<WorkerIndex> {
+        self.workers.index(id)
+    }
+}
+
+/// Placement is tried again after this time, for what only time changes.
+const PLACEMENT_INTERVAL_MS: u64 = 100;
+
+/// What a worker reports of itself, beside its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerReport {
+    /// Rises with each report of one life.
+    pub sequence: u64,
+    /// While it drains, the least time until it leaves.
+    pub remaining_ms: Option<u64>,
+}
+
+impl Scheduler {
+    /// A worker reported. Returns whether what it says of itself has to be committed.
+    pub fn reported(&mut self, record: &WorkerRecord, report: WorkerReport, now: Millis) -> bool {
+        let Some(worker) = self.workers.by_id_mut(&record.id) else {
+            return true;
+        };
+        worker.reported = now;
+        if report.sequence < worker.sequence {
+            return false;
+        }
+        worker.sequence = report.sequence;
+        worker.leaves_at = report.remaining_ms.map(|remaining_ms| now + remaining_ms);
+        worker.record != *record
+    }
+
+    pub(crate) fn worker_changed(&mut self, state: &QueueState, id: &str, now: Millis) {
+        let Some(known) = state.worker(id) else {
+            return;
+        };
+        match self.workers.by_id_mut(id) {
+            Some(worker) => worker.record = known.record.clone(),
+            None => {
+                let view = WorkerView::new(known.record.clone(), known.applied_ends, now);
+                self.workers.insert(view);
+            }
+        }
+    }
+}
+
+impl Scheduler {
+    /// What a new job of a queue would wait for.
+    pub fn admission(&self, queue: &Queue, spec: &SubmittedSpec) -> Admission {
+        let workers = self.workers.iter().map(|(_, worker)| worker);
+        let serving = workers.filter(|w| *w.record.service == *queue.service);
+        let capacity_millicores = serving.map(|w| w.record.capacity.millicores).sum();
+        let before = self.steps.values().filter(|view| {
+            view.queue.priority <= queue.priority && *view.queue.service == *queue.service
+        });
+        let backlog_core_ms = before.map(StepView::waiting_core_ms).sum();
+        Admission {
+            backlog_core_ms,
+            capacity_millicores,
+            useful_ms: LATE_FACTOR * objective_ms(queue, spec),
+            chain_ms: spec.chain_ms(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/queues/src/scheduler/orders.rs
@@ -0,0 +1,534 @@
+//! Orders to workers and their answers.
+//!
+//! An order without an answer may be carried out later. A start is therefore repeated under the
+//! same run, which the worker recognises, and given up only by a stop: once a stop is answered,
+//! the run cannot begin any more, and its room is free as soon as a later look does not show it.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Millis;
+
+use crate::command::Placement;
+use crate::command::QueueCommand;
+use crate::command::RunEnd;
+use crate::ids::JobKey;
+use crate::ids::StepKey;
+use crate::ids::TaskKey;
+use crate::scheduler::Action;
+use crate::scheduler::Scheduler;
+use crate::scheduler::workers::RunStage;
+use crate::scheduler::workers::RunView;
+use crate::scheduler::workers::WorkerIndex;
+use crate::state::QueueState;
+use crate::worker::EndKind;
+use crate::worker::Worker;
+use crate::worker::WorkerRecord;
+
+/// Starts of one run that may go unanswered before it is given up by a stop.
+const START_ATTEMPTS_MAX: u32 = 3;
+/// Time after which a stop is sent again.
+const STOP_RETRY_MS: u64 = 500;
+
+/// One order to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The life of the worker that is meant.
+    pub worker: Arc<str>,
+    /// Where it is called.
+    pub address: Arc<str>,
+    /// The term of the leader that gives the order.
+    pub term: u64,
+    /// When it was decided, on the leader's clock.
+    pub sent: Millis,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Renew the lease and report what runs and what has ended.
+    Look {
+        /// The end of the lease on the worker's clock.
+        until_ms: Option<u64>,
+        /// Ends up to this number may be forgotten.
+        acknowledged: u64,
+        /// How long the worker may wait for an end before it answers.
+        wait_ms: u64,
+    },
+    /// Start a run.
+    Start {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: u32,
+        /// What the task is given.
+        payload: Arc<str>,
+        /// The end of the lease on the worker's clock.
+        until_ms: u64,
+        /// Where it resumes.
+        checkpoint: Option<Arc<str>>,
+        /// The permit of the placement policy.
+        permit: Option<Arc<str>>,
+    },
+    /// Stop a run, and let no run up to it begin.
+    Stop {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: u32,
+    },
+}
+
+/// A running task that a worker reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningRow {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: u32,
+    /// The newest checkpoint, if there is one.
+    pub checkpoint: Option<Arc<str>>,
+    /// Progress in percent.
+    pub percent: u32,
+}
+
+/// The answer to a look.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LookReply {
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<RunningRow>,
+    /// What has ended, by number.
+    pub ends: Vec<(u64, RunEnd)>,
+}
+
+/// The answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// A look.
+    Looked(LookReply),
+    /// A start or a stop was taken.
+    Taken {
+        /// The worker's clock.
+        clock_ms: u64,
+    },
+}
+
+/// Why a worker rejects a start. Nothing was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// A leader of a higher term has given orders.
+    Fenced,
+    /// A run at least as high was stopped or has ended there.
+    Superseded,
+    /// The end of the lease is past.
+    LeaseOver,
+    /// It does not fit.
+    NoRoom,
+    /// The permit is missing, too old or of another step.
+    NoPermit,
+    /// The worker could not read the order.
+    Invalid,
+}
+
+/// Why an order has no effect, or an unknown one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderError {
+    /// It may be carried out, also later.
+    NoAnswer,
+    /// It did not leave this process.
+    NotSent,
+    /// The worker is not healthy and has done nothing.
+    Unhealthy,
+    /// Another life of a worker answers at the address.
+    OtherLife,
+    /// It was rejected.
+    Rejected(RejectReason),
+}
+
+impl Order {
+    pub(crate) fn new(record: &WorkerRecord, term: u64, sent: Millis, kind: OrderKind) -> Order {
+        Order {
+            worker: record.id.clone(),
+            address: record.address.clone(),
+            term,
+            sent,
+            kind,
+        }
+    }
+}
+
+impl RunView {
+    /// Takes what a look shows.
+    pub(crate) fn note(&mut self, row: &RunningRow, now: Millis) {
+        if matches!(self.stage, RunStage::Unknown | RunStage::Ordered { .. }) {
+            self.stage = RunStage::Running;
+        }
+        if row.checkpoint.is_some() {
+            self.checkpoint = row.checkpoint.clone();
+        }
+        if row.percent != self.progress_percent {
+            self.progress_percent = row.percent;
+            self.progressed = now;
+        }
+    }
+}
+
+impl Scheduler {
+    /// Takes over the runs that an earlier leader has given to a worker.
+    pub(crate) fn adopt_runs(&mut self, state: &QueueState, worker: &Worker, now: Millis) {
+        let Some(view) = self.workers.by_id_mut(&worker.record.id) else {
+            return;
+        };
+        for (task, held) in &worker.runs {
+            let job = state.job(task.step.job);
+            let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+            let run = RunView {
+                run: held.run,
+                resources: held.resources,
+                stage: RunStage::Unknown,
+                since: now,
+                expected_ms: step.map_or(0, |step| step.estimate_ms),
+                checkpoint: None,
+                progress_percent: 0,
+                progressed: now,
+            };
+            view.add_run(*task, run);
+        }
+    }
+
+    /// Sends the orders of a committed start.
+    pub(crate) fn send_starts(
+        &mut self,
+        state: &QueueState,
+        step: StepKey,
+        placements: &[Placement],
+        now: Millis,
+    ) {
+        for placement in placements {
+            let task = step.task(placement.index);
+            self.note_placed(step, placement);
+            if let Some(index) = self.index(&placement.worker) {
+                self.send_start(state, index, task, placement.run, now);
+            }
+        }
+    }
+
+    fn send_start(
+        &mut self,
+        state: &QueueState,
+        index: WorkerIndex,
+        task: TaskKey,
+        run: u32,
+        now: Millis,
+    ) {
+        let permit = self.permit(task.step, index);
+        let (term, lease_ms) = (self.config.term, self.config.lease_ms);
+        let Some(worker) = self.workers.get_mut(index) else {
+            return;
+        };
+        let Some(job) = state.job(task.step.job).filter(|job| !job.phase.has_ended()) else {
+            return self.give_up(index, task, run, now);
+        };
+        let Some(until_ms) = worker.contact.lease_until_ms(now, lease_ms) else {
+            return self.give_up(index, task, run, now);
+        };
+        let Some(view) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        let attempts = match view.stage {
+            RunStage::Ordered { attempts } => attempts + 1,
+            _ => 1,
+        };
+        view.stage = RunStage::Ordered { attempts };
+        let kind = OrderKind::Start {
+            task,
+            run,
+            payload: job.spec.payload.clone(),
+            until_ms,
+            checkpoint: gang_checkpoint(job, task),
+            permit,
+        };
+        let order = Order::new(&worker.record, term, now, kind);
+        self.counts.starts += u64::from(attempts == 1);
+        self.actions.push(Action::Order(order));
+    }
+
+    /// The answer to an order, or why there is none.
+    pub fn answered(
+        &mut self,
+        state: &QueueState,
+        order: &Order,
+        result: Result<OrderReply, OrderError>,
+        now: Millis,
+    ) {
+        if order.term != self.config.term {
+            return;
+        }
+        let Some(index) = self.index(&order.worker) else {
+            return;
+        };
+        match &result {
+            Ok(OrderReply::Taken { clock_ms }) => self.heard(index, *clock_ms, now),
+            Err(OrderError::OtherLife) => return self.life_over(index),
+            Err(OrderError::NoAnswer | OrderError::NotSent) => self.counts.unanswered += 1,
+            _ => {}
+        }
+        match (&order.kind, result) {
+            (OrderKind::Look { .. }, Ok(OrderReply::Looked(reply))) => {
+                self.looked(index, order.sent, reply, now);
+            }
+            (OrderKind::Look { .. }, _) => self.look_missed(index, order.sent, now),
+            (OrderKind::Start { task, run, .. }, result) => {
+                self.start_answered(state, index, (*task, *run), order.sent, result, now);
+            }
+            (OrderKind::Stop { task, run }, Ok(_)) => {
+                if let Some(view) = self.run_mut(index, *task, *run) {
+                    view.stage = RunStage::StopAnswered { at: now };
+                }
+            }
+            // It is sent again by the tick.
+            (OrderKind::Stop { .. }, Err(_)) => {}
+        }
+    }
+
+    fn heard(&mut self, index: WorkerIndex, clock_ms: u64, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(index) {
+            worker.contact.answered(clock_ms, now);
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        state: &QueueState,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        sent: Millis,
+        result: Result<OrderReply, OrderError>,
+        now: Millis,
+    ) {
+        let Some(view) = self.run_mut(index, task, run) else {
+            return;
+        };
+        let RunStage::Ordered { attempts } = view.stage else {
+            return;
+        };
+        match result {
+            Ok(_) => view.stage = RunStage::Running,
+            Err(OrderError::NoAnswer) => {
+                self.missed(index, sent);
+                let is_open = self.workers.get(index).is_some_and(|worker| {
+                    !worker.record.is_draining && attempts < START_ATTEMPTS_MAX
+                });
+                if is_open {
+                    self.send_start(state, index, task, run, now);
+                } else {
+                    self.give_up(index, task, run, now);
+                }
+            }
+            Err(OrderError::NotSent) => {
+                self.missed(index, sent);
+                // An earlier attempt may have left and be carried out later.
+                if attempts > 1 {
+                    self.give_up(index, task, run, now);
+                } else {
+                    self.release(index, task, run);
+                }
+            }
+            Err(OrderError::Rejected(reason)) => {
+                self.counts.rejected += 1;
+                self.start_rejected(index, (task, run), attempts, reason, now);
+            }
+            Err(OrderError::Unhealthy) => {
+                if let Some(worker) = self.workers.get_mut(index) {
+                    worker.health.pause(now);
+                }
+                self.not_started(index, (task, run), attempts, now);
+            }
+            Err(OrderError::OtherLife) => {}
+        }
+    }
+
+    fn start_rejected(
+        &mut self,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        attempts: u32,
+        reason: RejectReason,
+        now: Millis,
+    ) {
+        match reason {
+            // Another leader gives the orders; this one finds out by its quorum.
+            RejectReason::Fenced => return,
+            RejectReason::NoPermit => self.forget_permit(task.step, index),
+            _ => {}
+        }
+        self.not_started(index, (task, run), attempts, now);
+    }
+
+    /// The worker says that this order started nothing.
+    fn not_started(
+        &mut self,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        attempts: u32,
+        now: Millis,
+    ) {
+        if attempts > 1 {
+            // An earlier attempt may be carried out later, or has been.
+            return self.give_up(index, task, run, now);
+        }
+        self.release(index, task, run);
+    }
+
+    fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
+        if let Some(worker) = self.workers.get(index) {
+            let worker = worker.record.id.clone();
+            self.propose(QueueCommand::Release { worker, task, run });
+        }
+    }
+
+    pub(crate) fn missed(&mut self, index: WorkerIndex, sent: Millis) {
+        if let Some(worker) = self.workers.get_mut(index) {
+            worker.contact.missed(sent);
+        }
+    }
+
+    /// Stops a run, whether it is there or still to come.
+    pub(crate) fn give_up(&mut self, index: WorkerIndex, task: TaskKey, run: u32, now: Millis) {
+        if let Some(view) = self.run_mut(index, task, run) {
+            if matches!(view.stage, RunStage::StopAnswered { .. }) {
+                return;
+            }
+            view.stage = RunStage::Stopping { sent: now };
+        }
+        self.order_stop(index, task, run, now);
+    }
+
+    pub(crate) fn order_stop(&mut self, index: WorkerIndex, task: TaskKey, run: u32, now: Millis) {
+        let term = self.config.term;
+        if let Some(worker) = self.workers.get(index) {
+            let kind = OrderKind::Stop { task, run };
+            let order = Order::new(&worker.record, term, now, kind);
+            self.actions.push(Action::Order(order));
+        }
+    }
+
+    fn run_mut(&mut self, index: WorkerIndex, task: TaskKey, run: u32) -> Option<&mut RunView> {
+        let view = self.workers.get_mut(index)?.runs.get_mut(&task)?;
+        (view.run == run).then_some(view)
+    }
+
+    /// Another life answers at the worker's address, so this one is over.
+    pub(crate) fn life_over(&mut self, index: WorkerIndex) {
+        if let Some(worker) = self.workers.get(index) {
+            let id = worker.record.id.clone();
+            let checkpoints = worker.checkpoints();
+            self.propose(QueueCommand::RemoveWorker {
+                worker: id,
+                checkpoints,
+            });
+        }
+    }
+
+    /// A job ended: what still runs of it is stopped.
+    pub(crate) fn job_ended(&mut self, job: JobKey, now: Millis) {
+        for (task, run, index) in self.forget_job(job) {
+            let stage = self.run_mut(index, task, run).map(|view| view.stage);
+            match stage {
+                // The order is not sent, since the start is applied after the end of the job.
+                Some(RunStage::Proposed) | None => {}
+                Some(_) => self.give_up(index, task, run, now),
+            }
+        }
+    }
+
+    /// A run no longer takes room on a worker.
+    pub(crate) fn run_over(
+        &mut self,
+        id: &str,
+        task: TaskKey,
+        run: u32,
+        kind: Option<EndKind>,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.by_id_mut(id) else {
+            return;
+        };
+        let Some(view) = worker.remove_run(task, run) else {
+            return;
+        };
+        match kind {
+            Some(EndKind::Done) => {
+                worker
+                    .health
+                    .succeeded(now.since(view.since), view.expected_ms);
+            }
+            Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
+            _ => {}
+        }
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.placed.remove(&task.index);
+        }
+    }
+
+    /// Drops runs whose start was proposed but had no effect when it was applied.
+    pub(crate) fn undo_unapplied(
+        &mut self,
+        state: &QueueState,
+        step: StepKey,
+        placements: &[Placement],
+    ) {
+        for placement in placements {
+            let task = step.task(placement.index);
+            let held = state.worker(&placement.worker).and_then(|worker| worker.runs.get(&task));
+            if held.is_some_and(|held| held.run == placement.run) {
+                continue;
+            }
+            if let Some(worker) = self.workers.by_id_mut(&placement.worker) {
+                let is_proposed = worker
+                    .runs
+                    .get(&task)
+                    .is_some_and(|run| run.stage == RunStage::Proposed);
+                if is_proposed {
+                    worker.remove_run(task, placement.run);
+                }
+            }
+            if let Some(view) = self.steps.get_mut(&step) {
+                view.proposed.remove(&placement.index);
+            }
+        }
+        self.step_changed(state, step);
+    }
+
+    /// Repeats stops that were not answered, and acts on runs that make no progress.
+    pub(crate) fn tick_runs(&mut self, state: &QueueState, now: Millis) {
+        let mut stops = Vec::new();
+        for (index, worker) in self.workers.iter() {
+            for (task, run) in &worker.runs {
+                if let RunStage::Stopping { sent } = run.stage
+                    && now.since(sent) >= STOP_RETRY_MS
+                {
+                    stops.push((index, *task, run.run));
+                }
+            }
+        }
+        for (index, task, run) in stops {
+            self.give_up(index, task, run, now);
+        }
+        self.move_from_draining(state, now);
+        self.stop_stalled(state, now);
+    }
+}
+
+/// The checkpoint from which a task resumes; all members of a gang resume from the same one.
+fn gang_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
+    let position = usize::from(task.step.step);
+    let tasks = &job.steps[position].tasks;
+    if !job.spec.steps[position].is_gang {
+        return tasks[task.index as usize].checkpoint.clone();
+    }
+    tasks.iter().find_map(|member| member.checkpoint.clone())
+}
--- /dev/null
+++ b/crates/queues/src/scheduler/permits.rs
@@ -0,0 +1,332 @@
+//! Permits of the placement policy.
+//!
+//! The policy allows some workers to run a step and answers one question at a time for each
+//! caller, so the questions are spread over callers. Questions that take long are kept from
+//! taking all callers, since short jobs would wait behind them. What the policy has denied stays
+//! denied; what it has allowed needs a fresh permit at the start only.
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+use sapphirepost_types::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::StepKey;
+use crate::scheduler::Action;
+use crate::scheduler::Scheduler;
+use crate::scheduler::order::Rank;
+use crate::scheduler::workers::WorkerIndex;
+
+/// A permit is not used in the last part of its life, since commit and order take time.
+const PERMIT_MARGIN_MS: u64 = 350;
+/// A question that takes longer than this is long.
+const LONG_QUESTION_MS: u64 = 60;
+/// Callers that long questions leave free.
+const CALLERS_FOR_SHORT: usize = 3;
+/// Added to the expected time of a question before it is given to another caller.
+const QUESTION_SLACK_MS: u64 = 1_500;
+/// A caller that did not answer is not asked again for this long.
+const CALLER_PAUSE_MS: u64 = 1_000;
+/// A caller that does not wait for a question for this long is forgotten.
+const CALLER_FORGET_MS: u64 = 4_000;
+/// The pause after the policy refused a question for load.
+const BUSY_PAUSE_MS: u64 = 200;
+
+/// A question for the placement policy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitRequest {
+    /// Identifies the question among those of one leader.
+    pub id: u64,
+    /// The step.
+    pub step: StepKey,
+    /// The workers.
+    pub workers: Vec<Arc<str>>,
+    /// How long the answer may take.
+    pub timeout_ms: u64,
+}
+
+/// What a caller learned.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitAnswer {
+    /// The question.
+    pub id: u64,
+    /// The allowed workers with their permits; `None` if the policy did not answer.
+    pub allowed: Option<Vec<(Arc<str>, Arc<str>)>>,
+    /// Whether the policy has too much to do.
+    pub is_busy: bool,
+}
+
+/// What is known of the permits of one step.
+#[derive(Debug, Default)]
+pub struct StepPermits {
+    allowed: FxHashMap<WorkerIndex, Permit>,
+    denied: FxHashSet<WorkerIndex>,
+    /// The question that is under way.
+    question: Option<u64>,
+    /// Workers to ask about next.
+    wanted: Vec<WorkerIndex>,
+    /// No question before this time.
+    paused_until: Millis,
+}
+
+#[derive(Debug)]
+struct Permit {
+    ticket: Arc<str>,
+    obtained: Millis,
+    is_void: bool,
+}
+
+/// Whether a step may start on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// It may.
+    Granted,
+    /// It may, with a fresh permit.
+    Expired,
+    /// It may not.
+    Denied,
+    /// Nobody has asked.
+    Unknown,
+}
+
+impl StepPermits {
+    /// Whether the step may start on a worker.
+    pub fn of(&self, worker: WorkerIndex, valid_ms: u64, now: Millis) -> Permission {
+        if let Some(permit) = self.allowed.get(&worker) {
+            let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
+            let is_fresh = !permit.is_void && now.since(permit.obtained) < usable_ms;
+            return if is_fresh {
+                Permission::Granted
+            } else {
+                Permission::Expired
+            };
+        }
+        if self.denied.contains(&worker) {
+            return Permission::Denied;
+        }
+        Permission::Unknown
+    }
+
+    /// Asks for permits on these workers, unless a question is under way.
+    pub fn want(&mut self, workers: Vec<WorkerIndex>, now: Millis) {
+        if self.question.is_none() && now >= self.paused_until {
+            self.wanted = workers;
+        }
+    }
+
+    /// Whether a question is under way.
+    pub fn is_asking(&self) -> bool {
+        self.question.is_some()
+    }
+
+    /// Whether nothing was ever asked.
+    pub fn is_unasked(&self) -> bool {
+        self.allowed.is_empty() && self.denied.is_empty() && self.question.is_none()
+    }
+}
+
+/// A question under way.
+#[derive(Debug)]
+struct Asked {
+    step: StepKey,
+    workers: Vec<WorkerIndex>,
+    caller: Arc<str>,
+    is_long: bool,
+    expires: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Caller {
+    /// When it began to wait for a question, if it does.
+    waits_since: Option<Millis>,
+    /// When it last asked for a question or brought an answer.
+    seen: Millis,
+    paused_until: Millis,
+}
+
+/// The callers of the policy and the questions under way.
+#[derive(Debug, Default)]
+pub struct PermitDesk {
+    callers: FxHashMap<Arc<str>, Caller>,
+    asked: FxHashMap<u64, Asked>,
+    last_id: u64,
+}
+
+impl PermitDesk {
+    pub(crate) fn forget(&mut self, step: StepKey) {
+        self.asked.retain(|_, asked| asked.step != step);
+    }
+
+    fn long_under_way(&self) -> usize {
+        self.asked.values().filter(|asked| asked.is_long).count()
+    }
+
+    /// The caller that waits longest, so that all take turns.
+    fn next_caller(&self, now: Millis) -> Option<Arc<str>> {
+        let waiting = self.callers.iter().filter_map(|(name, caller)| {
+            let since = caller.waits_since?;
+            (caller.paused_until <= now).then_some((since, name))
+        });
+        waiting.min().map(|(_, name)| name.clone())
+    }
+}
+
+impl Scheduler {
+    /// A caller of the policy waits for a question.
+    pub fn caller_waits(&mut self, caller: &Arc<str>, now: Millis) {
+        let entry = self.desk.callers.entry(caller.clone()).or_default();
+        entry.waits_since.get_or_insert(now);
+        entry.seen = now;
+    }
+
+    /// A caller no longer waits; its question, if it got one, is answered later.
+    pub fn caller_gone(&mut self, caller: &str) {
+        if let Some(entry) = self.desk.callers.get_mut(caller) {
+            entry.waits_since = None;
+        }
+    }
+
+    /// A caller brings an answer.
+    pub fn permits_answered(&mut self, answer: &PermitAnswer, now: Millis) {
+        let Some(asked) = self.desk.asked.remove(&answer.id) else {
+            return;
+        };
+        self.is_placement_due = true;
+        let Some(view) = self.steps.get_mut(&asked.step) else {
+            return;
+        };
+        view.permits.question = None;
+        let Some(allowed) = &answer.allowed else {
+            let pause_ms = if answer.is_busy { BUSY_PAUSE_MS } else { 0 };
+            view.permits.paused_until = now + pause_ms;
+            return;
+        };
+        for index in asked.workers {
+            let Some(worker) = self.workers.get(index) else {
+                continue;
+            };
+            let found = allowed.iter().find(|(id, _)| *id == worker.record.id);
+            match found {
+                Some((_, ticket)) => {
+                    let permit = Permit {
+                        ticket: ticket.clone(),
+                        obtained: now,
+                        is_void: false,
+                    };
+                    view.permits.allowed.insert(index, permit);
+                }
+                None => {
+                    view.permits.denied.insert(index);
+                }
+            }
+        }
+    }
+
+    /// The permit of a step on a worker.
+    pub(crate) fn permit(&self, step: StepKey, worker: WorkerIndex) -> Option<Arc<str>> {
+        let permits = &self.steps.get(&step)?.permits;
+        Some(permits.allowed.get(&worker)?.ticket.clone())
+    }
+
+    /// A worker did not take the permit.
+    pub(crate) fn forget_permit(&mut self, step: StepKey, worker: WorkerIndex) {
+        let view = self.steps.get_mut(&step);
+        if let Some(permit) = view.and_then(|view| view.permits.allowed.get_mut(&worker)) {
+            permit.is_void = true;
+        }
+    }
+
+    /// Gives up questions that were not answered, and forgets callers that are gone.
+    pub(crate) fn tick_permits(&mut self, now: Millis) {
+        let late: Vec<u64> = self
+            .desk
+            .asked
+            .iter()
+            .filter(|(_, asked)| asked.expires <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            let Some(asked) = self.desk.asked.remove(&id) else {
+                continue;
+            };
+            if let Some(caller) = self.desk.callers.get_mut(&asked.caller) {
+                caller.paused_until = now + CALLER_PAUSE_MS;
+            }
+            if let Some(view) = self.steps.get_mut(&asked.step) {
+                view.permits.question = None;
+            }
+            self.is_placement_due = true;
+        }
+        let callers = &mut self.desk.callers;
+        callers.retain(|_, caller| now.since(caller.seen) < CALLER_FORGET_MS);
+    }
+
+    /// Gives wanted questions to callers that wait, in the order of the steps.
+    pub(crate) fn dispatch_questions(&mut self, now: Millis) {
+        if self.desk.next_caller(now).is_none() {
+            return;
+        }
+        let wanting = self.steps.values().filter(|view| {
+            !view.permits.wanted.is_empty() && view.permits.question.is_none()
+        });
+        let mut wanting: Vec<(bool, Rank)> = wanting
+            .map(|view| (self.is_long(view), Rank::of(view, now)))
+            .collect();
+        wanting.sort_unstable();
+        let total = self.desk.callers.len();
+        let long_max = total.saturating_sub(CALLERS_FOR_SHORT).max(1);
+        for (is_long, rank) in wanting {
+            if is_long && self.desk.long_under_way() >= long_max {
+                return;
+            }
+            let Some(caller) = self.desk.next_caller(now) else {
+                return;
+            };
+            self.ask(rank.key, caller, is_long, now);
+        }
+    }
+
+    fn is_long(&self, view: &crate::scheduler::steps::StepView) -> bool {
+        let cost = view.queue.permits;
+        cost.is_some_and(|cost| cost.total_ms(view.permits.wanted.len()) > LONG_QUESTION_MS)
+    }
+
+    fn ask(&mut self, step: StepKey, caller: Arc<str>, is_long: bool, now: Millis) {
+        let Some(view) = self.steps.get_mut(&step) else {
+            return;
+        };
+        let workers = std::mem::take(&mut view.permits.wanted);
+        let Some(cost) = view.queue.permits else {
+            return;
+        };
+        let timeout_ms = cost.total_ms(workers.len()) + QUESTION_SLACK_MS;
+        self.desk.last_id += 1;
+        let id = self.desk.last_id;
+        view.permits.question = Some(id);
+        let known = workers.iter().filter_map(|index| self.workers.get(*index));
+        let request = PermitRequest {
+            id,
+            step,
+            workers: known.map(|worker| worker.record.id.clone()).collect(),
+            timeout_ms,
+        };
+        if let Some(entry) = self.desk.callers.get_mut(&caller) {
+            entry.waits_since = None;
+            entry.seen = now + timeout_ms;
+        }
+        let asked = Asked {
+            step,
+            workers,
+            caller: caller.clone(),
+            is_long,
+            expires: now + timeout_ms + QUESTION_SLACK_MS,
+        };
+        self.desk.asked.insert(id, asked);
+        self.counts.asks += 1;
+        self.actions.push(Action::Ask { caller, request });
+    }
+}
--- /dev/null
+++ b/crates/queues/src/scheduler/place.rs
@@ -0,0 +1,452 @@
+//! Placement: giving waiting tasks to workers.
+//!
+//! Answers the load pattern in which work of many sizes competes for nearly full workers. Steps
+//! are served in their order; a task goes to the worker on which the least room is left over, so
+//! that wide tasks find room; gangs take all or nothing, and the first ones that do not fit are
+//! given reservations.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
+
+use crate::command::Placement;
+use crate::command::QueueCommand;
+use crate::ids::StepKey;
+use crate::job::Job;
+use crate::scheduler::Scheduler;
+use crate::scheduler::order::Rank;
+use crate::scheduler::permits::Permission;
+use crate::scheduler::reserve::Reservations;
+use crate::scheduler::reserve::slot_times;
+use crate::scheduler::steps::StepView;
+use crate::scheduler::workers::RunStage;
+use crate::scheduler::workers::RunView;
+use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::WorkerView;
+use crate::scheduler::workers::subtract;
+use crate::state::QueueState;
+
+/// Gangs that may hold reservations at a time.
+const RESERVATIONS_MAX: usize = 6;
+/// Workers that a question names at most.
+const WORKERS_PER_QUESTION_MAX: usize = 60;
+/// Workers that a question names at least, as far as there are any.
+const WORKERS_PER_QUESTION_MIN: usize = 24;
+/// Workers that a question names for each task that waits.
+const WORKERS_PER_TASK: usize = 4;
+/// A dependent step is asked for when the steps before it are expected to end within this time.
+const ASK_AHEAD_MS: u64 = 1_200;
+
+/// A worker that may take a task now.
+struct Candidate {
+    index: WorkerIndex,
+    permission: Permission,
+    /// Tasks of the step that fit.
+    fits: u32,
+    /// What is left when one task is placed, for the choice of the tightest worker.
+    left_millicores: u64,
+    /// Whether it is on the preferred rack.
+    is_preferred: bool,
+    /// Time that runs take there against their estimates, in hundredths.
+    pace_percent: u64,
+}
+
+impl Scheduler {
+    /// Places what can be placed.
+    pub(crate) fn place(&mut self, state: &QueueState, now: Millis) {
+        let mut ranks: Vec<Rank> = self
+            .steps
+            .values()
+            .filter(|view| !view.waiting.is_empty())
+            .map(|view| Rank::of(view, now))
+            .collect();
+        ranks.sort_unstable();
+        let mut reservations = Reservations::default();
+        let mut reserved = 0;
+        for rank in ranks {
+            let Some(mut view) = self.steps.remove(&rank.key) else {
+                continue;
+            };
+            if !view.is_due {
+                self.ask_ahead(&mut view, now);
+            } else if view.spec().is_gang {
+                let may_reserve = reserved < RESERVATIONS_MAX;
+                let keeps = self.place_gang(state, &mut view, &mut reservations, may_reserve, now);
+                reserved += usize::from(keeps);
+            } else {
+                self.place_tasks(state, &mut view, &reservations, now);
+            }
+            self.steps.insert(rank.key, view);
+        }
+    }
+
+    /// Asks for the permits of a step that depends on others shortly before its turn.
+    fn ask_ahead(&mut self, view: &mut StepView, now: Millis) {
+        if view.queue.permits.is_none() || !view.permits.is_unasked() {
+            return;
+        }
+        let is_soon = view.spec().after.iter().all(|&after| {
+            let key = StepKey {
+                job: view.key.job,
+                step: after,
+            };
+            self.ends_soon(key, now)
+        });
+        if is_soon {
+            let workers = self.question(view, now);
+            view.permits.want(workers, now);
+        }
+    }
+
+    fn ends_soon(&self, key: StepKey, now: Millis) -> bool {
+        let Some(view) = self.steps.get(&key) else {
+            return true;
+        };
+        let ends_soon = |(task, (_, worker)): (&u32, &(u32, WorkerIndex))| {
+            let run = self.workers.get(*worker).and_then(|w| w.runs.get(&key.task(*task)));
+            run.is_some_and(|run| run.expected_end(now) <= now + ASK_AHEAD_MS)
+        };
+        let is_placed = view.waiting.is_empty() && view.proposed.is_empty();
+        is_placed && view.placed.iter().all(ends_soon)
+    }
+
+    fn permission(&self, view: &StepView, index: WorkerIndex, now: Millis) -> Permission {
+        match view.queue.permits {
+            None => Permission::Granted,
+            Some(cost) => view.permits.of(index, cost.valid_ms, now),
+        }
+    }
+
+    /// Workers with room for at least one task of the step.
+    fn candidates(
+        &self,
+        view: &StepView,
+        reservations: &Reservations,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let spec = view.spec();
+        let mut found = Vec::new();
+        for (index, worker) in self.workers.iter() {
+            if !worker.is_open(now) || !view.suits(worker) {
+                continue;
+            }
+            let permission = self.permission(view, index, now);
+            if permission == Permission::Denied {
+                continue;
+            }
+            let pace = worker.health.pace();
+            let task_ms = (spec.estimate_ms as f64 * pace) as u64;
+            let room = reservations.room(index, worker, task_ms, now);
+            let fits = self.fits(view, worker, room, now);
+            if fits == 0 {
+                continue;
+            }
+            let left = subtract(room, spec.resources);
+            let is_preferred = spec
+                .preferred_rack
+                .as_ref()
+                .is_some_and(|rack| worker.record.has_label(rack));
+            found.push(Candidate {
+                index,
+                permission,
+                fits,
+                left_millicores: left.millicores,
+                is_preferred,
+                pace_percent: (pace * 100.0) as u64,
+            });
+        }
+        found
+    }
+
+    /// How many tasks of the step fit into the room of a worker.
+    fn fits(&self, view: &StepView, worker: &WorkerView, room: Resources, now: Millis) -> u32 {
+        let spec = view.spec();
+        let mut fits = how_many(spec.resources, room);
+        if let Some(most) = spec.per_worker_max {
+            let there = worker.runs_by_step.get(&view.key).copied().unwrap_or(0);
+            fits = fits.min(most.saturating_sub(there));
+        }
+        let tasks_max = worker.health.tasks_max(now);
+        let open = tasks_max.saturating_sub(worker.runs.len());
+        fits.min(u32::try_from(open).unwrap_or(u32::MAX))
+    }
+
+    fn place_tasks(
+        &mut self,
+        state: &QueueState,
+        view: &mut StepView,
+        reservations: &Reservations,
+        now: Millis,
+    ) {
+        let mut candidates = self.candidates(view, reservations, now);
+        candidates.sort_unstable_by_key(|c| {
+            (!c.is_preferred, c.pace_percent / 50, c.left_millicores, c.index)
+        });
+        let job = state.job(view.key.job).filter(|_| view.is_committed);
+        let mut placements = Vec::new();
+        if let Some(job) = job {
+            let mut waiting = view.waiting.iter().copied().collect::<Vec<_>>().into_iter();
+            let granted = candidates.iter().filter(|c| c.permission == Permission::Granted);
+            'workers: for candidate in granted {
+                for _ in 0..candidate.fits {
+                    let Some(task) = waiting.next() else {
+                        break 'workers;
+                    };
+                    placements.push((task, candidate.index));
+                }
+            }
+        }
+        if let Some(job) = job.filter(|_| !placements.is_empty()) {
+            self.start(job, view, &placements, now);
+        }
+        self.want_permits(view, &candidates, now);
+    }
+
+    /// Asks for what keeps the waiting tasks from a start.
+    fn want_permits(&mut self, view: &mut StepView, candidates: &[Candidate], now: Millis) {
+        if view.waiting.is_empty() || view.queue.permits.is_none() || view.permits.is_asking() {
+            return;
+        }
+        let of = |permission: Permission| {
+            candidates
+                .iter()
+                .filter(move |c| c.permission == permission)
+        };
+        let needed = view.waiting.len();
+        let expired: Vec<WorkerIndex> = of(Permission::Expired).map(|c| c.index).collect();
+        let expired_fits: u32 = of(Permission::Expired).map(|c| c.fits).sum();
+        let is_enough = expired_fits as usize >= needed || of(Permission::Unknown).next().is_none();
+        if !expired.is_empty() && is_enough {
+            let most = expired.len().min(needed * 2);
+            return view.permits.want(expired[..most].to_vec(), now);
+        }
+        if view.permits.is_unasked() || of(Permission::Unknown).next().is_some() {
+            let mut workers = self.question(view, now);
+            workers.extend(expired);
+            view.permits.want(workers, now);
+        }
+    }
+
+    /// The workers to ask about: those that may run the step and were not asked about, first the
+    /// ones with the most room.
+    fn question(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
+        let unknown = |(index, worker): &(WorkerIndex, &WorkerView)| {
+            view.suits(worker)
+                && worker.contact.is_reachable()
+                && !worker.record.is_draining
+                && worker.health.tasks_max(now) > 0
+                && self.permission(view, *index, now) == Permission::Unknown
+        };
+        let workers = self.workers.iter().filter(unknown);
+        let mut workers: Vec<(u64, WorkerIndex)> = workers
+            .map(|(index, worker)| (u64::MAX - worker.free().millicores, index))
+            .collect();
+        workers.sort_unstable();
+        let wanted = view.waiting.len() * WORKERS_PER_TASK;
+        let most = wanted.clamp(WORKERS_PER_QUESTION_MIN, WORKERS_PER_QUESTION_MAX);
+        workers.truncate(most);
+        workers.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// Places a gang, or keeps room for it. Returns whether it holds a reservation.
+    fn place_gang(
+        &mut self,
+        state: &QueueState,
+        view: &mut StepView,
+        reservations: &mut Reservations,
+        may_reserve: bool,
+        now: Millis,
+    ) -> bool {
+        let members = view.spec().count as usize;
+        // A gang starts anew only when all members of the last run are gone.
+        if view.waiting.len() < members {
+            return false;
+        }
+        let candidates = self.candidates(view, reservations, now);
+        let job = state.job(view.key.job).filter(|_| view.is_committed);
+        let granted = self.choose(view, &candidates, &[Permission::Granted], members);
+        if let (Some(job), Some(chosen)) = (job, &granted) {
+            let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
+            let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
+            self.start(job, view, &placements, now);
+            return false;
+        }
+        let allowed = [Permission::Granted, Permission::Expired];
+        if let Some(chosen) = self.choose(view, &candidates, &allowed, members) {
+            self.hold_now(view, &chosen, reservations, now);
+            let mut expired = chosen;
+            expired.sort_unstable();
+            expired.dedup();
+            expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
+            view.permits.want(expired, now);
+            return true;
+        }
+        if !view.permits.is_asking() {
+            let workers = self.question(view, now);
+            if !workers.is_empty() {
+                view.permits.want(workers, now);
+            }
+        }
+        may_reserve && self.reserve(view, reservations, now)
+    }
+
+    /// Workers for all members of a gang, one for each.
+    fn choose(
+        &self,
+        view: &StepView,
+        candidates: &[Candidate],
+        permissions: &[Permission],
+        members: usize,
+    ) -> Option<Vec<WorkerIndex>> {
+        let mut usable: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|c| permissions.contains(&c.permission))
+            .collect();
+        let is_granted = |c: &Candidate| c.permission == Permission::Granted;
+        usable.sort_unstable_by_key(|c| {
+            (!is_granted(c), c.pace_percent / 50, c.left_millicores, c.index)
+        });
+        if view.spec().is_single_rack
+            && let Some(chosen) = self.choose_rack(&usable, members)
+        {
+            return Some(chosen);
+        }
+        take_slots(usable.into_iter(), members)
+    }
+
+    /// Workers of one rack for all members.
+    fn choose_rack(&self, usable: &[&Candidate], members: usize) -> Option<Vec<WorkerIndex>> {
+        let mut racks: Vec<Arc<str>> = Vec::new();
+        for candidate in usable {
+            let worker = self.workers.get(candidate.index)?;
+            for label in &worker.record.labels {
+                if !racks.contains(label) {
+                    racks.push(label.clone());
+                }
+            }
+        }
+        // Labels name kinds and racks; the narrowest one that holds the gang is the best.
+        let holding = racks.into_iter().filter_map(|rack| {
+            let there = usable.iter().copied().filter(|c| {
+                let worker = self.workers.get(c.index);
+                worker.is_some_and(|worker| worker.record.has_label(&rack))
+            });
+            let there: Vec<&Candidate> = there.collect();
+            let size = there.len();
+            take_slots(there.into_iter(), members).map(|chosen| (size, chosen))
+        });
+        holding.min_by_key(|(size, _)| *size).map(|(_, chosen)| chosen)
+    }
+
+    fn hold_now(
+        &self,
+        view: &StepView,
+        chosen: &[WorkerIndex],
+        reservations: &mut Reservations,
+        now: Millis,
+    ) {
+        for index in chosen {
+            reservations.keep(*index, now, view.spec().resources);
+        }
+    }
+
+    /// Keeps the room that is expected to be free earliest for all members.
+    fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
+        let (spec, members) = (view.spec(), view.spec().count as usize);
+        let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
+        for (index, worker) in self.workers.iter() {
+            let permission = self.permission(view, index, now);
+            let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
+            if !is_allowed || !worker.is_open(now) || !view.suits(worker) {
+                continue;
+            }
+            let most = spec.per_worker_max.map_or(members, |most| members.min(most as usize));
+            let kept = reservations.total(index);
+            let times = slot_times(worker, spec.resources, kept, most, now);
+            slots.extend(times.into_iter().map(|at| (at, index)));
+        }
+        slots.sort_unstable();
+        let Some(last) = slots.get(members - 1).map(|(at, _)| *at) else {
+            return false;
+        };
+        for (_, index) in &slots[..members] {
+            reservations.keep(*index, last, spec.resources);
+        }
+        true
+    }
+
+    /// Proposes runs of the given tasks and takes their room.
+    fn start(
+        &mut self,
+        job: &Job,
+        view: &mut StepView,
+        placements: &[(u32, WorkerIndex)],
+        now: Millis,
+    ) {
+        let spec = view.spec().clone();
+        let tasks = &job.steps[usize::from(view.key.step)].tasks;
+        let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let mut proposed = Vec::with_capacity(placements.len());
+        for (task, index) in placements {
+            let Some(worker) = self.workers.get_mut(*index) else {
+                continue;
+            };
+            let run = if spec.is_gang {
+                gang_run
+            } else {
+                tasks[*task as usize].run + 1
+            };
+            let expected_ms = (spec.estimate_ms as f64 * worker.health.pace()) as u64;
+            let run_view = RunView {
+                run,
+                resources: spec.resources,
+                stage: RunStage::Proposed,
+                since: now,
+                expected_ms,
+                checkpoint: None,
+                progress_percent: 0,
+                progressed: now,
+            };
+            worker.add_run(view.key.task(*task), run_view);
+            view.waiting.remove(task);
+            view.proposed.insert(*task);
+            proposed.push(Placement {
+                index: *task,
+                run,
+                worker: worker.record.id.clone(),
+            });
+        }
+        self.propose(QueueCommand::Start {
+            step: view.key,
+            placements: proposed,
+        });
+    }
+}
+
+/// How many times an amount fits into the room.
+fn how_many(each: Resources, room: Resources) -> u32 {
+    let times = |room: u64, each: u64| room.checked_div(each).unwrap_or(u64::MAX);
+    let millicores = times(room.millicores, each.millicores);
+    let memory = times(room.memory_mib, each.memory_mib);
+    let accelerators = times(room.accelerators.into(), each.accelerators.into());
+    let fits = millicores.min(memory).min(accelerators);
+    u32::try_from(fits).unwrap_or(u32::MAX)
+}
+
+/// One worker for each member, in the order of the candidates.
+fn take_slots<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    members: usize,
+) -> Option<Vec<WorkerIndex>> {
+    let mut chosen = Vec::with_capacity(members);
+    for candidate in candidates {
+        let left = members - chosen.len();
+        let take = left.min(candidate.fits as usize);
+        chosen.extend(std::iter::repeat_n(candidate.index, take));
+        if chosen.len() == members {
+            return Some(chosen);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/queues/src/spec.rs
@@ -0,0 +1,125 @@
+//! What callers submit.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Resources;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use thiserror::Error;
+
+/// The most bytes of the payload that every task of a job is given.
+const PAYLOAD_MAX_BYTES: usize = 4_000;
+/// The most steps of a job.
+const STEPS_MAX: usize = 256;
+/// The most tasks of a job.
+const TASKS_MAX: u64 = 20_000;
+
+/// The work of a job, without its key and queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmittedSpec {
+    /// What every task is given.
+    pub payload: Arc<str>,
+    /// The steps; a step depends on earlier ones only.
+    pub steps: Vec<StepSpec>,
+}
+
+/// One step: a number of equal tasks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StepSpec {
+    /// The number of tasks.
+    pub count: u32,
+    /// What each task takes of a worker.
+    pub resources: Resources,
+    /// The caller's estimate of a task's duration.
+    pub estimate_ms: u64,
+    /// Earlier steps whose tasks must all be done first.
+    #[serde(skip_serializing_if = "SmallVec::is_empty")]
+    pub after: SmallVec<[u16; 4]>,
+    /// Whether the tasks run only together and share one run number.
+    #[serde(skip_serializing_if = "is_false")]
+    pub is_gang: bool,
+    /// Whether tasks on several racks are slow.
+    #[serde(skip_serializing_if = "is_false")]
+    pub is_single_rack: bool,
+    /// A label that the worker must have.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub required_label: Option<Arc<str>>,
+    /// The rack that holds the data.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub preferred_rack: Option<Arc<str>>,
+    /// The most tasks of the step on one worker.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub per_worker_max: Option<u32>,
+    /// Whether tasks write checkpoints from which a later run resumes.
+    #[serde(skip_serializing_if = "is_false")]
+    pub has_checkpoints: bool,
+    /// Whether copies of a task may run side by side.
+    #[serde(skip_serializing_if = "is_false")]
+    pub may_run_copies: bool,
+    /// Whether the tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_false")]
+    pub is_service: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// Why a job cannot be accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SpecError {
+    /// The payload is too long.
+    #[error("the payload has {0} bytes, at most {PAYLOAD_MAX_BYTES} are allowed")]
+    PayloadTooLong(usize),
+    /// The job has no steps or too many.
+    #[error("a job has 1 to {STEPS_MAX} steps, got {0}")]
+    StepCount(usize),
+    /// A step has no tasks, or the job has too many.
+    #[error("a step has at least one task and a job at most {TASKS_MAX}")]
+    TaskCount,
+    /// A step depends on itself, a later step, or one that does not exist.
+    #[error("step {step} depends on step {after}, which is not an earlier one")]
+    Dependency {
+        /// The step.
+        step: usize,
+        /// What it depends on.
+        after: u16,
+    },
+}
+
+impl SubmittedSpec {
+    /// Checks the sizes and the dependencies.
+    pub fn check(&self) -> Result<(), SpecError> {
+        if self.payload.len() > PAYLOAD_MAX_BYTES {
+            return Err(SpecError::PayloadTooLong(self.payload.len()));
+        }
+        if self.steps.is_empty() || self.steps.len() > STEPS_MAX {
+            return Err(SpecError::StepCount(self.steps.len()));
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks > TASKS_MAX || self.steps.iter().any(|step| step.count == 0) {
+            return Err(SpecError::TaskCount);
+        }
+        for (step, spec) in self.steps.iter().enumerate() {
+            let later = spec.after.iter().find(|&&after| usize::from(after) >= step);
+            if let Some(&after) = later {
+                return Err(SpecError::Dependency { step, after });
+            }
+        }
+        Ok(())
+    }
+
+    /// The estimated time of the longest chain of dependent steps.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let starts_ms = step.after.iter().map(|&after| ends_ms[usize::from(after)]);
+            let start_ms = starts_ms.max().unwrap_or(0);
+            ends_ms.push(start_ms + step.estimate_ms);
+        }
+        ends_ms.into_iter().max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/queues/src/state.rs
@@ -0,0 +1,380 @@
+//! The replicated queues.
+//!
+//! Each command is applied in the order of the log, on every member with the same result.
+
+use std::sync::Arc;
+
+use imbl::OrdMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::Placement;
+use crate::command::QueueCommand;
+use crate::command::RunEnd;
+use crate::ids::JobKey;
+use crate::ids::StepKey;
+use crate::ids::TaskKey;
+use crate::job::Job;
+use crate::job::JobPhase;
+use crate::job::TaskPhase;
+use crate::table::QueueTable;
+use crate::worker::EndKind;
+use crate::worker::HeldRun;
+use crate::worker::Worker;
+use crate::worker::WorkerRecord;
+
+/// How long the state of an ended job can be asked for.
+const ENDED_RETENTION_MS: u64 = 1_800_000;
+/// The most ended jobs that are kept when memory is short; the oldest ones go first.
+const ENDED_JOBS_MAX: usize = 20_000;
+
+/// What a command did, as far as the leader's decisions follow it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QueueChange {
+    /// The table was replaced.
+    Table,
+    /// A job was accepted.
+    Accepted(JobKey),
+    /// A job ended.
+    Ended(JobKey),
+    /// A worker is new or changed.
+    Worker(Arc<str>),
+    /// A worker is gone.
+    WorkerGone(Arc<str>),
+    /// Runs were given to workers.
+    Started(StepKey, Vec<Placement>),
+    /// A run no longer takes room on a worker; the end is `None` if it is not known.
+    RunOver(Arc<str>, TaskKey, u32, Option<EndKind>),
+    /// A task waits again, or its step is done.
+    StepChanged(StepKey),
+}
+
+/// The replicated queues, jobs and called workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct QueueState {
+    table: Option<Arc<QueueTable>>,
+    jobs: OrdMap<JobKey, Arc<Job>>,
+    workers: OrdMap<Arc<str>, Arc<Worker>>,
+    /// Ended jobs by the log index of their end, for the retention.
+    ended: OrdMap<u64, Vec<JobKey>>,
+    ended_count: usize,
+    /// Jobs of each queue of which no task has started.
+    queued: OrdMap<Arc<str>, u64>,
+}
+
+impl QueueState {
+    /// The table in force.
+    pub fn table(&self) -> Option<&Arc<QueueTable>> {
+        self.table.as_ref()
+    }
+
+    /// A job, if it is known.
+    pub fn job(&self, key: JobKey) -> Option<&Arc<Job>> {
+        self.jobs.get(&key)
+    }
+
+    /// All known jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Arc<Job>> {
+        self.jobs.values()
+    }
+
+    /// The jobs of a queue of which no task has started.
+    pub fn waiting_jobs(&self, queue: &str) -> u64 {
+        self.queued.get(queue).copied().unwrap_or(0)
+    }
+
+    /// A worker, if it is known.
+    pub fn worker(&self, id: &str) -> Option<&Arc<Worker>> {
+        self.workers.get(id)
+    }
+
+    /// All known workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Arc<Worker>> {
+        self.workers.values()
+    }
+
+    /// Applies one command and adds what it changed to `changes`.
+    pub fn apply(
+        &mut self,
+        index: u64,
+        at_unix_ms: u64,
+        command: &QueueCommand,
+        changes: &mut Vec<QueueChange>,
+    ) {
+        let mut apply = Apply {
+            state: self,
+            index,
+            at_unix_ms,
+            changes,
+        };
+        match command {
+            QueueCommand::PutTable(table) => apply.put_table(table),
+            QueueCommand::Submit {
+                job,
+                queue,
+                spec,
+            } => {
+                if !apply.state.jobs.contains_key(job) {
+                    let (queue, spec) = (queue.clone(), spec.clone());
+                    let new = Job::new(*job, queue, spec, at_unix_ms);
+                    *apply.state.queued.entry(new.queue.name.clone()).or_default() += 1;
+                    apply.state.jobs.insert(*job, Arc::new(new));
+                    apply.changes.push(QueueChange::Accepted(*job));
+                }
+            }
+            QueueCommand::Cancel { job } => apply.end_job(*job, JobPhase::Cancelled),
+            QueueCommand::PutWorker(record) => apply.put_worker(record),
+            QueueCommand::RemoveWorker {
+                worker,
+                checkpoints,
+            } => apply.remove_worker(worker, checkpoints),
+            QueueCommand::Start { step, placements } => apply.start(*step, placements),
+            QueueCommand::End { worker, upto, ends } => apply.end(worker, *upto, ends),
+            QueueCommand::Expire {
+                worker,
+                checkpoints,
+            } => apply.expire(worker, checkpoints),
+            QueueCommand::Release { worker, task, run } => apply.release(worker, *task, *run),
+        }
+    }
+}
+
+/// The application of one command.
+struct Apply<'a> {
+    state: &'a mut QueueState,
+    index: u64,
+    at_unix_ms: u64,
+    changes: &'a mut Vec<QueueChange>,
+}
+
+impl Apply<'_> {
+    fn put_table(&mut self, table: &QueueTable) {
+        let known = self.state.table.as_ref().map(|known| known.version);
+        if known.is_some_and(|version| version >= table.version) {
+            return;
+        }
+        self.state.table = Some(Arc::new(table.clone()));
+        self.changes.push(QueueChange::Table);
+    }
+
+    fn put_worker(&mut self, record: &WorkerRecord) {
+        let id = record.id.clone();
+        match self.state.workers.get_mut(&id) {
+            Some(known) if known.record == *record => return,
+            Some(known) => {
+                let known = Arc::make_mut(known);
+                let is_draining = known.record.is_draining || record.is_draining;
+                known.record = record.clone();
+                // A worker that leaves does not come back; an older report may arrive late.
+                known.record.is_draining = is_draining;
+            }
+            None => {
+                let worker = Worker {
+                    record: record.clone(),
+                    applied_ends: 0,
+                    runs: OrdMap::new(),
+                };
+                self.state.workers.insert(id.clone(), Arc::new(worker));
+            }
+        }
+        self.changes.push(QueueChange::Worker(id));
+    }
+
+    fn remove_worker(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)]) {
+        self.expire(id, checkpoints);
+        if self.state.workers.remove(id).is_some() {
+            self.changes.push(QueueChange::WorkerGone(id.clone()));
+        }
+    }
+
+    fn start(&mut self, step: StepKey, placements: &[Placement]) {
+        let Some(job) = self.state.jobs.get_mut(&step.job) else {
+            return;
+        };
+        if job.phase.has_ended() {
+            return;
+        }
+        let is_open = |placement: &Placement| {
+            let tasks = &job.steps[usize::from(step.step)].tasks;
+            let task = &tasks[placement.index as usize];
+            let is_known = self.state.workers.contains_key(&placement.worker);
+            task.phase == TaskPhase::Waiting && placement.run > task.run && is_known
+        };
+        let is_gang = job.spec.steps[usize::from(step.step)].is_gang;
+        if is_gang && !placements.iter().all(is_open) {
+            return;
+        }
+        let open: Vec<Placement> = placements.iter().filter(|p| is_open(p)).cloned().collect();
+        if open.is_empty() {
+            return;
+        }
+        let resources = job.spec.steps[usize::from(step.step)].resources;
+        let job = Arc::make_mut(job);
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Active;
+            let count = self.state.queued.entry(job.queue.name.clone()).or_default();
+            *count = count.saturating_sub(1);
+        }
+        for placement in &open {
+            let tasks = &mut job.steps[usize::from(step.step)].tasks;
+            let task = &mut tasks[placement.index as usize];
+            task.phase = TaskPhase::Placed;
+            task.run = placement.run;
+            if let Some(worker) = self.state.workers.get_mut(&placement.worker) {
+                let runs = &mut Arc::make_mut(worker).runs;
+                let run = placement.run;
+                runs.insert(step.task(placement.index), HeldRun { run, resources });
+            }
+        }
+        self.changes.push(QueueChange::Started(step, open));
+    }
+
+    fn end(&mut self, id: &Arc<str>, upto: u64, ends: &[RunEnd]) {
+        let Some(worker) = self.state.workers.get_mut(id) else {
+            return;
+        };
+        let worker = Arc::make_mut(worker);
+        worker.applied_ends = worker.applied_ends.max(upto);
+        for end in ends {
+            let Some(worker) = self.state.workers.get_mut(id) else {
+                return;
+            };
+            if worker.runs.get(&end.task).map(|held| held.run) != Some(end.run) {
+                continue;
+            }
+            Arc::make_mut(worker).runs.remove(&end.task);
+            let over = QueueChange::RunOver(id.clone(), end.task, end.run, Some(end.kind));
+            self.changes.push(over);
+            self.finish_run(end.task, end.run, Some(end.kind), end.checkpoint.as_ref());
+        }
+    }
+
+    fn expire(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)]) {
+        let Some(worker) = self.state.workers.get_mut(id) else {
+            return;
+        };
+        let runs = std::mem::take(&mut Arc::make_mut(worker).runs);
+        for (task, HeldRun { run, .. }) in runs {
+            let seen = checkpoints.iter().find(|(seen, _)| *seen == task);
+            let checkpoint = seen.map(|(_, checkpoint)| checkpoint);
+            let over = QueueChange::RunOver(id.clone(), task, run, None);
+            self.changes.push(over);
+            self.finish_run(task, run, None, checkpoint);
+        }
+    }
+
+    fn release(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
+        let Some(worker) = self.state.workers.get_mut(id) else {
+            return;
+        };
+        if worker.runs.get(&task).map(|held| held.run) != Some(run) {
+            return;
+        }
+        Arc::make_mut(worker).runs.remove(&task);
+        let over = QueueChange::RunOver(id.clone(), task, run, None);
+        self.changes.push(over);
+        self.finish_run(task, run, None, None);
+    }
+
+    /// Moves the task of a run that is over on its worker.
+    fn finish_run(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        kind: Option<EndKind>,
+        checkpoint: Option<&Arc<str>>,
+    ) {
+        let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        if job.phase.has_ended() {
+            return;
+        }
+        let job = Arc::make_mut(job);
+        let is_gang = job.spec.steps[usize::from(key.step.step)].is_gang;
+        let is_service = job.spec.steps[usize::from(key.step.step)].is_service;
+        let attempts_max = job.queue.attempts_max;
+        let step = &mut job.steps[usize::from(key.step.step)];
+        let task = &mut step.tasks[key.index as usize];
+        if task.run != run || task.phase != TaskPhase::Placed {
+            return;
+        }
+        task.phase = TaskPhase::Waiting;
+        if let Some(checkpoint) = checkpoint {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+        let mut has_failed = false;
+        match kind {
+            Some(EndKind::Done) if !is_service => {
+                let members = if is_gang {
+                    0..step.tasks.len()
+                } else {
+                    key.index as usize..key.index as usize + 1
+                };
+                for index in members {
+                    let task = &mut step.tasks[index];
+                    if task.run == run && task.phase != TaskPhase::Done {
+                        task.phase = TaskPhase::Done;
+                        step.left -= 1;
+                    }
+                }
+            }
+            Some(EndKind::Failed) if !is_service => {
+                // The members of a gang share a run, which counts as one failure.
+                let is_counted = is_gang && step.failed_run == run;
+                if !is_counted {
+                    step.failed_run = run;
+                    let failures = &mut step.tasks[if is_gang { 0 } else { key.index as usize }];
+                    failures.failures += 1;
+                    has_failed = failures.failures >= attempts_max;
+                }
+            }
+            _ => {}
+        }
+        let is_complete = job.steps.iter().all(|step| step.left == 0);
+        if has_failed {
+            self.end_job(key.step.job, JobPhase::Failed);
+        } else if is_complete {
+            self.end_job(key.step.job, JobPhase::Completed);
+        } else {
+            self.changes.push(QueueChange::StepChanged(key.step));
+        }
+    }
+
+    fn end_job(&mut self, key: JobKey, phase: JobPhase) {
+        let Some(job) = self.state.jobs.get_mut(&key) else {
+            return;
+        };
+        if job.phase.has_ended() {
+            return;
+        }
+        if job.phase == JobPhase::Queued {
+            let count = self.state.queued.entry(job.queue.name.clone()).or_default();
+            *count = count.saturating_sub(1);
+        }
+        let job = Arc::make_mut(job);
+        job.end(phase, self.at_unix_ms);
+        self.changes.push(QueueChange::Ended(key));
+        let ended = &mut self.state.ended;
+        ended.entry(self.index).or_default().push(key);
+        self.state.ended_count += 1;
+        self.drop_ended();
+    }
+
+    fn drop_ended(&mut self) {
+        while let Some((index, keys)) = self.state.ended.get_min().cloned() {
+            let oldest = keys.first().and_then(|key| self.state.jobs.get(key));
+            let ended_unix_ms = oldest.and_then(|job| job.ended_unix_ms).unwrap_or(0);
+            let is_old = self.at_unix_ms.saturating_sub(ended_unix_ms) > ENDED_RETENTION_MS;
+            if !is_old && self.state.ended_count <= ENDED_JOBS_MAX {
+                return;
+            }
+            self.state.ended.remove(&index);
+            self.state.ended_count -= keys.len();
+            for key in keys {
+                self.state.jobs.remove(&key);
+            }
+        }
+    }
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,6 +3,7 @@
 use sapphirepost_protocol::claim::ClaimBatch;
 use sapphirepost_protocol::worker::TaskReport;
 use sapphirepost_protocol::worker::WorkerSpec;
+use sapphirepost_queues::QueueCommand;
 use sapphirepost_types::Attempt;
 use sapphirepost_types::Effect;
 use sapphirepost_types::EntryId;
@@ -37,6 +38,8 @@
 pub enum Request {
     /// Advances the clock and drops what is past its retention.
     Tick,
+    /// Changes the queues of callers' jobs, in order.
+    Queues(Vec<QueueCommand>),
     /// Keeps a plan until it is confirmed or expires.
     RecordPlan {
         /// The operation that asked for it; `None` for the new plan after a stale confirmation.
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -2,6 +2,9 @@
 
 use std::hash::Hasher;
 
+use sapphirepost_queues::QueueCommand;
+use sapphirepost_queues::QueueState;
+use sapphirepost_queues::state::QueueChange;
 use sapphirepost_types::Name;
 use sapphirepost_types::ObjectKey;
 use sapphirepost_types::ObjectVersion;
@@ -64,10 +67,15 @@
     pub(crate) claims: Claims,
     pub(crate) operations: Operations,
     pub(crate) roster: Roster,
+    #[serde(default)]
+    pub(crate) queues: QueueState,
     #[serde(skip)]
     pub(crate) disabled: Disabled,
     #[serde(skip)]
     pub(crate) changes: Vec<Change>,
+    /// What each queue command of the last command changed.
+    #[serde(skip)]
+    pub(crate) queue_changes: Vec<Vec<QueueChange>>,
 }
 
 impl State {
@@ -90,14 +98,36 @@
         self.applied = index;
         self.clock_unix_ms = self.clock_unix_ms.max(command.at_unix_ms);
         self.changes.clear();
+        self.queue_changes.clear();
         self.prune_when_due();
         let verdict = self.dispatch(&command.request);
         self.outcome(verdict)
     }
 
+    /// The queues of callers' jobs.
+    pub fn queues(&self) -> &QueueState {
+        &self.queues
+    }
+
+    /// What each queue command of the last applied command changed.
+    pub fn take_queue_changes(&mut self) -> Vec<Vec<QueueChange>> {
+        std::mem::take(&mut self.queue_changes)
+    }
+
+    fn apply_queues(&mut self, commands: &[QueueCommand]) -> Verdict {
+        for command in commands {
+            let mut changes = Vec::new();
+            self.queues
+                .apply(self.applied, self.clock_unix_ms, command, &mut changes);
+            self.queue_changes.push(changes);
+        }
+        Verdict::Applied
+    }
+
     fn dispatch(&mut self, request: &Request) -> Verdict {
         match request {
             Request::Tick => Verdict::Applied,
+            Request::Queues(commands) => self.apply_queues(commands),
             Request::RecordPlan { operation, draft } => self.record_plan(operation.as_ref(), draft),
             Request::ConfirmPlan { operation, plan } => self.confirm_plan(operation, *plan),
             Request::RegisterWorker {
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -32,12 +32,15 @@
 pub struct DiskOptions {
     /// A segment that has reached this size is followed by a new one.
     pub segment_bytes: u64,
+    /// The identity that a new directory is given; drawn if it is `None`.
+    pub new_member: Option<MemberId>,
 }
 
 impl Default for DiskOptions {
     fn default() -> DiskOptions {
         DiskOptions {
             segment_bytes: 16 * 1024 * 1024,
+            new_member: None,
         }
     }
 }
@@ -63,7 +66,7 @@
         let lock = lock(directory)?;
         let has_log = !segment::list(directory)?.is_empty();
         let has_data = has_log || !snapshot_file::list(directory)?.is_empty();
-        let member = identity::load_or_create(directory, has_data)?;
+        let member = identity::load_or_create(directory, has_data, options.new_member)?;
         let snapshot = snapshot_file::load(directory)?;
         let mut restored = Restored::default();
         let mut hard_state = None;
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -29,7 +29,11 @@
 }
 
 /// Reads the identity, or draws one if the directory is new.
-pub(crate) fn load_or_create(directory: &Path, has_data: bool) -> Result<MemberId, StoreError> {
+pub(crate) fn load_or_create(
+    directory: &Path,
+    has_data: bool,
+    new_member: Option<MemberId>,
+) -> Result<MemberId, StoreError> {
     let path = directory.join(FILE_NAME);
     match fs::read(&path) {
         Ok(bytes) => parse(&path, &bytes),
@@ -39,7 +43,7 @@
                     path: directory.to_owned(),
                 });
             }
-            create(directory, &path)
+            create(directory, &path, new_member)
         }
         Err(error) => Err(StoreError::io("read", &path)(error)),
     }
@@ -54,9 +58,13 @@
     Ok(identity.member)
 }
 
-fn create(directory: &Path, path: &Path) -> Result<MemberId, StoreError> {
+fn create(
+    directory: &Path,
+    path: &Path,
+    new_member: Option<MemberId>,
+) -> Result<MemberId, StoreError> {
     // At most 2^53 - 1, so that programs that read JSON numbers as floating point keep the value.
-    let member = MemberId(rand::random_range(1..1 << 53));
+    let member = new_member.unwrap_or_else(|| MemberId(rand::random_range(1..1 << 53)));
     let identity = Identity {
         member,
         checksum: checksum(member),
