--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -46,8 +46,10 @@
 
 /// How long a caller of the placement policy waits for a question before it asks again.
 const QUESTION_WAIT_MS: u64 = 1_000;
-/// A voter that is silent for this long is replaced by a member that joins.
-const REPLACE_SILENT_MS: u64 = 3_000;
+/// A voter that is silent for this long is removed if enough others are left.
+const REMOVE_SILENT_MS: u64 = 2_500;
+/// Voters that are left after a silent one is removed; with three the group bears one more loss.
+const VOTERS_MIN: usize = 3;
 /// The most bytes of commands in one log entry.
 const BATCH_MAX_COMMANDS: usize = 512;
 
@@ -134,6 +136,9 @@
         if let Err(error) = self.node.ensure_leading(now) {
             return done.send(Err(self.rpc_error(error)));
         }
+        if let QueueCall::Join { member, address } = call {
+            return self.join(now, member, address, done);
+        }
         if self.queues.scheduler.is_none() {
             return done.send(Err(RpcError::Busy));
         }
@@ -172,7 +177,8 @@
                     self.queues.waiting.insert(caller, (now, done));
                 }
             }
-            QueueCall::Join { member, address } => self.join(now, member, address, done),
+            // Needs no scheduler and is answered above.
+            QueueCall::Join { .. } => {}
         }
     }
 
@@ -343,31 +349,32 @@
         }
     }
 
-    /// Removes a voter that is gone when another member has come to take its place.
-    fn replace_silent_voter(&mut self, now: Millis) {
+    /// Removes a voter that is gone, as long as enough others are left. A voter that comes back
+    /// asks to join again.
+    ///
+    /// A dead voter raises the quorum of the others: after one of three was replaced by a fourth,
+    /// the loss of another one would stop the group.
+    fn remove_silent_voter(&mut self, now: Millis) {
         let membership = self.node.membership();
-        let is_joining = membership
-            .members
-            .values()
-            .any(|member| member.role == MemberRole::Joining);
-        if !is_joining {
-            return;
-        }
         let is_silent = |id: &MemberId| {
             let progress = self.node.member_progress(*id);
             progress
                 .and_then(|progress| progress.silent_ms)
-                .is_some_and(|silent_ms| silent_ms > REPLACE_SILENT_MS)
+                .is_some_and(|silent_ms| silent_ms > REMOVE_SILENT_MS)
         };
         let Some(member) = membership.voters().find(is_silent) else {
             return;
         };
+        let left = membership.voters().filter(|voter| !is_silent(voter)).count();
+        if left < VOTERS_MIN {
+            return;
+        }
         if self
             .node
             .propose_membership(now, MembershipChange::Remove { member })
             .is_ok()
         {
-            log::info!(member:%; "silent member removed, another one has joined");
+            log::info!(member:%, left; "silent member removed");
         }
     }
 
@@ -431,7 +438,7 @@
             return;
         }
         self.release_idle_callers(now);
-        self.replace_silent_voter(now);
+        self.remove_silent_voter(now);
         let Some(scheduler) = &mut self.queues.scheduler else {
             return;
         };
