--- /dev/null
+++ b/crates/control/src/group_size.rs
@@ -0,0 +1,56 @@
+//! Who votes.
+//!
+//! The group keeps an odd number of voters, as large as the live members allow, and the others
+//! ready beside it. A dead voter raises the quorum of the others, so it gives its vote to a
+//! member that is alive. An even number bears no more losses than the odd one below it, and when
+//! its halves are cut off from each other neither can decide.
+
+use sapphirepost_consensus::MembershipChange;
+use sapphirepost_types::MemberId;
+
+/// The fewest voters that are left when one is removed.
+const VOTERS_MIN: usize = 3;
+
+/// What the leader knows of one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// The member.
+    pub id: MemberId,
+    /// Whether it votes.
+    pub is_voter: bool,
+    /// Whether it was heard lately.
+    pub is_live: bool,
+    /// Whether it is the leader itself.
+    pub is_self: bool,
+}
+
+/// The next change towards the right voters, if one is needed.
+pub fn next_change(members: &[MemberView]) -> Option<MembershipChange> {
+    let voters = || members.iter().filter(|member| member.is_voter);
+    let live_voters = voters().filter(|member| member.is_live).count();
+    if let Some(dead) = voters().find(|member| !member.is_live)
+        && live_voters >= VOTERS_MIN
+    {
+        return Some(MembershipChange::Remove { member: dead.id });
+    }
+    let live = members.iter().filter(|member| member.is_live).count();
+    let target = largest_odd(live);
+    if live_voters < target {
+        let standby = members.iter().find(|member| !member.is_voter && member.is_live)?;
+        return Some(MembershipChange::Promote { member: standby.id });
+    }
+    let is_even = voters().count() == live_voters && live_voters > target;
+    if is_even && target >= VOTERS_MIN {
+        let last = voters().rfind(|member| !member.is_self)?;
+        return Some(MembershipChange::Remove { member: last.id });
+    }
+    None
+}
+
+fn largest_odd(count: usize) -> usize {
+    if count.is_multiple_of(2) {
+        count.saturating_sub(1)
+    } else {
+        count
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod event;
 mod founders;
+pub mod group_size;
 mod leading;
 mod led;
 mod members;
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -11,6 +11,7 @@
 use rustc_hash::FxHashMap;
 
 use sapphirepost_consensus::Index;
+use sapphirepost_consensus::Member;
 use sapphirepost_consensus::MemberRole;
 use sapphirepost_consensus::MembershipChange;
 use sapphirepost_consensus::ProposeError;
@@ -43,14 +44,14 @@
 use crate::core::Core;
 use crate::event::Event;
 use crate::event::EventRing;
+use crate::group_size;
+use crate::group_size::MemberView;
 
 /// How long a caller of the placement policy waits for a question before it asks again.
 const QUESTION_WAIT_MS: u64 = 500;
-/// A voter that is silent for this long is removed if enough others are left.
-const REMOVE_SILENT_MS: u64 = 2_500;
-/// Voters that are left after a silent one is removed; with three the group bears one more loss.
-const VOTERS_MIN: usize = 3;
-/// The most bytes of commands in one log entry.
+/// A member that is silent for longer counts as dead.
+const SILENT_MAX_MS: u64 = 2_500;
+/// The most commands in one log entry.
 const BATCH_MAX_COMMANDS: usize = 512;
 
 /// How workers are called; the border to what speaks their protocol.
@@ -334,7 +335,7 @@
             None => MembershipChange::Add {
                 member,
                 address: address.clone(),
-                promote: true,
+                promote: false,
             },
         };
         match self.node.propose_membership(now, change.clone()) {
@@ -349,32 +350,28 @@
         }
     }
 
-    /// Removes a voter that is gone, as long as enough others are left. A voter that comes back
-    /// asks to join again.
-    ///
-    /// A dead voter raises the quorum of the others: after one of three was replaced by a fourth,
-    /// the loss of another one would stop the group.
-    fn remove_silent_voter(&mut self, now: Millis) {
-        let membership = self.node.membership();
-        let is_silent = |id: &MemberId| {
+    /// Gives votes to the right members, one change at a time.
+    fn adjust_voters(&mut self, now: Millis) {
+        let own = self.node.id();
+        let members = self.node.membership().members.iter();
+        let view = |(id, member): (&MemberId, &Member)| {
             let progress = self.node.member_progress(*id);
-            progress
-                .and_then(|progress| progress.silent_ms)
-                .is_some_and(|silent_ms| silent_ms > REMOVE_SILENT_MS)
+            let silent_ms = progress.and_then(|progress| progress.silent_ms);
+            MemberView {
+                id: *id,
+                is_voter: member.role == MemberRole::Voter,
+                is_live: *id == own || silent_ms.is_some_and(|ms| ms <= SILENT_MAX_MS),
+                is_self: *id == own,
+            }
         };
-        let Some(member) = membership.voters().find(is_silent) else {
+        let members: Vec<MemberView> = members.map(view).collect();
+        let Some(change) = group_size::next_change(&members) else {
             return;
         };
-        let left = membership.voters().filter(|voter| !is_silent(voter)).count();
-        if left < VOTERS_MIN {
-            return;
-        }
-        if self
-            .node
-            .propose_membership(now, MembershipChange::Remove { member })
-            .is_ok()
-        {
-            log::info!(member:%, left; "silent member removed");
+        // A change that is refused now, for instance since a member has not caught up, is
+        // proposed again.
+        if self.node.propose_membership(now, change.clone()).is_ok() {
+            log::info!(change:?, members = members.len(); "voters change");
         }
     }
 
@@ -439,7 +436,7 @@
             return;
         }
         self.release_idle_callers(now);
-        self.remove_silent_voter(now);
+        self.adjust_voters(now);
         let Some(scheduler) = &mut self.queues.scheduler else {
             return;
         };
