Look through runs and leases less often; place among allowed workers only

Cause: on the grown sites one leader is at 0.34 of its 0.4 core; each turn of its loop looked through all runs of 350 workers, and each step through all workers.

Change: runs, leases and questions are surveyed each 50 ms, placement rounds are 4 ms apart, candidates come from the permits, questions name workers with room.

--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -18,7 +18,6 @@
 use crate::scheduler::orders::StopReason;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
-use crate::state::QueueState;
 
 /// How long a worker with runs holds a look open.
 const WAIT_BUSY_MS: u64 = 350;
@@ -63,10 +62,16 @@
 }
 
 impl Scheduler {
-    /// Sends looks that are due, and ends what is certainly over on silent workers.
-    pub(crate) fn tick_contacts(&mut self, _state: &QueueState, now: Millis) {
+    /// Sends looks that are due.
+    pub(crate) fn tick_looks(&mut self, now: Millis) {
         for index in self.workers.indexes() {
             self.look_if_due(index, now);
+        }
+    }
+
+    /// Ends what is certainly over on silent workers.
+    pub(crate) fn tick_leases(&mut self, now: Millis) {
+        for index in self.workers.indexes() {
             self.expire_if_over(index, now);
         }
     }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -114,6 +114,7 @@
     /// Whether something changed that may let a task be placed.
     pub(crate) is_placement_due: bool,
     pub(crate) placed_at: Millis,
+    pub(crate) surveyed_at: Millis,
 }
 
 impl Scheduler {
@@ -135,6 +136,7 @@
             counts: Counts::default(),
             is_placement_due: true,
             placed_at: now,
+            surveyed_at: now,
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
@@ -188,15 +190,24 @@
 
     /// Does what is due.
     pub fn tick(&mut self, state: &QueueState, now: Millis) {
-        self.tick_contacts(state, now);
-        self.tick_runs(state, now);
-        self.tick_permits(now);
-        if self.is_placement_due || now.since(self.placed_at) >= PLACEMENT_INTERVAL_MS {
+        self.tick_looks(now);
+        if now.since(self.surveyed_at) >= SURVEY_INTERVAL_MS {
+            self.surveyed_at = now;
+            self.tick_leases(now);
+            self.tick_runs(state, now);
+            self.tick_permits(now);
+        }
+        let since_ms = now.since(self.placed_at);
+        let is_due = self.is_placement_due && since_ms >= PLACEMENT_PAUSE_MS;
+        if is_due || since_ms >= PLACEMENT_INTERVAL_MS {
             self.is_placement_due = false;
             self.placed_at = now;
             self.place(state, now);
+            self.desk.is_dispatch_due = true;
+        }
+        if std::mem::take(&mut self.desk.is_dispatch_due) {
+            self.dispatch_questions(now);
         }
-        self.dispatch_questions(now);
     }
 
     /// What is to be done, in order.
@@ -220,6 +231,10 @@
 
 /// Placement is tried again after this time, for what only time changes.
 const PLACEMENT_INTERVAL_MS: u64 = 100;
+/// The shortest time between two rounds of placement, so that ends that come together share one.
+const PLACEMENT_PAUSE_MS: u64 = 4;
+/// Time between two looks through all runs and leases.
+const SURVEY_INTERVAL_MS: u64 = 50;
 
 /// What a worker reports of itself, beside its record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    /// The workers on which the step may start, in order.
+    pub fn allowed(&self) -> Vec<WorkerIndex> {
+        let mut allowed: Vec<WorkerIndex> = self.allowed.keys().copied().collect();
+        allowed.sort_unstable();
+        allowed
+    }
+
     /// Whether a question is under way.
     pub fn is_asking(&self) -> bool {
         self.question.is_some()
@@ -154,6 +161,8 @@
     callers: FxHashMap<Arc<str>, Caller>,
     asked: FxHashMap<u64, Asked>,
     last_id: u64,
+    /// Whether a question may have become possible.
+    pub(crate) is_dispatch_due: bool,
 }
 
 impl PermitDesk {
@@ -181,6 +190,7 @@
         let entry = self.desk.callers.entry(caller.clone()).or_default();
         entry.waits_since.get_or_insert(now);
         entry.seen = now;
+        self.desk.is_dispatch_due = true;
     }
 
     /// A caller no longer waits; its question, if it got one, is answered later.
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -31,7 +31,7 @@
 /// Gangs that may hold reservations at a time.
 const RESERVATIONS_MAX: usize = 6;
 /// Workers that a question names at most.
-const WORKERS_PER_QUESTION_MAX: usize = 60;
+const WORKERS_PER_QUESTION_MAX: usize = 100;
 /// Workers that a question names at least, as far as there are any.
 const WORKERS_PER_QUESTION_MIN: usize = 30;
 /// Workers that a question names for each task that waits.
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Workers that may run the step as far as its permits are known.
+    fn possible(&self, view: &StepView) -> Vec<WorkerIndex> {
+        match view.queue.permits {
+            Some(_) => view.permits.allowed(),
+            None => self.workers.indexes(),
+        }
+    }
+
     /// Workers with room for at least one task of the step.
     fn candidates(
         &self,
@@ -140,7 +148,10 @@
     ) -> Vec<Candidate> {
         let spec = view.spec();
         let mut found = Vec::new();
-        for (index, worker) in self.workers.iter() {
+        for index in self.possible(view) {
+            let Some(worker) = self.workers.get(index) else {
+                continue;
+            };
             if !worker.is_open(now) || !view.suits(worker) {
                 continue;
             }
@@ -230,26 +241,23 @@
         let needed = view.waiting.len();
         let expired: Vec<WorkerIndex> = of(Permission::Expired).map(|c| c.index).collect();
         let expired_fits: u32 = of(Permission::Expired).map(|c| c.fits).sum();
-        let is_enough = expired_fits as usize >= needed || of(Permission::Unknown).next().is_none();
-        if !expired.is_empty() && is_enough {
+        if expired_fits as usize >= needed {
             let most = expired.len().min(needed * 2);
             return view.permits.want(expired[..most].to_vec(), now);
         }
-        if view.permits.is_unasked() || of(Permission::Unknown).next().is_some() {
-            let mut workers = self.question(view, now);
-            workers.extend(expired);
-            view.permits.want(workers, now);
-        }
+        let mut workers = self.question(view, now);
+        workers.extend(expired);
+        view.permits.want(workers, now);
     }
 
     /// The workers to ask about: those that may run the step and were not asked about, first the
     /// ones with the most room.
     fn question(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
         let unknown = |(index, worker): &(WorkerIndex, &WorkerView)| {
-            view.suits(worker)
-                && worker.contact.is_reachable()
-                && !worker.record.is_draining
-                && worker.health.tasks_max(now) > 0
+            let has_room = view.spec().resources.fits_in(&worker.free());
+            (has_room || view.spec().is_gang)
+                && view.suits(worker)
+                && worker.is_open(now)
                 && self.permission(view, *index, now) == Permission::Unknown
         };
         let workers = self.workers.iter().filter(unknown);
