--- a/crates/control/src/group_size.rs
+++ b/crates/control/src/group_size.rs
@@ -36,7 +36,9 @@
     let live = members.iter().filter(|member| member.is_live).count();
     let target = largest_odd(live);
     if live_voters < target {
-        let standby = members.iter().find(|member| !member.is_voter && member.is_live)?;
+        let standby = members
+            .iter()
+            .find(|member| !member.is_voter && member.is_live)?;
         return Some(MembershipChange::Promote { member: standby.id });
     }
     let is_even = voters().count() == live_voters && live_voters > target;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// This member.
+    pub(crate) fn member(&self) -> MemberId {
+        self.member
+    }
+
     pub(crate) fn heard(&mut self, member: MemberId, address: &str) {
         if self
             .heard_from
--- /dev/null
+++ b/crates/control/src/queue_metrics.rs
@@ -0,0 +1,75 @@
+//! Metrics of the queues, set by the member that leads.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+
+use sapphirepost_process::metrics::Metrics;
+use sapphirepost_queues::scheduler::Counts;
+
+/// Counters and histograms of the queues.
+#[derive(Clone, Debug)]
+pub(crate) struct QueueMetrics {
+    pub(crate) accepted: Counter,
+    pub(crate) refused: Counter,
+    pub(crate) cancelled: Counter,
+    pub(crate) ended: Counter,
+    /// Seconds from the proposal of a batch of commands to its application.
+    pub(crate) commit_seconds: Histogram,
+    /// Seconds from the acceptance of a job to its first placement.
+    pub(crate) first_start_seconds: Histogram,
+    /// Seconds from the acceptance of a job to its end.
+    pub(crate) job_seconds: Histogram,
+    pub(crate) callers_waiting: Gauge,
+    starts: Counter,
+    unanswered: Counter,
+    rejected: Counter,
+    questions: Counter,
+}
+
+/// The first bucket ends at 1 ms, the last one at 65 s.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+impl QueueMetrics {
+    pub(crate) fn register(metrics: &Metrics) -> QueueMetrics {
+        let counter = |name: &str, help: &str| metrics.register(name, help, Counter::default());
+        let histogram = |name: &str, help: &str| metrics.register(name, help, seconds());
+        QueueMetrics {
+            accepted: counter("queue_jobs_accepted", "Jobs accepted"),
+            refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
+            cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
+            ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
+            commit_seconds: histogram(
+                "queue_commit_seconds",
+                "Time from the proposal of a batch to its application",
+            ),
+            first_start_seconds: histogram(
+                "queue_first_start_seconds",
+                "Time from the acceptance of a job to its first placement",
+            ),
+            job_seconds: histogram(
+                "queue_job_seconds",
+                "Time from the acceptance of a job to its end",
+            ),
+            callers_waiting: metrics.register(
+                "queue_policy_callers_waiting",
+                "Processes that wait for a question to the placement policy",
+                Gauge::default(),
+            ),
+            starts: counter("queue_starts", "Runs ordered"),
+            unanswered: counter("queue_orders_unanswered", "Orders without an answer"),
+            rejected: counter("queue_starts_rejected", "Starts that workers rejected"),
+            questions: counter("queue_questions", "Questions to the placement policy"),
+        }
+    }
+
+    pub(crate) fn add(&self, counts: Counts) {
+        self.starts.inc_by(counts.starts);
+        self.unanswered.inc_by(counts.unanswered);
+        self.rejected.inc_by(counts.rejected);
+        self.questions.inc_by(counts.asks);
+    }
+}
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -46,7 +46,9 @@
 use crate::event::EventRing;
 use crate::group_size;
 use crate::group_size::MemberView;
+use crate::queue_metrics::QueueMetrics;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// How long a caller of the placement policy waits for a question before it asks again.
 const QUESTION_WAIT_MS: u64 = 500;
 /// A member that is silent for longer counts as dead.
@@ -92,13 +94,16 @@
     batch: Vec<QueueCommand>,
     batch_answers: Vec<Answer>,
     /// Answers that wait for the commit of a log entry.
-    committing: VecDeque<(Index, Vec<Answer>)>,
+    committing: VecDeque<(Index, Millis, Vec<Answer>)>,
     /// Callers of the placement policy that wait for a question.
     waiting: FxHashMap<Arc<str>, (Millis, Responder<QueueReply>)>,
+    metrics: QueueMetrics,
+    /// When jobs were accepted, and whether a task of theirs was placed.
+    accepted: FxHashMap<JobKey, (Millis, bool)>,
 }
 
 impl Queues {
-    pub(crate) fn new(parts: Option<QueueParts>, ring: EventRing) -> Queues {
+    pub(crate) fn new(parts: Option<QueueParts>, ring: EventRing, metrics: QueueMetrics) -> Queues {
         Queues {
             parts,
             ring,
@@ -107,6 +112,8 @@
             batch_answers: Vec::new(),
             committing: VecDeque::new(),
             waiting: FxHashMap::default(),
+            metrics,
+            accepted: FxHashMap::default(),
         }
     }
 
@@ -117,6 +124,33 @@
         self.batch_answers.clear();
         self.committing.clear();
         self.waiting.clear();
+        self.accepted.clear();
+    }
+
+    /// Notes the times of jobs.
+    fn measure(&mut self, change: &QueueChange, now: Millis) {
+        let seconds = |since: Millis| now.since(since) as f64 / MILLIS_PER_SECOND;
+        match change {
+            QueueChange::Accepted(job) => {
+                self.metrics.accepted.inc();
+                self.accepted.insert(*job, (now, false));
+            }
+            QueueChange::Started(step, _) => {
+                if let Some((accepted, is_started)) = self.accepted.get_mut(&step.job)
+                    && !*is_started
+                {
+                    *is_started = true;
+                    self.metrics.first_start_seconds.observe(seconds(*accepted));
+                }
+            }
+            QueueChange::Ended(job, _) => {
+                self.metrics.ended.inc();
+                if let Some((accepted, _)) = self.accepted.remove(job) {
+                    self.metrics.job_seconds.observe(seconds(accepted));
+                }
+            }
+            _ => {}
+        }
     }
 
     fn add(&mut self, command: QueueCommand, answer: Option<Answer>) {
@@ -128,12 +162,7 @@
 impl Core {
     /// A call about queues. Calls that are answered from the state wait until a quorum has
     /// confirmed this leader, where an old state would be a wrong answer.
-    pub(crate) fn queue_call(
-        &mut self,
-        now: Millis,
-        call: QueueCall,
-        done: Responder<QueueReply>,
-    ) {
+    pub(crate) fn queue_call(&mut self, now: Millis, call: QueueCall, done: Responder<QueueReply>) {
         if let Err(error) = self.node.ensure_leading(now) {
             return done.send(Err(self.rpc_error(error)));
         }
@@ -249,8 +278,11 @@
             }
             (CallerAction::Read, Some(phase)) => done.send(Ok(QueueReply::Phase(phase))),
             (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => {
+                log::info!(job:% = key; "cancel proposed");
+                self.queues.metrics.cancelled.inc();
                 let command = QueueCommand::Cancel { job: key };
-                self.queues.add(command, Some((done, QueueReply::Cancelled)));
+                self.queues
+                    .add(command, Some((done, QueueReply::Cancelled)));
             }
             _ => self.confirm_queue_call(now, QueueCall::Caller(request), done),
         }
@@ -284,6 +316,7 @@
                 capacity_millicores = admission.capacity_millicores, retry_after_ms;
                 "job refused: the backlog is too long"
             );
+            self.queues.metrics.refused.inc();
             let reason = "the backlog is too long".to_owned();
             return done.send(Ok(QueueReply::Refused {
                 retry_after_ms,
@@ -310,7 +343,8 @@
         }
         log::info!(version = table.version, queues = table.queues.len(); "table proposed");
         let command = QueueCommand::PutTable(Box::new(table));
-        self.queues.add(command, Some((done, QueueReply::TableInForce)));
+        self.queues
+            .add(command, Some((done, QueueReply::TableInForce)));
     }
 
     /// Adds a member, after one with the same address is removed: a process that lost its disk
@@ -323,7 +357,10 @@
         done: Responder<QueueReply>,
     ) {
         let members = &self.node.membership().members;
-        if let Some(known) = members.get(&member).filter(|known| known.address == address) {
+        if let Some(known) = members
+            .get(&member)
+            .filter(|known| known.address == address)
+        {
             let is_voter = known.role == MemberRole::Voter;
             return done.send(Ok(QueueReply::Joining { is_voter }));
         }
@@ -402,15 +439,18 @@
             }
             for change in changes.iter().flatten() {
                 log_change(change, index);
+                self.queues.measure(change, now);
             }
         }
-        while let Some((at, _)) = self.queues.committing.front() {
+        while let Some((at, ..)) = self.queues.committing.front() {
             if *at > index {
                 break;
             }
-            let Some((_, answers)) = self.queues.committing.pop_front() else {
+            let Some((_, proposed, answers)) = self.queues.committing.pop_front() else {
                 break;
             };
+            let seconds = now.since(proposed) as f64 / MILLIS_PER_SECOND;
+            self.queues.metrics.commit_seconds.observe(seconds);
             for (done, reply) in answers {
                 done.send(Ok(reply));
             }
@@ -424,8 +464,18 @@
         order: &Order,
         result: Result<OrderReply, OrderError>,
     ) {
-        if let Some(scheduler) = &mut self.queues.scheduler {
-            scheduler.answered(self.state.queues(), order, result, now);
+        let Some(scheduler) = &mut self.queues.scheduler else {
+            return;
+        };
+        let was_reachable = scheduler.is_reachable(&order.worker);
+        let error = result.as_ref().err().copied();
+        scheduler.answered(self.state.queues(), order, result, now);
+        let is_reachable = scheduler.is_reachable(&order.worker);
+        if was_reachable && !is_reachable {
+            let sent_ms_ago = now.since(order.sent);
+            log::info!(worker = &*order.worker, error:?, sent_ms_ago; "worker silent");
+        } else if is_reachable && !was_reachable {
+            log::info!(worker = &*order.worker; "worker answers");
         }
     }
 
@@ -442,6 +492,9 @@
         };
         scheduler.tick(self.state.queues(), now);
         let actions = scheduler.take_actions();
+        self.queues.metrics.add(scheduler.take_counts());
+        let waiting = self.queues.waiting.len() as i64;
+        self.queues.metrics.callers_waiting.set(waiting);
         if actions.is_empty() || self.node.ensure_leading(self.clock.now()).is_err() {
             return;
         }
@@ -533,7 +586,8 @@
                     // The answers wait for the last part of the round.
                     if is_whole {
                         let answers = std::mem::take(&mut self.queues.batch_answers);
-                        self.queues.committing.push_back((index, answers));
+                        let now = self.clock.now();
+                        self.queues.committing.push_back((index, now, answers));
                     }
                 }
                 Err(ProposeError::Busy) => {
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -47,6 +47,7 @@
 use crate::methods;
 use crate::metrics::CoreMetrics;
 use crate::peers::Peers;
+use crate::queue_metrics::QueueMetrics;
 use crate::queues::QueueParts;
 use crate::queues::Queues;
 use crate::settings::Settings;
@@ -115,10 +116,10 @@
     let core_metrics = CoreMetrics::register(&metrics);
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
+    let queue_metrics = QueueMetrics::register(&metrics);
     let storage = StorageThread::start(Box::new(store), ring.clone(), core_metrics.clone())?;
 
-    let server_config =
-        RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
+    let server_config = RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
     let server = RpcServer::start(runtime.handle(), server_config, methods::methods(&ring)?)?;
     let readiness = Readiness::new();
     readiness.block("consensus", "no leader is known");
@@ -149,13 +150,12 @@
     );
     let core = core(
         &settings,
-        member,
         restored,
         peers,
         &storage,
         readiness,
         (core_metrics, cluster_metrics, clock_metrics),
-        Queues::new(queue_parts, ring.clone()),
+        Queues::new(queue_parts, ring.clone(), queue_metrics),
     )?;
     let result = core.run(&events);
     if result.is_ok() {
@@ -214,7 +214,6 @@
 
 fn core(
     settings: &Settings,
-    member: MemberId,
     restored: Restored,
     peers: Peers,
     storage: &StorageThread,
@@ -222,6 +221,7 @@
     (metrics, cluster_metrics, clock_metrics): (CoreMetrics, ClusterMetrics, ClockMetrics),
     queues: Queues,
 ) -> anyhow::Result<Core> {
+    let member = peers.member();
     let clock = Arc::new(SystemClock::new());
     let (state, applied) = match &restored.snapshot {
         Some(snapshot) => (State::restore(&snapshot.data)?, snapshot.meta.index),
--- a/crates/entry/examples/platform_bytes.rs
+++ b/crates/entry/examples/workers_bytes.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes of a worker's sync on the platform listener: heads and bodies of request and
+//! Counts the bytes of a worker's sync on the workers listener: heads and bodies of request and
 //! answer, without TCP and IP headers. A relay between worker and entry does the counting.
 
 use std::error::Error;
@@ -14,8 +14,8 @@
 use std::thread;
 
 use sapphirepost_entry::control_client::ControlClient;
-use sapphirepost_entry::platform::PlatformConfig;
-use sapphirepost_entry::platform::PlatformServer;
+use sapphirepost_entry::workers::WorkersConfig;
+use sapphirepost_entry::workers::WorkersServer;
 use sapphirepost_process::SharedKey;
 use sapphirepost_process::rpc::RpcMethods;
 use sapphirepost_process::rpc::RpcServer;
@@ -82,12 +82,12 @@
     let leader = RpcServer::start(runtime.handle(), config, methods)?;
     let addresses = [leader.address().to_string()];
     let control = ControlClient::new(runtime.handle().clone(), &addresses, Some(key.clone()));
-    let config = PlatformConfig {
+    let config = WorkersConfig {
         address: local,
         key: Some(key.clone()),
     };
     let (announcements, _ring) = flume::bounded(1);
-    let server = PlatformServer::start(runtime.handle(), config, control, announcements)?;
+    let server = WorkersServer::start(runtime.handle(), config, control, announcements)?;
     let (sent, received) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
     let address = relay(server.address(), sent.clone(), received.clone())?;
     let sync = WorkerSync {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -37,8 +37,6 @@
 use crate::operators::OperatorServer;
 use crate::peers;
 use crate::peers::Peers;
-use crate::platform::PlatformConfig;
-use crate::platform::PlatformServer;
 use crate::roster;
 use crate::router_thread;
 use crate::router_thread::Input;
@@ -46,6 +44,8 @@
 use crate::router_thread::Parts;
 use crate::router_thread::SharedStatus;
 use crate::settings::Settings;
+use crate::workers::WorkersConfig;
+use crate::workers::WorkersServer;
 
 /// The time between two looks at status and stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -78,7 +78,7 @@
     readiness: Readiness,
     metrics: EntryMetrics,
     callers: CallerServer,
-    platform: PlatformServer,
+    workers: WorkersServer,
     _operators: Option<OperatorServer>,
     _config: Option<ConfigWatch>,
     _inner: RpcServer,
@@ -150,12 +150,12 @@
                 OperatorServer::start(config, control)
             })
             .transpose()?;
-        let platform = start_platform(settings, runtime, &inputs, control)?;
+        let workers = start_workers(settings, runtime, &inputs, control)?;
         let callers = start_callers(settings, runtime, &inputs, clock)?;
         log::info!(
             entry:% = settings.member.id,
             callers:% = callers.address(),
-            platform:% = platform.address(),
+            workers:% = workers.address(),
             inner:% = inner.address(),
             admin:% = admin.address();
             "entry started"
@@ -167,7 +167,7 @@
             readiness,
             metrics: EntryMetrics::new(&metrics),
             callers,
-            platform,
+            workers,
             _operators: operators,
             _config: config,
             _inner: inner,
@@ -222,20 +222,20 @@
             return;
         }
         self.inputs.try_send(Input::Event(Event::Stopping));
-        let held = runtime.block_on(self.platform.stop(LAST_SYNCS));
+        let held = runtime.block_on(self.workers.stop(LAST_SYNCS));
         if held > 0 {
-            log::warn!(connections = held; "platform connections cut off");
+            log::warn!(connections = held; "workers connections cut off");
         }
         log::info!("entry stopped");
     }
 }
 
-fn start_platform(
+fn start_workers(
     settings: &Settings,
     runtime: &Handle,
     inputs: &Inputs,
     control: Option<ControlClient>,
-) -> anyhow::Result<PlatformServer> {
+) -> anyhow::Result<WorkersServer> {
     let (sender, receiver) = flume::bounded(ANNOUNCEMENTS);
     let inputs = inputs.clone();
     runtime.spawn(async move {
@@ -245,13 +245,13 @@
                 .await;
         }
     });
-    let config = PlatformConfig {
-        address: settings.platform,
-        key: settings.platform_key.clone(),
+    let config = WorkersConfig {
+        address: settings.workers,
+        key: settings.workers_key.clone(),
     };
     let key = settings.inner_key.clone();
     let control = control.unwrap_or_else(|| ControlClient::new(runtime.clone(), &[], key));
-    PlatformServer::start(runtime, config, control, sender).context("platform listener")
+    WorkersServer::start(runtime, config, control, sender).context("workers listener")
 }
 
 fn start_callers(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,7 @@
 //! The entry: where callers, upstreams, workers and operators reach the system.
 //!
 //! `main` makes one [`control_client::ControlClient`], and hands clones of it to
-//! [`platform::PlatformServer::start`], [`operators::OperatorServer::start`] and
+//! [`workers::WorkersServer::start`], [`operators::OperatorServer::start`] and
 //! [`config_watch::start`].
 
 pub mod caller;
@@ -14,9 +14,9 @@
 pub mod metrics;
 pub mod operators;
 pub mod peers;
-pub mod platform;
 pub mod roster;
 pub mod router_thread;
 pub mod settings;
 pub mod upstream;
+pub mod workers;
 pub mod write_timeout;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -32,7 +32,7 @@
     callers_address: Option<String>,
     /// where workers and upstreams connect, ip:port
     #[argh(option)]
-    platform_address: Option<String>,
+    workers_address: Option<String>,
     /// where operators connect, ip:port
     #[argh(option)]
     operators_address: Option<String>,
@@ -44,7 +44,7 @@
     inner_key_file: Option<String>,
     /// file with the key of workers and upstreams
     #[argh(option)]
-    platform_key_file: Option<String>,
+    workers_key_file: Option<String>,
     /// file with the key of operators
     #[argh(option)]
     operator_key_file: Option<String>,
@@ -92,7 +92,7 @@
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where workers and upstreams connect.
-    pub platform: SocketAddr,
+    pub workers: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
     /// Where health, metrics and dump are served.
@@ -100,7 +100,7 @@
     /// The key of the inner protocol.
     pub inner_key: Option<SharedKey>,
     /// The key of workers and upstreams.
-    pub platform_key: Option<SharedKey>,
+    pub workers_key: Option<SharedKey>,
     /// The key of operators.
     pub operator_key: Option<SharedKey>,
     /// Log levels.
@@ -130,11 +130,11 @@
         let members = Members(reader.list("roster", flags.roster));
         let control: Vec<SocketAddr> = reader.list("control", flags.control);
         let callers = reader.required("callers-address", flags.callers_address);
-        let platform = reader.required("platform-address", flags.platform_address);
+        let workers = reader.required("workers-address", flags.workers_address);
         let operators = reader.required("operators-address", flags.operators_address);
         let admin = reader.required("admin-address", flags.admin_address);
         let inner_key = reader.key_file("inner-key-file", flags.inner_key_file);
-        let platform_key = reader.key_file("platform-key-file", flags.platform_key_file);
+        let workers_key = reader.key_file("workers-key-file", flags.workers_key_file);
         let operator_key = reader.key_file("operator-key-file", flags.operator_key_file);
         let log_levels = reader.value("log-level", flags.log_level, LogLevels::default());
         let mut number = |name: &str, flag, number| reader.number(name, flag, number);
@@ -160,11 +160,11 @@
                 members,
                 control: control.iter().map(SocketAddr::to_string).collect(),
                 callers: callers?,
-                platform: platform?,
+                workers: workers?,
                 operators: operators?,
                 admin: admin?,
                 inner_key,
-                platform_key,
+                workers_key,
                 operator_key,
                 log_levels,
                 caller_connections: caller_connections as usize,
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/workers.rs
@@ -1,10 +1,10 @@
-//! The platform listener: workers sync and upstreams announce themselves.
+//! The workers listener: workers sync and upstreams announce themselves.
 //!
 //! `POST /v1/workers/sync` is relayed to the leader, which holds it until it has a command.
 //! `POST /v1/upstreams/announce` is checked and handed to the router. Connections, header and
 //! body sizes and times are bounded, so that slow senders cannot exhaust the entry.
 //!
-//! `main` calls [`PlatformServer::start`] and stops it with [`PlatformServer::stop`].
+//! `main` calls [`WorkersServer::start`] and stops it with [`WorkersServer::stop`].
 
 use std::io;
 use std::net::SocketAddr;
@@ -54,14 +54,14 @@
 
 /// What the listener needs.
 #[derive(Clone, Debug)]
-pub struct PlatformConfig {
+pub struct WorkersConfig {
     /// Where to listen.
     pub address: SocketAddr,
     /// The key that workers and upstreams present; without one every request is refused.
     pub key: Option<SharedKey>,
 }
 
-struct Platform {
+struct Workers {
     key: Option<SharedKey>,
     control: ControlClient,
     announcements: flume::Sender<Announcement>,
@@ -69,24 +69,24 @@
 
 /// The running listener.
 #[derive(Debug)]
-pub struct PlatformServer(HttpServer);
+pub struct WorkersServer(HttpServer);
 
-impl PlatformServer {
+impl WorkersServer {
     /// Binds the address and starts to serve; checked announcements go to `announcements`. Must
     /// not be called on the runtime.
     pub fn start(
         runtime: &Handle,
-        config: PlatformConfig,
+        config: WorkersConfig,
         control: ControlClient,
         announcements: flume::Sender<Announcement>,
-    ) -> io::Result<PlatformServer> {
-        let platform = Platform {
+    ) -> io::Result<WorkersServer> {
+        let workers = Workers {
             key: config.key,
             control,
             announcements,
         };
-        let starting = HttpServer::start(runtime, config.address, LIMITS, platform);
-        runtime.block_on(starting).map(PlatformServer)
+        let starting = HttpServer::start(runtime, config.address, LIMITS, workers);
+        runtime.block_on(starting).map(WorkersServer)
     }
 
     /// The bound address.
@@ -100,7 +100,7 @@
     }
 }
 
-impl HttpHandler for Platform {
+impl HttpHandler for Workers {
     fn admit(&self, head: &Parts) -> Result<(), HttpError> {
         if !matches!(head.uri.path(), SYNC_PATH | ANNOUNCE_PATH) {
             let status = StatusCode::NOT_FOUND;
@@ -111,7 +111,7 @@
             return Err(HttpError::new(status, "method", "use POST"));
         }
         let Some(key) = &self.key else {
-            let message = "this entry has no platform key, so it takes no reports";
+            let message = "this entry has no workers key, so it takes no reports";
             return Err(HttpError::new(StatusCode::FORBIDDEN, "no_key", message));
         };
         http::check_key(key, head)
@@ -126,7 +126,7 @@
     }
 }
 
-impl Platform {
+impl Workers {
     async fn relay_sync(&self, body: &[u8]) -> Result<HttpAnswer, HttpError> {
         let mut sync: WorkerSync = http::parse_json(body)?;
         sync.wait_ms = sync.wait_ms.min(SYNC_HOLD_MAX_MS);
--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -53,7 +53,7 @@
 /// Entries that know each other; processes are ended by their id when dropped.
 pub struct Cell {
     pub callers: Vec<SocketAddr>,
-    platform: Vec<SocketAddr>,
+    workers: Vec<SocketAddr>,
     admin: Vec<SocketAddr>,
     arguments: Vec<Vec<String>>,
     pub children: Vec<Option<Child>>,
@@ -71,7 +71,7 @@
             .collect();
         let mut cell = Cell {
             callers: (0..count).map(|_| free_address()).collect(),
-            platform: (0..count).map(|_| free_address()).collect(),
+            workers: (0..count).map(|_| free_address()).collect(),
             admin: (0..count).map(|_| free_address()).collect(),
             arguments: Vec::new(),
             children: Vec::new(),
@@ -82,11 +82,11 @@
                 ("entry", format!("entry{index}")),
                 ("roster", members.join(",")),
                 ("callers-address", cell.callers[index].to_string()),
-                ("platform-address", cell.platform[index].to_string()),
+                ("workers-address", cell.workers[index].to_string()),
                 ("operators-address", free_address().to_string()),
                 ("admin-address", cell.admin[index].to_string()),
                 ("inner-key-file", key_file.clone()),
-                ("platform-key-file", key_file.clone()),
+                ("workers-key-file", key_file.clone()),
             ]
             .into_iter()
             .flat_map(|(name, value)| [format!("--{name}"), value])
@@ -152,7 +152,7 @@
             "failure_domain": "a", "slots": 8, "connections": 64, "incarnation": 1,
             "sequence": sequence, "status": "serving",
         });
-        let url = format!("http://{}/v1/upstreams/announce", self.platform[index]);
+        let url = format!("http://{}/v1/upstreams/announce", self.workers[index]);
         let response = attohttpc::post(url)
             .proxy_settings(ProxySettings::builder().build())
             .header("authorization", format!("Bearer {KEY}"))
--- a/crates/entry/tests/listeners.rs
+++ b/crates/entry/tests/listeners.rs
@@ -1,4 +1,4 @@
-//! Guards the platform and operator listeners: invalid input is refused before it is passed on.
+//! Guards the workers and operator listeners: invalid input is refused before it is passed on.
 
 use std::io::Read;
 use std::io::Write;
@@ -10,8 +10,8 @@
 use sapphirepost_entry::control_client::ControlClient;
 use sapphirepost_entry::operators::OperatorConfig;
 use sapphirepost_entry::operators::OperatorServer;
-use sapphirepost_entry::platform::PlatformConfig;
-use sapphirepost_entry::platform::PlatformServer;
+use sapphirepost_entry::workers::WorkersConfig;
+use sapphirepost_entry::workers::WorkersServer;
 use sapphirepost_process::SharedKey;
 use sapphirepost_process::rpc::RpcMethods;
 use sapphirepost_process::rpc::RpcServer;
@@ -180,13 +180,13 @@
 fn the_platform_listener_relays_syncs_and_hands_announcements_on() {
     let runtime = runtime(2).unwrap();
     let leader = leader(&runtime);
-    let config = PlatformConfig {
+    let config = WorkersConfig {
         address: local(),
         key: key(),
     };
     let (sender, announcements) = flume::bounded(1);
     let control = control(&runtime, &leader);
-    let server = PlatformServer::start(runtime.handle(), config, control, sender).unwrap();
+    let server = WorkersServer::start(runtime.handle(), config, control, sender).unwrap();
     let sync = r#"{"worker":"w1","incarnation":1,"sequence":4,"digest":0,"wait_ms":60000}"#;
     let announcement = r#"{"name":"u1","service":"web","address":"127.0.0.1:9","failure_domain":"a",
         "slots":8,"connections":64,"incarnation":1,"sequence":1,"status":"serving"}"#;
@@ -219,13 +219,13 @@
 fn a_head_or_body_that_does_not_arrive_ends_its_connection() {
     let runtime = runtime(2).unwrap();
     let leader = leader(&runtime);
-    let config = PlatformConfig {
+    let config = WorkersConfig {
         address: local(),
         key: key(),
     };
     let (sender, _announcements) = flume::bounded(1);
     let control = control(&runtime, &leader);
-    let server = PlatformServer::start(runtime.handle(), config, control, sender).unwrap();
+    let server = WorkersServer::start(runtime.handle(), config, control, sender).unwrap();
     let head = format!("POST /v1/workers/sync HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
     let body = format!("{head}content-length: 100\r\n\r\n{{");
     let cases = [head, body].map(|part| {
--- a/crates/load/src/group/claim_faults.rs
+++ b/crates/load/src/group/claim_faults.rs
@@ -62,8 +62,8 @@
         let runners = (0..RUNNERS)
             .map(|index| Runner::start(&handle, index, observed.clone()))
             .collect::<anyhow::Result<Vec<_>>>()?;
-        let platform: Vec<String> = addresses.iter().map(|a| a.platform.to_string()).collect();
-        let announce_to = Entries::new(&platform.join(","), processes::key()?)?;
+        let workers: Vec<String> = addresses.iter().map(|a| a.workers.to_string()).collect();
+        let announce_to = Entries::new(&workers.join(","), processes::key()?)?;
         let ended = Arc::new(AtomicBool::new(false));
         thread::spawn({
             let (runners, ended) = (runners.clone(), ended.clone());
--- a/crates/load/src/group/cluster.rs
+++ b/crates/load/src/group/cluster.rs
@@ -26,11 +26,11 @@
 const CAPACITY: &str = "64000m/262144Mi/2a";
 
 const CALLERS_PORT: u16 = 7_300;
-const PLATFORM_PORT: u16 = 7_310;
+const WORKERS_PORT: u16 = 7_310;
 const OPERATORS_PORT: u16 = 7_320;
 const ADMIN_PORT: u16 = 7_330;
 const INNER_PORT: u16 = 7_340;
-const PLATFORM_RELAY_PORT: u16 = 7_350;
+const WORKERS_RELAY_PORT: u16 = 7_350;
 const INNER_RELAY_PORT: u16 = 7_360;
 
 /// A process of the cluster; it is killed when dropped.
@@ -57,7 +57,7 @@
     /// The control processes and an operator.
     pub group: Group,
     /// Between workers and entries.
-    pub platform: Arc<Traffic>,
+    pub worker_traffic: Arc<Traffic>,
     /// Into control processes, from entries and from each other.
     pub inner: Arc<Traffic>,
     entries: Vec<Process>,
@@ -69,7 +69,7 @@
     /// Starts control processes, entries and `workers` stand-in workers.
     pub fn start(workers: usize) -> anyhow::Result<Cluster> {
         let relays = rpc::runtime(2)?;
-        let platform = Arc::new(Traffic::default());
+        let worker_traffic = Arc::new(Traffic::default());
         let inner = Arc::new(Traffic::default());
         let advertised: Vec<SocketAddr> = (0..CONTROLS as u16)
             .map(|index| loopback::address(INNER_RELAY_PORT + index))
@@ -79,15 +79,15 @@
             relay::start(relays.handle(), *from, to, inner.clone())?;
         }
         for index in 0..ENTRIES as u16 {
-            let from = loopback::address(PLATFORM_RELAY_PORT + index);
-            let to = loopback::address(PLATFORM_PORT + index);
-            relay::start(relays.handle(), from, to, platform.clone())?;
+            let from = loopback::address(WORKERS_RELAY_PORT + index);
+            let to = loopback::address(WORKERS_PORT + index);
+            relay::start(relays.handle(), from, to, worker_traffic.clone())?;
         }
         let advertised = advertised.iter().map(SocketAddr::to_string).collect();
         let group = Group::start_advertised(advertised)?;
         let mut cluster = Cluster {
             group,
-            platform,
+            worker_traffic,
             inner,
             entries: Vec::new(),
             workers: Vec::new(),
@@ -148,12 +148,12 @@
             .args(["--roster", &roster.join(",")])
             .args(["--control", &control.join(",")])
             .args(["--callers-address", &at(CALLERS_PORT)])
-            .args(["--platform-address", &at(PLATFORM_PORT)])
+            .args(["--workers-address", &at(WORKERS_PORT)])
             .args(["--operators-address", &at(OPERATORS_PORT)])
             .args(["--admin-address", &at(ADMIN_PORT)])
             .arg("--inner-key-file")
             .arg(&key_file)
-            .arg("--platform-key-file")
+            .arg("--workers-key-file")
             .arg(&key_file)
             .args(["--log-level", "error"])
             .stdin(Stdio::null())
@@ -163,7 +163,7 @@
     }
 
     fn start_workers(&self, domain: usize, count: usize) -> anyhow::Result<Process> {
-        let entry = loopback::address(PLATFORM_RELAY_PORT + domain as u16);
+        let entry = loopback::address(WORKERS_RELAY_PORT + domain as u16);
         let child = Command::new(processes::program("sapphirepost-standin")?)
             .args(["worker", "--entries", &entry.to_string()])
             .arg("--key-file")
--- a/crates/load/src/group/cost.rs
+++ b/crates/load/src/group/cost.rs
@@ -72,8 +72,8 @@
     follower: Usage,
     entry: Usage,
     workers: Usage,
-    platform_bytes: u64,
-    platform_wire_bytes: u64,
+    workers_bytes: u64,
+    workers_wire_bytes: u64,
     inner_wire_bytes: u64,
 }
 
@@ -167,8 +167,8 @@
     let config_ms = longest_ms(|number| config_in_force(&mut cluster, number))?;
     let count = workers as f64;
     let per_s = |before: u64, after: u64| (after - before) as f64 / time.as_secs_f64();
-    let bytes = per_s(before.platform_bytes, after.platform_bytes);
-    let wire_bytes = per_s(before.platform_wire_bytes, after.platform_wire_bytes);
+    let bytes = per_s(before.workers_bytes, after.workers_bytes);
+    let wire_bytes = per_s(before.workers_wire_bytes, after.workers_wire_bytes);
     let inner_bytes = per_s(before.inner_wire_bytes, after.inner_wire_bytes);
     let core = |usage: fn(&Reading) -> Usage| core_percent(usage(&before), usage(&after), time);
     Ok(vec![
@@ -248,8 +248,8 @@
         follower: cluster.followers()?,
         entry: cluster.entries()?,
         workers: cluster.workers()?,
-        platform_bytes: cluster.platform.bytes(),
-        platform_wire_bytes: cluster.platform.wire_bytes(),
+        workers_bytes: cluster.worker_traffic.bytes(),
+        workers_wire_bytes: cluster.worker_traffic.wire_bytes(),
         inner_wire_bytes: cluster.inner.wire_bytes(),
     })
 }
--- a/crates/load/src/requests/cluster.rs
+++ b/crates/load/src/requests/cluster.rs
@@ -74,8 +74,8 @@
         let runners: Vec<Arc<Runner>> = (0..runners)
             .map(|index| Runner::start(runtime.handle(), index, observed.clone()))
             .collect::<anyhow::Result<_>>()?;
-        let platform: Vec<String> = addresses.iter().map(|a| a.platform.to_string()).collect();
-        let announce_to = Entries::new(&platform.join(","), SharedKey::new(KEY)?)?;
+        let workers: Vec<String> = addresses.iter().map(|a| a.workers.to_string()).collect();
+        let announce_to = Entries::new(&workers.join(","), SharedKey::new(KEY)?)?;
         let ended = Arc::new(AtomicBool::new(false));
         let announcer = thread::spawn({
             let runners = runners.clone();
--- a/crates/load/src/requests/entry.rs
+++ b/crates/load/src/requests/entry.rs
@@ -34,8 +34,8 @@
     pub inner: SocketAddr,
     /// Caller listener.
     pub callers: SocketAddr,
-    /// Platform listener.
-    pub platform: SocketAddr,
+    /// Workers listener.
+    pub workers: SocketAddr,
     operators: SocketAddr,
     admin: SocketAddr,
 }
@@ -48,7 +48,7 @@
             failure_domain: ["a", "b", "c"][index % 3],
             inner: next_address(),
             callers: next_address(),
-            platform: next_address(),
+            workers: next_address(),
             operators: next_address(),
             admin: next_address(),
         }
@@ -82,7 +82,7 @@
 pub struct EntryOptions {
     /// The program.
     pub program: PathBuf,
-    /// The key file of the inner and the platform protocol.
+    /// The key file of the inner and the workers protocol.
     pub key_file: PathBuf,
     /// All entries.
     pub roster: String,
@@ -122,11 +122,11 @@
             .args(control.flat_map(|addresses| ["--control", addresses]))
             .args(["--entry", &addresses.name, "--roster", &options.roster])
             .args(["--callers-address", &addresses.callers.to_string()])
-            .args(["--platform-address", &addresses.platform.to_string()])
+            .args(["--workers-address", &addresses.workers.to_string()])
             .args(["--operators-address", &addresses.operators.to_string()])
             .args(["--admin-address", &addresses.admin.to_string()])
             .args(["--inner-key-file", &key_file])
-            .args(["--platform-key-file", &key_file])
+            .args(["--workers-key-file", &key_file])
             .args(["--log-level", "warn"])
             .stdin(Stdio::null())
             .spawn()
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -134,6 +134,8 @@
     /// Whether the tasks of the steps that `step` depends on are all done.
     pub fn is_due(&self, step: u16) -> bool {
         let after = &self.spec.steps[usize::from(step)].after;
-        after.iter().all(|&earlier| self.steps[usize::from(earlier)].left == 0)
+        after
+            .iter()
+            .all(|&earlier| self.steps[usize::from(earlier)].left == 0)
     }
 }
--- a/crates/queues/src/scheduler/contact.rs
+++ b/crates/queues/src/scheduler/contact.rs
@@ -88,6 +88,7 @@
         let handed_over = self.since + hand_over_ms;
         let earlier_until_ms = clock_ms + handed_over.since(at) + lease_ms;
         let until_ms = self.asked_until_ms.max(earlier_until_ms) + ROUNDING_MS;
-        self.clock_ms(now).is_some_and(|clock_ms| clock_ms > until_ms)
+        self.clock_ms(now)
+            .is_some_and(|clock_ms| clock_ms > until_ms)
     }
 }
--- a/crates/queues/src/scheduler/drain.rs
+++ b/crates/queues/src/scheduler/drain.rs
@@ -71,7 +71,9 @@
             }
         }
         for (index, task, run) in stalled {
-            let is_live = state.job(task.step.job).is_some_and(|job| !job.phase.has_ended());
+            let is_live = state
+                .job(task.step.job)
+                .is_some_and(|job| !job.phase.has_ended());
             if let Some(worker) = self.workers.get_mut(index) {
                 worker.health.failed(task.step.job, now);
             }
--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -133,7 +133,11 @@
             }
             return;
         }
-        if worker.runs.values().any(|run| run.stage == RunStage::Proposed) {
+        if worker
+            .runs
+            .values()
+            .any(|run| run.stage == RunStage::Proposed)
+        {
             return;
         }
         worker.looks.is_expiry_proposed = true;
@@ -214,7 +218,10 @@
             }
         }
         let is_listed = |task: &TaskKey, run: u32| {
-            reply.running.iter().any(|row| row.task == *task && row.run == run)
+            reply
+                .running
+                .iter()
+                .any(|row| row.task == *task && row.run == run)
                 || ends.iter().any(|end| end.task == *task && end.run == run)
         };
         for (task, run) in &worker.runs {
--- a/crates/queues/src/scheduler/orders.rs
+++ b/crates/queues/src/scheduler/orders.rs
@@ -249,7 +249,10 @@
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
-        let Some(job) = state.job(task.step.job).filter(|job| !job.phase.has_ended()) else {
+        let Some(job) = state
+            .job(task.step.job)
+            .filter(|job| !job.phase.has_ended())
+        else {
             return self.give_up(index, (task, run), StopReason::JobEnded, now);
         };
         let Some(until_ms) = worker.contact.lease_until_ms(now, lease_ms) else {
@@ -314,6 +317,12 @@
         }
     }
 
+    /// Whether a worker has answered the last order.
+    pub fn is_reachable(&self, worker: &str) -> bool {
+        let worker = self.index(worker).and_then(|index| self.workers.get(index));
+        worker.is_some_and(|worker| worker.contact.is_reachable())
+    }
+
     fn heard(&mut self, index: WorkerIndex, clock_ms: u64, now: Millis) {
         if let Some(worker) = self.workers.get_mut(index) {
             worker.contact.answered(clock_ms, now);
@@ -532,7 +541,9 @@
     ) {
         for placement in placements {
             let task = step.task(placement.index);
-            let held = state.worker(&placement.worker).and_then(|worker| worker.runs.get(&task));
+            let held = state
+                .worker(&placement.worker)
+                .and_then(|worker| worker.runs.get(&task));
             if held.is_some_and(|held| held.run == placement.run) {
                 continue;
             }
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -280,9 +280,10 @@
         if self.desk.next_caller(now).is_none() {
             return;
         }
-        let wanting = self.steps.values().filter(|view| {
-            !view.permits.wanted.is_empty() && view.permits.question.is_none()
-        });
+        let wanting = self
+            .steps
+            .values()
+            .filter(|view| !view.permits.wanted.is_empty() && view.permits.question.is_none());
         let mut wanting: Vec<(bool, Rank)> = wanting
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -87,7 +87,10 @@
     /// The reservations of gangs for which room is being made.
     fn made_room(&self, now: Millis) -> Reservations {
         let mut reservations = Reservations::default();
-        let made = self.steps.values().filter(|view| now < view.made_room.until);
+        let made = self
+            .steps
+            .values()
+            .filter(|view| now < view.made_room.until);
         for view in made {
             self.hold_now(view, &view.made_room.workers, &mut reservations, now);
         }
@@ -117,14 +120,22 @@
             return true;
         };
         let ends_soon = |(task, (_, worker)): (&u32, &(u32, WorkerIndex))| {
-            let run = self.workers.get(*worker).and_then(|w| w.runs.get(&key.task(*task)));
+            let run = self
+                .workers
+                .get(*worker)
+                .and_then(|w| w.runs.get(&key.task(*task)));
             run.is_some_and(|run| run.expected_end(now) <= now + ASK_AHEAD_MS)
         };
         let is_placed = view.waiting.is_empty() && view.proposed.is_empty();
         is_placed && view.placed.iter().all(ends_soon)
     }
 
-    pub(crate) fn permission(&self, view: &StepView, index: WorkerIndex, now: Millis) -> Permission {
+    pub(crate) fn permission(
+        &self,
+        view: &StepView,
+        index: WorkerIndex,
+        now: Millis,
+    ) -> Permission {
         match view.queue.permits {
             None => Permission::Granted,
             Some(cost) => view.permits.of(index, cost.valid_ms, now),
@@ -206,13 +217,21 @@
     ) {
         let mut candidates = self.candidates(view, reservations, now);
         candidates.sort_unstable_by_key(|c| {
-            (c.is_avoided, !c.is_preferred, c.pace_percent / 50, c.left_millicores, c.index)
+            (
+                c.is_avoided,
+                !c.is_preferred,
+                c.pace_percent / 50,
+                c.left_millicores,
+                c.index,
+            )
         });
         let job = state.job(view.key.job).filter(|_| view.is_committed);
         let mut placements = Vec::new();
         if job.is_some() {
             let mut waiting = view.waiting.iter().copied().collect::<Vec<_>>().into_iter();
-            let granted = candidates.iter().filter(|c| c.permission == Permission::Granted);
+            let granted = candidates
+                .iter()
+                .filter(|c| c.permission == Permission::Granted);
             'workers: for candidate in granted {
                 for _ in 0..candidate.fits {
                     let Some(task) = waiting.next() else {
@@ -335,7 +354,13 @@
             .collect();
         let is_granted = |c: &Candidate| c.permission == Permission::Granted;
         usable.sort_unstable_by_key(|c| {
-            (c.is_avoided, !is_granted(c), c.pace_percent / 50, c.left_millicores, c.index)
+            (
+                c.is_avoided,
+                !is_granted(c),
+                c.pace_percent / 50,
+                c.left_millicores,
+                c.index,
+            )
         });
         if view.spec().is_single_rack
             && let Some(chosen) = self.choose_rack(&usable, members)
@@ -366,7 +391,9 @@
             let size = there.len();
             take_slots(there.into_iter(), members).map(|chosen| (size, chosen))
         });
-        holding.min_by_key(|(size, _)| *size).map(|(_, chosen)| chosen)
+        holding
+            .min_by_key(|(size, _)| *size)
+            .map(|(_, chosen)| chosen)
     }
 
     fn hold_now(
@@ -391,7 +418,9 @@
             if !is_allowed || !worker.is_open(now) || !view.suits(worker) {
                 continue;
             }
-            let most = spec.per_worker_max.map_or(members, |most| members.min(most as usize));
+            let most = spec
+                .per_worker_max
+                .map_or(members, |most| members.min(most as usize));
             let kept = reservations.total(index, view.key);
             let times = slot_times(worker, spec.resources, kept, most, now);
             slots.extend(times.into_iter().map(|at| (at, index)));
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -142,7 +142,10 @@
             displaced: Vec::new(),
             cost_millicores: 0,
         };
-        let most = view.spec().per_worker_max.map_or(members, |most| most as usize);
+        let most = view
+            .spec()
+            .per_worker_max
+            .map_or(members, |most| most as usize);
         let (mut room, mut needed) = (room, need);
         let mut pending = Vec::new();
         let mut pending_cost = 0;
--- a/crates/queues/src/scheduler/reserve.rs
+++ b/crates/queues/src/scheduler/reserve.rs
@@ -85,7 +85,10 @@
 
 /// The room that is expected to be free at a time.
 fn free_at(worker: &WorkerView, at: Millis, now: Millis) -> Resources {
-    let ended = worker.runs.values().filter(|run| run.expected_end(now) <= at);
+    let ended = worker
+        .runs
+        .values()
+        .filter(|run| run.expected_end(now) <= at);
     ended.fold(worker.free(), |sum, run| add(sum, run.resources))
 }
 
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -172,7 +172,9 @@
             let tasks = step.tasks.iter().enumerate();
             let waiting = tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting);
             let waiting = waiting.map(|(index, _)| index as u32);
-            view.waiting = waiting.filter(|index| !view.proposed.contains(index)).collect();
+            view.waiting = waiting
+                .filter(|index| !view.proposed.contains(index))
+                .collect();
         }
     }
 
@@ -247,12 +249,7 @@
     }
 }
 
-fn new_view(
-    key: StepKey,
-    spec: &Arc<SubmittedSpec>,
-    queue: &Queue,
-    arrived: Millis,
-) -> StepView {
+fn new_view(key: StepKey, spec: &Arc<SubmittedSpec>, queue: &Queue, arrived: Millis) -> StepView {
     let objective_ms = objective_ms(queue, spec);
     StepView {
         key,
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -103,11 +103,7 @@
         };
         match command {
             QueueCommand::PutTable(table) => apply.put_table(table),
-            QueueCommand::Submit {
-                job,
-                queue,
-                spec,
-            } => {
+            QueueCommand::Submit { job, queue, spec } => {
                 if !apply.state.jobs.contains_key(job) {
                     let (queue, spec) = (queue.clone(), spec.clone());
                     let new = Job::new(*job, queue, spec, at_unix_ms);
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -64,7 +64,10 @@
     model.run(50);
     submit(&mut model, Kind::Tally, 6);
     model.run(500);
-    let gone = model.workers.values_mut().find(|worker| !worker.running.is_empty());
+    let gone = model
+        .workers
+        .values_mut()
+        .find(|worker| !worker.running.is_empty());
     let gone = gone.unwrap();
     gone.is_dark = true;
     gone.is_crashed = true;
@@ -125,7 +128,11 @@
     model.run(50);
     model.workers.values_mut().next().unwrap().fails_all = true;
     for round in 0..40 {
-        model.submit(load::key(Kind::Lookup, round), "lookup", load::spec(Kind::Lookup, round));
+        model.submit(
+            load::key(Kind::Lookup, round),
+            "lookup",
+            load::spec(Kind::Lookup, round),
+        );
         model.run(100);
     }
     model.run_until_done(30_000);
@@ -162,7 +169,12 @@
     model.run(50);
     submit(&mut model, Kind::Tally, 3);
     model.run(300);
-    assert!(model.workers.values().any(|worker| !worker.running.is_empty()));
+    assert!(
+        model
+            .workers
+            .values()
+            .any(|worker| !worker.running.is_empty())
+    );
     let text = serde_json::to_vec(&model.state).expect("the state can be written");
     let read: QueueState = serde_json::from_slice(&text).expect("the state can be read");
     assert_eq!(read, model.state);
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -21,6 +21,7 @@
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
+use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::Order;
@@ -45,6 +46,9 @@
 pub const GANG_MS: u64 = 3_000;
 pub const SERVICE: &str = "logbook";
 
+/// The members of a gang and their workers.
+type Members = Vec<(Arc<str>, TaskKey)>;
+
 /// Something that happens later.
 enum Event {
     Applied(Vec<QueueCommand>),
@@ -307,10 +311,7 @@
         let queue = job.map(|job| &*job.queue).or_else(|| table.queues.first());
         let cost = queue.and_then(|queue| queue.permits);
         let took_ms = cost.map_or(0, |cost| cost.total_ms(request.workers.len()));
-        self.later(
-            took_ms + 2 * NET_MS,
-            Event::PermitsAnswered(caller, answer),
-        );
+        self.later(took_ms + 2 * NET_MS, Event::PermitsAnswered(caller, answer));
     }
 
     fn order_arrives(&mut self, order: Order) {
@@ -351,8 +352,7 @@
 
     /// Ends gangs of which all members have done their work, and those that are not complete.
     fn advance_gangs(&mut self) {
-        let mut gangs: BTreeMap<(sapphirepost_queues::StepKey, u32), Vec<(Arc<str>, TaskKey)>> =
-            BTreeMap::new();
+        let mut gangs: BTreeMap<(StepKey, u32), Members> = BTreeMap::new();
         for (id, worker) in &self.workers {
             for (task, run) in &worker.running {
                 let job = self.state.job(task.step.job);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -244,7 +244,11 @@
                 if *until_ms <= now.0 {
                     return reject(RejectReason::LeaseOver);
                 }
-                if self.running.get(task).is_some_and(|known| known.run == *run) {
+                if self
+                    .running
+                    .get(task)
+                    .is_some_and(|known| known.run == *run)
+                {
                     return Ok(OrderReply::Taken { clock_ms: now.0 });
                 }
                 if self.barred.get(task).is_some_and(|barred| barred >= run) {
--- a/crates/scenarios/tests/harness/cluster.rs
+++ b/crates/scenarios/tests/harness/cluster.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy)]
 pub enum Port {
     Callers = 21_000,
-    Platform = 21_100,
+    Workers = 21_100,
     Operators = 21_200,
     EntryAdmin = 21_300,
     EntryInner = 21_400,
@@ -155,7 +155,7 @@
         }
         for index in 1..=entries {
             add(Port::EntryInner, index, self.entry_domain(index));
-            add(Port::Platform, index, self.entry_domain(index));
+            add(Port::Workers, index, self.entry_domain(index));
         }
     }
 
@@ -216,22 +216,22 @@
             .flag("roster", roster.join(","))
             .flag("control", addresses.join(","))
             .flag("callers-address", listens(Port::Callers))
-            .flag("platform-address", listens(Port::Platform))
+            .flag("workers-address", listens(Port::Workers))
             .flag("operators-address", listens(Port::Operators))
             .flag("admin-address", listens(Port::EntryAdmin))
             .flag("inner-key-file", key.clone())
-            .flag("platform-key-file", key.clone())
+            .flag("workers-key-file", key.clone())
             .flag("operator-key-file", key)
             .0
     }
 
-    /// The platform addresses of all entries, those of the own failure domain first.
-    fn platform(&self, domain: &str) -> String {
+    /// The workers addresses of all entries, those of the own failure domain first.
+    fn workers(&self, domain: &str) -> String {
         let mut order: Vec<usize> = (1..=self.entries).collect();
         order.sort_by_key(|index| self.entry_domain(*index) != domain);
         let all: Vec<String> = order
             .into_iter()
-            .map(|index| self.relayed(domain, Port::Platform, index).to_string())
+            .map(|index| self.relayed(domain, Port::Workers, index).to_string())
             .collect();
         all.join(",")
     }
@@ -259,7 +259,7 @@
     fn standin(&self, kind: &str, name: &str, domain: &str, journal: &str) -> Line {
         let mut line = Line::new("sapphirepost-standin");
         line.0.push(kind.to_owned());
-        line.flag("entries", self.platform(domain))
+        line.flag("entries", self.workers(domain))
             .flag("key-file", self.text_path("key"))
             .flag("name", name.to_owned())
             .flag("failure-domain", domain.to_owned())
--- a/crates/standin/src/entries.rs
+++ b/crates/standin/src/entries.rs
@@ -1,4 +1,4 @@
-//! Requests to the platform listeners of the entries.
+//! Requests to the workers listeners of the entries.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -47,10 +47,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "worker")]
 struct WorkerArguments {
-    /// platform addresses of entries, comma-separated
+    /// workers addresses of entries, comma-separated
     #[argh(option)]
     entries: String,
-    /// file with the platform key
+    /// file with the workers key
     #[argh(option)]
     key_file: PathBuf,
     /// name, or prefix of the names with --count
@@ -98,10 +98,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "upstream")]
 struct UpstreamArguments {
-    /// platform addresses of entries, comma-separated
+    /// workers addresses of entries, comma-separated
     #[argh(option)]
     entries: String,
-    /// file with the platform key
+    /// file with the workers key
     #[argh(option)]
     key_file: PathBuf,
     /// name, or prefix of the names with --count
--- a/crates/storage/tests/disk.rs
+++ b/crates/storage/tests/disk.rs
@@ -37,10 +37,13 @@
 }
 
 fn open(directory: &Path) -> Result<DiskStore, StoreError> {
-    DiskStore::open(directory, DiskOptions {
-        segment_bytes: 400,
-        ..DiskOptions::default()
-    })
+    DiskStore::open(
+        directory,
+        DiskOptions {
+            segment_bytes: 400,
+            ..DiskOptions::default()
+        },
+    )
 }
 
 fn restore(directory: &Path) -> Result<Restored, StoreError> {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -18,7 +18,7 @@
 keep_dir=yes
 
 callers() { echo "$ip:$((21000 + $1))"; }
-platform() { echo "$ip:$((21100 + $1))"; }
+workers() { echo "$ip:$((21100 + $1))"; }
 operators() { echo "$ip:$((21200 + $1))"; }
 entry_admin() { echo "$ip:$((21300 + $1))"; }
 entry_inner() { echo "$ip:$((21400 + $1))"; }
@@ -175,17 +175,17 @@
   for entry in "${entries[@]}"; do
     start "entry-$entry" "$bin/sapphirepost-entry" --entry "entry$entry" --roster "$roster" \
       --control "$(join $(for c in "${controls[@]}"; do control_inner "$c"; done))" \
-      --callers-address "$(callers "$entry")" --platform-address "$(platform "$entry")" \
+      --callers-address "$(callers "$entry")" --workers-address "$(workers "$entry")" \
       --operators-address "$(operators "$entry")" --admin-address "$(entry_admin "$entry")" \
-      --inner-key-file "$dir/inner.key" --platform-key-file "$dir/platform.key" \
+      --inner-key-file "$dir/inner.key" --workers-key-file "$dir/workers.key" \
       --operator-key-file "$dir/operator.key"
   done
   for domain in "${domains[@]}"; do
-    start "workers-$domain" "$bin/sapphirepost-standin" worker --entries "$platforms" \
-      --key-file "$dir/platform.key" --name "worker-$domain" --failure-domain "$domain" \
+    start "workers-$domain" "$bin/sapphirepost-standin" worker --entries "$workers_addresses" \
+      --key-file "$dir/workers.key" --name "worker-$domain" --failure-domain "$domain" \
       --count 3 --rack-size 2 --capacity 8000m/16384Mi/0a --journal "$dir/tasks.journal"
-    start "upstreams-$domain" "$bin/sapphirepost-standin" upstream --entries "$platforms" \
-      --key-file "$dir/platform.key" --name "logbook-$domain" --service logbook \
+    start "upstreams-$domain" "$bin/sapphirepost-standin" upstream --entries "$workers_addresses" \
+      --key-file "$dir/workers.key" --name "logbook-$domain" --service logbook \
       --failure-domain "$domain" --count 2 --journal "$dir/requests.journal"
   done
   for control in "${controls[@]}"; do
@@ -226,7 +226,7 @@
 echo "programs built"
 
 step "keys and identities"
-for role in inner platform operator; do
+for role in inner workers operator; do
   head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/$role.key"
 done
 members=()
@@ -239,7 +239,7 @@
 roster=$(join $(for e in "${entries[@]}"; do
   echo "entry$e@$(entry_domain "$e")=$(entry_inner "$e")"
 done))
-platforms=$(join $(for e in "${entries[@]}"; do platform "$e"; done))
+workers_addresses=$(join $(for e in "${entries[@]}"; do workers "$e"; done))
 echo "first voters: $founders"
 
 step "start 3 control processes, 6 entries, 9 workers and 6 upstreams"
