--- a/scripts/leader-faults.sh
+++ b/scripts/leader-faults.sh
@@ -12,7 +12,8 @@
 session=$1
 kills=$2
 pauses=$3
-bin=$(cd "$(dirname "$0")/.." && pwd)/target/${PROFILE:-debug}
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${CARGO_TARGET_DIR:-$root/target}/${PROFILE:-debug}
 eval "$(grep '^export SAPPHIREPOST_' "$session")"
 dir=$(sed -n 's/^logs and journals: //p' "$session")
 declare -A pids=()
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -220,7 +220,7 @@
 else
   cargo build -q -p sapphirepost -p sapphirepost-control -p sapphirepost-entry \
     -p sapphirepost-standin
-  bin=target/debug
+  bin=${CARGO_TARGET_DIR:-target}/debug
 fi
 bin=$(cd "$bin" && pwd)
 echo "programs built"
