--- a/crates/process/src/rpc/client.rs
+++ b/crates/process/src/rpc/client.rs
@@ -123,9 +123,13 @@
         R: DeserializeOwned,
     {
         let _permit = self.inner.calls.try_acquire().map_err(|_| RpcError::Busy)?;
-        let client = self.inner.connect().await?;
+        let deadline = tokio::time::Instant::now() + timeout;
+        let connecting = tokio::time::timeout_at(deadline, self.inner.connect());
+        let client = connecting
+            .await
+            .map_err(|_| RpcError::NotSent("no connection in time".to_owned()))??;
         let call = client.request::<R, _>(method, rpc_params![params]);
-        match tokio::time::timeout(timeout, call).await {
+        match tokio::time::timeout_at(deadline, call).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(ClientError::Call(object))) => Err(RpcError::from(object)),
             Ok(Err(error)) => {
--- a/crates/process/tests/rpc.rs
+++ b/crates/process/tests/rpc.rs
@@ -210,3 +210,18 @@
     let client = client(&runtime, server.address(), Some(key()));
     assert_eq!(client.call_blocking("double", &21, SECOND), Ok(42u64));
 }
+
+/// Guards against a call with little time that waits for a connection which is never made.
+#[test]
+fn a_call_waits_for_a_connection_no_longer_than_for_its_answer() {
+    let runtime = runtime(1).unwrap();
+    let silent = TcpListener::bind(local(0)).unwrap();
+    let address = silent.local_addr().unwrap().to_string();
+    let mut config = RpcClientConfig::new(address, Some(key()));
+    config.connect_timeout = 10 * SECOND;
+    let client = RpcClient::new(runtime.handle().clone(), config);
+    let since = Instant::now();
+    let result = client.call_blocking::<u64, u64>("double", &1, SECOND / 10);
+    assert!(matches!(result, Err(RpcError::NotSent(_))), "{result:?}");
+    assert!(since.elapsed() < SECOND, "{:?}", since.elapsed());
+}
