Split the queues of the control process, the orders and the placement

Change: calls, membership and actions of the control process are modules of their own; messages to workers apart from their handling; gangs apart from single tasks. No change of behaviour.

Ruled out: a package of its own for the calls; they need the core thread's state.

--- /dev/null
+++ b/crates/control/src/joining.rs
@@ -0,0 +1,84 @@
+//! Members that join by themselves, and who votes.
+
+use sapphirepost_consensus::Member;
+use sapphirepost_consensus::MemberRole;
+use sapphirepost_consensus::MembershipChange;
+use sapphirepost_consensus::ProposeError;
+use sapphirepost_process::rpc::Responder;
+use sapphirepost_protocol::queue::QueueReply;
+use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
+
+use crate::core::Core;
+use crate::group_size;
+use crate::group_size::MemberView;
+
+/// A member that is silent for longer counts as dead.
+const SILENT_MAX_MS: u64 = 2_500;
+
+impl Core {
+    /// Adds a member, after one with the same address is removed: a process that lost its disk
+    /// returns under a new identity at the old address.
+    pub(crate) fn join(
+        &mut self,
+        now: Millis,
+        member: MemberId,
+        address: String,
+        done: Responder<QueueReply>,
+    ) {
+        let members = &self.node.membership().members;
+        if let Some(known) = members
+            .get(&member)
+            .filter(|known| known.address == address)
+        {
+            let is_voter = known.role == MemberRole::Voter;
+            return done.send(Ok(QueueReply::Joining { is_voter }));
+        }
+        let former = members
+            .iter()
+            .find(|(id, known)| known.address == address || **id == member);
+        let change = match former {
+            Some((former, _)) => MembershipChange::Remove { member: *former },
+            None => MembershipChange::Add {
+                member,
+                address: address.clone(),
+                promote: false,
+            },
+        };
+        match self.node.propose_membership(now, change.clone()) {
+            Ok(_) => {
+                log::info!(member:%, address, change:?; "member joins");
+                done.send(Ok(QueueReply::Joining { is_voter: false }));
+            }
+            Err(ProposeError::Membership(error)) => {
+                done.send(Ok(QueueReply::Invalid(error.to_string())));
+            }
+            Err(error) => done.send(Err(self.rpc_error(error))),
+        }
+    }
+
+    /// Gives votes to the right members, one change at a time.
+    pub(crate) fn adjust_voters(&mut self, now: Millis) {
+        let own = self.node.id();
+        let members = self.node.membership().members.iter();
+        let view = |(id, member): (&MemberId, &Member)| {
+            let progress = self.node.member_progress(*id);
+            let silent_ms = progress.and_then(|progress| progress.silent_ms);
+            MemberView {
+                id: *id,
+                is_voter: member.role == MemberRole::Voter,
+                is_live: *id == own || silent_ms.is_some_and(|ms| ms <= SILENT_MAX_MS),
+                is_self: *id == own,
+            }
+        };
+        let members: Vec<MemberView> = members.map(view).collect();
+        let Some(change) = group_size::next_change(&members) else {
+            return;
+        };
+        // A change that is refused now, for instance since a member has not caught up, is
+        // proposed again.
+        if self.node.propose_membership(now, change.clone()).is_ok() {
+            log::info!(change:?, members = members.len(); "voters change");
+        }
+    }
+}
--- a/crates/queues/src/scheduler/drain.rs
+++ b/crates/queues/src/scheduler/drain.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
-use crate::scheduler::orders::StopReason;
+use crate::scheduler::messages::StopReason;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -12,10 +12,10 @@
 use crate::command::RunEnd;
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
-use crate::scheduler::orders::LookReply;
-use crate::scheduler::orders::Order;
-use crate::scheduler::orders::OrderKind;
-use crate::scheduler::orders::StopReason;
+use crate::scheduler::messages::LookReply;
+use crate::scheduler::messages::Order;
+use crate::scheduler::messages::OrderKind;
+use crate::scheduler::messages::StopReason;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -7,8 +7,10 @@
 mod admission;
 mod contact;
 mod drain;
+mod gangs;
 mod health;
 mod looks;
+mod messages;
 mod order;
 mod orders;
 mod permits;
@@ -43,14 +45,14 @@
 
 pub use crate::scheduler::admission::Admission;
 pub use crate::scheduler::contact::RATE_MIN;
-pub use crate::scheduler::orders::LookReply;
-pub use crate::scheduler::orders::Order;
-pub use crate::scheduler::orders::OrderError;
-pub use crate::scheduler::orders::OrderKind;
-pub use crate::scheduler::orders::OrderReply;
-pub use crate::scheduler::orders::RejectReason;
-pub use crate::scheduler::orders::RunningRow;
-pub use crate::scheduler::orders::StopReason;
+pub use crate::scheduler::messages::LookReply;
+pub use crate::scheduler::messages::Order;
+pub use crate::scheduler::messages::OrderError;
+pub use crate::scheduler::messages::OrderKind;
+pub use crate::scheduler::messages::OrderReply;
+pub use crate::scheduler::messages::RejectReason;
+pub use crate::scheduler::messages::RunningRow;
+pub use crate::scheduler::messages::StopReason;
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitRequest;
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -2,10 +2,7 @@
 //!
 //! Answers the load pattern in which work of many sizes competes for nearly full workers. Steps
 //! are served in their order; a task goes to the worker on which the least room is left over, so
-//! that wide tasks find room; gangs take all or nothing, and the first ones that do not fit are
-//! given reservations.
-
-use std::sync::Arc;
+//! that wide tasks find room. Gangs are placed by the module `gangs`.
 
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
@@ -19,7 +16,6 @@
 use crate::scheduler::permits::Permission;
 use crate::scheduler::preempt::MadeRoom;
 use crate::scheduler::reserve::Reservations;
-use crate::scheduler::reserve::slot_times;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
@@ -40,19 +36,19 @@
 const ASK_AHEAD_MS: u64 = 1_200;
 
 /// A worker that may take a task now.
-struct Candidate {
-    index: WorkerIndex,
-    permission: Permission,
+pub(crate) struct Candidate {
+    pub(crate) index: WorkerIndex,
+    pub(crate) permission: Permission,
     /// Tasks of the step that fit.
-    fits: u32,
+    pub(crate) fits: u32,
     /// Whether a run of the step failed or stood still there.
-    is_avoided: bool,
+    pub(crate) is_avoided: bool,
     /// What is left when one task is placed, for the choice of the tightest worker.
-    left_millicores: u64,
+    pub(crate) left_millicores: u64,
     /// Whether it is on the preferred rack.
-    is_preferred: bool,
+    pub(crate) is_preferred: bool,
     /// Time that runs take there against their estimates, in hundredths.
-    pace_percent: u64,
+    pub(crate) pace_percent: u64,
 }
 
 impl Scheduler {
@@ -84,19 +80,6 @@
         }
     }
 
-    /// The reservations of gangs for which room is being made.
-    fn made_room(&self, now: Millis) -> Reservations {
-        let mut reservations = Reservations::default();
-        let made = self
-            .steps
-            .values()
-            .filter(|view| now < view.made_room.until);
-        for view in made {
-            self.hold_now(view, &view.made_room.workers, &mut reservations, now);
-        }
-        reservations
-    }
-
     /// Asks for the permits of a step that depends on others shortly before its turn.
     fn ask_ahead(&mut self, view: &mut StepView, now: Millis) {
         if view.queue.permits.is_none() || !view.permits.is_unasked() {
@@ -151,7 +134,7 @@
     }
 
     /// Workers with room for at least one task of the step.
-    fn candidates(
+    pub(crate) fn candidates(
         &self,
         view: &StepView,
         reservations: &Reservations,
@@ -271,7 +254,7 @@
 
     /// The workers to ask about: those that may run the step and were not asked about, first the
     /// ones with the most room.
-    fn question(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
+    pub(crate) fn question(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
         let unknown = |(index, worker): &(WorkerIndex, &WorkerView)| {
             let has_room = view.spec().resources.fits_in(&worker.free());
             (has_room || view.spec().is_gang)
@@ -290,153 +273,8 @@
         workers.into_iter().map(|(_, index)| index).collect()
     }
 
-    /// Places a gang, or keeps room for it. Returns whether it holds a reservation.
-    fn place_gang(
-        &mut self,
-        state: &QueueState,
-        view: &mut StepView,
-        reservations: &mut Reservations,
-        may_reserve: bool,
-        now: Millis,
-    ) -> bool {
-        let members = view.spec().count as usize;
-        // A gang starts anew only when all members of the last run are gone.
-        if view.waiting.len() < members {
-            return false;
-        }
-        let candidates = self.candidates(view, reservations, now);
-        let job = state.job(view.key.job).filter(|_| view.is_committed);
-        let granted = self.choose(view, &candidates, &[Permission::Granted], members);
-        if let (Some(job), Some(chosen)) = (job, &granted) {
-            let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
-            let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
-            self.start(job, view, &placements, now);
-            return false;
-        }
-        let allowed = [Permission::Granted, Permission::Expired];
-        if let Some(chosen) = self.choose(view, &candidates, &allowed, members) {
-            self.hold_now(view, &chosen, reservations, now);
-            let mut expired = chosen;
-            expired.sort_unstable();
-            expired.dedup();
-            expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
-            view.permits.want(expired, now);
-            return true;
-        }
-        if !view.permits.is_asking() {
-            let workers = self.question(view, now);
-            if !workers.is_empty() {
-                view.permits.want(workers, now);
-            }
-        }
-        if now < view.made_room.until {
-            return true;
-        }
-        if self.preempt(view, reservations, now) {
-            let workers = view.made_room.workers.clone();
-            self.hold_now(view, &workers, reservations, now);
-            return true;
-        }
-        may_reserve && self.reserve(view, reservations, now)
-    }
-
-    /// Workers for all members of a gang, one for each.
-    fn choose(
-        &self,
-        view: &StepView,
-        candidates: &[Candidate],
-        permissions: &[Permission],
-        members: usize,
-    ) -> Option<Vec<WorkerIndex>> {
-        let mut usable: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|c| permissions.contains(&c.permission))
-            .collect();
-        let is_granted = |c: &Candidate| c.permission == Permission::Granted;
-        usable.sort_unstable_by_key(|c| {
-            (
-                c.is_avoided,
-                !is_granted(c),
-                c.pace_percent / 50,
-                c.left_millicores,
-                c.index,
-            )
-        });
-        if view.spec().is_single_rack
-            && let Some(chosen) = self.choose_rack(&usable, members)
-        {
-            return Some(chosen);
-        }
-        take_slots(usable.into_iter(), members)
-    }
-
-    /// Workers of one rack for all members.
-    fn choose_rack(&self, usable: &[&Candidate], members: usize) -> Option<Vec<WorkerIndex>> {
-        let mut racks: Vec<Arc<str>> = Vec::new();
-        for candidate in usable {
-            let worker = self.workers.get(candidate.index)?;
-            for label in &worker.record.labels {
-                if !racks.contains(label) {
-                    racks.push(label.clone());
-                }
-            }
-        }
-        // Labels name kinds and racks; the narrowest one that holds the gang is the best.
-        let holding = racks.into_iter().filter_map(|rack| {
-            let there = usable.iter().copied().filter(|c| {
-                let worker = self.workers.get(c.index);
-                worker.is_some_and(|worker| worker.record.has_label(&rack))
-            });
-            let there: Vec<&Candidate> = there.collect();
-            let size = there.len();
-            take_slots(there.into_iter(), members).map(|chosen| (size, chosen))
-        });
-        holding
-            .min_by_key(|(size, _)| *size)
-            .map(|(_, chosen)| chosen)
-    }
-
-    fn hold_now(
-        &self,
-        view: &StepView,
-        chosen: &[WorkerIndex],
-        reservations: &mut Reservations,
-        now: Millis,
-    ) {
-        for index in chosen {
-            reservations.keep(*index, view.key, now, view.spec().resources);
-        }
-    }
-
-    /// Keeps the room that is expected to be free earliest for all members.
-    fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
-        let (spec, members) = (view.spec(), view.spec().count as usize);
-        let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
-        for (index, worker) in self.workers.iter() {
-            let permission = self.permission(view, index, now);
-            let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
-            if !is_allowed || !worker.is_open(now) || !view.suits(worker) {
-                continue;
-            }
-            let most = spec
-                .per_worker_max
-                .map_or(members, |most| members.min(most as usize));
-            let kept = reservations.total(index, view.key);
-            let times = slot_times(worker, spec.resources, kept, most, now);
-            slots.extend(times.into_iter().map(|at| (at, index)));
-        }
-        slots.sort_unstable();
-        let Some(last) = slots.get(members - 1).map(|(at, _)| *at) else {
-            return false;
-        };
-        for (_, index) in &slots[..members] {
-            reservations.keep(*index, view.key, last, spec.resources);
-        }
-        true
-    }
-
     /// Proposes runs of the given tasks and takes their room.
-    fn start(
+    pub(crate) fn start(
         &mut self,
         job: &Job,
         view: &mut StepView,
@@ -494,20 +332,3 @@
     let fits = millicores.min(memory).min(accelerators);
     u32::try_from(fits).unwrap_or(u32::MAX)
 }
-
-/// One worker for each member, in the order of the candidates.
-fn take_slots<'a>(
-    candidates: impl Iterator<Item = &'a Candidate>,
-    members: usize,
-) -> Option<Vec<WorkerIndex>> {
-    let mut chosen = Vec::with_capacity(members);
-    for candidate in candidates {
-        let left = members - chosen.len();
-        let take = left.min(candidate.fits as usize);
-        chosen.extend(std::iter::repeat_n(candidate.index, take));
-        if chosen.len() == members {
-            return Some(chosen);
-        }
-    }
-    None
-}
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -11,9 +11,9 @@
 
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::messages::StopReason;
 use crate::scheduler::order::Lateness;
 use crate::scheduler::order::Rank;
-use crate::scheduler::orders::StopReason;
 use crate::scheduler::permits::Permission;
 use crate::scheduler::reserve::Reservations;
 use crate::scheduler::steps::StepView;
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::contact::Contact;
 use crate::scheduler::health::Health;
 use crate::scheduler::looks::Looks;
-use crate::scheduler::orders::StopReason;
+use crate::scheduler::messages::StopReason;
 use crate::worker::WorkerRecord;
 
 /// A worker in the dense table of this leader.
