Share the arithmetic of resources and the format of logs; count lines lost to the ring

Cause: sums of resources stood twice, the set-up of the log stood twice, and a line for which the ring had no room was not counted as left out.

Change: the queues use the saturating operations of the resource type, which gains the sum. Both outputs share one set-up. Lost lines are counted.

Ruled out: blocking for the ring.

--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -77,18 +77,7 @@
 
 /// Starts logging to standard error. Fails when a log was started before.
 pub fn init(levels: &LogLevels) -> Result<(), log::SetLoggerError> {
-    let mut dispatch = fern::Dispatch::new()
-        .format(|out, message, record| {
-            let line = format_line(SystemTime::now(), message, record);
-            out.finish(format_args!("{line}"));
-        })
-        .level(levels.default)
-        // The JSON-RPC library logs each call; only its warnings matter here.
-        .level_for("jsonrpsee", levels.default.min(LevelFilter::Warn));
-    for (module, level) in &levels.modules {
-        dispatch = dispatch.level_for(module.clone(), *level);
-    }
-    dispatch.chain(io::stderr()).apply()
+    dispatch(levels).chain(io::stderr()).apply()
 }
 
 /// Starts logging to standard output through a bounded ring.
@@ -103,30 +92,37 @@
         eprintln!("cannot start the log thread: {error}");
     }
     let limit = Mutex::new(VolumeLimit::default());
+    let output = fern::Output::call(move |record| {
+        let mut limit = limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if !limit.admits(Instant::now()) {
+            return;
+        }
+        let mut line = format!("{}\n", record.args());
+        if limit.left_out > 0 {
+            line.insert_str(0, &format!("log lines left out: {}\n", limit.left_out));
+        }
+        match ring.try_send(line) {
+            Ok(()) => limit.left_out = 0,
+            Err(_) => limit.left_out += 1,
+        }
+    });
+    dispatch(levels).chain(output).apply()
+}
+
+/// The format and the levels that both outputs share.
+fn dispatch(levels: &LogLevels) -> fern::Dispatch {
     let mut dispatch = fern::Dispatch::new()
         .format(|out, message, record| {
             let line = format_line(SystemTime::now(), message, record);
             out.finish(format_args!("{line}"));
         })
         .level(levels.default)
+        // The JSON-RPC library logs each call; only its warnings matter here.
         .level_for("jsonrpsee", levels.default.min(LevelFilter::Warn));
     for (module, level) in &levels.modules {
         dispatch = dispatch.level_for(module.clone(), *level);
     }
-    let output = fern::Output::call(move |record| {
-        let admitted = limit
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .admit(Instant::now());
-        let Some(left_out) = admitted else {
-            return;
-        };
-        if left_out > 0 {
-            let _ = ring.try_send(format!("log lines left out: {left_out}\n"));
-        }
-        let _ = ring.try_send(format!("{}\n", record.args()));
-    });
-    dispatch.chain(output).apply()
+    dispatch
 }
 
 /// Lines that wait for the writer.
@@ -143,8 +139,8 @@
 }
 
 impl VolumeLimit {
-    /// Whether a line may be written now; if so, how many were left out before it.
-    fn admit(&mut self, now: Instant) -> Option<u64> {
+    /// Whether a line may be written now; one that may not is counted.
+    fn admits(&mut self, now: Instant) -> bool {
         let is_new = self
             .second
             .is_none_or(|second| now.duration_since(second).as_secs() >= 1);
@@ -154,10 +150,10 @@
         }
         if self.lines >= LINES_PER_SECOND_MAX {
             self.left_out += 1;
-            return None;
+            return false;
         }
         self.lines += 1;
-        Some(std::mem::take(&mut self.left_out))
+        true
     }
 }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -21,7 +21,6 @@
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
-use crate::scheduler::workers::subtract;
 use crate::state::QueueState;
 
 /// Gangs that may hold reservations at a time.
@@ -160,7 +159,7 @@
             if fits == 0 {
                 continue;
             }
-            let left = subtract(room, spec.resources);
+            let left = room.saturating_sub(&spec.resources);
             let is_preferred = spec
                 .preferred_rack
                 .as_ref()
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -20,7 +20,6 @@
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
-use crate::scheduler::workers::add;
 
 /// A gang waits this long before it displaces others.
 const PATIENCE_MS: u64 = 1_200;
@@ -155,13 +154,13 @@
                 offer.members += 1;
                 offer.displaced.append(&mut pending);
                 offer.cost_millicores += std::mem::take(&mut pending_cost);
-                needed = add(needed, need);
+                needed = needed.saturating_add(&need);
                 continue;
             }
             let Some((task, run, freed)) = victims.next() else {
                 break;
             };
-            room = add(room, freed);
+            room = room.saturating_add(&freed);
             pending.push((task, run));
             pending_cost += freed.millicores;
         }
--- a/crates/queues/src/scheduler/reserve.rs
+++ b/crates/queues/src/scheduler/reserve.rs
@@ -13,8 +13,6 @@
 use crate::ids::StepKey;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
-use crate::scheduler::workers::add;
-use crate::scheduler::workers::subtract;
 
 /// A task may use kept room if this share of its estimate ends before the room is needed.
 const BACKFILL_MARGIN_PERCENT: u64 = 140;
@@ -61,7 +59,10 @@
                 continue;
             }
             let later = free_at(worker, entry.from, now);
-            room = least(room, subtract(later, kept_until(kept, entry.from, step)));
+            room = least(
+                room,
+                later.saturating_sub(&kept_until(kept, entry.from, step)),
+            );
         }
         room
     }
@@ -80,7 +81,9 @@
     let earlier = kept
         .iter()
         .filter(|entry| entry.from <= at && entry.owner != step);
-    earlier.fold(Resources::ZERO, |sum, entry| add(sum, entry.room))
+    earlier.fold(Resources::ZERO, |sum, entry| {
+        sum.saturating_add(&entry.room)
+    })
 }
 
 /// The room that is expected to be free at a time.
@@ -89,7 +92,7 @@
         .runs
         .values()
         .filter(|run| run.expected_end(now) <= at);
-    ended.fold(worker.free(), |sum, run| add(sum, run.resources))
+    ended.fold(worker.free(), |sum, run| sum.saturating_add(&run.resources))
 }
 
 fn least(a: Resources, b: Resources) -> Resources {
@@ -117,20 +120,20 @@
     ends.sort_unstable_by_key(|(at, _)| *at);
     let mut room = worker.free();
     let mut times = SmallVec::new();
-    let mut needed = add(kept, member);
+    let mut needed = kept.saturating_add(&member);
     let mut at = now;
     let mut ends = ends.into_iter();
     while times.len() < most {
         if needed.fits_in(&room) {
             times.push(at);
-            needed = add(needed, member);
+            needed = needed.saturating_add(&member);
             continue;
         }
         let Some((end, freed)) = ends.next() else {
             break;
         };
         at = end;
-        room = add(room, freed);
+        room = room.saturating_add(&freed);
     }
     times
 }
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -123,12 +123,7 @@
 
     /// The room that is left.
     pub fn free(&self) -> Resources {
-        let (capacity, used) = (self.record.capacity, self.used);
-        Resources {
-            millicores: capacity.millicores.saturating_sub(used.millicores),
-            memory_mib: capacity.memory_mib.saturating_sub(used.memory_mib),
-            accelerators: capacity.accelerators.saturating_sub(used.accelerators),
-        }
+        self.record.capacity.saturating_sub(&self.used)
     }
 
     /// Whether a task may be given to it.
@@ -140,9 +135,9 @@
 
     /// Adds a run.
     pub fn add_run(&mut self, task: TaskKey, run: RunView) {
-        self.used = add(self.used, run.resources);
+        self.used = self.used.saturating_add(&run.resources);
         if let Some(earlier) = self.runs.insert(task, run) {
-            self.used = subtract(self.used, earlier.resources);
+            self.used = self.used.saturating_sub(&earlier.resources);
         } else {
             *self.runs_by_step.entry(task.step).or_default() += 1;
         }
@@ -154,7 +149,7 @@
             return None;
         }
         let removed = self.runs.remove(&task)?;
-        self.used = subtract(self.used, removed.resources);
+        self.used = self.used.saturating_sub(&removed.resources);
         if let Some(count) = self.runs_by_step.get_mut(&task.step) {
             *count -= 1;
             if *count == 0 {
@@ -173,24 +168,6 @@
     }
 }
 
-/// The sum of two amounts.
-pub fn add(a: Resources, b: Resources) -> Resources {
-    Resources {
-        millicores: a.millicores + b.millicores,
-        memory_mib: a.memory_mib + b.memory_mib,
-        accelerators: a.accelerators + b.accelerators,
-    }
-}
-
-/// The difference of two amounts, at least zero.
-pub fn subtract(a: Resources, b: Resources) -> Resources {
-    Resources {
-        millicores: a.millicores.saturating_sub(b.millicores),
-        memory_mib: a.memory_mib.saturating_sub(b.memory_mib),
-        accelerators: a.accelerators.saturating_sub(b.accelerators),
-    }
-}
-
 /// All workers of this leader; positions of former workers are not used again.
 #[derive(Debug, Default)]
 pub struct Workers {
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -99,7 +99,16 @@
         })
     }
 
-    /// The difference, with zero where `other` exceeds `self`.
+    /// The sum, at most the greatest amount.
+    pub fn saturating_add(&self, other: &Resources) -> Resources {
+        Resources {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference, with zero for every resource of which `other` has more.
     pub fn saturating_sub(&self, other: &Resources) -> Resources {
         Resources {
             millicores: self.millicores.saturating_sub(other.millicores),
