Keep a control process up while its disk has no room

Ruled out: treating a failed sync the same way. The operating system may have dropped the pages, so what is on the disk is unknown; that still ends the process.

Change: a write without room leaves nothing behind (the file is cut back) and is reported as NoRoom. The storage thread keeps the records and tries again every 100 ms; nothing after them is written or acknowledged. The member does not campaign meanwhile, a leader hands over, or steps down if nobody can take over, and readiness says why. A start on a full disk waits for room.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -46,6 +46,15 @@
         Ok(target)
     }
 
+    /// Says whether the storage takes no records at present. Such a member does not campaign, and
+    /// as a leader it hands over: it could neither keep a vote nor count itself for a commit.
+    pub fn set_storage_full(&mut self, now: Millis, is_full: bool) {
+        self.is_storage_full = is_full;
+        if is_full && self.role == Role::Leader && self.transfer_leadership(now).is_err() {
+            self.become_follower(self.term(), None);
+        }
+    }
+
     pub(crate) fn continue_transfer(&mut self) {
         let Some(transfer) = &mut self.transfer else {
             return;
@@ -73,7 +82,7 @@
             // them void, so that on slow disks no campaign would ever end.
             return;
         }
-        if self.membership().is_voter(self.config.id) {
+        if self.may_campaign() {
             self.is_transfer_campaign = false;
             if self.config.faults.no_pre_vote {
                 self.campaign();
@@ -83,6 +92,10 @@
         }
     }
 
+    fn may_campaign(&self) -> bool {
+        self.membership().is_voter(self.config.id) && !self.is_storage_full
+    }
+
     /// By how much a candidate waits longer for votes. Where each voter needs longer than an
     /// election timeout to sync its vote, equal timeouts would end every campaign too early. The
     /// second campaign does not wait longer, since split votes are the usual cause of it.
@@ -99,6 +112,10 @@
             .is_some_and(|transfer| self.now >= transfer.deadline)
         {
             self.transfer = None;
+            if self.is_storage_full {
+                self.become_follower(self.term(), None);
+                return;
+            }
         }
         if self.now < self.heartbeat_due {
             return;
@@ -318,7 +335,7 @@
     }
 
     pub(crate) fn handle_timeout_now(&mut self) {
-        if self.membership().is_voter(self.config.id) && self.role != Role::Leader {
+        if self.may_campaign() && self.role != Role::Leader {
             self.is_transfer_campaign = true;
             self.campaign();
         }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -99,6 +99,8 @@
     pub(crate) progress: BTreeMap<MemberId, Progress>,
     pub(crate) uncommitted_bytes: usize,
     pub(crate) transfer: Option<Transfer>,
+    /// Whether the storage takes no records at present.
+    pub(crate) is_storage_full: bool,
     /// Whether the campaign in progress was asked for by the leader.
     pub(crate) is_transfer_campaign: bool,
     pub(crate) reads: Reads,
@@ -140,6 +142,7 @@
             progress: BTreeMap::new(),
             uncommitted_bytes: 0,
             transfer: None,
+            is_storage_full: false,
             is_transfer_campaign: false,
             reads: Reads::default(),
             incoming: None,
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -137,6 +137,20 @@
                 self.snapshots.saved(snapshot.meta.index);
                 self.node.compact(snapshot);
             }
+            Event::SnapshotSkipped(reason) => {
+                self.snapshots.skipped(self.applied);
+                log::warn!(reason; "snapshot skipped");
+            }
+            Event::StorageFull(reason) => {
+                log::error!(reason; "the disk takes no records; following until it does");
+                self.readiness.block("storage", "the disk has no room");
+                self.node.set_storage_full(now, true);
+            }
+            Event::StorageHasRoom => {
+                log::info!("the disk takes records again");
+                self.readiness.clear("storage");
+                self.node.set_storage_full(now, false);
+            }
             Event::StorageFailed(reason) => return Err(CoreError::Storage(reason)),
             Event::Shutdown => self.hand_over(now),
         }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -49,6 +49,12 @@
     Persisted(Persisted, Vec<Outgoing>),
     /// A snapshot of this member is saved.
     SnapshotSaved(Snapshot),
+    /// A snapshot of this member found no room on the disk.
+    SnapshotSkipped(String),
+    /// Records wait for room on the disk.
+    StorageFull(String),
+    /// The records that waited for room are written.
+    StorageHasRoom,
     /// A write or sync failed; the process has to stop.
     StorageFailed(String),
     /// The process is asked to stop gracefully.
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -15,6 +15,9 @@
 
 use crate::storage_thread::Job;
 
+/// A snapshot without room is tried again after this share of the interval.
+const RETRY_SHARE: u64 = 8;
+
 /// Decides when a snapshot is due, and has it encoded.
 pub(crate) struct Snapshots {
     interval_entries: u64,
@@ -67,6 +70,13 @@
         self.installed(index);
     }
 
+    /// A snapshot of this member found no room; the next one is due a while later.
+    pub(crate) fn skipped(&mut self, applied: Index) {
+        self.is_busy = false;
+        let retry_index = applied + (self.interval_entries / RETRY_SHARE).max(1);
+        self.last_index = retry_index.saturating_sub(self.interval_entries);
+    }
+
     /// A snapshot of another member was installed.
     pub(crate) fn installed(&mut self, index: Index) {
         self.last_index = self.last_index.max(index);
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -31,6 +31,7 @@
 use sapphirepost_storage::DiskOptions;
 use sapphirepost_storage::DiskStore;
 use sapphirepost_storage::LogStore;
+use sapphirepost_storage::StoreError;
 use sapphirepost_types::Clock;
 use sapphirepost_types::MemberId;
 
@@ -60,10 +61,15 @@
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long replies that were just answered may take to leave the process at its end.
 const LINGER: Duration = Duration::from_millis(100);
+/// How often a start that found no room on the disk is tried again.
+const ROOM_POLL: Duration = Duration::from_millis(200);
+/// Attempts for each log line about them.
+const ROOM_LOG_ATTEMPTS: u32 = 25;
 
 /// Creates the data directory, if it is new, and returns the identity of this member.
 pub fn init(settings: &Settings) -> anyhow::Result<MemberId> {
-    Ok(open(settings)?.member())
+    let store = open(settings).context("cannot use the data directory")?;
+    Ok(store.member())
 }
 
 /// Runs the process until it is asked to stop.
@@ -107,9 +113,12 @@
     settings: Settings,
     embed: impl FnOnce(&Embedding) -> anyhow::Result<Option<QueueParts>>,
 ) -> anyhow::Result<()> {
-    let mut store = open(&settings)?;
+    let mut store = when_room(|| open(&settings))?;
     let member = store.member();
-    let restored = restore_or_found(&mut store, &settings.founders)?;
+    let mut restored = store.restore()?;
+    if restored.is_empty() {
+        when_room(|| found(&mut store, &settings.founders, &mut restored))?;
+    }
     let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
     let (ring, events) = EventRing::new();
     let metrics = Metrics::new();
@@ -184,24 +193,42 @@
     }
 }
 
-fn open(settings: &Settings) -> anyhow::Result<DiskStore> {
+fn open(settings: &Settings) -> Result<DiskStore, StoreError> {
     let options = DiskOptions {
         segment_bytes: settings.segment_bytes,
         new_member: settings.new_member,
     };
-    DiskStore::open(&settings.data_dir, options).context("cannot open the data directory")
+    DiskStore::open(&settings.data_dir, options)
 }
 
-/// Restores the log; a first voter with an empty log founds the group.
-fn restore_or_found(store: &mut DiskStore, founders: &Founders) -> anyhow::Result<Restored> {
-    let mut restored = store.restore()?;
-    let member = store.member();
-    if !restored.is_empty() {
-        return Ok(restored);
+/// Repeats a step of the start until the disk has room for it. A process that ended instead would
+/// only be started again.
+fn when_room<T>(mut step: impl FnMut() -> Result<T, StoreError>) -> anyhow::Result<T> {
+    let mut attempts = 0;
+    loop {
+        match step() {
+            Err(error) if error.is_no_room() => {
+                if attempts % ROOM_LOG_ATTEMPTS == 0 {
+                    log::error!(error:%; "waiting for room on the disk");
+                }
+                attempts += 1;
+                thread::sleep(ROOM_POLL);
+            }
+            result => return result.context("cannot use the data directory"),
+        }
     }
+}
+
+/// A first voter with an empty log founds the group.
+fn found(
+    store: &mut DiskStore,
+    founders: &Founders,
+    restored: &mut Restored,
+) -> Result<(), StoreError> {
+    let member = store.member();
     if !founders.contains(member) {
         log::warn!(member:%; "not a first voter; waiting to be added as a member");
-        return Ok(restored);
+        return Ok(());
     }
     let records = founders.records();
     store.append(&records)?;
@@ -209,7 +236,7 @@
     records
         .into_iter()
         .for_each(|record| restored.apply(record));
-    Ok(restored)
+    Ok(())
 }
 
 fn core(
--- a/crates/control/src/storage_thread.rs
+++ b/crates/control/src/storage_thread.rs
@@ -1,11 +1,13 @@
 //! The storage thread with group commit.
 //!
 //! All jobs that are queued when a sync ends share the next one; when the thread is idle, a job
-//! is synced at once.
+//! is synced at once. Records that find no room on the disk are tried again until they are
+//! written; nothing after them is acknowledged before.
 
 use std::io;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use sapphirepost_consensus::Outgoing;
 use sapphirepost_consensus::Persisted;
@@ -20,6 +22,8 @@
 
 /// Jobs that may wait; the core thread then waits for the disk.
 const JOBS_MAX: usize = 1_024;
+/// How often records that found no room on the disk are tried again.
+const ROOM_POLL: Duration = Duration::from_millis(100);
 
 /// Work for the storage thread.
 pub enum Job {
@@ -81,15 +85,23 @@
 }
 
 fn run(
-    mut store: Box<dyn LogStore>,
+    store: Box<dyn LogStore>,
     queue: &flume::Receiver<Job>,
     events: &EventRing,
     metrics: &CoreMetrics,
 ) {
+    let mut writer = Writer {
+        store,
+        queue,
+        events,
+        metrics,
+        is_full: false,
+    };
     while let Ok(first) = queue.recv() {
         let jobs = std::iter::once(first).chain(queue.try_iter());
-        match write(store.as_mut(), jobs, metrics) {
-            Ok(group) => report(group, events),
+        match writer.write(jobs) {
+            Ok(Flow::Continue) => {}
+            Ok(Flow::Stop) => return,
             Err(error) => {
                 // Nothing may be acknowledged from here on.
                 events.required(Event::StorageFailed(error.to_string()));
@@ -99,47 +111,104 @@
     }
 }
 
-fn write(
-    store: &mut dyn LogStore,
-    jobs: impl Iterator<Item = Job>,
-    metrics: &CoreMetrics,
-) -> Result<Group, StoreError> {
-    let mut group = Group::default();
-    for job in jobs {
+enum Flow {
+    Continue,
+    /// The process stops while records wait for room. They were never acknowledged.
+    Stop,
+}
+
+/// Writes jobs in their order.
+struct Writer<'a> {
+    store: Box<dyn LogStore>,
+    queue: &'a flume::Receiver<Job>,
+    events: &'a EventRing,
+    metrics: &'a CoreMetrics,
+    /// Whether the last job found no room.
+    is_full: bool,
+}
+
+impl Writer<'_> {
+    fn write(&mut self, jobs: impl Iterator<Item = Job>) -> Result<Flow, StoreError> {
+        let mut group = Group::default();
+        for mut job in jobs {
+            while let Err(error) = self.try_write(&mut job, &mut group) {
+                if !error.is_no_room() {
+                    return Err(error);
+                }
+                self.finish(std::mem::take(&mut group))?;
+                if let Flow::Stop = self.wait_for_room(&error) {
+                    return Ok(Flow::Stop);
+                }
+            }
+        }
+        self.finish(group)?;
+        Ok(Flow::Continue)
+    }
+
+    /// Does what is left of a job; what is done is taken out of it.
+    fn try_write(&mut self, job: &mut Job, group: &mut Group) -> Result<(), StoreError> {
         match job {
             Job::Persist {
                 number,
                 snapshot,
                 records,
-                mut messages,
+                messages,
             } => {
-                if let Some(snapshot) = snapshot {
-                    store.save_snapshot(&snapshot.meta, &snapshot.data)?;
+                if let Some(received) = snapshot {
+                    self.store.save_snapshot(&received.meta, &received.data)?;
+                    *snapshot = None;
                 }
-                store.append(&records)?;
+                self.store.append(records)?;
+                self.has_room();
                 group.records += records.len() as u64;
-                group.number = Some(number);
-                group.messages.append(&mut messages);
-            }
-            Job::SaveSnapshot(snapshot) => {
-                store.save_snapshot(&snapshot.meta, &snapshot.data)?;
-                group.saved.push(snapshot);
+                group.number = Some(*number);
+                group.messages.append(messages);
             }
+            Job::SaveSnapshot(own) => match self.store.save_snapshot(&own.meta, &own.data) {
+                Ok(()) => group.saved.push(own.clone()),
+                Err(error) if error.is_no_room() => {
+                    let skipped = Event::SnapshotSkipped(error.to_string());
+                    self.events.required(skipped);
+                }
+                Err(error) => return Err(error),
+            },
         }
+        Ok(())
     }
-    if group.records > 0 {
-        store.sync()?;
-        metrics.syncs.inc();
-        metrics.synced_records.inc_by(group.records);
+
+    fn wait_for_room(&mut self, error: &StoreError) -> Flow {
+        if !std::mem::replace(&mut self.is_full, true) {
+            let full = Event::StorageFull(error.to_string());
+            self.events.required(full);
+        }
+        if self.queue.is_disconnected() {
+            return Flow::Stop;
+        }
+        thread::sleep(ROOM_POLL);
+        Flow::Continue
     }
-    Ok(group)
-}
 
-fn report(group: Group, events: &EventRing) {
-    for snapshot in group.saved {
-        events.required(Event::SnapshotSaved(snapshot));
+    fn has_room(&mut self) {
+        if std::mem::take(&mut self.is_full) {
+            self.events.required(Event::StorageHasRoom);
+        }
     }
-    if let Some(number) = group.number {
-        events.required(Event::Persisted(Persisted { number }, group.messages));
+
+    /// Syncs and reports what a group has written.
+    fn finish(&mut self, group: Group) -> Result<(), StoreError> {
+        if group.records > 0 {
+            self.store.sync()?;
+            self.metrics.syncs.inc();
+            self.metrics.synced_records.inc_by(group.records);
+        }
+        for snapshot in group.saved {
+            self.events.required(Event::SnapshotSaved(snapshot));
+        }
+        if let Some(number) = group.number {
+            let persisted = Persisted { number };
+            let event = Event::Persisted(persisted, group.messages);
+            self.events.required(event);
+        }
+        Ok(())
     }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -167,6 +167,37 @@
         self.processes[index].child = Some(child);
     }
 
+    /// Starts a process that gets an error, not a signal, when it writes beyond the size that
+    /// [`Cluster::limit_files`] allows.
+    pub fn spawn_limitable(&mut self, index: usize) {
+        let program = self.command(index, &[]);
+        let mut shell = Command::new("sh");
+        shell.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]);
+        shell.arg(program.get_program()).args(program.get_args());
+        let child = shell.stdin(Stdio::null()).stderr(Stdio::null()).spawn();
+        self.processes[index].child = Some(child.unwrap());
+    }
+
+    /// Limits the size of all files of a process, as a stand-in for a disk without room; `None`
+    /// lifts the limit.
+    pub fn limit_files(&self, index: usize, size_bytes: Option<u64>) {
+        let id = self.processes[index].child.as_ref().unwrap().id();
+        let soft = size_bytes.map_or("unlimited".to_owned(), |size| size.to_string());
+        let mut command = Command::new("prlimit");
+        command.args([
+            "--pid",
+            &id.to_string(),
+            &format!("--fsize={soft}:unlimited"),
+        ]);
+        assert!(command.status().unwrap().success());
+    }
+
+    /// Whether a process still runs.
+    pub fn is_running(&mut self, index: usize) -> bool {
+        let child = self.processes[index].child.as_mut().unwrap();
+        child.try_wait().unwrap().is_none()
+    }
+
     /// Runs a second process on the directory of another one, to its end.
     pub fn run_again(&self, index: usize) -> Output {
         self.command(index, &[]).output().unwrap()
@@ -324,6 +355,17 @@
         assert!(matches!(reply, OperatorReply::Confirmed(_)), "{reply:?}");
     }
 
+    /// A request for a plan that is not confirmed.
+    pub fn proposal(&mut self) -> OperatorRequest {
+        let operation = self.operation();
+        let intent = Intent::SetConfig {
+            key: Name::new("unconfirmed").unwrap(),
+            value: None,
+            expected: None,
+        };
+        OperatorRequest::Propose(Propose { operation, intent })
+    }
+
     /// Changes a configuration value; returns when that is accepted.
     pub fn set(&mut self) {
         let key = Name::new(&format!("key{}", self.operations)).unwrap();
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -67,6 +67,55 @@
     cluster.wait_until_equal();
 }
 
+/// Guards against a process that ends, or a leader that keeps the group from accepting anything,
+/// because its disk has no room left.
+#[test]
+fn a_member_without_room_on_its_disk_steps_down_and_goes_on_later() {
+    let mut cluster = Cluster::start(3, &["--snapshot-entries", "20", "--segment-bytes", "4096"]);
+    cluster.set();
+    (0..3).for_each(|index| cluster.kill(index));
+    (0..3).for_each(|index| cluster.spawn_limitable(index));
+    cluster.set();
+    let leader = cluster.leader();
+    cluster.limit_files(leader, Some(1));
+    (0..10).for_each(|_| cluster.set());
+    assert_ne!(cluster.leader(), leader, "it must step down");
+    assert!(cluster.is_running(leader), "it must stay up");
+    cluster.limit_files(leader, None);
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
+/// Guards against a group that does not recover once all disks have room again, and against a
+/// process that does not start, or not stop, on a disk without room.
+#[test]
+fn a_group_without_room_goes_on_when_there_is_room() {
+    let mut cluster = Cluster::start(3, &["--snapshot-entries", "20", "--segment-bytes", "4096"]);
+    cluster.set();
+    (0..3).for_each(|index| cluster.kill(index));
+    (0..3).for_each(|index| cluster.spawn_limitable(index));
+    cluster.set();
+    let leader = cluster.leader();
+    (0..3).for_each(|index| cluster.limit_files(index, Some(1)));
+    let proposal = cluster.proposal();
+    let refused = cluster.call(leader, &proposal);
+    assert!(refused.is_err(), "{refused:?}");
+    thread::sleep(Duration::from_millis(1_500));
+    (0..3).for_each(|index| assert!(cluster.is_running(index), "{index} must stay up"));
+    let refused = cluster.call(leader, &OperatorRequest::GetConfig);
+    assert!(refused.is_err(), "{refused:?}");
+    cluster.signal(1, "-TERM");
+    cluster.wait(1);
+    cluster.spawn_limitable(1);
+    cluster.limit_files(1, Some(1));
+    thread::sleep(Duration::from_millis(500));
+    assert!(cluster.is_running(1), "it must wait for room");
+    (0..3).for_each(|index| cluster.limit_files(index, None));
+    cluster.set();
+    cluster.check_accepted();
+    cluster.wait_until_equal();
+}
+
 /// Guards against answers of a leader that was frozen while another one took over.
 #[test]
 fn a_thawed_leader_does_not_answer() {
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -108,18 +108,18 @@
         }
         self.restored = None;
         let result = write(self);
-        self.is_failed = result.is_err();
+        self.is_failed = result.as_ref().is_err_and(|error| !error.is_no_room());
         result
     }
 
     /// Starts a new segment. It begins with the hard state, so that older ones can be deleted.
+    /// Without room for it, the present segment is used on.
     fn roll(&mut self) -> Result<(), StoreError> {
-        let sealed = self.active.roll(&self.directory)?;
-        self.sealed.push(sealed);
-        if let Some(hard_state) = self.hard_state {
-            self.active
-                .write_records(&[Record::HardState(hard_state)])?;
-            self.active.sync()?;
+        let hard_state = self.hard_state.map(Record::HardState);
+        match self.active.roll(&self.directory, hard_state.as_slice()) {
+            Ok(sealed) => self.sealed.push(sealed),
+            Err(error) if error.is_no_room() => {}
+            Err(error) => return Err(error),
         }
         Ok(())
     }
@@ -141,12 +141,13 @@
 impl LogStore for DiskStore {
     fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
         self.guarded(|store| {
+            store.active.write_records(records)?;
             for record in records {
                 if let Record::HardState(hard_state) = record {
                     store.hard_state = Some(*hard_state);
                 }
             }
-            store.active.write_records(records)
+            Ok(())
         })
     }
 
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of a store.
 
 use std::io;
+use std::io::ErrorKind;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -41,6 +42,16 @@
         /// The directory.
         path: PathBuf,
     },
+    /// The disk has no room. Nothing of the call was written; it may be tried again later.
+    #[error("no room to {action} {path}: {source}")]
+    NoRoom {
+        /// What was attempted.
+        action: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
     /// An earlier write or sync failed, so it is unknown what is on the disk.
     #[error("an earlier write or sync failed")]
     Failed,
@@ -56,6 +67,26 @@
         }
     }
 
+    /// Like [`StoreError::io`], for a write that leaves nothing behind if there is no room.
+    pub(crate) fn write(action: &'static str, path: &Path) -> impl FnOnce(io::Error) -> StoreError {
+        let path = path.to_owned();
+        move |source| match source.kind() {
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+                StoreError::NoRoom {
+                    action,
+                    path,
+                    source,
+                }
+            }
+            _ => StoreError::io(action, &path)(source),
+        }
+    }
+
+    /// Whether the call had no effect and may succeed once the disk has room.
+    pub fn is_no_room(&self) -> bool {
+        matches!(self, StoreError::NoRoom { .. })
+    }
+
     pub(crate) fn corrupt(path: &Path, offset: u64, reason: impl Into<String>) -> StoreError {
         StoreError::Corrupt {
             path: path.to_owned(),
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -82,17 +82,24 @@
     parts: &[&[u8]],
 ) -> Result<(), StoreError> {
     let temporary = path.with_extension("tmp");
-    let mut file = File::create(&temporary).map_err(StoreError::io("create", &temporary))?;
-    for part in parts {
-        file.write_all(part)
-            .map_err(StoreError::io("write", &temporary))?;
+    if let Err(error) = write_synced(&temporary, parts) {
+        // Part of a file would take the room that the log needs.
+        let _ = fs::remove_file(&temporary);
+        return Err(error);
     }
-    file.sync_all()
-        .map_err(StoreError::io("sync", &temporary))?;
     fs::rename(&temporary, path).map_err(StoreError::io("rename", &temporary))?;
     sync_directory(directory)
 }
 
+fn write_synced(path: &Path, parts: &[&[u8]]) -> Result<(), StoreError> {
+    let mut file = File::create(path).map_err(StoreError::write("create", path))?;
+    for part in parts {
+        file.write_all(part)
+            .map_err(StoreError::write("write", path))?;
+    }
+    file.sync_all().map_err(StoreError::write("sync", path))
+}
+
 /// Makes created, renamed and deleted names durable.
 pub(crate) fn sync_directory(directory: &Path) -> Result<(), StoreError> {
     let handle = File::open(directory).map_err(StoreError::io("open", directory))?;
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -125,21 +125,29 @@
     fn create(directory: &Path, number: u64) -> Result<Active, StoreError> {
         let path = path_of(directory, number);
         let options = OpenOptions::new().append(true).create(true).to_owned();
-        let mut file = options
+        let file = options
             .open(&path)
-            .map_err(StoreError::io("create", &path))?;
-        file.write_all(MAGIC)
-            .map_err(StoreError::io("write", &path))?;
-        file.sync_all().map_err(StoreError::io("sync", &path))?;
-        sync_directory(directory)?;
-        let length_bytes = MAGIC.len() as u64;
-        Ok(Active {
+            .map_err(StoreError::write("create", &path))?;
+        let mut active = Active {
             path,
             file,
             number,
-            length_bytes,
+            length_bytes: 0,
             max_index: 0,
-        })
+        };
+        if let Err(error) = active.begin(directory) {
+            fs::remove_file(&active.path).map_err(StoreError::io("delete", &active.path))?;
+            return Err(error);
+        }
+        Ok(active)
+    }
+
+    fn begin(&mut self, directory: &Path) -> Result<(), StoreError> {
+        self.write(MAGIC)?;
+        self.file
+            .sync_all()
+            .map_err(StoreError::write("sync", &self.path))?;
+        sync_directory(directory)
     }
 
     /// Opens the last segment and cuts off its torn tail.
@@ -180,14 +188,20 @@
             let encoded = frame::encode_record(record, &mut buffer).map_err(std::io::Error::from);
             encoded.map_err(StoreError::io("encode a record for", &self.path))?;
         }
+        self.write(&buffer)?;
         self.max_index = self.max_index.max(max_index(records));
-        self.write(&buffer)
+        Ok(())
     }
 
+    /// Writes all bytes, or none of them if there is no room.
     fn write(&mut self, bytes: &[u8]) -> Result<(), StoreError> {
-        self.file
-            .write_all(bytes)
-            .map_err(StoreError::io("write", &self.path))?;
+        let written = self.file.write_all(bytes);
+        if let Err(error) = written.map_err(StoreError::write("write", &self.path)) {
+            self.file
+                .set_len(self.length_bytes)
+                .map_err(StoreError::io("truncate", &self.path))?;
+            return Err(error);
+        }
         self.length_bytes += bytes.len() as u64;
         Ok(())
     }
@@ -198,12 +212,25 @@
         self.file
             .sync_data()
             .map_err(StoreError::io("sync", &self.path))?;
-        self.write(&frame::encode_marker(self.length_bytes))
+        match self.write(&frame::encode_marker(self.length_bytes)) {
+            // The records are durable all the same; the next write reports the lack of room.
+            Err(error) if error.is_no_room() => Ok(()),
+            result => result,
+        }
     }
 
-    /// Starts the next segment; this one must be synced.
-    pub(crate) fn roll(&mut self, directory: &Path) -> Result<Sealed, StoreError> {
-        let next = Active::create(directory, self.number + 1)?;
+    /// Starts the next segment with the given records; this one must be synced.
+    pub(crate) fn roll(
+        &mut self,
+        directory: &Path,
+        records: &[Record],
+    ) -> Result<Sealed, StoreError> {
+        let mut next = Active::create(directory, self.number + 1)?;
+        let begun = next.write_records(records).and_then(|()| next.sync());
+        if let Err(error) = begun {
+            fs::remove_file(&next.path).map_err(StoreError::io("delete", &next.path))?;
+            return Err(error);
+        }
         let old = std::mem::replace(self, next);
         Ok(Sealed {
             path: old.path,
