End a segment of the log with its last sync

Cause: after each sync the store notes the synced offset in the log, and that note becomes durable with the next sync. When a segment was full, the next one was created without another sync, so a loss of power could tear the note at the end of a segment that is not the last one. The store then took the segment for damaged and the process could not start any more.

Ruled out: accepting an incomplete end in any segment, which would hide real damage.

Change: a segment that is followed by another one ends with its last sync and has no note.

--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -113,15 +113,15 @@
     }
 
     /// Starts a new segment. It begins with the hard state, so that older ones can be deleted.
-    /// Without room for it, the present segment is used on.
-    fn roll(&mut self) -> Result<(), StoreError> {
+    /// Returns whether there was room for it; if not, the present segment is used on.
+    fn roll(&mut self) -> Result<bool, StoreError> {
         let hard_state = self.hard_state.map(Record::HardState);
         match self.active.roll(&self.directory, hard_state.as_slice()) {
             Ok(sealed) => self.sealed.push(sealed),
-            Err(error) if error.is_no_room() => {}
+            Err(error) if error.is_no_room() => return Ok(false),
             Err(error) => return Err(error),
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Deletes the oldest segments as long as the snapshot contains all their entries.
@@ -153,11 +153,12 @@
 
     fn sync(&mut self) -> Result<(), StoreError> {
         self.guarded(|store| {
-            store.active.sync()?;
-            if store.active.length_bytes() >= store.options.segment_bytes {
-                store.roll()?;
+            store.active.sync_records()?;
+            let is_due = store.active.length_bytes() >= store.options.segment_bytes;
+            if is_due && store.roll()? {
+                return Ok(());
             }
-            Ok(())
+            store.active.write_marker()
         })
     }
 
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -173,7 +173,8 @@
         if intact_bytes == 0 {
             active.write(MAGIC)?;
         }
-        active.sync()?;
+        active.sync_records()?;
+        active.write_marker()?;
         sync_directory(directory)?;
         Ok(active)
     }
@@ -206,12 +207,17 @@
         Ok(())
     }
 
-    /// Syncs and then notes the synced offset. The marker itself becomes durable with the next
-    /// sync, but it survives the end of the process.
-    pub(crate) fn sync(&mut self) -> Result<(), StoreError> {
+    /// Makes the written records durable.
+    pub(crate) fn sync_records(&mut self) -> Result<(), StoreError> {
         self.file
             .sync_data()
-            .map_err(StoreError::io("sync", &self.path))?;
+            .map_err(StoreError::io("sync", &self.path))
+    }
+
+    /// Notes the synced offset. The marker itself becomes durable with the next sync, but it
+    /// survives the end of the process. A segment that is followed by another one ends without
+    /// it, since a loss of power could tear the marker.
+    pub(crate) fn write_marker(&mut self) -> Result<(), StoreError> {
         match self.write(&frame::encode_marker(self.length_bytes)) {
             // The records are durable all the same; the next write reports the lack of room.
             Err(error) if error.is_no_room() => Ok(()),
@@ -226,7 +232,9 @@
         records: &[Record],
     ) -> Result<Sealed, StoreError> {
         let mut next = Active::create(directory, self.number + 1)?;
-        let begun = next.write_records(records).and_then(|()| next.sync());
+        let begun = next
+            .write_records(records)
+            .and_then(|()| next.sync_records());
         if let Err(error) = begun {
             fs::remove_file(&next.path).map_err(StoreError::io("delete", &next.path))?;
             return Err(error);
--- a/crates/storage/tests/disk.rs
+++ b/crates/storage/tests/disk.rs
@@ -50,6 +50,26 @@
     open(directory)?.restore()
 }
 
+/// Guards against bytes that no sync covers at the end of a segment that is no longer written to:
+/// a loss of power tears them, and the store then takes the segment for damaged.
+#[test]
+fn a_sealed_segment_ends_with_its_last_sync() {
+    let directory = TempDir::new().unwrap();
+    let mut store = open(directory.path()).unwrap();
+    let size = |path: &Path| fs::metadata(path).unwrap().len();
+    for index in 1..=20 {
+        store.append(&[entry(index, 1)]).unwrap();
+        let active = files(directory.path(), ".seg").pop().unwrap();
+        let synced_bytes = size(&active);
+        store.sync().unwrap();
+        let is_sealed = files(directory.path(), ".seg").last() != Some(&active);
+        if is_sealed {
+            assert_eq!(size(&active), synced_bytes, "at entry {index}");
+        }
+    }
+    assert!(files(directory.path(), ".seg").len() > 2);
+}
+
 fn files(directory: &Path, suffix: &str) -> Vec<PathBuf> {
     let items = fs::read_dir(directory)
         .unwrap()
