Bound what a backlog and looks cost the leader of a large cluster

Cause: each round of placement looked for workers, and chose workers for a question, for every waiting step, and rounds followed each other after 4 ms. Looks that end by their wait of 350 ms were half of the calls to 350 workers. Room of an ended run was unused until its end was committed.

Ruled out: the calls to the policy (44 callers, a third busy) and the disk.

Change: workers of a question are chosen when a caller takes it, at most 100; steps that fit on no worker are skipped; the pause between rounds grows with the steps that wait (4 to 24 ms); room for a gang by displacement is sought every 100 ms; permits are kept in order. Looks wait 2 ms for each worker, 350 to 900 ms, and only workers with an answer or a commit are checked for the next one. Room is given away when a look shows the end; the start follows the end in the log.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -10,6 +10,7 @@
 
 use crate::scheduler::Scheduler;
 use crate::scheduler::permits::Permission;
+use crate::scheduler::permits::Wanted;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::reserve::Reservations;
 use crate::scheduler::reserve::slot_times;
@@ -61,14 +62,11 @@
             expired.sort_unstable();
             expired.dedup();
             expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
-            view.permits.want(expired, now);
+            view.permits.want(Wanted::Renewal(expired), now);
             return true;
         }
         if !view.permits.is_asking() {
-            let workers = self.question(view, now);
-            if !workers.is_empty() {
-                view.permits.want(workers, now);
-            }
+            view.permits.want(Wanted::More, now);
         }
         if now < view.made_room.until {
             return true;
--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -19,8 +19,13 @@
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 
-/// How long a worker with runs holds a look open.
-const WAIT_BUSY_MS: u64 = 350;
+/// How long a worker with runs holds a look open in a small cluster.
+const WAIT_BUSY_MIN_MS: u64 = 350;
+/// How long a worker with runs holds a look open at most. A silent worker is noticed only after
+/// the wait, and its lease has to be renewed several times meanwhile.
+const WAIT_BUSY_MAX_MS: u64 = 900;
+/// What each worker adds to the wait, since looks are most of the calls of a large cluster.
+const WAIT_BUSY_PER_WORKER_MS: u64 = 2;
 /// How long a worker without runs holds a look open.
 const WAIT_IDLE_MS: u64 = 1_500;
 /// The pause after a look that could not be sent.
@@ -62,13 +67,26 @@
 }
 
 impl Scheduler {
-    /// Sends looks that are due.
+    /// Sends the looks that became due by an answer or a commit.
+    pub(crate) fn send_due_looks(&mut self, now: Millis) {
+        for index in std::mem::take(&mut self.look_candidates) {
+            self.look_if_due(index, now);
+        }
+    }
+
+    /// Sends all looks that are due.
     pub(crate) fn tick_looks(&mut self, now: Millis) {
         for index in self.workers.indexes() {
             self.look_if_due(index, now);
         }
     }
 
+    /// How long a worker with runs holds a look open.
+    fn busy_wait_ms(&self) -> u64 {
+        let wait_ms = self.workers.len() as u64 * WAIT_BUSY_PER_WORKER_MS;
+        wait_ms.clamp(WAIT_BUSY_MIN_MS, WAIT_BUSY_MAX_MS)
+    }
+
     /// Ends what is certainly over on silent workers.
     pub(crate) fn tick_leases(&mut self, now: Millis) {
         for index in self.workers.indexes() {
@@ -78,6 +96,7 @@
 
     fn look_if_due(&mut self, index: WorkerIndex, now: Millis) {
         let (term, lease_ms) = (self.config.term, self.config.lease_ms);
+        let busy_wait_ms = self.busy_wait_ms();
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
@@ -90,7 +109,7 @@
         let wait_ms = match (has_answered, worker.runs.is_empty()) {
             (false, _) => 0,
             (true, true) => WAIT_IDLE_MS,
-            (true, false) => WAIT_BUSY_MS,
+            (true, false) => busy_wait_ms,
         };
         // A look at a silent worker asks for no lease: it may arrive late, and the end of the last
         // lease must stay certain.
@@ -159,6 +178,7 @@
             };
             worker.contact.missed(sent);
         }
+        self.look_candidates.push(index);
     }
 
     /// A look was answered.
@@ -176,6 +196,7 @@
         worker.looks.is_under_way = false;
         worker.looks.due = now;
         worker.looks.is_expiry_proposed = false;
+        self.look_candidates.push(index);
         let id = worker.record.id.clone();
         let applied = worker.looks.applied_ends;
         let new_ends = reply.ends.iter().filter(|(number, _)| *number > applied);
@@ -185,6 +206,10 @@
         if let Some(upto) = upto.filter(|upto| *upto > applied) {
             if let Some(worker) = self.workers.get_mut(index) {
                 worker.looks.proposed_ends = upto;
+                // A start that is proposed from now on follows the ends in the log.
+                for end in &ends {
+                    worker.release_room(end.task, end.run);
+                }
             }
             self.propose(QueueCommand::End {
                 worker: id,
@@ -251,7 +276,11 @@
 
     /// Ends were committed, so the next look acknowledges them.
     pub(crate) fn ends_applied(&mut self, id: &str, upto: u64, now: Millis) {
-        if let Some(worker) = self.workers.by_id_mut(id) {
+        let Some(index) = self.workers.index(id) else {
+            return;
+        };
+        self.look_candidates.push(index);
+        if let Some(worker) = self.workers.get_mut(index) {
             worker.looks.applied_ends = worker.looks.applied_ends.max(upto);
             worker.looks.proposed_ends = worker.looks.proposed_ends.max(upto);
             worker.looks.due = now;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 
 use rustc_hash::FxHashMap;
 use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -111,11 +112,17 @@
     /// The queues of live jobs of which no worker has shown a started task.
     pub(crate) not_begun: FxHashMap<JobKey, Arc<str>>,
     pub(crate) desk: PermitDesk,
+    /// Workers at which a look may be due.
+    pub(crate) look_candidates: Vec<WorkerIndex>,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
     /// Whether something changed that may let a task be placed.
     pub(crate) is_placement_due: bool,
     pub(crate) placed_at: Millis,
+    /// The time between two rounds of placement.
+    pub(crate) placement_pause_ms: u64,
+    /// The most of each resource that was free on any worker when the last round began.
+    pub(crate) most_free: Resources,
     pub(crate) surveyed_at: Millis,
 }
 
@@ -134,10 +141,13 @@
             job_steps: FxHashMap::default(),
             not_begun: FxHashMap::default(),
             desk: PermitDesk::default(),
+            look_candidates: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
             is_placement_due: true,
             placed_at: now,
+            placement_pause_ms: 0,
+            most_free: Resources::ZERO,
             surveyed_at: now,
         };
         for worker in state.workers() {
@@ -192,15 +202,16 @@
 
     /// Does what is due.
     pub fn tick(&mut self, state: &QueueState, now: Millis) {
-        self.tick_looks(now);
+        self.send_due_looks(now);
         if now.since(self.surveyed_at) >= SURVEY_INTERVAL_MS {
             self.surveyed_at = now;
+            self.tick_looks(now);
             self.tick_leases(now);
             self.tick_runs(state, now);
             self.tick_permits(now);
         }
         let since_ms = now.since(self.placed_at);
-        let is_due = self.is_placement_due && since_ms >= PLACEMENT_PAUSE_MS;
+        let is_due = self.is_placement_due && since_ms >= self.placement_pause_ms;
         if is_due || since_ms >= PLACEMENT_INTERVAL_MS {
             self.is_placement_due = false;
             self.placed_at = now;
@@ -233,8 +244,6 @@
 
 /// Placement is tried again after this time, for what only time changes.
 const PLACEMENT_INTERVAL_MS: u64 = 100;
-/// The shortest time between two rounds of placement, so that ends that come together share one.
-const PLACEMENT_PAUSE_MS: u64 = 4;
 /// Time between two looks through all runs and leases.
 const SURVEY_INTERVAL_MS: u64 = 50;
 
@@ -271,7 +280,8 @@
             Some(worker) => worker.record = known.record.clone(),
             None => {
                 let view = WorkerView::new(known.record.clone(), known.applied_ends, now);
-                self.workers.insert(view);
+                let index = self.workers.insert(view);
+                self.look_candidates.push(index);
             }
         }
     }
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -5,6 +5,7 @@
 //! taking all callers, since short jobs would wait behind them. What the policy has denied stays
 //! denied; what it has allowed needs a fresh permit at the start only.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
@@ -17,6 +18,7 @@
 use crate::scheduler::Action;
 use crate::scheduler::Scheduler;
 use crate::scheduler::order::Rank;
+use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 
 /// A permit is not used in the last part of its life, since commit and order take time.
@@ -31,6 +33,8 @@
 const CALLER_PAUSE_MS: u64 = 1_000;
 /// A caller that does not wait for a question for this long is forgotten.
 const CALLER_FORGET_MS: u64 = 4_000;
+/// Workers that a question names at most.
+pub(crate) const WORKERS_PER_QUESTION_MAX: usize = 100;
 /// The pause after the policy refused a question for load.
 const BUSY_PAUSE_MS: u64 = 200;
 
@@ -63,16 +67,26 @@
 /// What is known of the permits of one step.
 #[derive(Debug, Default)]
 pub struct StepPermits {
-    allowed: FxHashMap<WorkerIndex, Permit>,
+    allowed: BTreeMap<WorkerIndex, Permit>,
     denied: FxHashSet<WorkerIndex>,
     /// The question that is under way.
     question: Option<u64>,
-    /// Workers to ask about next.
-    wanted: Vec<WorkerIndex>,
+    /// What to ask next.
+    wanted: Option<Wanted>,
     /// No question before this time.
     paused_until: Millis,
 }
 
+/// What a step wants to ask the policy. The workers of a new question are chosen when a caller
+/// takes it, since room changes while it waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// Fresh permits on workers that are known to be allowed.
+    Renewal(Vec<WorkerIndex>),
+    /// Permits on further workers.
+    More,
+}
+
 #[derive(Debug)]
 struct Permit {
     ticket: Arc<str>,
@@ -111,18 +125,16 @@
         Permission::Unknown
     }
 
-    /// Asks for permits on these workers, unless a question is under way.
-    pub fn want(&mut self, workers: Vec<WorkerIndex>, now: Millis) {
+    /// Asks the policy, unless a question is under way.
+    pub fn want(&mut self, wanted: Wanted, now: Millis) {
         if self.question.is_none() && now >= self.paused_until {
-            self.wanted = workers;
+            self.wanted = Some(wanted);
         }
     }
 
     /// The workers on which the step may start, in order.
-    pub fn allowed(&self) -> Vec<WorkerIndex> {
-        let mut allowed: Vec<WorkerIndex> = self.allowed.keys().copied().collect();
-        allowed.sort_unstable();
-        allowed
+    pub fn allowed(&self) -> impl Iterator<Item = WorkerIndex> {
+        self.allowed.keys().copied()
     }
 
     /// Whether a question is under way.
@@ -283,7 +295,7 @@
         let wanting = self
             .steps
             .values()
-            .filter(|view| !view.permits.wanted.is_empty() && view.permits.question.is_none());
+            .filter(|view| view.permits.wanted.is_some() && view.permits.question.is_none());
         let mut wanting: Vec<(bool, Rank)> = wanting
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
@@ -301,16 +313,33 @@
         }
     }
 
-    fn is_long(&self, view: &crate::scheduler::steps::StepView) -> bool {
+    fn is_long(&self, view: &StepView) -> bool {
+        let workers = match &view.permits.wanted {
+            Some(Wanted::Renewal(workers)) => workers.len(),
+            _ => self.question_size(view),
+        };
         let cost = view.queue.permits;
-        cost.is_some_and(|cost| cost.total_ms(view.permits.wanted.len()) > LONG_QUESTION_MS)
+        cost.is_some_and(|cost| cost.total_ms(workers) > LONG_QUESTION_MS)
+    }
+
+    /// Takes the workers to ask about for a step.
+    fn take_wanted(&mut self, step: StepKey, now: Millis) -> Option<Vec<WorkerIndex>> {
+        let wanted = self.steps.get_mut(&step)?.permits.wanted.take()?;
+        let mut workers = match wanted {
+            Wanted::Renewal(workers) => workers,
+            Wanted::More => self.question(self.steps.get(&step)?, now),
+        };
+        workers.truncate(WORKERS_PER_QUESTION_MAX);
+        (!workers.is_empty()).then_some(workers)
     }
 
     fn ask(&mut self, step: StepKey, caller: Arc<str>, is_long: bool, now: Millis) {
+        let Some(workers) = self.take_wanted(step, now) else {
+            return;
+        };
         let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
-        let workers = std::mem::take(&mut view.permits.wanted);
         let Some(cost) = view.queue.permits else {
             return;
         };
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -14,6 +14,8 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::order::Rank;
 use crate::scheduler::permits::Permission;
+use crate::scheduler::permits::WORKERS_PER_QUESTION_MAX;
+use crate::scheduler::permits::Wanted;
 use crate::scheduler::preempt::MadeRoom;
 use crate::scheduler::reserve::Reservations;
 use crate::scheduler::steps::StepView;
@@ -25,8 +27,6 @@
 
 /// Gangs that may hold reservations at a time.
 const RESERVATIONS_MAX: usize = 6;
-/// Workers that a question names at most.
-const WORKERS_PER_QUESTION_MAX: usize = 100;
 /// Workers that a question names at least, as far as there are any.
 const WORKERS_PER_QUESTION_MIN: usize = 30;
 /// Workers that a question names for each task that waits.
@@ -34,6 +34,13 @@
 /// A dependent step is asked for when the steps before it are expected to end within this time.
 const ASK_AHEAD_MS: u64 = 1_200;
 
+/// The shortest time between two rounds of placement, so that ends that come together share one.
+const PLACEMENT_PAUSE_MIN_MS: u64 = 4;
+/// The longest time between two rounds while something changes.
+const PLACEMENT_PAUSE_MAX_MS: u64 = 24;
+/// Waiting steps that make the pause a millisecond longer.
+const STEPS_PER_PAUSE_MS: u64 = 25;
+
 /// A worker that may take a task now.
 pub(crate) struct Candidate {
     pub(crate) index: WorkerIndex,
@@ -60,6 +67,8 @@
             .map(|view| Rank::of(view, now))
             .collect();
         ranks.sort_unstable();
+        self.pause_placement(ranks.len());
+        self.most_free = self.most_free_room(now);
         let mut reservations = self.made_room(now);
         let mut reserved = 0;
         for rank in ranks {
@@ -79,6 +88,29 @@
         }
     }
 
+    /// Sets the time to the next round. A round costs time for each step that waits, and the leader
+    /// has to commit and to give orders between rounds.
+    fn pause_placement(&mut self, waiting_steps: usize) {
+        let more_ms = waiting_steps as u64 / STEPS_PER_PAUSE_MS;
+        self.placement_pause_ms = (PLACEMENT_PAUSE_MIN_MS + more_ms).min(PLACEMENT_PAUSE_MAX_MS);
+    }
+
+    /// The most of each resource that is free on any worker.
+    fn most_free_room(&self, now: Millis) -> Resources {
+        let open = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_open(now));
+        open.fold(Resources::ZERO, |most, (_, worker)| {
+            let free = worker.free();
+            Resources {
+                millicores: most.millicores.max(free.millicores),
+                memory_mib: most.memory_mib.max(free.memory_mib),
+                accelerators: most.accelerators.max(free.accelerators),
+            }
+        })
+    }
+
     /// Asks for the permits of a step that depends on others shortly before its turn.
     fn ask_ahead(&mut self, view: &mut StepView, now: Millis) {
         if view.queue.permits.is_none() || !view.permits.is_unasked() {
@@ -92,8 +124,7 @@
             self.ends_soon(key, now)
         });
         if is_soon {
-            let workers = self.question(view, now);
-            view.permits.want(workers, now);
+            view.permits.want(Wanted::More, now);
         }
     }
 
@@ -127,7 +158,7 @@
     /// Workers that may run the step as far as its permits are known.
     fn possible(&self, view: &StepView) -> Vec<WorkerIndex> {
         match view.queue.permits {
-            Some(_) => view.permits.allowed(),
+            Some(_) => view.permits.allowed().collect(),
             None => self.workers.indexes(),
         }
     }
@@ -141,6 +172,9 @@
     ) -> Vec<Candidate> {
         let spec = view.spec();
         let mut found = Vec::new();
+        if !spec.resources.fits_in(&self.most_free) {
+            return found;
+        }
         for index in self.possible(view) {
             let Some(worker) = self.workers.get(index) else {
                 continue;
@@ -244,34 +278,43 @@
         let expired_fits: u32 = of(Permission::Expired).map(|c| c.fits).sum();
         if expired_fits as usize >= needed {
             let most = expired.len().min(needed * 2);
-            return view.permits.want(expired[..most].to_vec(), now);
+            let renewal = Wanted::Renewal(expired[..most].to_vec());
+            return view.permits.want(renewal, now);
+        }
+        if view.spec().resources.fits_in(&self.most_free) {
+            view.permits.want(Wanted::More, now);
         }
-        let mut workers = self.question(view, now);
-        workers.extend(expired);
-        view.permits.want(workers, now);
     }
 
-    /// The workers to ask about: those that may run the step and were not asked about, first the
-    /// ones with the most room.
+    /// The workers to ask about: those that may run the step and were not asked about or need a
+    /// fresh permit, first the ones with the most room.
     pub(crate) fn question(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
-        let unknown = |(index, worker): &(WorkerIndex, &WorkerView)| {
+        let is_useful = |(index, worker): &(WorkerIndex, &WorkerView)| {
             let has_room = view.spec().resources.fits_in(&worker.free());
-            (has_room || view.spec().is_gang)
-                && view.suits(worker)
-                && worker.is_open(now)
-                && self.permission(view, *index, now) == Permission::Unknown
+            if !view.suits(worker) || !worker.is_open(now) {
+                return false;
+            }
+            match self.permission(view, *index, now) {
+                Permission::Unknown => has_room || view.spec().is_gang,
+                Permission::Expired => has_room && !view.spec().is_gang,
+                Permission::Granted | Permission::Denied => false,
+            }
         };
-        let workers = self.workers.iter().filter(unknown);
+        let workers = self.workers.iter().filter(is_useful);
         let mut workers: Vec<(u64, WorkerIndex)> = workers
             .map(|(index, worker)| (u64::MAX - worker.free().millicores, index))
             .collect();
         workers.sort_unstable();
-        let wanted = view.waiting.len() * WORKERS_PER_TASK;
-        let most = wanted.clamp(WORKERS_PER_QUESTION_MIN, WORKERS_PER_QUESTION_MAX);
-        workers.truncate(most);
+        workers.truncate(self.question_size(view));
         workers.into_iter().map(|(_, index)| index).collect()
     }
 
+    /// How many workers a question about a step names at most.
+    pub(crate) fn question_size(&self, view: &StepView) -> usize {
+        let wanted = view.waiting.len() * WORKERS_PER_TASK;
+        wanted.clamp(WORKERS_PER_QUESTION_MIN, WORKERS_PER_QUESTION_MAX)
+    }
+
     /// Proposes runs of the given tasks and takes their room.
     pub(crate) fn start(
         &mut self,
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -25,6 +25,8 @@
 const PATIENCE_MS: u64 = 1_200;
 /// Room that was freed is kept for the gang this long.
 const KEEP_MS: u64 = 1_500;
+/// The pause after no room was found.
+const RETRY_MS: u64 = 100;
 /// How often one task may be displaced.
 const DISPLACED_MAX: u32 = 2;
 /// A task that is expected to end within this time is not displaced.
@@ -37,6 +39,8 @@
     pub workers: Vec<WorkerIndex>,
     /// Until when the room is kept.
     pub until: Millis,
+    /// Before this time no room is looked for.
+    pub retry: Millis,
 }
 
 /// What displacing the least tasks on a worker would give to a gang.
@@ -63,6 +67,10 @@
         if now.since(waits_since) < PATIENCE_MS || !is_in_time || now < view.made_room.until {
             return false;
         }
+        if now < view.made_room.retry {
+            return false;
+        }
+        view.made_room.retry = now + RETRY_MS;
         let members = view.spec().count as usize;
         let mut offers = self.offers(view, reservations, members, now);
         offers.sort_unstable_by_key(|offer| {
@@ -90,6 +98,7 @@
         view.made_room = MadeRoom {
             workers,
             until: now + KEEP_MS,
+            retry: now + KEEP_MS,
         };
         true
     }
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Frees the room of a run that has ended, before its end is applied.
+    pub fn release_room(&mut self, task: TaskKey, run: u32) {
+        let ended = self.runs.get_mut(&task).filter(|held| held.run == run);
+        if let Some(held) = ended {
+            let room = std::mem::replace(&mut held.resources, Resources::ZERO);
+            self.used = self.used.saturating_sub(&room);
+        }
+    }
+
     /// Removes a run; returns it if `run` is the one that is there.
     pub fn remove_run(&mut self, task: TaskKey, run: u32) -> Option<RunView> {
         if self.runs.get(&task)?.run != run {
@@ -212,6 +221,11 @@
         }
     }
 
+    /// How many workers there are.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// All workers in the order of their arrival.
     pub fn iter(&self) -> impl Iterator<Item = (WorkerIndex, &WorkerView)> {
         self.slots.iter().enumerate().filter_map(|(index, slot)| {
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -11,6 +11,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
@@ -38,7 +40,7 @@
 /// The time between two rounds of the model.
 pub const STEP_MS: u64 = 5;
 /// The time from a proposal to its application.
-const COMMIT_MS: u64 = 15;
+pub const COMMIT_MS: u64 = 15;
 /// One way between the leader and a worker or caller.
 const NET_MS: u64 = 1;
 pub const LEASE_MS: u64 = 4_000;
@@ -81,6 +83,8 @@
     /// Whether the policy allows a step on a worker, of 100.
     pub allowed_percent: u64,
     pub starts: u64,
+    /// Processor time of the decisions.
+    pub decision_time: Duration,
 }
 
 pub fn queue(name: &str, priority: u32, factor: f64, target_ms: u64) -> Queue {
@@ -150,6 +154,7 @@
             callers: BTreeSet::new(),
             allowed_percent: 100,
             starts: 0,
+            decision_time: Duration::ZERO,
         };
         for caller in 0..callers {
             let caller: Arc<str> = Arc::from(format!("caller-{caller}"));
@@ -247,7 +252,9 @@
             let event = entry.remove();
             self.handle(event);
         }
+        let begin = Instant::now();
         self.scheduler.tick(&self.state, self.now);
+        self.decision_time += begin.elapsed();
         for action in self.scheduler.take_actions() {
             self.act(action);
         }
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -5,7 +5,9 @@
 
 mod model;
 
+use sapphirepost_queues::JobKey;
 use sapphirepost_queues::Queue;
+use sapphirepost_queues::StepKey;
 
 use crate::model::Model;
 use crate::model::load;
@@ -100,3 +102,28 @@
     assert!(model.in_time_percent("gang") >= 75, "{}", shares(&model));
     assert!(model.in_time_percent("tally") >= 70, "{}", shares(&model));
 }
+
+/// Guards against room that stays unused after each end until the end is committed.
+#[test]
+fn room_is_given_away_when_an_end_is_seen() {
+    let worker = ModelWorker::new("w0", 5, load::room, load::work_ms);
+    let mut model = Model::new(vec![queue("tally", 0, 4.0, 3_000)], vec![worker], 0);
+    model.run(100);
+    let spec = load::spec(Kind::Tally, 0);
+    let begin = model.now;
+    let step = StepKey {
+        job: JobKey(load::key(Kind::Tally, 0)),
+        step: 0,
+    };
+    let tasks = u64::from(spec.steps[0].count);
+    let each_millicores = spec.steps[0].resources.millicores;
+    assert!(each_millicores > 2_500, "only one task may fit at a time");
+    let work_ms: u64 = (0..tasks as u32)
+        .map(|task| load::work_ms(step.task(task)))
+        .sum();
+    model.submit(step.job.0, "tally", spec);
+    model.run_until_done(120_000);
+    let unused_ms = (model.now.since(begin) - work_ms) / tasks;
+    println!("unused for each task: {unused_ms} ms");
+    assert!(unused_ms < 2 * model::COMMIT_MS, "{unused_ms} ms");
+}
