Split rounds and questions from placement

Change: rounds.rs decides when and in which order steps are placed and holds what one round leaves for the next, questions.rs what the policy is asked; place.rs places the tasks of one step.

--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -217,7 +217,7 @@
                 ends,
             });
         }
-        self.is_placement_due = true;
+        self.rounds.is_due = true;
     }
 
     /// Compares what runs on a worker with what should.
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -17,7 +17,9 @@
 mod permits;
 mod place;
 mod preempt;
+mod questions;
 mod reserve;
+mod rounds;
 mod steps;
 mod workers;
 
@@ -25,7 +27,6 @@
 
 use rustc_hash::FxHashMap;
 use sapphirepost_types::Millis;
-use sapphirepost_types::Resources;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -33,7 +34,7 @@
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::scheduler::permits::PermitDesk;
-use crate::scheduler::reserve::Reservations;
+use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::LATE_FACTOR;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::objective_ms;
@@ -121,18 +122,7 @@
     pub(crate) look_candidates: Vec<WorkerIndex>,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
-    /// Whether something changed that may let a task be placed.
-    pub(crate) is_placement_due: bool,
-    pub(crate) placed_at: Millis,
-    /// The time between two rounds of placement.
-    pub(crate) placement_pause_ms: u64,
-    /// When gangs were placed last, and the time until they are placed again.
-    pub(crate) gangs_placed_at: Millis,
-    pub(crate) gang_pause_ms: u64,
-    /// The reservations of the last round.
-    pub(crate) reservations: Reservations,
-    /// The most of each resource that was free on any worker when the last round began.
-    pub(crate) most_free: Resources,
+    pub(crate) rounds: Rounds,
     pub(crate) surveyed_at: Millis,
 }
 
@@ -155,13 +145,7 @@
             look_candidates: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
-            is_placement_due: true,
-            placed_at: now,
-            placement_pause_ms: 0,
-            gangs_placed_at: now,
-            gang_pause_ms: 0,
-            reservations: Reservations::default(),
-            most_free: Resources::ZERO,
+            rounds: Rounds::new(now),
             surveyed_at: now,
         };
         for worker in state.workers() {
@@ -194,7 +178,7 @@
             QueueCommand::End { worker, upto, .. } => self.ends_applied(worker, *upto, now),
             _ => {}
         }
-        self.is_placement_due |= !changes.is_empty();
+        self.rounds.is_due |= !changes.is_empty();
     }
 
     fn follow(&mut self, state: &QueueState, change: &QueueChange, now: Millis) {
@@ -224,15 +208,7 @@
             self.tick_runs(state, now);
             self.tick_permits(now);
         }
-        let since_ms = now.since(self.placed_at);
-        let is_due = self.is_placement_due && since_ms >= self.placement_pause_ms;
-        if is_due || since_ms >= PLACEMENT_INTERVAL_MS {
-            self.is_placement_due = false;
-            self.placed_at = now;
-            self.place(state, now);
-            self.desk.is_dispatch_due = true;
-        }
-        self.place_urgent(state, now);
+        self.tick_placement(state, now);
         if std::mem::take(&mut self.desk.is_dispatch_due) {
             self.dispatch_questions(now);
         }
@@ -257,8 +233,6 @@
     }
 }
 
-/// Placement is tried again after this time, for what only time changes.
-const PLACEMENT_INTERVAL_MS: u64 = 100;
 /// Time between two looks through all runs and leases.
 const SURVEY_INTERVAL_MS: u64 = 50;
 
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -211,7 +211,7 @@
         now: Millis,
     ) -> Option<AnsweredQuestion> {
         let asked = self.desk.asked.remove(&answer.id)?;
-        self.is_placement_due = true;
+        self.rounds.is_due = true;
         let took_ms = now.since(asked.given);
         let delay_ms = took_ms.saturating_sub(asked.expected_ms);
         self.desk.callers.answered(&asked.caller, delay_ms);
@@ -289,7 +289,7 @@
             if let Some(view) = self.steps.get_mut(&asked.step) {
                 view.permits.question = None;
             }
-            self.is_placement_due = true;
+            self.rounds.is_due = true;
         }
         self.desk.callers.forget_silent(now);
     }
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -123,7 +123,7 @@
             }
             self.steps.entry(view.key).or_insert(view);
         }
-        self.is_placement_due = true;
+        self.rounds.is_due = true;
     }
 
     /// The commit of a job failed or its outcome is unknown.
