--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -67,15 +67,21 @@
     cluster.wait_until_equal();
 }
 
-/// Guards against a process that ends, or a leader that keeps the group from accepting anything,
-/// because its disk has no room left.
-#[test]
-fn a_member_without_room_on_its_disk_steps_down_and_goes_on_later() {
+/// A group whose processes get errors for files beyond a limit.
+fn start_limitable() -> Cluster {
     let mut cluster = Cluster::start(3, &["--snapshot-entries", "20", "--segment-bytes", "4096"]);
     cluster.set();
     (0..3).for_each(|index| cluster.kill(index));
     (0..3).for_each(|index| cluster.spawn_limitable(index));
     cluster.set();
+    cluster
+}
+
+/// Guards against a process that ends, or a leader that keeps the group from accepting anything,
+/// because its disk has no room left.
+#[test]
+fn a_member_without_room_on_its_disk_steps_down_and_goes_on_later() {
+    let mut cluster = start_limitable();
     let leader = cluster.leader();
     cluster.limit_files(leader, Some(1));
     (0..10).for_each(|_| cluster.set());
@@ -90,11 +96,7 @@
 /// process that does not start, or not stop, on a disk without room.
 #[test]
 fn a_group_without_room_goes_on_when_there_is_room() {
-    let mut cluster = Cluster::start(3, &["--snapshot-entries", "20", "--segment-bytes", "4096"]);
-    cluster.set();
-    (0..3).for_each(|index| cluster.kill(index));
-    (0..3).for_each(|index| cluster.spawn_limitable(index));
-    cluster.set();
+    let mut cluster = start_limitable();
     let leader = cluster.leader();
     (0..3).for_each(|index| cluster.limit_files(index, Some(1)));
     let proposal = cluster.proposal();
--- a/crates/queues/tests/full_size.rs
+++ b/crates/queues/tests/full_size.rs
@@ -15,11 +15,11 @@
 
 const WORKERS: usize = 350;
 const CALLERS: usize = 44;
-/// Jobs of each kind in a second.
-const RATES: [(Kind, &str, f64); 3] = [
-    (Kind::Lookup, "lookup", 220.0),
-    (Kind::Tally, "tally", 15.8),
-    (Kind::Gang, "gang", 7.6),
+/// Jobs of each kind in a second, in thousandths.
+const RATES: [(Kind, &str, u64); 3] = [
+    (Kind::Lookup, "lookup", 220_000),
+    (Kind::Tally, "tally", 15_800),
+    (Kind::Gang, "gang", 7_600),
 ];
 /// How much longer the decisions for one start may take when most work waits.
 const SLOWDOWN_MAX: u32 = 5;
@@ -38,20 +38,7 @@
     let mut model = Model::new(queues(), (0..WORKERS).map(worker).collect(), CALLERS);
     model.allowed_percent = 40;
     model.run(100);
-    let mut due = [0.0; RATES.len()];
-    let mut next = [0; RATES.len()];
-    for _ in 0..seconds * 1_000 / model::STEP_MS {
-        for (index, (kind, name, rate)) in RATES.iter().enumerate() {
-            due[index] += rate * times * model::STEP_MS as f64 / 1_000.0;
-            while due[index] >= 1.0 {
-                due[index] -= 1.0;
-                let number = next[index];
-                next[index] += 1;
-                model.submit(load::key(*kind, number), name, load::spec(*kind, number));
-            }
-        }
-        model.run(model::STEP_MS);
-    }
+    model.receive(&RATES, |_, _| times, seconds);
     model.decision_time / u32::try_from(model.starts).unwrap()
 }
 
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -35,6 +35,7 @@
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::Millis;
 
+use self::load::Kind;
 use self::worker::ModelWorker;
 
 /// The time between two rounds of the model.
@@ -215,6 +216,32 @@
         }
     }
 
+    /// Lets jobs arrive for some seconds: of each kind and queue so many thousandths in a second,
+    /// times the load at that moment.
+    pub fn receive(
+        &mut self,
+        rates: &[(Kind, &str, u64)],
+        load_at: impl Fn(Kind, u64) -> f64,
+        seconds: u64,
+    ) {
+        let mut due = vec![0.0_f64; rates.len()];
+        let mut next = vec![0_u64; rates.len()];
+        let begin = self.now;
+        while self.now.since(begin) < seconds * 1_000 {
+            let at_ms = self.now.since(begin);
+            for (index, (kind, name, rate)) in rates.iter().enumerate() {
+                due[index] += *rate as f64 * load_at(*kind, at_ms) * STEP_MS as f64 / 1e6;
+                while due[index] >= 1.0 {
+                    due[index] -= 1.0;
+                    let number = next[index];
+                    next[index] += 1;
+                    self.submit(load::key(*kind, number), name, load::spec(*kind, number));
+                }
+            }
+            self.run(STEP_MS);
+        }
+    }
+
     /// Whether a worker runs a task of a job.
     pub fn has_started(&self, job: JobKey) -> bool {
         let mut running = self
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -43,22 +43,7 @@
     let mut model = Model::new(queues(), (0..WORKERS).map(worker).collect(), CALLERS);
     model.allowed_percent = 30;
     model.run(100);
-    let mut due = [0.0_f64; RATES.len()];
-    let mut next = [0_u64; RATES.len()];
-    let begin = model.now;
-    while model.now.since(begin) < seconds * 1_000 {
-        let at_ms = model.now.since(begin);
-        for (index, (kind, name, rate)) in RATES.iter().enumerate() {
-            due[index] += *rate as f64 * load_at(*kind, at_ms) * model::STEP_MS as f64 / 1e6;
-            while due[index] >= 1.0 {
-                due[index] -= 1.0;
-                let number = next[index];
-                next[index] += 1;
-                model.submit(load::key(*kind, number), name, load::spec(*kind, number));
-            }
-        }
-        model.run(model::STEP_MS);
-    }
+    model.receive(&RATES, load_at, seconds);
     model.run_until_done(120_000);
     model
 }
