Test that a wide step is asked about in questions that the policy takes

Cause: a question about a step with more waiting tasks than its expired permits allowed named 100 further workers and the expired ones too. The policy takes 100, so it refused the question, which was asked again unchanged for ever. Steps that depend on others are struck most, since their permits are asked early, when few workers have room, and expire.

Change: the policy of the model refuses questions about more than 100 workers, as the real one does.

--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -2,15 +2,18 @@
 
 mod model;
 
+use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueState;
+use sapphirepost_queues::StepKey;
 
 use crate::model::LEASE_MS;
 use crate::model::Model;
 use crate::model::load;
 use crate::model::load::Kind;
 use crate::model::queue;
+use crate::model::with_permits;
 use crate::model::worker::ModelWorker;
 
 fn queues() -> Vec<Queue> {
@@ -179,3 +182,40 @@
     let read: QueueState = serde_json::from_slice(&text).expect("the state can be read");
     assert_eq!(read, model.state);
 }
+
+/// Guards against a question that names more workers than the policy takes: it was refused and
+/// asked again unchanged, so a wide step never ran although most workers were free.
+#[test]
+fn a_wide_step_with_expired_permits_on_few_workers_runs() {
+    let tally = with_permits(queue("tally", 2, 4.0, 3_000), 156.0, 2.34);
+    let mut model = Model::new(vec![tally], workers(160), 4);
+    model.allowed_percent = 45;
+    set_dark(&mut model, 8, true);
+    model.run(50);
+    // The first step takes longer than its estimate, so the permits of the second one expire.
+    let is_late = |number: &u64| {
+        let job = JobKey(load::key(Kind::Tally, *number));
+        load::work_ms(StepKey { job, step: 0 }.task(0)) > 4_500
+    };
+    let number = (0..100).find(is_late).unwrap();
+    let mut spec = load::spec(Kind::Tally, number);
+    let mut wide = spec.steps[0].clone();
+    spec.steps[0].count = 1;
+    wide.count = 52;
+    wide.after.push(0);
+    wide.per_worker_max = Some(1);
+    spec.steps.push(wide);
+    model.submit(load::key(Kind::Tally, number), "tally", spec);
+    model.run(3_000);
+    set_dark(&mut model, 8, false);
+    model.run_until_done(60_000);
+    assert_completed(&model);
+    assert_eq!(model.refused_questions, 0);
+}
+
+/// Cuts off all workers but the first ones, or lets them answer again.
+fn set_dark(model: &mut Model, others: usize, is_dark: bool) {
+    for worker in model.workers.values_mut().skip(others) {
+        worker.is_dark = is_dark;
+    }
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -48,6 +48,8 @@
 pub const STOP_MS: u64 = 400;
 pub const GANG_MS: u64 = 3_000;
 pub const SERVICE: &str = "logbook";
+/// The policy refuses questions that name more workers.
+pub const WORKERS_PER_QUESTION_MAX: usize = 100;
 
 /// The members of a gang and their workers.
 type Members = Vec<(Arc<str>, TaskKey)>;
@@ -83,6 +85,8 @@
     callers: BTreeSet<Arc<str>>,
     /// Whether the policy allows a step on a worker, of 100.
     pub allowed_percent: u64,
+    /// Questions that the policy refused.
+    pub refused_questions: u64,
     pub starts: u64,
     /// Processor time of the decisions.
     pub decision_time: Duration,
@@ -154,6 +158,7 @@
             index: 1,
             callers: BTreeSet::new(),
             allowed_percent: 100,
+            refused_questions: 0,
             starts: 0,
             decision_time: Duration::ZERO,
         };
@@ -344,9 +349,12 @@
             let mixed = mix(request.step.job.0 ^ u64::from(request.step.step), worker);
             mixed % 100 < self.allowed_percent
         });
+        let allowed = allowed.map(|w| (w.clone(), Arc::from("ticket"))).collect();
+        let is_refused = request.workers.len() > WORKERS_PER_QUESTION_MAX;
+        self.refused_questions += u64::from(is_refused);
         let answer = PermitAnswer {
             id: request.id,
-            allowed: Some(allowed.map(|w| (w.clone(), Arc::from("ticket"))).collect()),
+            allowed: (!is_refused).then_some(allowed),
             is_busy: false,
         };
         let table = self.state.table().unwrap();
