Show that a refused question is repeated unchanged

Cause: any refusal of the placement policy other than for load is answered with the same question at once.

--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -219,3 +219,20 @@
         worker.is_dark = is_dark;
     }
 }
+
+/// Guards against a question that the policy refuses for another reason than load and that is
+/// asked again unchanged for ever.
+#[test]
+fn a_refused_question_is_asked_in_smaller_parts() {
+    let tally = with_permits(queue("tally", 2, 4.0, 3_000), 156.0, 2.34);
+    let mut model = Model::new(vec![tally], workers(160), 4);
+    model.workers_per_question_max = 20;
+    model.allowed_percent = 45;
+    model.run(50);
+    let mut spec = load::spec(Kind::Tally, 1);
+    spec.steps[0].count = 52;
+    spec.steps[0].per_worker_max = Some(1);
+    model.submit(load::key(Kind::Tally, 1), "tally", spec);
+    model.run_until_done(60_000);
+    assert_completed(&model);
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -48,7 +48,7 @@
 pub const STOP_MS: u64 = 400;
 pub const GANG_MS: u64 = 3_000;
 pub const SERVICE: &str = "logbook";
-/// The policy refuses questions that name more workers.
+/// The policy usually refuses questions that name more workers.
 pub const WORKERS_PER_QUESTION_MAX: usize = 100;
 
 /// The members of a gang and their workers.
@@ -85,6 +85,8 @@
     callers: BTreeSet<Arc<str>>,
     /// Whether the policy allows a step on a worker, of 100.
     pub allowed_percent: u64,
+    /// The policy refuses questions that name more workers.
+    pub workers_per_question_max: usize,
     /// Questions that the policy refused.
     pub refused_questions: u64,
     pub starts: u64,
@@ -158,6 +160,7 @@
             index: 1,
             callers: BTreeSet::new(),
             allowed_percent: 100,
+            workers_per_question_max: WORKERS_PER_QUESTION_MAX,
             refused_questions: 0,
             starts: 0,
             decision_time: Duration::ZERO,
@@ -350,7 +353,7 @@
             mixed % 100 < self.allowed_percent
         });
         let allowed = allowed.map(|w| (w.clone(), Arc::from("ticket"))).collect();
-        let is_refused = request.workers.len() > WORKERS_PER_QUESTION_MAX;
+        let is_refused = request.workers.len() > self.workers_per_question_max;
         self.refused_questions += u64::from(is_refused);
         let answer = PermitAnswer {
             id: request.id,
