--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -192,7 +192,7 @@
                 self.send_starts(state, *step, placements, now);
             }
             QueueChange::RunOver(worker, task, run, kind) => {
-                self.run_over(worker, *task, *run, *kind, now);
+                self.run_over(state, worker, (*task, *run), *kind, now);
             }
             QueueChange::StepChanged(step) => self.step_changed(state, *step),
         }
--- a/crates/queues/src/scheduler/orders.rs
+++ b/crates/queues/src/scheduler/orders.rs
@@ -352,9 +352,9 @@
     /// A run no longer takes room on a worker.
     pub(crate) fn run_over(
         &mut self,
+        state: &QueueState,
         id: &str,
-        task: TaskKey,
-        run: u32,
+        (task, run): (TaskKey, u32),
         kind: Option<EndKind>,
         now: Millis,
     ) {
@@ -385,6 +385,9 @@
             }
             step.placed.remove(&task.index);
         }
+        if kind == Some(EndKind::Failed) {
+            self.excuse_workers(state, task);
+        }
     }
 
     /// Drops runs whose start was proposed but had no effect when it was applied.
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -5,6 +5,7 @@
 use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::Queue;
+use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueState;
 use sapphirepost_queues::StepKey;
 
@@ -236,3 +237,58 @@
     model.run_until_done(60_000);
     assert_completed(&model);
 }
+
+/// Guards against workers that stay limited to one task until a success, although nothing runs
+/// there that could succeed: a gang with several members for each worker never ran.
+#[test]
+fn a_gang_runs_on_suspected_workers_after_their_trial() {
+    let mut model = Model::new(queues(), workers(3), 0);
+    model.run(50);
+    set_failing(&mut model, true);
+    submit(&mut model, Kind::Lookup, 24);
+    model.run(1400);
+    set_failing(&mut model, false);
+    for key in model.jobs.keys().copied().collect::<Vec<_>>() {
+        model.propose(QueueCommand::Cancel { job: key });
+    }
+    submit_wide_gang(&mut model);
+    model.run_until_done(30_000);
+    assert_gang_completed(&model);
+}
+
+/// Guards against workers that are paused because of jobs that fail wherever they run.
+#[test]
+fn jobs_that_fail_everywhere_pause_no_worker() {
+    let mut model = Model::new(queues(), workers(3), 0);
+    model.run(50);
+    set_failing(&mut model, true);
+    submit(&mut model, Kind::Lookup, 4);
+    model.run_until_done(120_000);
+    set_failing(&mut model, false);
+    submit_wide_gang(&mut model);
+    model.run(500);
+    assert!(model.has_started(WIDE_GANG));
+    model.run_until_done(30_000);
+    assert_gang_completed(&model);
+}
+
+const WIDE_GANG: JobKey = JobKey((3 << 56) | 1);
+
+/// Submits a gang that needs more members than there are workers.
+fn submit_wide_gang(model: &mut Model) {
+    let mut spec = load::spec(Kind::Gang, 1);
+    spec.steps[0].count = 6;
+    model.submit(WIDE_GANG.0, "gang", spec);
+}
+
+fn assert_gang_completed(model: &Model) {
+    let ended = model.jobs[&WIDE_GANG].ended.map(|(_, phase)| phase);
+    assert_eq!(ended, Some(JobPhase::Completed));
+}
+
+/// Lets all workers fail what they start, or not.
+fn set_failing(model: &mut Model, fails_all: bool) {
+    for worker in model.workers.values_mut() {
+        worker.fails_all = fails_all;
+    }
+}
