Renew the permits of all workers of a gang in one question

Callers: a gang could wait for ever although the allowed workers were free.

Cause: a gang whose workers were allowed in several answers asked again only about those whose permits had expired. If the question took longer than the others stayed fresh, for instance because callers of the policy were busy or slow, these had expired when the answer came, and so on in turn.

Ruled out: the choice of other workers each time; the room stays held and the choice is the same.

Change: one question renews the permits of all chosen workers, so that one answer is enough.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -59,11 +59,11 @@
         let allowed = [Permission::Granted, Permission::Expired];
         if let Some(chosen) = self.choose(view, &candidates, &allowed, members) {
             self.hold_now(view, &chosen, reservations, now);
-            let mut expired = chosen;
-            expired.sort_unstable();
-            expired.dedup();
-            expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
-            view.permits.want(Wanted::Renewal(expired), now);
+            // All at once: permits that are still fresh may expire before the others are renewed.
+            let mut renewed = chosen;
+            renewed.sort_unstable();
+            renewed.dedup();
+            view.permits.want(Wanted::Renewal(renewed), now);
             return true;
         }
         if !view.permits.is_asking() {
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -292,3 +292,19 @@
         worker.fails_all = fails_all;
     }
 }
+
+/// Guards against a gang whose permits expire in turn: while those of some workers were renewed,
+/// those of the others expired, so that the gang never had all of them at once.
+#[test]
+fn a_gang_with_permits_of_different_age_runs() {
+    let gang = with_permits(queue("gang", 1, 2.2, 1_000), 1_700.0, 1.0);
+    let mut model = Model::new(vec![gang], workers(90), 4);
+    model.allowed_percent = 10;
+    model.run(50);
+    let mut spec = load::spec(Kind::Gang, 1);
+    spec.steps[0].count = 7;
+    spec.steps[0].per_worker_max = Some(1);
+    model.submit(WIDE_GANG.0, "gang", spec);
+    model.run_until_done(60_000);
+    assert_gang_completed(&model);
+}
