Do not refuse a job whose commit is under way

Callers: a job could run although the last answer about it was a refusal for load.

Cause: an entry sends a job again when the leader has not answered within 700 ms, for instance because a disk is slow. The leader knew only committed jobs and checked the backlog again. If the backlog had grown, it refused the job, and the first sending was committed afterwards.

Ruled out: a change of the leader in between; a new leader has applied all earlier entries before it answers, so it knows the job or the job never runs.

Change: a job that is under way is proposed again without a check of the backlog, and its early questions to the policy are left as they are. Applying it twice changes nothing.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -174,8 +174,10 @@
         let Some(scheduler) = &mut self.queues.scheduler else {
             return done.send(Err(RpcError::Busy));
         };
-        let admission = scheduler.admission(&queue, &spec);
-        if let Some(retry_after_ms) = admission.refusal_ms() {
+        let admission = scheduler.admission(key, &queue, &spec);
+        if let Some(admission) = admission
+            && let Some(retry_after_ms) = admission.refusal_ms()
+        {
             log::info!(
                 job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
                 capacity_millicores = admission.capacity_millicores, retry_after_ms;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -277,8 +277,12 @@
 }
 
 impl Scheduler {
-    /// What a new job of a queue would wait for.
-    pub fn admission(&self, queue: &Queue, spec: &SubmittedSpec) -> Admission {
+    /// What a new job of a queue would wait for; `None` if its commit is under way already. A
+    /// caller that sends such a job again must not be told that it is refused, since it may run.
+    pub fn admission(&self, key: JobKey, queue: &Queue, spec: &SubmittedSpec) -> Option<Admission> {
+        if self.job_steps.contains_key(&key) {
+            return None;
+        }
         let workers = self.workers.iter().map(|(_, worker)| worker);
         let serving = workers.filter(|w| *w.record.service == *queue.service);
         let capacity_millicores = serving.map(|w| w.record.capacity.millicores).sum();
@@ -286,11 +290,11 @@
             view.queue.priority <= queue.priority && *view.queue.service == *queue.service
         });
         let backlog_core_ms = before.map(StepView::waiting_core_ms).sum();
-        Admission {
+        Some(Admission {
             backlog_core_ms,
             capacity_millicores,
             useful_ms: LATE_FACTOR * objective_ms(queue, spec),
             chain_ms: spec.chain_ms(),
-        }
+        })
     }
 }
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -106,7 +106,8 @@
 }
 
 impl Scheduler {
-    /// A job arrived and its commit is under way: what can be asked early is asked.
+    /// A job arrived and its commit is under way: what can be asked early is asked. A job that is
+    /// sent again meanwhile changes nothing.
     pub fn submitted(
         &mut self,
         key: JobKey,
@@ -114,6 +115,9 @@
         spec: &Arc<SubmittedSpec>,
         now: Millis,
     ) {
+        if self.job_steps.contains_key(&key) {
+            return;
+        }
         self.job_steps.insert(key, spec.steps.len() as u16);
         for step in 0..spec.steps.len() as u16 {
             let mut view = new_view(StepKey { job: key, step }, spec, queue, now);
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -9,8 +9,10 @@
 use sapphirepost_queues::QueueState;
 use sapphirepost_queues::StepKey;
 
+use crate::model::COMMIT_MS;
 use crate::model::LEASE_MS;
 use crate::model::Model;
+use crate::model::STEP_MS;
 use crate::model::load;
 use crate::model::load::Kind;
 use crate::model::queue;
@@ -308,3 +310,27 @@
     model.run_until_done(60_000);
     assert_gang_completed(&model);
 }
+
+/// Guards against a refusal of a job that is sent again while its first commit is under way: the
+/// job runs although its caller was told that it does not.
+#[test]
+fn a_job_under_way_is_not_refused() {
+    let mut model = Model::new(queues(), workers(1), 0);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 100);
+    model.run(2 * COMMIT_MS);
+    let spec = load::spec(Kind::Lookup, 0);
+    let key = load::key(Kind::Lookup, 0);
+    let lookup = queue("lookup", 9, 1.5, 250);
+    let refusal_ms = |model: &Model, key: u64| {
+        let admission = model.scheduler.admission(JobKey(key), &lookup, &spec);
+        admission.and_then(|admission| admission.refusal_ms())
+    };
+    model.submit(key, "lookup", spec.clone());
+    model.run(STEP_MS);
+    assert!(
+        refusal_ms(&model, key + 1).is_some(),
+        "the backlog is short"
+    );
+    assert_eq!(refusal_ms(&model, key), None);
+}
