Let a new leader follow the table in force for jobs of earlier tables

Cause: a leader takes the service, priority and permits of a step from the table as it changes, but a new leader took them from the queue as it was when the job was accepted. After a queue had moved to another service, its waiting jobs looked for workers that were gone.

Change: a new leader uses the queue of the table in force, and the accepted one only where the queue was removed.

`a_new_leader_follows_the_table_in_force` ended with "jobs are not done" after 10 s before.

--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -156,12 +156,15 @@
         if !job.has_results() {
             self.not_begun.insert(key, job.queue.name.clone());
         }
+        // A queue that was removed keeps the rules that it had.
+        let queue = state.table().and_then(|table| table.queue(&job.queue.name));
+        let queue = queue.unwrap_or(&job.queue);
         for step in 0..job.steps.len() as u16 {
             let key = StepKey { job: key, step };
             let view = self
                 .steps
                 .entry(key)
-                .or_insert_with(|| new_view(key, &job.spec, &job.queue, arrived));
+                .or_insert_with(|| new_view(key, &job.spec, queue, arrived));
             view.is_committed = is_committed;
         }
         self.refresh_job(job);
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -334,3 +334,28 @@
     );
     assert_eq!(refusal_ms(&model, key), None);
 }
+
+/// Guards against a new leader that looks for workers of the service that a queue had when it
+/// accepted a job, and not of the one that the table names now.
+#[test]
+fn a_new_leader_follows_the_table_in_force() {
+    let mut model = Model::new(queues(), Vec::new(), 0);
+    submit(&mut model, Kind::Lookup, 1);
+    model.run(100);
+    let mut moved = (**model.state.table().unwrap()).clone();
+    moved.version += 1;
+    moved.services[0].name = "other".into();
+    for queue in &mut moved.queues {
+        queue.service = "other".into();
+    }
+    model.propose(QueueCommand::PutTable(Box::new(moved)));
+    model.run(100);
+    model.change_leader();
+    let mut worker = workers(1).remove(0);
+    worker.record.service = "other".into();
+    let record = Box::new(worker.record.clone());
+    model.workers.insert(worker.record.id.clone(), worker);
+    model.propose(QueueCommand::PutWorker(record));
+    model.run_until_done(10_000);
+    assert_completed(&model);
+}
