Ask the policy in smaller parts when it refuses a question

Cause: any refusal other than for load was followed at once by the same question, so a question that the policy never accepts kept its step waiting for ever and took a caller of the policy each time. The limit of 100 workers is kept since, but another limit, or a named worker that the policy does not know, had the same effect.

Ruled out: a refusal treated as a denial. A policy in trouble would then deny workers for good, and what is denied is never asked about again.

Change: the answer to a question is allowed, busy, refused or unanswered. After a refusal the next question names half as many workers; a worker that is refused alone is not named for 5 s. Server errors and refusals for load stay transient, with a pause; there was none after a missing answer, so a policy that resets connections was asked in a tight loop. The unused submission_dropped is removed.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -18,6 +18,7 @@
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::scheduler::AnsweredQuestion;
 use sapphirepost_queues::scheduler::PermitAnswer;
+use sapphirepost_queues::scheduler::PermitOutcome;
 use sapphirepost_types::Millis;
 
 use crate::calls::Reading;
@@ -218,10 +219,15 @@
         log::debug!(question = answer.id; "an answer of the policy came too late");
         return;
     };
-    let allowed = answer.allowed.as_ref().map(Vec::len);
+    let (outcome, allowed) = match &answer.outcome {
+        PermitOutcome::Allowed(allowed) => ("allowed", allowed.len()),
+        PermitOutcome::Busy => ("busy", 0),
+        PermitOutcome::Refused => ("refused", 0),
+        PermitOutcome::Unanswered => ("unanswered", 0),
+    };
     log::info!(
-        step:% = question.step, caller = &*question.caller, workers = question.workers, allowed:?,
-        is_busy = answer.is_busy, took_ms = question.took_ms, expected_ms = question.expected_ms;
+        step:% = question.step, caller = &*question.caller, workers = question.workers, outcome,
+        allowed, took_ms = question.took_ms, expected_ms = question.expected_ms;
         "policy answered"
     );
 }
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -26,6 +26,7 @@
     unanswered: Counter,
     rejected: Counter,
     questions: Counter,
+    questions_refused: Counter,
 }
 
 /// The first bucket ends at 1 ms, the last one at 65 s.
@@ -63,6 +64,10 @@
             unanswered: counter("queue_orders_unanswered", "Orders without an answer"),
             rejected: counter("queue_starts_rejected", "Starts that workers rejected"),
             questions: counter("queue_questions", "Questions to the placement policy"),
+            questions_refused: counter(
+                "queue_questions_refused",
+                "Questions that the placement policy did not accept",
+            ),
         }
     }
 
@@ -71,5 +76,6 @@
         self.unanswered.inc_by(counts.unanswered);
         self.rejected.inc_by(counts.rejected);
         self.questions.inc_by(counts.asks);
+        self.questions_refused.inc_by(counts.refused_asks);
     }
 }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -59,6 +59,7 @@
 pub use crate::scheduler::messages::StopReason;
 pub use crate::scheduler::permits::AnsweredQuestion;
 pub use crate::scheduler::permits::PermitAnswer;
+pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
 
 /// Parameters of a [`Scheduler`], the same on every member.
@@ -103,6 +104,8 @@
     pub rejected: u64,
     /// Questions to the placement policy.
     pub asks: u64,
+    /// Questions that the policy did not accept.
+    pub refused_asks: u64,
 }
 
 /// The volatile decisions of one leader.
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -33,6 +33,10 @@
 pub(crate) const WORKERS_PER_QUESTION_MAX: usize = 100;
 /// The pause after the policy refused a question for load.
 const BUSY_PAUSE_MS: u64 = 200;
+/// The pause after a question that was refused or not answered.
+const RETRY_PAUSE_MS: u64 = 50;
+/// A worker about which the policy refuses to answer is not named again for this long.
+const REFUSED_WORKER_PAUSE_MS: u64 = 5_000;
 
 /// A question for the placement policy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,17 +58,33 @@
 pub struct PermitAnswer {
     /// The question.
     pub id: u64,
-    /// The allowed workers with their permits; `None` if the policy did not answer.
-    pub allowed: Option<Vec<(Arc<str>, Arc<str>)>>,
-    /// Whether the policy has too much to do.
-    pub is_busy: bool,
+    /// What the policy said.
+    pub outcome: PermitOutcome,
+}
+
+/// What became of a question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PermitOutcome {
+    /// The allowed workers with their permits; the others are denied.
+    Allowed(Vec<(Arc<str>, Arc<str>)>),
+    /// The policy has too much to do.
+    Busy,
+    /// The policy does not accept the question; the same one would be refused again.
+    Refused,
+    /// There was no answer that could be read.
+    Unanswered,
 }
 
 /// What is known of the permits of one step.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StepPermits {
     allowed: BTreeMap<WorkerIndex, Permit>,
     denied: FxHashSet<WorkerIndex>,
+    /// Workers about which a question was refused, and until when they are not named again.
+    refused: FxHashMap<WorkerIndex, Millis>,
+    /// Workers that the next question may name.
+    question_max: usize,
     /// The question that is under way.
     question: Option<u64>,
     /// What to ask next.
@@ -103,6 +123,20 @@
     Unknown,
 }
 
+impl Default for StepPermits {
+    fn default() -> StepPermits {
+        StepPermits {
+            allowed: BTreeMap::new(),
+            denied: FxHashSet::default(),
+            refused: FxHashMap::default(),
+            question_max: WORKERS_PER_QUESTION_MAX,
+            question: None,
+            wanted: None,
+            paused_until: Millis::ZERO,
+        }
+    }
+}
+
 impl StepPermits {
     /// Whether the step may start on a worker.
     pub fn of(&self, worker: WorkerIndex, valid_ms: u64, now: Millis) -> Permission {
@@ -138,6 +172,29 @@
         self.question.is_some()
     }
 
+    /// How many workers a question may name.
+    pub fn question_max(&self) -> usize {
+        self.question_max
+    }
+
+    /// Whether a question may name a worker.
+    pub fn may_name(&self, worker: WorkerIndex, now: Millis) -> bool {
+        let refused_until = self.refused.get(&worker);
+        refused_until.is_none_or(|until| *until <= now)
+    }
+
+    /// The policy refused a question about these workers. The next one names half as many, since a
+    /// repeated question would be refused for ever; a worker that is refused alone is left out.
+    fn refused(&mut self, workers: &[WorkerIndex], now: Millis) {
+        self.paused_until = now + RETRY_PAUSE_MS;
+        if let [worker] = workers {
+            self.refused.insert(*worker, now + REFUSED_WORKER_PAUSE_MS);
+            self.question_max = WORKERS_PER_QUESTION_MAX;
+            return;
+        }
+        self.question_max = (workers.len() / 2).max(1);
+    }
+
     /// Whether nothing was ever asked.
     pub fn is_unasked(&self) -> bool {
         self.allowed.is_empty() && self.denied.is_empty() && self.question.is_none()
@@ -232,10 +289,20 @@
             return;
         };
         view.permits.question = None;
-        let Some(allowed) = &answer.allowed else {
-            let pause_ms = if answer.is_busy { BUSY_PAUSE_MS } else { 0 };
-            view.permits.paused_until = now + pause_ms;
-            return;
+        let allowed = match &answer.outcome {
+            PermitOutcome::Allowed(allowed) => allowed,
+            PermitOutcome::Refused => {
+                self.counts.refused_asks += 1;
+                return view.permits.refused(&asked.workers, now);
+            }
+            PermitOutcome::Busy => {
+                view.permits.paused_until = now + BUSY_PAUSE_MS;
+                return;
+            }
+            PermitOutcome::Unanswered => {
+                view.permits.paused_until = now + RETRY_PAUSE_MS;
+                return;
+            }
         };
         for index in asked.workers {
             let Some(worker) = self.workers.get(index) else {
@@ -322,7 +389,7 @@
 
     fn is_long(&self, view: &StepView) -> bool {
         let workers = match &view.permits.wanted {
-            Some(Wanted::Renewal(workers)) => workers.len(),
+            Some(Wanted::Renewal(workers)) => workers.len().min(view.permits.question_max),
             _ => self.question_size(view),
         };
         let cost = view.queue.permits;
@@ -332,11 +399,13 @@
     /// Takes the workers to ask about for a step.
     fn take_wanted(&mut self, step: StepKey, now: Millis) -> Option<Vec<WorkerIndex>> {
         let wanted = self.steps.get_mut(&step)?.permits.wanted.take()?;
+        let view = self.steps.get(&step)?;
         let mut workers = match wanted {
             Wanted::Renewal(workers) => workers,
-            Wanted::More => self.question(self.steps.get(&step)?, now),
+            Wanted::More => self.question(view, now),
         };
-        workers.truncate(WORKERS_PER_QUESTION_MAX);
+        workers.retain(|worker| view.permits.may_name(*worker, now));
+        workers.truncate(view.permits.question_max);
         (!workers.is_empty()).then_some(workers)
     }
 
--- a/crates/queues/src/scheduler/questions.rs
+++ b/crates/queues/src/scheduler/questions.rs
@@ -8,7 +8,6 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::permits::Permission;
-use crate::scheduler::permits::WORKERS_PER_QUESTION_MAX;
 use crate::scheduler::permits::Wanted;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::steps::StepView;
@@ -93,7 +92,10 @@
                 Permission::Expired => has_room && !view.spec().is_gang,
                 Permission::Granted | Permission::Denied => false,
             };
-            is_wanted && worker.is_open(now) && view.suits(worker)
+            is_wanted
+                && worker.is_open(now)
+                && view.suits(worker)
+                && view.permits.may_name(*index, now)
         };
         let workers = self.workers.iter().filter(is_useful);
         let mut workers: Vec<(u64, WorkerIndex)> = workers
@@ -107,6 +109,8 @@
     /// How many workers a question about a step names at most.
     pub(crate) fn question_size(&self, view: &StepView) -> usize {
         let wanted = view.waiting.len() * WORKERS_PER_TASK;
-        wanted.clamp(WORKERS_PER_QUESTION_MIN, WORKERS_PER_QUESTION_MAX)
+        wanted
+            .max(WORKERS_PER_QUESTION_MIN)
+            .min(view.permits.question_max())
     }
 }
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -126,11 +126,6 @@
         self.rounds.is_due = true;
     }
 
-    /// The commit of a job failed or its outcome is unknown.
-    pub fn submission_dropped(&mut self, key: JobKey) {
-        self.forget_job(key);
-    }
-
     /// The jobs of a queue of which no worker has shown a started task.
     pub fn waiting_jobs(&self, queue: &str) -> u64 {
         let waiting = self.not_begun.values().filter(|name| &***name == queue);
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -236,3 +236,16 @@
     model.run_until_done(60_000);
     assert_completed(&model);
 }
+
+/// Guards against a worker that the policy does not know and that therefore spoils all questions.
+#[test]
+fn a_worker_that_the_policy_does_not_know_is_left_out_of_questions() {
+    let tally = with_permits(queue("tally", 2, 4.0, 3_000), 156.0, 2.34);
+    let mut model = Model::new(vec![tally], workers(40), 4);
+    model.unknown_worker = model.workers.keys().next().cloned();
+    model.allowed_percent = 45;
+    model.run(50);
+    submit(&mut model, Kind::Tally, 3);
+    model.run_until_done(60_000);
+    assert_completed(&model);
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -30,6 +30,7 @@
 use sapphirepost_queues::scheduler::OrderError;
 use sapphirepost_queues::scheduler::OrderReply;
 use sapphirepost_queues::scheduler::PermitAnswer;
+use sapphirepost_queues::scheduler::PermitOutcome;
 use sapphirepost_queues::scheduler::PermitRequest;
 use sapphirepost_queues::table::PermitCost;
 use sapphirepost_queues::table::Service;
@@ -87,6 +88,8 @@
     pub allowed_percent: u64,
     /// The policy refuses questions that name more workers.
     pub workers_per_question_max: usize,
+    /// A worker that the policy does not know; it refuses questions that name it.
+    pub unknown_worker: Option<Arc<str>>,
     /// Questions that the policy refused.
     pub refused_questions: u64,
     pub starts: u64,
@@ -161,6 +164,7 @@
             callers: BTreeSet::new(),
             allowed_percent: 100,
             workers_per_question_max: WORKERS_PER_QUESTION_MAX,
+            unknown_worker: None,
             refused_questions: 0,
             starts: 0,
             decision_time: Duration::ZERO,
@@ -353,12 +357,17 @@
             mixed % 100 < self.allowed_percent
         });
         let allowed = allowed.map(|w| (w.clone(), Arc::from("ticket"))).collect();
-        let is_refused = request.workers.len() > self.workers_per_question_max;
+        let is_unknown = |worker| self.unknown_worker.as_ref() == Some(worker);
+        let is_refused = request.workers.len() > self.workers_per_question_max
+            || request.workers.iter().any(is_unknown);
         self.refused_questions += u64::from(is_refused);
         let answer = PermitAnswer {
             id: request.id,
-            allowed: (!is_refused).then_some(allowed),
-            is_busy: false,
+            outcome: if is_refused {
+                PermitOutcome::Refused
+            } else {
+                PermitOutcome::Allowed(allowed)
+            },
         };
         let table = self.state.table().unwrap();
         let job = self.state.job(request.step.job);
