Refuse a command that never fits into the log, and split a batch that does not

Operators saw a configuration acknowledged that was not in force; callers of the same batch could see an acknowledged job that was never committed, and decisions of the leader (starts, ends) were lost, so that tasks waited for ever. Cause: a batch larger than an entry of the log was dropped, and its answers were sent with the next batch.

Change: each proposal keeps its answer, and an answer waits for its own entry. A batch that is too large is proposed in halves; a single command that is too large ends its call as invalid, and the scheduler undoes what it decided with it. Commands of a batch keep their order.

Tests: all of queues and platform pass. In a run of the control tests beside the work of others (load average 34) a_lost_disk_is_replaced_by_a_new_member failed once at its last but one check (the reply to the removal of the former member, which that run did not print); 6 runs of it alone and 6 of its file passed afterwards under the same load. It is being traced.

--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -68,15 +68,22 @@
     pub timing: QueueTiming,
 }
 
+/// The reply to a call once its command is applied.
 type Answer = (Responder<QueueReply>, QueueReply);
 
+/// A command that is to be committed.
+pub(crate) struct Proposal {
+    command: QueueCommand,
+    answer: Option<Answer>,
+}
+
 /// The queues of one process.
 pub(crate) struct Queues {
     pub(crate) parts: Option<QueueParts>,
     pub(crate) ring: EventRing,
     pub(crate) scheduler: Option<Scheduler>,
-    pub(crate) batch: Vec<QueueCommand>,
-    pub(crate) batch_answers: Vec<Answer>,
+    /// What is proposed next, in order.
+    batch: VecDeque<Proposal>,
     /// Answers that wait for the commit of a log entry.
     pub(crate) committing: VecDeque<(Index, Millis, Vec<Answer>)>,
     /// Callers of the placement policy that wait for a question.
@@ -92,8 +99,7 @@
             parts,
             ring,
             scheduler: None,
-            batch: Vec::new(),
-            batch_answers: Vec::new(),
+            batch: VecDeque::new(),
             committing: VecDeque::new(),
             waiting: FxHashMap::default(),
             metrics,
@@ -105,7 +111,6 @@
     pub(crate) fn stop_leading(&mut self) {
         self.scheduler = None;
         self.batch.clear();
-        self.batch_answers.clear();
         self.committing.clear();
         self.waiting.clear();
         self.accepted.clear();
@@ -138,8 +143,15 @@
     }
 
     pub(crate) fn add(&mut self, command: QueueCommand, answer: Option<Answer>) {
-        self.batch.push(command);
-        self.batch_answers.extend(answer);
+        self.batch.push_back(Proposal { command, answer });
+    }
+
+    /// Puts proposals back in front of the others.
+    fn put_back(&mut self, commands: Vec<QueueCommand>, answers: Vec<Option<Answer>>) {
+        let proposals = commands.into_iter().zip(answers);
+        for (command, answer) in proposals.rev() {
+            self.batch.push_front(Proposal { command, answer });
+        }
     }
 }
 
@@ -298,36 +310,29 @@
 
     /// Proposes the commands of this round.
     pub(crate) fn propose_queues(&mut self) {
+        let mut count_max = BATCH_MAX_COMMANDS;
         while !self.queues.batch.is_empty() {
-            let count = self.queues.batch.len().min(BATCH_MAX_COMMANDS);
-            let is_whole = count == self.queues.batch.len();
-            let commands: Vec<QueueCommand> = self.queues.batch.drain(..count).collect();
-            let state_unix_ms = self.state.clock_unix_ms();
-            let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
-            let command = Command {
-                at_unix_ms: unix_ms.max(state_unix_ms),
-                request: Request::Queues(commands),
-            };
-            let Ok(bytes) = serde_json::to_vec(&command) else {
-                log::error!("a queue command cannot be encoded");
-                continue;
-            };
-            match self.node.propose(self.clock.now(), Bytes::from(bytes)) {
+            let count = self.queues.batch.len().min(count_max);
+            let proposals = self.queues.batch.drain(..count);
+            let (commands, answers): (Vec<_>, Vec<_>) =
+                proposals.map(|p| (p.command, p.answer)).unzip();
+            let (commands, result) = self.propose_commands(commands);
+            match result {
                 Ok(index) => {
                     self.metrics.proposals.inc();
-                    // The answers wait for the last part of the round.
-                    if is_whole {
-                        let answers = std::mem::take(&mut self.queues.batch_answers);
-                        let now = self.clock.now();
-                        self.queues.committing.push_back((index, now, answers));
-                    }
+                    let now = self.clock.now();
+                    let answers = answers.into_iter().flatten().collect();
+                    self.queues.committing.push_back((index, now, answers));
+                }
+                Err(ProposeError::TooLarge(_)) if count > 1 => {
+                    self.queues.put_back(commands, answers);
+                    count_max = count / 2;
+                }
+                Err(error @ ProposeError::TooLarge(_)) => {
+                    self.refuse_commands(&commands, answers, &error);
                 }
                 Err(ProposeError::Busy) => {
-                    let Request::Queues(mut commands) = command.request else {
-                        return;
-                    };
-                    commands.append(&mut self.queues.batch);
-                    self.queues.batch = commands;
+                    self.queues.put_back(commands, answers);
                     return;
                 }
                 Err(error) => {
@@ -337,6 +342,50 @@
             }
         }
     }
+
+    /// Proposes commands as one entry of the log, and returns them.
+    fn propose_commands(
+        &mut self,
+        commands: Vec<QueueCommand>,
+    ) -> (Vec<QueueCommand>, Result<Index, ProposeError>) {
+        let state_unix_ms = self.state.clock_unix_ms();
+        let unix_ms = self.cluster_clock.unix_ms(&*self.clock, state_unix_ms);
+        let command = Command {
+            at_unix_ms: unix_ms.max(state_unix_ms),
+            request: Request::Queues(commands),
+        };
+        let bytes = serde_json::to_vec(&command);
+        let Request::Queues(commands) = command.request else {
+            unreachable!("the request was made above");
+        };
+        let result = match bytes {
+            Ok(bytes) => self.node.propose(self.clock.now(), Bytes::from(bytes)),
+            Err(error) => {
+                log::error!(error:%; "queue commands cannot be encoded");
+                // Smaller parts leave only the command at fault behind.
+                Err(ProposeError::TooLarge(usize::MAX))
+            }
+        };
+        (commands, result)
+    }
+
+    /// Ends calls whose commands never fit into an entry of the log.
+    fn refuse_commands(
+        &mut self,
+        commands: &[QueueCommand],
+        answers: Vec<Option<Answer>>,
+        error: &ProposeError,
+    ) {
+        log::error!(error:%; "a queue command is refused");
+        for command in commands {
+            if let Some(scheduler) = &mut self.queues.scheduler {
+                scheduler.not_proposed(self.state.queues(), command);
+            }
+        }
+        for (done, _) in answers.into_iter().flatten() {
+            done.send(Ok(QueueReply::Invalid(error.to_string())));
+        }
+    }
 }
 
 fn log_change(change: &QueueChange, index: Index) {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -184,6 +184,19 @@
         self.rounds.is_due |= !changes.is_empty();
     }
 
+    /// A command can never be committed, so what was decided with it is undone.
+    pub fn not_proposed(&mut self, state: &QueueState, command: &QueueCommand) {
+        match command {
+            QueueCommand::Submit { job, .. } => {
+                self.forget_job(*job);
+            }
+            QueueCommand::Start { step, placements } => {
+                self.undo_unapplied(state, *step, placements);
+            }
+            _ => {}
+        }
+    }
+
     fn follow(&mut self, state: &QueueState, change: &QueueChange, now: Millis) {
         match change {
             QueueChange::Table => self.table_changed(state),
