Acknowledge a removal that is sent again, once it is committed

An operator whose answer to a removal was lost and who sent it again was told that the member was not found. Found by a_lost_disk_is_replaced_by_a_new_member, which failed once beside load: calls of its harness are given up after 700 ms and sent again. That run did not print the reply, so this is the likely cause of that failure, not a proven one.

Evidence: a_removal_that_is_sent_again_is_acknowledged fails without the change (Refused(NotFound)) and passes with it; all 12 tests of the file pass.

Change: a removal of what is not a member is acknowledged, with a text that says so. This and a resent addition are compared with the committed membership; the addition was compared with one that could still be lost with its leader. While a change is under way, a resend is answered busy.

Ruled out: keeping former members to tell a resend from a mistaken ID. The text tells an operator, and the wanted state holds either way.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -4,6 +4,7 @@
 use sapphirepost_consensus::MembershipChange;
 use sapphirepost_consensus::MembershipError;
 use sapphirepost_consensus::ProposeError;
+use sapphirepost_process::RpcError;
 use sapphirepost_process::rpc::Responder;
 use sapphirepost_protocol::operator::MemberStatus;
 use sapphirepost_protocol::operator::OperatorReply;
@@ -27,8 +28,7 @@
                 self.add_member(member, address, done);
             }
             OperatorRequest::RemoveMember { member } => {
-                let detail = format!("{member} is removed");
-                self.change(MembershipChange::Remove { member }, detail, done);
+                self.remove_member(member, done);
             }
             other => return Some((other, done)),
         }
@@ -55,7 +55,8 @@
             let reason = format!("`{address}` is no address, expected ip:port");
             return done.send(Ok(OperatorReply::Refused(Refusal::Invalid { reason })));
         }
-        let known = self.node.membership().members.get(&member);
+        let committed = self.node.membership_at(self.applied);
+        let known = committed.members.get(&member);
         if known.is_some_and(|known| known.address == address) {
             // A resend of a request whose answer was lost.
             let detail = format!("{member} is a member already");
@@ -70,6 +71,21 @@
         self.change(change, detail, done);
     }
 
+    fn remove_member(&mut self, member: MemberId, done: Responder<OperatorReply>) {
+        let committed = self.node.membership_at(self.applied);
+        if !committed.members.contains_key(&member) {
+            // A resend of a request whose answer was lost, or a member that never was.
+            let detail = format!("{member} is not a member");
+            return done.send(Ok(OperatorReply::MembershipChanged { detail }));
+        }
+        let detail = format!("{member} is removed");
+        self.change(MembershipChange::Remove { member }, detail, done);
+    }
+
+    fn is_membership_uncommitted(&self) -> bool {
+        self.node.membership_at(self.applied) != self.node.membership()
+    }
+
     fn change(&mut self, change: MembershipChange, detail: String, done: Responder<OperatorReply>) {
         match self.node.propose_membership(self.clock.now(), change) {
             Ok(index) => {
@@ -81,6 +97,10 @@
                     detail,
                 });
             }
+            Err(ProposeError::Membership(_)) if self.is_membership_uncommitted() => {
+                // The same change may be under way.
+                done.send(Err(RpcError::Busy));
+            }
             Err(ProposeError::Membership(error)) => {
                 done.send(Ok(OperatorReply::Refused(refusal(&error))));
             }
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -185,6 +185,22 @@
     cluster.check_accepted();
 }
 
+/// Guards against a removal whose answer was lost and that is refused when it is sent again.
+#[test]
+fn a_removal_that_is_sent_again_is_acknowledged() {
+    let cluster = Cluster::start(3, &[]);
+    let follower = (cluster.leader() + 1) % 3;
+    let member = cluster.processes[follower].member;
+    for _ in 0..2 {
+        let reply = cluster.operate(&OperatorRequest::RemoveMember { member });
+        assert!(
+            matches!(reply, OperatorReply::MembershipChanged { .. }),
+            "{reply:?}"
+        );
+    }
+    assert_eq!(cluster.members().len(), 2);
+}
+
 /// Guards against a leader that nobody can answer and that keeps the others from electing one.
 #[test]
 fn a_leader_without_incoming_connections_is_replaced() {
