Report steps that make no progress, with the reason

Change: once a second the leader reports at most four due steps of which no task was started for 3 s: what they wait for, whether the policy is being asked, and how many workers with room may run them. The reason follows from the decisions' own state, without a second record of it.

Evidence: a_step_that_waits_is_reported_with_its_reason (a policy without callers: NoPermit). The cost is one pass over the steps and up to four over the workers a second; not measured.

Ruled out: a line for each round of placement, which would be thousands a second with a backlog.

--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -24,6 +24,7 @@
 use sapphirepost_queues::scheduler::OrderError;
 use sapphirepost_queues::scheduler::OrderReply;
 use sapphirepost_queues::scheduler::PermitRequest;
+use sapphirepost_queues::scheduler::WaitingStep;
 use sapphirepost_queues::state::QueueChange;
 use sapphirepost_state::Command;
 use sapphirepost_state::Request;
@@ -37,6 +38,8 @@
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// How long a caller of the placement policy waits for a question before it asks again.
 const QUESTION_WAIT_MS: u64 = 500;
+/// Time between two surveys of steps that make no progress.
+const SURVEY_INTERVAL_MS: u64 = 1_000;
 /// The most commands in one log entry.
 const BATCH_MAX_COMMANDS: usize = 512;
 
@@ -91,6 +94,8 @@
     pub(crate) metrics: QueueMetrics,
     /// When jobs were accepted, and whether a task of theirs was placed.
     accepted: FxHashMap<JobKey, (Millis, bool)>,
+    /// When steps without progress were looked for last.
+    surveyed: Millis,
 }
 
 impl Queues {
@@ -104,6 +109,7 @@
             waiting: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
+            surveyed: Millis::ZERO,
         }
     }
 
@@ -235,6 +241,10 @@
             return;
         };
         scheduler.tick(self.state.queues(), now);
+        if now.since(self.queues.surveyed) >= SURVEY_INTERVAL_MS {
+            self.queues.surveyed = now;
+            scheduler.survey_waiting(now).iter().for_each(log_waiting);
+        }
         let actions = scheduler.take_actions();
         self.queues.metrics.add(scheduler.take_counts());
         let waiting = self.queues.waiting.len() as i64;
@@ -388,6 +398,14 @@
     }
 }
 
+fn log_waiting(waiting: &WaitingStep) {
+    log::info!(
+        step:% = waiting.step, tasks = waiting.tasks, waits_ms = waiting.waits_ms,
+        reason:? = waiting.reason, is_asking = waiting.is_asking,
+        workers_with_room = waiting.workers_with_room; "step waits"
+    );
+}
+
 fn log_change(change: &QueueChange, index: Index) {
     match change {
         QueueChange::Table => log::info!(index; "table in force"),
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod reserve;
 mod rounds;
 mod steps;
+mod waiting;
 mod workers;
 
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use crate::scheduler::steps::LATE_FACTOR;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::objective_ms;
+use crate::scheduler::waiting::Waits;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
 use crate::scheduler::workers::Workers;
@@ -61,6 +63,8 @@
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::waiting::WaitReason;
+pub use crate::scheduler::waiting::WaitingStep;
 
 /// Parameters of a [`Scheduler`], the same on every member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,6 +131,7 @@
     pub(crate) counts: Counts,
     pub(crate) rounds: Rounds,
     pub(crate) surveyed_at: Millis,
+    pub(crate) waits: Waits,
 }
 
 impl Scheduler {
@@ -150,6 +155,7 @@
             counts: Counts::default(),
             rounds: Rounds::new(now),
             surveyed_at: now,
+            waits: Waits::default(),
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -7,6 +7,7 @@
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueState;
 use sapphirepost_queues::StepKey;
+use sapphirepost_queues::scheduler::WaitReason;
 
 use crate::model::LEASE_MS;
 use crate::model::Model;
@@ -249,3 +250,18 @@
     model.run_until_done(60_000);
     assert_completed(&model);
 }
+
+/// Guards against a step that waits for ever while nothing tells why.
+#[test]
+fn a_step_that_waits_is_reported_with_its_reason() {
+    let tally = with_permits(queue("tally", 2, 4.0, 3_000), 156.0, 2.34);
+    let mut model = Model::new(vec![tally], workers(4), 0);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 1);
+    model.run(100);
+    assert!(model.scheduler.survey_waiting(model.now).is_empty());
+    model.run(4_000);
+    let waiting = model.scheduler.survey_waiting(model.now);
+    let reasons: Vec<_> = waiting.iter().map(|step| step.reason).collect();
+    assert_eq!(reasons, [WaitReason::NoPermit]);
+}
