Call other processes without the library's timer thread

Cause: each call of the RPC client starts and drops a timer in a thread of its own (120 s, never reached, since each call has a shorter timeout).

Ruled out: a setting. The library makes the timer for every call, whatever the timeout.

Change: calls go to the library's service below the timer, on the same connection. Limits, errors and what is known about the effect of a call are unchanged.

calls_start_no_timer_thread fails when the call goes through the library's client.

--- a/crates/process/src/rpc/client.rs
+++ b/crates/process/src/rpc/client.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jsonrpsee::async_client::Client;
 use jsonrpsee::async_client::ClientBuilder;
 use jsonrpsee::async_client::PingConfig;
 use jsonrpsee::client_transport::ws::HeaderMap;
@@ -17,9 +16,7 @@
 use jsonrpsee::client_transport::ws::Url;
 use jsonrpsee::client_transport::ws::WsHandshakeError;
 use jsonrpsee::client_transport::ws::WsTransportClientBuilder;
-use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
-use jsonrpsee::rpc_params;
 use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -28,6 +25,7 @@
 use tokio::sync::Semaphore;
 
 use crate::rpc::MESSAGE_MAX_BYTES;
+use crate::rpc::connection::Connection;
 use crate::rpc::error::RpcError;
 use crate::rpc::error::from_client;
 use crate::shared_key::SharedKey;
@@ -36,8 +34,6 @@
 pub(crate) const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// A connection without any traffic for this long is closed.
 pub(crate) const SILENCE_MAX: Duration = Duration::from_secs(10);
-/// The library's own timeout; each call has a shorter one of its own.
-const LIBRARY_TIMEOUT: Duration = Duration::from_secs(120);
 const UNAUTHORIZED: u16 = 401;
 
 /// Where and how to call.
@@ -87,7 +83,7 @@
 
 #[derive(Debug, Default)]
 struct Link {
-    client: Option<Arc<Client>>,
+    client: Option<Arc<Connection>>,
     failures: u32,
     blocked_until: Option<Instant>,
 }
@@ -128,7 +124,7 @@
         let client = connecting
             .await
             .map_err(|_| RpcError::NotSent("no connection in time".to_owned()))??;
-        let call = client.request::<R, _>(method, rpc_params![params]);
+        let call = client.call::<P, R>(method, params);
         match tokio::time::timeout_at(deadline, call).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(ClientError::Call(object))) => Err(RpcError::from(object)),
@@ -180,7 +176,7 @@
 }
 
 impl Inner {
-    async fn connect(&self) -> Result<Arc<Client>, RpcError> {
+    async fn connect(&self) -> Result<Arc<Connection>, RpcError> {
         let mut link = self.link.lock().await;
         if let Some(client) = link.client.as_ref().filter(|client| client.is_connected()) {
             return Ok(client.clone());
@@ -208,7 +204,7 @@
         }
     }
 
-    async fn open(&self) -> Result<Client, RpcError> {
+    async fn open(&self) -> Result<Connection, RpcError> {
         let ping = PingConfig::new()
             .ping_interval(PING_INTERVAL)
             .inactive_limit(SILENCE_MAX)
@@ -225,13 +221,11 @@
             max_redirections: 1,
             tcp_no_delay: true,
         };
-        let (sender, receiver) = transport.build(url).await.map_err(connect_error)?;
-        let client = ClientBuilder::default()
+        let transport = transport.build(url).await.map_err(connect_error)?;
+        let builder = ClientBuilder::default()
             .max_concurrent_requests(self.config.calls_max)
-            .request_timeout(LIBRARY_TIMEOUT)
-            .enable_ws_ping(ping)
-            .build_with_tokio(sender, receiver);
-        Ok(client)
+            .enable_ws_ping(ping);
+        Ok(Connection::start(builder, transport))
     }
 
     fn headers(&self) -> Result<HeaderMap, RpcError> {
@@ -252,7 +246,7 @@
         longest.mul_f64(rand::rng().random_range(0.5..=1.0))
     }
 
-    async fn forget(&self, client: &Arc<Client>) {
+    async fn forget(&self, client: &Arc<Connection>) {
         let mut link = self.link.lock().await;
         if link
             .client
--- a/crates/process/src/rpc/mod.rs
+++ b/crates/process/src/rpc/mod.rs
@@ -7,6 +7,7 @@
 
 mod auth;
 mod client;
+mod connection;
 mod error;
 mod server;
 
--- a/crates/process/tests/rpc.rs
+++ b/crates/process/tests/rpc.rs
@@ -225,3 +225,23 @@
     assert!(matches!(result, Err(RpcError::NotSent(_))), "{result:?}");
     assert!(since.elapsed() < SECOND, "{:?}", since.elapsed());
 }
+
+/// Guards against two wake-ups of a timer thread of the library for each call.
+#[test]
+fn calls_start_no_timer_thread() {
+    let runtime = runtime(1).unwrap();
+    let server = serve(&runtime, local(0));
+    let client = client(&runtime, server.address(), Some(key()));
+    let answer = client.call_blocking("hold", &100, SECOND);
+    assert_eq!(answer, Ok(100u64));
+    let threads = std::fs::read_dir("/proc/self/task").unwrap();
+    let names = threads.filter_map(|thread| {
+        // Threads of other tests may end meanwhile.
+        std::fs::read_to_string(thread.ok()?.path().join("comm")).ok()
+    });
+    let names: Vec<String> = names.collect();
+    assert!(
+        !names.iter().any(|name| name.starts_with("futures-timer")),
+        "{names:?}"
+    );
+}
