Check that no accepted step that could run waits too long

Cause: the verifier knows what must not happen, and not what must.

Change: crates/verifier watches a history of queued jobs while it is made. A step that could run (its dependencies done, workers with room, label and permit that take work, all members of a gang at once) is reported with its job once that was so for the longest wait without a break. The wait is the sum of times of the settings; a disturbance of the processes that decide begins it anew. An end whose acknowledgement was lost with its worker is judged only when nothing else is left of its job.

The tests are made histories: an entry forgotten over a change of leader, an expired permit, a kept reservation, a worker left for good, a step counted as placed, a lost run, a gang, and waits that have a reason. The rule sees workers and callers only, so the first, second and third are the same kind of history to it: nothing starts.

--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -5,9 +5,11 @@
 //! that they check, so a fault there is not repeated here.
 //!
 //! Checked are I1 (room), I2 (one place at a time), I4 ("not run" was not run), I5 (at most once)
-//! and I8 (accepted changes stay and arrive).
+//! and I8 (accepted changes stay and arrive). [`liveness`] watches a history of queued jobs while it
+//! is made.
 
 pub mod event;
+pub mod liveness;
 pub mod violation;
 
 mod answers;
--- a/crates/verifier/src/violation.rs
+++ b/crates/verifier/src/violation.rs
@@ -18,6 +18,8 @@
     /// Of two confirmations that rest on the same version at most one is accepted, and the answer
     /// to an operation does not change.
     Answers,
+    /// An accepted step that could run does not wait longer than a bound.
+    Liveness,
 }
 
 impl fmt::Display for Invariant {
@@ -29,6 +31,7 @@
             Invariant::AtMostOnce => "I5",
             Invariant::Configuration => "I8",
             Invariant::Answers => "I8 (answers)",
+            Invariant::Liveness => "liveness",
         })
     }
 }
--- /dev/null
+++ b/crates/verifier/tests/liveness.rs
@@ -0,0 +1,286 @@
+//! Guards against a liveness rule that overlooks a forgotten step: each faulty history must be
+//! reported with its job, and waits with a reason must not be reported.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Resources;
+use sapphirepost_verifier::Invariant;
+use sapphirepost_verifier::liveness::End;
+use sapphirepost_verifier::liveness::Liveness;
+use sapphirepost_verifier::liveness::Permits;
+use sapphirepost_verifier::liveness::Seen;
+use sapphirepost_verifier::liveness::StepName;
+use sapphirepost_verifier::liveness::StepNeed;
+use sapphirepost_verifier::liveness::TaskName;
+use sapphirepost_verifier::liveness::WaitLimits;
+
+const LIMITS: WaitLimits = WaitLimits {
+    take_over_ms: 1_400,
+    lease_ms: 6_000,
+    pause_ms: 8_000,
+    permits_ms: 2_000,
+    stop_ms: 200,
+    gang_ms: 3_000,
+    kept_ms: 1_000,
+};
+const ROOM: Resources = Resources::new(1_000, 100, 0);
+
+/// Allows every worker but those whose name begins with `denied`.
+struct ByName;
+
+impl Permits for ByName {
+    fn allows(&self, _step: &StepName, worker: &str) -> bool {
+        !worker.starts_with("denied")
+    }
+}
+
+fn step(count: u32) -> StepNeed {
+    StepNeed {
+        count,
+        room: ROOM,
+        ..StepNeed::default()
+    }
+}
+
+fn after_first(count: u32) -> StepNeed {
+    StepNeed {
+        after: vec![0],
+        ..step(count)
+    }
+}
+
+fn gang(count: u32) -> StepNeed {
+    StepNeed {
+        is_gang: true,
+        ..step(count)
+    }
+}
+
+fn accepted(job: &str, steps: Vec<StepNeed>) -> [Seen; 2] {
+    let job: Arc<str> = job.into();
+    [
+        Seen::Submitted {
+            job: job.clone(),
+            steps,
+        },
+        Seen::Accepted { job },
+    ]
+}
+
+fn open(worker: &str, tasks: u64) -> Seen {
+    Seen::WorkerOpen {
+        worker: worker.into(),
+        capacity: Resources::new(tasks * ROOM.millicores, 10_000, 0),
+        labels: vec!["a".into()],
+    }
+}
+
+fn closed(worker: &str) -> Seen {
+    Seen::WorkerClosed {
+        worker: worker.into(),
+    }
+}
+
+fn task(job: &str, step: u32, index: u32) -> TaskName {
+    TaskName {
+        step: StepName {
+            job: job.into(),
+            step,
+        },
+        index,
+    }
+}
+
+fn started(worker: &str, task: TaskName) -> Seen {
+    Seen::Started {
+        worker: worker.into(),
+        task,
+    }
+}
+
+fn stopped(worker: &str, task: TaskName, end: End) -> Seen {
+    Seen::Stopped {
+        worker: worker.into(),
+        task,
+        end,
+    }
+}
+
+/// The reports when all events come at once and nothing happens for a wait and a millisecond.
+fn found(events: impl IntoIterator<Item = Seen>) -> Vec<String> {
+    let mut liveness = Liveness::new(LIMITS, Box::new(ByName));
+    let mut violations = Vec::new();
+    for event in events {
+        violations.extend(liveness.observe(0, event));
+    }
+    violations.extend(liveness.overdue(LIMITS.total_ms()));
+    assert_eq!(violations, [], "the bound is not over");
+    violations.extend(liveness.overdue(LIMITS.total_ms() + 1));
+    assert!(
+        violations
+            .iter()
+            .all(|violation| violation.invariant == Invariant::Liveness)
+    );
+    violations
+        .into_iter()
+        .map(|violation| violation.detail)
+        .collect()
+}
+
+/// Whether exactly one step is reported, with its IDs.
+fn assert_reported(events: impl IntoIterator<Item = Seen>, step: u32, job: &str) {
+    let found = found(events);
+    assert_eq!(found.len(), 1, "{found:?}");
+    let text = format!("of step {step} of job {job} ");
+    assert!(found[0].contains(&text), "{found:?}");
+}
+
+#[test]
+fn a_queue_entry_forgotten_over_a_change_of_leader_is_reported() {
+    let mut events = vec![open("w1", 1)];
+    events.extend(accepted("j1", vec![step(1)]));
+    events.push(Seen::Disturbed);
+    assert_reported(events, 0, "j1");
+}
+
+#[test]
+fn a_permit_that_expired_and_is_not_asked_for_again_is_reported() {
+    let mut events = vec![open("w1", 1), open("denied-1", 1)];
+    events.extend(accepted("j1", vec![step(1), after_first(1)]));
+    let first = task("j1", 0, 0);
+    events.push(started("w1", first.clone()));
+    events.push(stopped("w1", first, End::Done));
+    assert_reported(events, 1, "j1");
+}
+
+#[test]
+fn a_reservation_that_is_never_given_back_is_reported() {
+    let mut events = vec![open("w1", 2), open("w2", 2)];
+    events.extend(accepted("gang", vec![gang(4)]));
+    for (index, worker) in [(0, "w1"), (1, "w1"), (2, "w2"), (3, "w2")] {
+        events.push(started(worker, task("gang", 0, index)));
+    }
+    for (index, worker) in [(0, "w1"), (1, "w1"), (2, "w2"), (3, "w2")] {
+        events.push(stopped(worker, task("gang", 0, index), End::Done));
+    }
+    events.push(Seen::Closed { job: "gang".into() });
+    events.extend(accepted("small", vec![step(1)]));
+    assert_reported(events, 0, "small");
+}
+
+#[test]
+fn a_worker_that_is_wrongly_left_for_good_is_reported() {
+    let mut events = vec![open("w1", 1), closed("w1")];
+    events.extend(accepted("j1", vec![step(1)]));
+    assert_eq!(found(events.clone()), Vec::<String>::new(), "it is closed");
+    events.push(open("w1", 1));
+    assert_reported(events, 0, "j1");
+}
+
+#[test]
+fn a_step_that_counts_as_placed_and_is_not_is_reported() {
+    let mut events = vec![open("w1", 2)];
+    events.extend(accepted("j1", vec![step(2)]));
+    events.push(started("w1", task("j1", 0, 0)));
+    assert_reported(events, 0, "j1");
+}
+
+#[test]
+fn a_run_that_was_lost_and_is_not_started_again_is_reported() {
+    let mut events = vec![open("w1", 1), open("w2", 1)];
+    events.extend(accepted("j1", vec![step(1)]));
+    events.push(started("w1", task("j1", 0, 0)));
+    events.push(closed("w1"));
+    events.push(stopped("w1", task("j1", 0, 0), End::Again));
+    assert_reported(events, 0, "j1");
+}
+
+#[test]
+fn a_gang_that_fits_as_a_whole_is_reported() {
+    let mut events = vec![open("w1", 2), open("w2", 1)];
+    events.extend(accepted("j1", vec![gang(3)]));
+    assert_reported(events, 0, "j1");
+}
+
+#[test]
+fn waits_with_a_reason_are_not_reported() {
+    let label = StepNeed {
+        label: Some("b".into()),
+        ..step(1)
+    };
+    let per_worker = StepNeed {
+        per_worker_max: Some(1),
+        ..step(2)
+    };
+    let reasons = [
+        ("no worker", vec![], vec![step(1)]),
+        ("no room", vec![open("w1", 0)], vec![step(1)]),
+        ("denied", vec![open("denied-1", 1)], vec![step(1)]),
+        ("no label", vec![open("w1", 1)], vec![label]),
+        ("half a gang", vec![open("w1", 2)], vec![gang(3)]),
+    ];
+    for (reason, mut events, steps) in reasons {
+        events.extend(accepted("j1", steps));
+        assert_eq!(found(events), Vec::<String>::new(), "{reason}");
+    }
+    let mut events = vec![open("w1", 2)];
+    events.extend(accepted("j1", vec![per_worker, after_first(1)]));
+    events.push(started("w1", task("j1", 0, 0)));
+    assert_eq!(found(events), Vec::<String>::new(), "one for a worker");
+}
+
+#[test]
+fn what_was_not_accepted_or_is_over_is_not_reported() {
+    let [submitted, accepted] = accepted("j1", vec![step(1)]);
+    let events = vec![open("w1", 1), submitted, accepted];
+    assert_eq!(found(events[..2].to_vec()), Vec::<String>::new());
+    let mut over = events;
+    over.push(Seen::Closed { job: "j1".into() });
+    assert_eq!(found(over), Vec::<String>::new());
+}
+
+#[test]
+fn an_end_that_may_be_unknown_is_not_judged() {
+    let mut events = vec![open("w1", 1)];
+    events.extend(accepted("j1", vec![step(1), after_first(1)]));
+    events.push(started("w1", task("j1", 0, 0)));
+    events.push(stopped("w1", task("j1", 0, 0), End::Unclear));
+    assert_eq!(found(events), Vec::<String>::new());
+}
+
+#[test]
+fn an_unclear_end_that_is_all_that_is_left_of_a_job_is_reported() {
+    let mut liveness = Liveness::new(LIMITS, Box::new(ByName));
+    let mut events = vec![open("w1", 1)];
+    events.extend(accepted("j1", vec![step(1)]));
+    events.push(started("w1", task("j1", 0, 0)));
+    events.push(stopped("w1", task("j1", 0, 0), End::Done));
+    events.push(stopped("w1", task("j1", 0, 0), End::Unclear));
+    for event in events {
+        assert_eq!(liveness.observe(0, event), []);
+    }
+    assert!(liveness.is_blocked("j1"));
+    liveness.settle_unclear(1);
+    assert!(!liveness.is_blocked("j1"));
+    assert_eq!(liveness.overdue(LIMITS.total_ms() + 2).len(), 1);
+}
+
+#[test]
+fn the_bound_begins_anew_with_each_break() {
+    let half_ms = LIMITS.total_ms() / 2 + 1;
+    for breaks in [vec![Seen::Disturbed], vec![closed("w1"), open("w1", 1)]] {
+        let mut liveness = Liveness::new(LIMITS, Box::new(ByName));
+        let mut events = vec![open("w1", 1)];
+        events.extend(accepted("j1", vec![step(1)]));
+        for event in events {
+            assert_eq!(liveness.observe(0, event), []);
+        }
+        for event in breaks {
+            assert_eq!(liveness.observe(half_ms, event), []);
+        }
+        assert_eq!(liveness.overdue(half_ms + LIMITS.total_ms()), []);
+        let late = half_ms + LIMITS.total_ms() + 1;
+        assert_eq!(liveness.overdue(late).len(), 1);
+        assert_eq!(liveness.overdue(late + 1), [], "each step once");
+    }
+}
