--- a/crates/verifier/src/liveness.rs
+++ b/crates/verifier/src/liveness.rs
@@ -86,12 +86,10 @@
         violations
     }
 
-    /// Whether a job is owed and no task of it runs or could run now.
+    /// Whether no task of a job runs, or is owed and could run now.
     pub fn is_blocked(&self, job: &str) -> bool {
         let mut steps = self.steps.iter().filter(|(name, _)| *name.job == *job);
-        steps.all(|(_, step)| {
-            step.is_owed && step.able_since_ms.is_none() && !step.has(TaskState::Running)
-        })
+        steps.all(|(_, step)| step.able_since_ms.is_none() && !step.has(TaskState::Running))
     }
 
     /// Takes unclear ends for ends that have to run again, in jobs of which nothing else is left:
