--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod reserve;
 mod rounds;
 mod steps;
+mod waiting;
 mod workers;
 
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use crate::scheduler::steps::LATE_FACTOR;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::objective_ms;
+use crate::scheduler::waiting::Waits;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
 use crate::scheduler::workers::Workers;
@@ -59,7 +61,10 @@
 pub use crate::scheduler::messages::StopReason;
 pub use crate::scheduler::permits::AnsweredQuestion;
 pub use crate::scheduler::permits::PermitAnswer;
+pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::waiting::WaitReason;
+pub use crate::scheduler::waiting::WaitingStep;
 
 /// Parameters of a [`Scheduler`], the same on every member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +108,8 @@
     pub rejected: u64,
     /// Questions to the placement policy.
     pub asks: u64,
+    /// Questions that the policy did not accept.
+    pub refused_asks: u64,
 }
 
 /// The volatile decisions of one leader.
@@ -124,6 +131,7 @@
     pub(crate) counts: Counts,
     pub(crate) rounds: Rounds,
     pub(crate) surveyed_at: Millis,
+    pub(crate) waits: Waits,
 }
 
 impl Scheduler {
@@ -147,6 +155,7 @@
             counts: Counts::default(),
             rounds: Rounds::new(now),
             surveyed_at: now,
+            waits: Waits::default(),
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
@@ -181,6 +190,19 @@
         self.rounds.is_due |= !changes.is_empty();
     }
 
+    /// A command can never be committed, so what was decided with it is undone.
+    pub fn not_proposed(&mut self, state: &QueueState, command: &QueueCommand) {
+        match command {
+            QueueCommand::Submit { job, .. } => {
+                self.forget_job(*job);
+            }
+            QueueCommand::Start { step, placements } => {
+                self.undo_unapplied(state, *step, placements);
+            }
+            _ => {}
+        }
+    }
+
     fn follow(&mut self, state: &QueueState, change: &QueueChange, now: Millis) {
         match change {
             QueueChange::Table => self.table_changed(state),
