Show seven ways in which a refusal for good keeps work waiting

The model's callers ask for a question again every 500 ms, as real ones do: they asked once only and were forgotten after 4 s, so that a test could fail for this alone.

--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -52,9 +52,16 @@
 /// The policy usually refuses questions that name more workers.
 pub const WORKERS_PER_QUESTION_MAX: usize = 100;
 
+/// Callers of the policy ask for a question again after this time.
+const CALLER_WAIT_MS: u64 = 500;
+
 /// The members of a gang and their workers.
 type Members = Vec<(Arc<str>, TaskKey)>;
 
+/// What a faulty policy answers to a question, and after how many milliseconds; `None` for the
+/// usual answer.
+pub type PolicyFault = fn(&PermitRequest, Millis) -> Option<(PermitOutcome, u64)>;
+
 /// Something that happens later.
 enum Event {
     Applied(Vec<QueueCommand>),
@@ -84,12 +91,16 @@
     index: u64,
     /// Callers of the placement policy that are busy.
     callers: BTreeSet<Arc<str>>,
+    /// Those of them that carry a question.
+    busy_callers: BTreeSet<Arc<str>>,
     /// Whether the policy allows a step on a worker, of 100.
     pub allowed_percent: u64,
     /// The policy refuses questions that name more workers.
     pub workers_per_question_max: usize,
     /// A worker that the policy does not know; it refuses questions that name it.
     pub unknown_worker: Option<Arc<str>>,
+    /// What the policy answers instead, and after which time.
+    pub policy: Option<PolicyFault>,
     /// Questions that the policy refused.
     pub refused_questions: u64,
     pub starts: u64,
@@ -162,9 +173,11 @@
             last_event: 0,
             index: 1,
             callers: BTreeSet::new(),
+            busy_callers: BTreeSet::new(),
             allowed_percent: 100,
             workers_per_question_max: WORKERS_PER_QUESTION_MAX,
             unknown_worker: None,
+            policy: None,
             refused_questions: 0,
             starts: 0,
             decision_time: Duration::ZERO,
@@ -215,6 +228,7 @@
     pub fn change_leader(&mut self) {
         self.term += 1;
         let pending = std::mem::take(&mut self.events);
+        self.busy_callers.clear();
         for (key, event) in pending {
             // Orders that left may still be carried out.
             if matches!(event, Event::OrderArrives(_)) {
@@ -300,6 +314,11 @@
             let event = entry.remove();
             self.handle(event);
         }
+        if self.now.0.is_multiple_of(CALLER_WAIT_MS) {
+            for caller in self.callers.difference(&self.busy_callers) {
+                self.scheduler.caller_waits(caller, self.now);
+            }
+        }
         let begin = Instant::now();
         self.scheduler.tick(&self.state, self.now);
         self.decision_time += begin.elapsed();
@@ -318,6 +337,7 @@
                     .answered(&self.state, &order, result, self.now);
             }
             Event::PermitsAnswered(caller, answer) => {
+                self.busy_callers.remove(&caller);
                 self.scheduler.permits_answered(&answer, self.now);
                 self.scheduler.caller_waits(&caller, self.now);
             }
@@ -352,6 +372,7 @@
     }
 
     fn ask(&mut self, caller: Arc<str>, request: &PermitRequest) {
+        self.busy_callers.insert(caller.clone());
         let allowed = request.workers.iter().filter(|worker| {
             let mixed = mix(request.step.job.0 ^ u64::from(request.step.step), worker);
             mixed % 100 < self.allowed_percent
@@ -361,6 +382,13 @@
         let is_refused = request.workers.len() > self.workers_per_question_max
             || request.workers.iter().any(is_unknown);
         self.refused_questions += u64::from(is_refused);
+        let other = self.policy.and_then(|policy| policy(request, self.now));
+        if let Some((outcome, took_ms)) = other {
+            self.refused_questions += 1;
+            let id = request.id;
+            let answer = PermitAnswer { id, outcome };
+            return self.later(took_ms, Event::PermitsAnswered(caller, answer));
+        }
         let answer = PermitAnswer {
             id: request.id,
             outcome: if is_refused {
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -52,6 +52,8 @@
     pub is_crashed: bool,
     /// Fails all that it starts.
     pub fails_all: bool,
+    /// Refuses all starts for this reason.
+    pub rejects_starts: Option<RejectReason>,
     /// Makes no progress.
     pub hangs: bool,
     /// Starts are carried out after this time, without an answer.
@@ -101,6 +103,7 @@
             is_dark: false,
             is_crashed: false,
             fails_all: false,
+            rejects_starts: None,
             hangs: false,
             delays_starts_ms: 0,
             delayed: Vec::new(),
@@ -241,6 +244,9 @@
                 checkpoint,
                 ..
             } => {
+                if let Some(reason) = self.rejects_starts {
+                    return reject(reason);
+                }
                 if *until_ms <= now.0 {
                     return reject(RejectReason::LeaseOver);
                 }
--- /dev/null
+++ b/crates/queues/tests/refusals.rs
@@ -0,0 +1,249 @@
+//! Refusals for good by the placement policy and by workers.
+
+mod model;
+
+use std::sync::Arc;
+
+use sapphirepost_queues::Queue;
+use sapphirepost_queues::scheduler::PermitOutcome;
+use sapphirepost_queues::scheduler::PermitRequest;
+use sapphirepost_queues::scheduler::RejectReason;
+use sapphirepost_types::Millis;
+
+use crate::model::Model;
+use crate::model::PolicyFault;
+use crate::model::load;
+use crate::model::load::Kind;
+use crate::model::queue;
+use crate::model::with_permits;
+use crate::model::worker::ModelWorker;
+
+const REFUSAL_MS: u64 = 4;
+
+fn slow(name: &str) -> Queue {
+    let mut queue = with_permits(queue(name, 2, 4.0, 3_000), 480.0, 6.9);
+    if let Some(cost) = &mut queue.permits {
+        cost.valid_ms = 1_500;
+    }
+    queue
+}
+
+fn workers(count: usize) -> Vec<ModelWorker> {
+    let worker = |number| ModelWorker::new(&format!("w{number:03}"), 64, load::room, load::work_ms);
+    (0..count).map(worker).collect()
+}
+
+fn submit(model: &mut Model, kind: Kind, name: &str, count: u32) {
+    let mut spec = load::spec(kind, 1);
+    spec.steps[0].count = count;
+    spec.steps[0].per_worker_max = Some(1);
+    model.submit(load::key(kind, 1), name, spec);
+}
+
+fn refuse_until(now: Millis, end_ms: u64) -> Option<(PermitOutcome, u64)> {
+    (now.0 < end_ms).then_some((PermitOutcome::Refused, REFUSAL_MS))
+}
+
+/// Guards against a gang that never gets fresh permits after the policy refused all for a while.
+#[test]
+fn a_gang_runs_after_the_policy_refused_everything_for_a_while() {
+    let policies: [(u64, PolicyFault); 8] = [
+        (200, |_, now| refuse_until(now, 200)),
+        (300, |_, now| refuse_until(now, 300)),
+        (350, |_, now| refuse_until(now, 350)),
+        (400, |_, now| refuse_until(now, 400)),
+        (600, |_, now| refuse_until(now, 600)),
+        (1_000, |_, now| refuse_until(now, 1_000)),
+        (2_000, |_, now| refuse_until(now, 2_000)),
+        (3_000, |_, now| refuse_until(now, 3_000)),
+    ];
+    let mut stuck = Vec::new();
+    for (trouble_ms, policy) in policies {
+        let mut model = Model::new(vec![slow("gang")], workers(60), 4);
+        model.policy = Some(policy);
+        model.run(50);
+        submit(&mut model, Kind::Gang, "gang", 12);
+        model.run(60_000);
+        if model.jobs.values().any(|job| job.ended.is_none()) {
+            stuck.push(trouble_ms);
+        }
+    }
+    assert!(stuck.is_empty(), "never done after trouble of {stuck:?} ms");
+}
+
+/// Guards against a step that renews the permit of a worker that the policy refuses by now, and
+/// asks about no other one.
+#[test]
+fn a_step_asks_about_others_when_renewals_are_refused() {
+    let mut model = Model::new(vec![slow("tally")], workers(40), 4);
+    model.policy = Some(|request, now| {
+        let first = |worker: &Arc<str>| &**worker == "w000";
+        let is_refused = now.0 > 3_000 && request.workers.iter().any(first);
+        is_refused.then_some((PermitOutcome::Refused, REFUSAL_MS))
+    });
+    renew_after_pause(&mut model);
+}
+
+/// Guards against a worker that the policy allowed once and denies now.
+#[test]
+fn a_step_asks_about_others_when_renewals_are_denied() {
+    let mut model = Model::new(vec![slow("tally")], workers(40), 4);
+    model.policy = Some(|request, now| {
+        let only = request.workers.len() == 1 && &*request.workers[0] == "w000";
+        (now.0 > 3_000 && only).then_some((PermitOutcome::Allowed(Vec::new()), 480))
+    });
+    renew_after_pause(&mut model);
+}
+
+/// A step gets a permit on the only worker that answers, and starts when the permit has expired.
+fn renew_after_pause(model: &mut Model) {
+    for worker in model.workers.values_mut().skip(1) {
+        worker.is_dark = true;
+    }
+    model.run(50);
+    let mut spec = load::spec(Kind::Tally, 1);
+    let mut second = spec.steps[0].clone();
+    spec.steps[0].count = 1;
+    spec.steps[0].estimate_ms = 500;
+    second.count = 1;
+    second.after.push(0);
+    spec.steps.push(second);
+    model.submit(load::key(Kind::Tally, 1), "tally", spec);
+    model.run(2_500);
+    for worker in model.workers.values_mut() {
+        worker.is_dark = false;
+    }
+    model.run_until_done(60_000);
+}
+
+/// Guards against a question whose answer never comes, or is a server error, and that is asked
+/// again unchanged for ever.
+#[test]
+fn a_question_that_fails_each_time_is_asked_in_smaller_parts() {
+    let mut stuck = Vec::new();
+    for outcome in ["busy", "unanswered"] {
+        let mut model = Model::new(vec![slow("tally")], workers(160), 4);
+        model.policy = Some(match outcome {
+            "busy" => |request, _| {
+                (request.workers.len() > 20).then_some((PermitOutcome::Busy, REFUSAL_MS))
+            },
+            _ => |request, _| {
+                (request.workers.len() > 20).then_some((PermitOutcome::Unanswered, REFUSAL_MS))
+            },
+        });
+        model.run(50);
+        submit(&mut model, Kind::Tally, "tally", 52);
+        model.run(60_000);
+        if model.jobs.values().any(|job| job.ended.is_none()) {
+            stuck.push((outcome, model.refused_questions));
+        }
+    }
+    assert!(stuck.is_empty(), "never done, with questions: {stuck:?}");
+}
+
+/// Guards against several workers that the policy does not know and that spoil all questions.
+#[test]
+fn several_workers_that_the_policy_does_not_know_are_left_out_of_questions() {
+    let mut stuck = Vec::new();
+    for (refusal, policy) in [
+        ("at once", unknown_at_once as PolicyFault),
+        ("after deciding", unknown_late),
+    ] {
+        let mut model = Model::new(vec![slow("tally")], workers(160), 4);
+        model.policy = Some(policy);
+        model.run(50);
+        submit(&mut model, Kind::Tally, "tally", 52);
+        model.run(60_000);
+        if model.jobs.values().any(|job| job.ended.is_none()) {
+            stuck.push((refusal, model.refused_questions));
+        }
+    }
+    assert!(stuck.is_empty(), "never done, with questions: {stuck:?}");
+}
+
+fn names_unknown(request: &PermitRequest) -> bool {
+    request.workers.iter().any(|worker| &**worker < "w006")
+}
+
+fn unknown_at_once(request: &PermitRequest, _: Millis) -> Option<(PermitOutcome, u64)> {
+    names_unknown(request).then_some((PermitOutcome::Refused, REFUSAL_MS))
+}
+
+fn unknown_late(request: &PermitRequest, _: Millis) -> Option<(PermitOutcome, u64)> {
+    names_unknown(request).then_some((PermitOutcome::Refused, 480))
+}
+
+/// Guards against a start that a worker refuses for good and that is given to it again and again
+/// while other workers are free.
+#[test]
+fn a_start_that_a_worker_refuses_is_given_to_another_one() {
+    let mut stuck = Vec::new();
+    for reason in [
+        RejectReason::Invalid,
+        RejectReason::NoRoom,
+        RejectReason::NoPermit,
+        RejectReason::LeaseOver,
+        RejectReason::Superseded,
+    ] {
+        let mut model = Model::new(vec![queue("tally", 2, 4.0, 3_000)], workers(40), 4);
+        for worker in model.workers.values_mut() {
+            worker.work_ms = |task| 2 * load::work_ms(task);
+        }
+        if let Some(worker) = model.workers.values_mut().next() {
+            worker.rejects_starts = Some(reason);
+        }
+        model.run(50);
+        submit(&mut model, Kind::Tally, "tally", 3);
+        model.run(60_000);
+        if model.jobs.values().any(|job| job.ended.is_none()) {
+            stuck.push(reason);
+        }
+    }
+    assert!(stuck.is_empty(), "never done, refused as {stuck:?}");
+}
+
+/// Guards against a gang on more workers than a question may name that renews the same ones again
+/// and again.
+#[test]
+fn a_gang_on_more_workers_than_a_question_names_runs() {
+    let mut stuck = Vec::new();
+    for (workers_max, members) in [(100, 120), (20, 30)] {
+        let gang = with_permits(queue("gang", 2, 4.0, 3_000), 156.0, 2.34);
+        let mut model = Model::new(vec![gang], workers(160), 4);
+        model.workers_per_question_max = workers_max;
+        model.run(50);
+        submit(&mut model, Kind::Gang, "gang", members);
+        model.run(60_000);
+        if model.jobs.values().any(|job| job.ended.is_none()) {
+            stuck.push((workers_max, members));
+        }
+    }
+    assert!(stuck.is_empty(), "never done: {stuck:?}");
+}
+
+/// Guards against a gang whose renewals name fresh permits and leave out the expired ones.
+#[test]
+fn a_gang_renews_expired_permits_before_fresh_ones() {
+    let gang = with_permits(queue("gang", 2, 4.0, 3_000), 480.0, 6.9);
+    let mut model = Model::new(vec![gang], workers(40), 4);
+    model.workers_per_question_max = 20;
+    for worker in model.workers.values_mut().take(20) {
+        worker.is_dark = true;
+    }
+    model.run(50);
+    let mut spec = load::spec(Kind::Gang, 1);
+    let mut second = spec.steps[0].clone();
+    spec.steps[0].count = 1;
+    spec.steps[0].is_gang = false;
+    spec.steps[0].estimate_ms = 500;
+    second.count = 30;
+    second.per_worker_max = Some(1);
+    second.after.push(0);
+    spec.steps.push(second);
+    model.submit(load::key(Kind::Gang, 1), "gang", spec);
+    model.run(3_000);
+    for worker in model.workers.values_mut() {
+        worker.is_dark = false;
+    }
+    model.run_until_done(60_000);
+}
