Let the size of questions to the policy grow again, and shrink when they fail

Callers would see accepted work that never runs. Cause: the number of workers that a question may name shrank with each refusal and never grew, so after a few hundred milliseconds in which the policy refused everything a gang could not get its permits fresh at one time. Server errors and missing answers were repeated unchanged. Several workers that the policy does not know reset the size for each other.

Three questions in a row without a usable answer count as a refusal. A worker that is refused alone no longer resets the size.

Ruled out: counting every failure as a refusal. A policy under load would then be asked in ever smaller parts, which costs it more.

--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -37,6 +37,8 @@
 const RETRY_PAUSE_MS: u64 = 50;
 /// A worker about which the policy refuses to answer is not named again for this long.
 const REFUSED_WORKER_PAUSE_MS: u64 = 5_000;
+/// Questions without a usable answer in a row after which the next one names fewer workers.
+const FAILURES_MAX: u32 = 3;
 
 /// A question for the placement policy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +87,8 @@
     refused: FxHashMap<WorkerIndex, Millis>,
     /// Workers that the next question may name.
     question_max: usize,
+    /// Questions in a row that the policy neither answered nor refused.
+    failures: u32,
     /// The question that is under way.
     question: Option<u64>,
     /// What to ask next.
@@ -130,6 +134,7 @@
             denied: FxHashSet::default(),
             refused: FxHashMap::default(),
             question_max: WORKERS_PER_QUESTION_MAX,
+            failures: 0,
             question: None,
             wanted: None,
             paused_until: Millis::ZERO,
@@ -189,12 +194,28 @@
         self.paused_until = now + RETRY_PAUSE_MS;
         if let [worker] = workers {
             self.refused.insert(*worker, now + REFUSED_WORKER_PAUSE_MS);
-            self.question_max = WORKERS_PER_QUESTION_MAX;
             return;
         }
         self.question_max = (workers.len() / 2).max(1);
     }
 
+    /// A question about these workers has no answer for a reason that may pass. One that fails each
+    /// time is taken for refused.
+    fn failed(&mut self, workers: &[WorkerIndex], pause_ms: u64, now: Millis) {
+        self.failures += 1;
+        if self.failures >= FAILURES_MAX {
+            self.failures = 0;
+            self.refused(workers, now);
+        }
+        self.paused_until = now + pause_ms;
+    }
+
+    /// A question was answered, so the next one may name more workers.
+    fn answered(&mut self) {
+        self.failures = 0;
+        self.question_max = (2 * self.question_max).min(WORKERS_PER_QUESTION_MAX);
+    }
+
     /// Whether nothing was ever asked.
     pub fn is_unasked(&self) -> bool {
         self.allowed.is_empty() && self.denied.is_empty() && self.question.is_none()
@@ -296,14 +317,13 @@
                 return view.permits.refused(&asked.workers, now);
             }
             PermitOutcome::Busy => {
-                view.permits.paused_until = now + BUSY_PAUSE_MS;
-                return;
+                return view.permits.failed(&asked.workers, BUSY_PAUSE_MS, now);
             }
             PermitOutcome::Unanswered => {
-                view.permits.paused_until = now + RETRY_PAUSE_MS;
-                return;
+                return view.permits.failed(&asked.workers, RETRY_PAUSE_MS, now);
             }
         };
+        view.permits.answered();
         for index in asked.workers {
             let Some(worker) = self.workers.get(index) else {
                 continue;
@@ -355,6 +375,7 @@
             self.desk.callers.missed(&asked.caller, now);
             if let Some(view) = self.steps.get_mut(&asked.step) {
                 view.permits.question = None;
+                view.permits.failed(&asked.workers, 0, now);
             }
             self.rounds.is_due = true;
         }
