Ask about other workers when a renewal is refused or denied

Callers would see accepted work that never runs. Cause: a worker with an expired permit counted as one that needs a renewal, also while the policy refused questions about it, and after the policy had denied it; the step then asked about no other worker.

Change: a worker about which the policy does not answer counts as denied for the time, and a denial takes the former permit away.

--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -121,7 +121,7 @@
     Granted,
     /// It may, with a fresh permit.
     Expired,
-    /// It may not.
+    /// It may not, or the policy does not answer about the worker at present.
     Denied,
     /// Nobody has asked.
     Unknown,
@@ -148,15 +148,16 @@
         if let Some(permit) = self.allowed.get(&worker) {
             let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
             let is_fresh = !permit.is_void && now.since(permit.obtained) < usable_ms;
-            return if is_fresh {
-                Permission::Granted
-            } else {
-                Permission::Expired
-            };
+            if is_fresh {
+                return Permission::Granted;
+            }
         }
-        if self.denied.contains(&worker) {
+        if self.denied.contains(&worker) || !self.may_name(worker, now) {
             return Permission::Denied;
         }
+        if self.allowed.contains_key(&worker) {
+            return Permission::Expired;
+        }
         Permission::Unknown
     }
 
@@ -183,7 +184,7 @@
     }
 
     /// Whether a question may name a worker.
-    pub fn may_name(&self, worker: WorkerIndex, now: Millis) -> bool {
+    fn may_name(&self, worker: WorkerIndex, now: Millis) -> bool {
         let refused_until = self.refused.get(&worker);
         refused_until.is_none_or(|until| *until <= now)
     }
@@ -339,6 +340,7 @@
                     view.permits.allowed.insert(index, permit);
                 }
                 None => {
+                    view.permits.allowed.remove(&index);
                     view.permits.denied.insert(index);
                 }
             }
--- a/crates/queues/src/scheduler/questions.rs
+++ b/crates/queues/src/scheduler/questions.rs
@@ -92,10 +92,7 @@
                 Permission::Expired => has_room && !view.spec().is_gang,
                 Permission::Granted | Permission::Denied => false,
             };
-            is_wanted
-                && worker.is_open(now)
-                && view.suits(worker)
-                && view.permits.may_name(*index, now)
+            is_wanted && worker.is_open(now) && view.suits(worker)
         };
         let workers = self.workers.iter().filter(is_useful);
         let mut workers: Vec<(u64, WorkerIndex)> = workers
