Renew the expired permits of a gang before the fresh ones

A gang could wait for ever. Cause: renews all permits of a gang in one question, in the order of the workers; a question that may name fewer workers was cut to fresh permits.

Change: the expired ones come first in the question.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -63,6 +63,8 @@
             let mut renewed = chosen;
             renewed.sort_unstable();
             renewed.dedup();
+            // A question may not name all of them.
+            renewed.sort_by_key(|index| self.permission(view, *index, now) != Permission::Expired);
             view.permits.want(Wanted::Renewal(renewed), now);
             return true;
         }
