Pause between starts of a step on a worker that rejects them

Callers would see accepted work that never runs. Cause: a start that a worker rejected was placed again at once, and the tightest worker is the same one, so a worker that rejects a step for good (invalid, no room, no permit, lease over, superseded) got it again and again while others were free.

Beside it, a submission that cannot be proposed no longer makes the leader forget a job of the same ID that was committed meanwhile (by reading; no test).

Ruled out: counting a rejection as a failure of the task or of the worker. A rejected start has not run, and most rejections pass (a lease that was over, a permit that expired on its way).

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod place;
 mod preempt;
 mod questions;
+mod rejections;
 mod reserve;
 mod rounds;
 mod steps;
@@ -193,7 +194,7 @@
     /// A command can never be committed, so what was decided with it is undone.
     pub fn not_proposed(&mut self, state: &QueueState, command: &QueueCommand) {
         match command {
-            QueueCommand::Submit { job, .. } => {
+            QueueCommand::Submit { job, .. } if state.job(*job).is_none() => {
                 self.forget_job(*job);
             }
             QueueCommand::Start { step, placements } => {
--- a/crates/queues/src/scheduler/orders.rs
+++ b/crates/queues/src/scheduler/orders.rs
@@ -203,6 +203,9 @@
             Ok(_) => {
                 view.stage = RunStage::Running;
                 self.not_begun.remove(&task.step.job);
+                if let Some(step) = self.steps.get_mut(&task.step) {
+                    step.rejections.forget(index);
+                }
             }
             Err(OrderError::NoAnswer) => {
                 self.missed(index, sent);
@@ -252,6 +255,9 @@
             RejectReason::NoPermit => self.forget_permit(task.step, index),
             _ => {}
         }
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.rejections.note(index, now);
+        }
         self.not_started(index, (task, run), attempts, now);
     }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -80,6 +80,9 @@
             if !has_room || !worker.is_open(now) || !view.suits(worker) {
                 continue;
             }
+            if view.rejections.is_paused(index, now) {
+                continue;
+            }
             let permission = self.permission(view, index, now);
             if permission == Permission::Denied {
                 continue;
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::permits::StepPermits;
 use crate::scheduler::permits::Wanted;
 use crate::scheduler::preempt::MadeRoom;
+use crate::scheduler::rejections::Rejections;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
@@ -67,6 +68,8 @@
     pub placed: FxHashMap<u32, (u32, WorkerIndex)>,
     /// Workers on which a run of the step failed or stood still; others are tried first.
     pub avoided: FxHashSet<WorkerIndex>,
+    /// Workers that rejected a start.
+    pub rejections: Rejections,
     /// How often each task had to give its place to a gang.
     pub displaced: FxHashMap<u32, u32>,
     /// Since when a gang finds no room.
@@ -276,6 +279,7 @@
         proposed: BTreeSet::new(),
         placed: FxHashMap::default(),
         avoided: FxHashSet::default(),
+        rejections: Rejections::default(),
         displaced: FxHashMap::default(),
         waits_since: None,
         made_room: MadeRoom::default(),
