Answer a resent membership change only when none is under way

A removal that arrived while the addition of the same member was not committed was acknowledged, and the addition was committed afterwards.

Change: while a change of the membership is not committed, additions and removals are answered busy.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -55,8 +55,10 @@
             let reason = format!("`{address}` is no address, expected ip:port");
             return done.send(Ok(OperatorReply::Refused(Refusal::Invalid { reason })));
         }
-        let committed = self.node.membership_at(self.applied);
-        let known = committed.members.get(&member);
+        if self.is_membership_uncommitted() {
+            return done.send(Err(RpcError::Busy));
+        }
+        let known = self.node.membership().members.get(&member);
         if known.is_some_and(|known| known.address == address) {
             // A resend of a request whose answer was lost.
             let detail = format!("{member} is a member already");
@@ -72,8 +74,10 @@
     }
 
     fn remove_member(&mut self, member: MemberId, done: Responder<OperatorReply>) {
-        let committed = self.node.membership_at(self.applied);
-        if !committed.members.contains_key(&member) {
+        if self.is_membership_uncommitted() {
+            return done.send(Err(RpcError::Busy));
+        }
+        if !self.node.membership().members.contains_key(&member) {
             // A resend of a request whose answer was lost, or a member that never was.
             let detail = format!("{member} is not a member");
             return done.send(Ok(OperatorReply::MembershipChanged { detail }));
@@ -82,6 +86,8 @@
         self.change(MembershipChange::Remove { member }, detail, done);
     }
 
+    /// Whether a change is under way, which may still be lost with this leader. A request that
+    /// may be its resend is not answered before.
     fn is_membership_uncommitted(&self) -> bool {
         self.node.membership_at(self.applied) != self.node.membership()
     }
@@ -97,10 +103,6 @@
                     detail,
                 });
             }
-            Err(ProposeError::Membership(_)) if self.is_membership_uncommitted() => {
-                // The same change may be under way.
-                done.send(Err(RpcError::Busy));
-            }
             Err(ProposeError::Membership(error)) => {
                 done.send(Ok(OperatorReply::Refused(refusal(&error))));
             }
