Refuse no job for late work that comes after it

Cause: admission held all waiting work of queues as urgent or more against a new job, also work that is late and comes after it.

Change: a job is accepted if it can be in time behind the work that comes before it.

The test was seen to fail with the earlier rule: it refused a gang of 0.8 s that then ended in time.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -174,7 +174,7 @@
         let Some(scheduler) = &mut self.queues.scheduler else {
             return done.send(Err(RpcError::Busy));
         };
-        let admission = scheduler.admission(&queue, &spec);
+        let admission = scheduler.admission(&queue, &spec, now);
         if let Some(retry_after_ms) = admission.refusal_ms() {
             log::info!(
                 job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -33,6 +33,8 @@
 use crate::command::QueueCommand;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
+use crate::scheduler::order::Lateness;
+use crate::scheduler::order::Rank;
 use crate::scheduler::permits::PermitDesk;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::LATE_FACTOR;
@@ -278,18 +280,24 @@
 
 impl Scheduler {
     /// What a new job of a queue would wait for.
-    pub fn admission(&self, queue: &Queue, spec: &SubmittedSpec) -> Admission {
+    pub fn admission(&self, queue: &Queue, spec: &SubmittedSpec, now: Millis) -> Admission {
         let workers = self.workers.iter().map(|(_, worker)| worker);
         let serving = workers.filter(|w| *w.record.service == *queue.service);
         let capacity_millicores = serving.map(|w| w.record.capacity.millicores).sum();
-        let before = self.steps.values().filter(|view| {
-            view.queue.priority <= queue.priority && *view.queue.service == *queue.service
-        });
-        let backlog_core_ms = before.map(StepView::waiting_core_ms).sum();
+        let before = || {
+            let views = self.steps.values().filter(|view| {
+                view.queue.priority <= queue.priority && *view.queue.service == *queue.service
+            });
+            views.map(|view| (view, view.waiting_core_ms()))
+        };
+        let ahead = before().filter(|(view, _)| Rank::of(view, now).lateness == Lateness::InTime);
+        let objective_ms = objective_ms(queue, spec);
         Admission {
-            backlog_core_ms,
+            ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
+            backlog_core_ms: before().map(|(_, core_ms)| core_ms).sum(),
             capacity_millicores,
-            useful_ms: LATE_FACTOR * objective_ms(queue, spec),
+            objective_ms,
+            useful_ms: LATE_FACTOR * objective_ms,
             chain_ms: spec.chain_ms(),
         }
     }
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -170,3 +170,35 @@
     assert!(model.in_time_percent("gang") >= 50, "{}", shares(&model));
     assert!(model.in_time_percent("tally") >= 50, "{}", shares(&model));
 }
+
+/// Guards against refusals of jobs that come before the late work that waits, and so would be
+/// done in time.
+#[test]
+fn late_work_refuses_no_job_that_comes_before_it() {
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::room, load::work_ms);
+    let gangs = queue("gang", 1, 2.2, 1_000);
+    let workers = (0..WORKERS).map(worker).collect();
+    let mut model = Model::new(vec![gangs.clone()], workers, 0);
+    model.run(100);
+    for number in 0..130 {
+        let spec = load::spec(Kind::Gang, number);
+        model.submit(load::key(Kind::Gang, number), "gang", spec);
+    }
+    // The largest of them can no longer be in time.
+    model.run(9_000);
+    let mut short = load::spec(Kind::Lookup, 0);
+    short.steps[0].is_gang = true;
+    let admission = model.scheduler.admission(&gangs, &short, model.now);
+    println!("{admission:?}");
+    assert_eq!(admission.refusal_ms(), None, "{admission:?}");
+    let key = JobKey(load::key(Kind::Lookup, 0));
+    model.submit(key.0, "gang", short);
+    model.run(5_000);
+    let job = &model.jobs[&key];
+    let took_ms = job.ended.map(|(at, _)| at.since(job.at));
+    assert!(
+        took_ms.is_some_and(|took_ms| took_ms <= job.objective_ms),
+        "{took_ms:?} of {} ms",
+        job.objective_ms
+    );
+}
