Ask about workers for all tasks in the first question about a step

Cause: a question is asked while the job is being committed, when its tasks do not yet count as waiting, so the first question about every step named 30 workers.

Change: before the commit a question is sized by the tasks that the step will have.

--- a/crates/queues/src/scheduler/questions.rs
+++ b/crates/queues/src/scheduler/questions.rs
@@ -106,7 +106,13 @@
 
     /// How many workers a question about a step names at most.
     pub(crate) fn question_size(&self, view: &StepView) -> usize {
-        let wanted = view.waiting.len() * WORKERS_PER_TASK;
+        // The tasks of a step are known to wait only after the commit of their job.
+        let tasks = if view.is_committed {
+            view.waiting.len()
+        } else {
+            view.spec().count as usize
+        };
+        let wanted = tasks * WORKERS_PER_TASK;
         wanted.clamp(WORKERS_PER_QUESTION_MIN, WORKERS_PER_QUESTION_MAX)
     }
 }
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -202,3 +202,33 @@
         job.objective_ms
     );
 }
+
+/// Guards against a first question that names too few workers for a wide gang, as its tasks are
+/// not committed yet, so that a second question has to follow.
+#[test]
+fn a_wide_gang_is_asked_about_once() {
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 32, load::room, load::work_ms);
+    let gangs = with_permits(queue("gang", 1, 2.2, 1_000), 520.0, 7.4);
+    let workers = (0..200).map(worker).collect();
+    let mut model = Model::new(vec![gangs], workers, CALLERS);
+    model.allowed_percent = 50;
+    model.run(100);
+    let key = JobKey(load::key(Kind::Gang, 3));
+    let mut spec = load::spec(Kind::Gang, 3);
+    spec.steps[0].count = 20;
+    println!("{:?}", spec.steps[0].resources);
+    let cost = model.state.table().unwrap().queue("gang").unwrap().permits;
+    let question_ms = cost.unwrap().total_ms(4 * 20);
+    model.submit(key.0, "gang", spec);
+    let begin = model.now;
+    while !model.has_started(key) {
+        model.run(model::STEP_MS);
+        assert!(model.now.since(begin) < 10_000, "it does not start");
+    }
+    let waited_ms = model.now.since(begin);
+    println!("waited {waited_ms} ms, a question takes {question_ms} ms");
+    assert!(
+        waited_ms <= question_ms + 4 * model::COMMIT_MS,
+        "{waited_ms} ms"
+    );
+}
