--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -35,6 +35,8 @@
 use crate::command::QueueCommand;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
+use crate::scheduler::order::Lateness;
+use crate::scheduler::order::Rank;
 use crate::scheduler::permits::PermitDesk;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::LATE_FACTOR;
@@ -302,21 +304,33 @@
 impl Scheduler {
     /// What a new job of a queue would wait for; `None` if its commit is under way already. A
     /// caller that sends such a job again must not be told that it is refused, since it may run.
-    pub fn admission(&self, key: JobKey, queue: &Queue, spec: &SubmittedSpec) -> Option<Admission> {
+    pub fn admission(
+        &self,
+        key: JobKey,
+        queue: &Queue,
+        spec: &SubmittedSpec,
+        now: Millis,
+    ) -> Option<Admission> {
         if self.job_steps.contains_key(&key) {
             return None;
         }
         let workers = self.workers.iter().map(|(_, worker)| worker);
         let serving = workers.filter(|w| *w.record.service == *queue.service);
         let capacity_millicores = serving.map(|w| w.record.capacity.millicores).sum();
-        let before = self.steps.values().filter(|view| {
-            view.queue.priority <= queue.priority && *view.queue.service == *queue.service
-        });
-        let backlog_core_ms = before.map(StepView::waiting_core_ms).sum();
+        let before = || {
+            let views = self.steps.values().filter(|view| {
+                view.queue.priority <= queue.priority && *view.queue.service == *queue.service
+            });
+            views.map(|view| (view, view.waiting_core_ms()))
+        };
+        let ahead = before().filter(|(view, _)| Rank::of(view, now).lateness == Lateness::InTime);
+        let objective_ms = objective_ms(queue, spec);
         Some(Admission {
-            backlog_core_ms,
+            ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
+            backlog_core_ms: before().map(|(_, core_ms)| core_ms).sum(),
             capacity_millicores,
-            useful_ms: LATE_FACTOR * objective_ms(queue, spec),
+            objective_ms,
+            useful_ms: LATE_FACTOR * objective_ms,
             chain_ms: spec.chain_ms(),
         })
     }
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -39,12 +39,24 @@
 type Load = fn(Kind, u64) -> f64;
 
 fn replay(load_at: Load, seconds: u64) -> Model {
+    let mut model = received(load_at, seconds);
+    model.run_until_done(120_000);
+    model
+}
+
+/// A replay of so much work that some of it is left after a time.
+fn replay_for(load_at: Load, seconds: u64, after_ms: u64) -> Model {
+    let mut model = received(load_at, seconds);
+    model.run(after_ms);
+    model
+}
+
+fn received(load_at: Load, seconds: u64) -> Model {
     let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::room, load::work_ms);
     let mut model = Model::new(queues(), (0..WORKERS).map(worker).collect(), CALLERS);
     model.allowed_percent = 30;
     model.run(100);
     model.receive(&RATES, load_at, seconds);
-    model.run_until_done(120_000);
     model
 }
 
@@ -147,3 +159,79 @@
     println!("waited {waited_ms} ms");
     assert!(waited_ms <= 4 * model::COMMIT_MS, "{waited_ms} ms");
 }
+
+/// Guards against work that is started although it will be late, which makes the work behind it
+/// late too: a quarter more work than room then left four of ten tallies in time.
+#[test]
+fn work_that_will_be_late_makes_no_other_late() {
+    let model = replay_for(|_, _| 2.0, 40, 60_000);
+    println!("{}", shares(&model));
+    assert!(model.in_time_percent("lookup") >= 85, "{}", shares(&model));
+    assert!(model.in_time_percent("gang") >= 50, "{}", shares(&model));
+    assert!(model.in_time_percent("tally") >= 50, "{}", shares(&model));
+}
+
+/// Guards against refusals of jobs that come before the late work that waits, and so would be
+/// done in time.
+#[test]
+fn late_work_refuses_no_job_that_comes_before_it() {
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::room, load::work_ms);
+    let gangs = queue("gang", 1, 2.2, 1_000);
+    let workers = (0..WORKERS).map(worker).collect();
+    let mut model = Model::new(vec![gangs.clone()], workers, 0);
+    model.run(100);
+    for number in 0..130 {
+        let spec = load::spec(Kind::Gang, number);
+        model.submit(load::key(Kind::Gang, number), "gang", spec);
+    }
+    // The largest of them can no longer be in time.
+    model.run(9_000);
+    let mut short = load::spec(Kind::Lookup, 0);
+    short.steps[0].is_gang = true;
+    let key = JobKey(load::key(Kind::Lookup, 0));
+    let admission = model
+        .scheduler
+        .admission(key, &gangs, &short, model.now)
+        .unwrap();
+    println!("{admission:?}");
+    assert_eq!(admission.refusal_ms(), None, "{admission:?}");
+    model.submit(key.0, "gang", short);
+    model.run(5_000);
+    let job = &model.jobs[&key];
+    let took_ms = job.ended.map(|(at, _)| at.since(job.at));
+    assert!(
+        took_ms.is_some_and(|took_ms| took_ms <= job.objective_ms),
+        "{took_ms:?} of {} ms",
+        job.objective_ms
+    );
+}
+
+/// Guards against a first question that names too few workers for a wide gang, as its tasks are
+/// not committed yet, so that a second question has to follow.
+#[test]
+fn a_wide_gang_is_asked_about_once() {
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 32, load::room, load::work_ms);
+    let gangs = with_permits(queue("gang", 1, 2.2, 1_000), 520.0, 7.4);
+    let workers = (0..200).map(worker).collect();
+    let mut model = Model::new(vec![gangs], workers, CALLERS);
+    model.allowed_percent = 50;
+    model.run(100);
+    let key = JobKey(load::key(Kind::Gang, 3));
+    let mut spec = load::spec(Kind::Gang, 3);
+    spec.steps[0].count = 20;
+    println!("{:?}", spec.steps[0].resources);
+    let cost = model.state.table().unwrap().queue("gang").unwrap().permits;
+    let question_ms = cost.unwrap().total_ms(4 * 20);
+    model.submit(key.0, "gang", spec);
+    let begin = model.now;
+    while !model.has_started(key) {
+        model.run(model::STEP_MS);
+        assert!(model.now.since(begin) < 10_000, "it does not start");
+    }
+    let waited_ms = model.now.since(begin);
+    println!("waited {waited_ms} ms, a question takes {question_ms} ms");
+    assert!(
+        waited_ms <= question_ms + 4 * model::COMMIT_MS,
+        "{waited_ms} ms"
+    );
+}
