--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -59,25 +59,42 @@
         let allowed = [Permission::Granted, Permission::Expired];
         if let Some(chosen) = self.choose(view, &candidates, &allowed, members) {
             self.hold_now(view, &chosen, reservations, now);
-            // All at once: permits that are still fresh may expire before the others are renewed.
-            let mut renewed = chosen;
-            renewed.sort_unstable();
-            renewed.dedup();
-            // A question may not name all of them.
-            renewed.sort_by_key(|index| self.permission(view, *index, now) != Permission::Expired);
-            view.permits.want(Wanted::Renewal(renewed), now);
+            self.renew_permits(view, chosen, now);
             return true;
         }
-        if !view.permits.is_asking() {
-            view.permits.want(Wanted::More, now);
-        }
         if now < view.made_room.until || self.preempt(view, reservations, now) {
             self.hold_now(view, &view.made_room.workers, reservations, now);
+            // A question about further workers would keep the permits there from being renewed.
+            self.renew_permits(view, view.made_room.workers.clone(), now);
             return true;
         }
+        if !view.permits.is_asking() {
+            view.permits.want(Wanted::More, now);
+        }
         may_reserve && self.reserve(view, reservations, now)
     }
 
+    /// Asks for fresh permits on workers, if some have expired there. Those that expire before the
+    /// answer comes are renewed too, since the gang needs all of them at one time.
+    fn renew_permits(&self, view: &mut StepView, mut workers: Vec<WorkerIndex>, now: Millis) {
+        let Some(cost) = view.queue.permits else {
+            return;
+        };
+        workers.sort_unstable();
+        workers.dedup();
+        let is_expired = |view: &StepView, index: &WorkerIndex, at: Millis| {
+            self.permission(view, *index, at) == Permission::Expired
+        };
+        if !workers.iter().any(|index| is_expired(view, index, now)) {
+            return;
+        }
+        let answered = now + cost.total_ms(workers.len());
+        workers.retain(|index| is_expired(view, index, answered));
+        // A question may not name all of them.
+        workers.sort_by_key(|index| !is_expired(view, index, now));
+        view.permits.want(Wanted::Renewal(workers), now);
+    }
+
     /// Workers for all members of a gang, one for each.
     fn choose(
         &self,
