--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -175,7 +175,7 @@
         let Some(scheduler) = &mut self.queues.scheduler else {
             return done.send(Err(RpcError::Busy));
         };
-        let admission = scheduler.admission(key, &queue, &spec);
+        let admission = scheduler.admission(key, &queue, &spec, now);
         if let Some(admission) = admission
             && let Some(retry_after_ms) = admission.refusal_ms()
         {
--- a/crates/queues/src/scheduler/questions.rs
+++ b/crates/queues/src/scheduler/questions.rs
@@ -105,8 +105,13 @@
 
     /// How many workers a question about a step names at most.
     pub(crate) fn question_size(&self, view: &StepView) -> usize {
-        let wanted = view.waiting.len() * WORKERS_PER_TASK;
-        wanted
+        // The tasks of a step are known to wait only after the commit of their job.
+        let tasks = if view.is_committed {
+            view.waiting.len()
+        } else {
+            view.spec().count as usize
+        };
+        (tasks * WORKERS_PER_TASK)
             .max(WORKERS_PER_QUESTION_MIN)
             .min(view.permits.question_max())
     }
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -352,7 +352,9 @@
     let key = load::key(Kind::Lookup, 0);
     let lookup = queue("lookup", 9, 1.5, 250);
     let refusal_ms = |model: &Model, key: u64| {
-        let admission = model.scheduler.admission(JobKey(key), &lookup, &spec);
+        let admission = model
+            .scheduler
+            .admission(JobKey(key), &lookup, &spec, model.now);
         admission.and_then(|admission| admission.refusal_ms())
     };
     model.submit(key, "lookup", spec.clone());
