Split what a step knows of its permits from the questions

What is known of the permits of a step, and how many workers its next question names, is a module of its own with methods in place of shared fields. A question given up for its caller is followed by the same pause as one without an answer (50 ms instead of none); otherwise nothing changes.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -9,11 +9,11 @@
 use sapphirepost_types::Millis;
 
 use crate::scheduler::Scheduler;
-use crate::scheduler::permits::Permission;
-use crate::scheduler::permits::Wanted;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::reserve::Reservations;
 use crate::scheduler::reserve::slot_times;
+use crate::scheduler::step_permits::Permission;
+use crate::scheduler::step_permits::Wanted;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::state::QueueState;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod rejections;
 mod reserve;
 mod rounds;
+mod step_permits;
 mod steps;
 mod waiting;
 mod workers;
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -5,11 +5,9 @@
 //! taking all callers, since short jobs would wait behind them. What the policy has denied stays
 //! denied; what it has allowed needs a fresh permit at the start only.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 use sapphirepost_types::Millis;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,26 +18,14 @@
 use crate::scheduler::callers::CALLERS_FOR_SHORT;
 use crate::scheduler::callers::Callers;
 use crate::scheduler::order::Rank;
+use crate::scheduler::step_permits::Wanted;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 
-/// A permit is not used in the last part of its life, since commit and order take time.
-const PERMIT_MARGIN_MS: u64 = 350;
 /// A question that takes longer than this is long.
 const LONG_QUESTION_MS: u64 = 60;
 /// Added to the expected time of a question before it is given to another caller.
 const QUESTION_SLACK_MS: u64 = 1_500;
-/// Workers that a question names at most.
-pub(crate) const WORKERS_PER_QUESTION_MAX: usize = 100;
-/// The pause after the policy refused a question for load.
-const BUSY_PAUSE_MS: u64 = 200;
-/// The pause after a question that was refused or not answered.
-const RETRY_PAUSE_MS: u64 = 50;
-/// A worker about which the policy refuses to answer is not named again for this long.
-const REFUSED_WORKER_PAUSE_MS: u64 = 5_000;
-/// Questions without a usable answer in a row after which the next one names fewer workers.
-const FAILURES_MAX: u32 = 3;
-
 /// A question for the placement policy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,151 +64,6 @@
     Unanswered,
 }
 
-/// What is known of the permits of one step.
-#[derive(Debug)]
-pub struct StepPermits {
-    allowed: BTreeMap<WorkerIndex, Permit>,
-    denied: FxHashSet<WorkerIndex>,
-    /// Workers about which a question was refused, and until when they are not named again.
-    refused: FxHashMap<WorkerIndex, Millis>,
-    /// Workers that the next question may name.
-    question_max: usize,
-    /// Questions in a row that the policy neither answered nor refused.
-    failures: u32,
-    /// The question that is under way.
-    question: Option<u64>,
-    /// What to ask next.
-    wanted: Option<Wanted>,
-    /// No question before this time.
-    paused_until: Millis,
-}
-
-/// What a step wants to ask the policy. The workers of a new question are chosen when a caller
-/// takes it, since room changes while it waits.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Wanted {
-    /// Fresh permits on workers that are known to be allowed.
-    Renewal(Vec<WorkerIndex>),
-    /// Permits on further workers.
-    More,
-}
-
-#[derive(Debug)]
-struct Permit {
-    ticket: Arc<str>,
-    obtained: Millis,
-    is_void: bool,
-}
-
-/// Whether a step may start on a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Permission {
-    /// It may.
-    Granted,
-    /// It may, with a fresh permit.
-    Expired,
-    /// It may not, or the policy does not answer about the worker at present.
-    Denied,
-    /// Nobody has asked.
-    Unknown,
-}
-
-impl Default for StepPermits {
-    fn default() -> StepPermits {
-        StepPermits {
-            allowed: BTreeMap::new(),
-            denied: FxHashSet::default(),
-            refused: FxHashMap::default(),
-            question_max: WORKERS_PER_QUESTION_MAX,
-            failures: 0,
-            question: None,
-            wanted: None,
-            paused_until: Millis::ZERO,
-        }
-    }
-}
-
-impl StepPermits {
-    /// Whether the step may start on a worker.
-    pub fn of(&self, worker: WorkerIndex, valid_ms: u64, now: Millis) -> Permission {
-        if let Some(permit) = self.allowed.get(&worker) {
-            let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
-            let is_fresh = !permit.is_void && now.since(permit.obtained) < usable_ms;
-            if is_fresh {
-                return Permission::Granted;
-            }
-        }
-        if self.denied.contains(&worker) || !self.may_name(worker, now) {
-            return Permission::Denied;
-        }
-        if self.allowed.contains_key(&worker) {
-            return Permission::Expired;
-        }
-        Permission::Unknown
-    }
-
-    /// Asks the policy, unless a question is under way.
-    pub fn want(&mut self, wanted: Wanted, now: Millis) {
-        if self.question.is_none() && now >= self.paused_until {
-            self.wanted = Some(wanted);
-        }
-    }
-
-    /// The workers on which the step may start, in order.
-    pub fn allowed(&self) -> impl Iterator<Item = WorkerIndex> {
-        self.allowed.keys().copied()
-    }
-
-    /// Whether a question is under way.
-    pub fn is_asking(&self) -> bool {
-        self.question.is_some()
-    }
-
-    /// How many workers a question may name.
-    pub fn question_max(&self) -> usize {
-        self.question_max
-    }
-
-    /// Whether a question may name a worker.
-    fn may_name(&self, worker: WorkerIndex, now: Millis) -> bool {
-        let refused_until = self.refused.get(&worker);
-        refused_until.is_none_or(|until| *until <= now)
-    }
-
-    /// The policy refused a question about these workers. The next one names half as many, since a
-    /// repeated question would be refused for ever; a worker that is refused alone is left out.
-    fn refused(&mut self, workers: &[WorkerIndex], now: Millis) {
-        self.paused_until = now + RETRY_PAUSE_MS;
-        if let [worker] = workers {
-            self.refused.insert(*worker, now + REFUSED_WORKER_PAUSE_MS);
-            return;
-        }
-        self.question_max = (workers.len() / 2).max(1);
-    }
-
-    /// A question about these workers has no answer for a reason that may pass. One that fails each
-    /// time is taken for refused.
-    fn failed(&mut self, workers: &[WorkerIndex], pause_ms: u64, now: Millis) {
-        self.failures += 1;
-        if self.failures >= FAILURES_MAX {
-            self.failures = 0;
-            self.refused(workers, now);
-        }
-        self.paused_until = now + pause_ms;
-    }
-
-    /// A question was answered, so the next one may name more workers.
-    fn answered(&mut self) {
-        self.failures = 0;
-        self.question_max = (2 * self.question_max).min(WORKERS_PER_QUESTION_MAX);
-    }
-
-    /// Whether nothing was ever asked.
-    pub fn is_unasked(&self) -> bool {
-        self.allowed.is_empty() && self.denied.is_empty() && self.question.is_none()
-    }
-}
-
 /// A question under way.
 #[derive(Debug)]
 struct Asked {
@@ -310,7 +151,7 @@
         let Some(view) = self.steps.get_mut(&asked.step) else {
             return;
         };
-        view.permits.question = None;
+        view.permits.end();
         let allowed = match &answer.outcome {
             PermitOutcome::Allowed(allowed) => allowed,
             PermitOutcome::Refused => {
@@ -318,10 +159,10 @@
                 return view.permits.refused(&asked.workers, now);
             }
             PermitOutcome::Busy => {
-                return view.permits.failed(&asked.workers, BUSY_PAUSE_MS, now);
+                return view.permits.busy(&asked.workers, now);
             }
             PermitOutcome::Unanswered => {
-                return view.permits.failed(&asked.workers, RETRY_PAUSE_MS, now);
+                return view.permits.unanswered(&asked.workers, now);
             }
         };
         view.permits.answered();
@@ -332,16 +173,10 @@
             let found = allowed.iter().find(|(id, _)| *id == worker.record.id);
             match found {
                 Some((_, ticket)) => {
-                    let permit = Permit {
-                        ticket: ticket.clone(),
-                        obtained: now,
-                        is_void: false,
-                    };
-                    view.permits.allowed.insert(index, permit);
+                    view.permits.allow(index, ticket.clone(), now);
                 }
                 None => {
-                    view.permits.allowed.remove(&index);
-                    view.permits.denied.insert(index);
+                    view.permits.deny(index);
                 }
             }
         }
@@ -349,15 +184,13 @@
 
     /// The permit of a step on a worker.
     pub(crate) fn permit(&self, step: StepKey, worker: WorkerIndex) -> Option<Arc<str>> {
-        let permits = &self.steps.get(&step)?.permits;
-        Some(permits.allowed.get(&worker)?.ticket.clone())
+        self.steps.get(&step)?.permits.ticket(worker)
     }
 
     /// A worker did not take the permit.
     pub(crate) fn forget_permit(&mut self, step: StepKey, worker: WorkerIndex) {
-        let view = self.steps.get_mut(&step);
-        if let Some(permit) = view.and_then(|view| view.permits.allowed.get_mut(&worker)) {
-            permit.is_void = true;
+        if let Some(view) = self.steps.get_mut(&step) {
+            view.permits.void(worker);
         }
     }
 
@@ -376,8 +209,8 @@
             };
             self.desk.callers.missed(&asked.caller, now);
             if let Some(view) = self.steps.get_mut(&asked.step) {
-                view.permits.question = None;
-                view.permits.failed(&asked.workers, 0, now);
+                view.permits.end();
+                view.permits.unanswered(&asked.workers, now);
             }
             self.rounds.is_due = true;
         }
@@ -392,7 +225,7 @@
         let wanting = self
             .steps
             .values()
-            .filter(|view| view.permits.wanted.is_some() && view.permits.question.is_none());
+            .filter(|view| view.permits.next_wanted().is_some());
         let mut wanting: Vec<(bool, Rank)> = wanting
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
@@ -411,8 +244,8 @@
     }
 
     fn is_long(&self, view: &StepView) -> bool {
-        let workers = match &view.permits.wanted {
-            Some(Wanted::Renewal(workers)) => workers.len().min(view.permits.question_max),
+        let workers = match view.permits.next_wanted() {
+            Some(Wanted::Renewal(workers)) => workers.len().min(view.permits.question_max()),
             _ => self.question_size(view),
         };
         let cost = view.queue.permits;
@@ -421,14 +254,14 @@
 
     /// Takes the workers to ask about for a step.
     fn take_wanted(&mut self, step: StepKey, now: Millis) -> Option<Vec<WorkerIndex>> {
-        let wanted = self.steps.get_mut(&step)?.permits.wanted.take()?;
+        let wanted = self.steps.get_mut(&step)?.permits.take_wanted()?;
         let view = self.steps.get(&step)?;
         let mut workers = match wanted {
             Wanted::Renewal(workers) => workers,
             Wanted::More => self.question(view, now),
         };
         workers.retain(|worker| view.permits.may_name(*worker, now));
-        workers.truncate(view.permits.question_max);
+        workers.truncate(view.permits.question_max());
         (!workers.is_empty()).then_some(workers)
     }
 
@@ -446,7 +279,7 @@
         let timeout_ms = expected_ms + QUESTION_SLACK_MS;
         self.desk.last_id += 1;
         let id = self.desk.last_id;
-        view.permits.question = Some(id);
+        view.permits.begin(id);
         let known = workers.iter().filter_map(|index| self.workers.get(*index));
         let request = PermitRequest {
             id,
--- a/crates/queues/src/scheduler/questions.rs
+++ b/crates/queues/src/scheduler/questions.rs
@@ -7,9 +7,9 @@
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
-use crate::scheduler::permits::Permission;
-use crate::scheduler::permits::Wanted;
 use crate::scheduler::place::Candidate;
+use crate::scheduler::step_permits::Permission;
+use crate::scheduler::step_permits::Wanted;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
-use crate::scheduler::permits::Permission;
+use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 
 /// A step that makes no progress for this long is reported.
