--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -292,3 +292,50 @@
     let bound_ms = 1_200 + question_ms + renewal_ms + 4 * model::COMMIT_MS;
     assert!(waited_ms <= bound_ms, "{waited_ms} of {bound_ms} ms");
 }
+
+/// Tasks of 10, 2 and 9 cores.
+fn wide_narrow_or_member(task: TaskKey) -> Resources {
+    let millicores = match task.step.job.0 {
+        1 => 10_000,
+        2 => 2_000,
+        _ => 9_000,
+    };
+    Resources::new(millicores, 1_000, 0)
+}
+
+/// Guards against many small tasks that are stopped where one larger task would do.
+#[test]
+fn a_gang_displaces_one_task_where_one_is_enough() {
+    let worker =
+        |number| ModelWorker::new(&format!("w{number}"), 32, wide_narrow_or_member, minute);
+    let queues = vec![queue("gang", 1, 2.2, 1_000), queue("tally", 2, 4.0, 3_000)];
+    let mut model = Model::new(queues, (0..2).map(worker).collect(), 0);
+    model.run(100);
+    let jobs = [
+        (1, "tally", 2, Some(1)),
+        (2, "tally", 22, None),
+        (3, "gang", 2, Some(1)),
+    ];
+    for (key, name, count, per_worker_max) in jobs {
+        let step = StepKey {
+            job: JobKey(key),
+            step: 0,
+        };
+        let mut spec = load::spec(Kind::Tally, 0);
+        spec.steps[0].count = count;
+        spec.steps[0].per_worker_max = per_worker_max;
+        spec.steps[0].estimate_ms = minute(step.task(0));
+        spec.steps[0].resources = wide_narrow_or_member(step.task(0));
+        spec.steps[0].is_gang = name == "gang";
+        model.submit(key, name, spec);
+        model.run(1_000);
+    }
+    model.run(2_000);
+    assert!(model.has_started(JobKey(3)), "the gang does not start");
+    let running = model
+        .workers
+        .values()
+        .flat_map(|worker| worker.running.keys());
+    let narrow = running.filter(|task| task.step.job == JobKey(2)).count();
+    assert_eq!(narrow, 22, "of 22 small tasks");
+}
