--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -157,6 +157,7 @@
         let (mut room, mut needed) = (room, need);
         let mut pending = Vec::new();
         let mut pending_cost = 0;
+        let mut victims = victims.into_iter();
         while offer.members < most.min(members) {
             if needed.fits_in(&room) {
                 offer.members += 1;
@@ -165,7 +166,7 @@
                 needed = needed.saturating_add(&need);
                 continue;
             }
-            let Some((task, run, freed)) = take_victim(&mut victims, &room, &needed) else {
+            let Some((task, run, freed)) = victims.next() else {
                 break;
             };
             room = room.saturating_add(&freed);
@@ -187,17 +188,3 @@
             && displaced < DISPLACED_MAX
     }
 }
-
-/// Takes the smallest task whose room is enough, else the largest one. Each displaced task costs
-/// orders, a commit and a question to the policy, so few large ones are better than many small.
-fn take_victim(
-    victims: &mut SmallVec<[(TaskKey, u32, Resources); 8]>,
-    room: &Resources,
-    needed: &Resources,
-) -> Option<(TaskKey, u32, Resources)> {
-    let is_enough =
-        |(_, _, freed): &(TaskKey, u32, Resources)| needed.fits_in(&room.saturating_add(freed));
-    let last = victims.len().checked_sub(1)?;
-    let position = victims.iter().position(is_enough).unwrap_or(last);
-    Some(victims.remove(position))
-}
