--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -59,32 +59,23 @@
         let allowed = [Permission::Granted, Permission::Expired];
         if let Some(chosen) = self.choose(view, &candidates, &allowed, members) {
             self.hold_now(view, &chosen, reservations, now);
-            self.renew_permits(view, chosen, now);
+            let mut expired = chosen;
+            expired.sort_unstable();
+            expired.dedup();
+            expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
+            view.permits.want(Wanted::Renewal(expired), now);
             return true;
         }
+        if !view.permits.is_asking() {
+            view.permits.want(Wanted::More, now);
+        }
         if now < view.made_room.until || self.preempt(view, reservations, now) {
             self.hold_now(view, &view.made_room.workers, reservations, now);
-            // A question about further workers would keep the permits there from being renewed.
-            self.renew_permits(view, view.made_room.workers.clone(), now);
             return true;
         }
-        if !view.permits.is_asking() {
-            view.permits.want(Wanted::More, now);
-        }
         may_reserve && self.reserve(view, reservations, now)
     }
 
-    /// Asks for fresh permits on workers whose permits have expired.
-    fn renew_permits(&self, view: &mut StepView, workers: Vec<WorkerIndex>, now: Millis) {
-        let mut expired = workers;
-        expired.sort_unstable();
-        expired.dedup();
-        expired.retain(|index| self.permission(view, *index, now) == Permission::Expired);
-        if !expired.is_empty() {
-            view.permits.want(Wanted::Renewal(expired), now);
-        }
-    }
-
     /// Workers for all members of a gang, one for each.
     fn choose(
         &self,
