--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -62,15 +62,13 @@
             self.renew_permits(view, chosen, now);
             return true;
         }
+        if !view.permits.is_asking() {
+            view.permits.want(Wanted::More, now);
+        }
         if now < view.made_room.until || self.preempt(view, reservations, now) {
             self.hold_now(view, &view.made_room.workers, reservations, now);
-            // A question about further workers would keep the permits there from being renewed.
-            self.renew_permits(view, view.made_room.workers.clone(), now);
             return true;
         }
-        if !view.permits.is_asking() {
-            view.permits.want(Wanted::More, now);
-        }
         may_reserve && self.reserve(view, reservations, now)
     }
 
