Forget a worker that is gone after its lease has ended

A worker that was lost with runs on it was never removed from the state under that leader and counted as capacity in admission, so too much work was accepted. Cause: the end of its lease stayed marked as proposed until the worker answered, which a lost one never does.

Evidence: a_worker_that_is_gone_is_forgotten failed before (the worker is still known after 30 s) and passes with the mark taken back when the end of the lease is applied.

--- a/crates/queues/src/scheduler/looks.rs
+++ b/crates/queues/src/scheduler/looks.rs
@@ -274,6 +274,13 @@
         }
     }
 
+    /// The end of a lease was committed; a worker that stays silent is forgotten later.
+    pub(crate) fn expiry_applied(&mut self, id: &str) {
+        if let Some(worker) = self.workers.by_id_mut(id) {
+            worker.looks.is_expiry_proposed = false;
+        }
+    }
+
     /// Ends were committed, so the next look acknowledges them.
     pub(crate) fn ends_applied(&mut self, id: &str, upto: u64, now: Millis) {
         let Some(index) = self.workers.index(id) else {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -189,6 +189,7 @@
                 self.undo_unapplied(state, *step, placements);
             }
             QueueCommand::End { worker, upto, .. } => self.ends_applied(worker, *upto, now),
+            QueueCommand::Expire { worker, .. } => self.expiry_applied(worker),
             _ => {}
         }
         self.rounds.is_due |= !changes.is_empty();
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -83,6 +83,25 @@
     assert_completed(&model);
 }
 
+/// Guards against a worker that is gone for good and counts as capacity for ever.
+#[test]
+fn a_worker_that_is_gone_is_forgotten() {
+    let mut model = Model::new(queues(), workers(3), 0);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 6);
+    model.run(500);
+    let gone = model
+        .workers
+        .values_mut()
+        .find(|worker| !worker.running.is_empty());
+    let gone = gone.unwrap();
+    gone.is_dark = true;
+    gone.is_crashed = true;
+    let id = gone.record.id.clone();
+    model.run(30_000);
+    assert!(model.state.worker(&id).is_none());
+}
+
 /// Guards against a second run of a task whose worker is cut off and goes on until its lease
 /// ends. The model checks at each step that no task runs twice.
 #[test]
