Number the questions of each leader apart

Accepted work never ran after a change of leader. Cause: each leader numbered its questions to the policy from 1, and an answer was matched by the number alone. An answer to a question of the former leader was taken for one to a question of the new leader, whose workers then counted as denied for good; a step all of whose workers were denied so was never asked about again.

Change: the term is in the upper bits of the number.

Ruled out: dropping an answer whose workers are not those of the question. A former leader may have asked about the same workers for another step.

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -152,7 +152,7 @@
             steps: FxHashMap::default(),
             job_steps: FxHashMap::default(),
             not_begun: FxHashMap::default(),
-            desk: PermitDesk::default(),
+            desk: PermitDesk::new(config.term),
             answered_steps: Vec::new(),
             look_candidates: Vec::new(),
             actions: Vec::new(),
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -24,13 +24,15 @@
 
 /// A question that takes longer than this is long.
 const LONG_QUESTION_MS: u64 = 60;
+/// Bits for the questions of one leader in their identities; the term is in the others.
+const QUESTIONS_BITS: u32 = 32;
 /// Added to the expected time of a question before it is given to another caller.
 const QUESTION_SLACK_MS: u64 = 1_500;
 /// A question for the placement policy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PermitRequest {
-    /// Identifies the question among those of one leader.
+    /// Identifies the question among those of all leaders.
     pub id: u64,
     /// The step.
     pub step: StepKey,
@@ -103,6 +105,15 @@
 }
 
 impl PermitDesk {
+    /// No question yet. Questions of different leaders have different identities, since an answer
+    /// may reach a later leader than the one that asked.
+    pub(crate) fn new(term: u64) -> PermitDesk {
+        PermitDesk {
+            last_id: term << QUESTIONS_BITS,
+            ..PermitDesk::default()
+        }
+    }
+
     pub(crate) fn forget(&mut self, step: StepKey) {
         self.asked.retain(|_, asked| asked.step != step);
     }
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -8,6 +8,8 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueState;
 use sapphirepost_queues::StepKey;
+use sapphirepost_queues::scheduler::PermitAnswer;
+use sapphirepost_queues::scheduler::PermitOutcome;
 use sapphirepost_queues::scheduler::WaitReason;
 
 use crate::model::COMMIT_MS;
@@ -409,3 +411,26 @@
     model.run_until_done(10_000);
     assert_completed(&model);
 }
+
+/// Guards against an answer of the policy to a question of a former leader that is taken for the
+/// answer to another question: its workers were denied for good, and the step never ran.
+#[test]
+fn an_answer_to_a_former_leader_is_not_taken() {
+    let tally = with_permits(queue("tally", 2, 4.0, 3_000), 156.0, 2.34);
+    let mut model = Model::new(vec![tally], workers(4), 2);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 1);
+    model.run(50);
+    let former = model.questions[0];
+    model.change_leader();
+    model.run(50);
+    assert_eq!(model.questions.len(), 2);
+    let answer = PermitAnswer {
+        id: former,
+        outcome: PermitOutcome::Allowed(Vec::new()),
+    };
+    let now = model.now;
+    assert_eq!(model.scheduler.permits_answered(&answer, now), None);
+    model.run_until_done(30_000);
+    assert_completed(&model);
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -101,6 +101,8 @@
     pub unknown_worker: Option<Arc<str>>,
     /// What the policy answers instead, and after which time.
     pub policy: Option<PolicyFault>,
+    /// All questions so far, in order.
+    pub questions: Vec<u64>,
     /// Questions that the policy refused.
     pub refused_questions: u64,
     pub starts: u64,
@@ -178,6 +180,7 @@
             workers_per_question_max: WORKERS_PER_QUESTION_MAX,
             unknown_worker: None,
             policy: None,
+            questions: Vec::new(),
             refused_questions: 0,
             starts: 0,
             decision_time: Duration::ZERO,
@@ -373,6 +376,7 @@
 
     fn ask(&mut self, caller: Arc<str>, request: &PermitRequest) {
         self.busy_callers.insert(caller.clone());
+        self.questions.push(request.id);
         let allowed = request.workers.iter().filter(|worker| {
             let mixed = mix(request.step.job.0 ^ u64::from(request.step.step), worker);
             mixed % 100 < self.allowed_percent
