--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -2,6 +2,8 @@
 
 mod model;
 
+use std::sync::Arc;
+
 use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::Queue;
@@ -65,6 +67,16 @@
     assert_completed(&model);
 }
 
+/// A worker with runs is gone for good; returns its identity.
+fn lose_busy_worker(model: &mut Model) -> Arc<str> {
+    let mut workers = model.workers.values_mut();
+    let gone = workers.find(|worker| !worker.running.is_empty());
+    let gone = gone.unwrap();
+    gone.is_dark = true;
+    gone.is_crashed = true;
+    gone.record.id.clone()
+}
+
 /// Guards against looks that keep extending the bound of a silent worker's lease, so that its
 /// tasks are never placed again (found on the platform's bench as a job that never ended).
 #[test]
@@ -73,13 +85,7 @@
     model.run(50);
     submit(&mut model, Kind::Tally, 6);
     model.run(500);
-    let gone = model
-        .workers
-        .values_mut()
-        .find(|worker| !worker.running.is_empty());
-    let gone = gone.unwrap();
-    gone.is_dark = true;
-    gone.is_crashed = true;
+    lose_busy_worker(&mut model);
     model.run(2 * LEASE_MS);
     model.run_until_done(30_000);
     assert_completed(&model);
@@ -92,14 +98,7 @@
     model.run(50);
     submit(&mut model, Kind::Tally, 6);
     model.run(500);
-    let gone = model
-        .workers
-        .values_mut()
-        .find(|worker| !worker.running.is_empty());
-    let gone = gone.unwrap();
-    gone.is_dark = true;
-    gone.is_crashed = true;
-    let id = gone.record.id.clone();
+    let id = lose_busy_worker(&mut model);
     model.run(30_000);
     assert!(model.state.worker(&id).is_none());
 }
