Log the size of jobs, the wait of steps and why wide steps wait

Ruled out: a higher limit for all lines, since the frequent kinds would still crowd out the rare ones.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod pending_calls;
 mod queue_calls;
+mod queue_log;
 mod queue_metrics;
 mod queues;
 mod requests;
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -24,6 +24,7 @@
 
 use crate::core::Core;
 use crate::pending_calls::PendingRead;
+use crate::queue_log;
 
 impl Core {
     /// Answers a call about queues, or starts the read or the proposal that it needs.
@@ -206,7 +207,7 @@
             }));
         }
         scheduler.handle_submission(key, &queue, &spec, now);
-        log::info!(job:% = key, queue = &*queue.name, steps = spec.steps.len(); "job proposed");
+        queue_log::log_proposed(key, &queue, &spec);
         let command = QueueCommand::Submit {
             job: key,
             queue,
--- /dev/null
+++ b/crates/control/src/queue_log.rs
@@ -0,0 +1,85 @@
+//! The log lines of the leader about jobs, steps and runs.
+//!
+//! Lines about single runs have a log target of their own, since they are by far the most frequent
+//! and have a rate limit of their own.
+
+use std::fmt::Write;
+
+use sapphirepost_consensus::Index;
+use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobPhase;
+use sapphirepost_queues::Placement;
+use sapphirepost_queues::Queue;
+use sapphirepost_queues::QueueState;
+use sapphirepost_queues::Scheduler;
+use sapphirepost_queues::StepKey;
+use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::scheduler::WaitingStep;
+use sapphirepost_queues::state::QueueChange;
+
+/// The log target of lines about single runs.
+const RUNS_TARGET: &str = "sapphirepost_control::runs";
+
+/// Logs a job that is about to be committed, with its size.
+pub(crate) fn log_proposed(job: JobKey, queue: &Queue, spec: &SubmittedSpec) {
+    let widest = spec.steps.iter().map(|step| step.count).max();
+    log::info!(
+        job:%, queue = &*queue.name, steps = spec.steps.len(), widest_step = widest.unwrap_or(0),
+        core_ms = spec.core_ms(), deadline_ms = queue.deadline_ms(spec); "job proposed"
+    );
+}
+
+/// Logs a step that makes no progress, and why.
+pub(crate) fn log_waiting(waiting: &WaitingStep) {
+    log::info!(
+        step:% = waiting.step, tasks = waiting.tasks, waits_ms = waiting.waits_ms,
+        reason:? = waiting.reason, lateness:? = waiting.lateness,
+        steps_ahead = waiting.steps_ahead, is_asking = waiting.is_asking,
+        reserved_in_ms:? = waiting.reserved_in_ms, workers_with_room = waiting.workers_with_room,
+        tasks_that_fit = waiting.tasks_that_fit,
+        tasks_that_fit_if_empty = waiting.tasks_that_fit_if_empty; "step waits"
+    );
+}
+
+/// Logs an applied change. Jobs and steps get a line each, and so does the end of each run.
+pub(crate) fn log_change(
+    change: &QueueChange,
+    index: Index,
+    scheduler: &Scheduler,
+    state: &QueueState,
+) {
+    match change {
+        QueueChange::Table => log::info!(index; "table in force"),
+        QueueChange::Accepted(job) => log::info!(job:%, index; "job accepted"),
+        QueueChange::Ended(job, phase) => log_ended(*job, *phase, index, state),
+        QueueChange::Worker(worker) => log::info!(worker = &**worker, index; "worker known"),
+        QueueChange::WorkerRemoved(worker) => log::info!(worker = &**worker, index; "worker gone"),
+        QueueChange::Started(step, placements) => {
+            log_placed(*step, placements, index, scheduler.last_wait_ms(*step));
+        }
+        QueueChange::RunEnded(worker, task, run, kind) => {
+            log::info!(
+                target: RUNS_TARGET,
+                task:%, run, worker = &**worker, end:? = kind, index; "run over"
+            );
+        }
+        QueueChange::StepChanged(_) => {}
+    }
+}
+
+fn log_ended(job: JobKey, phase: JobPhase, index: Index, state: &QueueState) {
+    let ended = state.job(job);
+    let took_ms =
+        ended.and_then(|job| Some(job.ended_unix_ms?.saturating_sub(job.accepted_unix_ms)));
+    log::info!(job:%, phase:?, took_ms:?, index; "job ended");
+}
+
+fn log_placed(step: StepKey, placements: &[Placement], index: Index, wait_ms: u64) {
+    let mut runs = String::with_capacity(24 * placements.len());
+    for placement in placements {
+        let separator = if runs.is_empty() { "" } else { "," };
+        let Placement { index, run, worker } = placement;
+        let _ = write!(runs, "{separator}{index}:{run}@{worker}");
+    }
+    log::info!(step:%, tasks = placements.len(), wait_ms, runs, index; "tasks placed");
+}
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the queues, set by the member that leads.
 
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
@@ -8,6 +10,8 @@
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_queues::scheduler::Counts;
 
+pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Metrics of the queues. Counters and histograms go on across terms.
 #[derive(Clone, Debug)]
 pub(crate) struct QueueMetrics {
@@ -21,6 +25,9 @@
     pub(crate) first_start_seconds: Histogram,
     /// Seconds from the acceptance of a job to its end.
     pub(crate) job_seconds: Histogram,
+    /// Seconds from when tasks of a step could start to their placement, by the number of tasks
+    /// placed together.
+    step_wait_seconds: Family<StepWidth, Histogram>,
     pub(crate) policy_clients_waiting: Gauge,
     starts: Counter,
     unanswered_requests: Counter,
@@ -29,6 +36,25 @@
     refused_permit_requests: Counter,
 }
 
+/// The number of tasks that are placed together, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StepWidth {
+    width: &'static str,
+}
+
+impl StepWidth {
+    fn of(tasks: usize) -> StepWidth {
+        let width = match tasks {
+            0..=3 => "1-3",
+            4..=15 => "4-15",
+            16..=31 => "16-31",
+            32..=63 => "32-63",
+            _ => "64-",
+        };
+        StepWidth { width }
+    }
+}
+
 /// A histogram of seconds: the first bucket ends at 1 ms, the last finite one at 65 s.
 fn seconds() -> Histogram {
     Histogram::new(exponential_buckets(0.001, 2.0, 17))
@@ -55,6 +81,11 @@
                 "queue_job_seconds",
                 "Time from the acceptance of a job to its end",
             ),
+            step_wait_seconds: metrics.register(
+                "queue_step_wait_seconds",
+                "Time from when tasks of a step could start to their placement",
+                Family::new_with_constructor(seconds),
+            ),
             policy_clients_waiting: metrics.register(
                 "queue_policy_callers_waiting",
                 "Processes that wait for a question to the placement policy",
@@ -71,6 +102,12 @@
         }
     }
 
+    /// Records how long tasks that are placed together have waited.
+    pub(crate) fn observe_step_wait(&self, tasks: usize, wait_ms: u64) {
+        let histogram = self.step_wait_seconds.get_or_create(&StepWidth::of(tasks));
+        histogram.observe(wait_ms as f64 / MILLIS_PER_SECOND);
+    }
+
     pub(crate) fn add_counts(&self, counts: Counts) {
         self.starts.inc_by(counts.starts);
         self.unanswered_requests.inc_by(counts.unanswered_requests);
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -21,7 +21,6 @@
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
 use sapphirepost_queues::scheduler::PermitRequest;
-use sapphirepost_queues::scheduler::WaitingStep;
 use sapphirepost_queues::scheduler::WorkerReply;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
@@ -33,9 +32,10 @@
 use crate::core::Core;
 use crate::event::Event;
 use crate::event::EventSender;
+use crate::queue_log;
+use crate::queue_metrics::MILLIS_PER_SECOND;
 use crate::queue_metrics::QueueMetrics;
 
-const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// How long the poll of a policy client waits for a permit request before it is answered without
 /// one.
 const PERMIT_REQUEST_WAIT_MS: u64 = 500;
@@ -130,16 +130,21 @@
         self.accepted.clear();
     }
 
-    /// Counts accepted and ended jobs, and records their times to the first placement and to the
-    /// end.
-    fn record_job_times(&mut self, change: &QueueChange, now: Millis) {
+    /// Counts accepted and ended jobs, and records the waits of steps and the times of jobs to the
+    /// first placement and to the end.
+    fn record_change(&mut self, change: &QueueChange, now: Millis) {
         let seconds = |since: Millis| now.since(since) as f64 / MILLIS_PER_SECOND;
         match change {
             QueueChange::Accepted(job) => {
                 self.metrics.accepted.inc();
                 self.accepted.insert(*job, (now, false));
             }
-            QueueChange::Started(step, _) => {
+            QueueChange::Started(step, placements) => {
+                if let Some(scheduler) = &self.scheduler {
+                    let wait_ms = scheduler.last_wait_ms(*step);
+                    let tasks = placements.len();
+                    self.metrics.observe_step_wait(tasks, wait_ms);
+                }
                 if let Some((accepted, is_started)) = self.accepted.get_mut(&step.job)
                     && !*is_started
                 {
@@ -202,8 +207,10 @@
                 scheduler.handle_applied(self.state.queues(), command, changes, now);
             }
             for change in changes.iter().flatten() {
-                log_change(change, index);
-                self.queues.record_job_times(change, now);
+                queue_log::log_change(change, index, scheduler, self.state.queues());
+            }
+            for change in changes.iter().flatten() {
+                self.queues.record_change(change, now);
             }
         }
         while let Some((at, ..)) = self.queues.pending_answers.front() {
@@ -262,7 +269,7 @@
             scheduler
                 .find_waiting_steps(now)
                 .iter()
-                .for_each(log_waiting);
+                .for_each(queue_log::log_waiting);
         }
         let actions = scheduler.take_actions();
         self.queues.metrics.add_counts(scheduler.take_counts());
@@ -410,9 +417,10 @@
         error: &ProposeError,
     ) {
         log::error!(error:%; "a queue command is refused");
+        let now = self.clock.now();
         for command in commands {
             if let Some(scheduler) = &mut self.queues.scheduler {
-                scheduler.undo_proposal(self.state.queues(), command);
+                scheduler.undo_proposal(self.state.queues(), command, now);
             }
         }
         for (done, _) in answers.into_iter().flatten() {
@@ -420,33 +428,3 @@
         }
     }
 }
-
-fn log_waiting(waiting: &WaitingStep) {
-    log::info!(
-        step:% = waiting.step, tasks = waiting.tasks, waits_ms = waiting.waits_ms,
-        reason:? = waiting.reason, is_asking = waiting.is_asking,
-        workers_with_room = waiting.workers_with_room; "step waits"
-    );
-}
-
-fn log_change(change: &QueueChange, index: Index) {
-    match change {
-        QueueChange::Table => log::info!(index; "table in force"),
-        QueueChange::Accepted(job) => log::info!(job:%, index; "job accepted"),
-        QueueChange::Ended(job, phase) => log::info!(job:%, phase:?, index; "job ended"),
-        QueueChange::Worker(worker) => log::info!(worker = &**worker, index; "worker known"),
-        QueueChange::WorkerRemoved(worker) => log::info!(worker = &**worker, index; "worker gone"),
-        QueueChange::Started(step, placements) => {
-            for placement in placements {
-                log::info!(
-                    task:% = step.task(placement.index), run = placement.run,
-                    worker = &*placement.worker, index; "task placed"
-                );
-            }
-        }
-        QueueChange::RunEnded(worker, task, run, kind) => {
-            log::info!(task:%, run, worker = &**worker, end:? = kind, index; "run over");
-        }
-        QueueChange::StepChanged(_) => {}
-    }
-}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admin;
 pub mod clock;
 pub mod http;
+pub mod line_limits;
 pub mod logging;
 pub mod metrics;
 pub mod process_metrics;
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write;
 use std::io;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::thread;
@@ -22,6 +23,8 @@
 use log::kv::VisitSource;
 use thiserror::Error as ThisError;
 
+use crate::line_limits::LineLimits;
+
 /// The default log level and the levels of individual modules.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogLevels {
@@ -83,9 +86,9 @@
 
 /// Starts logging to standard output through a bounded channel.
 ///
-/// A line is dropped and counted when the channel is full or the rate limit is exceeded; the count
-/// is written as a separate line before the next line that is written. Logging never waits for the
-/// reader of the output.
+/// A line is dropped and counted when the channel is full or a rate limit is exceeded; the counts
+/// are written as separate lines before the next line that is written. Logging never waits for the
+/// reader of the output, and a line over the limit is not formatted.
 pub fn init_bounded(levels: &LogLevels) -> Result<(), log::SetLoggerError> {
     let (sender, lines) = flume::bounded(QUEUED_LINES_MAX);
     let writer = move || write_lines(&lines, &mut io::stdout().lock());
@@ -93,22 +96,21 @@
     if let Err(error) = started {
         eprintln!("cannot start the log thread: {error}");
     }
-    let limiter = Mutex::new(LineRateLimiter::default());
+    let limits = Arc::new(Mutex::new(LineLimits::default()));
+    let filter_limits = limits.clone();
+    let filter = move |metadata: &log::Metadata<'_>| {
+        let mut limits = filter_limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.allow(metadata.target(), Instant::now())
+    };
     let output = fern::Output::call(move |record| {
-        let mut limiter = limiter.lock().unwrap_or_else(PoisonError::into_inner);
-        if !limiter.allow(Instant::now()) {
-            return;
-        }
-        let mut line = format!("{}\n", record.args());
-        if limiter.dropped > 0 {
-            line.insert_str(0, &format!("log lines left out: {}\n", limiter.dropped));
-        }
+        let mut limits = limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = format!("{}{}\n", limits.describe_dropped(), record.args());
         match sender.try_send(line) {
-            Ok(()) => limiter.dropped = 0,
-            Err(_) => limiter.dropped += 1,
+            Ok(()) => limits.forget_dropped(),
+            Err(_) => limits.drop_line(record.target()),
         }
     });
-    dispatch(levels).chain(output).apply()
+    dispatch(levels).filter(filter).chain(output).apply()
 }
 
 /// Returns a dispatcher with the format and levels that both outputs use.
@@ -129,36 +131,6 @@
 
 /// Maximum number of lines that wait for the writer thread.
 const QUEUED_LINES_MAX: usize = 4_096;
-/// Maximum number of lines per second; further ones are dropped.
-const LINES_PER_SECOND_MAX: u32 = 1_000;
-
-/// Limits the number of lines in each window of one second.
-#[derive(Debug, Default)]
-struct LineRateLimiter {
-    window_start: Option<Instant>,
-    lines: u32,
-    dropped: u64,
-}
-
-impl LineRateLimiter {
-    /// Returns whether a line may be written now; counts it as dropped if not.
-    fn allow(&mut self, now: Instant) -> bool {
-        let is_new_window = self
-            .window_start
-            .is_none_or(|start| now.duration_since(start).as_secs() >= 1);
-        if is_new_window {
-            self.window_start = Some(now);
-            self.lines = 0;
-        }
-        if self.lines >= LINES_PER_SECOND_MAX {
-            self.dropped += 1;
-            return false;
-        }
-        self.lines += 1;
-        true
-    }
-}
-
 /// Writes queued lines until the channel is closed, in batches of all lines that are available.
 fn write_lines(lines: &flume::Receiver<String>, output: &mut impl io::Write) {
     while let Ok(first) = lines.recv() {
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -16,6 +16,7 @@
 use sapphirepost_process::admin::AdminServer;
 use sapphirepost_process::admin::AdminSources;
 use sapphirepost_process::admin::dump_from_channel;
+use sapphirepost_process::line_limits::LineLimits;
 use sapphirepost_process::logging::LogLevels;
 use sapphirepost_process::logging::format_line;
 use sapphirepost_process::metrics::Metrics;
@@ -137,3 +138,31 @@
     assert_eq!(limiter.allow("other", Millis(10)), Some(0));
     assert_eq!(limiter.allow("refused", Millis(1000)), Some(1));
 }
+
+/// Guards against frequent lines of one kind that crowd out the rare ones of another.
+#[test]
+fn lines_of_one_target_do_not_crowd_out_another() {
+    let mut limits = LineLimits::default();
+    let start = Instant::now();
+    let allowed = (0..2_000).filter(|_| limits.allow("runs", start)).count();
+    assert_eq!(allowed, 600);
+    assert!(limits.allow("jobs", start));
+    assert_eq!(
+        limits.describe_dropped(),
+        "log lines left out: 1400 target=runs\n"
+    );
+    limits.forget_dropped();
+    assert_eq!(limits.describe_dropped(), "");
+    assert!(limits.allow("runs", start + Duration::from_secs(1)));
+}
+
+/// Guards against a process whose many targets together write without a bound.
+#[test]
+fn all_targets_together_have_a_limit() {
+    let mut limits = LineLimits::default();
+    let start = Instant::now();
+    let targets = ["a", "b", "c", "d", "e"];
+    let lines = targets.iter().flat_map(|target| [target; 1_000]);
+    let allowed = lines.filter(|target| limits.allow(target, start)).count();
+    assert_eq!(allowed, 2_400);
+}
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -38,12 +38,10 @@
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::scheduler::permits::PermitDispatcher;
-use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::USEFUL_FACTOR;
-use crate::scheduler::steps::deadline_ms;
 use crate::scheduler::waiting::WaitTracker;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
@@ -68,6 +66,7 @@
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::ranking::Lateness;
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
 
@@ -190,7 +189,7 @@
         }
         match command {
             QueueCommand::Start { step, placements } => {
-                self.undo_unapplied_starts(state, *step, placements);
+                self.undo_unapplied_starts(state, *step, placements, now);
             }
             QueueCommand::End { worker, upto, .. } => self.ends_applied(worker, *upto, now),
             QueueCommand::Expire { worker, .. } => self.expiry_applied(worker),
@@ -200,13 +199,13 @@
     }
 
     /// Undoes what was decided along with a command that can never be committed.
-    pub fn undo_proposal(&mut self, state: &QueueState, command: &QueueCommand) {
+    pub fn undo_proposal(&mut self, state: &QueueState, command: &QueueCommand, now: Millis) {
         match command {
             QueueCommand::Submit { job, .. } if state.job(*job).is_none() => {
                 self.forget_job(*job);
             }
             QueueCommand::Start { step, placements } => {
-                self.undo_unapplied_starts(state, *step, placements);
+                self.undo_unapplied_starts(state, *step, placements, now);
             }
             _ => {}
         }
@@ -225,7 +224,7 @@
             QueueChange::RunEnded(worker, task, run, kind) => {
                 self.run_ended(state, worker, (*task, *run), *kind, now);
             }
-            QueueChange::StepChanged(step) => self.step_changed(state, *step),
+            QueueChange::StepChanged(step) => self.step_changed(state, *step, now),
         }
     }
 
@@ -255,6 +254,11 @@
         std::mem::take(&mut self.counts)
     }
 
+    /// How long the tasks of a step had waited when a start of the step was last proposed.
+    pub fn last_wait_ms(&self, step: StepKey) -> u64 {
+        self.steps.get(&step).map_or(0, |view| view.last_wait_ms)
+    }
+
     pub(crate) fn propose(&mut self, command: QueueCommand) {
         self.actions.push(Action::Propose(command));
     }
@@ -337,7 +341,7 @@
         };
         let ahead =
             preceding().filter(|(view, _)| Rank::of(view, now).lateness == Lateness::InTime);
-        let deadline_ms = deadline_ms(queue, spec);
+        let deadline_ms = queue.deadline_ms(spec);
         Some(Admission {
             ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
             backlog_core_ms: preceding().map(|(_, core_ms)| core_ms).sum(),
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -177,6 +177,10 @@
         now: Millis,
     ) {
         view.blocked_since = None;
+        view.last_wait_ms = view
+            .waiting_since
+            .take()
+            .map_or(0, |since| now.since(since));
         view.freed_capacity = FreedCapacity::default();
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
@@ -219,7 +223,7 @@
 }
 
 /// How often `each` fits into the available resources.
-fn count_fitting(each: Resources, available: Resources) -> u32 {
+pub(crate) fn count_fitting(each: Resources, available: Resources) -> u32 {
     let times = |available: u64, each: u64| available.checked_div(each).unwrap_or(u64::MAX);
     let millicores = times(available.millicores, each.millicores);
     let memory = times(available.memory_mib, each.memory_mib);
--- a/crates/queues/src/scheduler/reservations.rs
+++ b/crates/queues/src/scheduler/reservations.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// When the reservation of a step begins, if it holds one.
+    pub fn begins(&self, owner: StepKey) -> Option<Millis> {
+        let all = self.by_worker.values().flatten();
+        let owned = all.filter(|reservation| reservation.owner == owner);
+        owned.map(|reservation| reservation.from).max()
+    }
+
     /// The resources of a worker that are available to a task of `step` which is expected to take
     /// `task_ms`.
     pub fn available(
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -8,6 +8,7 @@
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
 
+use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
@@ -60,6 +61,11 @@
         }
     }
 
+    /// When the reservation of a step begins, if it holds one.
+    pub(crate) fn reservation_begins(&self, step: StepKey) -> Option<Millis> {
+        self.reservations.begins(step)
+    }
+
     /// Whether a round begins now; if so, records it.
     fn begin(&mut self, now: Millis) -> bool {
         let since_ms = now.since(self.placed_at);
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -63,6 +63,10 @@
     /// The estimated time from the start of the step to the end of the longest chain of steps that
     /// depend on it.
     pub remaining_path_ms: u64,
+    /// Since when tasks of the step could have started; `None` while none waits.
+    pub waiting_since: Option<Millis>,
+    /// How long the tasks had waited when a start of the step was last proposed.
+    pub last_wait_ms: u64,
     /// Indexes of waiting tasks, without those whose start is proposed.
     pub waiting: BTreeSet<u32>,
     /// Indexes of tasks whose start is proposed and not applied.
@@ -96,9 +100,7 @@
 
     /// The estimated processor time of the waiting tasks.
     pub fn waiting_core_ms(&self) -> u64 {
-        let spec = self.spec();
-        let task_core_ms = spec.resources.millicores * spec.estimate_ms / 1_000;
-        self.waiting.len() as u64 * task_core_ms
+        self.waiting.len() as u64 * self.spec().task_core_ms()
     }
 
     /// Whether the worker could run a task of the step if it were empty.
@@ -179,11 +181,11 @@
                 .or_insert_with(|| new_view(key, &job.spec, queue, remaining_path_ms, arrived));
             view.is_committed = is_committed;
         }
-        self.refresh_job(job);
+        self.refresh_job(job, arrived);
     }
 
     /// Updates the steps of a job from the replicated state.
-    fn refresh_job(&mut self, job: &Arc<Job>) {
+    fn refresh_job(&mut self, job: &Arc<Job>, now: Millis) {
         for (position, step) in job.steps.iter().enumerate() {
             let key = StepKey {
                 job: job.key,
@@ -204,14 +206,19 @@
             view.waiting = waiting
                 .filter(|index| !view.proposed.contains(index))
                 .collect();
+            if !view.is_ready || view.waiting.is_empty() {
+                view.waiting_since = None;
+            } else {
+                view.waiting_since.get_or_insert(now);
+            }
         }
     }
 
     /// Handles a task of a step that waits again or is done.
-    pub(crate) fn step_changed(&mut self, state: &QueueState, step: StepKey) {
+    pub(crate) fn step_changed(&mut self, state: &QueueState, step: StepKey, now: Millis) {
         if let Some(job) = state.job(step.job).filter(|job| !job.phase.has_ended()) {
             let job = job.clone();
-            self.refresh_job(&job);
+            self.refresh_job(&job, now);
         }
     }
 
@@ -285,7 +292,7 @@
     remaining_path_ms: u64,
     arrived: Millis,
 ) -> StepView {
-    let deadline_ms = deadline_ms(queue, spec);
+    let deadline_ms = queue.deadline_ms(spec);
     StepView {
         key,
         job_spec: spec.clone(),
@@ -296,6 +303,8 @@
         deadline: arrived + deadline_ms,
         useful_until: arrived + USEFUL_FACTOR * deadline_ms,
         remaining_path_ms,
+        waiting_since: None,
+        last_wait_ms: 0,
         waiting: BTreeSet::new(),
         proposed: BTreeSet::new(),
         placed: FxHashMap::default(),
@@ -307,8 +316,3 @@
         permits: StepPermits::default(),
     }
 }
-
-/// The time from the arrival of a job to its deadline.
-pub fn deadline_ms(queue: &Queue, spec: &SubmittedSpec) -> u64 {
-    (spec.critical_path_ms() as f64 * queue.deadline_factor) as u64 + queue.target_ms
-}
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -5,17 +5,21 @@
 
 use rustc_hash::FxHashMap;
 use sapphirepost_types::Millis;
-use smallvec::SmallVec;
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::place::count_fitting;
+use crate::scheduler::ranking::Lateness;
+use crate::scheduler::ranking::Rank;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 
 /// A step is reported after it has made no progress for this long.
 const REPORT_AFTER_MS: u64 = 3_000;
-/// The largest number of steps in one report; those that have waited longest come first.
-const REPORTED_MAX: usize = 4;
+/// The largest number of steps in one report that are there because they have waited longest.
+const LONGEST_REPORTED_MAX: usize = 4;
+/// The largest number of further steps in one report, which are there because of their width.
+const WIDEST_REPORTED_MAX: usize = 4;
 
 /// Why the tasks of a step are not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,11 +60,21 @@
     pub waits_ms: u64,
     /// Why the step waits.
     pub reason: WaitReason,
+    /// Whether the step can meet the deadline of its job.
+    pub lateness: Lateness,
+    /// The number of waiting steps that are placed before it.
+    pub steps_ahead: usize,
     /// Whether a permit request for the step is unanswered.
     pub is_asking: bool,
+    /// The time until its reservation begins, if it holds one.
+    pub reserved_in_ms: Option<u64>,
     /// The number of workers that accept tasks, have enough free resources and are allowed, with a
     /// fresh or an expired permit.
     pub workers_with_room: usize,
+    /// The number of tasks that would fit on these workers, without regard to reservations.
+    pub tasks_that_fit: u64,
+    /// The number of tasks that would fit on all allowed workers if these were empty.
+    pub tasks_that_fit_if_empty: u64,
 }
 
 /// When each waiting step last made progress.
@@ -70,6 +84,14 @@
     since: FxHashMap<StepKey, (usize, Millis)>,
 }
 
+/// A step that has waited long enough for a report.
+#[derive(Clone, Copy, Debug)]
+struct LongWait {
+    step: StepKey,
+    tasks: usize,
+    waits_ms: u64,
+}
+
 impl WaitTracker {
     /// Takes the current number of waiting tasks of each ready step; a lower number counts as
     /// progress.
@@ -83,17 +105,22 @@
         self.since = since;
     }
 
-    /// The steps that have waited long, the longest first.
-    fn longest(&self, now: Millis) -> SmallVec<[(u64, StepKey); 8]> {
-        let waits = self
-            .since
-            .iter()
-            .map(|(step, (_, since))| (now.since(*since), *step));
-        let mut long: SmallVec<[_; 8]> = waits
-            .filter(|(waits_ms, _)| *waits_ms >= REPORT_AFTER_MS)
+    /// The steps to report: those that have waited longest, and those with the most tasks.
+    fn to_report(&self, now: Millis) -> Vec<LongWait> {
+        let waits = self.since.iter().map(|(step, (tasks, since))| LongWait {
+            step: *step,
+            tasks: *tasks,
+            waits_ms: now.since(*since),
+        });
+        let mut long: Vec<LongWait> = waits
+            .filter(|wait| wait.waits_ms >= REPORT_AFTER_MS)
             .collect();
-        long.sort_unstable_by_key(|(waits_ms, step)| (u64::MAX - waits_ms, *step));
-        long.truncate(REPORTED_MAX);
+        long.sort_unstable_by_key(|wait| (u64::MAX - wait.waits_ms, wait.step));
+        let rest = long.split_off(long.len().min(LONGEST_REPORTED_MAX));
+        let mut widest = rest;
+        widest.sort_unstable_by_key(|wait| (usize::MAX - wait.tasks, wait.step));
+        widest.truncate(WIDEST_REPORTED_MAX);
+        long.extend(widest);
         long
     }
 }
@@ -105,65 +132,108 @@
         let ready = self.steps.values().filter(|view| view.is_ready);
         let waiting = ready.map(|view| (view.key, view.waiting.len() + view.proposed.len()));
         waits.update(waiting.filter(|(_, tasks)| *tasks > 0), now);
-        let longest = waits.longest(now);
+        let reported = waits.to_report(now);
         self.waits = waits;
-        let views = longest
+        reported
             .into_iter()
-            .filter_map(|(waits_ms, step)| Some((waits_ms, self.steps.get(&step)?)));
-        views
-            .map(|(waits_ms, view)| self.waiting_step(view, waits_ms, now))
+            .filter_map(|wait| self.waiting_step(wait, now))
             .collect()
     }
 
-    fn waiting_step(&self, view: &StepView, waits_ms: u64, now: Millis) -> WaitingStep {
-        let (mut fresh, mut expired, mut suited, mut allowed) = (0, 0, 0, 0);
+    fn waiting_step(&self, wait: LongWait, now: Millis) -> Option<WaitingStep> {
+        let view = self.steps.get(&wait.step)?;
+        let room = self.count_room(view, now);
+        let rank = Rank::of(view, now);
+        let others = self
+            .steps
+            .values()
+            .filter(|other| !other.waiting.is_empty());
+        let ahead = others.filter(|other| Rank::of(other, now) < rank);
+        Some(WaitingStep {
+            step: view.key,
+            tasks: wait.tasks,
+            waits_ms: wait.waits_ms,
+            reason: wait_reason(view, &room),
+            lateness: rank.lateness,
+            steps_ahead: ahead.count(),
+            is_asking: view.permits.has_request(),
+            reserved_in_ms: self
+                .rounds
+                .reservation_begins(view.key)
+                .map(|begins| begins.since(now)),
+            workers_with_room: room.fresh + room.expired,
+            tasks_that_fit: room.tasks,
+            tasks_that_fit_if_empty: room.tasks_if_empty,
+        })
+    }
+
+    /// Counts the workers that could run the step, and the tasks that would fit there.
+    fn count_room(&self, view: &StepView, now: Millis) -> RoomCount {
+        let mut room = RoomCount::default();
+        let need = view.spec().resources;
         for (index, worker) in self.workers.iter() {
             if !view.can_run_on(worker) {
                 continue;
             }
-            suited += 1;
-            let has_room =
-                worker.accepts_tasks(now) && view.spec().resources.fits_in(&worker.free());
-            match self.permission(view, index, now) {
-                Permission::Granted => {
-                    allowed += 1;
-                    fresh += usize::from(has_room);
-                }
-                Permission::Expired => {
-                    allowed += 1;
-                    expired += usize::from(has_room);
-                }
-                Permission::Denied | Permission::Unknown => {}
+            room.suited += 1;
+            let permission = self.permission(view, index, now);
+            if !matches!(permission, Permission::Granted | Permission::Expired) {
+                continue;
+            }
+            room.allowed += 1;
+            if !worker.accepts_tasks(now) {
+                continue;
+            }
+            let free = worker.free();
+            room.tasks += u64::from(count_fitting(need, free));
+            room.tasks_if_empty += u64::from(count_fitting(need, worker.record.capacity));
+            let has_room = usize::from(need.fits_in(&free));
+            match permission {
+                Permission::Granted => room.fresh += has_room,
+                _ => room.expired += has_room,
             }
         }
-        let members = view.spec().count as usize;
-        let is_gang = view.spec().is_gang;
-        let reason = if !view.is_committed {
-            WaitReason::Commit
-        } else if !view.proposed.is_empty() {
-            WaitReason::Proposal
-        } else if suited == 0 {
-            WaitReason::NoWorker
-        } else if is_gang && view.waiting.len() < members {
-            WaitReason::FormerRun
-        } else if allowed == 0 {
-            WaitReason::NoPermit
-        } else if fresh + expired == 0 {
-            WaitReason::Room
-        } else if is_gang {
-            WaitReason::Gang
-        } else if fresh == 0 {
-            WaitReason::ExpiredPermit
-        } else {
-            WaitReason::Withheld
-        };
-        WaitingStep {
-            step: view.key,
-            tasks: view.waiting.len() + view.proposed.len(),
-            waits_ms,
-            reason,
-            is_asking: view.permits.has_request(),
-            workers_with_room: fresh + expired,
-        }
+        room
+    }
+}
+
+/// The workers that could run a step, and the tasks that would fit there.
+#[derive(Clone, Copy, Debug, Default)]
+struct RoomCount {
+    /// Workers that could run a task if they were empty.
+    suited: usize,
+    /// Suited workers that the policy allows, also with an expired permit.
+    allowed: usize,
+    /// Allowed workers with room for a task and a fresh permit.
+    fresh: usize,
+    /// Allowed workers with room for a task and an expired permit.
+    expired: usize,
+    /// Tasks that fit on the allowed workers now.
+    tasks: u64,
+    /// Tasks that would fit on the allowed workers if these were empty.
+    tasks_if_empty: u64,
+}
+
+fn wait_reason(view: &StepView, room: &RoomCount) -> WaitReason {
+    let members = view.spec().count as usize;
+    let is_gang = view.spec().is_gang;
+    if !view.is_committed {
+        WaitReason::Commit
+    } else if !view.proposed.is_empty() {
+        WaitReason::Proposal
+    } else if room.suited == 0 {
+        WaitReason::NoWorker
+    } else if is_gang && view.waiting.len() < members {
+        WaitReason::FormerRun
+    } else if room.allowed == 0 {
+        WaitReason::NoPermit
+    } else if room.fresh + room.expired == 0 {
+        WaitReason::Room
+    } else if is_gang {
+        WaitReason::Gang
+    } else if room.fresh == 0 {
+        WaitReason::ExpiredPermit
+    } else {
+        WaitReason::Withheld
     }
 }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -408,6 +408,7 @@
         state: &QueueState,
         step: StepKey,
         placements: &[Placement],
+        now: Millis,
     ) {
         for placement in placements {
             let task = step.task(placement.index);
@@ -430,7 +431,7 @@
                 view.proposed.remove(&placement.index);
             }
         }
-        self.step_changed(state, step);
+        self.step_changed(state, step, now);
     }
 
     /// Repeats unanswered stops, moves runs off draining workers and stops stalled runs.
--- a/crates/queues/src/spec.rs
+++ b/crates/queues/src/spec.rs
@@ -66,6 +66,13 @@
     pub is_service: bool,
 }
 
+impl StepSpec {
+    /// The estimated processor time of one task.
+    pub fn task_core_ms(&self) -> u64 {
+        self.resources.millicores * self.estimate_ms / 1_000
+    }
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
@@ -129,6 +136,14 @@
         remaining_paths_ms
     }
 
+    /// The estimated processor time of all tasks.
+    pub fn core_ms(&self) -> u64 {
+        let steps = self.steps.iter();
+        steps
+            .map(|step| u64::from(step.count) * step.task_core_ms())
+            .sum()
+    }
+
     /// The estimated time of the longest chain of dependent steps.
     pub fn critical_path_ms(&self) -> u64 {
         let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::spec::SubmittedSpec;
+
 /// All queues and services of the cluster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +72,13 @@
 
 impl Eq for Queue {}
 
+impl Queue {
+    /// The time from the arrival of a job to its deadline.
+    pub fn deadline_ms(&self, spec: &SubmittedSpec) -> u64 {
+        (spec.critical_path_ms() as f64 * self.deadline_factor) as u64 + self.target_ms
+    }
+}
+
 /// A service: a group of workers that run the tasks of queues.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
