Leave running tasks of late steps to run when a gang preempts

Callers saw batch jobs that missed their deadline although a slot had been theirs in time. A gang that has waited preempts tasks with checkpoints of less urgent queues. A step counts as late once its whole remaining path no longer fits before the deadline, and for a running step the path still counts the part that is done: a task that started in time looks late shortly afterwards, is preempted, and its step then waits behind all steps in time.

Ruled out in the model: preempting only steps with 0.5 to 2 s of slack (no difference), and longer waits before a gang preempts (fewer gangs served, no more batch jobs).

Tasks of steps that count as late are no longer preempted.

--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -142,7 +142,7 @@
             .filter(|(task, run)| {
                 run.stage == RunStage::Running
                     && run.expected_end(now) > now + ENDS_SOON_MS
-                    && self.may_preempt(view, task)
+                    && self.may_preempt(view, task, now)
             })
             .map(|(task, run)| (*task, run.run, run.resources))
             .collect();
@@ -179,8 +179,10 @@
         (option.members > 0).then_some(option)
     }
 
-    /// Whether the step may preempt a task.
-    fn may_preempt(&self, view: &StepView, task: &TaskKey) -> bool {
+    /// Whether the step may preempt a task. Tasks of steps that count as late are left running: the
+    /// whole duration counts for that, so the job of a running task may still be in time, and a
+    /// preempted task of a late step waits behind all steps in time.
+    fn may_preempt(&self, view: &StepView, task: &TaskKey, now: Millis) -> bool {
         let Some(step) = self.steps.get(&task.step) else {
             return false;
         };
@@ -191,6 +193,7 @@
             .unwrap_or(0);
         step.spec().has_checkpoints
             && !step.spec().is_gang
+            && Rank::of(step, now).lateness == Lateness::InTime
             && step.queue.priority > view.queue.priority
             && preempted < PREEMPTIONS_MAX
     }
