Predict durations from earlier steps, not from estimates alone

One of two causes: the estimates of a queue may be wrong by several times in both directions. The deadline, the remaining path and with them the order of steps followed the estimate. A step thought to be longer than it is counts as late too early and is then placed after everything in time; one thought to be shorter goes before jobs that arrived earlier. Wide gangs wait longest, so they are hit most. Reservations, admission and the slowdown of workers used the same estimates.

The expected duration is used wherever the estimate was. A new leader learns anew.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -23,9 +23,10 @@
 /// Logs a job that is about to be committed, with its size.
 pub(crate) fn log_proposed(job: JobKey, queue: &Queue, spec: &SubmittedSpec) {
     let widest = spec.steps.iter().map(|step| step.count).max();
+    let critical_path_ms = spec.critical_path_ms(&spec.estimates_ms());
     log::info!(
         job:%, queue = &*queue.name, steps = spec.steps.len(), widest_step = widest.unwrap_or(0),
-        core_ms = spec.core_ms(), deadline_ms = queue.deadline_ms(spec); "job proposed"
+        core_ms = spec.core_ms(), deadline_ms = queue.deadline_ms(critical_path_ms); "job proposed"
     );
 }
 
--- a/crates/queues/src/scheduler/health.rs
+++ b/crates/queues/src/scheduler/health.rs
@@ -57,12 +57,12 @@
 }
 
 impl Health {
-    /// Records a run that was done after `took_ms`, where `expected_ms` was estimated.
-    pub fn succeeded(&mut self, took_ms: u64, expected_ms: u64) {
+    /// Records a run that was done after `took_ms`, and takes `usual_ms` on most workers.
+    pub fn succeeded(&mut self, took_ms: u64, usual_ms: u64) {
         self.failed.clear();
         self.paused_until = Millis::ZERO;
         self.pause_ms = PAUSE_MIN_MS;
-        let ratio = took_ms.max(1) as f64 / expected_ms.max(1) as f64;
+        let ratio = took_ms.max(1) as f64 / usual_ms.max(1) as f64;
         let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
         self.slowdown += (ratio - self.slowdown) * SLOWDOWN_WEIGHT;
     }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod drain;
+mod durations;
 mod gangs;
 mod health;
 mod lease;
@@ -37,6 +38,7 @@
 use crate::command::QueueCommand;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
+use crate::scheduler::durations::Durations;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
@@ -129,6 +131,7 @@
     /// Committed jobs that have not ended and of which no worker has reported a started task, with
     /// the names of their queues.
     pub(crate) unstarted_jobs: FxHashMap<JobKey, Arc<str>>,
+    pub(crate) durations: Durations,
     pub(crate) dispatcher: PermitDispatcher,
     /// Steps whose permit request was answered since the last tick.
     pub(crate) answered_steps: Vec<StepKey>,
@@ -155,6 +158,7 @@
             steps: FxHashMap::default(),
             job_steps: FxHashMap::default(),
             unstarted_jobs: FxHashMap::default(),
+            durations: Durations::default(),
             dispatcher: PermitDispatcher::new(config.term),
             answered_steps: Vec::new(),
             poll_candidates: Vec::new(),
@@ -341,14 +345,16 @@
         };
         let ahead =
             preceding().filter(|(view, _)| Rank::of(view, now).lateness == Lateness::InTime);
-        let deadline_ms = queue.deadline_ms(spec);
+        let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
+        let critical_path_ms = spec.critical_path_ms(&durations_ms);
+        let deadline_ms = queue.deadline_ms(critical_path_ms);
         Some(Admission {
             ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
             backlog_core_ms: preceding().map(|(_, core_ms)| core_ms).sum(),
             capacity_millicores,
             deadline_ms,
             useful_ms: USEFUL_FACTOR * deadline_ms,
-            critical_path_ms: spec.critical_path_ms(),
+            critical_path_ms,
         })
     }
 }
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -91,7 +91,7 @@
                 continue;
             }
             let slowdown = worker.health.slowdown();
-            let task_ms = (spec.estimate_ms as f64 * slowdown) as u64;
+            let task_ms = (view.usual_ms as f64 * slowdown) as u64;
             let available = reservations.available(index, worker, view.key, task_ms, now);
             let fits = self.fits(view, worker, available, now);
             if fits == 0 {
@@ -195,12 +195,14 @@
             } else {
                 tasks[*task as usize].run + 1
             };
-            let expected_ms = (spec.estimate_ms as f64 * worker.health.slowdown()) as u64;
+            let expected_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
                 stage: RunStage::Proposed,
                 since: now,
+                is_adopted: false,
+                usual_ms: view.usual_ms,
                 expected_ms,
                 checkpoint: None,
                 progress_percent: 0,
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -119,8 +119,7 @@
             is_allowed && worker.accepts_tasks(now) && view.can_run_on(worker)
         });
         let options = allowed.filter_map(|(index, worker)| {
-            let available =
-                reservations.available(index, worker, view.key, view.spec().estimate_ms, now);
+            let available = reservations.available(index, worker, view.key, view.usual_ms, now);
             self.preemption_option(view, index, worker, available, members, now)
         });
         options.collect()
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -60,9 +60,13 @@
     pub deadline: Millis,
     /// The time after which the job is of no more use to most callers.
     pub useful_until: Millis,
-    /// The estimated time from the start of the step to the end of the longest chain of steps that
+    /// How long a task is expected to run on most workers.
+    pub usual_ms: u64,
+    /// The expected time from the start of the step to the end of the longest chain of steps that
     /// depend on it.
     pub remaining_path_ms: u64,
+    /// Whether the duration of a run has been recorded.
+    pub is_duration_recorded: bool,
     /// Since when tasks of the step could have started; `None` while none waits.
     pub waiting_since: Option<Millis>,
     /// How long the tasks had waited when a start of the step was last proposed.
@@ -98,9 +102,10 @@
         self.queue.priority == 0
     }
 
-    /// The estimated processor time of the waiting tasks.
+    /// The expected processor time of the waiting tasks.
     pub fn waiting_core_ms(&self) -> u64 {
-        self.waiting.len() as u64 * self.spec().task_core_ms()
+        let task_core_ms = self.spec().resources.millicores * self.usual_ms / 1_000;
+        self.waiting.len() as u64 * task_core_ms
     }
 
     /// Whether the worker could run a task of the step if it were empty.
@@ -127,12 +132,8 @@
             return;
         }
         self.job_steps.insert(key, spec.steps.len() as u16);
-        for (step, remaining_path_ms) in spec.remaining_paths_ms().into_iter().enumerate() {
-            let step = StepKey {
-                job: key,
-                step: step as u16,
-            };
-            let mut view = new_view(step, spec, queue, remaining_path_ms, now);
+        let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
+        for mut view in new_views(key, spec, queue, &durations_ms, now) {
             if view.spec().after.is_empty() && view.queue.permits.is_some() {
                 view.permits.set_need(PermitNeed::More, now);
                 self.dispatcher.is_dispatch_due = true;
@@ -170,15 +171,9 @@
         // A job keeps the settings of a queue that was removed.
         let queue = state.table().and_then(|table| table.queue(&job.queue.name));
         let queue = queue.unwrap_or(&job.queue);
-        for (step, remaining_path_ms) in job.spec.remaining_paths_ms().into_iter().enumerate() {
-            let key = StepKey {
-                job: key,
-                step: step as u16,
-            };
-            let view = self
-                .steps
-                .entry(key)
-                .or_insert_with(|| new_view(key, &job.spec, queue, remaining_path_ms, arrived));
+        let durations_ms = self.durations.predict_steps_ms(&queue.name, &job.spec);
+        for new in new_views(key, &job.spec, queue, &durations_ms, arrived) {
+            let view = self.steps.entry(new.key).or_insert(new);
             view.is_committed = is_committed;
         }
         self.refresh_job(job, arrived);
@@ -285,16 +280,22 @@
     }
 }
 
-fn new_view(
-    key: StepKey,
+/// The views of all steps of a job whose tasks are expected to take `durations_ms`.
+fn new_views(
+    job: JobKey,
     spec: &Arc<SubmittedSpec>,
     queue: &Queue,
-    remaining_path_ms: u64,
+    durations_ms: &[u64],
     arrived: Millis,
-) -> StepView {
-    let deadline_ms = queue.deadline_ms(spec);
-    StepView {
-        key,
+) -> Vec<StepView> {
+    let deadline_ms = queue.deadline_ms(spec.critical_path_ms(durations_ms));
+    let paths_ms = spec.remaining_paths_ms(durations_ms);
+    let steps = durations_ms.iter().zip(paths_ms).enumerate();
+    let new_view = |(step, (usual_ms, remaining_path_ms)): (usize, (&u64, u64))| StepView {
+        key: StepKey {
+            job,
+            step: step as u16,
+        },
         job_spec: spec.clone(),
         queue_name: queue.name.clone(),
         queue: step_queue(queue),
@@ -302,7 +303,9 @@
         is_ready: false,
         deadline: arrived + deadline_ms,
         useful_until: arrived + USEFUL_FACTOR * deadline_ms,
+        usual_ms: *usual_ms,
         remaining_path_ms,
+        is_duration_recorded: false,
         waiting_since: None,
         last_wait_ms: 0,
         waiting: BTreeSet::new(),
@@ -314,5 +317,6 @@
         blocked_since: None,
         freed_capacity: FreedCapacity::default(),
         permits: StepPermits::default(),
-    }
+    };
+    steps.map(new_view).collect()
 }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -66,6 +66,8 @@
                 resources: held.resources,
                 stage: RunStage::Unknown,
                 since: now,
+                is_adopted: true,
+                usual_ms: step.map_or(0, |step| step.estimate_ms),
                 expected_ms: step.map_or(0, |step| step.estimate_ms),
                 checkpoint: None,
                 progress_percent: 0,
@@ -384,9 +386,11 @@
         }
         match kind {
             Some(EndKind::Done) => {
-                worker
-                    .health
-                    .succeeded(now.since(view.since), view.expected_ms);
+                let took_ms = now.since(view.since);
+                worker.health.succeeded(took_ms, view.usual_ms);
+                if view.is_measurable() {
+                    self.record_duration(task.step, took_ms);
+                }
             }
             Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
             _ => {}
@@ -402,6 +406,18 @@
         }
     }
 
+    /// Records how long the tasks of a step take, once for each step.
+    fn record_duration(&mut self, step: StepKey, took_ms: u64) {
+        let Some(view) = self.steps.get_mut(&step) else {
+            return;
+        };
+        if !std::mem::replace(&mut view.is_duration_recorded, true) {
+            let estimate_ms = view.spec().estimate_ms;
+            self.durations
+                .record(&view.queue_name, estimate_ms, took_ms);
+        }
+    }
+
     /// Drops runs whose proposed start had no effect when it was applied, or can never be applied.
     pub(crate) fn undo_unapplied_starts(
         &mut self,
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -58,7 +58,11 @@
     pub stage: RunStage,
     /// When the start was proposed, or when this leader took the run over.
     pub since: Millis,
-    /// The estimated duration on this worker.
+    /// Whether an earlier leader started it.
+    pub is_adopted: bool,
+    /// The expected duration on most workers.
+    pub usual_ms: u64,
+    /// The expected duration on this worker.
     pub expected_ms: u64,
     /// The last checkpoint that the worker reported.
     pub checkpoint: Option<Arc<str>>,
@@ -69,6 +73,12 @@
 }
 
 impl RunView {
+    /// Whether the time since `since` is the whole time that the task has taken: the run does not
+    /// resume from a checkpoint, and this leader started it.
+    pub fn is_measurable(&self) -> bool {
+        self.run == 1 && !self.is_adopted
+    }
+
     /// When the run is expected to end.
     pub fn expected_end(&self, now: Millis) -> Millis {
         let end = self.since + self.expected_ms;
--- a/crates/queues/src/spec.rs
+++ b/crates/queues/src/spec.rs
@@ -15,6 +15,9 @@
 /// The largest number of tasks of a job, over all steps.
 const TASKS_MAX: u64 = 20_000;
 
+/// A duration in milliseconds for each step of a job.
+pub type StepDurations = SmallVec<[u64; 4]>;
+
 /// The specification of a job, without its key and queue.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -121,12 +124,17 @@
         Ok(())
     }
 
-    /// For each step, the estimated time from its start to the end of the longest chain of steps
-    /// that depend on it.
-    pub fn remaining_paths_ms(&self) -> Vec<u64> {
-        let mut remaining_paths_ms = vec![0; self.steps.len()];
+    /// The estimated durations of the tasks of each step.
+    pub fn estimates_ms(&self) -> StepDurations {
+        self.steps.iter().map(|step| step.estimate_ms).collect()
+    }
+
+    /// For each step, the time from its start to the end of the longest chain of steps that depend
+    /// on it, if the tasks of the steps take `durations_ms`.
+    pub fn remaining_paths_ms(&self, durations_ms: &[u64]) -> StepDurations {
+        let mut remaining_paths_ms = StepDurations::from_elem(0, self.steps.len());
         for (index, step) in self.steps.iter().enumerate().rev() {
-            remaining_paths_ms[index] += step.estimate_ms;
+            remaining_paths_ms[index] += durations_ms[index];
             let remaining_path_ms = remaining_paths_ms[index];
             for &earlier in &step.after {
                 let longest_ms = &mut remaining_paths_ms[usize::from(earlier)];
@@ -144,14 +152,10 @@
             .sum()
     }
 
-    /// The estimated time of the longest chain of dependent steps.
-    pub fn critical_path_ms(&self) -> u64 {
-        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let starts_ms = step.after.iter().map(|&after| ends_ms[usize::from(after)]);
-            let start_ms = starts_ms.max().unwrap_or(0);
-            ends_ms.push(start_ms + step.estimate_ms);
-        }
-        ends_ms.into_iter().max().unwrap_or(0)
+    /// The time of the longest chain of dependent steps, if the tasks of the steps take
+    /// `durations_ms`.
+    pub fn critical_path_ms(&self, durations_ms: &[u64]) -> u64 {
+        let paths_ms = self.remaining_paths_ms(durations_ms);
+        paths_ms.into_iter().max().unwrap_or(0)
     }
 }
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -8,8 +8,6 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::spec::SubmittedSpec;
-
 /// All queues and services of the cluster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -73,9 +71,10 @@
 impl Eq for Queue {}
 
 impl Queue {
-    /// The time from the arrival of a job to its deadline.
-    pub fn deadline_ms(&self, spec: &SubmittedSpec) -> u64 {
-        (spec.critical_path_ms() as f64 * self.deadline_factor) as u64 + self.target_ms
+    /// The time from the arrival of a job to its deadline, for the duration of its longest chain of
+    /// dependent steps.
+    pub fn deadline_ms(&self, critical_path_ms: u64) -> u64 {
+        (critical_path_ms as f64 * self.deadline_factor) as u64 + self.target_ms
     }
 }
 
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -212,8 +212,8 @@
         let key = JobKey(key);
         let table = self.state.table().unwrap().clone();
         let queue = Arc::new(table.queue(queue).unwrap().clone());
-        let deadline_ms =
-            (spec.critical_path_ms() as f64 * queue.deadline_factor) as u64 + queue.target_ms;
+        let critical_path_ms = spec.critical_path_ms(&spec.estimates_ms());
+        let deadline_ms = queue.deadline_ms(critical_path_ms);
         let submitted = SubmittedJob {
             queue: queue.name.clone(),
             at: self.now,
