Keep the permits of waiting gangs valid, and hold workers only then

A gang needs valid permits on all its workers at the moment when they have room. On a nearly full cluster such a moment is short and a request takes about a second, with permits that are usable for little longer. A waiting gang requested further workers again and again, and renewed the known ones only when it had room on all of them: when the answer came the room was gone. The wider the gang, the rarer its chance. The endless requests also used up the policy clients. While a gang waited for a client, its workers were reserved and stayed idle.

Now a gang whose allowed workers could hold it three times renews their permits before they expire and starts in the round in which it has room. It requests further workers while it has less choice, while half of the cluster is free, and every 15 s. Its workers are held only from the moment the renewal is sent until its answer is due. One gang, not six, gets a reservation for later.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -1,8 +1,8 @@
 //! Placement of gangs.
 //!
 //! A gang needs resources on several nearly full workers at once and is placed as a whole or not at
-//! all. A gang that cannot be placed reserves workers while it waits for fresh permits, preempts
-//! tasks with checkpoints, or gets a reservation for later.
+//! all. A gang that cannot be placed holds workers while fresh permits for them are requested,
+//! preempts tasks with checkpoints, or gets a reservation for later.
 
 use std::sync::Arc;
 
@@ -13,21 +13,27 @@
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
 use crate::scheduler::step_permits::Permission;
-use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::state::QueueState;
 
+/// Workers whose resources are reserved for a gang for a short time: while a request for fresh
+/// permits on them is unanswered, or while tasks that were preempted for the gang stop.
+#[derive(Clone, Debug, Default)]
+pub struct Hold {
+    /// One worker for each member; a worker may appear several times.
+    pub workers: Vec<WorkerIndex>,
+    /// Until when the resources are reserved.
+    pub until: Millis,
+}
+
 impl Scheduler {
-    /// Reserves the resources that were freed for gangs by preemption.
-    pub(crate) fn reserve_freed_capacity(&self, now: Millis) -> Reservations {
+    /// Reserves the resources that gangs hold.
+    pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
         let mut reservations = Reservations::default();
-        let views = self
-            .steps
-            .values()
-            .filter(|view| now < view.freed_capacity.until);
+        let views = self.steps.values().filter(|view| now < view.hold.until);
         for view in views {
-            self.reserve_now(view, &view.freed_capacity.workers, &mut reservations, now);
+            self.reserve_now(view, &view.hold.workers, &mut reservations, now);
         }
         reservations
     }
@@ -57,40 +63,17 @@
             return false;
         }
         let allowed = [Permission::Granted, Permission::Expired];
-        if let Some(chosen) = self.choose_workers(view, &candidates, &allowed, members) {
-            self.reserve_now(view, &chosen, reservations, now);
-            self.renew_permits(view, chosen, now);
-            return true;
+        let chosen = self.choose_workers(view, &candidates, &allowed, members);
+        let has_room = chosen.is_some();
+        match chosen {
+            Some(chosen) => self.renew_permits(view, chosen, now),
+            None => self.request_gang_permits(view, now),
         }
-        if !view.permits.has_request() {
-            view.permits.set_need(PermitNeed::More, now);
-        }
-        if now < view.freed_capacity.until || self.preempt(view, reservations, now) {
-            self.reserve_now(view, &view.freed_capacity.workers, reservations, now);
+        if now < view.hold.until || (!has_room && self.preempt(view, reservations, now)) {
+            self.reserve_now(view, &view.hold.workers, reservations, now);
             return true;
         }
-        may_reserve && self.reserve(view, reservations, now)
-    }
-
-    /// Requests fresh permits on these workers if some have expired. Permits that would expire
-    /// before the answer comes are renewed too, since the gang needs all of them at the same time.
-    fn renew_permits(&self, view: &mut StepView, mut workers: Vec<WorkerIndex>, now: Millis) {
-        let Some(cost) = view.queue.permits else {
-            return;
-        };
-        workers.sort_unstable();
-        workers.dedup();
-        let is_expired = |view: &StepView, index: &WorkerIndex, at: Millis| {
-            self.permission(view, *index, at) == Permission::Expired
-        };
-        if !workers.iter().any(|index| is_expired(view, index, now)) {
-            return;
-        }
-        let answered = now + cost.total_ms(workers.len());
-        workers.retain(|index| is_expired(view, index, answered));
-        // The number of workers in a request is limited, so those with expired permits come first.
-        workers.sort_by_key(|index| !is_expired(view, index, now));
-        view.permits.set_need(PermitNeed::Renewal(workers), now);
+        !has_room && may_reserve && self.reserve(view, reservations, now)
     }
 
     /// One worker for each member of a gang; a worker may appear several times.
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -2,13 +2,16 @@
 //!
 //! The placement policy takes long for each worker that a request names. Requests therefore name
 //! few workers; a request for further workers names those with the most free processor capacity.
-//! Permits of a dependent step are requested before the step is ready.
+//! Permits of a dependent step are requested before the step is ready. A gang needs valid permits on
+//! all its workers at the moment when these have room, which does not last on nearly full workers,
+//! so its permits are renewed while it waits.
 
 use sapphirepost_types::Millis;
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
+use crate::scheduler::place::count_fitting;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::steps::StepView;
@@ -23,6 +26,17 @@
 /// Permits of a dependent step are requested when the steps before it are expected to end within
 /// this time.
 const PREFETCH_MS: u64 = 1_200;
+/// A gang requests permits on further workers until the allowed ones could hold it this many times
+/// if they were empty.
+const CHOICE_FACTOR: u64 = 3;
+/// The permits of a waiting gang are renewed on the freest allowed workers that could hold it this
+/// many times if they were empty.
+const RENEWAL_FACTOR: u64 = 4;
+/// A gang that still waits requests permits on further workers at this interval, since the allowed
+/// ones may stay busy while others have room.
+const FURTHER_INTERVAL_MS: u64 = 15_000;
+/// The permits of a waiting gang are renewed when this share of them would expire before the answer.
+const EXPIRED_PERCENT: usize = 50;
 
 impl Scheduler {
     /// Requests the permits of a dependent step shortly before it becomes ready.
@@ -79,7 +93,10 @@
         let expired_fits: u32 = with_permission(Permission::Expired).map(|c| c.fits).sum();
         if expired_fits as usize >= needed {
             let count = expired.len().min(needed * 2);
-            let renewal = PermitNeed::Renewal(expired[..count].to_vec());
+            let renewal = PermitNeed::Renewal {
+                workers: expired[..count].to_vec(),
+                members: Vec::new(),
+            };
             return view.permits.set_need(renewal, now);
         }
         if view.spec().resources.fits_in(&self.rounds.max_free) {
@@ -87,11 +104,112 @@
         }
     }
 
+    /// Requests permits for a gang that waits for room: on further workers if the allowed ones are
+    /// few; otherwise fresh permits on the allowed ones before these expire.
+    pub(crate) fn request_gang_permits(&self, view: &mut StepView, now: Millis) {
+        let Some(cost) = view.queue.permits.filter(|_| !view.permits.has_request()) else {
+            return;
+        };
+        let mut workers = self.allowed_workers(view, now);
+        if self.needs_further_workers(view, &workers, now) {
+            return view.permits.set_need(PermitNeed::More, now);
+        }
+        let renewed = self.count_for_members(view, &workers, RENEWAL_FACTOR);
+        workers.truncate(renewed.min(view.permits.request_size_max()));
+        let answered = now + cost.total_ms(workers.len());
+        let expired = workers
+            .iter()
+            .filter(|index| self.permission(view, **index, answered) == Permission::Expired);
+        let expired = expired.count();
+        if expired > 0 && expired * 100 >= workers.len() * EXPIRED_PERCENT {
+            let renewal = PermitNeed::Renewal {
+                workers,
+                members: Vec::new(),
+            };
+            view.permits.set_need(renewal, now);
+        }
+    }
+
+    /// The workers that the policy allows for a step and that accept tasks, those with the most free
+    /// processor capacity first.
+    fn allowed_workers(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
+        let allowed = view.permits.allowed();
+        let allowed = allowed.filter_map(|index| Some((index, self.workers.get(index)?)));
+        let usable = allowed.filter(|(index, worker)| {
+            self.permission(view, *index, now) != Permission::Denied
+                && worker.accepts_tasks(now)
+                && view.can_run_on(worker)
+        });
+        let mut usable: Vec<(u64, WorkerIndex)> = usable
+            .map(|(index, worker)| (u64::MAX - worker.free().millicores, index))
+            .collect();
+        usable.sort_unstable();
+        usable.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// How many of these workers, from the first one on, could hold a gang `factor` times if they
+    /// were empty; one more than all of them if they could not.
+    fn count_for_members(&self, view: &StepView, workers: &[WorkerIndex], factor: u64) -> usize {
+        let spec = view.spec();
+        let limit = spec.per_worker_max.unwrap_or(u32::MAX);
+        let needed = factor * u64::from(spec.count);
+        let known = workers.iter().filter_map(|index| self.workers.get(*index));
+        let mut members = 0;
+        for (position, worker) in known.enumerate() {
+            members += u64::from(count_fitting(spec.resources, worker.record.capacity).min(limit));
+            if members >= needed {
+                return position + 1;
+            }
+        }
+        workers.len() + 1
+    }
+
+    /// Whether a waiting gang should request permits on further workers: there is much room on the
+    /// workers, it has too little choice among the allowed ones, or it has waited for long since it
+    /// last did.
+    fn needs_further_workers(&self, view: &StepView, allowed: &[WorkerIndex], now: Millis) -> bool {
+        let has_choice = self.count_for_members(view, allowed, CHOICE_FACTOR) <= allowed.len();
+        let requested_at = view.permits.further_requested_at();
+        let is_due = now.since(requested_at) >= FURTHER_INTERVAL_MS
+            && view.spec().resources.fits_in(&self.rounds.max_free);
+        (!has_choice || is_due || self.rounds.is_half_free)
+            && !self.workers_for_request(view, now).is_empty()
+    }
+
+    /// Requests fresh permits on the workers of a gang that has room, if some have expired. Permits
+    /// that would expire before the answer comes are renewed too, since the gang needs all of them
+    /// at the same time.
+    pub(crate) fn renew_permits(
+        &self,
+        view: &mut StepView,
+        members: Vec<WorkerIndex>,
+        now: Millis,
+    ) {
+        let Some(cost) = view.queue.permits.filter(|_| !view.permits.has_request()) else {
+            return;
+        };
+        let mut workers = members.clone();
+        workers.sort_unstable();
+        workers.dedup();
+        let is_expired = |view: &StepView, index: &WorkerIndex, at: Millis| {
+            self.permission(view, *index, at) == Permission::Expired
+        };
+        if !workers.iter().any(|index| is_expired(view, index, now)) {
+            return;
+        }
+        let answered = now + cost.total_ms(workers.len());
+        workers.retain(|index| is_expired(view, index, answered));
+        // The number of workers in a request is limited, so those with expired permits come first.
+        workers.sort_by_key(|index| !is_expired(view, index, now));
+        let renewal = PermitNeed::Renewal { workers, members };
+        view.permits.set_need(renewal, now);
+    }
+
     /// The workers to name in a request for further workers, those with the most free processor
     /// capacity first. They accept tasks and have free resources for a task of the step, and no
     /// request for them has been answered yet or the permit has expired. For a gang, they need no
-    /// free resources, since it may get a reservation, and expired permits are left out, since
-    /// `renew_permits` requests those.
+    /// free resources, since it may get a reservation, and expired permits are left out, since they
+    /// are renewed by requests of their own.
     pub(crate) fn workers_for_request(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
         let is_useful = |(index, worker): &(WorkerIndex, &WorkerView)| {
             let has_room = view.spec().resources.fits_in(&worker.free());
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -15,6 +15,7 @@
 use crate::ids::StepKey;
 use crate::scheduler::Action;
 use crate::scheduler::Scheduler;
+use crate::scheduler::gangs::Hold;
 use crate::scheduler::policy_clients::CLIENTS_FOR_SHORT;
 use crate::scheduler::policy_clients::PolicyClients;
 use crate::scheduler::ranking::Rank;
@@ -31,6 +32,9 @@
 /// given up.
 const REQUEST_SLACK_MS: u64 = 1_500;
 
+/// How long after the expected answer to a request a gang still holds the workers of its members.
+const HOLD_SLACK_MS: u64 = 200;
+
 /// A request for permits of a step on some workers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +73,15 @@
     Unanswered,
 }
 
+/// The workers of the next request of a step.
+struct RequestedWorkers {
+    /// The workers to name.
+    workers: Vec<WorkerIndex>,
+    /// For a gang that has room, one worker for each member.
+    members: Vec<WorkerIndex>,
+    is_renewal: bool,
+}
+
 /// A request that is not answered yet.
 #[derive(Debug)]
 struct OutstandingRequest {
@@ -274,7 +287,7 @@
 
     fn is_long(&self, view: &StepView) -> bool {
         let workers = match view.permits.next_need() {
-            Some(PermitNeed::Renewal(workers)) => {
+            Some(PermitNeed::Renewal { workers, .. }) => {
                 workers.len().min(view.permits.request_size_max())
             }
             _ => self.request_size(view),
@@ -285,22 +298,33 @@
 
     /// Takes the next need of a step and returns the workers to name in the request; `None` if no
     /// request is needed or no worker is left.
-    fn take_need(&mut self, step: StepKey, now: Millis) -> Option<Vec<WorkerIndex>> {
+    fn take_need(&mut self, step: StepKey, now: Millis) -> Option<RequestedWorkers> {
         let need = self.steps.get_mut(&step)?.permits.take_need()?;
         let view = self.steps.get(&step)?;
-        let mut workers = match need {
-            PermitNeed::Renewal(workers) => workers,
-            PermitNeed::More => self.workers_for_request(view, now),
+        let is_renewal = matches!(need, PermitNeed::Renewal { .. });
+        let (mut workers, members) = match need {
+            PermitNeed::Renewal { workers, members } => (workers, members),
+            PermitNeed::More => (self.workers_for_request(view, now), Vec::new()),
         };
         workers.retain(|worker| view.permits.may_include(*worker, now));
         workers.truncate(view.permits.request_size_max());
-        (!workers.is_empty()).then_some(workers)
+        let requested = RequestedWorkers {
+            workers,
+            members,
+            is_renewal,
+        };
+        (!requested.workers.is_empty()).then_some(requested)
     }
 
     fn send_request(&mut self, step: StepKey, client: Arc<str>, is_long: bool, now: Millis) {
-        let Some(workers) = self.take_need(step, now) else {
+        let Some(requested) = self.take_need(step, now) else {
             return;
         };
+        let RequestedWorkers {
+            workers,
+            members,
+            is_renewal,
+        } = requested;
         let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
@@ -311,7 +335,14 @@
         let timeout_ms = expected_ms + REQUEST_SLACK_MS;
         self.dispatcher.last_id += 1;
         let id = self.dispatcher.last_id;
-        view.permits.begin_request(id);
+        view.permits.begin_request(id, is_renewal, now);
+        if !members.is_empty() {
+            let until = now + expected_ms + HOLD_SLACK_MS;
+            view.hold = Hold {
+                workers: members,
+                until,
+            };
+        }
         let known = workers.iter().filter_map(|index| self.workers.get(*index));
         let request = PermitRequest {
             id,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -12,7 +12,7 @@
 use crate::command::QueueCommand;
 use crate::job::Job;
 use crate::scheduler::Scheduler;
-use crate::scheduler::preempt::FreedCapacity;
+use crate::scheduler::gangs::Hold;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
@@ -181,7 +181,7 @@
             .waiting_since
             .take()
             .map_or(0, |since| now.since(since));
-        view.freed_capacity = FreedCapacity::default();
+        view.hold = Hold::default();
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::gangs::Hold;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
@@ -22,8 +23,8 @@
 
 /// How long a gang waits before it preempts tasks.
 const PREEMPT_AFTER_MS: u64 = 1_200;
-/// How long freed resources stay reserved for the gang.
-const RESERVE_MS: u64 = 1_500;
+/// How long freed resources are held for the gang.
+const HOLD_MS: u64 = 1_500;
 /// The pause after an attempt that preempted nothing, since it would not have freed enough.
 const RETRY_MS: u64 = 100;
 /// How often one task may be preempted under one leader.
@@ -31,17 +32,6 @@
 /// A task that is expected to end within this time is not preempted.
 const ENDS_SOON_MS: u64 = 500;
 
-/// Workers on which resources were freed for a gang.
-#[derive(Clone, Debug, Default)]
-pub struct FreedCapacity {
-    /// One worker for each member; a worker may appear several times.
-    pub workers: Vec<WorkerIndex>,
-    /// Until when the resources are reserved.
-    pub until: Millis,
-    /// No preemption is tried before this time.
-    pub retry_at: Millis,
-}
-
 /// How many gang members a worker could take, and the tasks to preempt there for them.
 struct PreemptionOption {
     index: WorkerIndex,
@@ -63,16 +53,11 @@
     ) -> bool {
         let blocked_since = *view.blocked_since.get_or_insert(now);
         let is_in_time = Rank::of(view, now).lateness == Lateness::InTime;
-        if now.since(blocked_since) < PREEMPT_AFTER_MS
-            || !is_in_time
-            || now < view.freed_capacity.until
+        if now.since(blocked_since) < PREEMPT_AFTER_MS || !is_in_time || now < view.preempt_retry_at
         {
             return false;
         }
-        if now < view.freed_capacity.retry_at {
-            return false;
-        }
-        view.freed_capacity.retry_at = now + RETRY_MS;
+        view.preempt_retry_at = now + RETRY_MS;
         let members = view.spec().count as usize;
         let mut options = self.preemption_options(view, reservations, members, now);
         options.sort_unstable_by_key(|option| {
@@ -97,11 +82,9 @@
             }
             self.stop_run(index, run, StopReason::Displaced, now);
         }
-        view.freed_capacity = FreedCapacity {
-            workers,
-            until: now + RESERVE_MS,
-            retry_at: now + RESERVE_MS,
-        };
+        let until = now + HOLD_MS;
+        view.hold = Hold { workers, until };
+        view.preempt_retry_at = until;
         true
     }
 
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -15,9 +15,10 @@
 use crate::scheduler::reservations::Reservations;
 use crate::state::QueueState;
 
-/// A gang gets a reservation for later only while fewer gangs than this hold reservations. Gangs
-/// that wait for fresh permits or for preempted tasks reserve resources even beyond this number.
-const RESERVATIONS_MAX: usize = 6;
+/// A gang gets a reservation for later only while fewer gangs than this hold reservations, since
+/// reserved resources often stay idle. Gangs that wait for requested permits or for preempted tasks
+/// hold resources even beyond this number.
+const RESERVATIONS_MAX: usize = 1;
 /// The shortest pause between two rounds, so that ends that arrive together share a round.
 const PAUSE_MIN_MS: u64 = 4;
 /// The longest pause between two rounds while changes occur.
@@ -48,6 +49,8 @@
     /// The largest free amount of each resource on any worker that accepted tasks when the last
     /// round began.
     pub(crate) max_free: Resources,
+    /// Whether half of the processor capacity and of the memory of these workers was free.
+    pub(crate) is_half_free: bool,
 }
 
 impl Rounds {
@@ -112,10 +115,10 @@
             .collect();
         ranks.sort_unstable();
         self.rounds.pause(ranks.len());
-        self.rounds.max_free = self.max_free_capacity(now);
+        self.record_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
         let mut reservations = if has_gangs {
-            self.reserve_freed_capacity(now)
+            self.reserve_held(now)
         } else {
             std::mem::take(&mut self.rounds.reservations)
         };
@@ -165,19 +168,22 @@
         }
     }
 
-    /// The largest free amount of each resource on any worker that accepts tasks.
-    fn max_free_capacity(&self, now: Millis) -> Resources {
-        let open = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.accepts_tasks(now));
-        open.fold(Resources::ZERO, |most, (_, worker)| {
+    /// Records how much is free on the workers that accept tasks.
+    fn record_free_capacity(&mut self, now: Millis) {
+        let mut max_free = Resources::ZERO;
+        let mut free_sum = Resources::ZERO;
+        let mut capacity_sum = Resources::ZERO;
+        let open = self.workers.iter();
+        for (_, worker) in open.filter(|(_, worker)| worker.accepts_tasks(now)) {
             let free = worker.free();
-            Resources {
-                millicores: most.millicores.max(free.millicores),
-                memory_mib: most.memory_mib.max(free.memory_mib),
-                accelerators: most.accelerators.max(free.accelerators),
-            }
-        })
+            max_free.millicores = max_free.millicores.max(free.millicores);
+            max_free.memory_mib = max_free.memory_mib.max(free.memory_mib);
+            max_free.accelerators = max_free.accelerators.max(free.accelerators);
+            free_sum = free_sum.saturating_add(&free);
+            capacity_sum = capacity_sum.saturating_add(&worker.record.capacity);
+        }
+        self.rounds.max_free = max_free;
+        self.rounds.is_half_free = free_sum.millicores * 2 >= capacity_sum.millicores
+            && free_sum.memory_mib * 2 >= capacity_sum.memory_mib;
     }
 }
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -41,6 +41,8 @@
     in_flight: Option<u64>,
     /// What to request next, if anything.
     need: Option<PermitNeed>,
+    /// When permits on further workers were last requested.
+    further_requested_at: Millis,
     /// No request is made before this time.
     paused_until: Millis,
 }
@@ -50,7 +52,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PermitNeed {
     /// Fresh permits on workers that the policy has allowed before.
-    Renewal(Vec<WorkerIndex>),
+    Renewal {
+        /// The workers to name.
+        workers: Vec<WorkerIndex>,
+        /// For a gang that has room, one worker for each member.
+        members: Vec<WorkerIndex>,
+    },
     /// Permits on further workers.
     More,
 }
@@ -85,6 +92,7 @@
             failures: 0,
             in_flight: None,
             need: None,
+            further_requested_at: Millis::ZERO,
             paused_until: Millis::ZERO,
         }
     }
@@ -185,9 +193,17 @@
         self.need.take()
     }
 
-    /// Records the ID of a request that was sent.
-    pub fn begin_request(&mut self, request: u64) {
+    /// Records the ID of a request that was sent, on further workers or to renew permits.
+    pub fn begin_request(&mut self, request: u64, is_renewal: bool, now: Millis) {
         self.in_flight = Some(request);
+        if !is_renewal {
+            self.further_requested_at = now;
+        }
+    }
+
+    /// When permits on further workers were last requested; `Millis::ZERO` if never.
+    pub fn further_requested_at(&self) -> Millis {
+        self.further_requested_at
     }
 
     /// Records that the request was answered or given up.
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -14,7 +14,7 @@
 use crate::job::Job;
 use crate::job::TaskPhase;
 use crate::scheduler::Scheduler;
-use crate::scheduler::preempt::FreedCapacity;
+use crate::scheduler::gangs::Hold;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
@@ -85,8 +85,10 @@
     pub preemption_counts: FxHashMap<u32, u32>,
     /// The time since which this gang could not be placed.
     pub blocked_since: Option<Millis>,
-    /// Resources that were freed for this gang by preemption.
-    pub freed_capacity: FreedCapacity,
+    /// The workers that this gang holds at present.
+    pub hold: Hold,
+    /// No preemption for this gang is tried before this time.
+    pub preempt_retry_at: Millis,
     /// The permits known from the placement policy, and what to request next.
     pub permits: StepPermits,
 }
@@ -315,7 +317,8 @@
         rejections: Rejections::default(),
         preemption_counts: FxHashMap::default(),
         blocked_since: None,
-        freed_capacity: FreedCapacity::default(),
+        hold: Hold::default(),
+        preempt_retry_at: Millis::ZERO,
         permits: StepPermits::default(),
     };
     steps.map(new_view).collect()
