Keep the vote of a silent control process unless the group gains by its loss

A voter out of contact for 2.5 s was removed, and at once a live one too, to keep the number odd: of five voters three were left. When two disks were lost at 45.8 s these were two of the three voters.

A silent voter is now removed only if the live ones then tolerate more failures: two of five, or when a standby has taken its place. A live voter is removed only after the group has been even for 10 s.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -79,6 +79,8 @@
     pub(crate) leader_settings: LeaderSettings,
     pub(crate) leadership: Leadership,
     pub(crate) queues: Queues,
+    /// Since when the group has an even number of voters, as seen by this member as the leader.
+    pub(crate) even_since: Option<Millis>,
     /// When a graceful stop ends without a leadership transfer; `None` unless stopping.
     pub(crate) stop_deadline: Option<Millis>,
 }
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -73,7 +73,10 @@
             }
         };
         let members: Vec<MemberView> = members.map(view).collect();
-        let Some(change) = group_size::next_change(&members) else {
+        let is_even = group_size::is_even(&members);
+        self.even_since = is_even.then(|| self.even_since.unwrap_or(now));
+        let even_ms = self.even_since.map_or(0, |since| now.since(since));
+        let Some(change) = group_size::next_change(&members, even_ms) else {
             return;
         };
         // A change that is refused now, for instance because a member has not caught up, is
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -295,6 +295,7 @@
         },
         leadership: Leadership::default(),
         queues,
+        even_since: None,
         stop_deadline: None,
     })
 }
