Divide the descriptors of a control process among its uses

A leader held up to six connections a worker, 6,600 of the 4,324 descriptors that it may have. At the limit the log could not create a segment and the process ended; no entry or worker was accepted; and a start that could not be sent counted against its worker, which was then treated as silent. The listener for entries and peers took 128 connections whatever the size: 147 entries and 4 peers need more, and entries could keep peers out.

The limit is read at start, from the system and from the settings, and divided: 512 for what does not grow, the rest for entries and peers, operators and reports, and calls to workers. A request that was not sent for a lack of local resources no longer counts against the worker; the poll is repeated, the start is placed anew.

Ruled out: processor time (0.41 of 0.6 cores) and memory (225 of 640 MB) at the limit; a constant for each deployment.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::descriptors;
 use sapphirepost_process::logging::LogLevels;
 use sapphirepost_process::settings::Number;
 use sapphirepost_process::settings::Reader;
@@ -113,6 +114,8 @@
     pub snapshot_entries: u64,
     /// Size of a log segment in bytes.
     pub segment_bytes: u64,
+    /// How many descriptors the process may have open.
+    pub descriptor_limit: u64,
     /// The log level of each module.
     pub log_levels: LogLevels,
 }
@@ -166,6 +169,7 @@
                 lease_ms,
                 snapshot_entries,
                 segment_bytes,
+                descriptor_limit: descriptors::limit(),
                 log_levels,
             })
         })
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -18,6 +18,7 @@
 use sapphirepost_process::admin::AdminSources;
 use sapphirepost_process::admin::DumpError;
 use sapphirepost_process::admin::DumpSource;
+use sapphirepost_process::descriptors::DescriptorShares;
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_process::rpc;
 use sapphirepost_process::rpc::Responder;
@@ -83,6 +84,8 @@
     pub runtime: Handle,
     /// The identity of this member.
     pub member: MemberId,
+    /// How many descriptors the program may use for each purpose.
+    pub descriptors: DescriptorShares,
     /// Calls this control process without a connection.
     pub local: LocalControl,
     /// The metrics of the process, to which the program may add its own.
@@ -113,6 +116,7 @@
     settings: Settings,
     embed: impl FnOnce(&Embedding) -> anyhow::Result<Option<QueueParts>>,
 ) -> anyhow::Result<()> {
+    let descriptors = DescriptorShares::of(settings.descriptor_limit)?;
     let mut store = retry_while_out_of_space(|| open_store(&settings))?;
     let member = store.member();
     let mut restored = store.restore()?;
@@ -131,7 +135,9 @@
     let storage =
         StorageThread::start(Box::new(store), event_sender.clone(), core_metrics.clone())?;
 
-    let server_config = RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
+    let mut server_config =
+        RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
+    server_config.connections_max = descriptors.inner as u32;
     let server = RpcServer::start(
         runtime.handle(),
         server_config,
@@ -148,6 +154,7 @@
     let embedding = Embedding {
         runtime: runtime.handle().clone(),
         member,
+        descriptors,
         local: LocalControl {
             event_sender: event_sender.clone(),
         },
@@ -159,7 +166,10 @@
     let signals = event_sender.clone();
     shutdown::on_shutdown(move |kind| handle_shutdown(kind, &signals))
         .context("cannot handle signals")?;
-    log::info!(member:%, inner:% = server.address(), admin:% = admin.address(); "started");
+    log::info!(
+        member:%, inner:% = server.address(), admin:% = admin.address(),
+        descriptor_limit = settings.descriptor_limit, descriptors:?; "started"
+    );
 
     let peers = Peers::new(
         runtime.handle().clone(),
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod descriptors;
 pub mod http;
 pub mod line_limits;
 pub mod logging;
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -138,6 +138,9 @@
     NoAnswer,
     /// The request was not sent.
     NotSent,
+    /// The request was not sent, since this process has no resources for it; this says nothing
+    /// about the worker.
+    OutOfResources,
     /// The worker says that it is unhealthy and has done nothing.
     Unhealthy,
     /// Another incarnation of the worker answers at the address.
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -30,7 +30,8 @@
 const WAIT_BUSY_PER_WORKER_MS: u64 = 2;
 /// How long a worker without runs holds a poll open.
 const WAIT_IDLE_MS: u64 = 1_500;
-/// The pause before the next poll of a worker that missed a poll when it was already unreachable.
+/// The pause before the next poll of a worker that missed a poll when it was already unreachable, or
+/// whose poll could not be sent.
 const RETRY_MS: u64 = 150;
 /// A worker is removed if it has been silent for this long, holds no runs and sends no reports.
 const FORGET_MS: u64 = 15_000;
@@ -184,6 +185,14 @@
         self.poll_candidates.push(index);
     }
 
+    /// Handles a poll that could not be sent for a lack of local resources.
+    pub(crate) fn handle_unsent_poll(&mut self, index: WorkerIndex, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(index) {
+            worker.poll.is_in_progress = false;
+            worker.poll.due = now + RETRY_MS;
+        }
+    }
+
     /// Handles the reply to a poll.
     pub(crate) fn handle_poll_reply(
         &mut self,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -163,6 +163,9 @@
             (WorkerRequestKind::Poll { .. }, Ok(WorkerReply::Polled(reply))) => {
                 self.handle_poll_reply(index, request.sent, reply, now);
             }
+            (WorkerRequestKind::Poll { .. }, Err(WorkerRequestError::OutOfResources)) => {
+                self.handle_unsent_poll(index, now);
+            }
             (WorkerRequestKind::Poll { .. }, _) => {
                 self.handle_missed_poll(index, request.sent, now)
             }
@@ -228,12 +231,10 @@
             }
             Err(WorkerRequestError::NotSent) => {
                 self.record_missed(index, sent);
-                // An earlier request for this start may have been sent and be carried out later.
-                if attempts > 1 {
-                    self.stop_run(index, (task, run), StopReason::Unanswered, now);
-                } else {
-                    self.release(index, task, run);
-                }
+                self.not_started(index, (task, run), attempts, now);
+            }
+            Err(WorkerRequestError::OutOfResources) => {
+                self.not_started(index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::Rejected(reason)) => {
                 self.counts.rejected_starts += 1;
@@ -269,7 +270,7 @@
         self.not_started(index, (task, run), attempts, now);
     }
 
-    /// Handles a reply which says that this request started nothing.
+    /// Handles a request that started nothing: it was rejected or not sent.
     fn not_started(
         &mut self,
         index: WorkerIndex,
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -436,3 +436,26 @@
     model.run_until_done(30_000);
     assert_completed(&model);
 }
+
+/// Guards against workers that count as silent, and lose their work, while the leader itself has no
+/// descriptor left for requests to them.
+#[test]
+fn a_leader_without_resources_blames_no_worker() {
+    let mut model = Model::new(queues(), workers(4), 0);
+    model.run(100);
+    submit(&mut model, Kind::Tally, 6);
+    model.run(1_500);
+    model.is_out_of_resources = true;
+    submit(&mut model, Kind::Lookup, 1);
+    model.run(LEASE_MS / 2);
+    for name in model.workers.keys() {
+        assert!(model.scheduler.is_reachable(name), "{name} is silent");
+    }
+    model.is_out_of_resources = false;
+    model.run_until_done(60_000);
+    assert_completed(&model);
+    let tally = (0..6).map(|number| load::spec(Kind::Tally, number));
+    let specs = tally.chain([load::spec(Kind::Lookup, 0)]);
+    let tasks: u64 = specs.map(|spec| u64::from(spec.steps[0].count)).sum();
+    assert_eq!(model.starts, tasks, "tasks were started again");
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -106,6 +106,8 @@
     pub unknown_worker: Option<Arc<str>>,
     /// What the policy answers instead of the normal answer, if faulty.
     pub policy_fault: Option<PolicyFault>,
+    /// Whether the leader lacks resources to send requests to workers.
+    pub is_out_of_resources: bool,
     /// The IDs of all permit requests, in order.
     pub permit_requests: Vec<u64>,
     /// The number of permit requests that got the answer `Refused` or the answer of a faulty
@@ -188,6 +190,7 @@
             workers_per_request_max: WORKERS_PER_REQUEST_MAX,
             unknown_worker: None,
             policy_fault: None,
+            is_out_of_resources: false,
             permit_requests: Vec::new(),
             refused_permit_requests: 0,
             starts: 0,
@@ -382,6 +385,10 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Propose(command) => self.propose(command),
+            Action::Send(request) if self.is_out_of_resources => {
+                let unsent = Err(WorkerRequestError::OutOfResources);
+                self.schedule(NET_MS, Event::RequestAnswered(request, unsent));
+            }
             Action::Send(request) => self.schedule(NET_MS, Event::RequestArrives(request)),
             Action::RequestPermits { client, request } => {
                 self.dispatch_permit_request(client, &request)
