Count the validity of a permit from when the policy can have issued it

It counted the validity from its own reading of the answer, so that a permit that had run out meanwhile was used.

The validity now counts from the dispatch of the request and the time that the policy takes for it, or from the answer if that came sooner. A policy that is itself slow costs a part of the validity.

Ruled out: permits that run out between placement and start in the usual case; the margin of 350 ms is for these. Not changed: a member that runs alone is stopped only when the release of the others is committed, which took this leader 5 s.

The new test fails before: two tasks start with permits that have run out.

--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -206,6 +206,8 @@
             }
         };
         view.permits.answered();
+        // An answer that took longer may have been delayed after the policy issued the permits.
+        let issued = now.min(outstanding.dispatched_at + outstanding.expected_ms);
         for index in outstanding.workers {
             let Some(worker) = self.workers.get(index) else {
                 continue;
@@ -213,7 +215,7 @@
             let found = allowed.iter().find(|(id, _)| *id == worker.record.id);
             match found {
                 Some((_, token)) => {
-                    view.permits.allow(index, token.clone(), now);
+                    view.permits.allow(index, token.clone(), issued);
                 }
                 None => {
                     view.permits.deny(index);
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -65,7 +65,7 @@
 #[derive(Debug)]
 struct Permit {
     token: Arc<str>,
-    obtained: Millis,
+    issued: Millis,
     is_invalidated: bool,
 }
 
@@ -103,7 +103,7 @@
     pub fn permission(&self, worker: WorkerIndex, valid_ms: u64, now: Millis) -> Permission {
         if let Some(permit) = self.allowed.get(&worker) {
             let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
-            let is_fresh = !permit.is_invalidated && now.since(permit.obtained) < usable_ms;
+            let is_fresh = !permit.is_invalidated && now.since(permit.issued) < usable_ms;
             if is_fresh {
                 return Permission::Granted;
             }
@@ -211,11 +211,11 @@
         self.in_flight = None;
     }
 
-    /// Stores a permit for a worker.
-    pub fn allow(&mut self, worker: WorkerIndex, token: Arc<str>, now: Millis) {
+    /// Stores a permit for a worker that was issued at `issued`, or later.
+    pub fn allow(&mut self, worker: WorkerIndex, token: Arc<str>, issued: Millis) {
         let permit = Permit {
             token,
-            obtained: now,
+            issued,
             is_invalidated: false,
         };
         self.allowed.insert(worker, permit);
--- a/crates/queues/tests/refusals.rs
+++ b/crates/queues/tests/refusals.rs
@@ -250,3 +250,24 @@
     }
     model.run_until_done(60_000);
 }
+
+/// The policy issues permits in time, and its first answers arrive when these have expired.
+fn delayed_at_first(request: &PermitRequest, now: Millis) -> Option<(PermitOutcome, u64)> {
+    let allowed = request.workers.iter();
+    let allowed = allowed.map(|worker| (worker.clone(), Arc::from("ticket")));
+    (now < Millis(500)).then(|| (PermitOutcome::Allowed(allowed.collect()), 2_400))
+}
+
+/// Guards against starts with permits that expired on their way to the leader.
+#[test]
+fn a_permit_whose_answer_was_delayed_is_renewed_before_the_start() {
+    let quick = with_permits(queue("gang", 2, 4.0, 3_000), 100.0, 1.0);
+    let mut model = Model::new(vec![quick], workers(4), 4);
+    model.run(50);
+    model.policy_fault = Some(delayed_at_first);
+    submit(&mut model, Kind::Gang, "gang", 2);
+    model.run(2_400 + 40);
+    assert_eq!(model.starts, 0, "started with an expired permit");
+    model.run_until_done(60_000);
+    assert!(model.permit_requests.len() >= 2);
+}
