--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -114,8 +114,10 @@
         if self.needs_further_workers(view, &workers, now) {
             return view.permits.set_need(PermitNeed::More, now);
         }
-        let renewed = self.count_for_members(view, &workers, RENEWAL_FACTOR);
-        workers.truncate(renewed.min(view.permits.request_size_max()));
+        if let Some(renewed) = self.count_for_members(view, &workers, RENEWAL_FACTOR) {
+            workers.truncate(renewed);
+        }
+        workers.truncate(view.permits.request_size_max());
         let answered = now + cost.total_ms(workers.len());
         let expired = workers
             .iter()
@@ -148,8 +150,13 @@
     }
 
     /// How many of these workers, from the first one on, could hold a gang `factor` times if they
-    /// were empty; one more than all of them if they could not.
-    fn count_for_members(&self, view: &StepView, workers: &[WorkerIndex], factor: u64) -> usize {
+    /// were empty; `None` if all of them could not.
+    fn count_for_members(
+        &self,
+        view: &StepView,
+        workers: &[WorkerIndex],
+        factor: u64,
+    ) -> Option<usize> {
         let spec = view.spec();
         let limit = spec.per_worker_max.unwrap_or(u32::MAX);
         let needed = factor * u64::from(spec.count);
@@ -158,17 +165,19 @@
         for (position, worker) in known.enumerate() {
             members += u64::from(count_fitting(spec.resources, worker.record.capacity).min(limit));
             if members >= needed {
-                return position + 1;
+                return Some(position + 1);
             }
         }
-        workers.len() + 1
+        None
     }
 
     /// Whether a waiting gang should request permits on further workers: there is much room on the
     /// workers, it has too little choice among the allowed ones, or it has waited for long since it
     /// last did.
     fn needs_further_workers(&self, view: &StepView, allowed: &[WorkerIndex], now: Millis) -> bool {
-        let has_choice = self.count_for_members(view, allowed, CHOICE_FACTOR) <= allowed.len();
+        let has_choice = self
+            .count_for_members(view, allowed, CHOICE_FACTOR)
+            .is_some();
         let requested_at = view.permits.further_requested_at();
         let is_due = now.since(requested_at) >= FURTHER_INTERVAL_MS
             && view.spec().resources.fits_in(&self.rounds.max_free);
