Report the runs of ended jobs that go on, and the stops by reason

New lines at the start of a term and once a second, a counter of stops by reason and a gauge of runs of ended jobs. No decision is changed.

Ruled out: a line for each stop that is sent, since the results are logged already and runs are the most frequent lines; a line for each adopted run, since a large site has thousands.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -14,12 +14,41 @@
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::scheduler::AdoptedRuns;
+use sapphirepost_queues::scheduler::EndedJobRun;
 use sapphirepost_queues::scheduler::WaitingStep;
 use sapphirepost_queues::state::QueueChange;
 
 /// The log target of lines about single runs.
 const RUNS_TARGET: &str = "sapphirepost_control::runs";
 
+/// The largest number of workers with adopted runs of ended jobs that get a line each.
+const ADOPTED_WORKERS_MAX: usize = 16;
+
+/// Logs the runs that a new leader has taken over, and the workers on which most of them belong to
+/// ended jobs.
+pub(crate) fn log_adopted(adopted: &[AdoptedRuns]) {
+    let runs: usize = adopted.iter().map(|worker| worker.runs).sum();
+    let of_ended_jobs: usize = adopted.iter().map(|worker| worker.of_ended_jobs).sum();
+    log::info!(workers = adopted.len(), runs, of_ended_jobs; "runs taken over");
+    let with_ended = adopted.iter().filter(|worker| worker.of_ended_jobs > 0);
+    for on_worker in with_ended.take(ADOPTED_WORKERS_MAX) {
+        log::info!(
+            worker = &*on_worker.worker, runs = on_worker.runs,
+            of_ended_jobs = on_worker.of_ended_jobs; "runs of ended jobs taken over"
+        );
+    }
+}
+
+/// Logs a run that goes on although its job has ended.
+pub(crate) fn log_ended_job_run(run: &EndedJobRun) {
+    log::info!(
+        task:% = run.task, run = run.run, worker = &*run.worker, held_ms = run.held_ms,
+        stage:? = run.stage, is_adopted = run.is_adopted, is_reachable = run.is_reachable;
+        "run of an ended job not over"
+    );
+}
+
 /// Logs a job that is about to be committed, with its size.
 pub(crate) fn log_proposed(job: JobKey, queue: &Queue, spec: &SubmittedSpec) {
     let widest = spec.steps.iter().map(|step| step.count).max();
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -9,6 +9,7 @@
 
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_queues::scheduler::Counts;
+use sapphirepost_queues::scheduler::StopReason;
 
 pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -29,7 +30,10 @@
     /// placed together.
     step_wait_seconds: Family<StepWidth, Histogram>,
     pub(crate) policy_clients_waiting: Gauge,
+    /// Runs of ended jobs that take resources on workers; 0 on members that do not lead.
+    pub(crate) ended_job_runs: Gauge,
     starts: Counter,
+    stops: Family<StopLabel, Counter>,
     unanswered_requests: Counter,
     rejected_starts: Counter,
     permit_requests: Counter,
@@ -42,6 +46,12 @@
     width: &'static str,
 }
 
+/// Why a run is stopped, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StopLabel {
+    reason: String,
+}
+
 impl StepWidth {
     fn of(tasks: usize) -> StepWidth {
         let width = match tasks {
@@ -91,7 +101,17 @@
                 "Processes that wait for a question to the placement policy",
                 Gauge::default(),
             ),
+            ended_job_runs: metrics.register(
+                "queue_ended_job_runs",
+                "Runs of ended jobs that take resources on workers",
+                Gauge::default(),
+            ),
             starts: counter("queue_starts", "Runs ordered"),
+            stops: metrics.register(
+                "queue_stops",
+                "Stops sent to workers, repeated ones included",
+                Family::default(),
+            ),
             unanswered_requests: counter("queue_orders_unanswered", "Orders without an answer"),
             rejected_starts: counter("queue_starts_rejected", "Starts that workers rejected"),
             permit_requests: counter("queue_questions", "Questions to the placement policy"),
@@ -110,6 +130,14 @@
 
     pub(crate) fn add_counts(&self, counts: Counts) {
         self.starts.inc_by(counts.starts);
+        for (reason, stops) in StopReason::ALL.iter().zip(counts.stops) {
+            if stops > 0 {
+                let reason = format!("{reason:?}");
+                self.stops
+                    .get_or_create(&StopLabel { reason })
+                    .inc_by(stops);
+            }
+        }
         self.unanswered_requests.inc_by(counts.unanswered_requests);
         self.rejected_starts.inc_by(counts.rejected_starts);
         self.permit_requests.inc_by(counts.permit_requests);
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -39,8 +39,8 @@
 /// How long the poll of a policy client waits for a permit request before it is answered without
 /// one.
 const PERMIT_REQUEST_WAIT_MS: u64 = 500;
-/// Time between two log reports of steps that make no progress.
-const WAITING_STEPS_INTERVAL_MS: u64 = 1_000;
+/// Time between two log reports of steps that make no progress and of runs of ended jobs.
+const REPORT_INTERVAL_MS: u64 = 1_000;
 /// The most commands in one log entry.
 const BATCH_MAX_COMMANDS: usize = 512;
 
@@ -98,8 +98,8 @@
     /// The active jobs that were accepted in this term: when, and whether a task of the job was
     /// placed.
     accepted: FxHashMap<JobKey, (Millis, bool)>,
-    /// When the steps without progress were last logged.
-    waiting_steps_logged_at: Millis,
+    /// When the steps without progress and the runs of ended jobs were last logged.
+    reported_at: Millis,
 }
 
 impl Queues {
@@ -117,7 +117,7 @@
             policy_clients: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
-            waiting_steps_logged_at: Millis::ZERO,
+            reported_at: Millis::ZERO,
         }
     }
 
@@ -128,6 +128,7 @@
         self.pending_answers.clear();
         self.policy_clients.clear();
         self.accepted.clear();
+        self.metrics.ended_job_runs.set(0);
     }
 
     /// Counts accepted and ended jobs, and records the waits of steps and the times of jobs to the
@@ -189,6 +190,7 @@
             hand_over_ms: 2 * self.leader_settings.election_timeout_ms,
         };
         let scheduler = Scheduler::new(config, self.state.queues(), now, unix_ms);
+        queue_log::log_adopted(&scheduler.adopted_runs());
         self.queues.scheduler = Some(scheduler);
     }
 
@@ -264,12 +266,13 @@
             return;
         };
         scheduler.tick(self.state.queues(), now);
-        if now.since(self.queues.waiting_steps_logged_at) >= WAITING_STEPS_INTERVAL_MS {
-            self.queues.waiting_steps_logged_at = now;
-            scheduler
-                .find_waiting_steps(now)
-                .iter()
-                .for_each(queue_log::log_waiting);
+        if now.since(self.queues.reported_at) >= REPORT_INTERVAL_MS {
+            self.queues.reported_at = now;
+            let waiting = scheduler.find_waiting_steps(now);
+            waiting.iter().for_each(queue_log::log_waiting);
+            let ended = scheduler.find_ended_job_runs(now);
+            ended.longest.iter().for_each(queue_log::log_ended_job_run);
+            self.queues.metrics.ended_job_runs.set(ended.count as i64);
         }
         let actions = scheduler.take_actions();
         self.queues.metrics.add_counts(scheduler.take_counts());
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -78,6 +78,18 @@
     Stray,
 }
 
+impl StopReason {
+    /// All reasons, in the order of their declaration.
+    pub const ALL: [StopReason; 6] = [
+        StopReason::JobEnded,
+        StopReason::Unanswered,
+        StopReason::WorkerLeaves,
+        StopReason::StandsStill,
+        StopReason::Displaced,
+        StopReason::Stray,
+    ];
+}
+
 /// A running task that a worker reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningTask {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod drain;
 mod durations;
+mod ended_runs;
 mod gangs;
 mod health;
 mod lease;
@@ -39,6 +40,7 @@
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::scheduler::durations::Durations;
+use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
@@ -55,6 +57,9 @@
 use crate::worker::WorkerRecord;
 
 pub use crate::scheduler::admission::Admission;
+pub use crate::scheduler::ended_runs::AdoptedRuns;
+pub use crate::scheduler::ended_runs::EndedJobRun;
+pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
@@ -71,6 +76,7 @@
 pub use crate::scheduler::ranking::Lateness;
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
+pub use crate::scheduler::workers::RunStage;
 
 /// Parameters of a [`Scheduler`]. Apart from the term, they are the same on every member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,6 +115,8 @@
 pub struct Counts {
     /// Runs whose start was sent to a worker for the first time.
     pub starts: u64,
+    /// Stops that were sent, repeated ones included, in the order of [`StopReason::ALL`].
+    pub stops: [u64; StopReason::ALL.len()],
     /// Requests to workers that got no reply or could not be sent.
     pub unanswered_requests: u64,
     /// Starts that workers rejected.
@@ -142,6 +150,7 @@
     pub(crate) rounds: Rounds,
     pub(crate) checked_at: Millis,
     pub(crate) waits: WaitTracker,
+    pub(crate) ended_runs: EndedRunTracker,
 }
 
 impl Scheduler {
@@ -167,6 +176,7 @@
             rounds: Rounds::new(now),
             checked_at: now,
             waits: WaitTracker::default(),
+            ended_runs: EndedRunTracker::default(),
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
