Stop the runs of ended jobs that a worker reports to a new leader

Callers saw: a cancel is acknowledged, and tasks of the job run on to their end (UNASKED), with their resources held. Cause: only the change of a job to an ended one sent stops. A leader that took over after that change adopted the runs from the replicated state, took them for running ones from the first poll on, and renewed their lease with every poll. Class: a decision is durable, and its execution is owed by the memory of one leader only.

Change: each poll reply is compared with the jobs that are live. A reported run whose job has ended in any way, or was dropped, is stopped unless this leader is stopping it already; an unanswered stop is repeated as before. What a leader owes follows from the state and the report, so there is no step at the takeover that could be missed, and no cost there. A run that the worker does not list is released as before. A task never runs a second time for it: the jobs concerned start nothing any more.

The model now checks after each step that no run of an ended job goes on for over 2 s on a worker in contact.

Ruled out: stops that are lost with their leader as a cause for live runs (unanswered starts, a worker that leaves): a_stop_of_a_live_run_that_is_lost_with_its_leader_loses_no_task passes before and after, since a new leader derives these stops anew. Runs after the expiry of their worker, on a worker that registers anew, and of a completed gang: their tests pass before and after. Stops for all adopted runs of ended jobs at the takeover itself: they would also go to runs that have ended meanwhile, and would delay the release of their resources.

--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -234,7 +234,10 @@
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
-    /// started and stops unexpected ones.
+    /// started, and stops unexpected ones and those of ended jobs.
+    ///
+    /// The end of a job may have been applied before this leader led, so what it has to stop follows
+    /// from the state and the report alone.
     fn reconcile_runs(
         &mut self,
         index: WorkerIndex,
@@ -246,13 +249,20 @@
         let stop_ms = self.config.stop_ms;
         let mut never_started: Vec<(TaskKey, u32)> = Vec::new();
         let mut unexpected: Vec<(TaskKey, u32)> = Vec::new();
+        let mut of_ended_jobs: Vec<(TaskKey, u32)> = Vec::new();
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
         for reported_task in &reply.running {
             self.unstarted_jobs.remove(&reported_task.task.step.job);
             match worker.runs.get_mut(&reported_task.task) {
-                Some(run) if run.run == reported_task.run => run.update(reported_task, now),
+                Some(run) if run.run == reported_task.run => {
+                    run.update(reported_task, now);
+                    let is_live = self.job_steps.contains_key(&reported_task.task.step.job);
+                    if !is_live && run.needs_stop() {
+                        of_ended_jobs.push((reported_task.task, reported_task.run));
+                    }
+                }
                 _ => unexpected.push((reported_task.task, reported_task.run)),
             }
         }
@@ -284,6 +294,9 @@
                 run,
             });
         }
+        for run in of_ended_jobs {
+            self.stop_run(index, run, StopReason::JobEnded, now);
+        }
         for (task, run) in unexpected {
             self.send_stop(index, (task, run), StopReason::Stray, now);
         }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -50,6 +50,15 @@
             self.progressed = now;
         }
     }
+
+    /// Whether a run that should end needs a stop: this leader has sent none yet. An unanswered stop
+    /// is repeated by [`Scheduler::tick_runs`].
+    pub(crate) fn needs_stop(&self) -> bool {
+        matches!(
+            self.stage,
+            RunStage::StartSent { .. } | RunStage::Running | RunStage::Unknown
+        )
+    }
 }
 
 impl Scheduler {
@@ -349,7 +358,7 @@
     }
 
     /// Stops the remaining runs of a job that has ended. The runs of a completed job have ended by
-    /// themselves.
+    /// themselves. Runs that a later poll lists nevertheless are stopped then.
     pub(crate) fn job_ended(&mut self, job: JobKey, phase: JobPhase, now: Millis) {
         let runs = self.forget_job(job);
         if phase == JobPhase::Completed {
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -3,11 +3,24 @@
 
 mod model;
 
+use std::sync::Arc;
+
+use sapphirepost_queues::EndKind;
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueCommand;
+use sapphirepost_queues::RunEnd;
+use sapphirepost_queues::TaskKey;
+use sapphirepost_queues::scheduler::RejectReason;
+use sapphirepost_queues::scheduler::StopReason;
+use sapphirepost_queues::scheduler::WorkerReport;
+use sapphirepost_queues::scheduler::WorkerRequest;
+use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_queues::scheduler::WorkerRequestKind;
 
 use crate::model::COMMIT_MS;
+use crate::model::LEASE_MS;
 use crate::model::Model;
 use crate::model::load;
 use crate::model::load::Kind;
@@ -17,6 +30,9 @@
 const WORKERS: usize = 3;
 /// When the runs of the test jobs have started and none has ended.
 const STARTED_MS: u64 = 500;
+/// Within this time of contact all runs of an ended job are over: a poll that began before goes
+/// unanswered, the next one lists the runs, and they are stopped.
+const STOPPED_MS: u64 = 1_200;
 
 fn queues() -> Vec<Queue> {
     vec![queue("tally", 2, 4.0, 3_000)]
@@ -92,3 +108,273 @@
     model.change_leader();
     assert_eq!(sums(&model), (tasks, tasks));
 }
+
+/// All runs on the workers, with their workers.
+fn runs(model: &Model) -> Vec<(Arc<str>, TaskKey, u32)> {
+    let workers = model.workers.iter();
+    let runs = workers.flat_map(|(id, worker)| {
+        let running = worker.running.iter();
+        running.map(|(task, run)| (id.clone(), *task, run.run))
+    });
+    runs.collect()
+}
+
+/// Checks that nothing runs, that nothing holds resources and that all ends are acknowledged.
+fn assert_all_over(model: &mut Model) {
+    assert_eq!(runs(model), []);
+    // The last ends are committed, and the next polls acknowledge them.
+    model.run(STOPPED_MS);
+    let now = model.now;
+    assert_eq!(model.scheduler.find_ended_job_runs(now).count, 0);
+    let held: usize = model.state.workers().map(|worker| worker.runs.len()).sum();
+    assert_eq!(held, 0);
+    for worker in model.workers.values().filter(|worker| !worker.is_crashed) {
+        assert_eq!(worker.unacknowledged_ends(), 0, "{}", worker.record.id);
+    }
+}
+
+/// Guards against a leader that stops only the runs of jobs whose end it has seen.
+#[test]
+fn a_cancelled_job_is_stopped_by_a_leader_that_has_not_seen_its_end() {
+    let (mut model, job) = model_with_running_job();
+    cancel_while_cut_off(&mut model, job);
+    model.change_leader();
+    model.run(300);
+    set_unreachable(&mut model, false);
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against the same for a job that has failed, with one of its runs no longer known.
+#[test]
+fn a_failed_job_is_stopped_by_a_leader_that_has_not_seen_its_end() {
+    let mut tally = queue("tally", 2, 4.0, 3_000);
+    tally.attempts_max = 1;
+    let mut model = Model::new(vec![tally], workers(WORKERS), 0);
+    model.run(50);
+    model.submit(
+        load::key(Kind::Tally, 1),
+        "tally",
+        load::spec(Kind::Tally, 1),
+    );
+    model.run(STARTED_MS);
+    set_unreachable(&mut model, true);
+    let (worker, task, run) = runs(&model)[0].clone();
+    let failed = RunEnd {
+        task,
+        run,
+        kind: EndKind::Failed,
+        checkpoint: None,
+    };
+    model.propose(QueueCommand::End {
+        worker,
+        upto: 0,
+        ends: vec![failed],
+    });
+    model.run(2 * COMMIT_MS);
+    let phase = model.jobs[&task.step.job].ended.map(|(_, phase)| phase);
+    assert_eq!(phase, Some(JobPhase::Failed));
+    model.change_leader();
+    set_unreachable(&mut model, false);
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against a leader that takes the stop of an earlier one for carried out: the worker rejects
+/// it once it has heard of the new leader.
+#[test]
+fn a_stop_of_an_earlier_term_that_comes_too_late_is_made_up_for() {
+    let (mut model, job) = model_with_running_job();
+    cancel_while_cut_off(&mut model, job);
+    model.change_leader();
+    set_unreachable(&mut model, false);
+    model.run(10); // The first poll of the new term has arrived, and its reply is on the way.
+    let now = model.now;
+    let (worker, task, run) = runs(&model)[0].clone();
+    let worker = model.workers.get_mut(&worker).unwrap();
+    let late = WorkerRequest {
+        worker: worker.record.id.clone(),
+        address: worker.record.address.clone(),
+        term: 1,
+        sent: now,
+        kind: WorkerRequestKind::Stop {
+            task,
+            run,
+            reason: StopReason::JobEnded,
+        },
+    };
+    let fenced = WorkerRequestError::Rejected(RejectReason::Fenced);
+    assert_eq!(worker.handle(&late, now), Some(Err(fenced)));
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against runs that nobody stops because their job is no longer known.
+#[test]
+fn a_job_that_was_dropped_after_its_retention_is_stopped() {
+    let (mut model, job) = model_with_running_job();
+    cancel_while_cut_off(&mut model, job);
+    // Another job that ends an hour later drops the first one.
+    let spec = load::spec(Kind::Tally, 2);
+    let other = JobKey(load::key(Kind::Tally, 2));
+    let queue = model.state.table().unwrap().queue("tally").unwrap().clone();
+    let submit = QueueCommand::Submit {
+        job: other,
+        queue: Arc::new(queue),
+        spec: Arc::new(spec),
+    };
+    let cancel = QueueCommand::Cancel { job: other };
+    for command in [submit, cancel] {
+        let mut changes = Vec::new();
+        model.state.apply(1_000, 3_600_000, &command, &mut changes);
+    }
+    assert!(model.state.job(job).is_none());
+    model.change_leader();
+    set_unreachable(&mut model, false);
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against runs that are expired in the state and go on when their worker returns.
+#[test]
+fn a_worker_that_returns_after_its_expiry_runs_nothing_of_an_ended_job() {
+    let (mut model, job) = model_with_running_job();
+    cancel_while_cut_off(&mut model, job);
+    model.change_leader();
+    model.run(2 * LEASE_MS);
+    let held: usize = model.state.workers().map(|worker| worker.runs.len()).sum();
+    assert_eq!(held, 0, "the leases have expired");
+    set_unreachable(&mut model, false);
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against runs of an ended job that hold resources for ever, since their worker has
+/// registered anew at the same address.
+#[test]
+fn a_worker_that_registers_anew_leaves_no_runs_of_an_ended_job() {
+    let (mut model, job) = model_with_running_job();
+    cancel_while_cut_off(&mut model, job);
+    model.change_leader();
+    set_unreachable(&mut model, false);
+    let replaced = model.workers.values_mut().next().unwrap();
+    replaced.is_crashed = true;
+    replaced.is_replaced = true;
+    let mut record = replaced.record.clone();
+    let former = std::mem::replace(&mut record.id, Arc::from("anew"));
+    let mut anew = ModelWorker::new("anew", 64, load::need, load::work_ms);
+    anew.record = record.clone();
+    model.workers.insert(record.id.clone(), anew);
+    model.propose(QueueCommand::PutWorker(Box::new(record)));
+    model.run(STOPPED_MS);
+    assert!(model.state.worker(&former).is_none());
+    assert_all_over(&mut model);
+}
+
+/// Guards against a run that the state does not know, whose first stops are lost, and which goes on
+/// until the worker is polled as an idle one.
+#[test]
+fn an_unknown_run_is_stopped_although_stops_are_lost() {
+    let (mut model, job) = model_with_running_job();
+    for worker in model.workers.values_mut() {
+        worker.loses_stops = true;
+    }
+    model.propose(QueueCommand::Cancel { job });
+    model.run(2 * COMMIT_MS);
+    for (worker, task, run) in runs(&model) {
+        model.propose(QueueCommand::Release { worker, task, run });
+    }
+    model.run(600);
+    assert!(model.has_started(job));
+    for worker in model.workers.values_mut() {
+        worker.loses_stops = false;
+    }
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against a gang that is stopped, or that holds resources for ever, because its job has
+/// completed before the end of one member is known.
+#[test]
+fn the_last_member_of_a_completed_gang_ends_by_itself() {
+    let mut model = Model::new(vec![queue("gang", 1, 2.2, 1_000)], workers(WORKERS), 0);
+    model.run(50);
+    let key = load::key(Kind::Gang, 1);
+    let mut spec = load::spec(Kind::Gang, 1);
+    spec.steps[0].count = WORKERS as u32;
+    spec.steps[0].per_worker_max = Some(1);
+    model.submit(key, "gang", spec);
+    model.run(STARTED_MS);
+    let work_ms = |(_, task, _): &(_, TaskKey, _)| load::work_ms(*task);
+    let longest_ms = runs(&model).iter().map(work_ms).max().unwrap();
+    model.run(longest_ms - STARTED_MS - 200);
+    model.workers.values_mut().next().unwrap().is_unreachable = true;
+    model.run(600);
+    let phase = model.jobs[&JobKey(key)].ended.map(|(_, phase)| phase);
+    assert_eq!(phase, Some(JobPhase::Completed));
+    model.change_leader();
+    set_unreachable(&mut model, false);
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
+/// Guards against a task that runs twice or never again because the leader that was stopping its
+/// run has gone: with a start that gets no answer, and with a worker that leaves.
+#[test]
+fn a_stop_of_a_live_run_that_is_lost_with_its_leader_loses_no_task() {
+    let count_stops = |model: &mut Model| -> u64 {
+        let counts = model.scheduler.take_counts();
+        counts.stops.iter().sum()
+    };
+    let mut unanswered = 0;
+    for changes_after_ms in [400, 900, 1_300, 1_600, 1_900, 2_300, 2_700] {
+        let mut model = Model::new(queues(), workers(WORKERS), 0);
+        model.run(50);
+        model.workers.values_mut().next().unwrap().start_delay_ms = 2_600;
+        model.submit(
+            load::key(Kind::Tally, 1),
+            "tally",
+            load::spec(Kind::Tally, 1),
+        );
+        model.run(changes_after_ms);
+        unanswered += count_stops(&mut model);
+        model.change_leader();
+        model.workers.values_mut().next().unwrap().start_delay_ms = 0;
+        model.run_until_done(30_000);
+        assert_completed(&model);
+    }
+    assert!(unanswered > 0);
+    for changes_after_ms in [50, 300, 600] {
+        let (mut model, _) = model_with_running_job();
+        set_unreachable(&mut model, true);
+        drain_first_worker(&mut model);
+        model.run(changes_after_ms);
+        assert!(count_stops(&mut model) > 0);
+        model.change_leader();
+        set_unreachable(&mut model, false);
+        model.run(100);
+        drain_first_worker(&mut model);
+        model.run_until_done(30_000);
+        assert_completed(&model);
+    }
+}
+
+/// Reports the first worker as one that leaves at once.
+fn drain_first_worker(model: &mut Model) {
+    let worker = model.workers.values_mut().next().unwrap();
+    worker.record.is_draining = true;
+    let record = worker.record.clone();
+    let report = WorkerReport {
+        sequence: model.term,
+        remaining_ms: Some(100),
+    };
+    model.scheduler.handle_report(&record, report, model.now);
+    model.propose(QueueCommand::PutWorker(Box::new(record)));
+}
+
+fn assert_completed(model: &Model) {
+    for (key, job) in &model.jobs {
+        let phase = job.ended.map(|(_, phase)| phase);
+        assert_eq!(phase, Some(JobPhase::Completed), "{key}");
+    }
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -53,6 +53,10 @@
 /// The policy refuses requests that name more workers than this, unless a test changes the limit.
 pub const WORKERS_PER_REQUEST_MAX: usize = 100;
 
+/// How long a run of an ended job may go on once its worker can be reached by a leader: a poll that
+/// began before goes unanswered, the next one lists the run, and its stop is lost once.
+const ENDED_RUN_MAX_MS: u64 = 2_000;
+
 /// Idle policy clients report again as waiting at this interval.
 const CLIENT_WAIT_MS: u64 = 500;
 
@@ -114,6 +118,8 @@
     /// policy.
     pub refused_permit_requests: u64,
     pub starts: u64,
+    /// When the present leader took over.
+    leader_since: Millis,
     /// The real time that the calls of `Scheduler::tick` took.
     pub decision_time: Duration,
 }
@@ -194,6 +200,7 @@
             permit_requests: Vec::new(),
             refused_permit_requests: 0,
             starts: 0,
+            leader_since: Millis::ZERO,
             decision_time: Duration::ZERO,
         };
         for client in 0..clients {
@@ -242,6 +249,7 @@
     /// Replaces the leader. Commands that are proposed and not applied are lost.
     pub fn change_leader(&mut self) {
         self.term += 1;
+        self.leader_since = self.now;
         let pending = std::mem::take(&mut self.events);
         self.busy_clients.clear();
         for (key, event) in pending {
@@ -455,7 +463,11 @@
                 Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer)),
             );
         };
-        if worker.is_unreachable {
+        if worker.is_replaced {
+            let replaced = Event::RequestAnswered(request, Err(WorkerRequestError::OtherLife));
+            return self.schedule(NET_MS, replaced);
+        }
+        if worker.is_unreachable || worker.loses(&request) {
             let timeout_ms = worker::timeout_ms(&request);
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
             return self.schedule(timeout_ms, missed);
@@ -526,6 +538,7 @@
             if worker.is_crashed {
                 continue;
             }
+            self.check_ended_runs(worker);
             for task in worker.running.keys() {
                 let other = seen.insert(*task, id);
                 assert!(
@@ -537,6 +550,27 @@
         }
     }
 
+    /// Checks that no run goes on for long after the end of its job while its worker can be reached.
+    fn check_ended_runs(&self, worker: &ModelWorker) {
+        if worker.is_unreachable || worker.loses_stops || self.is_out_of_resources {
+            return;
+        }
+        let in_contact_since = self.leader_since.max(worker.reachable_since);
+        for task in worker.running.keys() {
+            let job = self.jobs.get(&task.step.job);
+            let Some((ended, phase)) = job.and_then(|job| job.ended) else {
+                continue;
+            };
+            let runs_on_ms = self.now.since(ended.max(in_contact_since));
+            assert!(
+                runs_on_ms <= ENDED_RUN_MAX_MS,
+                "{task} runs on {} for {runs_on_ms} ms at {}, and its job has ended ({phase:?})",
+                worker.record.id,
+                self.now
+            );
+        }
+    }
+
     /// The percentage of the jobs of a queue that completed before their deadline.
     pub fn in_time_percent(&self, queue: &str) -> u64 {
         let of_queue = || self.jobs.values().filter(|job| &*job.queue == queue);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -55,6 +55,12 @@
     /// Whether it answers no requests. With `is_crashed`, nothing runs on it either.
     pub is_unreachable: bool,
     pub is_crashed: bool,
+    /// Since when it can be reached and loses no stops.
+    pub reachable_since: Millis,
+    /// Whether it loses all stops: they are not carried out and get no reply.
+    pub loses_stops: bool,
+    /// Whether another incarnation answers at its address.
+    pub is_replaced: bool,
     /// Whether it fails every task at its end, except for members of gangs.
     pub fails_all: bool,
     /// The reason for which it rejects all starts, if any.
@@ -110,6 +116,9 @@
             now: Millis::ZERO,
             is_unreachable: false,
             is_crashed: false,
+            reachable_since: Millis::ZERO,
+            loses_stops: false,
+            is_replaced: false,
             fails_all: false,
             rejects_starts: None,
             stalls: false,
@@ -153,6 +162,9 @@
     pub fn advance(&mut self, now: Millis) {
         let elapsed_ms = now.since(self.now);
         self.now = now;
+        if self.is_unreachable || self.loses_stops {
+            self.reachable_since = now;
+        }
         if self.is_crashed {
             self.running.clear();
             return;
@@ -215,6 +227,16 @@
         }
     }
 
+    /// Whether a request gets lost on the way.
+    pub fn loses(&self, request: &WorkerRequest) -> bool {
+        self.loses_stops && matches!(request.kind, WorkerRequestKind::Stop { .. })
+    }
+
+    /// The number of ends that no leader has acknowledged.
+    pub fn unacknowledged_ends(&self) -> usize {
+        self.ends.len()
+    }
+
     /// Handles a request; `None` if it is answered later or never.
     pub fn handle(
         &mut self,
