Poll a worker with unexpected runs as often as one with expected runs

A run that the state does not know gets one stop for each poll reply that lists it. A worker without expected runs was polled as an idle one, so a lost stop was repeated only after up to 1.5 s, beyond the time that a task of a cancelled job may run on. Change: the poll after an unexpected run waits no longer than for expected ones.

Ruled out: tracking each unexpected run with its own repetition, since the worker's report already says whether it goes on. The ends of unknown runs are acknowledged; the test checks it.

--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -47,6 +47,8 @@
     applied_ends: u64,
     /// Ends up to this number are proposed.
     proposed_ends: u64,
+    /// Whether the last reply listed runs that the worker should not have.
+    has_unexpected_runs: bool,
     /// Whether the expiry of the lease, or the removal of the worker, is proposed.
     is_expiry_proposed: bool,
 }
@@ -59,6 +61,7 @@
             due: now,
             applied_ends,
             proposed_ends: applied_ends,
+            has_unexpected_runs: false,
             is_expiry_proposed: false,
         }
     }
@@ -110,7 +113,9 @@
         }
         poll.is_in_progress = true;
         let has_answered = worker.lease.is_reachable();
-        let wait_ms = match (has_answered, worker.runs.is_empty()) {
+        // The stop of an unexpected run is repeated only after the next poll.
+        let is_idle = worker.runs.is_empty() && !worker.poll.has_unexpected_runs;
+        let wait_ms = match (has_answered, is_idle) {
             (false, _) => 0,
             (true, true) => WAIT_IDLE_MS,
             (true, false) => busy_wait_ms,
@@ -266,6 +271,7 @@
                 _ => unexpected.push((reported_task.task, reported_task.run)),
             }
         }
+        worker.poll.has_unexpected_runs = !unexpected.is_empty();
         let is_listed = |task: &TaskKey, run: u32| {
             reply
                 .running
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -275,22 +275,25 @@
 /// until the worker is polled as an idle one.
 #[test]
 fn an_unknown_run_is_stopped_although_stops_are_lost() {
-    let (mut model, job) = model_with_running_job();
-    for worker in model.workers.values_mut() {
-        worker.loses_stops = true;
-    }
-    model.propose(QueueCommand::Cancel { job });
-    model.run(2 * COMMIT_MS);
-    for (worker, task, run) in runs(&model) {
-        model.propose(QueueCommand::Release { worker, task, run });
+    for lost_ms in [200, 400, 600, 800, 1_000, 1_200, 1_400] {
+        let (mut model, job) = model_with_running_job();
+        for worker in model.workers.values_mut() {
+            worker.loses_stops = true;
+            worker.duration_percent = 1_000;
+        }
+        model.propose(QueueCommand::Cancel { job });
+        model.run(2 * COMMIT_MS);
+        for (worker, task, run) in runs(&model) {
+            model.propose(QueueCommand::Release { worker, task, run });
+        }
+        model.run(lost_ms);
+        assert!(model.has_started(job));
+        for worker in model.workers.values_mut() {
+            worker.loses_stops = false;
+        }
+        model.run(STOPPED_MS);
+        assert_all_over(&mut model);
     }
-    model.run(600);
-    assert!(model.has_started(job));
-    for worker in model.workers.values_mut() {
-        worker.loses_stops = false;
-    }
-    model.run(STOPPED_MS);
-    assert_all_over(&mut model);
 }
 
 /// Guards against a gang that is stopped, or that holds resources for ever, because its job has
