Stop a run of an ended job again if it goes on after an acknowledged stop

A worker that has acknowledged a stop and lost it kept the run until its end: the leader took the acknowledgement for the end of its duty. Now a poll that was sent later than the longest time of a stop and still lists the run leads to another stop.

Ruled out: the same for runs of live jobs, which may go on and end by themselves without harm.

--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -264,7 +264,7 @@
                 Some(run) if run.run == reported_task.run => {
                     run.update(reported_task, now);
                     let is_live = self.job_steps.contains_key(&reported_task.task.step.job);
-                    if !is_live && run.needs_stop() {
+                    if !is_live && run.needs_stop(sent, stop_ms) {
                         of_ended_jobs.push((reported_task.task, reported_task.run));
                     }
                 }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -51,13 +51,15 @@
         }
     }
 
-    /// Whether a run that should end needs a stop: this leader has sent none yet. An unanswered stop
-    /// is repeated by [`Scheduler::tick_runs`].
-    pub(crate) fn needs_stop(&self) -> bool {
-        matches!(
-            self.stage,
-            RunStage::StartSent { .. } | RunStage::Running | RunStage::Unknown
-        )
+    /// Whether a run that should end needs a stop, since a poll that was sent at `polled` lists it.
+    /// An unanswered stop is repeated by [`Scheduler::tick_runs`].
+    pub(crate) fn needs_stop(&self, polled: Millis, stop_ms: u64) -> bool {
+        match self.stage {
+            RunStage::StartSent { .. } | RunStage::Running | RunStage::Unknown => true,
+            // The worker has acknowledged a stop and has not carried it out in time.
+            RunStage::StopAnswered { at } => polled > at + stop_ms,
+            RunStage::Proposed | RunStage::Stopping { .. } => false,
+        }
     }
 }
 
@@ -316,9 +318,6 @@
         now: Millis,
     ) {
         if let Some(view) = self.run_mut(index, task, run) {
-            if matches!(view.stage, RunStage::StopAnswered { .. }) {
-                return;
-            }
             view.stage = RunStage::Stopping { sent: now, reason };
         }
         self.send_stop(index, (task, run), reason, now);
@@ -369,6 +368,7 @@
             match stage {
                 // The start is applied after the end of the job, so it is never sent.
                 Some(RunStage::Proposed) | None => {}
+                Some(RunStage::StopAnswered { .. }) => {}
                 Some(_) => self.stop_run(index, (task, run), StopReason::JobEnded, now),
             }
         }
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -296,6 +296,23 @@
     }
 }
 
+/// Guards against a run that goes on because its worker has acknowledged the stop and lost it.
+#[test]
+fn a_run_that_goes_on_after_an_acknowledged_stop_is_stopped_again() {
+    let (mut model, job) = model_with_running_job();
+    for worker in model.workers.values_mut() {
+        worker.forgets_stops = true;
+    }
+    model.propose(QueueCommand::Cancel { job });
+    model.run(1_000);
+    assert!(model.has_started(job));
+    for worker in model.workers.values_mut() {
+        worker.forgets_stops = false;
+    }
+    model.run(STOPPED_MS);
+    assert_all_over(&mut model);
+}
+
 /// Guards against a gang that is stopped, or that holds resources for ever, because its job has
 /// completed before the end of one member is known.
 #[test]
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -552,7 +552,8 @@
 
     /// Checks that no run goes on for long after the end of its job while its worker can be reached.
     fn check_ended_runs(&self, worker: &ModelWorker) {
-        if worker.is_unreachable || worker.loses_stops || self.is_out_of_resources {
+        let is_faulty = worker.loses_stops || worker.forgets_stops;
+        if worker.is_unreachable || is_faulty || self.is_out_of_resources {
             return;
         }
         let in_contact_since = self.leader_since.max(worker.reachable_since);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -55,10 +55,12 @@
     /// Whether it answers no requests. With `is_crashed`, nothing runs on it either.
     pub is_unreachable: bool,
     pub is_crashed: bool,
-    /// Since when it can be reached and loses no stops.
+    /// Since when it can be reached and loses and forgets no stops.
     pub reachable_since: Millis,
     /// Whether it loses all stops: they are not carried out and get no reply.
     pub loses_stops: bool,
+    /// Whether it acknowledges stops and does not carry them out.
+    pub forgets_stops: bool,
     /// Whether another incarnation answers at its address.
     pub is_replaced: bool,
     /// Whether it fails every task at its end, except for members of gangs.
@@ -118,6 +120,7 @@
             is_crashed: false,
             reachable_since: Millis::ZERO,
             loses_stops: false,
+            forgets_stops: false,
             is_replaced: false,
             fails_all: false,
             rejects_starts: None,
@@ -162,7 +165,7 @@
     pub fn advance(&mut self, now: Millis) {
         let elapsed_ms = now.since(self.now);
         self.now = now;
-        if self.is_unreachable || self.loses_stops {
+        if self.is_unreachable || self.loses_stops || self.forgets_stops {
             self.reachable_since = now;
         }
         if self.is_crashed {
@@ -320,6 +323,7 @@
                 };
                 self.running.insert(*task, new);
             }
+            WorkerRequestKind::Stop { .. } if self.forgets_stops => {}
             WorkerRequestKind::Stop { task, run, .. } => {
                 let superseded = self.superseded.entry(*task).or_default();
                 *superseded = (*superseded).max(*run);
