Give overdue permit requests a share of the policy clients

Cause: long permit requests went to the policy clients in the order of ranks alone. From 18 s on all long slots are in use (mean concurrency 8 to 9 of 9): every step ahead asks again as soon as it has its answer, since its allowed workers have crashed or are taken and there are new incarnations to ask about (120 workers go and come in the last 10 s; some steps ask over 30 times, 0.57 s each). The steps at the end of the order get no request for up to 35 s.

Change: after two long requests in the order of ranks, one goes to the step whose request has been due longest, if that is over 2 s. The line `step waits` shows how long a request is due (request_due_ms).

Test: a_step_gets_permits_while_others_ask_about_replaced_workers; before, not started after 15.1 s, now after 14.5 s of the 15.1 s that nine steps with one request at a time take.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -65,7 +65,8 @@
         step:% = waiting.step, tasks = waiting.tasks, waits_ms = waiting.waits_ms,
         reason:? = waiting.reason, lateness:? = waiting.lateness,
         steps_ahead = waiting.steps_ahead, is_asking = waiting.is_asking,
-        reserved_in_ms:? = waiting.reserved_in_ms, workers_with_room = waiting.workers_with_room,
+        request_due_ms:? = waiting.request_due_ms, reserved_in_ms:? = waiting.reserved_in_ms,
+        workers_with_room = waiting.workers_with_room,
         tasks_that_fit = waiting.tasks_that_fit,
         tasks_that_fit_if_empty = waiting.tasks_that_fit_if_empty; "step waits"
     );
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -32,6 +32,13 @@
 /// given up.
 const REQUEST_SLACK_MS: u64 = 1_500;
 
+/// A needed request is overdue if no policy client has taken it for this long.
+const OVERDUE_MS: u64 = 2_000;
+/// After this many long requests in the order of the steps' ranks, one goes to the overdue step that
+/// has waited longest. Without it, steps that ask again and again, for instance about workers that
+/// keep being replaced, would leave no policy client to the steps behind them.
+const LONG_IN_RANK_ORDER_MAX: u32 = 2;
+
 /// How long after the expected answer to a request a gang still holds the workers of its members.
 const HOLD_SLACK_MS: u64 = 200;
 
@@ -116,6 +123,8 @@
     clients: PolicyClients,
     outstanding: FxHashMap<u64, OutstandingRequest>,
     last_id: u64,
+    /// Long requests in the order of ranks since the last one of an overdue step.
+    long_in_rank_order: u32,
     /// Whether a request may have become possible since the last dispatch.
     pub(crate) is_dispatch_due: bool,
 }
@@ -260,8 +269,8 @@
         self.dispatcher.clients.forget_silent(now);
     }
 
-    /// Sends the needed requests to waiting policy clients: short requests first, then in the order
-    /// of the steps' ranks.
+    /// Sends the needed requests to waiting policy clients: short requests first, then long ones,
+    /// each in the order of the steps' ranks, except that overdue long requests have a share.
     pub(crate) fn dispatch_requests(&mut self, now: Millis) {
         if self.dispatcher.clients.next(false, now).is_none() {
             return;
@@ -274,19 +283,54 @@
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
         candidates.sort_unstable();
+        let first_long = candidates.partition_point(|(is_long, _)| !is_long);
+        let keys: Vec<StepKey> = candidates.iter().map(|(_, rank)| rank.key).collect();
+        let (short, long) = keys.split_at(first_long);
+        for step in short {
+            let Some(client) = self.dispatcher.clients.next(false, now) else {
+                return;
+            };
+            self.send_request(*step, client, false, now);
+        }
+        self.dispatch_long_requests(long, now);
+    }
+
+    /// Sends the long requests of steps in the order of their ranks.
+    fn dispatch_long_requests(&mut self, ranked: &[StepKey], now: Millis) {
+        let overdue = self.overdue_steps(ranked, now);
+        let (mut ranked, mut overdue) = (ranked.iter(), overdue.iter());
         let total = self.dispatcher.clients.len();
         let long_max = total.saturating_sub(CLIENTS_FOR_SHORT).max(1);
-        for (is_long, rank) in candidates {
-            if is_long && self.dispatcher.long_outstanding() >= long_max {
+        while self.dispatcher.long_outstanding() < long_max {
+            let Some(client) = self.dispatcher.clients.next(true, now) else {
                 return;
-            }
-            let Some(client) = self.dispatcher.clients.next(is_long, now) else {
+            };
+            let is_overdue_due = self.dispatcher.long_in_rank_order >= LONG_IN_RANK_ORDER_MAX;
+            let overdue_step = is_overdue_due.then(|| overdue.next()).flatten();
+            let Some(step) = overdue_step.or_else(|| ranked.next()) else {
                 return;
             };
-            self.send_request(rank.key, client, is_long, now);
+            if self.send_request(*step, client, true, now) {
+                let in_rank_order = &mut self.dispatcher.long_in_rank_order;
+                *in_rank_order = match overdue_step {
+                    Some(_) => 0,
+                    None => in_rank_order.saturating_add(1),
+                };
+            }
         }
     }
 
+    /// The steps whose requests are overdue, those that have waited longest first.
+    fn overdue_steps(&self, steps: &[StepKey], now: Millis) -> Vec<StepKey> {
+        let needed = steps.iter().filter_map(|step| {
+            let since = self.steps.get(step)?.permits.needed_since()?;
+            (now.since(since) >= OVERDUE_MS).then_some((since, *step))
+        });
+        let mut overdue: Vec<(Millis, StepKey)> = needed.collect();
+        overdue.sort_unstable();
+        overdue.into_iter().map(|(_, step)| step).collect()
+    }
+
     fn is_long(&self, view: &StepView) -> bool {
         let workers = match view.permits.next_need() {
             Some(PermitNeed::Renewal { workers, .. }) => {
@@ -318,9 +362,16 @@
         (!requested.workers.is_empty()).then_some(requested)
     }
 
-    fn send_request(&mut self, step: StepKey, client: Arc<str>, is_long: bool, now: Millis) {
+    /// Sends the next request of a step. Returns whether there was one.
+    fn send_request(
+        &mut self,
+        step: StepKey,
+        client: Arc<str>,
+        is_long: bool,
+        now: Millis,
+    ) -> bool {
         let Some(requested) = self.take_need(step, now) else {
-            return;
+            return false;
         };
         let RequestedWorkers {
             workers,
@@ -328,10 +379,10 @@
             is_renewal,
         } = requested;
         let Some(view) = self.steps.get_mut(&step) else {
-            return;
+            return false;
         };
         let Some(cost) = view.queue.permits else {
-            return;
+            return false;
         };
         let expected_ms = cost.total_ms(workers.len());
         let timeout_ms = expected_ms + REQUEST_SLACK_MS;
@@ -366,5 +417,6 @@
         self.counts.permit_requests += 1;
         self.actions
             .push(Action::RequestPermits { client, request });
+        true
     }
 }
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -41,6 +41,8 @@
     in_flight: Option<u64>,
     /// What to request next, if anything.
     need: Option<PermitNeed>,
+    /// Since when a request has been needed that no policy client has taken.
+    needed_since: Option<Millis>,
     /// When permits on further workers were last requested.
     further_requested_at: Millis,
     /// No request is made before this time.
@@ -92,6 +94,7 @@
             failures: 0,
             in_flight: None,
             need: None,
+            needed_since: None,
             further_requested_at: Millis::ZERO,
             paused_until: Millis::ZERO,
         }
@@ -121,6 +124,7 @@
     pub fn set_need(&mut self, need: PermitNeed, now: Millis) {
         if self.in_flight.is_none() && now >= self.paused_until {
             self.need = Some(need);
+            self.needed_since.get_or_insert(now);
         }
     }
 
@@ -188,8 +192,14 @@
         self.need.as_ref().filter(|_| self.in_flight.is_none())
     }
 
+    /// Since when a request has been needed that no policy client has taken.
+    pub fn needed_since(&self) -> Option<Millis> {
+        self.needed_since
+    }
+
     /// Takes what to request next.
     pub fn take_need(&mut self) -> Option<PermitNeed> {
+        self.needed_since = None;
         self.need.take()
     }
 
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -66,6 +66,8 @@
     pub steps_ahead: usize,
     /// Whether a permit request for the step is unanswered.
     pub is_asking: bool,
+    /// How long a permit request has been needed that no policy client has taken.
+    pub request_due_ms: Option<u64>,
     /// The time until its reservation begins, if it holds one.
     pub reserved_in_ms: Option<u64>,
     /// The number of workers that accept tasks, have enough free resources and are allowed, with a
@@ -157,6 +159,7 @@
             lateness: rank.lateness,
             steps_ahead: ahead.count(),
             is_asking: view.permits.has_request(),
+            request_due_ms: view.permits.needed_since().map(|since| now.since(since)),
             reserved_in_ms: self
                 .rounds
                 .reservation_begins(view.key)
