Keep a late report of a worker from restoring an earlier capacity

Cause: the number of a worker's report was known to one leader only. A new leader began at 0, so a delayed report from before a shrink was taken for news and its larger capacity committed; starts then brought the worker over its capacity until its next report. PutWorker of the earlier leader, applied late, had the same effect.

Change: the record carries the number of the report that describes the worker so. put_worker ignores an older description, and a new leader begins with the committed number.

Tests, both failing before (trial with the number in the record and no check of it): a_late_report_to_a_new_leader_restores_no_earlier_capacity: the report of the larger capacity is accepted; an_earlier_description_that_is_applied_late_ changes_nothing: 32 cores instead of 16. A third test, what_is_being_stopped_counts_after_a_shrink, passed before.

Remains: a new leader knows the number of the last change only. A report that was delayed over two further changes and a change of leader is still taken until the next one comes.

--- a/crates/queues/src/command.rs
+++ b/crates/queues/src/command.rs
@@ -35,7 +35,7 @@
         /// The job to cancel.
         job: JobKey,
     },
-    /// Adds a worker, or replaces its record.
+    /// Adds a worker, or replaces its record unless that is of a later report.
     PutWorker(Box<WorkerRecord>),
     /// Removes an incarnation of a worker and ends all its runs. The incarnation has ended, or it
     /// has no runs and has been silent for long.
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -289,8 +289,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkerReport {
-    /// Increases with each report of one incarnation of a worker.
-    pub sequence: u64,
     /// While the worker drains, the shortest time until it leaves.
     pub remaining_ms: Option<u64>,
 }
@@ -307,12 +305,12 @@
             return true;
         };
         worker.reported_at = now;
-        if report.sequence < worker.sequence {
+        if record.sequence < worker.reported.sequence {
             return false;
         }
-        worker.sequence = report.sequence;
         worker.leaves_at = report.remaining_ms.map(|remaining_ms| now + remaining_ms);
-        worker.record != *record
+        worker.reported = record.clone();
+        !worker.record.is_same_description(record)
     }
 
     pub(crate) fn worker_changed(&mut self, state: &QueueState, id: &str, now: Millis) {
@@ -320,7 +318,12 @@
             return;
         };
         match self.workers.by_id_mut(id) {
-            Some(worker) => worker.record = known.record.clone(),
+            Some(worker) => {
+                worker.record = known.record.clone();
+                if worker.reported.sequence < known.record.sequence {
+                    worker.reported = known.record.clone();
+                }
+            }
             None => {
                 let view = WorkerView::new(known.record.clone(), known.applied_ends, now);
                 let index = self.workers.insert(view);
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -109,8 +109,8 @@
     pub poll: PollState,
     /// When its last report came, or when this leader began to track it.
     pub reported_at: Millis,
-    /// The highest sequence number of its reports to this leader.
-    pub sequence: u64,
+    /// What it reported last, by the number of the report; it may not be committed yet.
+    pub reported: WorkerRecord,
     /// While it drains, the earliest time at which it may leave.
     pub leaves_at: Option<Millis>,
 }
@@ -119,6 +119,7 @@
     /// A worker that has not answered this leader yet.
     pub fn new(record: WorkerRecord, applied_ends: u64, now: Millis) -> WorkerView {
         WorkerView {
+            reported: record.clone(),
             record,
             used: Resources::ZERO,
             runs: FxHashMap::default(),
@@ -127,7 +128,6 @@
             health: Health::default(),
             poll: PollState::new(applied_ends, now),
             reported_at: now,
-            sequence: 0,
             leaves_at: None,
         }
     }
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -152,7 +152,9 @@
     fn put_worker(&mut self, record: &WorkerRecord) {
         let id = record.id.clone();
         match self.state.workers.get_mut(&id) {
-            Some(known) if known.record == *record => return,
+            Some(known) if known.record.is_same_description(record) => return,
+            // A new leader does not know the reports to the one before, and may get a late one.
+            Some(known) if known.record.sequence > record.sequence => return,
             Some(known) => {
                 let known = Arc::make_mut(known);
                 let is_draining = known.record.is_draining || record.is_draining;
--- a/crates/queues/src/worker.rs
+++ b/crates/queues/src/worker.rs
@@ -27,9 +27,33 @@
     pub labels: Vec<Arc<str>>,
     /// Whether the worker is about to leave and takes no more tasks.
     pub is_draining: bool,
+    /// Increases with each report of this incarnation. A description with a lower number is older.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 impl WorkerRecord {
+    /// Whether both describe the worker in the same way, apart from the number of the report.
+    pub fn is_same_description(&self, other: &WorkerRecord) -> bool {
+        let WorkerRecord {
+            id,
+            address,
+            service,
+            failure_domain,
+            capacity,
+            labels,
+            is_draining,
+            sequence: _,
+        } = other;
+        self.id == *id
+            && self.address == *address
+            && self.service == *service
+            && self.failure_domain == *failure_domain
+            && self.capacity == *capacity
+            && self.labels == *labels
+            && self.is_draining == *is_draining
+    }
+
     /// Whether the worker has the label.
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| &**own == label)
--- /dev/null
+++ b/crates/queues/tests/capacity.rs
@@ -0,0 +1,129 @@
+//! Workers whose capacity shrinks and grows while they run.
+
+mod model;
+
+use std::sync::Arc;
+
+use sapphirepost_queues::JobKey;
+use sapphirepost_queues::QueueCommand;
+use sapphirepost_queues::StepSpec;
+use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::WorkerRecord;
+use sapphirepost_queues::scheduler::WorkerReport;
+use sapphirepost_types::Resources;
+
+use crate::model::COMMIT_MS;
+use crate::model::Model;
+use crate::model::queue;
+use crate::model::worker::ModelWorker;
+
+const LARGE: Resources = Resources::new(32_000, 8_192, 2);
+const SMALL: Resources = Resources::new(16_000, 4_096, 0);
+const TASK: Resources = Resources::new(16_000, 4_096, 0);
+const WORK_MS: u64 = 5_000;
+
+fn model(workers: usize) -> Model {
+    let worker = |number| {
+        let mut worker = ModelWorker::new(&format!("w{number}"), 32, |_| TASK, |_| WORK_MS);
+        worker.record.capacity = LARGE;
+        worker
+    };
+    let workers = (0..workers).map(worker).collect();
+    let mut model = Model::new(vec![queue("batch", 1, 30.0, 1_000)], workers, 0);
+    model.run(100);
+    model
+}
+
+fn job(count: u32, resources: Resources, is_gang: bool) -> SubmittedSpec {
+    let step = StepSpec {
+        count,
+        resources,
+        estimate_ms: WORK_MS,
+        is_gang,
+        per_worker_max: is_gang.then_some(1),
+        ..StepSpec::default()
+    };
+    SubmittedSpec {
+        payload: Arc::from("payload"),
+        steps: vec![step],
+    }
+}
+
+fn described(model: &Model, worker: &str, capacity: Resources, sequence: u64) -> WorkerRecord {
+    WorkerRecord {
+        capacity,
+        sequence,
+        ..model.workers[worker].record.clone()
+    }
+}
+
+/// Hands a report to the leader, which commits it if needed. Returns whether it did.
+fn report(model: &mut Model, worker: &str, capacity: Resources, sequence: u64) -> bool {
+    let record = described(model, worker, capacity, sequence);
+    let report = WorkerReport { remaining_ms: None };
+    let is_new = model.scheduler.handle_report(&record, report, model.now);
+    if is_new {
+        model.propose(QueueCommand::PutWorker(Box::new(record)));
+    }
+    is_new
+}
+
+/// Shrinks a worker, which reports it at once.
+fn shrink(model: &mut Model, worker: &str, sequence: u64) {
+    let shrunk = model.workers.get_mut(worker).unwrap();
+    shrunk.shrunk_to = Some(SMALL);
+    assert!(report(model, worker, SMALL, sequence));
+}
+
+fn capacity(model: &Model, worker: &str) -> Resources {
+    model.state.worker(worker).unwrap().record.capacity
+}
+
+fn starts_over_capacity(model: &Model) -> u64 {
+    let workers = model.workers.values();
+    workers.map(|worker| worker.starts_over_capacity).sum()
+}
+
+/// Guards against a late report from before the shrink that restores the larger capacity at a new
+/// leader, which has had no report of the worker yet.
+#[test]
+fn a_late_report_to_a_new_leader_restores_no_earlier_capacity() {
+    let mut model = model(1);
+    assert!(report(&mut model, "w0", SMALL, 5));
+    model.run(2 * COMMIT_MS);
+    model.change_leader();
+    assert!(!report(&mut model, "w0", LARGE, 4));
+    model.run(2 * COMMIT_MS);
+    assert_eq!(capacity(&model, "w0"), SMALL);
+    assert!(report(&mut model, "w0", LARGE, 6));
+    model.run(2 * COMMIT_MS);
+    assert_eq!(capacity(&model, "w0"), LARGE);
+}
+
+/// Guards against an earlier description that is committed after a later one, for instance by the
+/// leader before.
+#[test]
+fn an_earlier_description_that_is_applied_late_changes_nothing() {
+    let mut model = model(1);
+    for (capacity, sequence) in [(SMALL, 5), (LARGE, 4)] {
+        let record = described(&model, "w0", capacity, sequence);
+        model.propose(QueueCommand::PutWorker(Box::new(record)));
+        model.run(2 * COMMIT_MS);
+    }
+    assert_eq!(capacity(&model, "w0"), SMALL);
+}
+
+/// Guards against starts that use the room of runs that are still being stopped on a worker that
+/// has shrunk.
+#[test]
+fn what_is_being_stopped_counts_after_a_shrink() {
+    let mut model = model(1);
+    model.submit(1, "batch", job(1, TASK, false));
+    model.run(500);
+    model.propose(QueueCommand::Cancel { job: JobKey(1) });
+    shrink(&mut model, "w0", 1);
+    model.submit(2, "batch", job(1, TASK, false));
+    model.run_until_done(30_000);
+    assert_eq!(model.starts, 2);
+    assert_eq!(starts_over_capacity(&model), 0);
+}
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -383,9 +383,9 @@
 fn drain_first_worker(model: &mut Model) {
     let worker = model.workers.values_mut().next().unwrap();
     worker.record.is_draining = true;
+    worker.record.sequence = model.term;
     let record = worker.record.clone();
     let report = WorkerReport {
-        sequence: model.term,
         remaining_ms: Some(100),
     };
     model.scheduler.handle_report(&record, report, model.now);
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -473,6 +473,10 @@
             return self.schedule(timeout_ms, missed);
         }
         let is_start = worker::is_start(&request);
+        if is_start && worker.loses_starts {
+            let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
+            return self.schedule(worker::REQUEST_TIMEOUT_MS, missed);
+        }
         let is_delayed = is_start && worker.start_delay_ms > 0;
         let reply = worker.handle(&request, self.now);
         if is_delayed {
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -74,6 +74,12 @@
     /// If not 0, starts are carried out after this time and get no reply.
     pub start_delay_ms: u64,
     delayed_starts: Vec<(Millis, WorkerRequest)>,
+    /// Whether starts are lost on their way to it.
+    pub loses_starts: bool,
+    /// Its present capacity if that is smaller than in its record.
+    pub shrunk_to: Option<Resources>,
+    /// The number of starts that brought it over its present capacity.
+    pub starts_over_capacity: u64,
     /// The duration of each task.
     pub work_ms: fn(TaskKey) -> u64,
     /// The resources that each task needs.
@@ -107,6 +113,7 @@
                 capacity: Resources::new(cores * 1_000, cores * 4_096, 0),
                 labels: Vec::new(),
                 is_draining: false,
+                sequence: 0,
             },
             running: BTreeMap::new(),
             ends: Vec::new(),
@@ -128,6 +135,9 @@
             duration_percent: 100,
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
+            loses_starts: false,
+            shrunk_to: None,
+            starts_over_capacity: 0,
             work_ms,
             need,
         }
@@ -322,6 +332,8 @@
                     stops_at: None,
                 };
                 self.running.insert(*task, new);
+                let capacity = self.shrunk_to.unwrap_or(self.record.capacity);
+                self.starts_over_capacity += u64::from(!self.used().fits_in(&capacity));
             }
             WorkerRequestKind::Stop { .. } if self.forgets_stops => {}
             WorkerRequestKind::Stop { task, run, .. } => {
