Commit a report that takes back one that is being committed

Cause: a report was compared with the committed description only. If a worker grew and shrank again while its growth was being committed, the second report equalled the committed description and was dropped; the larger capacity then came into force and stayed until the next report.

Change: a report is committed too if it differs from the one before it.

Test: a_report_overrides_the_one_that_is_being_committed; before, the state had 32 cores instead of 16.

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -309,8 +309,11 @@
             return false;
         }
         worker.leaves_at = report.remaining_ms.map(|remaining_ms| now + remaining_ms);
+        // An earlier report that says something else may be in the log and not applied yet.
+        let is_committed = worker.record.is_same_description(record)
+            && worker.reported.is_same_description(record);
         worker.reported = record.clone();
-        !worker.record.is_same_description(record)
+        !is_committed
     }
 
     pub(crate) fn worker_changed(&mut self, state: &QueueState, id: &str, now: Millis) {
--- a/crates/queues/tests/capacity.rs
+++ b/crates/queues/tests/capacity.rs
@@ -14,6 +14,7 @@
 
 use crate::model::COMMIT_MS;
 use crate::model::Model;
+use crate::model::STEP_MS;
 use crate::model::queue;
 use crate::model::worker::ModelWorker;
 
@@ -113,6 +114,20 @@
     assert_eq!(capacity(&model, "w0"), SMALL);
 }
 
+/// Guards against a worker that shrinks back while its growth is being committed: the report equals
+/// the committed description and was dropped, so the larger capacity came into force after it.
+#[test]
+fn a_report_overrides_the_one_that_is_being_committed() {
+    let mut model = model(1);
+    assert!(report(&mut model, "w0", SMALL, 1));
+    model.run(2 * COMMIT_MS);
+    assert!(report(&mut model, "w0", LARGE, 2));
+    model.run(STEP_MS);
+    report(&mut model, "w0", SMALL, 3);
+    model.run(2 * COMMIT_MS);
+    assert_eq!(capacity(&model, "w0"), SMALL);
+}
+
 /// Guards against starts that use the room of runs that are still being stopped on a worker that
 /// has shrunk.
 #[test]
