Send no start that a shrunken worker has no room for

Cause: the capacity of a worker was compared with its runs only when a start was proposed. If the worker shrank before the start was committed, or before a start without a reply was repeated, the start went out and brought the worker over its capacity. The same held for members of a gang.

Change: before a start is sent, also again, the runs that may have started on the worker (those being stopped among them) and the new one must fit in the capacity that the worker reported last. Else a start that was never sent is released, a gang as a whole, so that no member waits for one that does not come; a start without a reply is stopped as after the last attempt.

Tests, all failing before: a_start_that_is_committed_after_a_shrink_is_not_sent (2 starts instead of 1), a_start_is_not_repeated_on_a_worker_that_has_shrunk (1 start over the capacity), a_gang_starts_as_a_whole_or_not_at_all_after_a_shrink (3 members started).

Runs that no longer fit go on; nothing asks for more.

--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Sends the start requests of a committed start.
+    /// Sends the start requests of a committed start, unless the capacity has shrunk meanwhile. A
+    /// gang is started as a whole or not at all.
     pub(crate) fn send_starts(
         &mut self,
         state: &QueueState,
@@ -97,14 +98,32 @@
         now: Millis,
     ) {
         for placement in placements {
-            let task = step.task(placement.index);
             self.record_placement(step, placement);
-            if let Some(index) = self.index(&placement.worker) {
+        }
+        let spec = self.steps.get(&step).map(|view| view.spec());
+        let is_gang = spec.is_some_and(|spec| spec.is_gang);
+        let gang_has_room = !is_gang
+            || placements
+                .iter()
+                .all(|placement| self.has_room(&placement.worker, |task| task.step == step));
+        for placement in placements {
+            let task = step.task(placement.index);
+            let Some(index) = self.index(&placement.worker) else {
+                continue;
+            };
+            if gang_has_room && self.has_room(&placement.worker, |other| *other == task) {
                 self.send_start(state, index, task, placement.run, now);
+            } else {
+                self.release(index, task, placement.run);
             }
         }
     }
 
+    fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
+        let worker = self.index(worker).and_then(|index| self.workers.get(index));
+        worker.is_some_and(|worker| worker.has_room_for(is_next))
+    }
+
     fn send_start(
         &mut self,
         state: &QueueState,
@@ -232,7 +251,9 @@
             Err(WorkerRequestError::NoAnswer) => {
                 self.record_missed(index, sent);
                 let may_retry = self.workers.get(index).is_some_and(|worker| {
-                    !worker.record.is_draining && attempts < START_ATTEMPTS_MAX
+                    !worker.record.is_draining
+                        && worker.has_room_for(|_| false)
+                        && attempts < START_ATTEMPTS_MAX
                 });
                 if may_retry {
                     self.send_start(state, index, task, run, now);
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -137,6 +137,19 @@
         self.record.capacity.saturating_sub(&self.used)
     }
 
+    /// Whether the runs that may have started there, and the given ones of those that have not,
+    /// fit in the last reported capacity, which may be smaller than when they were placed.
+    pub fn has_room_for(&self, is_next: impl Fn(&TaskKey) -> bool) -> bool {
+        let counted = self
+            .runs
+            .iter()
+            .filter(|(task, run)| run.stage != RunStage::Proposed || is_next(task));
+        let used = counted.fold(Resources::ZERO, |sum, (_, run)| {
+            sum.saturating_add(&run.resources)
+        });
+        used.fits_in(&self.reported.capacity)
+    }
+
     /// Whether a task may be placed on it now, if there are enough free resources.
     pub fn accepts_tasks(&self, now: Millis) -> bool {
         !self.record.is_draining
--- a/crates/queues/tests/capacity.rs
+++ b/crates/queues/tests/capacity.rs
@@ -17,6 +17,7 @@
 use crate::model::STEP_MS;
 use crate::model::queue;
 use crate::model::worker::ModelWorker;
+use crate::model::worker::REQUEST_TIMEOUT_MS;
 
 const LARGE: Resources = Resources::new(32_000, 8_192, 2);
 const SMALL: Resources = Resources::new(16_000, 4_096, 0);
@@ -128,6 +129,60 @@
     assert_eq!(capacity(&model, "w0"), SMALL);
 }
 
+/// Guards against a start that is sent although its worker has shrunk since the start was proposed.
+#[test]
+fn a_start_that_is_committed_after_a_shrink_is_not_sent() {
+    let mut model = model(1);
+    model.submit(1, "batch", job(2, TASK, false));
+    model.run(COMMIT_MS);
+    assert_eq!(model.starts, 0, "the starts are being committed");
+    shrink(&mut model, "w0", 1);
+    model.run(WORK_MS / 2);
+    assert_eq!(model.starts, 1);
+    assert_eq!(starts_over_capacity(&model), 0);
+    model.run_until_done(30_000);
+    assert_eq!(starts_over_capacity(&model), 0);
+}
+
+/// Guards against a start without a reply that is repeated on a worker that has shrunk meanwhile.
+#[test]
+fn a_start_is_not_repeated_on_a_worker_that_has_shrunk() {
+    let mut model = model(1);
+    model.submit(1, "batch", job(1, TASK, false));
+    model.run(500);
+    assert_eq!(model.starts, 1);
+    model.workers.get_mut("w0").unwrap().loses_starts = true;
+    model.submit(2, "batch", job(1, TASK, false));
+    model.run(REQUEST_TIMEOUT_MS / 2);
+    model.workers.get_mut("w0").unwrap().loses_starts = false;
+    shrink(&mut model, "w0", 1);
+    model.run(REQUEST_TIMEOUT_MS);
+    assert_eq!(starts_over_capacity(&model), 0);
+    model.run_until_done(30_000);
+    assert_eq!(starts_over_capacity(&model), 0);
+}
+
+/// Guards against a gang of which some members start and wait in vain for one whose worker has
+/// shrunk since the start was proposed.
+#[test]
+fn a_gang_starts_as_a_whole_or_not_at_all_after_a_shrink() {
+    let mut model = model(3);
+    model.submit(1, "batch", job(1, TASK, false));
+    model.run(500);
+    assert_eq!(model.starts, 1);
+    let busy = model.workers.iter().find(|(_, w)| !w.running.is_empty());
+    let busy = busy.unwrap().0.clone();
+    model.submit(2, "batch", job(3, TASK, true));
+    model.run(COMMIT_MS);
+    assert_eq!(model.starts, 1, "the starts are being committed");
+    shrink(&mut model, &busy, 1);
+    model.run(WORK_MS / 2);
+    assert_eq!(model.starts, 1, "members of the gang were started");
+    model.run_until_done(60_000);
+    assert_eq!(starts_over_capacity(&model), 0);
+    assert_eq!(model.starts, 4);
+}
+
 /// Guards against starts that use the room of runs that are still being stopped on a worker that
 /// has shrunk.
 #[test]
