Give up tasks that crash their workers, and isolate the suspects

Cause: a run that goes with its worker ends like one that never started, and attempts_max counts Failed ends alone, so nothing bounds the starts.

Change: a worker that another incarnation replaces without having drained has crashed (new command Crash; silence, an expired lease and a planned end prove nothing, but the runs of an expired lease are kept until the worker is heard from, and count if it returns as another incarnation). The replicated state counts, for each task, the workers that crashed under it, those at which it was a suspect (it had started at most 200 ms before the last sign of life), and those at which only its job was. A task is given up after two crashes of which one is attributed to its job alone; the job fails. A suspected task starts only where no other job has started anything for 550 ms, and the worker is closed to others for as long, so the next crash can be attributed. An eighth of the workers for each queue may be used so at a time, half while half of the capacity is free, and the steps take turns, since each worker may be lost. A task that sees four crashes without ever being a suspect gets a worker alone: it may crash workers late. Log lines worker crashed and crash counted.

Ruled out, each by a test of its own: a bound on the count alone (tasks_beside_crashing_ones_are_not_given_up), evidence in the leader's memory (the_count_of_crashes_survives_changes_of_the_leader), expiry as evidence (tasks_of_workers_that_are_cut_off_are_not_given_up).

That one queue's first crashes take many workers at once is not bounded by this change.

A member of an earlier version cannot decode the new command, as with each new command so far: control processes are upgraded before a crash is recorded, or all together.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -14,6 +14,7 @@
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::AdoptedRuns;
 use sapphirepost_queues::scheduler::EndedJobRun;
 use sapphirepost_queues::scheduler::WaitingStep;
@@ -48,6 +49,8 @@
         "run of an ended job not over"
     );
 }
+/// The most tasks that the line of a crashed worker names.
+const SUSPECTS_LOGGED_MAX: usize = 8;
 
 /// Logs a job that is about to be committed, with its size.
 pub(crate) fn log_proposed(job: JobKey, queue: &Queue, spec: &SubmittedSpec) {
@@ -85,6 +88,15 @@
         QueueChange::Ended(job, phase) => log_ended(*job, *phase, index, state),
         QueueChange::Worker(worker) => log::info!(worker = &**worker, index; "worker known"),
         QueueChange::WorkerRemoved(worker) => log::info!(worker = &**worker, index; "worker gone"),
+        QueueChange::WorkerCrashed(worker, suspects) => log_crash(worker, suspects, index),
+        QueueChange::CrashCounted(task, crashes) => {
+            let is_given_up = crashes.is_given_up();
+            log::info!(
+                target: RUNS_TARGET,
+                task:%, crashes = crashes.workers, suspected = crashes.suspected, attributed = crashes.attributed, is_given_up,
+                index; "crash counted"
+            );
+        }
         QueueChange::Started(step, placements) => {
             log_placed(*step, placements, index, scheduler.last_wait_ms(*step));
         }
@@ -105,6 +117,13 @@
     log::info!(job:%, phase:?, took_ms:?, index; "job ended");
 }
 
+/// Logs a crashed worker, with the first tasks that may be the cause.
+fn log_crash(worker: &str, suspects: &[TaskKey], index: Index) {
+    let named = suspects.iter().take(SUSPECTS_LOGGED_MAX);
+    let tasks = named.map(TaskKey::to_string).collect::<Vec<_>>().join(",");
+    log::info!(worker, suspects = suspects.len(), tasks, index; "worker crashed");
+}
+
 fn log_placed(step: StepKey, placements: &[Placement], index: Index, wait_ms: u64) {
     let mut runs = String::with_capacity(24 * placements.len());
     for placement in placements {
--- a/crates/queues/src/command.rs
+++ b/crates/queues/src/command.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash::LostRuns;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::ids::TaskKey;
@@ -37,14 +38,24 @@
     },
     /// Adds a worker, or replaces its record unless that is of a later report.
     PutWorker(Box<WorkerRecord>),
-    /// Removes an incarnation of a worker and ends all its runs. The incarnation has ended, or it
-    /// has no runs and has been silent for long.
+    /// Removes an incarnation of a worker and ends all its runs. The incarnation has ended as
+    /// planned, or it has no runs and has been silent for long.
     RemoveWorker {
         /// The ID of the incarnation.
         worker: Arc<str>,
         /// The last checkpoints that were reported by the worker.
         checkpoints: Vec<(TaskKey, Arc<str>)>,
     },
+    /// Removes an incarnation of a worker that has crashed, and ends all its runs. The crash counts
+    /// against the tasks that ran there.
+    Crash {
+        /// The ID of the incarnation.
+        worker: Arc<str>,
+        /// The last checkpoints that were reported by the worker.
+        checkpoints: Vec<(TaskKey, Arc<str>)>,
+        /// The tasks that ran there, and the jobs that may have caused the crash.
+        lost: LostRuns,
+    },
     /// Places tasks of a step on workers. It is committed before the start requests are sent, so
     /// that every leader knows what may run. Placements of tasks that can no longer start have no
     /// effect; a gang is placed as a whole or not at all.
@@ -70,6 +81,9 @@
         worker: Arc<str>,
         /// The last checkpoints that were reported by the worker.
         checkpoints: Vec<(TaskKey, Arc<str>)>,
+        /// The tasks that ran there, in case the worker turns out to have crashed.
+        #[serde(default, skip_serializing_if = "LostRuns::is_empty")]
+        lost: LostRuns,
     },
     /// A run never started on a worker and cannot start there any more.
     Release {
--- /dev/null
+++ b/crates/queues/src/crash.rs
@@ -0,0 +1,101 @@
+//! Crashes of workers as evidence against the tasks that ran on them.
+//!
+//! A worker that another incarnation has replaced has crashed, and a task that ran there may be the
+//! cause. Silence, an expired lease or a planned end proves nothing. Most tasks on a crashed worker
+//! are innocent: those that had started long before are not even suspected, and a suspected one is
+//! given up only after a crash that is attributed to its job alone. Until then its runs are
+//! isolated, so that the next crash can be attributed.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::JobKey;
+use crate::ids::TaskKey;
+
+/// A task is given up after this many crashes, if one of them is attributed to its job.
+const CRASHES_MAX: u32 = 2;
+/// After this many crashes, a task that was never suspected gets a worker for itself: it may crash
+/// its workers long after its start.
+const SHARED_CRASHES_MAX: u32 = 4;
+
+/// The crashes of workers on which a task ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CrashCount {
+    /// The workers that crashed while the task ran on them.
+    pub workers: u32,
+    /// Those at which the task was a suspect.
+    pub suspected: u32,
+    /// Those at which only tasks of its job were suspects.
+    pub attributed: u32,
+}
+
+/// How a task has to be kept apart from tasks of other jobs, so that a crash can be attributed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Isolation {
+    /// It may start beside any task.
+    #[default]
+    None,
+    /// Nothing else may start on its worker shortly before or after it.
+    ExclusiveStart,
+    /// Nothing else may run on its worker.
+    ExclusiveWorker,
+}
+
+/// The runs that ended with their worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LostRuns {
+    /// The tasks that may have run there.
+    pub tasks: Vec<TaskKey>,
+    /// Those that are suspected to have crashed the worker: tasks that had just started there, and
+    /// those that had the worker for themselves.
+    pub suspects: Vec<TaskKey>,
+}
+
+impl CrashCount {
+    /// Whether no worker has crashed under the task.
+    pub fn is_zero(&self) -> bool {
+        self.workers == 0
+    }
+
+    /// Records a crash.
+    pub fn record(&mut self, is_suspect: bool, is_attributed: bool) {
+        self.workers += 1;
+        self.suspected += u32::from(is_suspect);
+        self.attributed += u32::from(is_attributed);
+    }
+
+    /// Whether the task has crashed so many workers that it is not started again.
+    pub fn is_given_up(&self) -> bool {
+        self.workers >= CRASHES_MAX && self.attributed > 0
+    }
+
+    /// How the next run of the task is isolated.
+    pub fn isolation(&self) -> Isolation {
+        if self.suspected > 0 {
+            Isolation::ExclusiveStart
+        } else if self.workers >= SHARED_CRASHES_MAX {
+            Isolation::ExclusiveWorker
+        } else {
+            Isolation::None
+        }
+    }
+}
+
+impl LostRuns {
+    /// Whether no run was lost.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Whether a task is a suspect.
+    pub fn is_suspect(&self, task: TaskKey) -> bool {
+        self.suspects.contains(&task)
+    }
+
+    /// Whether only tasks of this job are suspects.
+    pub fn is_only_suspect(&self, job: JobKey) -> bool {
+        !self.suspects.is_empty() && self.suspects.iter().all(|task| task.step.job == job)
+    }
+}
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash::CrashCount;
 use crate::ids::JobKey;
 use crate::spec::SubmittedSpec;
 use crate::table::Queue;
@@ -19,7 +20,7 @@
     Active,
     /// All tasks are done.
     Completed,
-    /// A task or gang failed too often.
+    /// A task or gang failed too often, or a task crashed its workers.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
@@ -78,6 +79,9 @@
     /// The last checkpoint that was known when a run ended, from which the next run resumes. All
     /// members of a gang resume from the checkpoint of the first member that has one.
     pub checkpoint: Option<Arc<str>>,
+    /// The workers that crashed under the task.
+    #[serde(default, skip_serializing_if = "CrashCount::is_zero")]
+    pub crashes: CrashCount,
 }
 
 /// The phase of a task.
@@ -117,11 +121,14 @@
         }
     }
 
-    /// Whether a task is done, has failed or has written a checkpoint.
+    /// Whether a task is done, has failed, has written a checkpoint or was on a worker that crashed.
     pub fn has_progress(&self) -> bool {
         let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
         tasks.any(|task| {
-            task.phase == TaskPhase::Done || task.failures > 0 || task.checkpoint.is_some()
+            task.phase == TaskPhase::Done
+                || task.failures > 0
+                || task.checkpoint.is_some()
+                || !task.crashes.is_zero()
         })
     }
 
--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -6,6 +6,7 @@
 //! workers and the time, and its outputs are [`Action`]s that propose commands or send requests.
 
 pub mod command;
+pub mod crash;
 pub mod ids;
 pub mod job;
 pub mod scheduler;
@@ -17,6 +18,8 @@
 pub use crate::command::Placement;
 pub use crate::command::QueueCommand;
 pub use crate::command::RunEnd;
+pub use crate::crash::CrashCount;
+pub use crate::crash::LostRuns;
 pub use crate::ids::JobKey;
 pub use crate::ids::StepKey;
 pub use crate::ids::TaskKey;
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -8,7 +8,9 @@
 
 use sapphirepost_types::Millis;
 
+use crate::crash::Isolation;
 use crate::scheduler::Scheduler;
+use crate::scheduler::isolation::gang_isolation;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
@@ -53,12 +55,20 @@
             return false;
         }
         reservations.release(view.key);
-        let candidates = self.candidates(view, reservations, now);
         let job = state.job(view.key.job).filter(|_| view.is_committed);
+        let isolation = job.map_or(Isolation::None, |job| gang_isolation(job, view.key));
+        if isolation != Isolation::None && !self.take_isolation_turn(view, now) {
+            return false;
+        }
+        let candidates = self.candidates(view, reservations, isolation, now);
         let granted = self.choose_workers(view, &candidates, &[Permission::Granted], members);
         if let (Some(job), Some(chosen)) = (job, &granted) {
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
             let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
+            if isolation != Isolation::None && !self.isolate(view, &candidates, chosen, now) {
+                return false;
+            }
+            self.end_isolation_turn(view);
             self.start(job, view, &placements, now);
             return false;
         }
@@ -92,6 +102,8 @@
         usable.sort_unstable_by_key(|c| {
             (
                 c.is_avoided,
+                !c.allows_isolation,
+                !c.is_held,
                 !is_granted(c),
                 c.slowdown_percent / 50,
                 c.left_millicores,
@@ -133,6 +145,22 @@
             .map(|(_, chosen)| chosen)
     }
 
+    /// Closes the chosen workers to the starts of other jobs. Returns whether the gang may start
+    /// there now.
+    fn isolate(
+        &mut self,
+        view: &StepView,
+        candidates: &[Candidate],
+        chosen: &[WorkerIndex],
+        now: Millis,
+    ) -> bool {
+        for index in chosen {
+            self.close_for(view, *index, now);
+        }
+        let mut chosen_candidates = candidates.iter().filter(|c| chosen.contains(&c.index));
+        chosen_candidates.all(|c| c.allows_isolation)
+    }
+
     fn reserve_now(
         &self,
         view: &StepView,
--- /dev/null
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -0,0 +1,270 @@
+//! Isolation of tasks that were on a worker when it crashed.
+//!
+//! A task that crashes its workers does so soon after its start. If only one job started something
+//! shortly before a worker's last sign of life, the crash is attributed to this job. A suspected
+//! task therefore starts only where nothing of another job has just started, and the worker is
+//! closed to other starts for a while. Only few workers are used for such starts at a
+//! time, since each may be lost.
+
+use std::sync::Arc;
+
+use sapphirepost_types::Millis;
+
+use crate::crash::Isolation;
+use crate::crash::LostRuns;
+use crate::ids::JobKey;
+use crate::ids::StepKey;
+use crate::job::Job;
+use crate::scheduler::Scheduler;
+use crate::scheduler::place::Candidate;
+use crate::scheduler::polls::WAIT_BUSY_MIN_MS;
+use crate::scheduler::step_permits::Permission;
+use crate::scheduler::steps::StepView;
+use crate::scheduler::workers::RunStage;
+use crate::scheduler::workers::RunView;
+use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::WorkerView;
+
+/// A run that started this long before the last sign of life of its worker, or later, may have
+/// crashed it.
+const SUSPECT_MS: u64 = 200;
+/// A start is exclusive if nothing else starts on the worker for this long before and after it. The
+/// last sign of life may be as old as a poll that the worker held open when it crashed.
+const EXCLUSIVE_MS: u64 = SUSPECT_MS + WAIT_BUSY_MIN_MS;
+/// The tasks of one queue are isolated on at most one of this many workers at a time.
+const WORKERS_PER_ISOLATED: usize = 8;
+/// The same while half of the capacity is free, so that the loss of workers delays nothing else.
+const WORKERS_PER_ISOLATED_IF_FREE: usize = 2;
+/// The number of workers on which tasks of one queue may be isolated in a small cluster.
+const ISOLATED_WORKERS_MIN: usize = 2;
+/// How long a step may take to get permits and a worker for an isolated start before another step
+/// has its turn.
+const TURN_MS: u64 = 3_000;
+/// The pause of a step after a turn without a start.
+const TURN_PAUSE_MS: u64 = 2_000;
+
+/// A worker on which only one job may start tasks for some time.
+#[derive(Clone, Debug)]
+pub struct ExclusiveStart {
+    /// The job that may start tasks.
+    pub job: JobKey,
+    /// The name of the job's queue.
+    pub queue: Arc<str>,
+    /// Until when the worker is closed to other jobs.
+    pub until: Millis,
+    /// Whether a task of the job has started since the worker was closed.
+    pub has_started: bool,
+}
+
+/// A step that is about to use a worker for an isolated start.
+#[derive(Clone, Debug)]
+struct Turn {
+    step: StepKey,
+    queue: Arc<str>,
+    until: Millis,
+}
+
+/// The steps that are about to use a worker for an isolated start, or paused after that.
+#[derive(Debug, Default)]
+pub struct IsolationTurns {
+    turns: Vec<Turn>,
+}
+
+impl IsolationTurns {
+    /// Whether a step has its turn.
+    fn has(&self, step: StepKey, now: Millis) -> bool {
+        let mut turns = self.turns.iter();
+        turns.any(|turn| turn.step == step && now < turn.until)
+    }
+
+    /// Whether a step had its turn a short time ago.
+    fn is_paused(&self, step: StepKey) -> bool {
+        self.turns.iter().any(|turn| turn.step == step)
+    }
+
+    /// The number of steps of a queue that have their turn.
+    fn count(&self, queue: &str, now: Millis) -> usize {
+        let turns = self.turns.iter();
+        turns
+            .filter(|turn| *turn.queue == *queue && now < turn.until)
+            .count()
+    }
+
+    /// Removes the turns whose pause is over.
+    fn remove_old(&mut self, now: Millis) {
+        self.turns.retain(|turn| now < turn.until + TURN_PAUSE_MS);
+    }
+
+    /// Ends the turn of a step that has started a task.
+    fn end(&mut self, step: StepKey) {
+        self.turns.retain(|turn| turn.step != step);
+    }
+}
+
+impl RunView {
+    /// Whether the run may have crashed a worker that was last heard from at `heard_at`.
+    fn is_recent(&self, heard_at: Millis) -> bool {
+        let is_unconfirmed = matches!(self.stage, RunStage::StartSent { .. } | RunStage::Unknown);
+        is_unconfirmed || self.since + SUSPECT_MS >= heard_at
+    }
+}
+
+impl WorkerView {
+    /// Whether the worker is closed to starts of a job, since another job is isolated there.
+    pub fn is_closed_to(&self, job: JobKey, now: Millis) -> bool {
+        let reserved = self.exclusive.as_ref();
+        reserved.is_some_and(|exclusive| exclusive.job != job && now < exclusive.until)
+            || self.runs.iter().any(|(task, run)| {
+                run.isolation == Isolation::ExclusiveWorker && task.step.job != job
+            })
+    }
+
+    /// Whether the worker is closed to all jobs but this one.
+    pub fn is_closed_for(&self, job: JobKey, now: Millis) -> bool {
+        let reserved = self.exclusive.as_ref();
+        reserved.is_some_and(|exclusive| exclusive.job == job && now < exclusive.until)
+    }
+
+    /// Whether a task of a job may start there now with this isolation.
+    pub fn allows_isolation(&self, isolation: Isolation, job: JobKey, now: Millis) -> bool {
+        let has_started = || {
+            let exclusive = self.exclusive.as_ref();
+            exclusive.is_some_and(|exclusive| exclusive.has_started)
+        };
+        match isolation {
+            Isolation::None => true,
+            Isolation::ExclusiveStart => {
+                let is_quiet = now.since(self.last_start) >= EXCLUSIVE_MS;
+                is_quiet || (self.is_closed_for(job, now) && has_started())
+            }
+            Isolation::ExclusiveWorker => self.runs.keys().all(|task| task.step.job == job),
+        }
+    }
+
+    /// Records that a start of a job there is proposed.
+    pub fn record_start(&mut self, job: JobKey, now: Millis) {
+        self.last_start = now;
+        if let Some(exclusive) = self.exclusive.as_mut().filter(|e| e.job == job) {
+            exclusive.has_started = true;
+        }
+    }
+
+    /// Whether it is closed for a job, or is silent after a start of the job there.
+    fn is_isolating(&self, now: Millis) -> Option<&ExclusiveStart> {
+        let exclusive = self.exclusive.as_ref()?;
+        let runs_job = || self.runs.keys().any(|task| task.step.job == exclusive.job);
+        let is_in_use = now < exclusive.until || (!self.lease.is_reachable() && runs_job());
+        is_in_use.then_some(exclusive)
+    }
+
+    /// The runs that end if the worker has crashed, and the jobs that are suspected to be the cause.
+    pub fn lost_runs(&self) -> LostRuns {
+        let heard_at = self.lease.heard_at();
+        let started = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.stage != RunStage::Proposed);
+        let mut lost = LostRuns::default();
+        for (task, run) in started {
+            lost.tasks.push(*task);
+            if run.is_recent(heard_at) || run.isolation == Isolation::ExclusiveWorker {
+                lost.suspects.push(*task);
+            }
+        }
+        lost.tasks.sort_unstable();
+        lost.suspects.sort_unstable();
+        lost
+    }
+}
+
+impl Scheduler {
+    /// Whether the step has its turn to use a worker for isolated starts; takes one if few workers
+    /// and steps of its queue are concerned.
+    pub(crate) fn take_isolation_turn(&mut self, view: &StepView, now: Millis) -> bool {
+        self.isolation_turns.remove_old(now);
+        if self.isolation_turns.has(view.key, now) {
+            return true;
+        }
+        if self.isolation_turns.is_paused(view.key) || !self.may_isolate(view, now) {
+            return false;
+        }
+        self.isolation_turns.turns.push(Turn {
+            step: view.key,
+            queue: view.queue_name.clone(),
+            until: now + TURN_MS,
+        });
+        true
+    }
+
+    /// Whether another worker may be used to isolate tasks of the step. Workers that the step's
+    /// own job holds do not count.
+    fn may_isolate(&self, view: &StepView, now: Millis) -> bool {
+        let turns = self.isolation_turns.count(&view.queue_name, now);
+        let isolating = self.workers.iter().filter(|(_, worker)| {
+            worker.is_isolating(now).is_some_and(|exclusive| {
+                exclusive.queue == view.queue_name && exclusive.job != view.key.job
+            })
+        });
+        let workers_per_isolated = if self.rounds.is_half_free {
+            WORKERS_PER_ISOLATED_IF_FREE
+        } else {
+            WORKERS_PER_ISOLATED
+        };
+        let limit = (self.workers.len() / workers_per_isolated).max(ISOLATED_WORKERS_MIN);
+        isolating.count() + turns < limit
+    }
+
+    /// Ends the turn of a step whose isolated start is proposed.
+    pub(crate) fn end_isolation_turn(&mut self, view: &StepView) {
+        self.isolation_turns.end(view.key);
+    }
+
+    /// Whether the tasks of a step wait only for a worker on which they can be isolated. Further
+    /// permits would not help them, and their requests would delay those of other steps.
+    pub(crate) fn waits_for_isolation(
+        &self,
+        job: &Job,
+        view: &StepView,
+        candidates: &[Candidate],
+        now: Millis,
+    ) -> bool {
+        let mut waiting = view.waiting.iter();
+        let are_isolated =
+            waiting.all(|task| task_isolation(job, view.key, *task) != Isolation::None);
+        let has_permit = || {
+            let mut candidates = candidates.iter();
+            candidates.any(|candidate| candidate.permission == Permission::Granted)
+        };
+        are_isolated && (has_permit() || !self.isolation_turns.has(view.key, now))
+    }
+
+    /// Closes a worker to the starts of other jobs, before and after an isolated start.
+    pub(crate) fn close_for(&mut self, view: &StepView, index: WorkerIndex, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(index) {
+            let has_started = worker.is_closed_for(view.key.job, now)
+                && worker
+                    .exclusive
+                    .as_ref()
+                    .is_some_and(|exclusive| exclusive.has_started);
+            worker.exclusive = Some(ExclusiveStart {
+                job: view.key.job,
+                queue: view.queue_name.clone(),
+                until: now + EXCLUSIVE_MS,
+                has_started,
+            });
+        }
+    }
+}
+
+/// How a task of a step has to be isolated.
+pub(crate) fn task_isolation(job: &Job, step: StepKey, index: u32) -> Isolation {
+    let tasks = &job.steps[usize::from(step.step)].tasks;
+    tasks[index as usize].crashes.isolation()
+}
+
+/// How a gang has to be isolated: as its most suspicious member.
+pub(crate) fn gang_isolation(job: &Job, step: StepKey) -> Isolation {
+    let tasks = &job.steps[usize::from(step.step)].tasks;
+    let isolations = tasks.iter().map(|task| task.crashes.isolation());
+    isolations.max().unwrap_or_default()
+}
--- a/crates/queues/src/scheduler/lease.rs
+++ b/crates/queues/src/scheduler/lease.rs
@@ -58,6 +58,11 @@
         self.last_clock.is_some() && self.silent_since.is_none()
     }
 
+    /// When the newest reply came, or when this leader began to track the worker.
+    pub fn heard_at(&self) -> Millis {
+        self.last_clock.map_or(self.tracked_since, |(_, at)| at)
+    }
+
     /// How long the worker has been silent.
     pub fn silent_ms(&self, now: Millis) -> u64 {
         match (self.silent_since, self.last_clock) {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod ended_runs;
 mod gangs;
 mod health;
+mod isolation;
 mod lease;
 mod messages;
 mod permit_requests;
@@ -41,6 +42,7 @@
 use crate::ids::StepKey;
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
+use crate::scheduler::isolation::IsolationTurns;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
@@ -151,6 +153,7 @@
     pub(crate) checked_at: Millis,
     pub(crate) waits: WaitTracker,
     pub(crate) ended_runs: EndedRunTracker,
+    pub(crate) isolation_turns: IsolationTurns,
 }
 
 impl Scheduler {
@@ -177,6 +180,7 @@
             checked_at: now,
             waits: WaitTracker::default(),
             ended_runs: EndedRunTracker::default(),
+            isolation_turns: IsolationTurns::default(),
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
@@ -239,6 +243,7 @@
                 self.run_ended(state, worker, (*task, *run), *kind, now);
             }
             QueueChange::StepChanged(step) => self.step_changed(state, *step, now),
+            QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
         }
     }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -10,9 +10,11 @@
 
 use crate::command::Placement;
 use crate::command::QueueCommand;
+use crate::crash::Isolation;
 use crate::job::Job;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::isolation::task_isolation;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
@@ -30,6 +32,10 @@
     pub(crate) fits: u32,
     /// Whether a run of the step failed or stalled there.
     pub(crate) is_avoided: bool,
+    /// Whether it is closed to other jobs for the step's job.
+    pub(crate) is_held: bool,
+    /// Whether a task may start there now with the isolation that it needs.
+    pub(crate) allows_isolation: bool,
     /// The processor capacity left after one task is placed, for the choice of the tightest worker.
     pub(crate) left_millicores: u64,
     /// Whether the worker is on the preferred rack of the step.
@@ -70,6 +76,7 @@
         &self,
         view: &StepView,
         reservations: &Reservations,
+        isolation: Isolation,
         now: Millis,
     ) -> Vec<Candidate> {
         let spec = view.spec();
@@ -83,7 +90,7 @@
             if !has_room || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
                 continue;
             }
-            if view.rejections.is_paused(index, now) {
+            if view.rejections.is_paused(index, now) || worker.is_closed_to(view.key.job, now) {
                 continue;
             }
             let permission = self.permission(view, index, now);
@@ -107,6 +114,8 @@
                 permission,
                 fits,
                 is_avoided: view.avoided.contains(&index),
+                is_held: worker.is_closed_for(view.key.job, now),
+                allows_isolation: worker.allows_isolation(isolation, view.key.job, now),
                 left_millicores: remaining.millicores,
                 is_preferred,
                 slowdown_percent: (slowdown * 100.0) as u64,
@@ -136,7 +145,7 @@
         reservations: &Reservations,
         now: Millis,
     ) {
-        let mut candidates = self.candidates(view, reservations, now);
+        let mut candidates = self.candidates(view, reservations, Isolation::None, now);
         candidates.sort_unstable_by_key(|c| {
             (
                 c.is_avoided,
@@ -148,8 +157,12 @@
         });
         let job = state.job(view.key.job).filter(|_| view.is_committed);
         let mut placements = Vec::new();
-        if job.is_some() {
-            let mut waiting = view.waiting.iter().copied().collect::<Vec<_>>().into_iter();
+        if let Some(job) = job {
+            let waiting = view.waiting.iter().copied();
+            let mut waiting = waiting
+                .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
+                .collect::<Vec<_>>()
+                .into_iter();
             let granted = candidates
                 .iter()
                 .filter(|c| c.permission == Permission::Granted);
@@ -165,9 +178,57 @@
         if let Some(job) = job.filter(|_| !placements.is_empty()) {
             self.start(job, view, &placements, now);
         }
+        if let Some(job) = job {
+            self.place_isolated_tasks(job, view, reservations, now);
+            if self.waits_for_isolation(job, view, &candidates, now) {
+                return;
+            }
+        }
         self.request_permits(view, &candidates, now);
     }
 
+    /// Places the tasks that were on a worker when it crashed, each on a worker that is closed to
+    /// other starts. If no worker allows that yet, the best one is closed until it does.
+    fn place_isolated_tasks(
+        &mut self,
+        job: &Job,
+        view: &mut StepView,
+        reservations: &Reservations,
+        now: Millis,
+    ) {
+        let waiting: Vec<u32> = view.waiting.iter().copied().collect();
+        for task in waiting {
+            let isolation = task_isolation(job, view.key, task);
+            if isolation == Isolation::None {
+                continue;
+            }
+            if !self.take_isolation_turn(view, now) {
+                return;
+            }
+            let candidates = self.candidates(view, reservations, isolation, now);
+            let granted = candidates
+                .iter()
+                .filter(|c| c.permission == Permission::Granted);
+            let best = granted.min_by_key(|c| {
+                (
+                    !c.is_held,
+                    !c.allows_isolation,
+                    c.is_avoided,
+                    std::cmp::Reverse(c.left_millicores),
+                    c.index,
+                )
+            });
+            let Some(best) = best else {
+                return;
+            };
+            self.close_for(view, best.index, now);
+            if best.allows_isolation {
+                self.end_isolation_turn(view);
+                self.start(job, view, &[(task, best.index)], now);
+            }
+        }
+    }
+
     /// Proposes runs of the given tasks and takes their resources on the workers.
     pub(crate) fn start(
         &mut self,
@@ -195,6 +256,7 @@
             } else {
                 tasks[*task as usize].run + 1
             };
+            worker.record_start(view.key.job, now);
             let expected_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
             let run_view = RunView {
                 run,
@@ -202,6 +264,7 @@
                 stage: RunStage::Proposed,
                 since: now,
                 is_adopted: false,
+                isolation: task_isolation(job, view.key, *task),
                 usual_ms: view.usual_ms,
                 expected_ms,
                 checkpoint: None,
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -21,7 +21,7 @@
 use crate::scheduler::workers::WorkerIndex;
 
 /// How long a worker with runs holds a poll open in a small cluster.
-const WAIT_BUSY_MIN_MS: u64 = 350;
+pub(crate) const WAIT_BUSY_MIN_MS: u64 = 350;
 /// The longest time that a worker with runs holds a poll open. A silent worker is noticed only
 /// after this wait, and a lease must be renewed several times before it ends.
 const WAIT_BUSY_MAX_MS: u64 = 900;
@@ -170,9 +170,11 @@
         }
         worker.poll.is_expiry_proposed = true;
         let checkpoints = worker.checkpoints();
+        let lost = worker.lost_runs();
         self.propose(QueueCommand::Expire {
             worker: id,
             checkpoints,
+            lost,
         });
     }
 
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -11,12 +11,14 @@
 
 use crate::command::Placement;
 use crate::command::QueueCommand;
+use crate::crash::Isolation;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::ids::TaskKey;
 use crate::job::JobPhase;
 use crate::scheduler::Action;
 use crate::scheduler::Scheduler;
+use crate::scheduler::isolation::task_isolation;
 use crate::scheduler::messages::RejectReason;
 use crate::scheduler::messages::RunningTask;
 use crate::scheduler::messages::StopReason;
@@ -78,6 +80,7 @@
                 stage: RunStage::Unknown,
                 since: now,
                 is_adopted: true,
+                isolation: job.map_or(Isolation::None, |job| adopted_isolation(job, *task)),
                 usual_ms: step.map_or(0, |step| step.estimate_ms),
                 expected_ms: step.map_or(0, |step| step.estimate_ms),
                 checkpoint: None,
@@ -370,10 +373,19 @@
         if let Some(worker) = self.workers.get(index) {
             let id = worker.record.id.clone();
             let checkpoints = worker.checkpoints();
-            self.propose(QueueCommand::RemoveWorker {
-                worker: id,
-                checkpoints,
-            });
+            let command = if worker.record.is_draining {
+                QueueCommand::RemoveWorker {
+                    worker: id,
+                    checkpoints,
+                }
+            } else {
+                QueueCommand::Crash {
+                    worker: id,
+                    checkpoints,
+                    lost: worker.lost_runs(),
+                }
+            };
+            self.propose(command);
         }
     }
 
@@ -502,6 +514,14 @@
     }
 }
 
+/// How a task that an earlier leader started is isolated.
+fn adopted_isolation(job: &crate::job::Job, task: TaskKey) -> Isolation {
+    if job.phase.has_ended() {
+        return Isolation::None;
+    }
+    task_isolation(job, task.step, task.index)
+}
+
 /// The checkpoint from which a task resumes; all members of a gang resume from the same one.
 fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
     let position = usize::from(task.step.step);
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -6,9 +6,11 @@
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
 
+use crate::crash::Isolation;
 use crate::ids::StepKey;
 use crate::ids::TaskKey;
 use crate::scheduler::health::Health;
+use crate::scheduler::isolation::ExclusiveStart;
 use crate::scheduler::lease::WorkerLease;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::polls::PollState;
@@ -60,6 +62,8 @@
     pub since: Millis,
     /// Whether an earlier leader started it.
     pub is_adopted: bool,
+    /// How it is kept apart from other jobs.
+    pub isolation: Isolation,
     /// The expected duration on most workers.
     pub usual_ms: u64,
     /// The expected duration on this worker.
@@ -113,6 +117,10 @@
     pub reported: WorkerRecord,
     /// While it drains, the earliest time at which it may leave.
     pub leaves_at: Option<Millis>,
+    /// When a start there was last proposed, or when this leader began to track it.
+    pub last_start: Millis,
+    /// The last isolated start there, or the one that is about to come.
+    pub exclusive: Option<ExclusiveStart>,
 }
 
 impl WorkerView {
@@ -129,6 +137,8 @@
             poll: PollState::new(applied_ends, now),
             reported_at: now,
             leaves_at: None,
+            last_start: now,
+            exclusive: None,
         }
     }
 
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -11,6 +11,8 @@
 use crate::command::Placement;
 use crate::command::QueueCommand;
 use crate::command::RunEnd;
+use crate::crash::CrashCount;
+use crate::crash::LostRuns;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
 use crate::ids::TaskKey;
@@ -43,6 +45,10 @@
     Worker(Arc<str>),
     /// A worker was removed.
     WorkerRemoved(Arc<str>),
+    /// A worker crashed, and these tasks may be the cause.
+    WorkerCrashed(Arc<str>, Vec<TaskKey>),
+    /// The crash of a worker was counted against a task.
+    CrashCounted(TaskKey, CrashCount),
     /// Tasks of a step were placed on workers.
     Started(StepKey, Vec<Placement>),
     /// A run ended and no longer takes resources on a worker; the kind is `None` if the run never
@@ -120,12 +126,21 @@
                 worker,
                 checkpoints,
             } => apply.remove_worker(worker, checkpoints),
+            QueueCommand::Crash {
+                worker,
+                checkpoints,
+                lost,
+            } => apply.crash(worker, checkpoints, lost),
             QueueCommand::Start { step, placements } => apply.start(*step, placements),
             QueueCommand::End { worker, upto, ends } => apply.end(worker, *upto, ends),
             QueueCommand::Expire {
                 worker,
                 checkpoints,
-            } => apply.expire(worker, checkpoints),
+                lost,
+            } => {
+                apply.expire(worker, checkpoints);
+                apply.record_expired(worker, lost);
+            }
             QueueCommand::Release { worker, task, run } => apply.release(worker, *task, *run),
         }
     }
@@ -167,6 +182,7 @@
                     record: record.clone(),
                     applied_ends: 0,
                     runs: OrdMap::new(),
+                    expired: LostRuns::default(),
                 };
                 self.state.workers.insert(id.clone(), Arc::new(worker));
             }
@@ -231,6 +247,8 @@
         };
         let worker = Arc::make_mut(worker);
         worker.applied_ends = worker.applied_ends.max(upto);
+        // A worker that reports the ends of its runs has not crashed.
+        worker.expired = LostRuns::default();
         for end in ends {
             let Some(worker) = self.state.workers.get_mut(id) else {
                 return;
@@ -259,6 +277,51 @@
         }
     }
 
+    /// Keeps the runs that ended with the lease of a worker, in case it turns out to have crashed.
+    fn record_expired(&mut self, id: &Arc<str>, lost: &LostRuns) {
+        if let Some(worker) = self.state.workers.get_mut(id) {
+            Arc::make_mut(worker).expired = lost.clone();
+        }
+    }
+
+    /// Removes a crashed worker and counts the crash against the tasks that ran there.
+    fn crash(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)], lost: &LostRuns) {
+        let Some(worker) = self.state.workers.get(id) else {
+            return;
+        };
+        let expired = worker.expired.clone();
+        self.remove_worker(id, checkpoints);
+        let lost = if lost.is_empty() { &expired } else { lost };
+        let crashed = QueueChange::WorkerCrashed(id.clone(), lost.suspects.clone());
+        self.changes.push(crashed);
+        for task in &lost.tasks {
+            let is_suspect = lost.is_suspect(*task);
+            let is_attributed = is_suspect && lost.is_only_suspect(task.step.job);
+            self.count_crash(*task, is_suspect, is_attributed);
+        }
+    }
+
+    /// Counts a crash against a task, and fails its job if the task is given up.
+    fn count_crash(&mut self, key: TaskKey, is_suspect: bool, is_attributed: bool) {
+        let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        if job.phase.has_ended() {
+            return;
+        }
+        let job = Arc::make_mut(job);
+        let task = &mut job.steps[usize::from(key.step.step)].tasks[key.index as usize];
+        if task.phase == TaskPhase::Done {
+            return;
+        }
+        task.crashes.record(is_suspect, is_attributed);
+        let crashes = task.crashes;
+        self.changes.push(QueueChange::CrashCounted(key, crashes));
+        if crashes.is_given_up() {
+            self.end_job(key.step.job, JobPhase::Failed);
+        }
+    }
+
     fn release(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
         let Some(worker) = self.state.workers.get_mut(id) else {
             return;
--- a/crates/queues/src/worker.rs
+++ b/crates/queues/src/worker.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash::LostRuns;
 use crate::ids::TaskKey;
 
 /// One incarnation of a worker, as it describes itself.
@@ -98,4 +99,8 @@
     pub applied_ends: u64,
     /// Runs that take resources there until their end is certain.
     pub runs: OrdMap<TaskKey, HeldRun>,
+    /// The runs that ended when its lease expired, until the worker is heard from again. If another
+    /// incarnation returns instead, the worker has crashed.
+    #[serde(default, skip_serializing_if = "LostRuns::is_empty")]
+    pub expired: LostRuns,
 }
--- /dev/null
+++ b/crates/queues/tests/crashes.rs
@@ -0,0 +1,168 @@
+//! Tasks that crash the workers that start them.
+
+mod model;
+
+use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobPhase;
+use sapphirepost_queues::StepKey;
+use sapphirepost_queues::TaskKey;
+
+use crate::model::LEASE_MS;
+use crate::model::Model;
+use crate::model::load;
+use crate::model::load::Kind;
+use crate::model::queue;
+use crate::model::worker::ModelWorker;
+
+/// A task that crashes its workers may be started twice more after three of them have crashed.
+const CRASHES_MAX: u32 = 5;
+/// Lookups with a number divisible by this crash their workers, if the test uses `is_crashing`.
+const CRASHING_EVERY: u64 = 5;
+
+fn is_crashing(task: TaskKey) -> bool {
+    let number = task.step.job.0.wrapping_sub(load::key(Kind::Lookup, 0));
+    number < load::key(Kind::Lookup, 0) && number.is_multiple_of(CRASHING_EVERY)
+}
+
+fn model(workers: usize, crashes_worker: fn(TaskKey) -> bool) -> Model {
+    let queues = vec![
+        queue("lookup", 0, 1.5, 250),
+        queue("gang", 1, 2.2, 1_000),
+        queue("tally", 2, 4.0, 3_000),
+    ];
+    let workers = (0..workers).map(|number| {
+        let mut worker = ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
+        worker.crashes_worker = crashes_worker;
+        worker
+    });
+    let mut model = Model::new(queues, workers.collect(), 0);
+    model.run(50);
+    model
+}
+
+fn submit(model: &mut Model, kind: Kind, numbers: std::ops::Range<u64>) {
+    let name = match kind {
+        Kind::Lookup => "lookup",
+        Kind::Tally => "tally",
+        Kind::Gang => "gang",
+    };
+    for number in numbers {
+        model.submit(load::key(kind, number), name, load::spec(kind, number));
+    }
+}
+
+/// Checks that the jobs that crash workers have failed, and that all others have completed.
+fn assert_only_crashing_jobs_failed(model: &Model, crashes_worker: fn(TaskKey) -> bool) {
+    for (key, job) in &model.jobs {
+        let task = StepKey { job: *key, step: 0 }.task(0);
+        let expected = if crashes_worker(task) {
+            JobPhase::Failed
+        } else {
+            JobPhase::Completed
+        };
+        let phase = job.ended.map(|(_, phase)| phase);
+        assert_eq!(phase, Some(expected), "{key}");
+    }
+    for (task, crashes) in &model.crashes {
+        let is_within = *crashes <= CRASHES_MAX || !crashes_worker(*task);
+        assert!(is_within, "{task} crashed {crashes} workers");
+    }
+}
+
+/// Guards against a task that crashes one worker after the other and is started for ever: its ends
+/// counted towards no bound.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    let mut model = model(8, is_crashing);
+    submit(&mut model, Kind::Tally, 0..4);
+    submit(&mut model, Kind::Gang, 0..1);
+    submit(&mut model, Kind::Lookup, 0..5);
+    model.run_until_done(90_000);
+    assert_only_crashing_jobs_failed(&model, is_crashing);
+}
+
+/// Guards against innocent tasks that are given up because they shared workers with tasks that
+/// crash them, again and again.
+#[test]
+fn tasks_beside_crashing_ones_are_not_given_up() {
+    let mut model = model(24, is_crashing);
+    for round in 0..12 {
+        submit(&mut model, Kind::Tally, 2 * round..2 * round + 2);
+        submit(&mut model, Kind::Gang, round..round + 1);
+        submit(&mut model, Kind::Lookup, 5 * round..5 * round + 5);
+        model.run(1_000);
+    }
+    model.run_until_done(180_000);
+    assert_only_crashing_jobs_failed(&model, is_crashing);
+}
+
+/// Guards against a count of crashes that only one leader's memory holds: each new leader started
+/// the task as often again.
+#[test]
+fn the_count_of_crashes_survives_changes_of_the_leader() {
+    let mut model = model(8, is_crashing);
+    submit(&mut model, Kind::Tally, 0..2);
+    submit(&mut model, Kind::Lookup, 0..1);
+    for _ in 0..12 {
+        model.run(2_300);
+        model.change_leader();
+    }
+    model.run_until_done(60_000);
+    assert_only_crashing_jobs_failed(&model, is_crashing);
+}
+
+/// Guards against crashes that are not counted because the worker returns only after its lease has
+/// expired, when its runs have ended already.
+#[test]
+fn a_crash_is_counted_when_the_worker_returns_after_its_lease() {
+    let mut model = model(8, is_crashing);
+    for worker in model.workers.values_mut() {
+        worker.down_ms = 2 * LEASE_MS;
+    }
+    submit(&mut model, Kind::Tally, 0..2);
+    submit(&mut model, Kind::Lookup, 0..1);
+    model.run_until_done(90_000);
+    assert_only_crashing_jobs_failed(&model, is_crashing);
+}
+
+/// Guards against tasks that are given up because their workers are cut off: the runs end with the
+/// lease, which proves nothing about the task.
+#[test]
+fn tasks_of_workers_that_are_cut_off_are_not_given_up() {
+    let mut model = model(6, |_| false);
+    submit(&mut model, Kind::Tally, 0..4);
+    for _ in 0..4 {
+        model.run(300);
+        let busy = model.workers.values_mut();
+        let mut busy = busy.filter(|worker| !worker.running.is_empty());
+        let id = busy.next().map(|worker| {
+            worker.is_unreachable = true;
+            worker.record.id.clone()
+        });
+        model.run(2 * LEASE_MS);
+        if let Some(id) = id {
+            model.workers.get_mut(&id).unwrap().is_unreachable = false;
+        }
+    }
+    model.run_until_done(60_000);
+    assert_only_crashing_jobs_failed(&model, |_| false);
+}
+
+/// Guards against a task that is given up because two workers crashed under it for other reasons,
+/// long after it had started there.
+#[test]
+fn a_task_whose_workers_crash_later_is_not_given_up() {
+    let mut model = model(6, |_| false);
+    submit(&mut model, Kind::Gang, 0..1);
+    for _ in 0..2 {
+        model.run(1_500);
+        let now = model.now;
+        let job = JobKey(load::key(Kind::Gang, 0));
+        let mut workers = model.workers.values_mut();
+        let worker = workers.find(|w| w.running.keys().any(|task| task.step.job == job));
+        worker.unwrap().crash_at(now);
+        model.run(5_000);
+    }
+    model.run_until_done(60_000);
+    assert_only_crashing_jobs_failed(&model, |_| false);
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -120,6 +120,8 @@
     pub starts: u64,
     /// When the present leader took over.
     leader_since: Millis,
+    /// The number of workers that crashed while each task ran on them.
+    pub crashes: BTreeMap<TaskKey, u32>,
     /// The real time that the calls of `Scheduler::tick` took.
     pub decision_time: Duration,
 }
@@ -201,6 +203,7 @@
             refused_permit_requests: 0,
             starts: 0,
             leader_since: Millis::ZERO,
+            crashes: BTreeMap::new(),
             decision_time: Duration::ZERO,
         };
         for client in 0..clients {
@@ -326,8 +329,12 @@
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
         for worker in self.workers.values_mut() {
+            for task in worker.crash_if_due(self.now) {
+                *self.crashes.entry(task).or_default() += 1;
+            }
             worker.advance(self.now);
         }
+        self.replace_crashed_workers();
         self.advance_gangs();
         self.answer_polls();
         while let Some(entry) = self.events.first_entry() {
@@ -352,6 +359,17 @@
         self.check();
     }
 
+    /// Registers the next incarnations of crashed workers that return.
+    fn replace_crashed_workers(&mut self) {
+        let returns = |worker: &ModelWorker| worker.returns_at.is_some_and(|at| at <= self.now);
+        let returned = self.workers.extract_if(.., |_, worker| returns(worker));
+        for (_, crashed) in returned.collect::<Vec<_>>() {
+            let next = crashed.next_incarnation();
+            self.propose(QueueCommand::PutWorker(Box::new(next.record.clone())));
+            self.workers.insert(next.record.id.clone(), next);
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Applied(commands) => self.apply(&commands),
@@ -458,10 +476,14 @@
 
     fn request_arrives(&mut self, request: WorkerRequest) {
         let Some(worker) = self.workers.get_mut(&request.worker) else {
-            return self.schedule(
-                worker::REQUEST_TIMEOUT_MS,
-                Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer)),
-            );
+            let mut workers = self.workers.values();
+            let is_replaced = workers.any(|worker| worker.record.address == request.address);
+            let (delay_ms, error) = if is_replaced {
+                (NET_MS, WorkerRequestError::OtherLife)
+            } else {
+                (worker::REQUEST_TIMEOUT_MS, WorkerRequestError::NoAnswer)
+            };
+            return self.schedule(delay_ms, Event::RequestAnswered(request, Err(error)));
         };
         if worker.is_replaced {
             let replaced = Event::RequestAnswered(request, Err(WorkerRequestError::OtherLife));
