Write the queued log lines before a process exits

A control process that ended at once, for instance because its limit of descriptors is too low, left a log without the reason. Cause: lines of the bounded log are written by a thread of their own, and main returned, or called exit after a second signal, without waiting for it.

logging::flush sends a request through the same channel as the lines and waits for its confirmation, at most one second, so that a reader that has stopped reading does not keep the process from exiting.

Ruled out: dropped lines of a full channel; these are counted, and a process that has just started has logged a few lines only.

--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -19,6 +19,7 @@
 use sapphirepost_process::admin::DumpError;
 use sapphirepost_process::admin::DumpSource;
 use sapphirepost_process::descriptors::DescriptorShares;
+use sapphirepost_process::logging;
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_process::rpc;
 use sapphirepost_process::rpc::Responder;
@@ -209,6 +210,7 @@
             // Bypasses the core thread, which may be blocked on a disk that does not respond. The
             // log tolerates a process that ends at any time.
             log::warn!("stopping at once; calls in progress end without an answer");
+            logging::flush(logging::EXIT_FLUSH_TIMEOUT);
             std::process::exit(1);
         }
     }
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -3,15 +3,21 @@
 //! Lines go to standard error ([`init`]) or standard output ([`init_bounded`]). Empty values and
 //! values with white space, quotes, `=` or control characters are quoted, and control characters in
 //! messages are escaped, so that untrusted input cannot forge a line.
+//!
+//! Lines of a bounded log are written by a thread of their own. A process that exits calls [`flush`]
+//! before, since the exit ends that thread and the reason for the exit is usually the last line.
 
 use std::fmt;
 use std::fmt::Write;
 use std::io;
+use std::iter;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
@@ -90,8 +96,9 @@
 /// are written as separate lines before the next line that is written. Logging never waits for the
 /// reader of the output, and a line over the limit is not formatted.
 pub fn init_bounded(levels: &LogLevels) -> Result<(), log::SetLoggerError> {
-    let (sender, lines) = flume::bounded(QUEUED_LINES_MAX);
-    let writer = move || write_lines(&lines, &mut io::stdout().lock());
+    let (sender, queue) = flume::bounded(QUEUED_LINES_MAX);
+    let queue_sender = sender.clone();
+    let writer = move || write_queue(&queue, &mut io::stdout().lock());
     let started = thread::Builder::new().name("log".to_owned()).spawn(writer);
     if let Err(error) = started {
         eprintln!("cannot start the log thread: {error}");
@@ -105,12 +112,27 @@
     let output = fern::Output::call(move |record| {
         let mut limits = limits.lock().unwrap_or_else(PoisonError::into_inner);
         let line = format!("{}{}\n", limits.describe_dropped(), record.args());
-        match sender.try_send(line) {
+        match sender.try_send(Queued::Line(line)) {
             Ok(()) => limits.forget_dropped(),
             Err(_) => limits.drop_line(record.target()),
         }
     });
-    dispatch(levels).filter(filter).chain(output).apply()
+    dispatch(levels).filter(filter).chain(output).apply()?;
+    let _ = QUEUE.set(queue_sender);
+    Ok(())
+}
+
+/// Waits until all lines logged so far are written, but at most for `timeout`, because the reader of
+/// the output may have stopped reading. Returns whether they are written. Lines that are not sent
+/// through the channel of [`init_bounded`] are written at once.
+pub fn flush(timeout: Duration) -> bool {
+    let Some(queue) = QUEUE.get() else {
+        return true;
+    };
+    let deadline = Instant::now() + timeout;
+    let (sender, written) = flume::bounded(1);
+    let is_queued = queue.send_deadline(Queued::Flush(sender), deadline).is_ok();
+    is_queued && written.recv_deadline(deadline).is_ok()
 }
 
 /// Returns a dispatcher with the format and levels that both outputs use.
@@ -129,18 +151,39 @@
     dispatch
 }
 
+/// How long an exit waits for the log to be written.
+pub const EXIT_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of lines that wait for the writer thread.
 const QUEUED_LINES_MAX: usize = 4_096;
+
+/// The channel to the writer thread; empty without a bounded log.
+static QUEUE: OnceLock<flume::Sender<Queued>> = OnceLock::new();
+
+/// What the writer thread receives.
+enum Queued {
+    /// A line, with its line break.
+    Line(String),
+    /// A request for a message once all earlier lines are written.
+    Flush(flume::Sender<()>),
+}
+
 /// Writes queued lines until the channel is closed, in batches of all lines that are available.
-fn write_lines(lines: &flume::Receiver<String>, output: &mut impl io::Write) {
-    while let Ok(first) = lines.recv() {
-        let mut text = first;
-        for line in lines.try_iter() {
-            text.push_str(&line);
+fn write_queue(queue: &flume::Receiver<Queued>, output: &mut impl io::Write) {
+    while let Ok(first) = queue.recv() {
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        for queued in iter::once(first).chain(queue.try_iter()) {
+            match queued {
+                Queued::Line(line) => text.push_str(&line),
+                Queued::Flush(written) => flushes.push(written),
+            }
         }
         // If the output is closed, there is nowhere to report the error.
         let _ = output.write_all(text.as_bytes());
         let _ = output.flush();
+        for written in flushes {
+            let _ = written.send(());
+        }
     }
 }
 
