Wait for the report of the stop before the second signal of a test

a_second_signal_shortens_the_stop_and_reports_cut_off_requests sent its second SIGTERM as soon as the entry was not ready. Traced with the text of the readiness report: in 4 of 14 runs beside 14 busy loops the report named only the upstreams, which were not known yet, so the first signal had not been handled. In 2 of these 4 runs the system merged the second signal with the first, which was still pending, and the stop took 9 s, the time of the open request; the other two were lucky.

Ruled out: a signal lost by the entry after it has reported the stop; in the 10 runs whose report named the stop, the second signal ended the entry within 32 ms.

The test now waits until the report names the stop. The limit of 5 s and the checks of the log are unchanged.

--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -61,6 +61,8 @@
     assert!(!log.contains("cut off"), "{log}");
 }
 
+/// Guards against a second signal that does not end the stop, and against requests that are cut off
+/// without a log line.
 #[test]
 fn a_second_signal_shortens_the_stop_and_reports_cut_off_requests() {
     let mut group = EntryGroup::start(1, &[]);
@@ -69,7 +71,13 @@
     let call = in_background(group.callers[0], "POST /logbook/x?wait=9000".to_owned());
     wait_for("the request", || upstream.count("POST") == 1);
     group.signal(0, "-TERM");
-    wait_for("not ready", || group.get(0, "/readyz").0 == 503);
+    // The system merges a signal with an equal one that is still pending. An entry that does not
+    // know its upstreams yet is not ready either, so the status alone does not show that the first
+    // signal was handled.
+    wait_for("the stop", || {
+        let (status, report) = group.get(0, "/readyz");
+        status == 503 && report.contains("stop: the entry is stopping")
+    });
     let began = Instant::now();
     group.signal(0, "-TERM");
     let (_, log) = group.wait_exit(0);
