Count the time without progress of a run from its confirmation

Healthy runs were stopped as stalled a few milliseconds after they had started, and ran again: the cause of the runs that tasks_run_once_without_faults counted too often.

The time without progress counted from the proposal of the start, and the limit is 1.8 s where two runs of a worker have no progress, and 4 s for one.

The time now counts from when the worker accepts or first reports the run, in a field of its own: for gangs a confirmation is no progress, and durations still count from the proposal.

The new test runs_whose_start_was_committed_slowly_are_not_stalled failed before, with 54 starts of 27 tasks.

--- a/crates/queues/src/scheduler/drain.rs
+++ b/crates/queues/src/scheduler/drain.rs
@@ -58,14 +58,14 @@
             }
             let is_stalled = |task: &TaskKey, run: &RunView| {
                 run.stage == RunStage::Running
-                    && now.since(run.progressed.max(run.since)) >= STALL_MS
+                    && now.since(run.progressed.max(run.confirmed)) >= STALL_MS
                     && self.should_progress(task, run)
             };
             let worker_stalled: Vec<_> = worker
                 .runs
                 .iter()
                 .filter(|(task, run)| is_stalled(task, run))
-                .map(|(task, run)| (index, *task, run.run, run.progressed.max(run.since)))
+                .map(|(task, run)| (index, *task, run.run, run.progressed.max(run.confirmed)))
                 .collect();
             let has_several_stalled = worker_stalled.len() >= STALLED_TASKS_MIN;
             for (index, task, run, since) in worker_stalled {
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -270,6 +270,7 @@
                 checkpoint: None,
                 progress_percent: 0,
                 progressed: now,
+                confirmed: now,
             };
             worker.add_run(view.key.task(*task), run_view);
             view.waiting.remove(task);
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -39,10 +39,16 @@
 const STOP_RETRY_MS: u64 = 500;
 
 impl RunView {
+    /// Records that the worker has the run.
+    fn confirm(&mut self, now: Millis) {
+        self.stage = RunStage::Running;
+        self.confirmed = now;
+    }
+
     /// Updates the run with what a poll reported.
     pub(crate) fn update(&mut self, reported_task: &RunningTask, now: Millis) {
         if matches!(self.stage, RunStage::Unknown | RunStage::StartSent { .. }) {
-            self.stage = RunStage::Running;
+            self.confirm(now);
         }
         if reported_task.checkpoint.is_some() {
             self.checkpoint = reported_task.checkpoint.clone();
@@ -86,6 +92,7 @@
                 checkpoint: None,
                 progress_percent: 0,
                 progressed: now,
+                confirmed: now,
             };
             view.add_run(*task, run);
         }
@@ -245,7 +252,7 @@
         };
         match result {
             Ok(_) => {
-                view.stage = RunStage::Running;
+                view.confirm(now);
                 self.unstarted_jobs.remove(&task.step.job);
                 if let Some(step) = self.steps.get_mut(&task.step) {
                     step.rejections.forget(index);
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -74,6 +74,9 @@
     pub progress_percent: u32,
     /// When the reported progress last changed.
     pub progressed: Millis,
+    /// When the worker first accepted or reported the run, or `since` before. A run cannot make
+    /// progress while its start is being committed, which may take seconds on a slow disk.
+    pub confirmed: Millis,
 }
 
 impl RunView {
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -179,6 +179,28 @@
     assert_completed(&model);
 }
 
+/// Fails unless each task of the first `jobs` jobs of a kind, which have all ended, was started once.
+fn assert_started_once(model: &Model, kind: Kind, jobs: u64) {
+    let specs = (0..jobs).map(|number| load::spec(kind, number));
+    let counts = specs.flat_map(|spec| spec.steps.into_iter().map(|step| u64::from(step.count)));
+    assert_eq!(model.starts, counts.sum::<u64>());
+}
+
+/// Guards against runs that count as stalled as soon as they start, because the time that a slow
+/// disk took to commit the start was counted as time without progress.
+#[test]
+fn runs_whose_start_was_committed_slowly_are_not_stalled() {
+    let mut model = Model::new(queues(), workers(4), 0);
+    model.run(50);
+    model.commit_ms = 4_500;
+    submit(&mut model, Kind::Tally, 3);
+    model.run(4_600);
+    model.commit_ms = COMMIT_MS;
+    model.run_until_done(30_000);
+    assert_completed(&model);
+    assert_started_once(&model, Kind::Tally, 3);
+}
+
 /// Guards against gangs that stay for ever on a worker on which nothing makes progress.
 #[test]
 fn a_stalled_gang_is_rescheduled() {
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -42,7 +42,7 @@
 
 /// The time between two steps of the model.
 pub const STEP_MS: u64 = 5;
-/// The time from a proposal to its application.
+/// The usual time from a proposal to its application.
 pub const COMMIT_MS: u64 = 15;
 /// The one-way delay between the leader and a worker or policy client.
 const NET_MS: u64 = 1;
@@ -110,6 +110,8 @@
     pub unknown_worker: Option<Arc<str>>,
     /// What the policy answers instead of the normal answer, if faulty.
     pub policy_fault: Option<PolicyFault>,
+    /// The time from a proposal to its application.
+    pub commit_ms: u64,
     /// Whether the leader lacks resources to send requests to workers.
     pub is_out_of_resources: bool,
     /// The IDs of all permit requests, in order.
@@ -198,6 +200,7 @@
             workers_per_request_max: WORKERS_PER_REQUEST_MAX,
             unknown_worker: None,
             policy_fault: None,
+            commit_ms: COMMIT_MS,
             is_out_of_resources: false,
             permit_requests: Vec::new(),
             refused_permit_requests: 0,
@@ -220,7 +223,7 @@
         self.events.insert(key, event);
     }
 
-    /// Submits a job; its commit takes `COMMIT_MS`.
+    /// Submits a job; its commit takes `commit_ms`.
     pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
         let key = JobKey(key);
         let table = self.state.table().unwrap().clone();
@@ -242,11 +245,11 @@
             queue,
             spec,
         };
-        self.schedule(COMMIT_MS, Event::Applied(vec![command]));
+        self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
 
     pub fn propose(&mut self, command: QueueCommand) {
-        self.schedule(COMMIT_MS, Event::Applied(vec![command]));
+        self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
 
     /// Replaces the leader. Commands that are proposed and not applied are lost.
