Judge runs as stalled only while their worker's progress is current

No poll is sent to a worker while ends that it has reported are being committed. The leader's view of the progress of its other runs is then out of date, and when a commit took longer than 1.8 s, two healthy runs of that worker were stopped as stalled, and the worker was blamed for them.

Seen in the logs of tasks_run_once_without_faults on: the log stood from 15:18:50.218 to 15:18:52.206, and at 15:18:51.881 two runs whose ends waited for their commit were stopped with the reason StandsStill.

Runs are now judged only if the worker has replied to a poll within the last 900 ms, the longest time that it may hold one. While polls are answered as usual, nothing changes.

Ruled out: comparing the progress with the time of the last reply, which would notice each stalled worker up to 900 ms later.

All tests of the package pass.

--- a/crates/queues/src/scheduler/drain.rs
+++ b/crates/queues/src/scheduler/drain.rs
@@ -21,6 +21,10 @@
 /// A task that is the only stalled one on its worker is stopped only after this time without
 /// progress, since the cause may be the task and not the worker.
 const SINGLE_STALL_MS: u64 = 4_000;
+/// Runs of a worker whose last reply to a poll is older than this are not judged: no poll is sent
+/// while ends are being committed, so the reported progress is out of date. It is shorter than
+/// `STALL_MS` and as long as a worker may hold a poll.
+const PROGRESS_VALID_MS: u64 = 900;
 
 impl Scheduler {
     /// Stops runs with checkpoints that are not expected to end before their worker leaves, so that
@@ -53,7 +57,8 @@
     pub(crate) fn stop_stalled_runs(&mut self, state: &QueueState, now: Millis) {
         let mut stalled: Vec<(WorkerIndex, TaskKey, u32)> = Vec::new();
         for (index, worker) in self.workers.iter() {
-            if !worker.lease.is_reachable() {
+            let has_replied = worker.poll.has_replied_within(PROGRESS_VALID_MS, now);
+            if !worker.lease.is_reachable() || !has_replied {
                 continue;
             }
             let is_stalled = |task: &TaskKey, run: &RunView| {
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -43,6 +43,8 @@
     is_in_progress: bool,
     /// When the next poll is due.
     due: Millis,
+    /// When the last reply to a poll came, if this leader has got one.
+    replied: Option<Millis>,
     /// Ends up to this number are applied, so the worker may forget them.
     applied_ends: u64,
     /// Ends up to this number are proposed.
@@ -59,6 +61,7 @@
         PollState {
             is_in_progress: false,
             due: now,
+            replied: None,
             applied_ends,
             proposed_ends: applied_ends,
             has_unexpected_runs: false,
@@ -66,6 +69,12 @@
         }
     }
 
+    /// Whether a reply to a poll came within the last `period_ms`.
+    pub fn has_replied_within(&self, period_ms: u64, now: Millis) -> bool {
+        self.replied
+            .is_some_and(|replied| now.since(replied) <= period_ms)
+    }
+
     /// Whether reported ends are proposed and not yet applied.
     fn is_committing(&self) -> bool {
         self.proposed_ends > self.applied_ends
@@ -214,6 +223,7 @@
         worker.lease.record_clock(reply.clock_ms, now);
         worker.poll.is_in_progress = false;
         worker.poll.due = now;
+        worker.poll.replied = Some(now);
         worker.poll.is_expiry_proposed = false;
         self.poll_candidates.push(index);
         let id = worker.record.id.clone();
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -201,6 +201,20 @@
     assert_started_once(&model, Kind::Tally, 3);
 }
 
+/// Guards against runs that count as stalled because their progress is not polled while ends of
+/// other runs on their worker are committed slowly.
+#[test]
+fn runs_beside_ends_that_are_committed_slowly_are_not_stalled() {
+    let mut model = Model::new(queues(), workers(1), 0);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 1);
+    model.run(500);
+    model.commit_ms = 2_500;
+    model.run_until_done(30_000);
+    assert_completed(&model);
+    assert_started_once(&model, Kind::Tally, 1);
+}
+
 /// Guards against gangs that stay for ever on a worker on which nothing makes progress.
 #[test]
 fn a_stalled_gang_is_rescheduled() {
