Let a new leader reuse the capacity of tasks that already stop

An urgent task for which the last leader had preempted another one got a second victim from a new leader: the stop is in the replicated state, but which tasks already stop, and the capacity held for the urgent task, were known only to the placer of the former leader. The new one saw all tasks as running and chose among a fresh sample of the workers. Each change of leader could so preempt one more task for each waiting urgent one.

Ruled out: the new leader stops the same task again. It does in a cluster of at most 48 workers with unchanged costs, where the choice is the same; the state then ignores the repeated stop.

The mirror now passes recorded stops on to the placer, also those that the state itself or a drain requested, and the placer counts the resources of stopping tasks as about to be free before it chooses victims, for as long as a preemption may take. After that time it preempts elsewhere, as before.

Before: a_new_leader_preempts_no_second_task_for_an_urgent_one failed with 'left: [TaskId(1)] right: []' (120 full workers, one urgent task).

--- a/crates/leader/src/mirror.rs
+++ b/crates/leader/src/mirror.rs
@@ -51,6 +51,7 @@
         for (id, task) in ctx.state.tasks().iter() {
             if let Some(worker) = task.worker() {
                 self.bind(ctx, id, task, worker, placer);
+                record_stop(ctx, id, task, placer);
             }
         }
         for (id, job) in ctx.state.jobs().iter() {
@@ -101,6 +102,7 @@
             if self.bound.get(&id) != Some(&worker) {
                 self.bind(ctx, id, task, worker, placer);
             }
+            record_stop(ctx, id, task, placer);
             return;
         }
         let was_bound = self.bound.remove(&id).is_some();
@@ -139,6 +141,13 @@
     }
 }
 
+/// Tells the placer that a placed task is being stopped.
+fn record_stop(ctx: &Context<'_>, id: TaskId, task: &Task, placer: &mut Placer) {
+    if task.stop.is_some() {
+        placer.record_stop(ctx.now, id);
+    }
+}
+
 fn task_views(ctx: &Context<'_>, job: &Job) -> Vec<TaskView> {
     job.tasks
         .iter()
--- a/crates/placement/src/binding.rs
+++ b/crates/placement/src/binding.rs
@@ -77,6 +77,7 @@
             return;
         };
         let started = task.started.take().unwrap_or(now);
+        task.stops_until = Millis::ZERO;
         task.state = TaskState::Bound {
             worker,
             started,
@@ -178,6 +179,7 @@
         };
         let resources = task.resources;
         let job = task.job;
+        self.stopping.remove(&id);
         if let Some(team) = task.charged_team.take() {
             self.quotas.credit(team, &resources);
         }
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -99,6 +99,8 @@
     Preempted,
     /// Another task of its gang ended early, and the gang must be restarted.
     GangBroken,
+    /// The replicated state requests the stop, and this placer did not decide it.
+    Recorded,
 }
 
 /// The scheduling state of a task.
@@ -141,6 +143,8 @@
     pub(crate) failures: u32,
     pub(crate) failed_workers: FailedWorkers,
     pub(crate) hold: Option<Hold>,
+    /// Until when the resources of the task count as about to be free, if it was asked to stop.
+    pub(crate) stops_until: Millis,
     /// The team to whose quota the task is charged while it is bound.
     pub(crate) charged_team: Option<TeamId>,
 }
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -23,6 +23,7 @@
 use crate::estimate::Estimates;
 use crate::housekeeping::HousekeepingState;
 use crate::job::Job;
+use crate::job::Stopping;
 use crate::job::Task;
 use crate::job::TaskState;
 use crate::queue::Queue;
@@ -62,6 +63,8 @@
     pub(crate) cancelled: Vec<Job>,
     /// Batch jobs with a deadline, the earliest first.
     pub(crate) jobs_by_deadline: BTreeSet<(Millis, JobId)>,
+    /// Bound tasks that were asked to stop.
+    pub(crate) stopping: BTreeSet<TaskId>,
     /// Decisions made between two calls of `decide`, returned by the next one.
     pub(crate) pending: Decisions,
     pub(crate) memo: FailureMemo,
@@ -93,6 +96,7 @@
             delayed: BinaryHeap::new(),
             cancelled: Vec::new(),
             jobs_by_deadline: BTreeSet::new(),
+            stopping: BTreeSet::new(),
             pending: Decisions::default(),
             memo: FailureMemo::default(),
             housekeeping: HousekeepingState::default(),
@@ -174,6 +178,20 @@
         self.bind_task(task, worker, resources);
     }
 
+    /// Records that the replicated state requests the stop of a bound task, which a former leader or
+    /// the drain of a worker may have decided.
+    pub fn record_stop(&mut self, now: Millis, task: TaskId) {
+        self.advance(now);
+        let state = self.tasks.get(&task).map(|task| task.state);
+        if let Some(TaskState::Bound {
+            stopping: Stopping::No,
+            ..
+        }) = state
+        {
+            self.request_stop(task, Stopping::Recorded);
+        }
+    }
+
     /// Checks whether the job could run if all workers were empty and its team used none of its
     /// quota. Returns the reason if it could not.
     pub fn check_feasibility(&self, job: &JobView) -> Result<(), InfeasibleCause> {
@@ -244,6 +262,7 @@
             failures: 0,
             failed_workers: Default::default(),
             hold: None,
+            stops_until: Millis::ZERO,
             charged_team: None,
         }
     }
--- a/crates/placement/src/policy/urgent.rs
+++ b/crates/placement/src/policy/urgent.rs
@@ -23,6 +23,7 @@
 use crate::search::Request;
 use crate::search::SearchResult;
 use crate::view::JobPolicy;
+use crate::workers::Worker;
 
 /// The number of workers whose tasks are compared for one preemption.
 const WORKER_SAMPLE: usize = 48;
@@ -44,10 +45,13 @@
     checkpoint_cost_ms: Option<u64>,
 }
 
-/// The tasks to stop on one worker so that one urgent task fits.
+/// The tasks to stop on one worker so that one urgent task fits; none if the tasks that already
+/// stop there suffice.
 struct Preemption {
     slot: usize,
     cost_ms: u64,
+    /// How long the tasks that already stop there may still take.
+    stopping_ms: u64,
     victims: SmallVec<[Victim; 8]>,
 }
 
@@ -157,7 +161,7 @@
         let Some(worker) = self.workers.get(preemption.slot).map(|worker| worker.id) else {
             return false;
         };
-        let mut slowest_ms = 0;
+        let mut slowest_ms = preemption.stopping_ms;
         for victim in &preemption.victims {
             slowest_ms = slowest_ms.max(victim.checkpoint_cost_ms.unwrap_or(0));
             self.request_stop(victim.task, Stopping::Preempted);
@@ -184,18 +188,26 @@
     }
 
     /// Marks a bound task as asked to stop, for the given reason.
-    pub(crate) fn request_stop(&mut self, task: TaskId, why: Stopping) {
-        let state = self.tasks.get_mut(&task).map(|task| &mut task.state);
-        if let Some(TaskState::Bound { stopping, .. }) = state {
+    pub(crate) fn request_stop(&mut self, id: TaskId, why: Stopping) {
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return;
+        };
+        let job = task.job.and_then(|job| self.jobs.get(&job));
+        let checkpoint_ms = job.and_then(|job| job.checkpoint_cost_ms).unwrap_or(0);
+        if let TaskState::Bound { stopping, .. } = &mut task.state {
             *stopping = why;
+            task.stops_until = self.now + checkpoint_ms + self.config.preemption_timeout_ms;
+            self.stopping.insert(id);
         }
     }
 
-    /// Chooses the cheapest preemption among a random sample of the eligible workers.
+    /// Chooses the cheapest preemption among a random sample of the eligible workers and those on
+    /// which tasks already stop.
     fn choose_victims(&mut self, need: &Resources) -> Option<Preemption> {
         let candidates: Vec<usize> = self.workers.eligible.iter().collect();
         let sample = candidates.choose_multiple(&mut self.rng, WORKER_SAMPLE);
-        let sample: Vec<usize> = sample.copied().collect();
+        let mut sample: Vec<usize> = sample.copied().collect();
+        sample.extend(self.workers_with_stopping_tasks().take(WORKER_SAMPLE));
         let preemptions = sample.into_iter();
         let preemptions = preemptions.filter_map(|slot| self.victims_on(slot, need));
         preemptions.min_by_key(|preemption| {
@@ -207,7 +219,20 @@
         })
     }
 
-    /// Selects tasks on the worker, in ascending order of cost, until their resources suffice.
+    /// The slots of the eligible workers with tasks that were asked to stop and are still expected
+    /// to.
+    fn workers_with_stopping_tasks(&self) -> impl Iterator<Item = usize> + '_ {
+        let tasks = self.stopping.iter().filter_map(|task| self.tasks.get(task));
+        let expected = tasks.filter(|task| self.now < task.stops_until);
+        let slots = expected.filter_map(|task| match task.state {
+            TaskState::Bound { worker, .. } => self.workers.slot(worker),
+            TaskState::Waiting | TaskState::Delayed => None,
+        });
+        slots.filter(|&slot| self.workers.eligible.contains(slot))
+    }
+
+    /// Selects tasks on the worker, in ascending order of cost, until their resources and those of
+    /// the tasks that already stop there suffice.
     fn victims_on(&self, slot: usize, need: &Resources) -> Option<Preemption> {
         let worker = self.workers.get(slot)?;
         if !need.fits_in(&worker.capacity) {
@@ -219,10 +244,12 @@
             .filter_map(|&task| self.victim(task))
             .collect();
         victims.sort_unstable_by_key(|victim| (victim.cost_ms, victim.task));
-        let mut available = worker.free;
+        let (stopping, stopping_ms) = self.stopping_on(worker);
+        let mut available = worker.free_after(&stopping);
         let mut preemption = Preemption {
             slot,
-            cost_ms: 0,
+            cost_ms: stopping_ms,
+            stopping_ms,
             victims: SmallVec::new(),
         };
         for victim in victims {
@@ -236,7 +263,23 @@
             preemption.cost_ms = preemption.cost_ms.saturating_add(victim.cost_ms);
             preemption.victims.push(victim);
         }
-        (need.fits_in(&available) && !preemption.victims.is_empty()).then_some(preemption)
+        let is_needed = !preemption.victims.is_empty() || !need.fits_in(&worker.free);
+        (need.fits_in(&available) && is_needed).then_some(preemption)
+    }
+
+    /// The resources of the tasks on the worker that were asked to stop and are still expected to,
+    /// and how long the slowest of their checkpoints may still take.
+    fn stopping_on(&self, worker: &Worker) -> (Resources, u64) {
+        let mut sum = Resources::ZERO;
+        let mut slowest_ms = 0;
+        let tasks = worker.tasks.iter().filter_map(|task| self.tasks.get(task));
+        for task in tasks.filter(|task| self.now < task.stops_until) {
+            sum = sum.checked_add(&task.resources).unwrap_or(sum);
+            let left_ms = task.stops_until.since(self.now);
+            slowest_ms = slowest_ms.max(left_ms);
+        }
+        let checkpoint_ms = slowest_ms.saturating_sub(self.config.preemption_timeout_ms);
+        (sum, checkpoint_ms)
     }
 
     /// Returns the task with its preemption cost if it may be preempted. Urgent jobs, gangs,
--- a/crates/placement/src/workers.rs
+++ b/crates/placement/src/workers.rs
@@ -48,6 +48,13 @@
         self.unused().saturating_sub(&others)
     }
 
+    /// The free capacity once tasks with these resources have stopped.
+    pub(crate) fn free_after(&self, stopping: &Resources) -> Resources {
+        let unused = self.unused();
+        let sum = unused.checked_add(stopping).unwrap_or(unused);
+        sum.saturating_sub(&self.held)
+    }
+
     fn unused(&self) -> Resources {
         let observed = self.usage.map_or(Resources::ZERO, |(_, usage)| usage);
         // Accelerators are allocated as whole units, so reported usage says nothing about them.
