Send a throttle again while its worker stays overused

A throttle whose reply was lost was never sent again, and the worker went on starving its other tasks until the task ended or the leader changed: the session recorded it as sent, no report confirms a throttle, and a command with the value last sent was not due. The placer does choose the task again every 10 s, but that changed nothing.

Choosing a task again now makes its throttle due again. A worker that has it already sets the same limit.

Before: the scenario overuse_reply_lost ended with 'w1: {}'. After: 'w1: {TaskId(1): 50}'; the tests of the leader crate pass.

--- a/crates/leader/src/decisions.rs
+++ b/crates/leader/src/decisions.rs
@@ -165,6 +165,7 @@
         for throttle in throttles {
             if let Some(session) = self.sessions.by_worker.get_mut(&throttle.worker) {
                 session.throttled.insert(throttle.task, throttle.percent);
+                session.forget_sent_throttle(throttle.task);
                 self.dirty_workers.insert(throttle.worker);
             }
         }
--- a/crates/leader/src/sync_reply.rs
+++ b/crates/leader/src/sync_reply.rs
@@ -10,6 +10,7 @@
 use sapphirepost_state::workers::Contact;
 use sapphirepost_state::workers::Worker;
 use sapphirepost_types::Millis;
+use sapphirepost_types::TaskId;
 use sapphirepost_types::WorkerId;
 
 use crate::config::LeaderConfig;
@@ -214,6 +215,13 @@
         });
     }
 
+    /// Makes a throttle of the task due again. It is chosen again while its worker stays overused,
+    /// and the reply with the last throttle may have been lost.
+    pub(crate) fn forget_sent_throttle(&mut self, task: TaskId) {
+        self.sent_commands
+            .retain(|key, sent| key.task != task || !matches!(sent.kind, CommandKind::Throttle(_)));
+    }
+
     /// Limits the hold of the newest sync to `until` while a start or a stop is not confirmed.
     fn shorten_hold(&mut self, until: Millis) {
         let mut sent = self.sent_commands.values();
@@ -228,7 +236,7 @@
     fn is_due(&self, command: &WorkerCommand, now: Millis, command_resend_ms: u64) -> bool {
         let (key, kind) = command_key(command);
         match self.sent_commands.get(&key) {
-            // No report confirms a throttle, so it is sent only when its value changes.
+            // No report confirms a throttle, so it is sent only when the placer chooses it.
             Some(sent) if sent.kind == kind => {
                 !matches!(kind, CommandKind::Throttle(_)) && now.since(sent.at) >= command_resend_ms
             }
