Keep a drained worker's record until it is undrained or declared lost

The retention now leaves out drained workers. One that an operator also declares lost is dropped as before, so that the records of VMs that are gone for good can be cleaned up.

Before: a_drained_worker_is_still_drained_after_days_of_absence failed with 'assertion failed: known.draining'. After: passes, and the tests of the state and leader crates pass.

--- a/crates/state/src/retention.rs
+++ b/crates/state/src/retention.rs
@@ -53,6 +53,8 @@
             .iter()
             .filter(|(_, worker)| worker.held.is_empty())
             .filter(|(_, worker)| match worker.contact {
+                // The drain of a worker that may return must not end with its record.
+                Contact::Expired { lost: false, .. } if worker.draining => false,
                 Contact::Expired { since_unix_ms, .. } => {
                     since_unix_ms.saturating_add(WORKER_RETENTION_MS) < now_unix_ms
                 }
--- a/crates/state/src/workers.rs
+++ b/crates/state/src/workers.rs
@@ -18,7 +18,8 @@
 /// Maximum number of known workers; further ones cannot register.
 pub const WORKERS_MAX: usize = 20_000;
 /// How long a worker is kept after its lease ended, in milliseconds. A worker on which attempts
-/// still hold resources is kept longer.
+/// still hold resources is kept longer, and so is a drained one until it is undrained or declared
+/// lost.
 pub const WORKER_RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Whether a worker is in contact with the leader.
--- a/crates/state/tests/records.rs
+++ b/crates/state/tests/records.rs
@@ -316,3 +316,41 @@
     assert_eq!(restored.digest(), harness.state.digest());
     assert!(State::restore(b"{}").is_err());
 }
+
+/// Guards against a drained worker that takes tasks again, without an operator's undrain, because it
+/// was away for longer than the retention of workers.
+#[test]
+fn a_drained_worker_is_still_drained_after_days_of_absence() {
+    let mut harness = Harness::new();
+    let (drained, other) = (harness.add_worker("drained"), harness.add_worker("other"));
+    let worker = name("drained");
+    harness.plan_and_confirm(Intent::Drain {
+        worker: worker.clone(),
+        allow_interruption: false,
+    });
+    harness.expire_worker(drained);
+    harness.expire_worker(other);
+    harness.at_ms = 3 * DAY_MS;
+    harness.apply(Request::Tick);
+    assert_eq!(harness.state.workers().id(&name("other")), None);
+    harness.register("drained", 2);
+    let (_, known) = harness.state.workers().by_name(&worker).unwrap();
+    assert!(known.draining);
+}
+
+/// Guards against drained workers that are never dropped, although an operator declared them lost.
+#[test]
+fn a_drained_worker_that_was_declared_lost_is_dropped() {
+    let mut harness = Harness::new();
+    let id = harness.add_worker("w");
+    let worker = name("w");
+    harness.plan_and_confirm(Intent::Drain {
+        worker: worker.clone(),
+        allow_interruption: false,
+    });
+    harness.expire_worker(id);
+    harness.plan_and_confirm(Intent::DeclareLost { worker });
+    harness.at_ms = 3 * DAY_MS;
+    harness.apply(Request::Tick);
+    assert!(harness.state.workers().is_empty());
+}
