Remove a worker that signs off while it is being registered

A worker that signed off before its registration was committed got its acknowledgement, and was in the table from the commit on: a sign-off of a worker that the applied state does not know was answered without a command, and the registration in progress, in the log or in the batch of the leader, is known only to the leader's memory. The leader then polled it until it had been silent for 15 s.

The removal is now proposed in any case, behind the registration in the log. For a worker that is really unknown, the command changes nothing.

Before: a_worker_that_leaves_while_it_is_being_registered_is_not_used failed with 'left: Some(1) right: None'. After: passes.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -58,10 +58,8 @@
                 done.send(Ok(reply));
             }
             QueueCall::Left { worker } => {
+                // Also proposed for an unknown worker, whose registration may be in progress.
                 let reply = self.report_reply();
-                if self.state.queues().worker(&worker).is_none() {
-                    return done.send(Ok(reply));
-                }
                 let checkpoints = Vec::new();
                 let command = QueueCommand::RemoveWorker {
                     worker,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -53,7 +53,7 @@
 const FIRST_PORT: u32 = 10_000;
 const PORTS: u32 = 20_000;
 
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let start = std::process::id().wrapping_mul(97);
     loop {
