Do not call a job unknown while its submission is being committed

A caller whose submission had got no answer yet, and which asked for the job or cancelled it, was told 410, no such job; then the submission was committed and the job ran, cancelled or not. The leader answered from the applied state after a quorum had confirmed it. That takes one heartbeat, and a commit waits for the disks, so with slow disks the window lasts as long as they do. That the submission is under way is known only to the leader's memory, which the answer did not consult.

Ruled out: submissions of an earlier leader. This one answers only once an entry of its own term is applied, so they are known or lost by then.

The leader now records the submissions in progress. A cancellation of such a job is proposed behind the submission, so that it takes effect in the log's order; a read gets Busy, which relays repeat within the caller's time and else turn into 503.

Before: a_job_that_is_being_committed_is_not_unknown failed for job 1: the cancellation was answered with UnknownJob, the submission with Accepted.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -103,35 +103,40 @@
                 Some(table) => QueueReply::Table(table.document.clone()),
                 None => QueueReply::NoTable,
             },
-            QueueCall::Caller(request) => self.read_queue_state(&request),
+            QueueCall::Caller(request) => match self.read_queue_state(&request) {
+                Ok(reply) => reply,
+                Err(error) => return done.send(Err(error)),
+            },
             _ => return done.send(Err(RpcError::Invalid("not a read".to_owned()))),
         };
         done.send(Ok(reply));
     }
 
-    /// The answer to a caller's request according to the applied state.
-    fn read_queue_state(&self, request: &CallerRequest) -> QueueReply {
+    /// The answer to a caller's request according to the applied state. Whether a job exists is open
+    /// while its submission is being committed.
+    fn read_queue_state(&self, request: &CallerRequest) -> Result<QueueReply, RpcError> {
         let state = self.state.queues();
         let Some(table) = state.table() else {
-            return QueueReply::NoTable;
+            return Ok(QueueReply::NoTable);
         };
         let Some(resolved) = table.resolve(&request.host, &request.path) else {
-            return QueueReply::NoQueue;
+            return Ok(QueueReply::NoQueue);
         };
         if resolved.rest.is_empty() && request.action == CallerAction::Read {
             let scheduler = self.queues.scheduler.as_ref();
             let waiting = scheduler.map_or(0, |s| s.waiting_jobs(&resolved.queue.name));
-            return QueueReply::Waiting(waiting);
+            return Ok(QueueReply::Waiting(waiting));
         }
         let Ok(key) = resolved.rest.parse::<JobKey>() else {
-            return QueueReply::Invalid("the path names no job".to_owned());
+            return Ok(QueueReply::Invalid("the path names no job".to_owned()));
         };
         match state.job(key) {
             Some(job) if job.phase.has_ended() && request.action == CallerAction::Cancel => {
-                QueueReply::Cancelled
+                Ok(QueueReply::Cancelled)
             }
-            Some(job) => QueueReply::Phase(job.phase),
-            None => QueueReply::UnknownJob,
+            Some(job) => Ok(QueueReply::Phase(job.phase)),
+            None if self.queues.submitting.contains(&key) => Err(RpcError::Busy),
+            None => Ok(QueueReply::UnknownJob),
         }
     }
 
@@ -156,17 +161,23 @@
                 self.submit(now, key, queue, spec, done);
             }
             (CallerAction::Read, Some(phase)) => done.send(Ok(QueueReply::Phase(phase))),
-            (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => {
-                log::info!(job:% = key; "cancel proposed");
-                self.queues.metrics.cancelled.inc();
-                let command = QueueCommand::Cancel { job: key };
-                self.queues
-                    .add(command, Some((done, QueueReply::Cancelled)));
+            (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => self.cancel(key, done),
+            // The cancellation follows the submission in the log.
+            (CallerAction::Cancel, None) if self.queues.submitting.contains(&key) => {
+                self.cancel(key, done)
             }
             _ => self.start_queue_read(now, QueueCall::Caller(request), done),
         }
     }
 
+    fn cancel(&mut self, key: JobKey, done: Responder<QueueReply>) {
+        log::info!(job:% = key; "cancel proposed");
+        self.queues.metrics.cancelled.inc();
+        let command = QueueCommand::Cancel { job: key };
+        self.queues
+            .add(command, Some((done, QueueReply::Cancelled)));
+    }
+
     fn resolve_job(&self, request: &CallerRequest) -> Option<(Arc<Queue>, JobKey)> {
         let table = self.state.queues().table()?;
         let resolved = table.resolve(&request.host, &request.path)?;
@@ -206,6 +217,7 @@
         }
         scheduler.handle_submission(key, &queue, &spec, now);
         queue_log::log_proposed(key, &queue, &spec);
+        self.queues.submitting.insert(key);
         let command = QueueCommand::Submit {
             job: key,
             queue,
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::ProposeError;
@@ -92,6 +93,9 @@
     /// For each proposed log entry: its index, when it was proposed, and the answers to send when
     /// it is applied.
     pub(crate) pending_answers: VecDeque<(Index, Millis, Vec<Answer>)>,
+    /// The jobs whose submission is proposed and not applied yet. They may run later, so they are
+    /// not unknown.
+    pub(crate) submitting: FxHashSet<JobKey>,
     /// The policy clients whose polls wait for a permit request, and since when.
     pub(crate) policy_clients: FxHashMap<Arc<str>, (Millis, Responder<QueueReply>)>,
     pub(crate) metrics: QueueMetrics,
@@ -114,6 +118,7 @@
             scheduler: None,
             batch: VecDeque::new(),
             pending_answers: VecDeque::new(),
+            submitting: FxHashSet::default(),
             policy_clients: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
@@ -126,6 +131,7 @@
         self.scheduler = None;
         self.batch.clear();
         self.pending_answers.clear();
+        self.submitting.clear();
         self.policy_clients.clear();
         self.accepted.clear();
         self.metrics.ended_job_runs.set(0);
@@ -167,6 +173,13 @@
         self.batch.push_back(Proposal { command, answer });
     }
 
+    /// Records that a command is applied, or refused for good.
+    fn command_ended(&mut self, command: &QueueCommand) {
+        if let QueueCommand::Submit { job, .. } = command {
+            self.submitting.remove(job);
+        }
+    }
+
     /// Returns proposals to the front of the batch.
     fn put_back(&mut self, commands: Vec<QueueCommand>, answers: Vec<Option<Answer>>) {
         let proposals = commands.into_iter().zip(answers);
@@ -203,6 +216,9 @@
     ) {
         let changes: Vec<Vec<QueueChange>> = self.state.take_queue_changes();
         let now = self.clock.now();
+        for command in commands {
+            self.queues.command_ended(command);
+        }
         // Followers and members that replay their log have no scheduler and log nothing.
         if let Some(scheduler) = &mut self.queues.scheduler {
             for (command, changes) in commands.iter().zip(&changes) {
@@ -422,6 +438,7 @@
         log::error!(error:%; "a queue command is refused");
         let now = self.clock.now();
         for command in commands {
+            self.queues.command_ended(command);
             if let Some(scheduler) = &mut self.queues.scheduler {
                 scheduler.undo_proposal(self.state.queues(), command, now);
             }
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -24,10 +24,15 @@
 use sapphirepost_control::run_embedded;
 use sapphirepost_process::RpcError;
 use sapphirepost_process::logging::LogLevels;
+use sapphirepost_protocol::queue::CallerAction;
+use sapphirepost_protocol::queue::CallerRequest;
 use sapphirepost_protocol::queue::QueueCall;
 use sapphirepost_protocol::queue::QueueReply;
+use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueTable;
+use sapphirepost_queues::StepSpec;
+use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::WorkerRecord;
 use sapphirepost_queues::scheduler::WorkerReport;
 use sapphirepost_queues::scheduler::WorkerRequest;
@@ -180,6 +185,48 @@
     }
 }
 
+fn caller(job: u64, action: CallerAction) -> QueueCall {
+    QueueCall::Caller(CallerRequest {
+        host: "h".to_owned(),
+        path: format!("/jobs/{job:016x}"),
+        action,
+    })
+}
+
+fn submission() -> CallerAction {
+    let step = StepSpec {
+        count: 1,
+        resources: Resources::new(1_000, 100, 0),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    CallerAction::Submit(SubmittedSpec {
+        payload: Arc::from(""),
+        steps: vec![step],
+    })
+}
+
+/// Guards against a caller who is told that there is no such job while its submission is being
+/// committed, and whose job then runs although it asked to cancel it.
+#[test]
+fn a_job_that_is_being_committed_is_not_unknown() {
+    let member = Member::start();
+    for job in 1..=ATTEMPTS {
+        let cancel = caller(job, CallerAction::Cancel);
+        let (submitted, cancelled) = member.call_both(caller(job, submission()), cancel);
+        assert_eq!(submitted, Ok(QueueReply::Accepted));
+        assert_eq!(cancelled, Ok(QueueReply::Cancelled), "job {job}");
+        let phase = member.call(&caller(job, CallerAction::Read));
+        assert_eq!(phase, QueueReply::Phase(JobPhase::Cancelled));
+    }
+    for job in ATTEMPTS + 1..=2 * ATTEMPTS {
+        let read = caller(job, CallerAction::Read);
+        let (submitted, phase) = member.call_both(caller(job, submission()), read);
+        assert_eq!(submitted, Ok(QueueReply::Accepted));
+        assert_ne!(phase, Ok(QueueReply::UnknownJob), "job {job}");
+    }
+}
+
 /// Guards against a worker that stays registered although it has signed off, because its
 /// registration was being committed.
 #[test]
