Measure an even number of voters anew in each term

A live voter leaves a group that has been even for ten seconds, since a group is even for a moment whenever a member is replaced. A member that led before and leads again took the moment from its earlier term: it was forgotten only when the group was seen as odd, and nobody looks while the member follows. A group that was even for a moment after the second election so lost a live voter at once, which had to join and catch up again.

The timer now belongs to the term. It is a type of its own, which the tests of the voters' choice reach.

Before: with the rule of the old code in the new type, the_time_of_an_even_group_begins_anew_with_each_term fails with 'left: 60000 right: 0'. After: passes.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -30,6 +30,7 @@
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
 use crate::event::Event;
+use crate::group_size::EvenTimer;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::LEADER_TICK_INTERVAL_MS;
 use crate::leadership::Leadership;
@@ -79,8 +80,8 @@
     pub(crate) leader_settings: LeaderSettings,
     pub(crate) leadership: Leadership,
     pub(crate) queues: Queues,
-    /// Since when the group has an even number of voters, as seen by this member as the leader.
-    pub(crate) even_since: Option<Millis>,
+    /// How long the group has been even, as seen by this member as the leader.
+    pub(crate) even_timer: EvenTimer,
     /// When a graceful stop ends without a leadership transfer; `None` unless stopping.
     pub(crate) stop_deadline: Option<Millis>,
 }
--- a/crates/control/src/group_size.rs
+++ b/crates/control/src/group_size.rs
@@ -9,7 +9,9 @@
 //! the odd number below it, and if a partition splits it into halves, neither half can decide.
 
 use sapphirepost_consensus::MembershipChange;
+use sapphirepost_consensus::Term;
 use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
 
 /// A voter is removed only if at least this many live voters remain.
 const VOTERS_MIN: usize = 3;
@@ -29,6 +31,23 @@
     pub is_self: bool,
 }
 
+/// Measures how long a group has been even while one leader led it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EvenTimer {
+    /// The term in which the group became even, and when.
+    since: Option<(Term, Millis)>,
+}
+
+impl EvenTimer {
+    /// Records whether the group is even for the leader of `term`. Returns for how long it has been,
+    /// in milliseconds; time in an earlier term does not count.
+    pub fn update(&mut self, is_even: bool, term: Term, now: Millis) -> u64 {
+        let since = self.since.filter(|(known, _)| *known == term);
+        self.since = is_even.then(|| since.unwrap_or((term, now)));
+        self.since.map_or(0, |(_, since)| now.since(since))
+    }
+}
+
 /// The next change towards an odd number of live voters, if one is needed. `even_ms` is how long
 /// [`is_even`] has held for the members.
 pub fn next_change(members: &[MemberView], even_ms: u64) -> Option<MembershipChange> {
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -74,8 +74,7 @@
         };
         let members: Vec<MemberView> = members.map(view).collect();
         let is_even = group_size::is_even(&members);
-        self.even_since = is_even.then(|| self.even_since.unwrap_or(now));
-        let even_ms = self.even_since.map_or(0, |since| now.since(since));
+        let even_ms = self.even_timer.update(is_even, self.node.term(), now);
         let Some(change) = group_size::next_change(&members, even_ms) else {
             return;
         };
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -43,6 +43,7 @@
 use crate::core::Core;
 use crate::event::Event;
 use crate::event::EventSender;
+use crate::group_size::EvenTimer;
 use crate::initial_voters::InitialVoters;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::Leadership;
@@ -307,7 +308,7 @@
         },
         leadership: Leadership::default(),
         queues,
-        even_since: None,
+        even_timer: EvenTimer::default(),
         stop_deadline: None,
     })
 }
--- a/crates/control/tests/group_size.rs
+++ b/crates/control/tests/group_size.rs
@@ -1,10 +1,12 @@
 //! The choice of voters after members fail, join and return.
 
 use sapphirepost_consensus::MembershipChange;
+use sapphirepost_control::group_size::EvenTimer;
 use sapphirepost_control::group_size::MemberView;
 use sapphirepost_control::group_size::is_even;
 use sapphirepost_control::group_size::next_change;
 use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
 
 /// Members in the order of their numbers, from 1: `L` leads, `v` votes, `s` is a standby; a
 /// capital `V` or `S` is out of contact with the leader.
@@ -89,3 +91,16 @@
     assert_eq!(change("LVvS"), None);
     assert_eq!(change("LVV"), None);
 }
+
+/// Guards against a live voter that is removed at once by a member that leads again, because it
+/// remembers an even group from an earlier term.
+#[test]
+fn the_time_of_an_even_group_begins_anew_with_each_term() {
+    let mut timer = EvenTimer::default();
+    assert_eq!(timer.update(true, 3, Millis(1_000)), 0);
+    assert_eq!(timer.update(true, 3, Millis(1_500)), 500);
+    assert_eq!(timer.update(true, 5, Millis(61_000)), 0);
+    assert_eq!(timer.update(true, 5, Millis(61_200)), 200);
+    assert_eq!(timer.update(false, 5, Millis(61_300)), 0);
+    assert_eq!(timer.update(true, 5, Millis(61_400)), 0);
+}
