Count a preemption also if the task ends before it has stopped

A task whose worker was lost, or which failed, while it was being preempted counted as not preempted for the placer. The replicated state counts when the stop is decided, and ignores a stop beyond the maximum; the placer then chose such a task again, took it for stopping until its end, and the urgent task waited out its hold for nothing. The two counts agreed again only after a change of leader.

The placer now counts a preemption whatever ends the attempt, except for its success.

Before: a_preemption_counts_although_the_worker_is_lost failed with 'left: 10 right: 3' for TaskEnd::Lost. After: passes, as do the tests of the placement and leader crates.

--- a/crates/placement/src/task_end.rs
+++ b/crates/placement/src/task_end.rs
@@ -78,6 +78,9 @@
     }
 
     fn handle_end(&mut self, job: JobId, ended: &EndedTask, end: TaskEnd) {
+        if ended.stopping == Stopping::Preempted && end != TaskEnd::Finished {
+            self.count_preemption(ended.task);
+        }
         match end {
             TaskEnd::Finished => self.handle_finished(job, ended),
             TaskEnd::Failed => self.handle_failed(job, ended),
@@ -148,12 +151,15 @@
         self.schedule_retry(ended.task);
     }
 
-    fn handle_stopped(&mut self, job: JobId, ended: &EndedTask) {
-        if let Some(task) = self.tasks.get_mut(&ended.task)
-            && ended.stopping == Stopping::Preempted
-        {
+    /// Counts a preemption, whatever ended the task before it stopped: the replicated state counts
+    /// it when it is decided, and refuses more than the maximum.
+    fn count_preemption(&mut self, id: TaskId) {
+        if let Some(task) = self.tasks.get_mut(&id) {
             task.preemptions = task.preemptions.saturating_add(1);
         }
+    }
+
+    fn handle_stopped(&mut self, job: JobId, ended: &EndedTask) {
         let is_wanted = self.jobs.contains_key(&job);
         if is_wanted {
             self.set_waiting(ended.task, false);
--- a/crates/placement/tests/mechanisms.rs
+++ b/crates/placement/tests/mechanisms.rs
@@ -8,9 +8,13 @@
 use sapphirepost_placement::JobPolicy;
 use sapphirepost_placement::Mechanisms;
 use sapphirepost_placement::PlacementConfig;
+use sapphirepost_placement::TaskEnd;
+use sapphirepost_placement::TaskView;
+use sapphirepost_types::JobId;
 use sapphirepost_types::Millis;
 use sapphirepost_types::Priority;
 use sapphirepost_types::Resources;
+use sapphirepost_types::TaskId;
 use sapphirepost_types::WorkerId;
 
 use crate::common::Cluster;
@@ -286,6 +290,43 @@
     );
 }
 
+/// Guards against a task that is preempted more often than allowed because its worker is lost before
+/// it has stopped: the replicated state counts the preemption when it is decided, and ignores a
+/// further one.
+#[test]
+fn a_preemption_counts_although_the_worker_is_lost() {
+    for end in [TaskEnd::Lost, TaskEnd::Failed, TaskEnd::Stopped] {
+        let config = PlacementConfig::default();
+        let max_preemptions = u32::from(config.max_preemptions);
+        let mut cluster = Cluster::new(config, 1);
+        cluster.add_workers(1, 1, 1, CAPACITY);
+        let long = cluster.view(batch(600_000), 1, CAPACITY);
+        let task = long.tasks[0].id;
+        let mut now = Millis(0);
+        cluster.placer.submit(now, long);
+        let mut preemptions = 0;
+        for urgent_task in 100..110 {
+            now = now + 400_000;
+            cluster.placer.decide(now, 64);
+            let mut urgent = cluster.view(batch(1_000), 1, CAPACITY);
+            urgent.id = JobId(urgent_task);
+            urgent.priority = Priority::Urgent;
+            urgent.tasks = vec![TaskView::new(TaskId(urgent_task))];
+            cluster.placer.submit(now, urgent);
+            let stops = cluster.placer.decide(now, 64).stops;
+            if stops.is_empty() {
+                break;
+            }
+            preemptions += 1;
+            cluster.placer.release(now, task, end);
+            cluster.placer.decide(now, 64);
+            let urgent_task = TaskId(urgent_task);
+            cluster.placer.release(now, urgent_task, TaskEnd::Finished);
+        }
+        assert_eq!(preemptions, max_preemptions, "{end:?}");
+    }
+}
+
 /// Guards against backfill that delays a reservation: a gang must start no later than its first
 /// reservation said, as long as all run times stay within their pessimistic estimates.
 #[test]
