Place and preempt nothing on a worker that is over its capacity

Cause: the free amount of each resource is cut off at 0, so a worker that has shrunk below what its runs take looked merely full. A task that does not need the short resource was placed there, found no room when its start was to be sent and was placed again, 83 times in 2.5 s; tasks were preempted there for a gang that still had no room after their end.

Change: such a worker accepts no tasks until its runs fit again.

Tests, both failing before: nothing_starts_on_a_worker_that_is_over_its_capacity (run 83 instead of 0) and nothing_is_preempted_on_a_worker_that_is_over_its_ capacity (1 of 2 tasks left).

--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -163,9 +163,11 @@
         used.fits_in(&self.reported.capacity)
     }
 
-    /// Whether a task may be placed on it now, if there are enough free resources.
+    /// Whether a task may be placed on it now, if there are enough free resources. A worker that
+    /// has shrunk below what its runs take accepts none, whatever resource is short.
     pub fn accepts_tasks(&self, now: Millis) -> bool {
         !self.record.is_draining
+            && self.used.fits_in(&self.record.capacity)
             && self.lease.is_reachable()
             && self.runs.len() < self.health.tasks_max(now)
     }
--- a/crates/queues/tests/capacity.rs
+++ b/crates/queues/tests/capacity.rs
@@ -23,15 +23,26 @@
 const SMALL: Resources = Resources::new(16_000, 4_096, 0);
 const TASK: Resources = Resources::new(16_000, 4_096, 0);
 const WORK_MS: u64 = 5_000;
+/// The job whose task needs an accelerator.
+const ACCELERATED: JobKey = JobKey(9);
+const ACCELERATED_TASK: Resources = Resources::new(1_000, 256, 1);
 
 fn model(workers: usize) -> Model {
+    let need = |task: sapphirepost_queues::TaskKey| match task.step.job {
+        ACCELERATED => ACCELERATED_TASK,
+        _ => TASK,
+    };
     let worker = |number| {
-        let mut worker = ModelWorker::new(&format!("w{number}"), 32, |_| TASK, |_| WORK_MS);
+        let mut worker = ModelWorker::new(&format!("w{number}"), 32, need, |_| WORK_MS);
         worker.record.capacity = LARGE;
         worker
     };
     let workers = (0..workers).map(worker).collect();
-    let mut model = Model::new(vec![queue("batch", 1, 30.0, 1_000)], workers, 0);
+    let queues = vec![
+        queue("gang", 0, 30.0, 1_000),
+        queue("batch", 1, 30.0, 1_000),
+    ];
+    let mut model = Model::new(queues, workers, 0);
     model.run(100);
     model
 }
@@ -183,6 +194,50 @@
     assert_eq!(model.starts, 4);
 }
 
+/// Guards against starts on a worker that has shrunk below what its runs take, if only one resource
+/// is short that the new task does not need.
+#[test]
+fn nothing_starts_on_a_worker_that_is_over_its_capacity() {
+    let mut model = model(1);
+    model.submit(ACCELERATED.0, "batch", job(1, ACCELERATED_TASK, false));
+    model.run(500);
+    assert_eq!(model.starts, 1);
+    let without_accelerators = Resources {
+        accelerators: 0,
+        ..LARGE
+    };
+    let shrunk = model.workers.get_mut("w0").unwrap();
+    shrunk.shrunk_to = Some(without_accelerators);
+    assert!(report(&mut model, "w0", without_accelerators, 1));
+    model.run(2 * COMMIT_MS);
+    model.submit(2, "batch", job(1, TASK, false));
+    model.run(WORK_MS / 2);
+    assert_eq!(model.starts, 1);
+    let waiting = model.state.job(JobKey(2)).unwrap();
+    assert_eq!(waiting.steps[0].tasks[0].run, 0, "proposed in vain");
+    model.run_until_done(30_000);
+    assert_eq!(starts_over_capacity(&model), 0);
+}
+
+/// Guards against tasks that are preempted on a worker that has shrunk, although the gang would
+/// still have no room there.
+#[test]
+fn nothing_is_preempted_on_a_worker_that_is_over_its_capacity() {
+    let mut model = model(1);
+    let mut spec = job(2, TASK, false);
+    spec.steps[0].has_checkpoints = true;
+    model.submit(1, "batch", spec);
+    model.run(500);
+    assert_eq!(model.starts, 2);
+    shrink(&mut model, "w0", 1);
+    model.submit(2, "gang", job(1, TASK, true));
+    model.run(WORK_MS / 2);
+    assert_eq!(model.workers["w0"].running.len(), 2);
+    model.run_until_done(60_000);
+    assert_eq!(starts_over_capacity(&model), 0);
+    assert_eq!(model.starts, 3);
+}
+
 /// Guards against starts that use the room of runs that are still being stopped on a worker that
 /// has shrunk.
 #[test]
