Draw the ports of entry tests from an IP address that is reserved

bad_input_is_refused_with_an_explanation_and_not_passed_on got connection refused at the listener for workers of its entry. The harness drew free ports of 127.0.0.1 and released them until the entry bound them, in a range that overlaps those of quickstart.sh and of the tests of control processes. If another process takes the port for callers meanwhile, the entry ends, the harness takes the other listener for the entry's, and the next request is refused.

Each test process now reserves an IP address of 127.79.0.0/16 by a listener that it holds, and draws its ports there. The harness also prints the logs of the entries of a failed test.

Ruled out: outgoing connections, which start at port 32768 here, above the range.

--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -6,6 +6,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -13,6 +14,7 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::LazyLock;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
@@ -25,17 +27,43 @@
 
 const KEY: &str = "0123456789abcdef";
 
+/// The port by which a test process reserves its IP address.
+const LOCK_PORT: u16 = 19_999;
 /// The first of [`PORTS`] ports below the range that the system assigns to outgoing connections, so
 /// that a free port stays free until the entry binds it.
 const FIRST_PORT: u16 = 20_000;
 const PORTS: u16 = 12_000;
 
+/// An IP address that no other test process uses, so that none takes a port between its draw and
+/// its use.
+pub struct ReservedIp {
+    pub ip: Ipv4Addr,
+    /// Holds the reservation until the process ends.
+    _lock: TcpListener,
+}
+
+impl ReservedIp {
+    /// Reserves an address of 127.79.0.0/16 that is free.
+    pub fn new() -> ReservedIp {
+        let start = std::process::id();
+        let mut candidates = (0..u32::from(u16::MAX)).map(|offset| {
+            let [_, _, high, low] = start.wrapping_add(offset).to_be_bytes();
+            Ipv4Addr::new(127, 79, high, low)
+        });
+        let reserve = |ip| {
+            let lock = TcpListener::bind((ip, LOCK_PORT)).ok()?;
+            Some(ReservedIp { ip, _lock: lock })
+        };
+        candidates.find_map(reserve).unwrap()
+    }
+}
+
 pub fn free_address() -> SocketAddr {
+    static RESERVED: LazyLock<ReservedIp> = LazyLock::new(ReservedIp::new);
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() * 61 % u32::from(PORTS)) as u16;
     loop {
-        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from((RESERVED.ip, FIRST_PORT + offset));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -176,9 +204,18 @@
 
 impl Drop for EntryGroup {
     fn drop(&mut self) {
-        for child in self.children.iter_mut().flatten() {
+        for (index, child) in self.children.iter_mut().enumerate() {
+            let Some(child) = child else {
+                continue;
+            };
+            let exit = child.try_wait();
             let _ = child.kill();
             let _ = child.wait();
+            if let Some(mut stderr) = child.stderr.take().filter(|_| thread::panicking()) {
+                let mut log = String::new();
+                let _ = stderr.read_to_string(&mut log);
+                eprintln!("log of entry {index}, exit before its kill {exit:?}:\n{log}");
+            }
         }
     }
 }
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use harness::EntryGroup;
+use harness::ReservedIp;
 use harness::Upstream;
 use harness::call;
 use harness::now_unix_ms;
@@ -61,6 +62,16 @@
     assert!(!log.contains("cut off"), "{log}");
 }
 
+/// Guards against two test processes with one IP address: an entry cannot bind a port that the other
+/// process took after the draw, and the test reaches the listener of the other process.
+#[test]
+fn each_test_process_draws_ports_of_its_own_ip_address() {
+    let (first, second) = (ReservedIp::new(), ReservedIp::new());
+    assert_ne!(first.ip, second.ip);
+    let drawn = harness::free_address().ip();
+    assert!(drawn != first.ip && drawn != second.ip, "{drawn}");
+}
+
 /// Guards against a second signal that does not end the stop, and against requests that are cut off
 /// without a log line.
 #[test]
