Keep a SIGTERM that arrives while the event channel is full

A control process whose core thread was behind by as many events as the channel holds dropped the request for a graceful stop, and went on until a second signal or SIGKILL ended it. The signal thread used the function for consensus messages, which may be lost.

The request is now sent by a thread of its own if the channel is full, so the signal thread stays free to handle a second signal, which must work while the core thread is blocked.

Ruled out: sending from the signal thread, which would block it.

With the former function in request_shutdown, a_shutdown_request_survives_a_full_channel fails: the request was lost. All tests of the package pass.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -1,5 +1,9 @@
 //! The input of the core thread, and the bounded channel that carries it.
 
+use std::io;
+use std::thread;
+
+use flume::TrySendError;
 use serde_json::Value;
 
 use sapphirepost_consensus::Message;
@@ -91,6 +95,18 @@
         let _ = self.0.try_send(event);
     }
 
+    /// Asks the core thread for a graceful stop, without blocking. While the channel is full, a
+    /// thread of its own waits for room. Fails if that thread cannot be started.
+    pub fn request_shutdown(&self) -> io::Result<()> {
+        if let Err(TrySendError::Full(event)) = self.0.try_send(Event::Shutdown) {
+            let sender = self.clone();
+            thread::Builder::new()
+                .name("shutdown".to_owned())
+                .spawn(move || sender.send_blocking(event))?;
+        }
+        Ok(())
+    }
+
     /// Sends an event that must not get lost, and blocks while the channel is full. Returns
     /// whether the core thread still runs.
     pub fn send_blocking(&self, event: Event) -> bool {
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -206,7 +206,11 @@
 
 fn handle_shutdown(kind: Shutdown, events: &EventSender) {
     match kind {
-        Shutdown::Graceful => events.send_or_drop(Event::Shutdown),
+        Shutdown::Graceful => {
+            if let Err(error) = events.request_shutdown() {
+                log::error!(error:%; "cannot stop gracefully; another signal stops at once");
+            }
+        }
         Shutdown::Immediate => {
             // Bypasses the core thread, which may be blocked on a disk that does not respond. The
             // log tolerates a process that ends at any time.
