Refuse a join request without a valid address

A join request was taken as it came, unlike the operators' request for a new member. A member with an address that cannot be reached stays in the group for good, since only voters and members at the same address are removed, and every policy client is told its address.

Before: a_member_without_a_valid_address_does_not_join failed with 'Joining { is_voter: false }'. After: passes. The processes derive the address from their settings, so only a malformed request is affected.

--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -12,6 +12,7 @@
 use crate::core::Core;
 use crate::group_size;
 use crate::group_size::MemberView;
+use crate::members::check_address;
 
 /// A member that the leader has not heard from for longer counts as dead.
 const SILENT_MAX_MS: u64 = 2_500;
@@ -27,6 +28,9 @@
         address: String,
         done: Responder<QueueReply>,
     ) {
+        if let Err(reason) = check_address(&address) {
+            return done.send(Ok(QueueReply::Invalid(reason)));
+        }
         let members = &self.node.membership().members;
         if let Some(known) = members
             .get(&member)
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,5 +1,7 @@
 //! Requests of operators that list, add and remove members.
 
+use std::net::SocketAddr;
+
 use sapphirepost_consensus::MemberRole;
 use sapphirepost_consensus::MembershipChange;
 use sapphirepost_consensus::MembershipError;
@@ -51,8 +53,7 @@
     }
 
     fn add_member(&mut self, member: MemberId, address: String, done: Responder<OperatorReply>) {
-        if address.parse::<std::net::SocketAddr>().is_err() {
-            let reason = format!("`{address}` is not an address, expected ip:port");
+        if let Err(reason) = check_address(&address) {
             return done.send(Ok(OperatorReply::Refused(Refusal::Invalid { reason })));
         }
         if self.is_membership_uncommitted() {
@@ -116,6 +117,14 @@
     }
 }
 
+/// Checks the address of a member, or returns what is wrong with it.
+pub(crate) fn check_address(address: &str) -> Result<(), String> {
+    match address.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(format!("`{address}` is not an address, expected ip:port")),
+    }
+}
+
 fn refusal(error: &MembershipError) -> Refusal {
     match error {
         MembershipError::NotAMember(member) => Refusal::NotFound {
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -258,3 +258,16 @@
     let used = all.find(|number| member.workers.was_reached_after(&worker(*number), after));
     assert_eq!(used, None);
 }
+
+/// Guards against a member that nobody can reach and that stays in the group, because the address in
+/// its join request was taken as it came.
+#[test]
+fn a_member_without_a_valid_address_does_not_join() {
+    let member = Member::start();
+    let join = QueueCall::Join {
+        member: MemberId(2),
+        address: "nowhere".to_owned(),
+    };
+    let reply = member.call(&join);
+    assert!(matches!(reply, QueueReply::Invalid(_)), "{reply:?}");
+}
