--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -1,7 +1,8 @@
 //! The log lines of the leader about jobs, steps and runs.
 //!
 //! Lines about single runs have a log target of their own, since they are by far the most frequent
-//! and have a rate limit of their own.
+//! and have a rate limit of their own. The few about runs of ended jobs have another one, so that no
+//! others crowd them out.
 
 use std::fmt::Write;
 
@@ -22,6 +23,8 @@
 
 /// The log target of lines about single runs.
 const RUNS_TARGET: &str = "sapphirepost_control::runs";
+/// The log target of lines about runs of ended jobs and runs taken over.
+const ENDED_RUNS_TARGET: &str = "sapphirepost_control::ended_runs";
 
 /// The largest number of workers with adopted runs of ended jobs that get a line each.
 const ADOPTED_WORKERS_MAX: usize = 16;
@@ -31,10 +34,14 @@
 pub(crate) fn log_adopted(adopted: &[AdoptedRuns]) {
     let runs: usize = adopted.iter().map(|worker| worker.runs).sum();
     let of_ended_jobs: usize = adopted.iter().map(|worker| worker.of_ended_jobs).sum();
-    log::info!(workers = adopted.len(), runs, of_ended_jobs; "runs taken over");
+    log::info!(
+        target: ENDED_RUNS_TARGET,
+        workers = adopted.len(), runs, of_ended_jobs; "runs taken over"
+    );
     let with_ended = adopted.iter().filter(|worker| worker.of_ended_jobs > 0);
     for on_worker in with_ended.take(ADOPTED_WORKERS_MAX) {
         log::info!(
+            target: ENDED_RUNS_TARGET,
             worker = &*on_worker.worker, runs = on_worker.runs,
             of_ended_jobs = on_worker.of_ended_jobs; "runs of ended jobs taken over"
         );
@@ -44,6 +51,7 @@
 /// Logs a run that goes on although its job has ended.
 pub(crate) fn log_ended_job_run(run: &EndedJobRun) {
     log::info!(
+        target: ENDED_RUNS_TARGET,
         task:% = run.task, run = run.run, worker = &*run.worker, held_ms = run.held_ms,
         stage:? = run.stage, is_adopted = run.is_adopted, is_reachable = run.is_reachable;
         "run of an ended job not over"
