Tell a refused connection to a worker from other requests that were not sent

When a worker's process crashes, connections to it are refused, while a partition lets them time out. Both were reported as not sent, so the scheduler could not tell an ended process from a silent one.

Two tests of the scheduler guard the unchanged handling.

--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -150,6 +150,9 @@
     NoAnswer,
     /// The request was not sent.
     NotSent,
+    /// The request was not sent, since the connection was refused: the worker's process has ended, or
+    /// something on the way rejects connections to it.
+    Refused,
     /// The request was not sent, since this process has no resources for it; this says nothing
     /// about the worker.
     OutOfResources,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -194,9 +194,11 @@
         match &result {
             Ok(WorkerReply::Accepted { clock_ms }) => self.record_clock(index, *clock_ms, now),
             Err(WorkerRequestError::OtherLife) => return self.remove_replaced_worker(index),
-            Err(WorkerRequestError::NoAnswer | WorkerRequestError::NotSent) => {
-                self.counts.unanswered_requests += 1
-            }
+            Err(
+                WorkerRequestError::NoAnswer
+                | WorkerRequestError::NotSent
+                | WorkerRequestError::Refused,
+            ) => self.counts.unanswered_requests += 1,
             _ => {}
         }
         match (&request.kind, result) {
@@ -271,7 +273,7 @@
                     self.stop_run(index, (task, run), StopReason::Unanswered, now);
                 }
             }
-            Err(WorkerRequestError::NotSent) => {
+            Err(WorkerRequestError::NotSent | WorkerRequestError::Refused) => {
                 self.record_missed(index, sent);
                 self.not_started(index, (task, run), attempts, now);
             }
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -118,6 +118,43 @@
     assert_completed(&model);
 }
 
+/// Guards against a refused connection that is taken as proof that nothing runs on a worker: the
+/// connection may be refused on the way, and the worker's tasks would run twice. The model checks at
+/// each step that no task runs twice.
+#[test]
+fn a_worker_that_refuses_connections_keeps_its_tasks_until_its_lease_ends() {
+    let mut model = Model::new(queues(), workers(3), 0);
+    model.run(50);
+    submit(&mut model, Kind::Tally, 6);
+    submit(&mut model, Kind::Lookup, 10);
+    model.run(500);
+    let refusing = model.workers.values_mut().next().unwrap();
+    refusing.refuses_connections = true;
+    let id = refusing.record.id.clone();
+    model.run(LEASE_MS / 2);
+    let held = model.state.worker(&id).unwrap().runs.len();
+    assert!(held > 0, "the runs were freed before the end of the lease");
+    model.run(2 * LEASE_MS);
+    model.workers.get_mut(&id).unwrap().refuses_connections = false;
+    model.run_until_done(30_000);
+    assert_completed(&model);
+}
+
+/// Guards against a start whose connection was refused and that is not placed elsewhere.
+#[test]
+fn a_refused_start_is_placed_on_another_worker() {
+    let mut model = Model::new(queues(), workers(2), 0);
+    model.run(50);
+    let refusing = model.workers.values_mut().next().unwrap();
+    refusing.refuses_connections = true;
+    submit(&mut model, Kind::Lookup, 4);
+    model.run(200);
+    let started = model.jobs.keys().filter(|key| model.has_started(**key));
+    assert_eq!(started.count(), 4, "a job waits for the refusing worker");
+    model.run_until_done(10_000);
+    assert_completed(&model);
+}
+
 /// Guards against a task that runs twice because a delayed start is carried out after the task was
 /// placed on another worker.
 #[test]
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -497,6 +497,10 @@
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
             return self.schedule(timeout_ms, missed);
         }
+        if worker.refuses_connections {
+            let refused = Err(WorkerRequestError::Refused);
+            return self.schedule(NET_MS, Event::RequestAnswered(request, refused));
+        }
         let is_start = worker::is_start(&request);
         if is_start && worker.loses_starts {
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -67,6 +67,8 @@
     pub forgets_stops: bool,
     /// Whether another incarnation answers at its address.
     pub is_replaced: bool,
+    /// Whether connections to it are refused; what runs on it goes on.
+    pub refuses_connections: bool,
     /// Whether it fails every task at its end, except for members of gangs.
     pub fails_all: bool,
     /// The reason for which it rejects all starts, if any.
@@ -141,6 +143,7 @@
             loses_stops: false,
             forgets_stops: false,
             is_replaced: false,
+            refuses_connections: false,
             fails_all: false,
             rejects_starts: None,
             stalls: false,
@@ -406,7 +409,7 @@
         now: Millis,
     ) -> Option<(WorkerRequest, Result<WorkerReply, WorkerRequestError>)> {
         let (request, due) = self.poll.take()?;
-        if self.is_unreachable {
+        if self.is_unreachable || self.refuses_connections {
             return Some((request, Err(WorkerRequestError::NoAnswer)));
         }
         let WorkerRequestKind::Poll { acknowledged, .. } = request.kind else {
