Limit a queue whose tasks crash workers to few of them

All queues of a service share its workers. Giving up such tasks bounds the starts of each, not the first crashes of all.

The leader now judges from crash events (a refused connection to a worker that has just answered and is not draining) whether one queue's tasks are the cause. Such a queue starts tasks only on a set of about an eighth of the workers, one job at a time on each, and other queues start nothing there. A crashed worker keeps its place in the set until its next incarnation is up. What the set cannot serve in time is refused with Retry-After. The set doubles, and is dissolved, when its workers run without crashes.

Ruled out: the share of events alone as evidence. A queue that starts tasks everywhere is near every crash; the test of scattered crashes quarantined it until its share was compared with what chance explains. An interval of 150 ms between jobs on a worker of the set: the first jobs seldom ended before the next crash.

The tests of a rack and of the two partitions passed with each mutation that was tried, so they have not been shown to fail. The model of crashes is now one for both test files.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -18,6 +18,7 @@
 use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::AdoptedRuns;
 use sapphirepost_queues::scheduler::EndedJobRun;
+use sapphirepost_queues::scheduler::QuarantineChange;
 use sapphirepost_queues::scheduler::WaitingStep;
 use sapphirepost_queues::state::QueueChange;
 
@@ -83,6 +84,19 @@
     );
 }
 
+/// Logs that a queue is quarantined or released, with the evidence.
+pub(crate) fn log_quarantine(change: &QuarantineChange) {
+    let event = if change.is_quarantined {
+        "queue quarantined: its tasks crash workers"
+    } else {
+        "queue released from quarantine"
+    };
+    log::warn!(
+        queue = &*change.queue, suspect_events = change.suspect_events, events = change.events,
+        workers = change.workers; "{event}"
+    );
+}
+
 /// Logs an applied change. Jobs and steps get a line each, and so does the end of each run.
 pub(crate) fn log_change(
     change: &QueueChange,
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -32,6 +32,9 @@
     pub(crate) policy_clients_waiting: Gauge,
     /// Runs of ended jobs that take resources on workers; 0 on members that do not lead.
     pub(crate) ended_job_runs: Gauge,
+    /// Queues that start tasks only on few workers, since their tasks crash workers.
+    pub(crate) quarantined_queues: Gauge,
+    worker_crashes: Counter,
     starts: Counter,
     stops: Family<StopLabel, Counter>,
     unanswered_requests: Counter,
@@ -106,6 +109,15 @@
                 "Runs of ended jobs that take resources on workers",
                 Gauge::default(),
             ),
+            quarantined_queues: metrics.register(
+                "queue_quarantined_queues",
+                "Queues that are limited to few workers, since their tasks crash workers",
+                Gauge::default(),
+            ),
+            worker_crashes: counter(
+                "queue_worker_crashes",
+                "Workers that refused connections shortly after a reply",
+            ),
             starts: counter("queue_starts", "Runs ordered"),
             stops: metrics.register(
                 "queue_stops",
@@ -129,6 +141,7 @@
     }
 
     pub(crate) fn add_counts(&self, counts: Counts) {
+        self.worker_crashes.inc_by(counts.worker_crashes);
         self.starts.inc_by(counts.starts);
         for (reason, stops) in StopReason::ALL.iter().zip(counts.stops) {
             if stops > 0 {
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -282,6 +282,12 @@
             return;
         };
         scheduler.tick(self.state.queues(), now);
+        let quarantine_changes = scheduler.take_quarantine_changes();
+        quarantine_changes
+            .iter()
+            .for_each(queue_log::log_quarantine);
+        let quarantined = scheduler.quarantined_queues() as i64;
+        self.queues.metrics.quarantined_queues.set(quarantined);
         if now.since(self.queues.reported_at) >= REPORT_INTERVAL_MS {
             self.queues.reported_at = now;
             let waiting = scheduler.find_waiting_steps(now);
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -183,6 +183,9 @@
             if !is_allowed || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
                 continue;
             }
+            if !self.may_use(view, index) {
+                continue;
+            }
             let max_members = spec
                 .per_worker_max
                 .map_or(members, |limit| members.min(limit as usize));
--- a/crates/queues/src/scheduler/lease.rs
+++ b/crates/queues/src/scheduler/lease.rs
@@ -63,6 +63,11 @@
         self.last_clock.map_or(self.tracked_since, |(_, at)| at)
     }
 
+    /// When the newest reply to this leader came; `None` before the first one.
+    pub fn last_reply(&self) -> Option<Millis> {
+        self.last_clock.map(|(_, at)| at)
+    }
+
     /// How long the worker has been silent.
     pub fn silent_ms(&self, now: Millis) -> u64 {
         match (self.silent_since, self.last_clock) {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! clock, so a run can be replayed deterministically.
 
 mod admission;
+mod crash_evidence;
 mod drain;
 mod durations;
 mod ended_runs;
@@ -20,6 +21,7 @@
 mod policy_clients;
 mod polls;
 mod preempt;
+mod quarantine;
 mod ranking;
 mod rejections;
 mod reservations;
@@ -44,6 +46,7 @@
 use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::isolation::IsolationTurns;
 use crate::scheduler::permits::PermitDispatcher;
+use crate::scheduler::quarantine::Quarantine;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
@@ -75,6 +78,7 @@
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::quarantine::QuarantineChange;
 pub use crate::scheduler::ranking::Lateness;
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
@@ -121,6 +125,8 @@
     pub stops: [u64; StopReason::ALL.len()],
     /// Requests to workers that got no reply or could not be sent.
     pub unanswered_requests: u64,
+    /// Crashes of workers, by a refused connection shortly after a reply.
+    pub worker_crashes: u64,
     /// Starts that workers rejected.
     pub rejected_starts: u64,
     /// Permit requests sent to the placement policy.
@@ -154,6 +160,7 @@
     pub(crate) waits: WaitTracker,
     pub(crate) ended_runs: EndedRunTracker,
     pub(crate) isolation_turns: IsolationTurns,
+    pub(crate) quarantine: Quarantine,
 }
 
 impl Scheduler {
@@ -181,6 +188,7 @@
             waits: WaitTracker::default(),
             ended_runs: EndedRunTracker::default(),
             isolation_turns: IsolationTurns::default(),
+            quarantine: Quarantine::default(),
         };
         for worker in state.workers() {
             scheduler.worker_changed(state, &worker.record.id, now);
@@ -256,6 +264,7 @@
             self.tick_leases(now);
             self.tick_runs(state, now);
             self.tick_permits(now);
+            self.tick_quarantine(now);
         }
         self.tick_placement(state, now);
         if std::mem::take(&mut self.dispatcher.is_dispatch_due) {
@@ -335,6 +344,9 @@
             None => {
                 let view = WorkerView::new(known.record.clone(), known.applied_ends, now);
                 let index = self.workers.insert(view);
+                if let Some(worker) = self.workers.get(index) {
+                    self.quarantine.adopt(index, worker);
+                }
                 self.poll_candidates.push(index);
             }
         }
@@ -355,24 +367,27 @@
         if self.job_steps.contains_key(&key) {
             return None;
         }
-        let workers = self.workers.iter().map(|(_, worker)| worker);
-        let serving = workers.filter(|w| *w.record.service == *queue.service);
-        let capacity_millicores = serving.map(|w| w.record.capacity.millicores).sum();
+        let is_quarantined = self.quarantine.is_quarantined(&queue.name);
         let preceding = || {
             let views = self.steps.values().filter(|view| {
-                view.queue.priority <= queue.priority && *view.queue.service == *queue.service
+                view.queue.priority <= queue.priority
+                    && *view.queue.service == *queue.service
+                    && self.quarantine.share_workers(&view.queue_name, &queue.name)
             });
             views.map(|view| (view, view.waiting_core_ms()))
         };
-        let ahead =
-            preceding().filter(|(view, _)| Rank::of(view, now).lateness == Lateness::InTime);
+        // The workers of a quarantined queue are often down, and late work of its own is all that
+        // it has to place, so a job counts on neither.
+        let ahead = preceding()
+            .filter(|(view, _)| is_quarantined || Rank::of(view, now).lateness == Lateness::InTime);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
         let critical_path_ms = spec.critical_path_ms(&durations_ms);
         let deadline_ms = queue.deadline_ms(critical_path_ms);
+        let job_millicores = spec.core_ms() * 1_000 / critical_path_ms.max(1);
         Some(Admission {
             ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
             backlog_core_ms: preceding().map(|(_, core_ms)| core_ms).sum(),
-            capacity_millicores,
+            capacity_millicores: self.serving_millicores(queue, job_millicores, now),
             deadline_ms,
             useful_ms: USEFUL_FACTOR * deadline_ms,
             critical_path_ms,
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -141,6 +141,7 @@
             self.permission(view, *index, now) != Permission::Denied
                 && worker.accepts_tasks(now)
                 && view.can_run_on(worker)
+                && self.may_use(view, *index)
         });
         let mut usable: Vec<(u64, WorkerIndex)> = usable
             .map(|(index, worker)| (u64::MAX - worker.free().millicores, index))
@@ -227,7 +228,10 @@
                 Permission::Expired => has_room && !view.spec().is_gang,
                 Permission::Granted | Permission::Denied => false,
             };
-            is_wanted && worker.accepts_tasks(now) && view.can_run_on(worker)
+            is_wanted
+                && worker.accepts_tasks(now)
+                && view.can_run_on(worker)
+                && self.may_use(view, *index)
         };
         let workers = self.workers.iter().filter(is_useful);
         let mut workers: Vec<(u64, WorkerIndex)> = workers
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -93,6 +93,9 @@
             if view.rejections.is_paused(index, now) || worker.is_closed_to(view.key.job, now) {
                 continue;
             }
+            if !self.may_use(view, index) || self.is_settling(view, index, now) {
+                continue;
+            }
             let permission = self.permission(view, index, now);
             if permission == Permission::Denied {
                 continue;
@@ -121,6 +124,7 @@
                 slowdown_percent: (slowdown * 100.0) as u64,
             });
         }
+        self.keep_job_together(view, &mut found);
         found
     }
 
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -99,7 +99,10 @@
         let allowed = self.workers.iter().filter(|(index, worker)| {
             let permission = self.permission(view, *index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
-            is_allowed && worker.accepts_tasks(now) && view.can_run_on(worker)
+            is_allowed
+                && worker.accepts_tasks(now)
+                && view.can_run_on(worker)
+                && self.may_use(view, *index)
         });
         let options = allowed.filter_map(|(index, worker)| {
             let available = reservations.available(index, worker, view.key, view.usual_ms, now);
--- /dev/null
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -0,0 +1,560 @@
+//! Limits a queue whose tasks crash workers to few of the service's workers.
+//!
+//! All queues of a service share its workers, so a queue whose tasks crash them takes the workers
+//! from all other queues within seconds. While the crashes point to a queue, it starts tasks only on
+//! a small set of workers, on which the other queues start nothing new. A crashed worker stays in
+//! the set until it has returned, which bounds the rate of crashes. Workers that are empty belong to
+//! the set too while the other queues do not need them. The set grows, and is dissolved, when its
+//! workers run without crashes.
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use sapphirepost_types::Millis;
+
+use crate::ids::TaskKey;
+use crate::scheduler::CHECK_INTERVAL_MS;
+use crate::scheduler::Scheduler;
+use crate::scheduler::crash_evidence::Contact;
+use crate::scheduler::crash_evidence::CrashEvidence;
+use crate::scheduler::crash_evidence::Verdict;
+use crate::scheduler::place::Candidate;
+use crate::scheduler::place::count_fitting;
+use crate::scheduler::step_permits::Permission;
+use crate::scheduler::steps::StepView;
+use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::WorkerView;
+use crate::table::Queue;
+
+/// A set has the workers of the service divided by this, at least one.
+const SET_DIVISOR: usize = 8;
+/// All sets of a service together have at most its workers divided by this, or one worker each.
+const ALL_SETS_DIVISOR: usize = 2;
+/// Empty workers join a set while the others have this percentage of the capacity that the other
+/// queues take.
+const HEADROOM_PERCENT: u64 = 150;
+/// After each such time without a crash while some of its workers accept tasks, a set doubles.
+const GROWTH_MS: u64 = 2_000;
+/// A set is dissolved after it has doubled this often.
+const GROWTHS_MAX: u32 = 2;
+/// How long a removed worker keeps its place in the set for its next incarnation.
+const RETURN_MS: u64 = 3_000;
+/// A refused connection this long after the worker's last reply does not show what ran when the
+/// worker crashed.
+const SIGN_AGE_MAX_MS: u64 = 2_000;
+/// Once a set has grown, its workers start another job only this long after the last one, so that
+/// it is clear which job crashes a worker.
+const SETTLE_MS: u64 = 150;
+/// The number of waiting steps of a queue for which its set is checked at a time.
+const CHECKED_STEPS_MAX: usize = 200;
+
+/// A queue that is quarantined or released, with the evidence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineChange {
+    /// The name of the queue.
+    pub queue: Arc<str>,
+    /// Whether it is quarantined now.
+    pub is_quarantined: bool,
+    /// The number of recent crash events in which it is a suspect.
+    pub suspect_events: usize,
+    /// The number of recent crash events that no other quarantined queue explains.
+    pub events: usize,
+    /// The number of workers in its set.
+    pub workers: usize,
+}
+
+/// A place in a set.
+#[derive(Clone, Debug)]
+struct Place {
+    worker: WorkerIndex,
+    address: Arc<str>,
+    removed_at: Option<Millis>,
+}
+
+/// A quarantined queue and its set.
+#[derive(Debug)]
+struct QuarantinedQueue {
+    queue: Arc<str>,
+    service: Arc<str>,
+    places: Vec<Place>,
+    /// How long some of its workers accepted tasks since the last crash.
+    quiet_ms: u64,
+    last_event: Millis,
+    /// Whether a worker runs only one job at a time, so that a crash ends no other job.
+    runs_single_jobs: bool,
+}
+
+/// The quarantined queues and the evidence for them.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    pub(crate) evidence: CrashEvidence,
+    queues: Vec<QuarantinedQueue>,
+    /// The queue that each worker of a set is reserved for.
+    members: FxHashMap<WorkerIndex, Arc<str>>,
+    changes: Vec<QuarantineChange>,
+}
+
+impl Quarantine {
+    /// Whether a queue is quarantined.
+    pub fn is_quarantined(&self, queue: &str) -> bool {
+        self.get(queue).is_some()
+    }
+
+    fn get(&self, queue: &str) -> Option<&QuarantinedQueue> {
+        let mut queues = self.queues.iter();
+        queues.find(|quarantined| *quarantined.queue == *queue)
+    }
+
+    /// Whether a queue may start tasks on a worker.
+    pub fn may_use(&self, queue: &str, worker: WorkerIndex) -> bool {
+        match self.members.get(&worker) {
+            Some(owner) => **owner == *queue,
+            None => !self.is_quarantined(queue),
+        }
+    }
+
+    /// Puts a new worker in the place of the earlier incarnation at its address, if that is in a set,
+    /// before other queues use it.
+    pub fn adopt(&mut self, index: WorkerIndex, worker: &WorkerView) {
+        for quarantined in &mut self.queues {
+            let mut places = quarantined.places.iter_mut();
+            let same_address = places.find(|place| place.address == worker.record.address);
+            if let Some(place) = same_address {
+                self.members.remove(&place.worker);
+                self.members.insert(index, quarantined.queue.clone());
+                *place = Place::of(index, worker);
+            }
+        }
+    }
+
+    /// Whether two queues of one service start tasks on the same workers.
+    pub fn share_workers(&self, queue: &str, other: &str) -> bool {
+        queue == other || !(self.is_quarantined(queue) || self.is_quarantined(other))
+    }
+
+    fn names(&self) -> Vec<Arc<str>> {
+        self.queues
+            .iter()
+            .map(|quarantined| quarantined.queue.clone())
+            .collect()
+    }
+}
+
+impl Scheduler {
+    /// Takes the changes of quarantines since the last call.
+    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.quarantine.changes)
+    }
+
+    /// The number of quarantined queues.
+    pub fn quarantined_queues(&self) -> usize {
+        self.quarantine.queues.len()
+    }
+
+    /// Handles a refused connection to a worker as a sign of a crash.
+    pub(crate) fn handle_crash_sign(&mut self, index: WorkerIndex, now: Millis) {
+        let Some(worker) = self.workers.get(index) else {
+            return;
+        };
+        let is_leaving = worker.record.is_draining || worker.leaves_at.is_some();
+        let Some(last_reply) = worker.lease.last_reply().filter(|_| !is_leaving) else {
+            return;
+        };
+        if now.since(last_reply) > SIGN_AGE_MAX_MS {
+            return;
+        }
+        let service = worker.record.service.clone();
+        let peers = self.workers_of(&service).filter_map(|(worker, view)| {
+            let is_up = view.lease.is_reachable() || worker == index;
+            let last_reply = view.lease.last_reply().filter(|_| is_up)?;
+            Some(Contact { worker, last_reply })
+        });
+        let peers: Vec<Contact> = peers.collect();
+        let crashed = Contact {
+            worker: index,
+            last_reply,
+        };
+        let evidence = &mut self.quarantine.evidence;
+        let is_first = evidence.record_sign(&service, crashed, &peers, now);
+        self.counts.worker_crashes += u64::from(is_first);
+    }
+
+    /// Quarantines and releases queues, and adjusts the sets.
+    pub(crate) fn tick_quarantine(&mut self, now: Millis) {
+        let workers = &self.workers;
+        let is_known = |worker| workers.get(worker).is_some();
+        self.quarantine.evidence.prune(now, is_known);
+        for service in self.quarantine.evidence.services() {
+            self.quarantine_suspects(&service, now);
+        }
+        self.release_queues(now);
+        if self.quarantine.queues.is_empty() {
+            return;
+        }
+        let mut queues = std::mem::take(&mut self.quarantine.queues);
+        for position in 0..queues.len() {
+            let (earlier, rest) = queues.split_at_mut(position);
+            if let Some((quarantined, later)) = rest.split_first_mut() {
+                let others = earlier.iter().chain(later.iter());
+                let others = others.filter(|other| other.service == quarantined.service);
+                let taken: Vec<WorkerIndex> = others
+                    .flat_map(|other| other.places.iter().map(|place| place.worker))
+                    .collect();
+                self.adjust_set(quarantined, &taken, now);
+            }
+        }
+        let members = queues.iter().flat_map(|quarantined| {
+            let places = quarantined.places.iter();
+            places.map(|place| (place.worker, quarantined.queue.clone()))
+        });
+        self.quarantine.members = members.collect();
+        self.quarantine.queues = queues;
+    }
+
+    fn quarantine_suspects(&mut self, service: &Arc<str>, now: Millis) {
+        for queue in self.quarantine.evidence.suspects(service, now) {
+            if self.quarantine.is_quarantined(&queue) {
+                continue;
+            }
+            let responsible = self.quarantine.names();
+            let evidence = &self.quarantine.evidence;
+            let verdict = evidence.judge(service, &queue, &responsible, now);
+            if !verdict.is_responsible {
+                continue;
+            }
+            let crashed = evidence.crashed_workers(service, &queue);
+            let last_event = evidence.last_event(service, &queue).unwrap_or(now);
+            let is_down = |worker: &WorkerView| !worker.lease.is_reachable();
+            let crashed = crashed.into_iter().filter_map(|index| {
+                let worker = self.workers.get(index).filter(|worker| is_down(worker))?;
+                Some(Place::of(index, worker))
+            });
+            let limit = self.set_size(service, 0);
+            let quarantined = QuarantinedQueue {
+                queue: queue.clone(),
+                service: service.clone(),
+                places: crashed.take(limit).collect(),
+                quiet_ms: 0,
+                last_event,
+                runs_single_jobs: true,
+            };
+            self.quarantine.queues.push(quarantined);
+            self.record_change(queue, Some(verdict), true, limit);
+            self.rounds.is_due = true;
+        }
+    }
+
+    fn record_change(
+        &mut self,
+        queue: Arc<str>,
+        verdict: Option<Verdict>,
+        is_quarantined: bool,
+        workers: usize,
+    ) {
+        self.quarantine.changes.push(QuarantineChange {
+            queue,
+            is_quarantined,
+            suspect_events: verdict.map_or(0, |verdict| verdict.suspect_events),
+            events: verdict.map_or(0, |verdict| verdict.events),
+            workers,
+        });
+    }
+
+    /// Releases the queues whose workers have run long enough without crashes, and those that most
+    /// crashes do not point to any more.
+    fn release_queues(&mut self, now: Millis) {
+        let names = self.quarantine.names();
+        let mut released = Vec::new();
+        let evidence = &self.quarantine.evidence;
+        self.quarantine.queues.retain(|quarantined| {
+            let (service, queue) = (&quarantined.service, &quarantined.queue);
+            let verdict = evidence.judge(service, queue, &names, now);
+            let is_over = quarantined.quiet_ms >= GROWTH_MS * u64::from(GROWTHS_MAX + 1);
+            let is_released = is_over || verdict.is_exonerated();
+            if is_released {
+                released.push((queue.clone(), verdict, quarantined.places.len()));
+            }
+            !is_released
+        });
+        for (queue, verdict, workers) in released {
+            self.quarantine.members.retain(|_, owner| *owner != queue);
+            self.record_change(queue, Some(verdict), false, workers);
+            self.rounds.is_due = true;
+        }
+    }
+
+    fn workers_of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (WorkerIndex, &'a WorkerView)> {
+        let workers = self.workers.iter();
+        workers.filter(move |(_, worker)| *worker.record.service == *service)
+    }
+
+    /// The size of a set that has doubled `growths` times.
+    fn set_size(&self, service: &str, growths: u32) -> usize {
+        let first = (self.workers_of(service).count() / SET_DIVISOR).max(1);
+        first << growths
+    }
+
+    /// Replaces removed workers of a set and brings the set to its size.
+    fn adjust_set(&self, quarantined: &mut QuarantinedQueue, taken: &[WorkerIndex], now: Millis) {
+        let evidence = &self.quarantine.evidence;
+        let last_event = evidence.last_event(&quarantined.service, &quarantined.queue);
+        if let Some(at) = last_event.filter(|at| *at > quarantined.last_event) {
+            quarantined.last_event = at;
+            quarantined.quiet_ms = 0;
+        }
+        self.refill_places(quarantined, now);
+        let is_open = |place: &Place| {
+            let worker = self.workers.get(place.worker);
+            worker.is_some_and(|worker| worker.accepts_tasks(now))
+        };
+        if quarantined.places.iter().any(is_open) {
+            quarantined.quiet_ms += CHECK_INTERVAL_MS;
+        }
+        let growths = (quarantined.quiet_ms / GROWTH_MS).min(u64::from(GROWTHS_MAX)) as u32;
+        quarantined.runs_single_jobs = growths == 0;
+        let size = self.set_size(&quarantined.service, growths);
+        let all = self.workers_of(&quarantined.service).count() / ALL_SETS_DIVISOR;
+        let size_max = all.saturating_sub(taken.len()).max(1);
+        let size = size.min(size_max);
+        // Workers that are down come first, since they count as long as they are down.
+        quarantined.places.sort_by_key(is_open);
+        let free = self.free_workers(quarantined, taken, now);
+        let needed = self.extend_set(quarantined, free, size, size_max, now);
+        let size = needed.max(size);
+        let size = size.max(self.add_idle_workers(quarantined, taken, size, size_max, now));
+        quarantined.places.truncate(size);
+    }
+
+    /// Puts the next incarnation of a removed worker in its place, and frees places that stay empty.
+    fn refill_places(&self, quarantined: &mut QuarantinedQueue, now: Millis) {
+        for place in &mut quarantined.places {
+            if self.workers.get(place.worker).is_some() {
+                continue;
+            }
+            place.removed_at.get_or_insert(now);
+            let mut workers = self.workers_of(&quarantined.service);
+            let next = workers.find(|(_, worker)| worker.record.address == place.address);
+            if let Some((index, worker)) = next {
+                *place = Place::of(index, worker);
+            }
+        }
+        quarantined.places.retain(|place| {
+            let removed_at = place.removed_at;
+            removed_at.is_none_or(|removed_at| now.since(removed_at) < RETURN_MS)
+        });
+    }
+
+    /// Workers that accept tasks and are in no set, those with the least work first.
+    fn free_workers(
+        &self,
+        quarantined: &QuarantinedQueue,
+        taken: &[WorkerIndex],
+        now: Millis,
+    ) -> Vec<WorkerIndex> {
+        let is_in = |index| quarantined.places.iter().any(|place| place.worker == index);
+        let free = self.workers_of(&quarantined.service);
+        let free = free.filter(|(index, worker)| {
+            !is_in(*index) && !taken.contains(index) && worker.accepts_tasks(now)
+        });
+        let mut free: Vec<(u64, WorkerIndex)> = free
+            .map(|(index, worker)| (worker.used.millicores, index))
+            .collect();
+        free.sort_unstable();
+        free.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// Adds workers up to `size`, and up to `size_max` so that each waiting step could run if the
+    /// workers of the set were up and empty. Returns how many places the steps need.
+    fn extend_set(
+        &self,
+        quarantined: &mut QuarantinedQueue,
+        mut free: Vec<WorkerIndex>,
+        size: usize,
+        size_max: usize,
+        now: Millis,
+    ) -> usize {
+        let missing = size.saturating_sub(quarantined.places.len());
+        let added = free.drain(..missing.min(free.len()));
+        let places = &mut quarantined.places;
+        places.extend(added.filter_map(|index| self.place(index)));
+        let steps = self.steps.values().filter(|view| {
+            view.queue_name == quarantined.queue && view.is_ready && !view.waiting.is_empty()
+        });
+        let steps = steps.take(CHECKED_STEPS_MAX);
+        let needed = steps.map(|view| self.extend_for_step(view, places, &mut free, size_max, now));
+        needed.max().unwrap_or(0)
+    }
+
+    /// Adds workers for one step. Returns how many places, from the first one on, it needs.
+    fn extend_for_step(
+        &self,
+        view: &StepView,
+        places: &mut Vec<Place>,
+        free: &mut Vec<WorkerIndex>,
+        size_max: usize,
+        now: Millis,
+    ) -> usize {
+        let spec = view.spec();
+        let members = if spec.is_gang { spec.count } else { 1 };
+        let mut fits: u32 = 0;
+        for (position, place) in places.iter().enumerate() {
+            fits = fits.saturating_add(self.members_that_fit(view, place.worker, now));
+            if fits >= members {
+                return position + 1;
+            }
+        }
+        while places.len() < size_max {
+            let fitting = |index: &WorkerIndex| self.members_that_fit(view, *index, now) > 0;
+            let Some(position) = free.iter().position(fitting) else {
+                return 0;
+            };
+            let index = free.remove(position);
+            fits = fits.saturating_add(self.members_that_fit(view, index, now));
+            places.extend(self.place(index));
+            if fits >= members {
+                return places.len();
+            }
+        }
+        0
+    }
+
+    /// Adds empty workers that the other queues do not need, unless a step of them waits. Returns how many places the set may
+    /// have then.
+    fn add_idle_workers(
+        &self,
+        quarantined: &mut QuarantinedQueue,
+        taken: &[WorkerIndex],
+        size: usize,
+        size_max: usize,
+        now: Millis,
+    ) -> usize {
+        let (mut open, mut used, mut capacity) = (0, 0, 0);
+        for (_, worker) in self.workers_of(&quarantined.service) {
+            if worker.accepts_tasks(now) {
+                open += 1;
+                capacity += worker.record.capacity.millicores;
+            }
+            let runs = worker.runs.iter();
+            let others = runs.filter(|(task, _)| {
+                let view = self.steps.get(&task.step);
+                view.is_none_or(|view| view.queue_name != quarantined.queue)
+            });
+            used += others.map(|(_, run)| run.resources.millicores).sum::<u64>();
+        }
+        let mut waiting = self.steps.values().filter(|view| {
+            let is_other = view.queue_name != quarantined.queue;
+            is_other && view.is_ready && *view.queue.service == *quarantined.service
+        });
+        // A step may be able to use only some workers, by its permits, so none is spare for sure.
+        if waiting.any(|view| !view.waiting.is_empty()) {
+            return size;
+        }
+        let per_worker = capacity / open.max(1);
+        let for_others = used * HEADROOM_PERCENT / 100;
+        let for_others = for_others.div_ceil(per_worker.max(1));
+        let spare = open.saturating_sub(for_others) as usize;
+        let size_max = spare.min(size_max).max(size);
+        let free = self.free_workers(quarantined, taken, now).into_iter();
+        let is_empty = |index: &WorkerIndex| {
+            let worker = self.workers.get(*index);
+            worker.is_some_and(|worker| worker.runs.is_empty())
+        };
+        let missing = size_max.saturating_sub(quarantined.places.len());
+        let added = free.filter(is_empty).take(missing);
+        let places = &mut quarantined.places;
+        places.extend(added.filter_map(|index| self.place(index)));
+        size_max
+    }
+
+    fn place(&self, index: WorkerIndex) -> Option<Place> {
+        Some(Place::of(index, self.workers.get(index)?))
+    }
+
+    /// How many tasks of a step fit on a worker if it is empty; none if the policy denies it.
+    fn members_that_fit(&self, view: &StepView, index: WorkerIndex, now: Millis) -> u32 {
+        let Some(worker) = self.workers.get(index) else {
+            return 0;
+        };
+        let is_denied = self.permission(view, index, now) == Permission::Denied;
+        if is_denied || !view.can_run_on(worker) {
+            return 0;
+        }
+        let spec = view.spec();
+        let limit = spec.per_worker_max.unwrap_or(u32::MAX);
+        count_fitting(spec.resources, worker.record.capacity).min(limit)
+    }
+
+    /// Whether a step may start tasks on a worker, by the quarantine of its queue or of others.
+    pub(crate) fn may_use(&self, view: &StepView, index: WorkerIndex) -> bool {
+        self.quarantine.may_use(&view.queue_name, index)
+    }
+
+    /// The processor capacity that a queue may use. For a quarantined queue, only workers count that
+    /// accept tasks now, and with no more than a job takes while they run one at a time; at least 1
+    /// is returned.
+    pub(crate) fn serving_millicores(
+        &self,
+        queue: &Queue,
+        job_millicores: u64,
+        now: Millis,
+    ) -> u64 {
+        let quarantined = self.quarantine.get(&queue.name);
+        let serving = self.workers_of(&queue.service).filter(|(index, worker)| {
+            let is_open = quarantined.is_none() || worker.accepts_tasks(now);
+            is_open && self.quarantine.may_use(&queue.name, *index)
+        });
+        let used_max = quarantined
+            .filter(|quarantined| quarantined.runs_single_jobs)
+            .map_or(u64::MAX, |_| job_millicores);
+        let sum: u64 = serving
+            .map(|(_, worker)| worker.record.capacity.millicores.min(used_max))
+            .sum();
+        sum.max(u64::from(quarantined.is_some()))
+    }
+
+    /// For a step of a quarantined queue, leaves only the workers that fit all its waiting tasks,
+    /// if there are any: a task that crashes its worker should not do so on several ones.
+    pub(crate) fn keep_job_together(&self, view: &StepView, candidates: &mut Vec<Candidate>) {
+        if !self.quarantine.is_quarantined(&view.queue_name) {
+            return;
+        }
+        let fits_all = |candidate: &Candidate| candidate.fits as usize >= view.waiting.len();
+        let is_usable = |candidate: &Candidate| candidate.permission == Permission::Granted;
+        if candidates.iter().any(|c| fits_all(c) && is_usable(c)) {
+            candidates.retain(fits_all);
+        }
+    }
+
+    /// Whether a worker of a set has to wait with another job of its quarantined queue. Does not hold
+    /// for workers that are in no set.
+    pub(crate) fn is_settling(&self, view: &StepView, index: WorkerIndex, now: Millis) -> bool {
+        let Some(quarantined) = self.quarantine.get(&view.queue_name) else {
+            return false;
+        };
+        let Some(worker) = self.workers.get(index) else {
+            return false;
+        };
+        let is_own = |task: &TaskKey| {
+            let step = self.steps.get(&task.step);
+            step.is_some_and(|step| step.queue_name == view.queue_name)
+        };
+        let mut runs = worker.runs.iter();
+        runs.any(|(task, run)| {
+            let is_new = quarantined.runs_single_jobs || now.since(run.since) < SETTLE_MS;
+            task.step.job != view.key.job && is_new && is_own(task)
+        })
+    }
+}
+
+impl Place {
+    fn of(index: WorkerIndex, worker: &WorkerView) -> Place {
+        Place {
+            worker: index,
+            address: worker.record.address.clone(),
+            removed_at: None,
+        }
+    }
+}
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -173,6 +173,8 @@
             permit,
         };
         let request = WorkerRequest::new(&worker.record, term, now, kind);
+        let evidence = &mut self.quarantine.evidence;
+        evidence.record_start(index, &job.queue.name, now);
         self.counts.starts += u64::from(attempts == 1);
         self.actions.push(Action::Send(request));
     }
@@ -194,11 +196,13 @@
         match &result {
             Ok(WorkerReply::Accepted { clock_ms }) => self.record_clock(index, *clock_ms, now),
             Err(WorkerRequestError::OtherLife) => return self.remove_replaced_worker(index),
-            Err(
-                WorkerRequestError::NoAnswer
-                | WorkerRequestError::NotSent
-                | WorkerRequestError::Refused,
-            ) => self.counts.unanswered_requests += 1,
+            Err(WorkerRequestError::NoAnswer | WorkerRequestError::NotSent) => {
+                self.counts.unanswered_requests += 1
+            }
+            Err(WorkerRequestError::Refused) => {
+                self.counts.unanswered_requests += 1;
+                self.handle_crash_sign(index, now);
+            }
             _ => {}
         }
         match (&request.kind, result) {
--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -32,7 +32,7 @@
     ];
     let workers = (0..workers).map(|number| {
         let mut worker = ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
-        worker.crashes_worker = crashes_worker;
+        worker.is_deadly = crashes_worker;
         worker
     });
     let mut model = Model::new(queues, workers.collect(), 0);
@@ -156,11 +156,12 @@
     submit(&mut model, Kind::Gang, 0..1);
     for _ in 0..2 {
         model.run(1_500);
-        let now = model.now;
         let job = JobKey(load::key(Kind::Gang, 0));
-        let mut workers = model.workers.values_mut();
-        let worker = workers.find(|w| w.running.keys().any(|task| task.step.job == job));
-        worker.unwrap().crash_at(now);
+        let runs_job =
+            |worker: &&ModelWorker| worker.running.keys().any(|task| task.step.job == job);
+        let worker = model.workers.values().find(runs_job).unwrap();
+        let id = worker.record.id.clone();
+        model.crash_worker(&id);
         model.run(5_000);
     }
     model.run_until_done(60_000);
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)] // Each test binary uses a part of it.
 
+pub mod crash;
 pub mod load;
 pub mod wide_load;
 pub mod worker;
@@ -124,6 +125,10 @@
     leader_since: Millis,
     /// The number of workers that crashed while each task ran on them.
     pub crashes: BTreeMap<TaskKey, u32>,
+    /// The number of crashes of workers.
+    pub crash_count: u64,
+    /// The number of incarnations that followed a crash.
+    incarnations: usize,
     /// The real time that the calls of `Scheduler::tick` took.
     pub decision_time: Duration,
 }
@@ -207,6 +212,8 @@
             starts: 0,
             leader_since: Millis::ZERO,
             crashes: BTreeMap::new(),
+            crash_count: 0,
+            incarnations: 0,
             decision_time: Duration::ZERO,
         };
         for client in 0..clients {
@@ -332,13 +339,10 @@
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
         for worker in self.workers.values_mut() {
-            for task in worker.crash_if_due(self.now) {
-                *self.crashes.entry(task).or_default() += 1;
-            }
             worker.advance(self.now);
         }
-        self.replace_crashed_workers();
         self.advance_gangs();
+        self.advance_crashes();
         self.answer_polls();
         while let Some(entry) = self.events.first_entry() {
             if entry.key().0 > self.now.0 {
@@ -362,17 +366,6 @@
         self.check();
     }
 
-    /// Registers the next incarnations of crashed workers that return.
-    fn replace_crashed_workers(&mut self) {
-        let returns = |worker: &ModelWorker| worker.returns_at.is_some_and(|at| at <= self.now);
-        let returned = self.workers.extract_if(.., |_, worker| returns(worker));
-        for (_, crashed) in returned.collect::<Vec<_>>() {
-            let next = crashed.next_incarnation();
-            self.propose(QueueCommand::PutWorker(Box::new(next.record.clone())));
-            self.workers.insert(next.record.id.clone(), next);
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Applied(commands) => self.apply(&commands),
@@ -479,14 +472,10 @@
 
     fn request_arrives(&mut self, request: WorkerRequest) {
         let Some(worker) = self.workers.get_mut(&request.worker) else {
-            let mut workers = self.workers.values();
-            let is_replaced = workers.any(|worker| worker.record.address == request.address);
-            let (delay_ms, error) = if is_replaced {
-                (NET_MS, WorkerRequestError::OtherLife)
-            } else {
-                (worker::REQUEST_TIMEOUT_MS, WorkerRequestError::NoAnswer)
-            };
-            return self.schedule(delay_ms, Event::RequestAnswered(request, Err(error)));
+            return self.schedule(
+                worker::REQUEST_TIMEOUT_MS,
+                Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer)),
+            );
         };
         if worker.is_replaced {
             let replaced = Event::RequestAnswered(request, Err(WorkerRequestError::OtherLife));
@@ -497,6 +486,10 @@
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
             return self.schedule(timeout_ms, missed);
         }
+        if worker.crash == Some(crash::Crash::Replaced) {
+            let replaced = Err(WorkerRequestError::OtherLife);
+            return self.schedule(NET_MS, Event::RequestAnswered(request, replaced));
+        }
         if worker.refuses_connections {
             let refused = Err(WorkerRequestError::Refused);
             return self.schedule(NET_MS, Event::RequestAnswered(request, refused));
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -18,12 +18,9 @@
 use sapphirepost_types::Resources;
 
 use super::SERVICE;
+use super::crash::Crash;
 
 pub const REQUEST_TIMEOUT_MS: u64 = 500;
-/// The time from the start of a task that crashes its worker to the crash.
-const CRASH_DELAY_MS: u64 = 10;
-/// How long a worker is down after a crash, unless a test changes it.
-const DOWN_MS: u64 = 3_300;
 
 /// A run on the worker.
 #[derive(Clone, Debug)]
@@ -69,6 +66,10 @@
     pub is_replaced: bool,
     /// Whether connections to it are refused; what runs on it goes on.
     pub refuses_connections: bool,
+    /// Whether its process has ended, and what came after it.
+    pub crash: Option<Crash>,
+    /// Which tasks crash the worker.
+    pub is_deadly: fn(TaskKey) -> bool,
     /// Whether it fails every task at its end, except for members of gangs.
     pub fails_all: bool,
     /// The reason for which it rejects all starts, if any.
@@ -86,14 +87,8 @@
     pub shrunk_to: Option<Resources>,
     /// The number of starts that brought it over its present capacity.
     pub starts_over_capacity: u64,
-    /// Whether a task crashes each worker that starts it.
-    pub crashes_worker: fn(TaskKey) -> bool,
-    /// When it crashes.
-    crashes_at: Option<Millis>,
     /// How long it is down after a crash.
     pub down_ms: u64,
-    /// When another incarnation of it registers after a crash.
-    pub returns_at: Option<Millis>,
     /// The duration of each task.
     pub work_ms: fn(TaskKey) -> u64,
     /// The resources that each task needs.
@@ -111,6 +106,13 @@
     }
 }
 
+impl ModelRun {
+    /// How long it has worked on this worker.
+    pub fn elapsed_ms(&self) -> u64 {
+        self.elapsed_ms
+    }
+}
+
 impl ModelWorker {
     pub fn new(
         name: &str,
@@ -144,6 +146,8 @@
             forgets_stops: false,
             is_replaced: false,
             refuses_connections: false,
+            crash: None,
+            is_deadly: |_| false,
             fails_all: false,
             rejects_starts: None,
             stalls: false,
@@ -153,10 +157,7 @@
             loses_starts: false,
             shrunk_to: None,
             starts_over_capacity: 0,
-            crashes_worker: |_| false,
-            crashes_at: None,
-            down_ms: DOWN_MS,
-            returns_at: None,
+            down_ms: super::crash::RETURN_MS,
             work_ms,
             need,
         }
@@ -191,37 +192,6 @@
         self.ends.push((self.last_end, end));
     }
 
-    /// The next incarnation of the worker, which has none of its runs.
-    pub fn next_incarnation(&self) -> ModelWorker {
-        let mut next = ModelWorker::new("", 0, self.need, self.work_ms);
-        let id = format!("{}'", self.record.id);
-        next.record = WorkerRecord {
-            id: Arc::from(id),
-            ..self.record.clone()
-        };
-        next.crashes_worker = self.crashes_worker;
-        next.down_ms = self.down_ms;
-        next.now = self.now;
-        next
-    }
-
-    /// Crashes at a time, for a reason that has nothing to do with its tasks.
-    pub fn crash_at(&mut self, at: Millis) {
-        self.crashes_at = Some(at);
-    }
-
-    /// Crashes if it is time; returns the tasks that ran.
-    pub fn crash_if_due(&mut self, now: Millis) -> Vec<TaskKey> {
-        if self.crashes_at.is_none_or(|at| at > now) {
-            return Vec::new();
-        }
-        self.crashes_at = None;
-        self.is_unreachable = true;
-        self.is_crashed = true;
-        self.returns_at = Some(now + self.down_ms);
-        self.running.keys().copied().collect()
-    }
-
     pub fn advance(&mut self, now: Millis) {
         let elapsed_ms = now.since(self.now);
         self.now = now;
@@ -384,9 +354,6 @@
                 self.running.insert(*task, new);
                 let capacity = self.shrunk_to.unwrap_or(self.record.capacity);
                 self.starts_over_capacity += u64::from(!self.used().fits_in(&capacity));
-                if (self.crashes_worker)(*task) {
-                    self.crashes_at.get_or_insert(now + CRASH_DELAY_MS);
-                }
             }
             WorkerRequestKind::Stop { .. } if self.forgets_stops => {}
             WorkerRequestKind::Stop { task, run, .. } => {
--- /dev/null
+++ b/crates/queues/tests/quarantine.rs
@@ -0,0 +1,309 @@
+//! Containment of a queue whose tasks crash workers.
+
+mod model;
+
+use std::sync::Arc;
+
+use sapphirepost_queues::JobKey;
+use sapphirepost_queues::Queue;
+use sapphirepost_queues::QueueCommand;
+use sapphirepost_queues::StepKey;
+use sapphirepost_queues::TaskKey;
+
+use crate::model::Model;
+use crate::model::STEP_MS;
+use crate::model::load;
+use crate::model::load::Kind;
+use crate::model::queue;
+use crate::model::worker::ModelWorker;
+
+/// Jobs per 1000 seconds; together they take about three quarters of 24 workers.
+const RATES: [(Kind, &str, u64); 3] = [
+    (Kind::Lookup, "lookup", 19_000),
+    (Kind::Tally, "tally", 3_200),
+    (Kind::Gang, "gang", 700),
+];
+const WORKERS: usize = 24;
+const LOAD_SECONDS: u64 = 25;
+/// The lookups with these numbers are submitted from 5 s to 20 s.
+const DEADLY_NUMBERS: std::ops::Range<u64> = 95..380;
+
+fn queues() -> Vec<Queue> {
+    vec![
+        queue("lookup", 0, 1.5, 250),
+        queue("gang", 1, 2.2, 1_000),
+        queue("tally", 2, 4.0, 3_000),
+    ]
+}
+
+fn model(count: usize, is_deadly: fn(TaskKey) -> bool) -> Model {
+    let worker = |number| {
+        let name = format!("w{number:02}");
+        let mut worker = ModelWorker::new(&name, 64, load::need, load::work_ms);
+        worker.is_deadly = is_deadly;
+        worker
+    };
+    let mut model = Model::new(queues(), (0..count).map(worker).collect(), 0);
+    model.run(50);
+    model
+}
+
+fn never(_: TaskKey) -> bool {
+    false
+}
+
+/// A fifth of the lookups of 15 s.
+fn fifth_of_lookups(task: TaskKey) -> bool {
+    let job = task.step.job.0;
+    let number = job & 0xff_ffff;
+    job >> 56 == Kind::Lookup as u64 + 1
+        && DEADLY_NUMBERS.contains(&number)
+        && model::hash(job, "deadly").is_multiple_of(5)
+}
+
+fn run_load(model: &mut Model) {
+    model.submit_load(&RATES, |_, _| 1.0, LOAD_SECONDS);
+    model.run(10_000);
+}
+
+/// Submits load in several parts, without a repeated job.
+struct Load {
+    rates: [(Kind, &'static str, u64); 3],
+    due: [f64; 3],
+    next: [u64; 3],
+}
+
+impl Load {
+    fn new(rates: [(Kind, &'static str, u64); 3]) -> Load {
+        let (due, next) = ([0.0; 3], [0; 3]);
+        Load { rates, due, next }
+    }
+
+    fn run(&mut self, model: &mut Model, duration_ms: u64) {
+        for _ in 0..duration_ms / STEP_MS {
+            for (index, (kind, name, rate)) in self.rates.iter().enumerate() {
+                self.due[index] += *rate as f64 * STEP_MS as f64 / 1e6;
+                while self.due[index] >= 1.0 {
+                    self.due[index] -= 1.0;
+                    let number = self.next[index];
+                    self.next[index] += 1;
+                    model.submit(load::key(*kind, number), name, load::spec(*kind, number));
+                }
+            }
+            model.run(STEP_MS);
+        }
+    }
+}
+
+fn quarantined(model: &mut Model) -> Vec<Arc<str>> {
+    let changes = model.scheduler.take_quarantine_changes();
+    let begun = changes.into_iter().filter(|change| change.is_quarantined);
+    begun.map(|change| change.queue).collect()
+}
+
+/// Guards against one queue whose tasks crash workers one after the other, so that no queue of the
+/// service is served any more.
+#[test]
+fn a_queue_that_crashes_workers_leaves_the_others_their_workers() {
+    let mut sound = model(WORKERS, never);
+    run_load(&mut sound);
+    let mut faulty = model(WORKERS, fifth_of_lookups);
+    run_load(&mut faulty);
+    for name in ["tally", "gang"] {
+        let (without, with) = (sound.in_time_percent(name), faulty.in_time_percent(name));
+        assert!(
+            without >= 90,
+            "{name}: {without} % in time without the fault"
+        );
+        assert!(
+            with * 10 >= without * 9,
+            "{name}: {with} % in time of {without} %"
+        );
+    }
+    assert_eq!(quarantined(&mut faulty), [Arc::from("lookup")]);
+}
+
+/// Guards against a quarantine that lasts longer than the crashes.
+#[test]
+fn a_queue_is_released_when_its_tasks_crash_no_worker_any_more() {
+    let mut model = model(WORKERS, fifth_of_lookups);
+    model.submit_load(&RATES, |_, _| 1.0, 12);
+    assert_eq!(model.scheduler.quarantined_queues(), 1);
+    let is_deadly = |job: &JobKey| {
+        let step = StepKey { job: *job, step: 0 };
+        fifth_of_lookups(step.task(0))
+    };
+    let deadly: Vec<JobKey> = model.jobs.keys().copied().filter(is_deadly).collect();
+    for job in deadly {
+        model.propose(QueueCommand::Cancel { job });
+    }
+    model.run(12_000);
+    assert_eq!(model.scheduler.quarantined_queues(), 0);
+    model.run_until_done(20_000);
+}
+
+/// Most workers start a task of the first queue all the time.
+const BUSY_RATES: [(Kind, &str, u64); 3] = [
+    (Kind::Lookup, "lookup", 60_000),
+    (Kind::Tally, "tally", 1_500),
+    (Kind::Gang, "gang", 300),
+];
+
+fn run_busy_load(model: &mut Model, duration_ms: u64) -> Load {
+    let mut load = Load::new(BUSY_RATES);
+    load.run(model, duration_ms);
+    load
+}
+
+/// Guards against a queue that is quarantined for crashes of workers that have another cause.
+#[test]
+fn scattered_crashes_quarantine_no_queue() {
+    let mut model = model(WORKERS, never);
+    let mut load = run_busy_load(&mut model, 3_000);
+    for round in 0..60 {
+        load.run(&mut model, 500);
+        let up = model.workers.values().filter(|worker| !worker.is_crashed);
+        let up: Vec<Arc<str>> = up.map(|worker| worker.record.id.clone()).collect();
+        let chosen = model::hash(round, "crash") as usize % up.len();
+        model.crash_worker(&up[chosen]);
+    }
+    assert_eq!(quarantined(&mut model), [] as [Arc<str>; 0]);
+    assert_eq!(model.crash_count, 60);
+}
+
+/// Workers on which a lookup started last, so that the first queue is a suspect of their crash.
+fn workers_with_new_lookups(model: &Model, count: usize) -> Vec<Arc<str>> {
+    let is_lookup = |task: &TaskKey| task.step.job.0 >> 56 == Kind::Lookup as u64 + 1;
+    let last_lookup = |worker: &ModelWorker| {
+        let lookups = worker.running.iter().filter(|(task, _)| is_lookup(task));
+        lookups.map(|(_, run)| run.started).max()
+    };
+    let mut workers: Vec<_> = model.workers.values().collect();
+    workers.sort_by_key(|worker| std::cmp::Reverse(last_lookup(worker)));
+    let first = workers.into_iter().take(count);
+    first.map(|worker| worker.record.id.clone()).collect()
+}
+
+/// Guards against a queue that is quarantined because a rack fails.
+#[test]
+fn a_rack_that_crashes_at_once_quarantines_no_queue() {
+    let mut model = model(WORKERS, never);
+    let mut load = run_busy_load(&mut model, 5_000);
+    for worker in workers_with_new_lookups(&model, 6) {
+        model.crash_worker(&worker);
+        load.run(&mut model, STEP_MS);
+    }
+    load.run(&mut model, 10_000);
+    assert_eq!(quarantined(&mut model), [] as [Arc<str>; 0]);
+}
+
+/// Guards against a queue that is quarantined because workers do not answer, although nothing shows
+/// that their processes have ended.
+#[test]
+fn workers_that_are_cut_off_quarantine_no_queue() {
+    let mut model = model(WORKERS, never);
+    let mut load = run_busy_load(&mut model, 5_000);
+    for _ in 0..8 {
+        let worker = workers_with_new_lookups(&model, 1).remove(0);
+        model.workers.get_mut(&worker).unwrap().is_unreachable = true;
+        load.run(&mut model, 200);
+    }
+    load.run(&mut model, 3_000);
+    assert_eq!(quarantined(&mut model), [] as [Arc<str>; 0]);
+}
+
+/// Guards against a queue that is quarantined because connections to a part of the workers are
+/// refused on the way.
+#[test]
+fn a_partition_that_refuses_connections_quarantines_no_queue() {
+    let mut model = model(WORKERS, never);
+    let mut load = run_busy_load(&mut model, 5_000);
+    let cut_off = workers_with_new_lookups(&model, 8);
+    for is_cut_off in [true, false] {
+        for worker in &cut_off {
+            model.workers.get_mut(worker).unwrap().refuses_connections = is_cut_off;
+        }
+        load.run(&mut model, 5_000);
+    }
+    assert_eq!(quarantined(&mut model), [] as [Arc<str>; 0]);
+}
+
+/// Guards against a queue that is quarantined because draining workers leave before their last
+/// tasks have ended.
+#[test]
+fn workers_that_leave_after_a_drain_quarantine_no_queue() {
+    let mut model = model(WORKERS, never);
+    let mut load = run_busy_load(&mut model, 5_000);
+    for number in 0..8 {
+        let id = format!("w{number:02}");
+        let worker = model.workers.get_mut(&*id).unwrap();
+        worker.record.is_draining = true;
+        let record = Box::new(worker.record.clone());
+        model.propose(QueueCommand::PutWorker(record));
+        load.run(&mut model, 100);
+        model.crash_worker(&id);
+        load.run(&mut model, 200);
+    }
+    load.run(&mut model, 2_000);
+    assert_eq!(quarantined(&mut model), [] as [Arc<str>; 0]);
+}
+
+/// Guards against jobs of a quarantined queue that are accepted although its few workers cannot
+/// serve them in time, and against refusals of other queues for that reason.
+#[test]
+fn a_quarantined_queue_is_refused_what_its_workers_cannot_serve() {
+    let mut model = model(WORKERS, fifth_of_lookups);
+    model.submit_load(&RATES, |_, _| 1.0, 12);
+    assert_eq!(model.scheduler.quarantined_queues(), 1);
+    let retry_after_ms = |kind, name| {
+        let table = model.state.table().unwrap();
+        let (queue, spec) = (table.queue(name).unwrap(), load::spec(kind, 90_000));
+        let key = JobKey(load::key(kind, 90_000));
+        let admission = model.scheduler.admission(key, queue, &spec, model.now);
+        admission.unwrap().retry_after_ms()
+    };
+    assert!(retry_after_ms(Kind::Lookup, "lookup").is_some());
+    assert_eq!(retry_after_ms(Kind::Tally, "tally"), None);
+    assert_eq!(retry_after_ms(Kind::Gang, "gang"), None);
+}
+
+/// The gangs with odd numbers.
+fn odd_gangs(task: TaskKey) -> bool {
+    let job = task.step.job.0;
+    job >> 56 == Kind::Gang as u64 + 1 && job % 2 == 1
+}
+
+/// Guards against a gang that never runs because it is wider than the workers that its quarantined
+/// queue has.
+#[test]
+fn a_gang_of_a_quarantined_queue_that_is_wider_than_an_eighth_of_the_workers_runs() {
+    let mut model = model(16, odd_gangs);
+    let mut load = Load::new([
+        (Kind::Tally, "tally", 5_500),
+        (Kind::Lookup, "lookup", 0),
+        (Kind::Gang, "gang", 0),
+    ]);
+    for number in [1, 3, 5, 7, 9] {
+        let spec = load::spec(Kind::Gang, number);
+        model.submit(load::key(Kind::Gang, number), "gang", spec);
+        load.run(&mut model, 1_000);
+    }
+    assert_eq!(model.scheduler.quarantined_queues(), 1);
+    for number in [1, 3, 5, 7, 9] {
+        let job = JobKey(load::key(Kind::Gang, number));
+        model.propose(QueueCommand::Cancel { job });
+    }
+    // Two members fit on a worker.
+    let task = |number: u64| {
+        let job = JobKey(load::key(Kind::Gang, number));
+        StepKey { job, step: 0 }.task(0)
+    };
+    let is_large = |number: &u64| load::need(task(*number)).millicores > 22_000;
+    let number = (2..100).step_by(2).find(is_large).unwrap();
+    let mut wide = load::spec(Kind::Gang, number);
+    wide.steps[0].count = 14;
+    model.submit(load::key(Kind::Gang, number), "gang", wide);
+    load.run(&mut model, 4_000);
+    assert_eq!(model.scheduler.quarantined_queues(), 1);
+    assert!(model.has_started(task(number).step.job));
+}
