Ignore a crash that is counted against a task that its job does not have

A job that was dropped after its retention may be submitted again under its ID with fewer steps or tasks. A crash of a worker that still counts a task of the earlier one would then index beyond them, and each member that applies the command would end. Found by reading; no play has shown it. The doc comment of add_idle_workers is wrapped on the way.

Before, a_crash_that_counts_an_unknown_task_changes_no_job panicked: index out of bounds, the len is 6 but the index is 10000. After: passes.

--- a/crates/queues/src/scheduler/quarantine.rs
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -421,8 +421,8 @@
         0
     }
 
-    /// Adds empty workers that the other queues do not need, unless a step of them waits. Returns how many places the set may
-    /// have then.
+    /// Adds empty workers that the other queues do not need, unless a step of them waits. Returns
+    /// how many places the set may have then.
     fn add_idle_workers(
         &self,
         quarantined: &mut QuarantinedQueue,
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -309,11 +309,13 @@
         if job.phase.has_ended() {
             return;
         }
-        let job = Arc::make_mut(job);
-        let task = &mut job.steps[usize::from(key.step.step)].tasks[key.index as usize];
-        if task.phase == TaskPhase::Done {
+        let steps = &mut Arc::make_mut(job).steps;
+        let step = steps.get_mut(usize::from(key.step.step));
+        // The key may belong to an earlier job whose ID was used again.
+        let task = step.and_then(|step| step.tasks.get_mut(key.index as usize));
+        let Some(task) = task.filter(|task| task.phase != TaskPhase::Done) else {
             return;
-        }
+        };
         task.crashes.record(is_suspect, is_attributed);
         let crashes = task.crashes;
         self.changes.push(QueueChange::CrashCounted(key, crashes));
--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -2,8 +2,12 @@
 
 mod model;
 
+use std::sync::Arc;
+
 use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
+use sapphirepost_queues::LostRuns;
+use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::TaskKey;
 
@@ -167,3 +171,29 @@
     model.run_until_done(60_000);
     assert_only_crashing_jobs_failed(&model, |_| false);
 }
+
+/// Guards against a panic of each member that applies a crash of a task that its job does not have:
+/// a dropped job may be submitted again under its ID with fewer tasks.
+#[test]
+fn a_crash_that_counts_an_unknown_task_changes_no_job() {
+    let mut model = model(2, |_| false);
+    submit(&mut model, Kind::Gang, 0..1);
+    model.run(300);
+    let job = JobKey(load::key(Kind::Gang, 0));
+    let before = model.state.job(job).unwrap().clone();
+    let steps = [(0, 10_000), (7, 0)];
+    let tasks = steps.map(|(step, index)| StepKey { job, step }.task(index));
+    let crash = QueueCommand::Crash {
+        worker: Arc::from("w1"),
+        checkpoints: Vec::new(),
+        lost: LostRuns {
+            tasks: tasks.to_vec(),
+            suspects: tasks.to_vec(),
+        },
+    };
+    model.state.apply(1_000, 0, &crash, &mut Vec::new());
+    let after = model.state.job(job).unwrap();
+    assert_eq!(after.phase, before.phase);
+    let tasks = after.steps.iter().flat_map(|step| &step.tasks);
+    assert!(tasks.into_iter().all(|task| task.crashes.is_zero()));
+}
