--- a/crates/control/src/group_size.rs
+++ b/crates/control/src/group_size.rs
@@ -39,8 +39,8 @@
 }
 
 impl EvenTimer {
-    /// Records whether the group is even for the leader of `term`. Returns for how long it has been,
-    /// in milliseconds; time in an earlier term does not count.
+    /// Records whether the group is even for the leader of `term`. Returns for how long it has
+    /// been, in milliseconds; time in an earlier term does not count.
     pub fn update(&mut self, is_even: bool, term: Term, now: Millis) -> u64 {
         let since = self.since.filter(|(known, _)| *known == term);
         self.since = is_even.then(|| since.unwrap_or((term, now)));
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -112,8 +112,8 @@
         done.send(Ok(reply));
     }
 
-    /// The answer to a caller's request according to the applied state. Whether a job exists is open
-    /// while its submission is being committed.
+    /// The answer to a caller's request according to the applied state. Whether a job exists is
+    /// open while its submission is being committed.
     fn read_queue_state(&self, request: &CallerRequest) -> Result<QueueReply, RpcError> {
         let state = self.state.queues();
         let Some(table) = state.table() else {
--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -1,8 +1,8 @@
 //! The log lines of the leader about jobs, steps and runs.
 //!
 //! Lines about single runs have a log target of their own, since they are by far the most frequent
-//! and have a rate limit of their own. The few about runs of ended jobs have another one, so that no
-//! others crowd them out.
+//! and have a rate limit of their own. The few about runs of ended jobs have another one, so that
+//! no others crowd them out.
 
 use std::fmt::Write;
 
@@ -27,6 +27,9 @@
 /// The log target of lines about runs of ended jobs and runs taken over.
 const ENDED_RUNS_TARGET: &str = "sapphirepost_control::ended_runs";
 
+/// The most tasks that the line of a crashed worker names.
+const SUSPECTS_LOGGED_MAX: usize = 8;
+
 /// The largest number of workers with adopted runs of ended jobs that get a line each.
 const ADOPTED_WORKERS_MAX: usize = 16;
 
@@ -58,8 +61,6 @@
         "run of an ended job not over"
     );
 }
-/// The most tasks that the line of a crashed worker names.
-const SUSPECTS_LOGGED_MAX: usize = 8;
 
 /// Logs a job that is about to be committed, with its size.
 pub(crate) fn log_proposed(job: JobKey, queue: &Queue, spec: &SubmittedSpec) {
@@ -115,7 +116,8 @@
             let is_given_up = crashes.is_given_up();
             log::info!(
                 target: RUNS_TARGET,
-                task:%, crashes = crashes.workers, suspected = crashes.suspected, attributed = crashes.attributed, is_given_up,
+                task:%, crashes = crashes.workers, suspected = crashes.suspected,
+                attributed = crashes.attributed, is_given_up,
                 index; "crash counted"
             );
         }
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -52,7 +52,7 @@
 /// Why a run is stopped, as a label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StopLabel {
-    reason: String,
+    reason: &'static str,
 }
 
 impl StepWidth {
@@ -115,7 +115,7 @@
                 Gauge::default(),
             ),
             worker_crashes: counter(
-                "queue_worker_crashes",
+                "queue_suspected_worker_crashes",
                 "Workers that refused connections shortly after a reply",
             ),
             starts: counter("queue_starts", "Runs ordered"),
@@ -145,10 +145,10 @@
         self.starts.inc_by(counts.starts);
         for (reason, stops) in StopReason::ALL.iter().zip(counts.stops) {
             if stops > 0 {
-                let reason = format!("{reason:?}");
-                self.stops
-                    .get_or_create(&StopLabel { reason })
-                    .inc_by(stops);
+                let label = StopLabel {
+                    reason: reason.label(),
+                };
+                self.stops.get_or_create(&label).inc_by(stops);
             }
         }
         self.unanswered_requests.inc_by(counts.unanswered_requests);
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -259,8 +259,8 @@
     assert_eq!(used, None);
 }
 
-/// Guards against a member that nobody can reach and that stays in the group, because the address in
-/// its join request was taken as it came.
+/// Guards against a member that nobody can reach and that stays in the group, because the address
+/// in its join request was taken as it came.
 #[test]
 fn a_member_without_a_valid_address_does_not_join() {
     let member = Member::start();
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -62,8 +62,8 @@
     assert!(!log.contains("cut off"), "{log}");
 }
 
-/// Guards against two test processes with one IP address: an entry cannot bind a port that the other
-/// process took after the draw, and the test reaches the listener of the other process.
+/// Guards against two test processes with one IP address: an entry cannot bind a port that the
+/// other process took after the draw, and the test reaches the listener of the other process.
 #[test]
 fn each_test_process_draws_ports_of_its_own_ip_address() {
     let (first, second) = (ReservedIp::new(), ReservedIp::new());
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -178,8 +178,8 @@
         self.bind_task(task, worker, resources);
     }
 
-    /// Records that the replicated state requests the stop of a bound task, which a former leader or
-    /// the drain of a worker may have decided.
+    /// Records that the replicated state requests the stop of a bound task, which a former leader
+    /// or the drain of a worker may have decided.
     pub fn record_stop(&mut self, now: Millis, task: TaskId) {
         self.advance(now);
         let state = self.tasks.get(&task).map(|task| task.state);
--- a/crates/placement/tests/mechanisms.rs
+++ b/crates/placement/tests/mechanisms.rs
@@ -290,9 +290,9 @@
     );
 }
 
-/// Guards against a task that is preempted more often than allowed because its worker is lost before
-/// it has stopped: the replicated state counts the preemption when it is decided, and ignores a
-/// further one.
+/// Guards against a task that is preempted more often than allowed because its worker is lost
+/// before it has stopped: the replicated state counts the preemption when it is decided, and
+/// ignores a further one.
 #[test]
 fn a_preemption_counts_although_the_worker_is_lost() {
     for end in [TaskEnd::Lost, TaskEnd::Failed, TaskEnd::Stopped] {
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -4,8 +4,9 @@
 //! values with white space, quotes, `=` or control characters are quoted, and control characters in
 //! messages are escaped, so that untrusted input cannot forge a line.
 //!
-//! Lines of a bounded log are written by a thread of their own. A process that exits calls [`flush`]
-//! before, since the exit ends that thread and the reason for the exit is usually the last line.
+//! Lines of a bounded log are written by a thread of their own. A process that exits calls
+//! [`flush`] before, since the exit ends that thread and the reason for the exit is usually the
+//! last line.
 
 use std::fmt;
 use std::fmt::Write;
@@ -122,9 +123,9 @@
     Ok(())
 }
 
-/// Waits until all lines logged so far are written, but at most for `timeout`, because the reader of
-/// the output may have stopped reading. Returns whether they are written. Lines that are not sent
-/// through the channel of [`init_bounded`] are written at once.
+/// Waits until all lines logged so far are written, but at most for `timeout`, because the reader
+/// of the output may have stopped reading. Returns whether they are written. Lines that are not
+/// sent through the channel of [`init_bounded`] are written at once.
 pub fn flush(timeout: Duration) -> bool {
     let Some(queue) = QUEUE.get() else {
         return true;
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -121,7 +121,8 @@
         }
     }
 
-    /// Whether a task is done, has failed, has written a checkpoint or was on a worker that crashed.
+    /// Whether a task is done, has failed, has written a checkpoint or was on a worker that
+    /// crashed.
     pub fn has_progress(&self) -> bool {
         let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
         tasks.any(|task| {
--- a/crates/queues/src/scheduler/crash_evidence.rs
+++ b/crates/queues/src/scheduler/crash_evidence.rs
@@ -1,9 +1,10 @@
 //! Which queue's tasks crash workers, judged from the crashes of workers.
 //!
-//! A task that crashes its worker does so shortly after its start. So the queues with a recent start
-//! on a crashed worker are its suspects. A queue that starts tasks everywhere is a suspect of every
-//! crash, whatever the cause; it is only held responsible if it is a suspect more often than chance
-//! explains. Crashes at the same time have one cause, so their suspects are those that they share.
+//! A task that crashes its worker does so shortly after its start. So the queues with a recent
+//! start on a crashed worker are its suspects. A queue that starts tasks everywhere is a suspect of
+//! every crash, whatever the cause; it is only held responsible if it is a suspect more often than
+//! chance explains. Crashes at the same time have one cause, so their suspects are those that they
+//! share.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -73,7 +74,7 @@
 
 /// What the recent events say about a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct Assessment {
     /// The number of events in which the queue is a suspect.
     pub suspect_events: usize,
     /// The number of all events that no other responsible queue explains.
@@ -82,9 +83,9 @@
     pub is_responsible: bool,
 }
 
-impl Verdict {
+impl Assessment {
     /// Whether there are enough events, and most of them have another cause than the queue.
-    pub fn is_exonerated(&self) -> bool {
+    pub fn has_other_cause(&self) -> bool {
         self.events >= EVENTS_MIN && !is_most(self.suspect_events, self.events)
     }
 }
@@ -117,9 +118,10 @@
         }
     }
 
-    /// Records a sign that a worker has crashed since its last reply. `peers` are all workers of the
-    /// service that are up, and the crashed one. Returns whether it is the first sign since then.
-    pub fn record_sign(
+    /// Records a sign that a worker has crashed since its last reply. `peers` are all workers of
+    /// the service that are up, and the crashed one. Returns whether it is the first sign since
+    /// then.
+    pub fn record_refused_connection(
         &mut self,
         service: &Arc<str>,
         crashed: Contact,
@@ -212,13 +214,13 @@
 
     /// What the events of a service say about a queue. Events in which only queues of
     /// `responsible` are suspects, and not this one, have another cause and do not count.
-    pub fn judge(
+    pub fn assess(
         &self,
         service: &str,
         queue: &str,
         responsible: &[Arc<str>],
         now: Millis,
-    ) -> Verdict {
+    ) -> Assessment {
         let mut shares: SmallVec<[f64; 16]> = SmallVec::new();
         let mut suspect_events = 0;
         for event in self.complete_events(service, now) {
@@ -233,7 +235,7 @@
         let is_responsible = suspect_events >= EVENTS_MIN
             && is_most(suspect_events, events)
             && probability_of_at_least(suspect_events, &shares) <= CHANCE_MAX;
-        Verdict {
+        Assessment {
             suspect_events,
             events,
             is_responsible,
--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -44,7 +44,7 @@
 
 /// A worker on which only one job may start tasks for some time.
 #[derive(Clone, Debug)]
-pub struct ExclusiveStart {
+pub struct StartReservation {
     /// The job that may start tasks.
     pub job: JobKey,
     /// The name of the job's queue.
@@ -138,7 +138,7 @@
     }
 
     /// Whether the worker is closed to all jobs but this one.
-    pub fn is_closed_for(&self, job: JobKey, now: Millis) -> bool {
+    pub fn is_reserved_for(&self, job: JobKey, now: Millis) -> bool {
         let reserved = self.exclusive.as_ref();
         reserved.is_some_and(|exclusive| exclusive.job == job && now < exclusive.until)
     }
@@ -164,7 +164,7 @@
     /// Whether it is closed to all jobs but this one, which has started a task there since.
     fn has_exclusive_start(&self, job: JobKey, now: Millis) -> bool {
         let exclusive = self.exclusive.as_ref();
-        self.is_closed_for(job, now) && exclusive.is_some_and(|exclusive| exclusive.has_started)
+        self.is_reserved_for(job, now) && exclusive.is_some_and(|exclusive| exclusive.has_started)
     }
 
     /// Records that a start of a job there is proposed or sent.
@@ -178,7 +178,7 @@
 
     /// The job that is isolated there now: the worker is closed for it, or is silent with a run of
     /// it.
-    fn isolated_job(&self, now: Millis) -> Option<&ExclusiveStart> {
+    fn isolated_job(&self, now: Millis) -> Option<&StartReservation> {
         let exclusive = self.exclusive.as_ref()?;
         let runs_job = || self.runs.keys().any(|task| task.step.job == exclusive.job);
         let is_in_use = now < exclusive.until || (!self.lease.is_reachable() && runs_job());
@@ -276,7 +276,7 @@
         let exclusive_ms = self.exclusive_ms();
         if let Some(worker) = self.workers.get_mut(index) {
             let has_started = worker.has_exclusive_start(view.key.job, now);
-            worker.exclusive = Some(ExclusiveStart {
+            worker.exclusive = Some(StartReservation {
                 job: view.key.job,
                 queue: view.queue_name.clone(),
                 until: now + exclusive_ms,
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -88,6 +88,30 @@
         StopReason::Displaced,
         StopReason::Stray,
     ];
+
+    /// The position in [`StopReason::ALL`].
+    pub fn index(self) -> usize {
+        match self {
+            StopReason::JobEnded => 0,
+            StopReason::Unanswered => 1,
+            StopReason::WorkerLeaves => 2,
+            StopReason::StandsStill => 3,
+            StopReason::Displaced => 4,
+            StopReason::Stray => 5,
+        }
+    }
+
+    /// The value of the label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            StopReason::JobEnded => "job_ended",
+            StopReason::Unanswered => "start_unanswered",
+            StopReason::WorkerLeaves => "worker_leaves",
+            StopReason::StandsStill => "stalled",
+            StopReason::Displaced => "preempted",
+            StopReason::Stray => "unexpected",
+        }
+    }
 }
 
 /// A running task that a worker reports.
@@ -150,8 +174,8 @@
     NoAnswer,
     /// The request was not sent.
     NotSent,
-    /// The request was not sent, since the connection was refused: the worker's process has ended, or
-    /// something on the way rejects connections to it.
+    /// The request was not sent, since the connection was refused: the worker's process has ended,
+    /// or something on the way rejects connections to it.
     Refused,
     /// The request was not sent, since this process has no resources for it; this says nothing
     /// about the worker.
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -34,9 +34,9 @@
 
 /// A needed request is overdue if no policy client has taken it for this long.
 const OVERDUE_MS: u64 = 2_000;
-/// After this many long requests in the order of the steps' ranks, one goes to the overdue step that
-/// has waited longest. Without it, steps that ask again and again, for instance about workers that
-/// keep being replaced, would leave no policy client to the steps behind them.
+/// After this many long requests in the order of the steps' ranks, one goes to the overdue step
+/// that has waited longest. Without it, steps that ask again and again, for instance about workers
+/// that keep being replaced, would leave no policy client to the steps behind them.
 const LONG_IN_RANK_ORDER_MAX: u32 = 2;
 
 /// How long after the expected answer to a request a gang still holds the workers of its members.
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -118,7 +118,7 @@
                 permission,
                 fits,
                 is_avoided: view.avoided.contains(&index),
-                is_held: worker.is_closed_for(view.key.job, now),
+                is_held: worker.is_reserved_for(view.key.job, now),
                 allows_isolation: worker.allows_isolation(
                     isolation,
                     view.key.job,
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -253,8 +253,8 @@
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
     /// started, and stops unexpected ones and those of ended jobs.
     ///
-    /// The end of a job may have been applied before this leader led, so what it has to stop follows
-    /// from the state and the report alone.
+    /// The end of a job may have been applied before this leader led, so what it has to stop
+    /// follows from the state and the report alone.
     fn reconcile_runs(
         &mut self,
         index: WorkerIndex,
--- a/crates/queues/src/scheduler/quarantine.rs
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -1,11 +1,11 @@
 //! Limits a queue whose tasks crash workers to few of the service's workers.
 //!
 //! All queues of a service share its workers, so a queue whose tasks crash them takes the workers
-//! from all other queues within seconds. While the crashes point to a queue, it starts tasks only on
-//! a small set of workers, on which the other queues start nothing new. A crashed worker stays in
-//! the set until it has returned, which bounds the rate of crashes. Workers that are empty belong to
-//! the set too while the other queues do not need them. The set grows, and is dissolved, when its
-//! workers run without crashes.
+//! from all other queues within seconds. While the crashes point to a queue, it starts tasks only
+//! on a small set of workers, on which the other queues start nothing new. A crashed worker stays
+//! in the set until it has returned, which bounds the rate of crashes. Workers that are empty
+//! belong to the set too while the other queues do not need them. The set grows, and is dissolved,
+//! when its workers run without crashes.
 
 use std::sync::Arc;
 
@@ -15,9 +15,9 @@
 use crate::ids::TaskKey;
 use crate::scheduler::CHECK_INTERVAL_MS;
 use crate::scheduler::Scheduler;
+use crate::scheduler::crash_evidence::Assessment;
 use crate::scheduler::crash_evidence::Contact;
 use crate::scheduler::crash_evidence::CrashEvidence;
-use crate::scheduler::crash_evidence::Verdict;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::place::count_fitting;
 use crate::scheduler::step_permits::Permission;
@@ -114,8 +114,8 @@
         }
     }
 
-    /// Puts a new worker in the place of the earlier incarnation at its address, if that is in a set,
-    /// before other queues use it.
+    /// Puts a new worker in the place of the earlier incarnation at its address, if that is in a
+    /// set, before other queues use it.
     pub fn adopt(&mut self, index: WorkerIndex, worker: &WorkerView) {
         for quarantined in &mut self.queues {
             let mut places = quarantined.places.iter_mut();
@@ -176,7 +176,7 @@
             last_reply,
         };
         let evidence = &mut self.quarantine.evidence;
-        let is_first = evidence.record_sign(&service, crashed, &peers, now);
+        let is_first = evidence.record_refused_connection(&service, crashed, &peers, now);
         self.counts.worker_crashes += u64::from(is_first);
     }
 
@@ -219,8 +219,8 @@
             }
             let responsible = self.quarantine.names();
             let evidence = &self.quarantine.evidence;
-            let verdict = evidence.judge(service, &queue, &responsible, now);
-            if !verdict.is_responsible {
+            let assessment = evidence.assess(service, &queue, &responsible, now);
+            if !assessment.is_responsible {
                 continue;
             }
             let crashed = evidence.crashed_workers(service, &queue);
@@ -240,7 +240,7 @@
                 runs_single_jobs: true,
             };
             self.quarantine.queues.push(quarantined);
-            self.record_change(queue, Some(verdict), true, limit);
+            self.record_change(queue, Some(assessment), true, limit);
             self.rounds.is_due = true;
         }
     }
@@ -248,15 +248,15 @@
     fn record_change(
         &mut self,
         queue: Arc<str>,
-        verdict: Option<Verdict>,
+        assessment: Option<Assessment>,
         is_quarantined: bool,
         workers: usize,
     ) {
         self.quarantine.changes.push(QuarantineChange {
             queue,
             is_quarantined,
-            suspect_events: verdict.map_or(0, |verdict| verdict.suspect_events),
-            events: verdict.map_or(0, |verdict| verdict.events),
+            suspect_events: assessment.map_or(0, |assessment| assessment.suspect_events),
+            events: assessment.map_or(0, |assessment| assessment.events),
             workers,
         });
     }
@@ -269,17 +269,17 @@
         let evidence = &self.quarantine.evidence;
         self.quarantine.queues.retain(|quarantined| {
             let (service, queue) = (&quarantined.service, &quarantined.queue);
-            let verdict = evidence.judge(service, queue, &names, now);
+            let assessment = evidence.assess(service, queue, &names, now);
             let is_over = quarantined.quiet_ms >= GROWTH_MS * u64::from(GROWTHS_MAX + 1);
-            let is_released = is_over || verdict.is_exonerated();
+            let is_released = is_over || assessment.has_other_cause();
             if is_released {
-                released.push((queue.clone(), verdict, quarantined.places.len()));
+                released.push((queue.clone(), assessment, quarantined.places.len()));
             }
             !is_released
         });
-        for (queue, verdict, workers) in released {
+        for (queue, assessment, workers) in released {
             self.quarantine.members.retain(|_, owner| *owner != queue);
-            self.record_change(queue, Some(verdict), false, workers);
+            self.record_change(queue, Some(assessment), false, workers);
             self.rounds.is_due = true;
         }
     }
@@ -329,8 +329,8 @@
         quarantined.places.truncate(size);
     }
 
-    /// Puts the next incarnation of a removed worker in its place, and frees places whose worker has
-    /// taken no tasks for long.
+    /// Puts the next incarnation of a removed worker in its place, and frees places whose worker
+    /// has taken no tasks for long.
     fn refill_places(&self, quarantined: &mut QuarantinedQueue, now: Millis) {
         for place in &mut quarantined.places {
             let mut workers = self.workers_of(&quarantined.service);
@@ -498,9 +498,9 @@
         self.quarantine.may_use(&view.queue_name, index)
     }
 
-    /// The processor capacity that a queue may use. For a quarantined queue, only workers count that
-    /// accept tasks now, and with no more than a job takes while they run one at a time; at least 1
-    /// is returned.
+    /// The processor capacity that a queue may use. For a quarantined queue, only workers count
+    /// that accept tasks now, and with no more than a job takes while they run one at a time; at
+    /// least 1 is returned.
     pub(crate) fn serving_millicores(
         &self,
         queue: &Queue,
@@ -534,8 +534,8 @@
         }
     }
 
-    /// Whether a worker of a set has to wait with another job of its quarantined queue. Does not hold
-    /// for workers that are in no set.
+    /// Whether a worker of a set has to wait with another job of its quarantined queue. Does not
+    /// hold for workers that are in no set.
     pub(crate) fn is_settling(&self, view: &StepView, index: WorkerIndex, now: Millis) -> bool {
         let Some(quarantined) = self.quarantine.get(&view.queue_name) else {
             return false;
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -389,7 +389,7 @@
         if let Some(worker) = self.workers.get(index) {
             let kind = WorkerRequestKind::Stop { task, run, reason };
             let request = WorkerRequest::new(&worker.record, term, now, kind);
-            self.counts.stops[reason as usize] += 1;
+            self.counts.stops[reason.index()] += 1;
             self.actions.push(Action::Send(request));
         }
     }
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -10,7 +10,7 @@
 use crate::ids::StepKey;
 use crate::ids::TaskKey;
 use crate::scheduler::health::Health;
-use crate::scheduler::isolation::ExclusiveStart;
+use crate::scheduler::isolation::StartReservation;
 use crate::scheduler::lease::WorkerLease;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::polls::PollState;
@@ -123,7 +123,7 @@
     /// When a start there was last proposed, or when this leader began to track it.
     pub last_start: Millis,
     /// The last isolated start there, or the one that is about to come.
-    pub exclusive: Option<ExclusiveStart>,
+    pub exclusive: Option<StartReservation>,
 }
 
 impl WorkerView {
--- a/crates/queues/src/worker.rs
+++ b/crates/queues/src/worker.rs
@@ -99,8 +99,8 @@
     pub applied_ends: u64,
     /// Runs that take resources there until their end is certain.
     pub runs: OrdMap<TaskKey, HeldRun>,
-    /// The runs that ended when its lease expired, until the worker reports ends or gets tasks again.
-    /// If another incarnation returns instead, the worker has crashed.
+    /// The runs that ended when its lease expired, until the worker reports ends or gets tasks
+    /// again. If another incarnation returns instead, the worker has crashed.
     #[serde(default, skip_serializing_if = "LostRuns::is_empty")]
     pub expired: LostRuns,
 }
--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -38,7 +38,7 @@
     ];
     let workers = (0..workers).map(|number| {
         let mut worker = ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
-        worker.is_deadly = crashes_worker;
+        worker.crashes_worker = crashes_worker;
         worker
     });
     let mut model = Model::new(queues, workers.collect(), 0);
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -180,8 +180,8 @@
     assert_all_over(&mut model);
 }
 
-/// Guards against a leader that takes the stop of an earlier one for carried out: the worker rejects
-/// it once it has heard of the new leader.
+/// Guards against a leader that takes the stop of an earlier one for carried out: the worker
+/// rejects it once it has heard of the new leader.
 #[test]
 fn a_stop_of_an_earlier_term_that_comes_too_late_is_made_up_for() {
     let (mut model, job) = model_with_running_job();
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -119,8 +119,8 @@
 }
 
 /// Guards against a refused connection that is taken as proof that nothing runs on a worker: the
-/// connection may be refused on the way, and the worker's tasks would run twice. The model checks at
-/// each step that no task runs twice.
+/// connection may be refused on the way, and the worker's tasks would run twice. The model checks
+/// at each step that no task runs twice.
 #[test]
 fn a_worker_that_refuses_connections_keeps_its_tasks_until_its_lease_ends() {
     let mut model = Model::new(queues(), workers(3), 0);
@@ -216,7 +216,8 @@
     assert_completed(&model);
 }
 
-/// Fails unless each task of the first `jobs` jobs of a kind, which have all ended, was started once.
+/// Fails unless each task of the first `jobs` jobs of a kind, which have all ended, was started
+/// once.
 fn assert_started_once(model: &Model, kind: Kind, jobs: u64) {
     let specs = (0..jobs).map(|number| load::spec(kind, number));
     let counts = specs.flat_map(|spec| spec.steps.into_iter().map(|step| u64::from(step.count)));
--- a/crates/queues/tests/model/crash.rs
+++ b/crates/queues/tests/model/crash.rs
@@ -8,8 +8,8 @@
 use super::Model;
 use super::worker::ModelWorker;
 
-/// A deadly task crashes its worker after it has worked for this long.
-pub const DEADLY_AFTER_MS: u64 = 10;
+/// A task that crashes its worker does so after it has worked for this long.
+pub const CRASH_DELAY_MS: u64 = 10;
 /// The time from a crash to the return of the worker as another incarnation, unless a test changes
 /// it.
 pub const RETURN_MS: u64 = 3_000;
@@ -36,11 +36,11 @@
         self.running.clear();
     }
 
-    /// Whether a deadly task has run for long enough to crash the worker.
-    pub fn has_deadly_run(&self) -> bool {
+    /// Whether a task that crashes the worker has run for long enough.
+    pub fn has_crashing_run(&self) -> bool {
         self.running
             .iter()
-            .any(|(task, run)| run.elapsed_ms() >= DEADLY_AFTER_MS && (self.is_deadly)(*task))
+            .any(|(task, run)| run.elapsed_ms() >= CRASH_DELAY_MS && (self.crashes_worker)(*task))
     }
 
     /// The next incarnation at the same address.
@@ -50,7 +50,7 @@
         let mut next = ModelWorker::new(name, cores, self.need, self.work_ms);
         next.record = self.record.clone();
         next.record.id = Arc::from(format!("{name}+{number}"));
-        next.is_deadly = self.is_deadly;
+        next.crashes_worker = self.crashes_worker;
         next.down_ms = self.down_ms;
         next
     }
@@ -67,13 +67,13 @@
         self.crash_count += 1;
     }
 
-    /// Crashes workers with deadly tasks, and lets crashed workers return.
+    /// Crashes the workers of crashing tasks, and lets crashed workers return.
     pub(super) fn advance_crashes(&mut self) {
         let mut returning = Vec::new();
         let mut crashing = Vec::new();
         for worker in self.workers.values_mut() {
             match worker.crash {
-                None if worker.has_deadly_run() => crashing.push(worker.record.id.clone()),
+                None if worker.has_crashing_run() => crashing.push(worker.record.id.clone()),
                 Some(Crash::Down { returns_at }) if returns_at <= self.now => {
                     worker.crash = Some(Crash::Replaced);
                     returning.push(worker.record.id.clone());
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -576,7 +576,8 @@
         }
     }
 
-    /// Checks that no run goes on for long after the end of its job while its worker can be reached.
+    /// Checks that no run goes on for long after the end of its job while its worker can be
+    /// reached.
     fn check_ended_runs(&self, worker: &ModelWorker) {
         let is_faulty = worker.loses_stops || worker.forgets_stops;
         if worker.is_unreachable || is_faulty || self.is_out_of_resources {
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -69,7 +69,7 @@
     /// Whether its process has ended, and what came after it.
     pub crash: Option<Crash>,
     /// Which tasks crash the worker.
-    pub is_deadly: fn(TaskKey) -> bool,
+    pub crashes_worker: fn(TaskKey) -> bool,
     /// Whether it fails every task at its end, except for members of gangs.
     pub fails_all: bool,
     /// The reason for which it rejects all starts, if any.
@@ -147,7 +147,7 @@
             is_replaced: false,
             refuses_connections: false,
             crash: None,
-            is_deadly: |_| false,
+            crashes_worker: |_| false,
             fails_all: false,
             rejects_starts: None,
             stalls: false,
--- a/crates/queues/tests/quarantine.rs
+++ b/crates/queues/tests/quarantine.rs
@@ -26,7 +26,7 @@
 const WORKERS: usize = 24;
 const LOAD_SECONDS: u64 = 25;
 /// The lookups with these numbers are submitted from 5 s to 20 s.
-const DEADLY_NUMBERS: std::ops::Range<u64> = 95..380;
+const CRASHING_NUMBERS: std::ops::Range<u64> = 95..380;
 
 fn queues() -> Vec<Queue> {
     vec![
@@ -36,11 +36,11 @@
     ]
 }
 
-fn model(count: usize, is_deadly: fn(TaskKey) -> bool) -> Model {
+fn model(count: usize, crashes_worker: fn(TaskKey) -> bool) -> Model {
     let worker = |number| {
         let name = format!("w{number:02}");
         let mut worker = ModelWorker::new(&name, 64, load::need, load::work_ms);
-        worker.is_deadly = is_deadly;
+        worker.crashes_worker = crashes_worker;
         worker
     };
     let mut model = Model::new(queues(), (0..count).map(worker).collect(), 0);
@@ -57,7 +57,7 @@
     let job = task.step.job.0;
     let number = job & 0xff_ffff;
     job >> 56 == Kind::Lookup as u64 + 1
-        && DEADLY_NUMBERS.contains(&number)
+        && CRASHING_NUMBERS.contains(&number)
         && model::hash(job, "deadly").is_multiple_of(5)
 }
 
@@ -129,12 +129,12 @@
     let mut model = model(WORKERS, fifth_of_lookups);
     model.submit_load(&RATES, |_, _| 1.0, 12);
     assert_eq!(model.scheduler.quarantined_queues(), 1);
-    let is_deadly = |job: &JobKey| {
+    let crashes_worker = |job: &JobKey| {
         let step = StepKey { job: *job, step: 0 };
         fifth_of_lookups(step.task(0))
     };
-    let deadly: Vec<JobKey> = model.jobs.keys().copied().filter(is_deadly).collect();
-    for job in deadly {
+    let crashing: Vec<JobKey> = model.jobs.keys().copied().filter(crashes_worker).collect();
+    for job in crashing {
         model.propose(QueueCommand::Cancel { job });
     }
     model.run(12_000);
--- a/crates/state/tests/records.rs
+++ b/crates/state/tests/records.rs
@@ -317,8 +317,8 @@
     assert!(State::restore(b"{}").is_err());
 }
 
-/// Guards against a drained worker that takes tasks again, without an operator's undrain, because it
-/// was away for longer than the retention of workers.
+/// Guards against a drained worker that takes tasks again, without an operator's undrain, because
+/// it was away for longer than the retention of workers.
 #[test]
 fn a_drained_worker_is_still_drained_after_days_of_absence() {
     let mut harness = Harness::new();
