Log how busy the leader is and why it stops leading

Nothing told a leader that is too slow from one that is cut off: a log had neither the age of an event when it is handled, nor the time of a round, nor the reason for stepping down. The step-down reason has a test of its own; the tests of the storage thread and of the event channel take the time that the channel now returns with each event.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -20,6 +20,7 @@
 use crate::node::Transfer;
 use crate::progress::Progress;
 use crate::progress::ReplicationMode;
+use crate::ready::StepDown;
 
 /// Limits how often the election timeout of a candidate is doubled: to at most eight times the
 /// configured value, before randomization.
@@ -54,7 +55,7 @@
     pub fn set_storage_full(&mut self, now: Millis, is_full: bool) {
         self.is_storage_full = is_full;
         if is_full && self.role == Role::Leader && self.transfer_leadership(now).is_err() {
-            self.become_follower(self.term(), None);
+            self.step_down(StepDown::StorageFull);
         }
     }
 
@@ -123,8 +124,7 @@
         {
             self.transfer = None;
             if self.is_storage_full {
-                self.become_follower(self.term(), None);
-                return;
+                return self.step_down(StepDown::StorageFull);
             }
         }
         if self.now < self.heartbeat_due {
@@ -146,12 +146,22 @@
             .membership()
             .quorum_value(last_contact)
             .unwrap_or(self.now);
-        let is_lost = self.now.since(quorum_contact) >= self.config.election_timeout_ms;
+        let silent_ms = self.now.since(quorum_contact);
+        let is_lost = silent_ms >= self.config.election_timeout_ms;
         if is_lost && !self.config.faults.no_check_quorum {
-            self.become_follower(self.term(), None);
+            self.step_down(StepDown::QuorumSilent {
+                silent_ms,
+                unattended_ms: self.unattended_ms,
+            });
         }
     }
 
+    /// Stops leading in the current term, and records why.
+    pub(crate) fn step_down(&mut self, reason: StepDown) {
+        self.step_down = Some(reason);
+        self.become_follower(self.term(), None);
+    }
+
     /// Whether a message is a vote request that must be ignored because there is a live leader and
     /// the request is not part of a leadership transfer.
     pub(crate) fn is_disruptive_vote_request(&self, message: &Message) -> bool {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -47,4 +47,5 @@
 pub use crate::ready::Persisted;
 pub use crate::ready::Ready;
 pub use crate::ready::RoleChange;
+pub use crate::ready::StepDown;
 pub use crate::status::MemberProgress;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -32,6 +32,7 @@
 use crate::reads::Reads;
 use crate::ready::Ready;
 use crate::ready::RoleChange;
+use crate::ready::StepDown;
 use crate::snapshot::IncomingSnapshot;
 
 /// Current role of a member in elections.
@@ -116,6 +117,10 @@
     rng: Pcg64Mcg,
     pub(crate) outbox: Outbox,
     last_role_change: RoleChange,
+    /// Why this member last stopped leading, until it is reported.
+    pub(crate) step_down: Option<StepDown>,
+    /// Time between the last two calls that passed the time.
+    pub(crate) unattended_ms: u64,
 }
 
 impl Node {
@@ -130,6 +135,7 @@
             role: Role::Follower,
             term: hard_state.term,
             leader: None,
+            step_down: None,
         };
         let mut node = Node {
             config,
@@ -157,6 +163,8 @@
             rng,
             outbox: Outbox::default(),
             last_role_change,
+            step_down: None,
+            unattended_ms: 0,
         };
         node.reset_election_timer();
         node
@@ -174,6 +182,9 @@
         let is_granted_pre_vote = matches!(message.body, Body::PreVoteReply { granted: true });
         let is_pre_vote = matches!(message.body, Body::PreVote { .. });
         if message.term > self.term() && !is_pre_vote && !is_granted_pre_vote {
+            if self.role == Role::Leader {
+                self.step_down = Some(StepDown::HigherTerm);
+            }
             self.become_follower(message.term, None);
         }
         if message.term < self.term() {
@@ -270,6 +281,7 @@
     /// Advances the time of the node before any input is handled. A leader checks its contact with a
     /// quorum here, so that after a pause of the process it steps down before it acts on the input.
     pub(crate) fn advance_clock(&mut self, now: Millis) {
+        self.unattended_ms = now.since(self.now);
         self.now = self.now.max(now);
         if self.role == Role::Leader {
             self.check_quorum();
@@ -414,11 +426,15 @@
             role: self.role,
             term: self.term(),
             leader: self.leader,
+            step_down: None,
         };
         if current == self.last_role_change {
             return None;
         }
         self.last_role_change = current;
-        Some(current)
+        Some(RoleChange {
+            step_down: self.step_down.take(),
+            ..current
+        })
     }
 }
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -80,4 +80,25 @@
     pub term: Term,
     /// The leader of the term; `None` if it is not known.
     pub leader: Option<MemberId>,
+    /// Why this member stopped leading, if it led before the change.
+    pub step_down: Option<StepDown>,
+}
+
+/// Why a member stopped leading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepDown {
+    /// No quorum replied for an election timeout.
+    QuorumSilent {
+        /// Time since the last moment at which a quorum was in contact.
+        silent_ms: u64,
+        /// Time between the last two calls that passed the time to the node, the one included that
+        /// noticed the silence. If it is long, this member was paused or busy.
+        unattended_ms: u64,
+    },
+    /// Another member reached a higher term.
+    HigherTerm,
+    /// The storage is out of space and no other member took over in time.
+    StorageFull,
+    /// The membership no longer lists it as a voter.
+    NotVoter,
 }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -18,6 +18,7 @@
 use crate::node::ProposeError;
 use crate::node::Role;
 use crate::progress::ReplicationMode;
+use crate::ready::StepDown;
 
 impl Node {
     /// Appends a membership change and returns its index. Refused as busy until the previous change
@@ -306,7 +307,7 @@
         let is_membership_committed = self.memberships.current_index() <= self.commit_index;
         if is_membership_committed && !self.membership().is_voter(self.config.id) {
             self.replicate_all(true);
-            self.become_follower(self.term(), None);
+            self.step_down(StepDown::NotVoter);
         }
     }
 }
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -16,6 +16,7 @@
 use sapphirepost_consensus::PersistentState;
 use sapphirepost_consensus::ProposeError;
 use sapphirepost_consensus::Role;
+use sapphirepost_consensus::StepDown;
 use sapphirepost_consensus::Term;
 use sapphirepost_types::MemberId;
 use sapphirepost_types::Millis;
@@ -382,3 +383,31 @@
     let text = serde_json::to_string(&message).unwrap();
     assert_eq!(serde_json::from_str::<Message>(&text).unwrap(), message);
 }
+
+/// Guards against a leader whose log does not tell a silent quorum from its own pause.
+#[test]
+fn a_leader_that_stepped_down_reports_why() {
+    let config = Config::new(MemberId(1), 1);
+    let timeout_ms = config.election_timeout_ms;
+    let step_down_after = |steps_ms: &[u64]| {
+        let (mut node, mut now) = elect(config.clone(), restored(&[1], 1));
+        node.ready();
+        for step_ms in steps_ms {
+            now = now + *step_ms;
+            node.tick(now);
+        }
+        node.ready().role_change.and_then(|change| change.step_down)
+    };
+    let paused = step_down_after(&[2 * timeout_ms]);
+    assert!(
+        matches!(paused, Some(StepDown::QuorumSilent { unattended_ms, .. })
+            if unattended_ms >= timeout_ms),
+        "{paused:?}"
+    );
+    let silent = step_down_after(&vec![10; timeout_ms as usize]);
+    assert!(
+        matches!(silent, Some(StepDown::QuorumSilent { unattended_ms: 10, silent_ms })
+            if silent_ms >= timeout_ms),
+        "{silent:?}"
+    );
+}
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use flume::RecvTimeoutError;
 use thiserror::Error;
@@ -18,6 +19,7 @@
 use sapphirepost_consensus::ProposeError;
 use sapphirepost_consensus::Ready;
 use sapphirepost_consensus::Role;
+use sapphirepost_consensus::RoleChange;
 use sapphirepost_consensus::SnapshotMeta;
 use sapphirepost_process::Readiness;
 use sapphirepost_process::RpcError;
@@ -29,7 +31,10 @@
 
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
+use crate::core_load::CoreLoad;
+use crate::core_load::Work;
 use crate::event::Event;
+use crate::event::EventReceiver;
 use crate::group_size::EvenTimer;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::LEADER_TICK_INTERVAL_MS;
@@ -82,23 +87,25 @@
     pub(crate) queues: Queues,
     /// How long the group has been even, as seen by this member as the leader.
     pub(crate) even_timer: EvenTimer,
+    pub(crate) load: CoreLoad,
     /// When a graceful stop ends without a leadership transfer; `None` unless stopping.
     pub(crate) stop_deadline: Option<Millis>,
 }
 
 impl Core {
     /// Runs until a graceful stop is complete or a failure ends it.
-    pub(crate) fn run(mut self, events: &flume::Receiver<Event>) -> Result<(), CoreError> {
+    pub(crate) fn run(mut self, events: &EventReceiver) -> Result<(), CoreError> {
         loop {
-            match events.recv_timeout(self.wait_time()) {
-                Ok(event) => self.handle_event(event)?,
-                Err(RecvTimeoutError::Timeout) => {}
+            let first = match events.recv_timeout(self.wait_time()) {
+                Ok(first) => Some(first),
+                Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => break,
-            }
-            for event in events.try_iter().take(EVENTS_PER_ROUND) {
-                self.handle_event(event)?;
-            }
-            self.handle_output()?;
+            };
+            self.load.begin_round();
+            let more = std::iter::from_fn(|| events.try_recv()).take(EVENTS_PER_ROUND);
+            self.handle_events(first.into_iter().chain(more))?;
+            self.handle_output(events.len())?;
+            self.load.end_round(events.len(), self.is_leading());
             if self.can_stop() {
                 break;
             }
@@ -107,6 +114,19 @@
         Ok(())
     }
 
+    fn handle_events(
+        &mut self,
+        events: impl Iterator<Item = (Event, Instant)>,
+    ) -> Result<(), CoreError> {
+        let began = Instant::now();
+        for (event, queued_at) in events {
+            self.load.record_event(queued_at, event.kind());
+            self.handle_event(event)?;
+        }
+        self.load.record_work(Work::Events, began);
+        Ok(())
+    }
+
     fn wait_time(&self) -> Duration {
         let now = self.clock.now();
         let due_ms = self.node.next_due().since(now);
@@ -166,25 +186,29 @@
     }
 
     /// Advances the node's time and handles all output.
-    fn handle_output(&mut self) -> Result<(), CoreError> {
+    fn handle_output(&mut self, queued: usize) -> Result<(), CoreError> {
         self.node.tick(self.clock.now());
         self.tick_leadership();
         loop {
             self.deliver_output();
             self.propose_backlog();
+            let began = Instant::now();
             self.tick_queues();
+            self.load.record_work(Work::Schedule, began);
+            let began = Instant::now();
             self.propose_queues();
+            self.load.record_work(Work::Propose, began);
             let ready = self.node.ready();
             if ready.is_empty() {
                 break;
             }
-            self.handle_ready(ready)?;
+            self.handle_ready(ready, queued)?;
         }
         self.update_metrics();
         Ok(())
     }
 
-    fn handle_ready(&mut self, mut ready: Ready) -> Result<(), CoreError> {
+    fn handle_ready(&mut self, mut ready: Ready, queued: usize) -> Result<(), CoreError> {
         let messages = std::mem::take(&mut ready.messages);
         self.peers.send(messages, self.node.membership());
         if let Some(snapshot) = &ready.snapshot {
@@ -205,12 +229,13 @@
             // Fails only after the storage thread has reported its failure.
             let _ = self.storage_requests.send(request);
         }
+        let began = Instant::now();
         for entry in &ready.committed {
             self.apply(entry)?;
         }
+        self.load.record_work(Work::Apply, began);
         if let Some(change) = ready.role_change {
-            let leader = change.leader.map_or("none".to_owned(), |id| id.to_string());
-            log::info!(role:? = change.role, term = change.term, leader; "role changed");
+            self.log_role_change(&change, queued);
         }
         self.update_leadership();
         if !ready.committed.is_empty() {
@@ -228,6 +253,15 @@
         Ok(())
     }
 
+    fn log_role_change(&self, change: &RoleChange, queued: usize) {
+        let leader = change.leader.map_or("none".to_owned(), |id| id.to_string());
+        log::info!(role:? = change.role, term = change.term, leader; "role changed");
+        if let Some(reason) = change.step_down {
+            log::warn!(term = change.term, reason:?; "stopped leading");
+            self.load.log_now(queued);
+        }
+    }
+
     fn apply(&mut self, entry: &Entry) -> Result<(), CoreError> {
         self.applied = entry.index;
         match &entry.payload {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -2,7 +2,10 @@
 
 use std::io;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
+use flume::RecvTimeoutError;
 use flume::TrySendError;
 use serde_json::Value;
 
@@ -26,6 +29,8 @@
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
 
+use crate::core_load::EventKind;
+
 /// The number of queued events from which on calls are refused as busy.
 const CALLS_MAX: usize = 8_192;
 /// Channel capacity that calls cannot use, so that a flood of them does not delay elections and
@@ -68,15 +73,80 @@
     Shutdown,
 }
 
+impl Event {
+    /// What the event is about.
+    pub(crate) fn kind(&self) -> EventKind {
+        match self {
+            Event::Step(_)
+            | Event::Persisted(..)
+            | Event::SnapshotSaved(_)
+            | Event::SnapshotSkipped(_)
+            | Event::StorageFull(_)
+            | Event::StorageHasSpace
+            | Event::StorageFailed(_)
+            | Event::Shutdown => EventKind::Group,
+            Event::WorkerReplied(..) => EventKind::WorkerReply,
+            Event::Queue(call, _) => match **call {
+                QueueCall::Report { .. } | QueueCall::Left { .. } => EventKind::WorkerReport,
+                QueueCall::WaitForQuestion { .. } => EventKind::PolicyPoll,
+                _ => EventKind::Call,
+            },
+            _ => EventKind::Call,
+        }
+    }
+}
+
+/// An event in the channel.
+struct QueuedEvent {
+    event: Event,
+    queued_at: Instant,
+}
+
+impl QueuedEvent {
+    fn new(event: Event) -> QueuedEvent {
+        QueuedEvent {
+            event,
+            queued_at: Instant::now(),
+        }
+    }
+}
+
+/// The receiving side of the channel to the core thread.
+pub struct EventReceiver(flume::Receiver<QueuedEvent>);
+
+impl EventReceiver {
+    /// Waits for an event, and returns it with the time at which it was sent.
+    pub fn recv_timeout(&self, timeout: Duration) -> Result<(Event, Instant), RecvTimeoutError> {
+        let queued = self.0.recv_timeout(timeout)?;
+        Ok((queued.event, queued.queued_at))
+    }
+
+    /// Returns an event that is already there, with the time at which it was sent.
+    pub fn try_recv(&self) -> Option<(Event, Instant)> {
+        let queued = self.0.try_recv().ok()?;
+        Some((queued.event, queued.queued_at))
+    }
+
+    /// The number of events in the channel.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the channel has no event.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 /// The sending side of the channel to the core thread.
 #[derive(Clone)]
-pub struct EventSender(flume::Sender<Event>);
+pub struct EventSender(flume::Sender<QueuedEvent>);
 
 impl EventSender {
     /// Creates the channel and returns both sides.
-    pub fn new() -> (EventSender, flume::Receiver<Event>) {
+    pub fn new() -> (EventSender, EventReceiver) {
         let (sender, receiver) = flume::bounded(CALLS_MAX + RESERVED_CAPACITY);
-        (EventSender(sender), receiver)
+        (EventSender(sender), EventReceiver(receiver))
     }
 
     /// Sends a call, or returns it if too many events are queued or the core thread has ended.
@@ -85,24 +155,25 @@
             return Err(Box::new(event));
         }
         self.0
-            .try_send(event)
-            .map_err(|error| Box::new(error.into_inner()))
+            .try_send(QueuedEvent::new(event))
+            .map_err(|error| Box::new(error.into_inner().event))
     }
 
     /// Sends an event, or drops it if the channel is full. Consensus tolerates the loss of its
     /// messages.
     pub fn send_or_drop(&self, event: Event) {
-        let _ = self.0.try_send(event);
+        let _ = self.0.try_send(QueuedEvent::new(event));
     }
 
     /// Asks the core thread for a graceful stop, without blocking. While the channel is full, a
     /// thread of its own waits for room. Fails if that thread cannot be started.
     pub fn request_shutdown(&self) -> io::Result<()> {
-        if let Err(TrySendError::Full(event)) = self.0.try_send(Event::Shutdown) {
+        let shutdown = QueuedEvent::new(Event::Shutdown);
+        if let Err(TrySendError::Full(queued)) = self.0.try_send(shutdown) {
             let sender = self.clone();
             thread::Builder::new()
                 .name("shutdown".to_owned())
-                .spawn(move || sender.send_blocking(event))?;
+                .spawn(move || sender.send_blocking(queued.event))?;
         }
         Ok(())
     }
@@ -110,6 +181,6 @@
     /// Sends an event that must not get lost, and blocks while the channel is full. Returns
     /// whether the core thread still runs.
     pub fn send_blocking(&self, event: Event) -> bool {
-        self.0.send(event).is_ok()
+        self.0.send(QueuedEvent::new(event)).is_ok()
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod cluster_clock;
 mod cluster_metrics;
 mod core;
+mod core_load;
 mod event;
 pub mod group_size;
 mod incarnation_log;
@@ -31,6 +32,7 @@
 mod storage_thread;
 
 pub use crate::event::Event;
+pub use crate::event::EventReceiver;
 pub use crate::event::EventSender;
 pub use crate::initial_voters::InitialVoter;
 pub use crate::initial_voters::InitialVoters;
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -41,6 +41,8 @@
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
 use crate::core::Core;
+use crate::core_load::CoreLoad;
+use crate::core_load::LoadMetrics;
 use crate::event::Event;
 use crate::event::EventSender;
 use crate::group_size::EvenTimer;
@@ -131,6 +133,7 @@
     let (event_sender, events) = EventSender::new();
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
+    let load_metrics = LoadMetrics::register(&metrics);
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
     let queue_metrics = QueueMetrics::register(&metrics);
@@ -185,7 +188,7 @@
         peers,
         &storage,
         readiness,
-        (core_metrics, cluster_metrics, clock_metrics),
+        (core_metrics, load_metrics, cluster_metrics, clock_metrics),
         Queues::new(queue_parts, event_sender.clone(), queue_metrics),
     )?;
     let result = core.run(&events);
@@ -275,7 +278,12 @@
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    (metrics, cluster_metrics, clock_metrics): (CoreMetrics, ClusterMetrics, ClockMetrics),
+    (metrics, load_metrics, cluster_metrics, clock_metrics): (
+        CoreMetrics,
+        LoadMetrics,
+        ClusterMetrics,
+        ClockMetrics,
+    ),
     queues: Queues,
 ) -> anyhow::Result<Core> {
     let member = peers.member();
@@ -313,6 +321,7 @@
         leadership: Leadership::default(),
         queues,
         even_timer: EvenTimer::default(),
+        load: CoreLoad::new(load_metrics),
         stop_deadline: None,
     })
 }
--- a/crates/control/tests/event_channel.rs
+++ b/crates/control/tests/event_channel.rs
@@ -21,7 +21,7 @@
     let began = Instant::now();
     sender.request_shutdown().unwrap();
     assert!(began.elapsed() < Duration::from_secs(1));
-    let is_shutdown = |event| matches!(event, Event::Shutdown);
+    let is_shutdown = |(event, _)| matches!(event, Event::Shutdown);
     let mut received = std::iter::from_fn(|| events.recv_timeout(Duration::from_secs(5)).ok());
     assert!(received.any(is_shutdown), "the request was lost");
 }
--- a/crates/control/tests/storage_thread.rs
+++ b/crates/control/tests/storage_thread.rs
@@ -13,6 +13,7 @@
 use sapphirepost_consensus::SnapshotMeta;
 use sapphirepost_control::CoreMetrics;
 use sapphirepost_control::Event;
+use sapphirepost_control::EventReceiver;
 use sapphirepost_control::EventSender;
 use sapphirepost_control::StorageRequest;
 use sapphirepost_control::StorageThread;
@@ -61,9 +62,9 @@
     }
 }
 
-fn persisted(event: Event) -> u64 {
-    match event {
-        Event::Persisted(up_to, _) => up_to.number,
+fn next_persisted(events: &EventReceiver) -> u64 {
+    match events.recv_timeout(Duration::from_secs(10)).unwrap() {
+        (Event::Persisted(up_to, _), _) => up_to.number,
         _ => panic!("unexpected event"),
     }
 }
@@ -81,14 +82,14 @@
         StorageThread::start(Box::new(store), event_sender, CoreMetrics::default()).unwrap();
     let start = Instant::now();
     storage.sender().send(persist_request(1)).unwrap();
-    assert_eq!(persisted(events.recv().unwrap()), 1);
+    assert_eq!(next_persisted(&events), 1);
     assert!(start.elapsed() < 2 * SYNC, "an idle disk must sync at once");
     for number in 2..=200 {
         storage.sender().send(persist_request(number)).unwrap();
     }
     let mut last = 0;
     while last < 200 {
-        last = persisted(events.recv_timeout(Duration::from_secs(10)).unwrap());
+        last = next_persisted(&events);
     }
     assert!(
         syncs.load(Ordering::SeqCst) <= 4,
@@ -106,7 +107,7 @@
     let storage =
         StorageThread::start(Box::new(store), event_sender, CoreMetrics::default()).unwrap();
     storage.sender().send(persist_request(1)).unwrap();
-    let first = events.recv_timeout(Duration::from_secs(10)).unwrap();
+    let (first, _) = events.recv_timeout(Duration::from_secs(10)).unwrap();
     assert!(matches!(first, Event::StorageFailed(_)));
     assert!(
         events.recv_timeout(Duration::from_secs(10)).is_err(),
