Count the checks of the scheduler

A round's cost can't be measured by the clock on machines of different speed. The scheduler now counts how often it checks a worker for a step, and how often it visits a step. Tests and the load figures of the leader can read the count.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -34,6 +34,7 @@
     pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
         let mut reservations = Reservations::default();
         let views = self.steps.values().filter(|view| now < view.hold.until);
+        self.count_checks(self.steps.len());
         for view in views {
             self.reserve_now(view, &view.hold.workers, &mut reservations, now);
         }
@@ -180,6 +181,7 @@
         let (spec, members) = (view.spec(), view.spec().count as usize);
         let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
         for (index, worker) in self.workers.iter() {
+            self.count_checks(1);
             let permission = self.permission(view, index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
             if !is_allowed || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -35,6 +35,7 @@
 mod worker_requests;
 mod workers;
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
@@ -158,6 +159,8 @@
     pub(crate) poll_candidates: Vec<WorkerIndex>,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
+    /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
+    checks: Cell<u64>,
     pub(crate) rounds: Rounds,
     pub(crate) checked_at: Millis,
     pub(crate) waits: WaitTracker,
@@ -187,6 +190,7 @@
             poll_candidates: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
             waits: WaitTracker::default(),
@@ -298,6 +302,17 @@
         std::mem::take(&mut self.counts)
     }
 
+    /// Takes the number of checks since the last call: how often a worker was checked for a step, or
+    /// a step was visited. It measures the work of the scheduler independently of the processor, for
+    /// tests and for the load figures of the leader.
+    pub fn take_checks(&self) -> u64 {
+        self.checks.take()
+    }
+
+    pub(crate) fn count_checks(&self, checks: usize) {
+        self.checks.set(self.checks.get() + checks as u64);
+    }
+
     /// How long the tasks of a step had waited when a start of the step was last proposed.
     pub fn last_wait_ms(&self, step: StepKey) -> u64 {
         self.steps.get(&step).map_or(0, |view| view.last_wait_ms)
@@ -331,6 +346,7 @@
         }
         let is_quarantined = self.quarantine.is_quarantined(&queue.name);
         let preceding = || {
+            self.count_checks(self.steps.len());
             let views = self.steps.values().filter(|view| {
                 view.queue.priority <= queue.priority
                     && *view.queue.service == *queue.service
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -138,6 +138,7 @@
         let allowed = view.permits.allowed();
         let allowed = allowed.filter_map(|index| Some((index, self.workers.get(index)?)));
         let usable = allowed.filter(|(index, worker)| {
+            self.count_checks(1);
             self.permission(view, *index, now) != Permission::Denied
                 && worker.accepts_tasks(now)
                 && view.can_run_on(worker)
@@ -222,6 +223,7 @@
     /// are renewed by requests of their own.
     pub(crate) fn workers_for_request(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
         let is_useful = |(index, worker): &(WorkerIndex, &WorkerView)| {
+            self.count_checks(1);
             let has_room = view.spec().resources.fits_in(&worker.free());
             let is_wanted = match self.permission(view, *index, now) {
                 Permission::Unknown => has_room || view.spec().is_gang,
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -279,6 +279,7 @@
             .steps
             .values()
             .filter(|view| view.permits.next_need().is_some());
+        self.count_checks(self.steps.len());
         let mut candidates: Vec<(bool, Rank)> = candidates
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -86,6 +86,7 @@
             return found;
         }
         for (index, worker) in self.possible_workers(view) {
+            self.count_checks(1);
             // Most workers lack the resources, and this check is the cheapest.
             let has_room = spec.resources.fits_in(&worker.free());
             if !has_room || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -97,6 +97,7 @@
         now: Millis,
     ) -> Vec<PreemptionOption> {
         let allowed = self.workers.iter().filter(|(index, worker)| {
+            self.count_checks(1);
             let permission = self.permission(view, *index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
             is_allowed
--- a/crates/queues/src/scheduler/quarantine.rs
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -512,6 +512,7 @@
             let is_open = quarantined.is_none() || worker.accepts_tasks(now);
             is_open && self.quarantine.may_use(&queue.name, *index)
         });
+        self.count_checks(self.workers.len());
         let used_max = quarantined
             .filter(|quarantined| quarantined.runs_single_jobs)
             .map_or(u64::MAX, |_| job_millicores);
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -114,6 +114,7 @@
             .map(|view| Rank::of(view, now))
             .collect();
         ranks.sort_unstable();
+        self.count_checks(self.steps.len());
         self.rounds.pause(ranks.len());
         self.record_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
@@ -174,6 +175,7 @@
         let mut free_sum = Resources::ZERO;
         let mut capacity_sum = Resources::ZERO;
         let open = self.workers.iter();
+        self.count_checks(self.workers.len());
         for (_, worker) in open.filter(|(_, worker)| worker.accepts_tasks(now)) {
             let free = worker.free();
             max_free.millicores = max_free.millicores.max(free.millicores);
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -152,6 +152,7 @@
             .steps
             .values()
             .filter(|other| !other.waiting.is_empty());
+        self.count_checks(self.steps.len());
         let ahead = others.filter(|other| Rank::of(other, now) < rank);
         Some(WaitingStep {
             step: view.key,
@@ -177,6 +178,7 @@
         let mut room = RoomCount::default();
         let need = view.spec().resources;
         for (index, worker) in self.workers.iter() {
+            self.count_checks(1);
             if !view.can_run_on(worker) {
                 continue;
             }
