--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)] // Each test binary uses a part of it.
 
 pub mod crash;
+pub mod leader;
 pub mod load;
 pub mod restart;
 pub mod wide_load;
@@ -35,10 +36,13 @@
 use sapphirepost_queues::scheduler::WorkerReply;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_queues::state::QueueChange;
 use sapphirepost_queues::table::PermitCost;
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::Millis;
 
+use self::leader::LeaderTime;
+use self::leader::Submission;
 use self::load::Kind;
 use self::worker::ModelWorker;
 
@@ -77,6 +81,8 @@
     RequestArrives(WorkerRequest),
     RequestAnswered(WorkerRequest, Result<WorkerReply, WorkerRequestError>),
     PermitsAnswered(Arc<str>, PermitAnswer),
+    /// A caller's job arrives at the leader, which accepts or refuses it.
+    Submitted(Submission),
 }
 
 /// A submitted job and its end.
@@ -136,6 +142,10 @@
     ended_tasks: restart::EndedTasks,
     /// The real time that the calls of `Scheduler::tick` took.
     pub decision_time: Duration,
+    /// How long the leader's work takes; no time by default.
+    pub leader: LeaderTime,
+    /// When a start of each step was first applied.
+    pub first_starts: BTreeMap<StepKey, Millis>,
 }
 
 pub fn queue(name: &str, priority: u32, factor: f64, target_ms: u64) -> Queue {
@@ -222,6 +232,8 @@
             incarnations: 0,
             ended_tasks: restart::EndedTasks::default(),
             decision_time: Duration::ZERO,
+            leader: LeaderTime::default(),
+            first_starts: BTreeMap::new(),
         };
         for client in 0..clients {
             let client: Arc<str> = Arc::from(format!("client-{client}"));
@@ -272,6 +284,7 @@
         self.leader_since = self.now;
         let pending = std::mem::take(&mut self.events);
         self.busy_clients.clear();
+        self.leader.restart();
         for (key, event) in pending {
             // Requests that were sent may still be carried out.
             if matches!(event, Event::RequestArrives(_)) {
@@ -356,8 +369,12 @@
             if entry.key().0 > self.now.0 {
                 break;
             }
+            let due = Millis(entry.key().0);
             let event = entry.remove();
-            self.handle(event);
+            match event {
+                Event::RequestArrives(request) => self.request_arrives(request),
+                event => self.leader_event(due, event),
+            }
         }
         if self.now.0.is_multiple_of(CLIENT_WAIT_MS) {
             let idle = self.clients.difference(&self.busy_clients);
@@ -365,20 +382,30 @@
                 self.scheduler.policy_client_waits(client, self.now);
             }
         }
+        if self.finish_leader_events() {
+            self.tick();
+        }
+        self.check();
+        self.check_ended_tasks();
+    }
+
+    fn tick(&mut self) {
         let begin = Instant::now();
         self.scheduler.tick(&self.state, self.now);
         self.decision_time += begin.elapsed();
-        for action in self.scheduler.take_actions() {
+        let actions = self.scheduler.take_actions();
+        self.leader
+            .spend(self.scheduler.take_checks(), actions.len());
+        for action in actions {
             self.act(action);
         }
-        self.check();
-        self.check_ended_tasks();
     }
 
     fn handle(&mut self, event: Event) {
         match event {
             Event::Applied(commands) => self.apply(&commands),
             Event::RequestArrives(request) => self.request_arrives(request),
+            Event::Submitted(submission) => self.handle_submitted(submission),
             Event::RequestAnswered(request, result) => {
                 self.scheduler
                     .handle_reply(&self.state, &request, result, self.now);
@@ -402,14 +429,23 @@
                 .apply(self.index, self.now.0, command, &mut changes);
             self.scheduler
                 .handle_applied(&self.state, command, &changes, self.now);
+            for change in &changes {
+                self.record_change(change);
+            }
         }
-        for (key, job) in &mut self.jobs {
-            let phase = self.state.job(*key).map(|job| job.phase);
-            if let Some(phase) = phase.filter(|phase| phase.has_ended())
-                && job.ended.is_none()
-            {
-                job.ended = Some((self.now, phase));
+    }
+
+    fn record_change(&mut self, change: &QueueChange) {
+        match change {
+            QueueChange::Ended(key, phase) => {
+                if let Some(job) = self.jobs.get_mut(key) {
+                    job.ended.get_or_insert((self.now, *phase));
+                }
+            }
+            QueueChange::Started(step, _) => {
+                self.first_starts.entry(*step).or_insert(self.now);
             }
+            _ => {}
         }
     }
 
--- a/crates/queues/tests/model/wide_load.rs
+++ b/crates/queues/tests/model/wide_load.rs
@@ -109,6 +109,44 @@
 
 pub const KINDS: [Kind; 3] = [SHORT, BATCH, GANG];
 
+/// The same kinds on a larger cluster: wider jobs, fewer of them for the same load, and permits
+/// that take longer.
+pub const LARGE_SHORT: Kind = Kind {
+    queue: "large-short",
+    per_1000_s: 110_000,
+    width: 4.0,
+    width_max: 24.0,
+    call_ms: 14.0,
+    worker_ms: 0.2,
+    ..SHORT
+};
+
+pub const LARGE_BATCH: Kind = Kind {
+    queue: "large-batch",
+    per_1000_s: 7_700,
+    width: 32.0,
+    width_max: 192.0,
+    call_ms: 182.0,
+    worker_ms: 2.6,
+    ..BATCH
+};
+
+pub const LARGE_GANG: Kind = Kind {
+    queue: "large-gang",
+    per_1000_s: 3_750,
+    width: 32.0,
+    width_max: 192.0,
+    call_ms: 624.0,
+    worker_ms: 9.0,
+    ..GANG
+};
+
+pub const LARGE_KINDS: [Kind; 3] = [LARGE_SHORT, LARGE_BATCH, LARGE_GANG];
+
+fn all_kinds() -> impl Iterator<Item = Kind> {
+    KINDS.into_iter().chain(LARGE_KINDS)
+}
+
 /// The largest number of cores that a task needs.
 const MILLICORES_MAX: f64 = 15_000.0;
 /// The memory of a task for each core.
@@ -132,7 +170,7 @@
 
     /// The key of the job with this number. The upper bits are the position of the kind.
     pub fn key(&self, number: u64) -> u64 {
-        let position = KINDS.iter().position(|kind| kind.queue == self.queue);
+        let position = all_kinds().position(|kind| kind.queue == self.queue);
         ((position.unwrap() as u64 + 1) << 56) | number
     }
 
@@ -193,7 +231,7 @@
 }
 
 fn kind(job: JobKey) -> Kind {
-    KINDS[(job.0 >> 56) as usize - 1]
+    all_kinds().nth((job.0 >> 56) as usize - 1).unwrap()
 }
 
 /// The resources that a task needs.
