Bound the cost of placement rounds and of admission

Cause: a round went through all waiting steps, each gang and each permit request checked all workers, and each new job was compared with all steps, twice, and all workers. The pauses between rounds did not grow with what a round took. So the more waited, the more of the leader's time went into looking at it, and the less was placed.

Change: a step that could not be placed is tried again only when something has changed for it, or after an interval that grows with the number of waiting steps; a round does a limited number of checks, and the pause after it is at least twice the time that it took. Permit requests take the workers from an order by free capacity that each round makes. The waiting work by queue and the capacity by service are summed up once a round. A leader whose commits are all slow refuses new jobs; its owner reports the times of ticks and commits.

--- a/crates/queues/src/scheduler/admission.rs
+++ b/crates/queues/src/scheduler/admission.rs
@@ -3,11 +3,13 @@
 //! When more work arrives than the workers can do, a job that could only be done long after it is
 //! useful is refused on arrival, with the time after which the backlog is expected to have gone
 //! down. Late work is placed after a job that can still meet its deadline, so it is no reason to
-//! refuse that job.
+//! refuse that job. A leader that cannot keep up with what it has accepted refuses all new jobs.
 
 /// The waiting work in front of a new job, and its limits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Admission {
+    /// The time after which the caller may retry, if the leader itself falls behind.
+    pub overload_retry_ms: Option<u64>,
     /// Processor time of the waiting work that is placed before the job as long as the job can meet
     /// its deadline.
     pub ahead_core_ms: u64,
@@ -35,10 +37,18 @@
 const BACKLOG_MAX_MS: u64 = 60_000;
 
 impl Admission {
+    /// A leader that falls behind looks at nothing else.
+    pub(crate) fn of_overloaded_leader(retry_ms: u64) -> Admission {
+        Admission {
+            overload_retry_ms: Some(retry_ms),
+            ..Admission::default()
+        }
+    }
+
     /// `None` if the job is accepted, or the time after which the refused caller may retry.
     pub fn retry_after_ms(&self) -> Option<u64> {
-        if self.capacity_millicores == 0 {
-            return None;
+        if self.overload_retry_ms.is_some() || self.capacity_millicores == 0 {
+            return self.overload_retry_ms;
         }
         let backlog_ms = self.wait_ms(self.backlog_core_ms);
         let ends_in_ms = self.wait_ms(self.ahead_core_ms) + self.critical_path_ms;
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -180,8 +180,8 @@
     fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
         let (spec, members) = (view.spec(), view.spec().count as usize);
         let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
+        self.count_checks(self.workers.len());
         for (index, worker) in self.workers.iter() {
-            self.count_checks(1);
             let permission = self.permission(view, index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
             if !is_allowed || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! clock, so a run can be replayed deterministically.
 
 mod admission;
+mod backlog;
 mod contact_loss;
 mod crash_evidence;
 mod drain;
@@ -16,6 +17,7 @@
 mod isolation;
 mod lease;
 mod messages;
+mod overload;
 mod permit_requests;
 mod permits;
 mod place;
@@ -48,9 +50,9 @@
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::isolation::IsolationTurns;
+use crate::scheduler::overload::Overload;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::quarantine::Quarantine;
-use crate::scheduler::ranking::Rank;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::USEFUL_FACTOR;
@@ -160,7 +162,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
-    checks: Cell<u64>,
+    pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
     pub(crate) checked_at: Millis,
     pub(crate) waits: WaitTracker,
@@ -168,6 +170,7 @@
     pub(crate) isolation_turns: IsolationTurns,
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
+    pub(crate) overload: Overload,
 }
 
 impl Scheduler {
@@ -198,6 +201,7 @@
             isolation_turns: IsolationTurns::default(),
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
+            overload: Overload::default(),
         };
         for worker in state.workers() {
             let age = |at| unix_ms.saturating_sub(at);
@@ -287,11 +291,27 @@
             self.tick_quarantine(now);
         }
         self.tick_placement(state, now);
-        if std::mem::take(&mut self.dispatcher.is_dispatch_due) {
+        if self.dispatcher.take_due(now) {
             self.dispatch_requests(now);
         }
     }
 
+    /// Records how long a call of [`Scheduler::tick`] took. The pauses between placement rounds grow
+    /// with it, so that a slow leader has time for its other work.
+    pub fn record_tick_time(&mut self, took_ms: u64) {
+        self.rounds.record_time(took_ms);
+    }
+
+    /// Records that an entry with commands was applied `took_ms` after it was proposed.
+    pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
+        self.overload.record_commit(took_ms, now);
+    }
+
+    /// Records that the oldest entry in progress was proposed `age_ms` ago.
+    pub fn record_commit_in_progress(&mut self, age_ms: u64) {
+        self.overload.record_in_progress(age_ms);
+    }
+
     /// Takes the actions that have accumulated, in the order in which they are to be carried out.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -309,6 +329,7 @@
         self.checks.take()
     }
 
+    /// Counts checks.
     pub(crate) fn count_checks(&self, checks: usize) {
         self.checks.set(self.checks.get() + checks as u64);
     }
@@ -344,31 +365,47 @@
         if self.job_steps.contains_key(&key) {
             return None;
         }
-        let is_quarantined = self.quarantine.is_quarantined(&queue.name);
-        let preceding = || {
-            self.count_checks(self.steps.len());
-            let views = self.steps.values().filter(|view| {
-                view.queue.priority <= queue.priority
-                    && *view.queue.service == *queue.service
-                    && self.quarantine.share_workers(&view.queue_name, &queue.name)
-            });
-            views.map(|view| (view, view.waiting_core_ms()))
-        };
-        // The workers of a quarantined queue are often down, and late work of its own is all that
-        // it has to place, so a job counts on neither.
-        let ahead = preceding()
-            .filter(|(view, _)| is_quarantined || Rank::of(view, now).lateness == Lateness::InTime);
+        if let Some(retry_ms) = self.overload.retry_after_ms(now) {
+            return Some(Admission::of_overloaded_leader(retry_ms));
+        }
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
         let critical_path_ms = spec.critical_path_ms(&durations_ms);
         let deadline_ms = queue.deadline_ms(critical_path_ms);
         let job_millicores = spec.core_ms() * 1_000 / critical_path_ms.max(1);
+        let (ahead_core_ms, backlog_core_ms) = self.preceding_core_ms(queue);
         Some(Admission {
-            ahead_core_ms: ahead.map(|(_, core_ms)| core_ms).sum(),
-            backlog_core_ms: preceding().map(|(_, core_ms)| core_ms).sum(),
+            overload_retry_ms: None,
+            ahead_core_ms,
+            backlog_core_ms,
             capacity_millicores: self.serving_millicores(queue, job_millicores, now),
             deadline_ms,
             useful_ms: USEFUL_FACTOR * deadline_ms,
             critical_path_ms,
         })
     }
+
+    /// The processor time of the waiting work that is placed before a new job of a queue as long as
+    /// the job can meet its deadline, and of all waiting work that is as urgent.
+    fn preceding_core_ms(&self, queue: &Queue) -> (u64, u64) {
+        let is_quarantined = self.quarantine.is_quarantined(&queue.name);
+        let mut ahead_core_ms = 0;
+        let mut backlog_core_ms = 0;
+        for other in self.rounds.backlog.queues() {
+            let precedes = other.priority <= queue.priority
+                && other.service == queue.service
+                && self.quarantine.share_workers(&other.queue, &queue.name);
+            if !precedes {
+                continue;
+            }
+            backlog_core_ms += other.all_core_ms;
+            // The workers of a quarantined queue are often down, and late work of its own is all
+            // that it has to place, so a job counts on neither.
+            ahead_core_ms += if is_quarantined {
+                other.all_core_ms
+            } else {
+                other.in_time_core_ms
+            };
+        }
+        (ahead_core_ms, backlog_core_ms)
+    }
 }
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -216,32 +216,39 @@
         view.permits.set_need(renewal, now);
     }
 
-    /// The workers to name in a request for further workers, those with the most free processor
-    /// capacity first. They accept tasks and have free resources for a task of the step, and no
+    /// The workers to name in a request for further workers, those first that had the most free
+    /// processor capacity when the last round began. They accept tasks and have free resources for a task of the step, and no
     /// request for them has been answered yet or the permit has expired. For a gang, they need no
     /// free resources, since it may get a reservation, and expired permits are left out, since they
     /// are renewed by requests of their own.
     pub(crate) fn workers_for_request(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
-        let is_useful = |(index, worker): &(WorkerIndex, &WorkerView)| {
-            self.count_checks(1);
-            let has_room = view.spec().resources.fits_in(&worker.free());
-            let is_wanted = match self.permission(view, *index, now) {
-                Permission::Unknown => has_room || view.spec().is_gang,
-                Permission::Expired => has_room && !view.spec().is_gang,
+        let is_gang = view.spec().is_gang;
+        let need = view.spec().resources;
+        let is_useful = |index: WorkerIndex, worker: &WorkerView| {
+            let has_room = need.fits_in(&worker.free());
+            let is_wanted = match self.permission(view, index, now) {
+                Permission::Unknown => has_room || is_gang,
+                Permission::Expired => has_room && !is_gang,
                 Permission::Granted | Permission::Denied => false,
             };
             is_wanted
                 && worker.accepts_tasks(now)
                 && view.can_run_on(worker)
-                && self.may_use(view, *index)
+                && self.may_use(view, index)
         };
-        let workers = self.workers.iter().filter(is_useful);
-        let mut workers: Vec<(u64, WorkerIndex)> = workers
-            .map(|(index, worker)| (u64::MAX - worker.free().millicores, index))
-            .collect();
-        workers.sort_unstable();
-        workers.truncate(self.request_size(view));
-        workers.into_iter().map(|(_, index)| index).collect()
+        let size = self.request_size(view);
+        let mut workers = Vec::with_capacity(size);
+        for (free_millicores, index) in &self.rounds.by_free {
+            if workers.len() == size || (!is_gang && *free_millicores < need.millicores) {
+                break;
+            }
+            self.count_checks(1);
+            let worker = self.workers.get(*index);
+            if worker.is_some_and(|worker| is_useful(*index, worker)) {
+                workers.push(*index);
+            }
+        }
+        workers
     }
 
     /// The largest number of workers that a request for further workers names.
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -39,6 +39,9 @@
 /// that keep being replaced, would leave no policy client to the steps behind them.
 const LONG_IN_RANK_ORDER_MAX: u32 = 2;
 
+/// The shortest time between two comparisons of all needed requests.
+const DISPATCH_INTERVAL_MS: u64 = 4;
+
 /// How long after the expected answer to a request a gang still holds the workers of its members.
 const HOLD_SLACK_MS: u64 = 200;
 
@@ -127,6 +130,8 @@
     long_in_rank_order: u32,
     /// Whether a request may have become possible since the last dispatch.
     pub(crate) is_dispatch_due: bool,
+    /// When the needed requests were last compared.
+    dispatched_at: Millis,
 }
 
 impl PermitDispatcher {
@@ -139,6 +144,13 @@
         }
     }
 
+    /// Whether the needed requests are to be compared now. If so, the caller does that.
+    pub(crate) fn take_due(&mut self, now: Millis) -> bool {
+        let is_due = self.is_dispatch_due && now.since(self.dispatched_at) >= DISPATCH_INTERVAL_MS;
+        self.is_dispatch_due &= !is_due;
+        is_due
+    }
+
     pub(crate) fn forget(&mut self, step: StepKey) {
         self.outstanding
             .retain(|_, outstanding| outstanding.step != step);
@@ -201,6 +213,7 @@
             return;
         };
         view.permits.end_request();
+        view.tried = None;
         let allowed = match &answer.outcome {
             PermitOutcome::Allowed(allowed) => allowed,
             PermitOutcome::Refused => {
@@ -262,6 +275,7 @@
             self.dispatcher.clients.pause(&outstanding.client, now);
             if let Some(view) = self.steps.get_mut(&outstanding.step) {
                 view.permits.end_request();
+                view.tried = None;
                 view.permits.unanswered(&outstanding.workers, now);
             }
             self.rounds.is_due = true;
@@ -275,6 +289,7 @@
         if self.dispatcher.clients.next(false, now).is_none() {
             return;
         }
+        self.dispatcher.dispatched_at = now;
         let candidates = self
             .steps
             .values()
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -250,6 +250,7 @@
             self.handle_missed_poll(index, sent, now);
             return self.handle_other_incarnation(index, reply.incarnation, now);
         }
+        let was_reachable = worker.lease.is_reachable();
         worker.lease.record_clock(reply.clock_ms, now);
         worker.loss = ContactLoss::default();
         worker.poll.is_in_progress = false;
@@ -262,6 +263,9 @@
         let new_ends = reply.ends.iter().filter(|(number, _)| *number > applied);
         let ends: Vec<RunEnd> = new_ends.map(|(_, end)| end.clone()).collect();
         let upto = reply.ends.iter().map(|(number, _)| *number).max();
+        if !was_reachable || !ends.is_empty() {
+            self.rounds.note_freed(index);
+        }
         self.reconcile_runs(index, sent, &reply, &ends, now);
         if let Some(upto) = upto.filter(|upto| *upto > applied) {
             if let Some(worker) = self.workers.get_mut(index) {
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -96,8 +96,8 @@
         members: usize,
         now: Millis,
     ) -> Vec<PreemptionOption> {
+        self.count_checks(self.workers.len());
         let allowed = self.workers.iter().filter(|(index, worker)| {
-            self.count_checks(1);
             let permission = self.permission(view, *index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
             is_allowed
--- a/crates/queues/src/scheduler/quarantine.rs
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether a worker is set apart for a quarantined queue.
+    pub fn is_member(&self, worker: WorkerIndex) -> bool {
+        self.members.contains_key(&worker)
+    }
+
     /// Puts a new worker in the place of the earlier incarnation at its address, if that is in a
     /// set, before other queues use it.
     pub fn adopt(&mut self, index: WorkerIndex, worker: &WorkerView) {
@@ -508,6 +513,9 @@
         now: Millis,
     ) -> u64 {
         let quarantined = self.quarantine.get(&queue.name);
+        if quarantined.is_none() {
+            return self.rounds.backlog.millicores(&queue.service);
+        }
         let serving = self.workers_of(&queue.service).filter(|(index, worker)| {
             let is_open = quarantined.is_none() || worker.accepts_tasks(now);
             is_open && self.quarantine.may_use(&queue.name, *index)
--- a/crates/queues/src/scheduler/reports.rs
+++ b/crates/queues/src/scheduler/reports.rs
@@ -91,6 +91,9 @@
         let Some(known) = state.worker(id) else {
             return;
         };
+        if let Some(index) = self.index(id) {
+            self.rounds.note_freed(index);
+        }
         match self.workers.by_id_mut(id) {
             Some(worker) => {
                 worker.record = known.record.clone();
--- a/crates/queues/src/scheduler/reservations.rs
+++ b/crates/queues/src/scheduler/reservations.rs
@@ -50,6 +50,17 @@
         }
     }
 
+    /// The steps that hold reservations.
+    pub fn owners(&self) -> SmallVec<[StepKey; 4]> {
+        let mut owners = SmallVec::new();
+        for reservation in self.by_worker.values().flatten() {
+            if !owners.contains(&reservation.owner) {
+                owners.push(reservation.owner);
+            }
+        }
+        owners
+    }
+
     /// When the reservation of a step begins, if it holds one.
     pub fn begins(&self, owner: StepKey) -> Option<Millis> {
         let all = self.by_worker.values().flatten();
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -1,18 +1,26 @@
 //! Placement rounds.
 //!
-//! A round goes through all waiting steps in their order, and each step costs processor time that
-//! the leader also needs for commits and requests. The more steps wait, the longer is the pause
-//! between two rounds. Urgent steps that can meet their deadline do not wait for a round once their
-//! permit requests are answered.
+//! A round goes through the waiting steps in their order, and each step that it tries costs
+//! processor time that the leader also needs for commits and requests. A step that could not be
+//! placed is tried again only when something has changed for it: its permits were answered, tasks
+//! of it wait again, or a worker that it may use has got free resources. Since permits, pauses and
+//! reservations also change with time alone, each step is tried again at intervals, which grow with
+//! the number of waiting steps. A round does a limited number of checks; steps that it leaves out
+//! are tried in the next one. Urgent steps that can meet their deadline do not wait for a round once
+//! their permit requests are answered.
 
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
+use smallvec::SmallVec;
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::backlog::Backlog;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::reservations::Reservations;
+use crate::scheduler::steps::StepView;
+use crate::scheduler::workers::WorkerIndex;
 use crate::state::QueueState;
 
 /// A gang gets a reservation for later only while fewer gangs than this hold reservations, since
@@ -25,12 +33,28 @@
 const PAUSE_MAX_MS: u64 = 24;
 /// The number of waiting steps that lengthens the pause by a millisecond.
 const STEPS_PER_PAUSE_MS: u64 = 25;
-/// The number of checks, gangs times workers, that lengthens the pause between placements of gangs
-/// by a millisecond. Each gang has to be checked against all workers. During the pause other tasks
-/// may take resources that a gang needs.
+/// The number of checks of gangs that lengthens the pause between placements of gangs by a
+/// millisecond. Each gang has to be checked against many workers. During the pause other tasks may
+/// take resources that a gang needs.
 const GANG_CHECKS_PER_PAUSE_MS: u64 = 1_500;
 /// The longest pause between placements of gangs.
-const GANG_PAUSE_MAX_MS: u64 = 10;
+const GANG_PAUSE_MAX_MS: u64 = 50;
+/// The pause after a round is at least this many times as long as the round took, so that placement
+/// takes at most a third of the leader's time.
+const PAUSE_FACTOR: u64 = 2;
+/// The longest pause after a slow round.
+const SLOW_PAUSE_MAX_MS: u64 = 150;
+/// A round tries no further steps after this many checks.
+const CHECKS_PER_ROUND_MAX: u64 = 50_000;
+/// A waiting step is tried again after this time although nothing has changed for it.
+const RETRY_MIN_MS: u64 = 20;
+/// The number of waiting steps that lengthens this time by a millisecond.
+const STEPS_PER_RETRY_MS: u64 = 10;
+/// The longest time after which a waiting step is tried again.
+const RETRY_MAX_MS: u64 = 500;
+/// The number of blocked gangs that a round tries for a reservation although nothing has changed
+/// for them.
+const RESERVATION_TRIES_MAX: usize = 4;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
 const INTERVAL_MS: u64 = 100;
@@ -41,9 +65,17 @@
     /// Whether a change may have made a task placeable.
     pub(crate) is_due: bool,
     placed_at: Millis,
+    /// Whether a round took place since the time of a tick was last recorded.
+    has_placed: bool,
     pause_ms: u64,
     gangs_placed_at: Millis,
     gang_pause_ms: u64,
+    /// After how long a waiting step is tried again although nothing has changed for it.
+    retry_ms: u64,
+    /// Workers with resources that were freed since the last round.
+    freed: Vec<WorkerIndex>,
+    /// Workers with resources that were freed since the last placement of gangs.
+    freed_for_gangs: Vec<WorkerIndex>,
     /// The reservations of the last round.
     reservations: Reservations,
     /// The largest free amount of each resource on any worker that accepted tasks when the last
@@ -51,6 +83,10 @@
     pub(crate) max_free: Resources,
     /// Whether half of the processor capacity and of the memory of these workers was free.
     pub(crate) is_half_free: bool,
+    /// The waiting work and the capacity when the last round began.
+    pub(crate) backlog: Backlog,
+    /// These workers with their free processor capacity in millicores, those with the most first.
+    pub(crate) by_free: Vec<(u64, WorkerIndex)>,
 }
 
 impl Rounds {
@@ -72,9 +108,11 @@
     /// Whether a round begins now; if so, records it.
     fn begin(&mut self, now: Millis) -> bool {
         let since_ms = now.since(self.placed_at);
-        let begins = (self.is_due && since_ms >= self.pause_ms) || since_ms >= INTERVAL_MS;
+        let interval_ms = INTERVAL_MS.max(self.pause_ms);
+        let begins = (self.is_due && since_ms >= self.pause_ms) || since_ms >= interval_ms;
         if begins {
             self.is_due = false;
+            self.has_placed = true;
             self.placed_at = now;
         }
         begins
@@ -82,16 +120,75 @@
 
     /// Sets the pause before the next round.
     fn pause(&mut self, waiting_steps: usize) {
-        let more_ms = waiting_steps as u64 / STEPS_PER_PAUSE_MS;
-        self.pause_ms = (PAUSE_MIN_MS + more_ms).min(PAUSE_MAX_MS);
+        let steps = waiting_steps as u64;
+        self.pause_ms = (PAUSE_MIN_MS + steps / STEPS_PER_PAUSE_MS).min(PAUSE_MAX_MS);
+        self.retry_ms = (RETRY_MIN_MS + steps / STEPS_PER_RETRY_MS).min(RETRY_MAX_MS);
     }
 
-    /// Sets the pause before gangs are placed again.
-    fn pause_gangs(&mut self, gangs: u64, workers: usize, now: Millis) {
-        let checks = gangs * workers as u64;
+    /// Sets the pause before gangs are placed again, by the checks that they took.
+    fn pause_gangs(&mut self, checks: u64, now: Millis) {
         self.gangs_placed_at = now;
         self.gang_pause_ms = (checks / GANG_CHECKS_PER_PAUSE_MS).min(GANG_PAUSE_MAX_MS);
     }
+
+    /// Lengthens the pauses by the time that the last tick took, if it had a round.
+    pub(crate) fn record_time(&mut self, took_ms: u64) {
+        if !std::mem::take(&mut self.has_placed) {
+            return;
+        }
+        let pause_ms = (took_ms * PAUSE_FACTOR).min(SLOW_PAUSE_MAX_MS);
+        self.pause_ms = self.pause_ms.max(pause_ms);
+    }
+
+    /// Records that resources of a worker were freed, or that it accepts tasks again.
+    pub(crate) fn note_freed(&mut self, worker: WorkerIndex) {
+        self.freed.push(worker);
+        self.freed_for_gangs.push(worker);
+        self.is_due = true;
+    }
+
+    /// Takes the workers freed since the last round and, in a round with gangs, those freed since
+    /// the last placement of gangs.
+    fn take_freed(&mut self, has_gangs: bool) -> FreedWorkers {
+        let mut freed = FreedWorkers {
+            for_tasks: std::mem::take(&mut self.freed),
+            for_gangs: Vec::new(),
+        };
+        if has_gangs {
+            freed.for_gangs = std::mem::take(&mut self.freed_for_gangs);
+        }
+        for list in [&mut freed.for_tasks, &mut freed.for_gangs] {
+            list.sort_unstable();
+            list.dedup();
+        }
+        freed
+    }
+}
+
+/// Workers with freed resources.
+#[derive(Debug)]
+struct FreedWorkers {
+    for_tasks: Vec<WorkerIndex>,
+    for_gangs: Vec<WorkerIndex>,
+}
+
+/// The state of a round in progress.
+#[derive(Debug)]
+struct Round {
+    /// Whether gangs are placed in this round, also those that are not urgent.
+    has_gangs: bool,
+    freed: FreedWorkers,
+    reservations: Reservations,
+    /// The gangs that held reservations after the last round.
+    owners: SmallVec<[StepKey; 4]>,
+    /// The number of gangs that hold a reservation.
+    reserved: usize,
+    /// The number of gangs that were tried for a reservation.
+    reservation_tries: usize,
+    /// The value of the counter of checks at which no further step is tried.
+    checks_end: u64,
+    /// The checks that gangs took.
+    gang_checks: u64,
 }
 
 impl Scheduler {
@@ -107,47 +204,130 @@
 
     /// Places the waiting steps in the order of their ranks.
     fn place_steps(&mut self, state: &QueueState, now: Millis) {
-        let mut ranks: Vec<Rank> = self
-            .steps
-            .values()
-            .filter(|view| !view.waiting.is_empty())
-            .map(|view| Rank::of(view, now))
-            .collect();
-        ranks.sort_unstable();
         self.count_checks(self.steps.len());
+        let mut backlog = Backlog::default();
+        let mut ranks: Vec<Rank> = Vec::new();
+        for view in self.steps.values().filter(|view| !view.waiting.is_empty()) {
+            let rank = Rank::of(view, now);
+            backlog.add_step(view, &rank);
+            ranks.push(rank);
+        }
+        ranks.sort_unstable();
+        self.rounds.backlog = backlog;
         self.rounds.pause(ranks.len());
         self.record_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
-        let mut reservations = if has_gangs {
+        let reservations = if has_gangs {
             self.reserve_held(now)
         } else {
             std::mem::take(&mut self.rounds.reservations)
         };
-        let mut gangs = 0;
-        let mut reserved = 0;
+        let mut round = Round {
+            has_gangs,
+            freed: self.rounds.take_freed(has_gangs),
+            reservations,
+            owners: self.rounds.reservations.owners(),
+            reserved: 0,
+            reservation_tries: 0,
+            checks_end: self.checks.get() + CHECKS_PER_ROUND_MAX,
+            gang_checks: 0,
+        };
         for rank in ranks {
-            let Some(mut view) = self.steps.remove(&rank.key) else {
-                continue;
-            };
-            if !view.is_ready {
-                self.prefetch_permits(&mut view, now);
-            } else if !view.spec().is_gang {
-                self.place_tasks(state, &mut view, &reservations, now);
-            } else if has_gangs || view.is_urgent() {
-                gangs += 1;
-                let may_reserve = has_gangs && reserved < RESERVATIONS_MAX;
-                let has_reservation =
-                    self.place_gang(state, &mut view, &mut reservations, may_reserve, now);
-                reserved += usize::from(has_reservation);
-            }
-            self.steps.insert(rank.key, view);
+            self.place_step(state, rank.key, &mut round, now);
         }
-        self.rounds.reservations = reservations;
+        self.rounds.reservations = round.reservations;
         if has_gangs {
-            self.rounds.pause_gangs(gangs, self.workers.len(), now);
+            self.rounds.pause_gangs(round.gang_checks, now);
         }
     }
 
+    /// Tries to place a step in a round, if it is due.
+    fn place_step(&mut self, state: &QueueState, key: StepKey, round: &mut Round, now: Millis) {
+        let Some(view) = self.steps.get(&key) else {
+            return;
+        };
+        if !self.is_try_due(view, round, now) {
+            return;
+        }
+        if self.checks.get() >= round.checks_end {
+            // The workers freed before this round are not told to the next one.
+            if let Some(view) = self.steps.get_mut(&key) {
+                view.tried = None;
+            }
+            return;
+        }
+        let Some(mut view) = self.steps.remove(&key) else {
+            return;
+        };
+        view.tried = Some(now);
+        if !view.is_ready {
+            self.prefetch_permits(&mut view, now);
+        } else if view.spec().is_gang {
+            self.place_gang_in_round(state, &mut view, round, now);
+        } else {
+            self.place_tasks(state, &mut view, &round.reservations, now);
+        }
+        self.steps.insert(key, view);
+    }
+
+    fn place_gang_in_round(
+        &mut self,
+        state: &QueueState,
+        view: &mut StepView,
+        round: &mut Round,
+        now: Millis,
+    ) {
+        let checks = self.checks.get();
+        let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX;
+        round.reservation_tries += usize::from(may_reserve);
+        let has_reservation =
+            self.place_gang(state, view, &mut round.reservations, may_reserve, now);
+        round.reserved += usize::from(has_reservation);
+        round.gang_checks += self.checks.get() - checks;
+    }
+
+    /// Whether a round tries a step.
+    fn is_try_due(&self, view: &StepView, round: &Round, now: Millis) -> bool {
+        let is_gang = view.is_ready && view.spec().is_gang;
+        if is_gang && !round.has_gangs && !view.is_urgent() {
+            return false;
+        }
+        let Some(tried) = view.tried else {
+            return true;
+        };
+        if now.since(tried) >= self.rounds.retry_ms {
+            return true;
+        }
+        if !is_gang {
+            return view.is_ready && self.has_use_for(view, &round.freed.for_tasks);
+        }
+        // A reservation lasts until the next placement of gangs only.
+        let may_reserve = round.has_gangs
+            && round.reserved < RESERVATIONS_MAX
+            && (round.reservation_tries < RESERVATION_TRIES_MAX
+                || round.owners.contains(&view.key));
+        let freed = if round.has_gangs {
+            &round.freed.for_gangs
+        } else {
+            &round.freed.for_tasks
+        };
+        may_reserve || self.has_use_for(view, freed)
+    }
+
+    /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
+    /// may be asked about it.
+    fn has_use_for(&self, view: &StepView, workers: &[WorkerIndex]) -> bool {
+        let need = view.spec().resources;
+        if !need.fits_in(&self.rounds.max_free) {
+            return false;
+        }
+        workers.iter().any(|index| {
+            let is_possible = view.queue.permits.is_none() || view.permits.may_use_or_ask(*index);
+            let worker = self.workers.get(*index).filter(|_| is_possible);
+            worker.is_some_and(|worker| need.fits_in(&worker.free()))
+        })
+    }
+
     /// Places urgent steps that can meet their deadline as soon as their permit requests are
     /// answered: a short job has no time to wait for a round.
     fn place_urgent(&mut self, state: &QueueState, now: Millis) {
@@ -174,16 +354,28 @@
         let mut max_free = Resources::ZERO;
         let mut free_sum = Resources::ZERO;
         let mut capacity_sum = Resources::ZERO;
+        for (index, worker) in self.workers.iter() {
+            if !self.quarantine.is_member(index) {
+                let record = &worker.record;
+                let backlog = &mut self.rounds.backlog;
+                backlog.add_worker(&record.service, record.capacity.millicores);
+            }
+        }
+        self.count_checks(2 * self.workers.len());
+        let mut by_free = std::mem::take(&mut self.rounds.by_free);
+        by_free.clear();
         let open = self.workers.iter();
-        self.count_checks(self.workers.len());
-        for (_, worker) in open.filter(|(_, worker)| worker.accepts_tasks(now)) {
+        for (index, worker) in open.filter(|(_, worker)| worker.accepts_tasks(now)) {
             let free = worker.free();
+            by_free.push((free.millicores, index));
             max_free.millicores = max_free.millicores.max(free.millicores);
             max_free.memory_mib = max_free.memory_mib.max(free.memory_mib);
             max_free.accelerators = max_free.accelerators.max(free.accelerators);
             free_sum = free_sum.saturating_add(&free);
             capacity_sum = capacity_sum.saturating_add(&worker.record.capacity);
         }
+        by_free.sort_unstable_by_key(|(millicores, index)| (u64::MAX - millicores, *index));
+        self.rounds.by_free = by_free;
         self.rounds.max_free = max_free;
         self.rounds.is_half_free = free_sum.millicores * 2 >= capacity_sum.millicores
             && free_sum.memory_mib * 2 >= capacity_sum.memory_mib;
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -133,6 +133,13 @@
         self.allowed.keys().copied()
     }
 
+    /// Whether the policy has allowed a worker, also if the permit has expired, or has not been
+    /// asked about it while no request is needed or unanswered.
+    pub fn may_use_or_ask(&self, worker: WorkerIndex) -> bool {
+        let may_ask = self.need.is_none() && self.in_flight.is_none();
+        self.allowed.contains_key(&worker) || (may_ask && !self.denied.contains(&worker))
+    }
+
     /// Whether a request is unanswered.
     pub fn has_request(&self) -> bool {
         self.in_flight.is_some()
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -89,6 +89,8 @@
     pub hold: Hold,
     /// No preemption for this gang is tried before this time.
     pub preempt_retry_at: Millis,
+    /// When a round last tried to place it; `None` if something has changed for it since.
+    pub tried: Option<Millis>,
     /// Whether its waiting tasks have to be isolated and it had no turn for that in the last round.
     pub is_without_turn: bool,
     /// The permits known from the placement policy, and what to request next.
@@ -198,13 +200,17 @@
             let Some(view) = self.steps.get_mut(&key) else {
                 continue;
             };
-            view.is_ready = job.is_ready(key.step);
+            let was_ready = std::mem::replace(&mut view.is_ready, job.is_ready(key.step));
             let tasks = step.tasks.iter().enumerate();
             let waiting = tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting);
             let waiting = waiting.map(|(index, _)| index as u32);
-            view.waiting = waiting
+            let waiting: BTreeSet<u32> = waiting
                 .filter(|index| !view.proposed.contains(index))
                 .collect();
+            if view.is_ready != was_ready || waiting != view.waiting {
+                view.tried = None;
+            }
+            view.waiting = waiting;
             if !view.is_ready || view.waiting.is_empty() {
                 view.waiting_since = None;
             } else {
@@ -258,6 +264,7 @@
         for view in self.steps.values_mut() {
             if let Some(queue) = table.queue(&view.queue_name) {
                 view.queue = step_queue(queue);
+                view.tried = None;
             }
         }
     }
@@ -331,6 +338,7 @@
         blocked_since: None,
         hold: Hold::default(),
         preempt_retry_at: Millis::ZERO,
+        tried: None,
         is_without_turn: false,
         permits: StepPermits::default(),
     };
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -177,8 +177,8 @@
     fn count_room(&self, view: &StepView, now: Millis) -> RoomCount {
         let mut room = RoomCount::default();
         let need = view.spec().resources;
+        self.count_checks(self.workers.len());
         for (index, worker) in self.workers.iter() {
-            self.count_checks(1);
             if !view.can_run_on(worker) {
                 continue;
             }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -505,6 +505,7 @@
         let Some(view) = worker.remove_run(task, run) else {
             return;
         };
+        self.rounds.note_freed(index);
         if kind.is_some() {
             self.unstarted_jobs.remove(&task.step.job);
         }
--- a/crates/queues/tests/model/leader.rs
+++ b/crates/queues/tests/model/leader.rs
@@ -143,7 +143,11 @@
             let waited_ms = handled_ms.max(self.now.0) - due.0;
             self.leader.oldest_event_ms = self.leader.oldest_event_ms.max(waited_ms);
             let events = match &event {
-                Event::Applied(commands) => commands.len(),
+                Event::Applied(commands) => {
+                    let took_ms = self.commit_ms + waited_ms;
+                    self.scheduler.record_commit(took_ms, self.now);
+                    commands.len()
+                }
                 _ => 1,
             };
             self.handle(event);
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -395,8 +395,10 @@
         self.scheduler.tick(&self.state, self.now);
         self.decision_time += begin.elapsed();
         let actions = self.scheduler.take_actions();
-        self.leader
-            .spend(self.scheduler.take_checks(), actions.len());
+        let checks = self.scheduler.take_checks();
+        let took_ms = checks * self.leader.check_cost_ns / 1_000_000;
+        self.scheduler.record_tick_time(took_ms);
+        self.leader.spend(checks, actions.len());
         for action in actions {
             self.act(action);
         }
