Refuse new jobs at once while all commits are slow

What callers saw: answers seconds late, then none. A leader that falls behind accepted, committed and queued jobs for callers that had left.

Ruled out: the length of the core thread's channel, which stays short while the network threads are starved.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -17,6 +17,7 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::scheduler::Admission;
 use sapphirepost_queues::scheduler::AnsweredPermitRequest;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
@@ -209,16 +210,16 @@
         if let Some(admission) = admission
             && let Some(retry_after_ms) = admission.retry_after_ms()
         {
+            let reason = refusal_reason(&admission);
             log::info!(
                 job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
                 capacity_millicores = admission.capacity_millicores, retry_after_ms;
-                "job refused: the backlog is too long"
+                "job refused: {reason}"
             );
             self.queues.metrics.refused.inc();
-            let reason = "the backlog is too long".to_owned();
             return done.send(Ok(QueueReply::Refused {
                 retry_after_ms,
-                reason,
+                reason: reason.to_owned(),
             }));
         }
         scheduler.handle_submission(key, &queue, &spec, now);
@@ -247,6 +248,13 @@
     }
 }
 
+fn refusal_reason(admission: &Admission) -> &'static str {
+    match admission.overload_retry_ms {
+        Some(_) => "the leader falls behind",
+        None => "the backlog is too long",
+    }
+}
+
 fn log_permit_answer(answered: Option<AnsweredPermitRequest>, answer: &PermitAnswer) {
     let Some(answered) = answered else {
         log::debug!(question = answer.id; "an answer of the policy arrived too late");
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -140,6 +140,12 @@
         self.metrics.ended_job_runs.set(0);
     }
 
+    /// How long ago the oldest entry in progress was proposed.
+    fn commit_in_progress_ms(&self, now: Millis) -> u64 {
+        let oldest = self.pending_answers.front();
+        oldest.map_or(0, |(_, proposed, _)| now.since(*proposed))
+    }
+
     /// Counts accepted and ended jobs, and records the waits of steps and the times of jobs to the
     /// first placement and to the end.
     fn record_change(&mut self, change: &QueueChange, now: Millis) {
@@ -245,8 +251,12 @@
             let Some((_, proposed, answers)) = self.queues.pending_answers.pop_front() else {
                 break;
             };
-            let seconds = now.since(proposed) as f64 / MILLIS_PER_SECOND;
+            let took_ms = now.since(proposed);
+            let seconds = took_ms as f64 / MILLIS_PER_SECOND;
             self.queues.metrics.commit_seconds.observe(seconds);
+            if let Some(scheduler) = &mut self.queues.scheduler {
+                scheduler.record_commit(took_ms, now);
+            }
             for (done, reply) in answers {
                 done.send(Ok(reply));
             }
@@ -286,10 +296,13 @@
         }
         self.release_idle_policy_clients(now);
         self.adjust_voters(now);
+        let commit_in_progress_ms = self.queues.commit_in_progress_ms(now);
         let Some(scheduler) = &mut self.queues.scheduler else {
             return;
         };
+        scheduler.record_commit_in_progress(commit_in_progress_ms);
         scheduler.tick(self.state.queues(), now);
+        scheduler.record_tick_time(self.clock.now().since(now));
         let quarantine_changes = scheduler.take_quarantine_changes();
         quarantine_changes
             .iter()
