Handle events of the group before all others

Cause: the core thread took messages of the group, confirmations of the disk, replies of 1,100 workers and all calls from one channel in the order of their arrival, up to 513 before a heartbeat could be sent, and the same two network threads carried all of these. Replies of the other members were as late as the queue was long, and the leader concluded that it had lost its quorum.

Change: events of the group have a channel of their own, which is emptied first; a round handles events for at most 15 ms before it turns to the output; the messages of the group and the calls of other processes have a network thread of their own.

Tests: event_channel, two new ones; before, an event of the group came after 5,000 calls, and was dropped when calls had filled the channel (seen from the code; the interface returned no time).

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -49,6 +49,9 @@
 /// How many queued events a round handles, after the one that it waited for, before it turns to the
 /// node's output. Proposals of the same round share a message.
 const EVENTS_PER_ROUND: usize = 512;
+/// A round turns to the node's output after this time even if more events are queued. It is a part
+/// of the interval of heartbeats, which are output.
+const EVENT_TIME_PER_ROUND: Duration = Duration::from_millis(15);
 /// How long a graceful stop waits for the leadership transfer.
 const LEADERSHIP_TRANSFER_WAIT_MS: u64 = 1_000;
 
@@ -102,7 +105,9 @@
                 Err(RecvTimeoutError::Disconnected) => break,
             };
             self.load.begin_round();
-            let more = std::iter::from_fn(|| events.try_recv()).take(EVENTS_PER_ROUND);
+            let until = Instant::now() + EVENT_TIME_PER_ROUND;
+            let next = || (Instant::now() < until).then(|| events.try_recv())?;
+            let more = std::iter::from_fn(next).take(EVENTS_PER_ROUND);
             self.handle_events(first.into_iter().chain(more))?;
             self.handle_output(events.len())?;
             self.load.end_round(events.len(), self.is_leading());
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -1,4 +1,8 @@
-//! The input of the core thread, and the bounded channel that carries it.
+//! The input of the core thread, and the bounded channels that carry it.
+//!
+//! Events of the group have a channel of their own and are handled first. Behind the replies of
+//! many workers and the calls of many callers, a leader would see the replies of the other members
+//! too late and stop leading.
 
 use std::io;
 use std::thread;
@@ -6,6 +10,7 @@
 use std::time::Instant;
 
 use flume::RecvTimeoutError;
+use flume::Selector;
 use flume::TrySendError;
 use serde_json::Value;
 
@@ -33,9 +38,10 @@
 
 /// The number of queued events from which on calls are refused as busy.
 const CALLS_MAX: usize = 8_192;
-/// Channel capacity that calls cannot use, so that a flood of them does not delay elections and
-/// commits.
+/// Channel capacity that calls cannot use, for the replies of workers.
 const RESERVED_CAPACITY: usize = 2_048;
+/// The capacity of the channel for events of the group.
+const GROUP_EVENTS_MAX: usize = 4_096;
 
 /// One input of the core thread.
 pub enum Event {
@@ -111,65 +117,89 @@
     }
 }
 
-/// The receiving side of the channel to the core thread.
-pub struct EventReceiver(flume::Receiver<QueuedEvent>);
+/// The receiving side of the channels to the core thread.
+pub struct EventReceiver {
+    group: flume::Receiver<QueuedEvent>,
+    others: flume::Receiver<QueuedEvent>,
+}
 
 impl EventReceiver {
-    /// Waits for an event, and returns it with the time at which it was sent.
+    /// Waits for an event, and returns it with the time at which it was sent. An event of the group
+    /// comes before any other.
     pub fn recv_timeout(&self, timeout: Duration) -> Result<(Event, Instant), RecvTimeoutError> {
-        let queued = self.0.recv_timeout(timeout)?;
-        Ok((queued.event, queued.queued_at))
+        if let Some(queued) = self.try_recv() {
+            return Ok(queued);
+        }
+        let selected = Selector::new()
+            .recv(&self.group, |received| received)
+            .recv(&self.others, |received| received)
+            .wait_timeout(timeout);
+        match selected {
+            Ok(Ok(queued)) => Ok((queued.event, queued.queued_at)),
+            Ok(Err(_)) => Err(RecvTimeoutError::Disconnected),
+            Err(_) => Err(RecvTimeoutError::Timeout),
+        }
     }
 
-    /// Returns an event that is already there, with the time at which it was sent.
+    /// Returns an event that is already there, with the time at which it was sent. An event of the
+    /// group comes before any other.
     pub fn try_recv(&self) -> Option<(Event, Instant)> {
-        let queued = self.0.try_recv().ok()?;
+        let queued = self.group.try_recv().or_else(|_| self.others.try_recv());
+        let queued = queued.ok()?;
         Some((queued.event, queued.queued_at))
     }
 
-    /// The number of events in the channel.
+    /// The number of events in the channels.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.group.len() + self.others.len()
     }
 
-    /// Whether the channel has no event.
+    /// Whether there is no event.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.len() == 0
     }
 }
 
-/// The sending side of the channel to the core thread.
+/// The sending side of the channels to the core thread.
 #[derive(Clone)]
-pub struct EventSender(flume::Sender<QueuedEvent>);
+pub struct EventSender {
+    group: flume::Sender<QueuedEvent>,
+    others: flume::Sender<QueuedEvent>,
+}
 
 impl EventSender {
-    /// Creates the channel and returns both sides.
+    /// Creates the channels and returns both sides.
     pub fn new() -> (EventSender, EventReceiver) {
-        let (sender, receiver) = flume::bounded(CALLS_MAX + RESERVED_CAPACITY);
-        (EventSender(sender), EventReceiver(receiver))
+        let (group_sender, group) = flume::bounded(GROUP_EVENTS_MAX);
+        let (other_sender, others) = flume::bounded(CALLS_MAX + RESERVED_CAPACITY);
+        let sender = EventSender {
+            group: group_sender,
+            others: other_sender,
+        };
+        (sender, EventReceiver { group, others })
     }
 
     /// Sends a call, or returns it if too many events are queued or the core thread has ended.
     pub fn try_send_call(&self, event: Event) -> Result<(), Box<Event>> {
-        if self.0.len() >= CALLS_MAX {
+        if self.others.len() >= CALLS_MAX {
             return Err(Box::new(event));
         }
-        self.0
+        self.others
             .try_send(QueuedEvent::new(event))
             .map_err(|error| Box::new(error.into_inner().event))
     }
 
-    /// Sends an event, or drops it if the channel is full. Consensus tolerates the loss of its
+    /// Sends an event, or drops it if its channel is full. Consensus tolerates the loss of its
     /// messages.
     pub fn send_or_drop(&self, event: Event) {
-        let _ = self.0.try_send(QueuedEvent::new(event));
+        let _ = self.channel(&event).try_send(QueuedEvent::new(event));
     }
 
     /// Asks the core thread for a graceful stop, without blocking. While the channel is full, a
     /// thread of its own waits for room. Fails if that thread cannot be started.
     pub fn request_shutdown(&self) -> io::Result<()> {
         let shutdown = QueuedEvent::new(Event::Shutdown);
-        if let Err(TrySendError::Full(queued)) = self.0.try_send(shutdown) {
+        if let Err(TrySendError::Full(queued)) = self.group.try_send(shutdown) {
             let sender = self.clone();
             thread::Builder::new()
                 .name("shutdown".to_owned())
@@ -178,9 +208,16 @@
         Ok(())
     }
 
-    /// Sends an event that must not get lost, and blocks while the channel is full. Returns
+    /// Sends an event that must not get lost, and blocks while its channel is full. Returns
     /// whether the core thread still runs.
     pub fn send_blocking(&self, event: Event) -> bool {
-        self.0.send(QueuedEvent::new(event)).is_ok()
+        self.channel(&event).send(QueuedEvent::new(event)).is_ok()
+    }
+
+    fn channel(&self, event: &Event) -> &flume::Sender<QueuedEvent> {
+        match event.kind() {
+            EventKind::Group => &self.group,
+            _ => &self.others,
+        }
     }
 }
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -62,6 +62,9 @@
 
 /// Threads of the asynchronous runtime; scheduling decisions run on the core thread.
 const NETWORK_THREADS: usize = 2;
+/// Threads that carry the messages of the group and the calls of other processes. They are apart
+/// from the others, which may have thousands of requests to workers to handle first.
+const GROUP_NETWORK_THREADS: usize = 1;
 /// How long the admin listener waits for a dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a stopping process waits for its last replies to be sent.
@@ -130,6 +133,8 @@
         })?;
     }
     let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
+    let group_runtime =
+        rpc::runtime(GROUP_NETWORK_THREADS).context("cannot start the group's network thread")?;
     let (event_sender, events) = EventSender::new();
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
@@ -144,7 +149,7 @@
         RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
     server_config.connections_max = descriptors.inner as u32;
     let server = RpcServer::start(
-        runtime.handle(),
+        group_runtime.handle(),
         server_config,
         methods::methods(&event_sender)?,
     )?;
@@ -177,7 +182,7 @@
     );
 
     let peers = Peers::new(
-        runtime.handle().clone(),
+        group_runtime.handle().clone(),
         settings.inner_key.clone(),
         member,
         settings.advertise_address.to_string(),
@@ -202,6 +207,7 @@
         drop(events);
         storage.finish();
     }
+    group_runtime.shutdown_background();
     runtime.shutdown_background();
     log::info!("stopped");
     Ok(result?)
--- a/crates/control/tests/event_channel.rs
+++ b/crates/control/tests/event_channel.rs
@@ -25,3 +25,33 @@
     let mut received = std::iter::from_fn(|| events.recv_timeout(Duration::from_secs(5)).ok());
     assert!(received.any(is_shutdown), "the request was lost");
 }
+
+/// Guards against a leader that handles the messages of the group only after thousands of replies of
+/// workers, and stops leading since the replies of the other members seem to be missing.
+#[test]
+fn an_event_of_the_group_is_handled_before_queued_calls() {
+    let (sender, events) = EventSender::new();
+    for _ in 0..5_000 {
+        let dump = Event::Dump(Box::new(|_| {}));
+        assert!(sender.try_send_call(dump).is_ok());
+    }
+    sender.send_or_drop(Event::StorageHasSpace);
+    let (first, _) = events.recv_timeout(Duration::from_secs(5)).unwrap();
+    assert!(matches!(first, Event::StorageHasSpace));
+    sender.send_or_drop(Event::StorageHasSpace);
+    let (next, _) = events.try_recv().unwrap();
+    assert!(matches!(next, Event::StorageHasSpace));
+    assert!(matches!(events.try_recv(), Some((Event::Dump(_), _))));
+}
+
+/// Guards against a message of the group that is dropped since calls fill the channel.
+#[test]
+fn a_full_channel_of_calls_has_room_for_the_group() {
+    let (sender, events) = EventSender::new();
+    let mut calls = 0;
+    while sender.try_send_call(Event::Dump(Box::new(|_| {}))).is_ok() {
+        calls += 1;
+    }
+    sender.send_or_drop(Event::StorageHasSpace);
+    assert_eq!(events.len(), calls + 1);
+}
