--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -38,6 +38,7 @@
     pub(crate) worker_restarts: Counter,
     starts: Counter,
     stops: Family<StopLabel, Counter>,
+    incomplete_gang_ends: Counter,
     unanswered_requests: Counter,
     rejected_starts: Counter,
     permit_requests: Counter,
@@ -129,6 +130,10 @@
                 "Stops sent to workers, repeated ones included",
                 Family::default(),
             ),
+            incomplete_gang_ends: counter(
+                "queue_gang_incomplete_ends",
+                "Runs that ended because the other members of their gang did not start in time",
+            ),
             unanswered_requests: counter("queue_orders_unanswered", "Orders without an answer"),
             rejected_starts: counter("queue_starts_rejected", "Starts that workers rejected"),
             permit_requests: counter("queue_questions", "Questions to the placement policy"),
@@ -156,6 +161,7 @@
                 self.stops.get_or_create(&label).inc_by(stops);
             }
         }
+        self.incomplete_gang_ends.inc_by(counts.incomplete_gang_ends);
         self.unanswered_requests.inc_by(counts.unanswered_requests);
         self.rejected_starts.inc_by(counts.rejected_starts);
         self.permit_requests.inc_by(counts.permit_requests);
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -80,17 +80,20 @@
     Displaced,
     /// The worker reports it although it should not run there.
     Stray,
+    /// Another member of its gang's run is over or cannot begin.
+    GangIncomplete,
 }
 
 impl StopReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [StopReason; 6] = [
+    pub const ALL: [StopReason; 7] = [
         StopReason::JobEnded,
         StopReason::Unanswered,
         StopReason::WorkerLeaves,
         StopReason::StandsStill,
         StopReason::Displaced,
         StopReason::Stray,
+        StopReason::GangIncomplete,
     ];
 
     /// The position in [`StopReason::ALL`].
@@ -102,6 +105,7 @@
             StopReason::StandsStill => 3,
             StopReason::Displaced => 4,
             StopReason::Stray => 5,
+            StopReason::GangIncomplete => 6,
         }
     }
 
@@ -114,6 +118,7 @@
             StopReason::StandsStill => "stalled",
             StopReason::Displaced => "preempted",
             StopReason::Stray => "unexpected",
+            StopReason::GangIncomplete => "gang_incomplete",
         }
     }
 }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -126,6 +126,8 @@
     pub starts: u64,
     /// Stops that were sent, repeated ones included, in the order of [`StopReason::ALL`].
     pub stops: [u64; StopReason::ALL.len()],
+    /// Runs that ended because the other members of their gang did not start in time.
+    pub incomplete_gang_ends: u64,
     /// Requests to workers that got no reply or could not be sent.
     pub unanswered_requests: u64,
     /// Crashes of workers, by a refused connection shortly after a reply.
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -517,6 +517,7 @@
                 }
             }
             Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
+            Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
             _ => {}
         }
         if let Some(step) = self.steps.get_mut(&task.step) {
