Stop the other members of a gang's run when one is over or cannot begin

Cause: a gang's start is committed as a whole, and from then on each member was on its own. A start that was rejected, not sent, out of descriptors or refused by an unhealthy worker released that one member; a new leader released the ones that an earlier leader had not started; a worker that crashed took its member with it; without a lease for one worker the other starts were sent. Nothing compared the members with each other.

Ruled out: that a stop was sent and lost. No stop existed for this reason.

Change: the members are started by one command, so a gang of which some tasks wait and others are placed has lost a member of its run. This follows from the state, so it is checked when a task of the step waits again, and when a poll lists a run (a new leader has not seen the change, and an answered stop may have had no effect). Members that may run get a stop; the first poll resolves those that an earlier leader started. A start that certainly began nothing stops the others before its release is committed. A start whose reply says that it began nothing needs no further stop. A gang is sent only if each of its workers can be sent a lease. A silent worker alone stops nothing, nor does a gang whose work is done. The check costs one comparison for each changed step and each listed run.

The model hid the fault: its members worked for one step before the model looked at their gang, and ended as broken after 5 ms instead of waiting. The model now lets them wait, and checks after each step that no member waits for over 2 s, on a worker in contact, for one that the state knows to be over.

Before the fix, with the corrected model: of the tests of gang_members those named members_do_not_wait_for..., a_new_leader_stops_the_members..., a_lost_stop... and an_answered_stop... failed (no member stopped, or three ends as incomplete after 3,005 ms); all_work_ends_after_random_faults failed in the new check (a member waited for 2,005 ms), and so did tasks_of_workers_that_restart_behind_short_cuts_are_not_given_up. The test without a lease fails if only the check of the lease is taken out: three members begin. The tests of complete and of finished gangs passed before and pass.

--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -161,7 +161,8 @@
                 self.stops.get_or_create(&label).inc_by(stops);
             }
         }
-        self.incomplete_gang_ends.inc_by(counts.incomplete_gang_ends);
+        self.incomplete_gang_ends
+            .inc_by(counts.incomplete_gang_ends);
         self.unanswered_requests.inc_by(counts.unanswered_requests);
         self.rejected_starts.inc_by(counts.rejected_starts);
         self.permit_requests.inc_by(counts.permit_requests);
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -207,6 +207,21 @@
             WorkerRequestError::NoAnswer | WorkerRequestError::Broken
         )
     }
+
+    /// Whether this error of a start means that the request has started nothing and the worker goes
+    /// on under this leader.
+    pub(crate) fn has_started_nothing(self) -> bool {
+        match self {
+            WorkerRequestError::NotSent
+            | WorkerRequestError::Refused
+            | WorkerRequestError::OutOfResources
+            | WorkerRequestError::Unhealthy => true,
+            WorkerRequestError::Rejected(reason) => reason != RejectReason::Fenced,
+            WorkerRequestError::NoAnswer
+            | WorkerRequestError::Broken
+            | WorkerRequestError::OtherLife => false,
+        }
+    }
 }
 
 impl WorkerRequest {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod durations;
 mod ended_runs;
+mod gang_runs;
 mod gangs;
 mod health;
 mod isolation;
@@ -268,7 +269,10 @@
             QueueChange::RunEnded(worker, task, run, kind) => {
                 self.run_ended(state, worker, (*task, *run), *kind, now);
             }
-            QueueChange::StepChanged(step) => self.step_changed(state, *step, now),
+            QueueChange::StepChanged(step) => {
+                self.step_changed(state, *step, now);
+                self.stop_broken_gang(state, *step, now);
+            }
             QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
         }
     }
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -16,6 +16,7 @@
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::messages::WorkerRequest;
 use crate::scheduler::messages::WorkerRequestKind;
+use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 
@@ -283,10 +284,11 @@
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
-    /// started, and stops unexpected ones and those of ended jobs.
+    /// started, and stops unexpected ones, those of ended jobs and those of gangs of which another
+    /// member is over.
     ///
-    /// The end of a job may have been applied before this leader led, so what it has to stop
-    /// follows from the state and the report alone.
+    /// The end of a job or of a member may have been applied before this leader led, so what it has
+    /// to stop follows from the state and the report alone.
     fn reconcile_runs(
         &mut self,
         index: WorkerIndex,
@@ -298,7 +300,7 @@
         let stop_ms = self.config.stop_ms;
         let mut never_started: Vec<(TaskKey, u32)> = Vec::new();
         let mut unexpected: Vec<(TaskKey, u32)> = Vec::new();
-        let mut of_ended_jobs: Vec<(TaskKey, u32)> = Vec::new();
+        let mut to_stop: Vec<((TaskKey, u32), StopReason)> = Vec::new();
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
@@ -307,9 +309,15 @@
             match worker.runs.get_mut(&reported_task.task) {
                 Some(run) if run.run == reported_task.run => {
                     run.update(reported_task, now);
-                    let is_live = self.job_steps.contains_key(&reported_task.task.step.job);
-                    if !is_live && run.needs_stop(sent, stop_ms) {
-                        of_ended_jobs.push((reported_task.task, reported_task.run));
+                    if !run.needs_stop(sent, stop_ms) {
+                        continue;
+                    }
+                    let step = reported_task.task.step;
+                    let key = (reported_task.task, reported_task.run);
+                    if !self.job_steps.contains_key(&step.job) {
+                        to_stop.push((key, StopReason::JobEnded));
+                    } else if self.steps.get(&step).is_some_and(StepView::is_broken_gang) {
+                        to_stop.push((key, StopReason::GangIncomplete));
                     }
                 }
                 _ => unexpected.push((reported_task.task, reported_task.run)),
@@ -346,8 +354,8 @@
                 run,
             });
         }
-        for run in of_ended_jobs {
-            self.stop_run(index, run, StopReason::JobEnded, now);
+        for (run, reason) in to_stop {
+            self.stop_run(index, run, reason, now);
         }
         for (task, run) in unexpected {
             self.send_stop(index, (task, run), StopReason::Stray, now);
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -117,18 +117,13 @@
         for placement in placements {
             self.record_placement(step, placement);
         }
-        let spec = self.steps.get(&step).map(|view| view.spec());
-        let is_gang = spec.is_some_and(|spec| spec.is_gang);
-        let gang_has_room = !is_gang
-            || placements
-                .iter()
-                .all(|placement| self.has_room(&placement.worker, |task| task.step == step));
+        let can_send = self.can_send_starts(step, placements, now);
         for placement in placements {
             let task = step.task(placement.index);
             let Some(index) = self.index(&placement.worker) else {
                 continue;
             };
-            if gang_has_room && self.has_room(&placement.worker, |other| *other == task) {
+            if can_send && self.has_room(&placement.worker, |other| *other == task) {
                 self.send_start(state, index, task, placement.run, now);
             } else {
                 self.release(index, task, placement.run);
@@ -136,7 +131,7 @@
         }
     }
 
-    fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
+    pub(crate) fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
         let worker = self.index(worker).and_then(|index| self.workers.get(index));
         worker.is_some_and(|worker| worker.successor.is_none() && worker.has_room_for(is_next))
     }
@@ -311,7 +306,7 @@
             return;
         };
         let RunStage::StartSent { attempts } = view.stage else {
-            return;
+            return self.stopped_start_answered(index, (task, run), &result);
         };
         match result {
             Ok(_) => {
@@ -357,6 +352,36 @@
         }
     }
 
+    /// Handles the reply to the start of a run that is to be stopped: a run that certainly has not
+    /// begun needs no stop.
+    fn stopped_start_answered(
+        &mut self,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        result: &Result<WorkerReply, WorkerRequestError>,
+    ) {
+        let has_open_start = self.workers.get(index).is_some_and(|worker| {
+            let mut open = worker.open_starts.iter();
+            open.any(|start| start.task == task && start.run == run)
+        });
+        let Some(view) = self.run_mut(index, task, run) else {
+            return;
+        };
+        let is_stopping = matches!(
+            view.stage,
+            RunStage::Stopping { .. } | RunStage::StopAnswered { .. }
+        );
+        match result {
+            Ok(_) => view.has_begun = true,
+            Err(error) if is_stopping && !view.has_begun && error.has_started_nothing() => {
+                if !has_open_start {
+                    self.release(index, task, run);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
     fn start_rejected(
         &mut self,
         index: WorkerIndex,
@@ -390,6 +415,7 @@
             return self.stop_run(index, (task, run), StopReason::Unanswered, now);
         }
         self.release(index, task, run);
+        self.stop_other_members(task, run, now);
     }
 
     fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -29,6 +29,8 @@
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
+use sapphirepost_queues::job::Task;
+use sapphirepost_queues::job::TaskPhase;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
 use sapphirepost_queues::scheduler::PermitRequest;
@@ -61,6 +63,10 @@
 /// began before goes unanswered, the next one lists the run, and its stop is lost once.
 const ENDED_RUN_MAX_MS: u64 = 2_000;
 
+/// How long a member of a gang may wait on once the state says that the run of another member is
+/// over, on a worker that can be reached: its stop may be lost once.
+const BROKEN_GANG_MAX_MS: u64 = 2_000;
+
 /// Idle policy clients report again as waiting at this interval.
 const CLIENT_WAIT_MS: u64 = 500;
 
@@ -116,6 +122,10 @@
     pub policy_fault: Option<PolicyFault>,
     /// The time from a proposal to its application.
     pub commit_ms: u64,
+    /// How long the replies of workers wait until the leader handles them.
+    pub reply_delay_ms: u64,
+    /// Since when the state has shown that a run of a gang, of which a member waits, is incomplete.
+    broken_gangs: BTreeMap<(StepKey, u32), Millis>,
     /// Whether the leader lacks resources to send requests to workers.
     pub is_out_of_resources: bool,
     /// The IDs of all permit requests, in order.
@@ -212,6 +222,8 @@
             unknown_worker: None,
             policy_fault: None,
             commit_ms: COMMIT_MS,
+            reply_delay_ms: 0,
+            broken_gangs: BTreeMap::new(),
             is_out_of_resources: false,
             permit_requests: Vec::new(),
             refused_permit_requests: 0,
@@ -233,6 +245,8 @@
 
     fn schedule(&mut self, delay_ms: u64, event: Event) {
         self.last_event += 1;
+        let is_reply = matches!(event, Event::RequestAnswered(..));
+        let delay_ms = delay_ms + if is_reply { self.reply_delay_ms } else { 0 };
         let key = ((self.now + delay_ms).0, self.last_event);
         self.events.insert(key, event);
     }
@@ -372,6 +386,7 @@
             self.act(action);
         }
         self.check();
+        self.check_broken_gangs();
         self.check_ended_tasks();
     }
 
@@ -508,6 +523,9 @@
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
             return self.schedule(worker::REQUEST_TIMEOUT_MS, missed);
         }
+        if let Some(error) = worker.start_error.filter(|_| is_start) {
+            return self.schedule(NET_MS, Event::RequestAnswered(request, Err(error)));
+        }
         let is_delayed = is_start && worker.start_delay_ms > 0;
         let reply = worker.handle(&request, self.now);
         if is_start && worker.is_crashed_by(&request) {
@@ -615,6 +633,43 @@
         }
     }
 
+    /// Checks that no member of a gang waits for long for others that the state knows to be over,
+    /// while its worker can be reached.
+    fn check_broken_gangs(&mut self) {
+        let mut broken = BTreeMap::new();
+        for worker in self.workers.values() {
+            let waiting = worker.running.iter();
+            for (task, run) in waiting.filter(|(_, run)| run.waits_for_members) {
+                if !self.is_broken(task.step, run.run) {
+                    continue;
+                }
+                let key = (task.step, run.run);
+                let since = *self.broken_gangs.get(&key).unwrap_or(&self.now);
+                broken.insert(key, since);
+                if worker.is_unreachable || self.is_out_of_resources {
+                    continue;
+                }
+                let in_contact_since = self.leader_since.max(worker.reachable_since);
+                let waits_ms = self.now.since(since.max(in_contact_since).max(run.started));
+                assert!(
+                    waits_ms <= BROKEN_GANG_MAX_MS + 2 * self.reply_delay_ms,
+                    "{task} waits on {} for {waits_ms} ms at {} for members that are over",
+                    worker.record.id,
+                    self.now
+                );
+            }
+        }
+        self.broken_gangs = broken;
+    }
+
+    /// Whether a member of this run of a gang waits for another run, by the state.
+    fn is_broken(&self, step: StepKey, run: u32) -> bool {
+        let job = self.state.job(step.job);
+        let step = job.and_then(|job| job.steps.get(usize::from(step.step)));
+        let is_over = |task: &Task| task.run == run && task.phase == TaskPhase::Waiting;
+        step.is_some_and(|step| step.tasks.iter().any(is_over))
+    }
+
     /// The percentage of the jobs of a queue that completed before their deadline.
     pub fn in_time_percent(&self, queue: &str) -> u64 {
         let of_queue = || self.jobs.values().filter(|job| &*job.queue == queue);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -91,6 +91,8 @@
     pub fails_all: bool,
     /// The reason for which it rejects all starts, if any.
     pub rejects_starts: Option<RejectReason>,
+    /// What its leader gets for every start, if any; the starts are not carried out.
+    pub start_error: Option<WorkerRequestError>,
     /// Whether its tasks make no progress.
     pub stalls: bool,
     /// How long a task takes on it, in percent of the usual duration.
@@ -111,6 +113,8 @@
     pub starts_over_capacity: u64,
     /// How long it is down after a crash.
     pub down_ms: u64,
+    /// Runs of members of gangs that have ended, with how long each was on the worker.
+    pub ended_members: Vec<(TaskKey, u32, EndKind, u64)>,
     /// The duration of each task.
     pub work_ms: fn(TaskKey) -> u64,
     /// The resources that each task needs.
@@ -180,6 +184,7 @@
             crashes_at_start: false,
             fails_all: false,
             rejects_starts: None,
+            start_error: None,
             stalls: false,
             duration_percent: 100,
             start_delay_ms: 0,
@@ -190,6 +195,7 @@
             shrunk_to: None,
             starts_over_capacity: 0,
             down_ms: super::crash::RETURN_MS,
+            ended_members: Vec::new(),
             work_ms,
             need,
         }
@@ -241,6 +247,10 @@
         };
         let checkpoint = (kind == EndKind::Stopped).then(|| Arc::from(run.done_ms.to_string()));
         self.superseded.insert(task, run.run);
+        if run.is_gang_member {
+            let took_ms = self.now.since(run.started);
+            self.ended_members.push((task, run.run, kind, took_ms));
+        }
         self.last_end += 1;
         let end = RunEnd {
             task,
@@ -304,19 +314,20 @@
         let Some(run) = self.running.get_mut(&task) else {
             return;
         };
-        run.is_gang_member = true;
+        if !std::mem::replace(&mut run.is_gang_member, true) {
+            // It has not worked before its gang was looked at for the first time.
+            run.waits_for_members = true;
+            (run.elapsed_ms, run.done_ms) = (0, run.resumed_ms);
+        }
         if is_complete && is_done {
             return self.end(task, EndKind::Done);
         }
-        let was_complete = !run.waits_for_members && run.done_ms > 0;
         if is_complete {
             run.waits_for_members = false;
-        } else if was_complete {
+        } else if !run.waits_for_members {
             self.end(task, EndKind::GangBroken);
         } else if now.since(run.started) > super::GANG_MS {
             self.end(task, EndKind::GangIncomplete);
-        } else {
-            run.waits_for_members = true;
         }
     }
 
