Give up a gang's run as a whole when the start of a member stays unanswered

Cause: after three attempts the leader decided to stop that one member, which settles the fate of the whole run, and told none of the others. If the worker is silent, the state shows it only when the lease has certainly expired, after the others have waited for gang_ms.

The reverse fault has the same place: a member that had begun and whose replies were all lost was stopped too, although the progress of the others showed that the gang was complete and at work.

Change: giving up an unanswered start stops the other members of the run. If another member reports progress, all have begun, so the start counts as carried out and nothing is stopped. A run that resumes from a checkpoint may report the progress of an earlier run, so its progress proves nothing; its work is kept by the checkpoint of the stop.

--- a/crates/queues/src/scheduler/gang_runs.rs
+++ b/crates/queues/src/scheduler/gang_runs.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::steps::StepView;
+use crate::scheduler::worker_requests::resume_checkpoint;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
@@ -77,8 +78,8 @@
         self.stop_members(members, now);
     }
 
-    /// Stops the other members of a gang's run when `task` certainly cannot begin, before the state
-    /// says so.
+    /// Stops the other members of a gang's run when `task` certainly cannot begin or is to be
+    /// stopped, before the state says so.
     pub(crate) fn stop_other_members(&mut self, task: TaskKey, run: u32, now: Millis) {
         let view = self.steps.get(&task.step);
         let Some(view) = view.filter(|view| view.spec().is_gang) else {
@@ -89,6 +90,26 @@
         self.stop_members(others, now);
     }
 
+    /// Whether the progress of a gang's run shows that all of its members have begun. A run that
+    /// resumes from a checkpoint may report the progress of an earlier one.
+    pub(crate) fn has_gang_progress(&self, state: &QueueState, task: TaskKey, run: u32) -> bool {
+        let view = self.steps.get(&task.step);
+        let job = state
+            .job(task.step.job)
+            .filter(|job| !job.phase.has_ended());
+        let (Some(view), Some(job)) = (view.filter(|view| view.spec().is_gang), job) else {
+            return false;
+        };
+        if resume_checkpoint(job, task).is_some() {
+            return false;
+        }
+        placed_members(view).any(|(index, task, number)| {
+            let worker = self.workers.get(index);
+            let member = worker.and_then(|worker| worker.runs.get(&task));
+            number == run && member.is_some_and(|m| m.run == run && m.progress_percent > 0)
+        })
+    }
+
     fn stop_members(&mut self, mut members: Vec<MemberRun>, now: Millis) {
         members.sort_unstable();
         for (index, task, run) in members {
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -328,25 +328,25 @@
                 if may_retry {
                     self.send_start(state, index, task, run, now);
                 } else {
-                    self.stop_run(index, (task, run), StopReason::Unanswered, now);
+                    self.give_up_start(state, index, (task, run), now);
                 }
             }
             Err(WorkerRequestError::NotSent | WorkerRequestError::Refused) => {
                 self.record_missed(index, sent);
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::OutOfResources) => {
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::Rejected(reason)) => {
                 self.counts.rejected_starts += 1;
-                self.start_rejected(index, (task, run), attempts, reason, now);
+                self.start_rejected(state, index, (task, run), attempts, reason, now);
             }
             Err(WorkerRequestError::Unhealthy) => {
                 if let Some(worker) = self.workers.get_mut(index) {
                     worker.health.pause(now);
                 }
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::OtherLife) => {}
         }
@@ -384,6 +384,7 @@
 
     fn start_rejected(
         &mut self,
+        state: &QueueState,
         index: WorkerIndex,
         (task, run): (TaskKey, u32),
         attempts: u32,
@@ -399,12 +400,13 @@
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.rejections.record(index, now);
         }
-        self.not_started(index, (task, run), attempts, now);
+        self.not_started(state, index, (task, run), attempts, now);
     }
 
     /// Handles a request that started nothing: it was rejected or not sent.
     fn not_started(
         &mut self,
+        state: &QueueState,
         index: WorkerIndex,
         (task, run): (TaskKey, u32),
         attempts: u32,
@@ -412,12 +414,31 @@
     ) {
         if attempts > 1 {
             // An earlier request for this start may have been carried out, or may still be.
-            return self.stop_run(index, (task, run), StopReason::Unanswered, now);
+            return self.give_up_start(state, index, (task, run), now);
         }
         self.release(index, task, run);
         self.stop_other_members(task, run, now);
     }
 
+    /// Stops a run of which it is unknown whether it has begun. A gang is stopped as a whole, unless
+    /// its progress shows that all members have begun.
+    fn give_up_start(
+        &mut self,
+        state: &QueueState,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        now: Millis,
+    ) {
+        if self.has_gang_progress(state, task, run) {
+            if let Some(view) = self.run_mut(index, task, run) {
+                view.confirm(now);
+            }
+            return;
+        }
+        self.stop_run(index, (task, run), StopReason::Unanswered, now);
+        self.stop_other_members(task, run, now);
+    }
+
     fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
         if let Some(worker) = self.workers.get(index) {
             let incarnation = worker.record.incarnation;
@@ -631,7 +652,7 @@
 }
 
 /// The checkpoint from which a task resumes; all members of a gang resume from the same one.
-fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
+pub(crate) fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
     let position = usize::from(task.step.step);
     let tasks = &job.steps[position].tasks;
     if !job.spec.steps[position].is_gang {
--- a/crates/queues/tests/gang_members.rs
+++ b/crates/queues/tests/gang_members.rs
@@ -26,7 +26,7 @@
 use crate::model::worker::REQUEST_TIMEOUT_MS;
 
 const MEMBERS: u32 = 4;
-const WORK_MS: u64 = 2_000;
+const WORK_MS: u64 = 3_000;
 const JOB: u64 = 1;
 /// The worker whose member does not begin.
 const FAULTY: &str = "w0";
@@ -89,10 +89,10 @@
     ends.filter(|(_, _, known, _)| *known == kind).count()
 }
 
-/// The number of members of a run that were stopped.
-fn stopped_in_run(model: &Model, run: u32) -> usize {
+/// The number of members of a run that ended in this way.
+fn ended_in_run(model: &Model, run: u32, kind: EndKind) -> usize {
     let ends = ends(model).into_iter();
-    ends.filter(|(_, number, kind, _)| *number == run && *kind == EndKind::Stopped)
+    ends.filter(|(_, number, known, _)| *number == run && *known == kind)
         .count()
 }
 
@@ -114,7 +114,7 @@
     model.run(STARTED_MS);
     assert!(model.starts >= 3, "{error:?}: the other members have begun");
     model.run(STOPPED_MS);
-    let stopped = stopped_in_run(&model, 1);
+    let stopped = ended_in_run(&model, 1, EndKind::Stopped);
     assert_eq!(stopped, 3, "{error:?}: {:?}", ends(&model));
     faulty(&mut model).start_error = None;
     model.run_until_done(DONE_MS);
@@ -152,6 +152,45 @@
     run_with_start_error(WorkerRequestError::Unhealthy);
 }
 
+/// Guards against members that wait for one whose start was given up after three attempts.
+#[test]
+fn members_do_not_wait_for_one_whose_start_was_abandoned() {
+    let mut model = model();
+    faulty(&mut model).loses_starts = true;
+    model.submit(JOB, "gang", spec());
+    model.run(STARTED_MS + ABANDONED_MS + STOPPED_MS);
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
+    faulty(&mut model).loses_starts = false;
+    model.run_until_done(DONE_MS);
+    assert_eq!(ends_of_kind(&model, EndKind::GangIncomplete), 0);
+    assert_done(&model);
+}
+
+/// Guards against members that hold their room for one that a silent worker was to start.
+#[test]
+fn members_do_not_wait_for_one_on_a_worker_that_is_cut_off_at_the_start() {
+    let mut model = model();
+    model.submit(JOB, "gang", spec());
+    model.run(COMMIT_MS);
+    model.cut_off(FAULTY);
+    model.run(STARTED_MS + ABANDONED_MS + STOPPED_MS);
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
+    faulty(&mut model).is_unreachable = false;
+    model.run_until_done(DONE_MS);
+    assert_eq!(ends_of_kind(&model, EndKind::GangIncomplete), 0);
+    assert_done(&model);
+}
+
 /// Guards against members that wait for one that a leader could not start before it was lost.
 #[test]
 fn members_do_not_wait_for_one_that_a_lost_leader_did_not_start() {
@@ -163,7 +202,12 @@
     model.change_leader();
     faulty(&mut model).loses_starts = false;
     model.run(STARTED_MS + STOPPED_MS);
-    assert_eq!(stopped_in_run(&model, 1), 3, "{:?}", ends(&model));
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
     model.run_until_done(DONE_MS);
     assert_eq!(ends_of_kind(&model, EndKind::GangIncomplete), 0);
     assert_done(&model);
@@ -186,7 +230,12 @@
         worker.loses_stops = false;
     }
     model.run(STARTED_MS + STOPPED_MS);
-    assert_eq!(stopped_in_run(&model, 1), 3, "{:?}", ends(&model));
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
     model.run_until_done(DONE_MS);
     assert_done(&model);
 }
@@ -203,7 +252,12 @@
     assert_eq!(running(&model), 1);
     model.workers.get_mut("w1").unwrap().loses_stops = false;
     model.run(2 * REQUEST_TIMEOUT_MS + STOPPED_MS);
-    assert_eq!(stopped_in_run(&model, 1), 3, "{:?}", ends(&model));
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
     faulty(&mut model).start_error = None;
     model.run_until_done(DONE_MS);
     assert_eq!(ends_of_kind(&model, EndKind::GangIncomplete), 0);
@@ -220,7 +274,12 @@
     assert_eq!(running(&model), 1);
     model.workers.get_mut("w1").unwrap().forgets_stops = false;
     model.run(1_000 + STOPPED_MS);
-    assert_eq!(stopped_in_run(&model, 1), 3, "{:?}", ends(&model));
+    assert_eq!(
+        ended_in_run(&model, 1, EndKind::Stopped),
+        3,
+        "{:?}",
+        ends(&model)
+    );
     faulty(&mut model).start_error = None;
     model.run_until_done(DONE_MS);
     assert_eq!(ends_of_kind(&model, EndKind::GangIncomplete), 0);
@@ -301,7 +360,25 @@
     faulty(&mut model).start_delay_ms = 0;
     model.run_until_done(DONE_MS);
     assert_eq!(model.starts, u64::from(MEMBERS));
-    assert_eq!(ends_of_kind(&model, EndKind::Done), MEMBERS as usize);
+    assert_eq!(ended_in_run(&model, 1, EndKind::Done), MEMBERS as usize);
+    assert_done(&model);
+}
+
+/// Guards against the end of a complete gang because no start of one member was answered. The
+/// progress of the others shows that it has begun.
+#[test]
+fn a_complete_gang_runs_on_when_a_start_was_never_answered() {
+    let mut model = model();
+    faulty(&mut model).start_delay_ms = STEP_MS;
+    model.submit(JOB, "gang", spec());
+    while faulty(&mut model).running.is_empty() {
+        model.run(STEP_MS);
+    }
+    model.cut_off(FAULTY);
+    model.run(ABANDONED_MS + REQUEST_TIMEOUT_MS / 2);
+    faulty(&mut model).is_unreachable = false;
+    model.run_until_done(DONE_MS);
+    assert_eq!(ended_in_run(&model, 1, EndKind::Done), MEMBERS as usize);
     assert_done(&model);
 }
 
@@ -316,7 +393,7 @@
     model.run(WORK_MS / 2);
     faulty(&mut model).is_unreachable = false;
     model.run_until_done(DONE_MS);
-    assert_eq!(ends_of_kind(&model, EndKind::Done), MEMBERS as usize);
+    assert_eq!(ended_in_run(&model, 1, EndKind::Done), MEMBERS as usize);
     assert_done(&model);
 }
 
@@ -331,7 +408,7 @@
     model.run(WORK_MS / 2);
     faulty(&mut model).is_unreachable = false;
     model.run_until_done(DONE_MS);
-    assert_eq!(ends_of_kind(&model, EndKind::Done), MEMBERS as usize);
+    assert_eq!(ended_in_run(&model, 1, EndKind::Done), MEMBERS as usize);
     assert_done(&model);
 }
 
