Start no member of a gang after the others may have given up

Cause: a start without a reply is sent again when the leader handles the missing reply. The members that began at once wait for gang_ms only, so a leader that is seconds late starts the member when the others have ended, and it waits alone for another gang_ms, or until their ends are handled.

Change: a member's start is sent again only if its last attempt is younger than gang_ms divided by the number of attempts, so that all attempts lie within gang_ms. Otherwise the run is given up as a whole.

--- a/crates/queues/src/scheduler/gang_runs.rs
+++ b/crates/queues/src/scheduler/gang_runs.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::steps::StepView;
+use crate::scheduler::worker_requests::START_ATTEMPTS_MAX;
 use crate::scheduler::worker_requests::resume_checkpoint;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
@@ -90,6 +91,16 @@
         self.stop_members(others, now);
     }
 
+    /// Whether an unanswered start that was sent at `sent` may be sent again. The members that began
+    /// at once wait for `gang_ms`, which has to cover all attempts; a leader that handles replies
+    /// late would start the member after they have given up.
+    pub(crate) fn is_retry_useful(&self, step: StepKey, sent: Millis, now: Millis) -> bool {
+        let view = self.steps.get(&step);
+        let is_gang = view.is_some_and(|view| view.spec().is_gang);
+        let attempt_max_ms = self.config.gang_ms / u64::from(START_ATTEMPTS_MAX);
+        !is_gang || now.since(sent) < attempt_max_ms
+    }
+
     /// Whether the progress of a gang's run shows that all of its members have begun. A run that
     /// resumes from a checkpoint may report the progress of an earlier one.
     pub(crate) fn has_gang_progress(&self, state: &QueueState, task: TaskKey, run: u32) -> bool {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -97,8 +97,7 @@
     pub lease_max_ms: u64,
     /// The longest time a worker takes to carry out a stop.
     pub stop_ms: u64,
-    /// How long the members of a gang wait for each other before they end as incomplete. The
-    /// scheduler itself does not use it.
+    /// How long the members of a gang wait for each other before they end as incomplete.
     pub gang_ms: u64,
     /// How long after the start of this term an earlier leader may still send requests.
     pub hand_over_ms: u64,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -36,7 +36,7 @@
 use crate::worker::Worker;
 
 /// The number of unanswered start requests for one run after which the run is stopped instead.
-const START_ATTEMPTS_MAX: u32 = 3;
+pub(crate) const START_ATTEMPTS_MAX: u32 = 3;
 /// Time after which an unanswered stop is sent again.
 const STOP_RETRY_MS: u64 = 500;
 
@@ -319,12 +319,14 @@
             }
             Err(WorkerRequestError::NoAnswer | WorkerRequestError::Broken) => {
                 self.record_missed(index, sent);
-                let may_retry = self.workers.get(index).is_some_and(|worker| {
-                    !worker.record.is_draining
-                        && worker.successor.is_none()
-                        && worker.has_room_for(|_| false)
-                        && attempts < START_ATTEMPTS_MAX
-                });
+                let is_useful = self.is_retry_useful(task.step, sent, now);
+                let may_retry = is_useful
+                    && self.workers.get(index).is_some_and(|worker| {
+                        !worker.record.is_draining
+                            && worker.successor.is_none()
+                            && worker.has_room_for(|_| false)
+                            && attempts < START_ATTEMPTS_MAX
+                    });
                 if may_retry {
                     self.send_start(state, index, task, run, now);
                 } else {
--- a/crates/queues/tests/gang_members.rs
+++ b/crates/queues/tests/gang_members.rs
@@ -241,6 +241,28 @@
 }
 
 /// Guards against a member that is started after the others have given up, by a leader that handles
+/// replies seconds late.
+#[test]
+fn a_leader_that_is_seconds_late_starts_no_member_after_the_others_have_given_up() {
+    let mut model = model();
+    model.reply_delay_ms = GANG_MS;
+    faulty(&mut model).loses_starts = true;
+    // Without a reply for so long no worker counts as reachable.
+    model.run(2 * GANG_MS);
+    model.submit(JOB, "gang", spec());
+    while model.starts < 3 {
+        model.run(COMMIT_MS);
+    }
+    faulty(&mut model).loses_starts = false;
+    model.run(GANG_MS + STARTED_MS + REQUEST_TIMEOUT_MS);
+    let late = &model.workers[FAULTY];
+    let has_begun = !late.running.is_empty() || !late.ended_members.is_empty();
+    assert!(!has_begun, "a member began after the others had ended");
+    model.reply_delay_ms = 0;
+    model.run_until_done(GANG_MS + DONE_MS);
+    assert_done(&model);
+}
+
 /// Guards against a member that waits on because its stop was lost.
 #[test]
 fn a_lost_stop_of_a_waiting_member_is_repeated() {
