--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod durations;
 mod ended_runs;
+mod gang_runs;
 mod gangs;
 mod health;
 mod isolation;
@@ -99,8 +100,7 @@
     pub lease_max_ms: u64,
     /// The longest time a worker takes to carry out a stop.
     pub stop_ms: u64,
-    /// How long the members of a gang wait for each other before they end as incomplete. The
-    /// scheduler itself does not use it.
+    /// How long the members of a gang wait for each other before they end as incomplete.
     pub gang_ms: u64,
     /// How long after the start of this term an earlier leader may still send requests.
     pub hand_over_ms: u64,
@@ -129,6 +129,8 @@
     pub starts: u64,
     /// Stops that were sent, repeated ones included, in the order of [`StopReason::ALL`].
     pub stops: [u64; StopReason::ALL.len()],
+    /// Runs that ended because the other members of their gang did not start in time.
+    pub incomplete_gang_ends: u64,
     /// Requests to workers that got no reply or could not be sent.
     pub unanswered_requests: u64,
     /// Crashes of workers, by a refused connection shortly after a reply.
@@ -274,7 +276,10 @@
             QueueChange::RunEnded(worker, task, run, kind) => {
                 self.run_ended(state, worker, (*task, *run), *kind, now);
             }
-            QueueChange::StepChanged(step) => self.step_changed(state, *step, now),
+            QueueChange::StepChanged(step) => {
+                self.step_changed(state, *step, now);
+                self.stop_broken_gang(state, *step, now);
+            }
             QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
         }
     }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -36,7 +36,7 @@
 use crate::worker::Worker;
 
 /// The number of unanswered start requests for one run after which the run is stopped instead.
-const START_ATTEMPTS_MAX: u32 = 3;
+pub(crate) const START_ATTEMPTS_MAX: u32 = 3;
 /// Time after which an unanswered stop is sent again.
 const STOP_RETRY_MS: u64 = 500;
 
@@ -117,18 +117,13 @@
         for placement in placements {
             self.record_placement(step, placement);
         }
-        let spec = self.steps.get(&step).map(|view| view.spec());
-        let is_gang = spec.is_some_and(|spec| spec.is_gang);
-        let gang_has_room = !is_gang
-            || placements
-                .iter()
-                .all(|placement| self.has_room(&placement.worker, |task| task.step == step));
+        let can_send = self.can_send_starts(step, placements, now);
         for placement in placements {
             let task = step.task(placement.index);
             let Some(index) = self.index(&placement.worker) else {
                 continue;
             };
-            if gang_has_room && self.has_room(&placement.worker, |other| *other == task) {
+            if can_send && self.has_room(&placement.worker, |other| *other == task) {
                 self.send_start(state, index, task, placement.run, now);
             } else {
                 self.release(index, task, placement.run);
@@ -136,7 +131,7 @@
         }
     }
 
-    fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
+    pub(crate) fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
         let worker = self.index(worker).and_then(|index| self.workers.get(index));
         worker.is_some_and(|worker| worker.successor.is_none() && worker.has_room_for(is_next))
     }
@@ -311,7 +306,7 @@
             return;
         };
         let RunStage::StartSent { attempts } = view.stage else {
-            return;
+            return self.stopped_start_answered(index, (task, run), &result);
         };
         match result {
             Ok(_) => {
@@ -324,41 +319,74 @@
             }
             Err(WorkerRequestError::NoAnswer | WorkerRequestError::Broken) => {
                 self.record_missed(index, sent);
-                let may_retry = self.workers.get(index).is_some_and(|worker| {
-                    !worker.record.is_draining
-                        && worker.successor.is_none()
-                        && worker.has_room_for(|_| false)
-                        && attempts < START_ATTEMPTS_MAX
-                });
+                let is_useful = self.is_retry_useful(task.step, sent, now);
+                let may_retry = is_useful
+                    && self.workers.get(index).is_some_and(|worker| {
+                        !worker.record.is_draining
+                            && worker.successor.is_none()
+                            && worker.has_room_for(|_| false)
+                            && attempts < START_ATTEMPTS_MAX
+                    });
                 if may_retry {
                     self.send_start(state, index, task, run, now);
                 } else {
-                    self.stop_run(index, (task, run), StopReason::Unanswered, now);
+                    self.give_up_start(state, index, (task, run), now);
                 }
             }
             Err(WorkerRequestError::NotSent | WorkerRequestError::Refused) => {
                 self.record_missed(index, sent);
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::OutOfResources) => {
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::Rejected(reason)) => {
                 self.counts.rejected_starts += 1;
-                self.start_rejected(index, (task, run), attempts, reason, now);
+                self.start_rejected(state, index, (task, run), attempts, reason, now);
             }
             Err(WorkerRequestError::Unhealthy) => {
                 if let Some(worker) = self.workers.get_mut(index) {
                     worker.health.pause(now);
                 }
-                self.not_started(index, (task, run), attempts, now);
+                self.not_started(state, index, (task, run), attempts, now);
             }
             Err(WorkerRequestError::OtherLife) => {}
         }
     }
 
+    /// Handles the reply to the start of a run that is to be stopped: a run that certainly has not
+    /// begun needs no stop.
+    fn stopped_start_answered(
+        &mut self,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        result: &Result<WorkerReply, WorkerRequestError>,
+    ) {
+        let has_open_start = self.workers.get(index).is_some_and(|worker| {
+            let mut open = worker.open_starts.iter();
+            open.any(|start| start.task == task && start.run == run)
+        });
+        let Some(view) = self.run_mut(index, task, run) else {
+            return;
+        };
+        let is_stopping = matches!(
+            view.stage,
+            RunStage::Stopping { .. } | RunStage::StopAnswered { .. }
+        );
+        match result {
+            Ok(_) => view.has_begun = true,
+            Err(error) if is_stopping && !view.has_begun && error.has_started_nothing() => {
+                if !has_open_start {
+                    self.release(index, task, run);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
     fn start_rejected(
         &mut self,
+        state: &QueueState,
         index: WorkerIndex,
         (task, run): (TaskKey, u32),
         attempts: u32,
@@ -374,12 +402,13 @@
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.rejections.record(index, now);
         }
-        self.not_started(index, (task, run), attempts, now);
+        self.not_started(state, index, (task, run), attempts, now);
     }
 
     /// Handles a request that started nothing: it was rejected or not sent.
     fn not_started(
         &mut self,
+        state: &QueueState,
         index: WorkerIndex,
         (task, run): (TaskKey, u32),
         attempts: u32,
@@ -387,9 +416,29 @@
     ) {
         if attempts > 1 {
             // An earlier request for this start may have been carried out, or may still be.
-            return self.stop_run(index, (task, run), StopReason::Unanswered, now);
+            return self.give_up_start(state, index, (task, run), now);
         }
         self.release(index, task, run);
+        self.stop_other_members(task, run, now);
+    }
+
+    /// Stops a run of which it is unknown whether it has begun. A gang is stopped as a whole, unless
+    /// its progress shows that all members have begun.
+    fn give_up_start(
+        &mut self,
+        state: &QueueState,
+        index: WorkerIndex,
+        (task, run): (TaskKey, u32),
+        now: Millis,
+    ) {
+        if self.has_gang_progress(state, task, run) {
+            if let Some(view) = self.run_mut(index, task, run) {
+                view.confirm(now);
+            }
+            return;
+        }
+        self.stop_run(index, (task, run), StopReason::Unanswered, now);
+        self.stop_other_members(task, run, now);
     }
 
     fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
@@ -518,6 +567,7 @@
                 }
             }
             Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
+            Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
             _ => {}
         }
         if let Some(step) = self.steps.get_mut(&task.step) {
@@ -605,7 +655,7 @@
 }
 
 /// The checkpoint from which a task resumes; all members of a gang resume from the same one.
-fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
+pub(crate) fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
     let position = usize::from(task.step.step);
     let tasks = &job.steps[position].tasks;
     if !job.spec.steps[position].is_gang {
