Let the core thread never wait for the storage thread

Cause: two bounded channels in a circle. The core thread blocked when 1,024 requests waited for the storage thread, which cannot take them while its disk is full or stalls. Events piled up to 10,240 meanwhile. When the disk had room, the storage thread reported that with an event and blocked on the full channel, the core thread on the requests: neither went on until a restart. A former leader gets there fast: its new term is not synced, so each heartbeat and each round of reads of the new leader adds a request. Two such members of three are the end of the group.

Both tests are new and failed before: members_whose_disks_were_full_in_turn_beside_reads_answer_again (8 s) and requests_sent_while_the_disk_is_full_and_events_are_queued_do_not_block_for_ever.

Change: sending a request never blocks, so events are always taken. What bounds the queue instead is that from 1,024 requests on, messages of the group are ignored: the member is silent, as it was when it blocked, a leader loses its quorum and steps down, and calls get an answer at once.

Ruled out: an unbounded channel of events; calls and messages would fill the memory of a member that blocks.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -40,6 +40,7 @@
 use crate::queues::Queues;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageRequest;
+use crate::storage_thread::StorageSender;
 
 /// How many queued events a round handles, after the one that it waited for, before it turns to the
 /// node's output. Proposals of the same round share a message.
@@ -71,7 +72,7 @@
     pub(crate) applied: Index,
     pub(crate) calls: PendingCalls,
     pub(crate) peers: Peers,
-    pub(crate) storage_requests: flume::Sender<StorageRequest>,
+    pub(crate) storage_requests: StorageSender,
     pub(crate) snapshots: Snapshots,
     pub(crate) readiness: Readiness,
     pub(crate) metrics: CoreMetrics,
@@ -122,8 +123,11 @@
         let now = self.clock.now();
         match event {
             Event::Step(step) => {
-                // Ignores a message to a former member whose address this one has taken over.
-                if step.to == self.node.id() {
+                // Ignores a message to a former member whose address this one has taken over. While
+                // the disk is far behind, the member is silent, since most messages would add to
+                // what it has to write; a leader then loses contact with a quorum and steps down.
+                let is_ignored = self.storage_requests.is_backlogged();
+                if step.to == self.node.id() && !is_ignored {
                     self.peers.note_address(step.from, &step.from_address);
                     self.node.step(now, step.from, step.message);
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -47,5 +47,7 @@
 pub use crate::start::init;
 pub use crate::start::run;
 pub use crate::start::run_embedded;
+pub use crate::storage_thread::StorageEnded;
 pub use crate::storage_thread::StorageRequest;
+pub use crate::storage_thread::StorageSender;
 pub use crate::storage_thread::StorageThread;
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -14,6 +14,7 @@
 use sapphirepost_state::State;
 
 use crate::storage_thread::StorageRequest;
+use crate::storage_thread::StorageSender;
 
 /// After a snapshot found the disk out of space, the next one is due after the interval divided by
 /// this.
@@ -32,7 +33,7 @@
     pub(crate) fn start(
         interval_entries: u64,
         last_index: Index,
-        storage_requests: flume::Sender<StorageRequest>,
+        storage_requests: StorageSender,
     ) -> io::Result<Snapshots> {
         let (encoder, queue) = flume::bounded::<(SnapshotMeta, State)>(1);
         let encode = move || {
--- a/crates/control/src/storage_thread.rs
+++ b/crates/control/src/storage_thread.rs
@@ -15,13 +15,14 @@
 use sapphirepost_consensus::Snapshot;
 use sapphirepost_storage::LogStore;
 use sapphirepost_storage::StoreError;
+use thiserror::Error;
 
 use crate::event::Event;
 use crate::event::EventSender;
 use crate::metrics::CoreMetrics;
 
-/// The most requests that may be queued; the core thread blocks on the disk beyond that.
-const QUEUED_REQUESTS_MAX: usize = 1_024;
+/// The number of queued requests from which on the core thread takes no more messages of the group.
+const BACKLOG_REQUESTS: usize = 1_024;
 /// Time between two attempts to write records while the disk is out of space.
 const SPACE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -42,9 +43,33 @@
     SaveSnapshot(Snapshot),
 }
 
+/// The storage thread has ended, after it has reported its failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the storage thread has ended")]
+pub struct StorageEnded;
+
+/// The sending side of the queue of requests.
+///
+/// Sending never blocks. The storage thread blocks on the channel of events, so if the core thread
+/// blocked on the queue of requests, both could wait for each other for ever.
+#[derive(Clone)]
+pub struct StorageSender(flume::Sender<StorageRequest>);
+
+impl StorageSender {
+    /// Queues a request. Fails if the storage thread has ended.
+    pub fn send(&self, request: StorageRequest) -> Result<(), StorageEnded> {
+        self.0.send(request).map_err(|_| StorageEnded)
+    }
+
+    /// Whether so many requests are queued that the sender has to avoid further ones.
+    pub fn is_backlogged(&self) -> bool {
+        self.0.len() >= BACKLOG_REQUESTS
+    }
+}
+
 /// A handle of the running thread.
 pub struct StorageThread {
-    requests: flume::Sender<StorageRequest>,
+    requests: StorageSender,
     thread: JoinHandle<()>,
 }
 
@@ -64,16 +89,17 @@
         events: EventSender,
         metrics: CoreMetrics,
     ) -> io::Result<StorageThread> {
-        let (requests, queue) = flume::bounded(QUEUED_REQUESTS_MAX);
+        let (requests, queue) = flume::unbounded();
         let run = move || run(store, &queue, &events, &metrics);
         let thread = thread::Builder::new()
             .name("storage".to_owned())
             .spawn(run)?;
+        let requests = StorageSender(requests);
         Ok(StorageThread { requests, thread })
     }
 
     /// A sender for requests.
-    pub fn sender(&self) -> flume::Sender<StorageRequest> {
+    pub fn sender(&self) -> StorageSender {
         self.requests.clone()
     }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -300,6 +300,24 @@
             .call_blocking(method::OPERATOR, request, CALL_TIMEOUT)
     }
 
+    /// Reads the configuration again and again, from whichever process answers, on connections that
+    /// stay open.
+    pub fn read_until(&self, until: Instant) {
+        let clients: Vec<RpcClient> = (0..self.processes.len()).map(|i| self.client(i)).collect();
+        let mut preferred = 0;
+        while Instant::now() < until {
+            let reply: Result<OperatorReply, RpcError> = clients[preferred].call_blocking(
+                method::OPERATOR,
+                &OperatorRequest::GetConfig,
+                CALL_TIMEOUT,
+            );
+            if reply.is_err() {
+                preferred = (preferred + 1) % clients.len();
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+    }
+
     /// Resends a request to all processes until one answers it.
     pub fn operate(&self, request: &OperatorRequest) -> OperatorReply {
         self.request(method::OPERATOR, request)
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -16,6 +16,9 @@
 
 use crate::common::Cluster;
 
+/// The longest time to an answer to a change while a quorum is well.
+const ACK_MAX: Duration = Duration::from_secs(4);
+
 /// Guards against accepted operations that get lost, or are applied twice, when leaders die.
 #[test]
 fn accepted_operations_survive_kills() {
@@ -93,6 +96,44 @@
     cluster.wait_until_converged();
 }
 
+/// Makes the disk of the leader full for a time, beside many reads, and returns the process.
+fn fill_the_disk_of_the_leader(cluster: &mut Cluster, time: Duration, readers: usize) -> usize {
+    let full = cluster.leader();
+    let until = Instant::now() + time;
+    cluster.limit_file_size(full, Some(1));
+    // The leader notices only by a write.
+    cluster.set_config_value();
+    let cluster = &*cluster;
+    thread::scope(|scope| {
+        for _ in 0..readers {
+            scope.spawn(|| cluster.read_until(until));
+        }
+    });
+    cluster.limit_file_size(full, None);
+    full
+}
+
+/// Guards against members that stay unusable after their disks were full, one after another, while
+/// the others served reads: the group would have no quorum although all processes run.
+#[test]
+fn members_whose_disks_were_full_in_turn_beside_reads_answer_again() {
+    let mut cluster = start_ignoring_sigxfsz();
+    let time = Duration::from_millis(number("SAPPHIREPOST_TEST_FULL_MS", 8_000));
+    for turn in 0..3 {
+        let full = fill_the_disk_of_the_leader(&mut cluster, time, 16);
+        let since = Instant::now();
+        cluster.set_config_value();
+        let took = since.elapsed();
+        println!("turn {turn}: process {full} was full, a change took {took:?} afterwards");
+        assert!(took < ACK_MAX, "turn {turn}: a change took {took:?}");
+        cluster.wait_for("the member does not answer", |cluster| {
+            cluster.dump(full).is_some()
+        });
+    }
+    cluster.check_accepted();
+    cluster.wait_until_converged();
+}
+
 /// Guards against a group that does not recover once all disks have space again, and against a
 /// process that does not start, or not stop, on a full disk.
 #[test]
--- a/crates/control/tests/storage_thread.rs
+++ b/crates/control/tests/storage_thread.rs
@@ -1,6 +1,9 @@
-//! Group commit and failed syncs of the storage thread.
+//! Group commit, failed syncs and full disks of the storage thread.
 
+use std::io;
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -114,3 +117,108 @@
     );
     assert!(storage.sender().send(persist_request(2)).is_err());
 }
+
+/// A store that takes no records while `is_full` is set.
+struct FullStore {
+    inner: MemoryStore,
+    is_full: Arc<AtomicBool>,
+}
+
+impl LogStore for FullStore {
+    fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        if self.is_full.load(Ordering::SeqCst) {
+            return Err(StoreError::OutOfSpace {
+                action: "write",
+                path: PathBuf::from("log"),
+                source: io::Error::from(io::ErrorKind::StorageFull),
+            });
+        }
+        self.inner.append(records)
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        self.inner.sync()
+    }
+
+    fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        self.inner.save_snapshot(meta, data)
+    }
+
+    fn restore(&mut self) -> Result<PersistentState, StoreError> {
+        self.inner.restore()
+    }
+}
+
+/// Guards against a member that goes on collecting what its full disk cannot take, until its memory
+/// is used up.
+#[test]
+fn a_full_disk_makes_the_queue_of_requests_backlogged_until_it_has_room() {
+    let is_full = Arc::new(AtomicBool::new(true));
+    let store = FullStore {
+        inner: MemoryStore::new(),
+        is_full: is_full.clone(),
+    };
+    let (event_sender, events) = EventSender::new();
+    let storage =
+        StorageThread::start(Box::new(store), event_sender, CoreMetrics::default()).unwrap();
+    let requests = storage.sender();
+    assert!(!requests.is_backlogged());
+    let mut sent = 0;
+    while !requests.is_backlogged() {
+        sent += 1;
+        assert!(sent < 10_000, "the queue must have a bound");
+        requests.send(persist_request(sent)).unwrap();
+    }
+    is_full.store(false, Ordering::SeqCst);
+    let is_last = |event| matches!(event, Event::Persisted(up_to, _) if up_to.number == sent);
+    let mut received = std::iter::from_fn(|| events.recv_timeout(Duration::from_secs(10)).ok());
+    assert!(received.any(is_last));
+    assert!(!requests.is_backlogged());
+}
+
+/// Guards against a core thread that waits for the storage thread of a full disk while the storage
+/// thread waits for the core thread, which then never ends.
+#[test]
+fn requests_sent_while_the_disk_is_full_and_events_are_queued_do_not_block_for_ever() {
+    const REQUESTS: u64 = 3_000;
+    const EVENTS: usize = 20_000;
+    let is_full = Arc::new(AtomicBool::new(true));
+    let store = FullStore {
+        inner: MemoryStore::new(),
+        is_full: is_full.clone(),
+    };
+    let (event_sender, events) = EventSender::new();
+    let storage = StorageThread::start(
+        Box::new(store),
+        event_sender.clone(),
+        CoreMetrics::default(),
+    )
+    .unwrap();
+    let requests = storage.sender();
+    // Like the core thread, it takes no events while it sends its requests.
+    let core = thread::spawn(move || {
+        for number in 1..=REQUESTS {
+            requests.send(persist_request(number)).unwrap();
+        }
+        loop {
+            if let Event::Persisted(up_to, _) = events.recv().unwrap()
+                && up_to.number == REQUESTS
+            {
+                return;
+            }
+        }
+    });
+    thread::sleep(Duration::from_millis(300));
+    for _ in 0..EVENTS {
+        event_sender.send_or_drop(Event::SnapshotSkipped(String::new()));
+    }
+    is_full.store(false, Ordering::SeqCst);
+    let since = Instant::now();
+    while !core.is_finished() {
+        assert!(
+            since.elapsed() < Duration::from_secs(4),
+            "the disk has room, and the threads wait for each other"
+        );
+        thread::sleep(Duration::from_millis(10));
+    }
+}
