--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -78,6 +78,10 @@
     pub paused_until_ms: u64,
     /// Whether the storage is paused, so that nothing is written or synced.
     pub is_storage_paused: bool,
+    /// Whether the disk takes no records and no snapshots.
+    pub is_disk_full: bool,
+    /// Whether the node knows that the disk is full.
+    is_full_reported: bool,
     clock_rate_percent: u64,
     clock_offset_ms: u64,
     jobs: VecDeque<StorageJob>,
@@ -101,6 +105,8 @@
     pub cut_links: BTreeSet<(usize, usize)>,
     /// Whether a host that lost its disk keeps its identity. Disables a safety mechanism.
     pub reuses_identity: bool,
+    /// Whether the records that are queued when a disk is idle share a sync.
+    pub has_group_commit: bool,
     /// Number of entries after which a member saves a snapshot; 0 for never.
     pub snapshot_interval_entries: u64,
     /// Messages in transit by delivery time and sequence number, each with the sending host, the IDs of
@@ -121,6 +127,7 @@
             isolated: BTreeSet::new(),
             cut_links: BTreeSet::new(),
             reuses_identity: false,
+            has_group_commit: false,
             snapshot_interval_entries: 0,
             network: BTreeMap::new(),
             sequence: 0,
@@ -152,6 +159,8 @@
             applied: AppliedState::default(),
             paused_until_ms: 0,
             is_storage_paused: false,
+            is_disk_full: false,
+            is_full_reported: false,
             clock_rate_percent: if is_reliable {
                 100
             } else {
@@ -197,6 +206,7 @@
         let found = &mut self.hosts[host];
         found.store.crash(surviving);
         found.node = None;
+        found.is_full_reported = false;
         found.jobs.clear();
         found.proposals.clear();
         found.reads.clear();
@@ -342,7 +352,7 @@
         let (index, interval) = (found.applied.index, self.snapshot_interval_entries);
         // A received snapshot must be stored before later ones.
         let is_busy = found.jobs.iter().any(|job| job.ready.snapshot.is_some());
-        if interval == 0 || is_busy || index % interval != 0 {
+        if interval == 0 || is_busy || found.is_disk_full || index % interval != 0 {
             return;
         }
         let Some(term) = node.term_at(index) else {
@@ -441,25 +451,47 @@
         if found.is_storage_paused || job.due_ms > self.time_ms {
             return Ok(());
         }
+        let has_records = job.ready.snapshot.is_some() || !job.ready.records.is_empty();
+        if !job.is_written && found.is_disk_full && has_records {
+            return self.report_full(host, true);
+        }
         if !job.is_written {
+            self.write_jobs(host);
+            return self.report_full(host, false);
+        }
+        found.store.sync().unwrap();
+        while let Some(job) = self.hosts[host].jobs.pop_front_if(|job| job.is_written) {
+            self.send(host, job.ready.messages_after_persist);
+            self.with_node(host, |node, now| {
+                node.persisted(now, Persisted { number: job.number })
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Writes the first storage job, or with group commit all queued ones. One sync covers them.
+    fn write_jobs(&mut self, host: usize) {
+        let due_ms = self.time_ms + self.environment.sync_ms;
+        let count = if self.has_group_commit { usize::MAX } else { 1 };
+        let found = &mut self.hosts[host];
+        for job in found.jobs.iter_mut().take(count) {
             if let Some(snapshot) = job.ready.snapshot.take() {
-                found
-                    .store
-                    .save_snapshot(&snapshot.meta, &snapshot.data)
-                    .unwrap();
+                let saved = found.store.save_snapshot(&snapshot.meta, &snapshot.data);
+                saved.unwrap();
             }
             found.store.append(&job.ready.records).unwrap();
             job.is_written = true;
-            job.due_ms = self.time_ms + self.environment.sync_ms;
+            job.due_ms = due_ms;
+        }
+    }
+
+    /// Tells the node whether the disk takes records, if that has changed.
+    fn report_full(&mut self, host: usize, is_full: bool) -> CheckResult {
+        let found = &mut self.hosts[host];
+        if std::mem::replace(&mut found.is_full_reported, is_full) == is_full {
             return Ok(());
         }
-        found.store.sync().unwrap();
-        let job = found.jobs.pop_front().unwrap();
-        let messages = job.ready.messages_after_persist;
-        self.send(host, messages);
-        self.with_node(host, |node, now| {
-            node.persisted(now, Persisted { number: job.number })
-        })
+        self.with_node(host, |node, now| node.set_storage_full(now, is_full))
     }
 
     pub fn run(&mut self, ms: u64) -> CheckResult {
