Do not take a segment for complete because of one that could not be started

What callers would see: a member that does not start any more after a loss of power ("is damaged at offset ..."), because its disk was full some time before.

Cause: when the disk was full at the change of segments, the file of the new one was removed again, without a sync of the directory, and the log went on in the old one. A loss of power may bring the removed file back. The old segment then counted as sealed, and its torn end as damage.

Change: the removal is synced before anything else is written. And a last segment that has no record is removed when the store is opened: a segment that was started has at least the hard state.

Tests: a_segment_that_could_not_be_started_does_not_make_a_torn_end_damage failed before (Corrupt at offset 393). That the removal is synced is not tested, only the state that follows without it.

--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -3,7 +3,8 @@
 //! Only the last segment is written to; every other segment was synced completely before the next
 //! one was created. Damage in an earlier segment, or before the last synced offset, is an error.
 //! Data after that offset in the last segment may be torn; it is truncated at the first damaged
-//! frame.
+//! frame. A last segment without any record was never started: its file was removed when the disk
+//! was full, or the process ended while it created it. The one before it is then the last one.
 
 use std::fs;
 use std::fs::File;
@@ -64,7 +65,11 @@
     mut on_record: impl FnMut(Record),
 ) -> Result<(Vec<SealedSegment>, ActiveSegment), StoreError> {
     let mut paths = list(directory)?;
-    let last = paths.pop();
+    let mut last = paths.pop();
+    if let Some(path) = last.take_if(|path| !paths.is_empty() && is_unstarted(path)) {
+        remove(directory, &path)?;
+        last = paths.pop();
+    }
     let mut sealed = Vec::new();
     for path in paths {
         let content = read(&path, false)?;
@@ -82,6 +87,18 @@
     Ok((sealed, active))
 }
 
+/// Whether a segment contains no more than its magic number.
+fn is_unstarted(path: &Path) -> bool {
+    fs::metadata(path).is_ok_and(|metadata| metadata.len() <= MAGIC.len() as u64)
+}
+
+/// Deletes a segment that could not be started. The deletion is durable before anything else is
+/// written: if a power failure undid it, the segment before would count as complete.
+fn remove(directory: &Path, path: &Path) -> Result<(), StoreError> {
+    fs::remove_file(path).map_err(StoreError::io("delete", path))?;
+    sync_directory(directory)
+}
+
 fn max_index(records: &[Record]) -> Index {
     let indexes = records.iter().map(|record| match record {
         Record::Entry(entry) => entry.index,
@@ -140,7 +157,7 @@
             max_index: 0,
         };
         if let Err(error) = active.write_header(directory) {
-            fs::remove_file(&active.path).map_err(StoreError::io("delete", &active.path))?;
+            remove(directory, &active.path)?;
             return Err(error);
         }
         Ok(active)
@@ -241,7 +258,7 @@
             .write_records(records)
             .and_then(|()| next.sync_records());
         if let Err(error) = written {
-            fs::remove_file(&next.path).map_err(StoreError::io("delete", &next.path))?;
+            remove(directory, &next.path)?;
             return Err(error);
         }
         let old = std::mem::replace(self, next);
