--- a/crates/control/tests/storage_thread.rs
+++ b/crates/control/tests/storage_thread.rs
@@ -10,9 +10,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+
 use sapphirepost_consensus::HardState;
+use sapphirepost_consensus::Membership;
 use sapphirepost_consensus::PersistentState;
 use sapphirepost_consensus::Record;
+use sapphirepost_consensus::Snapshot;
 use sapphirepost_consensus::SnapshotMeta;
 use sapphirepost_control::CoreMetrics;
 use sapphirepost_control::Event;
@@ -124,15 +128,22 @@
     is_full: Arc<AtomicBool>,
 }
 
+impl FullStore {
+    fn check_space(&self) -> Result<(), StoreError> {
+        if !self.is_full.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        Err(StoreError::OutOfSpace {
+            action: "write",
+            path: PathBuf::from("log"),
+            source: io::Error::from(io::ErrorKind::StorageFull),
+        })
+    }
+}
+
 impl LogStore for FullStore {
     fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
-        if self.is_full.load(Ordering::SeqCst) {
-            return Err(StoreError::OutOfSpace {
-                action: "write",
-                path: PathBuf::from("log"),
-                source: io::Error::from(io::ErrorKind::StorageFull),
-            });
-        }
+        self.check_space()?;
         self.inner.append(records)
     }
 
@@ -141,6 +152,7 @@
     }
 
     fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        self.check_space()?;
         self.inner.save_snapshot(meta, data)
     }
 
@@ -222,3 +234,50 @@
         thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// Guards against a member that stays unable to lead because nothing reports that its disk has room
+/// again, when what waited was a snapshot.
+#[test]
+fn snapshots_on_a_full_disk_are_saved_or_skipped_and_the_room_is_reported() {
+    let is_full = Arc::new(AtomicBool::new(true));
+    let store = FullStore {
+        inner: MemoryStore::new(),
+        is_full: is_full.clone(),
+    };
+    let (event_sender, events) = EventSender::new();
+    let storage =
+        StorageThread::start(Box::new(store), event_sender, CoreMetrics::default()).unwrap();
+    let requests = storage.sender();
+    let snapshot = |index| Snapshot {
+        meta: SnapshotMeta {
+            index,
+            term: 1,
+            membership: Membership::default(),
+        },
+        data: Bytes::from_static(b"state"),
+    };
+    let next = || events.recv_timeout(Duration::from_secs(10)).unwrap();
+    requests
+        .send(StorageRequest::SaveSnapshot(snapshot(3)))
+        .unwrap();
+    assert!(matches!(next(), Event::SnapshotSkipped(_)));
+    for number in 1..=2 {
+        requests
+            .send(StorageRequest::Persist {
+                number,
+                snapshot: Some(snapshot(10 * number)),
+                records: vec![Record::Reset { index: 10 * number }],
+                messages: Vec::new(),
+            })
+            .unwrap();
+        assert!(matches!(next(), Event::StorageFull(_)), "{number}");
+        requests
+            .send(StorageRequest::SaveSnapshot(snapshot(10 * number + 1)))
+            .unwrap();
+        is_full.store(false, Ordering::SeqCst);
+        assert!(matches!(next(), Event::StorageHasSpace), "{number}");
+        assert!(matches!(next(), Event::SnapshotSaved(_)), "{number}");
+        assert_eq!(persisted(next()), number);
+        is_full.store(true, Ordering::SeqCst);
+    }
+}
