--- a/crates/control/tests/storage_thread.rs
+++ b/crates/control/tests/storage_thread.rs
@@ -69,13 +69,18 @@
     }
 }
 
-fn next_persisted(events: &EventReceiver) -> u64 {
+/// The number of the next event if it reports what is durable.
+fn next_persisted_or_other(events: &EventReceiver) -> Option<u64> {
     match events.recv_timeout(Duration::from_secs(10)).unwrap() {
-        (Event::Persisted(up_to, _), _) => up_to.number,
-        _ => panic!("unexpected event"),
+        (Event::Persisted(up_to, _), _) => Some(up_to.number),
+        _ => None,
     }
 }
 
+fn next_persisted(events: &EventReceiver) -> u64 {
+    next_persisted_or_other(events).expect("unexpected event")
+}
+
 /// Guards against one sync per record under load, and against a delayed sync on an idle disk.
 #[test]
 fn queued_records_share_one_sync() {
@@ -183,7 +188,7 @@
         requests.send(persist_request(sent)).unwrap();
     }
     is_full.store(false, Ordering::SeqCst);
-    let is_last = |event| matches!(event, Event::Persisted(up_to, _) if up_to.number == sent);
+    let is_last = |(event, _)| matches!(event, Event::Persisted(up_to, _) if up_to.number == sent);
     let mut received = std::iter::from_fn(|| events.recv_timeout(Duration::from_secs(10)).ok());
     assert!(received.any(is_last));
     assert!(!requests.is_backlogged());
@@ -214,9 +219,7 @@
             requests.send(persist_request(number)).unwrap();
         }
         loop {
-            if let Event::Persisted(up_to, _) = events.recv().unwrap()
-                && up_to.number == REQUESTS
-            {
+            if next_persisted_or_other(&events) == Some(REQUESTS) {
                 return;
             }
         }
@@ -257,7 +260,7 @@
         },
         data: Bytes::from_static(b"state"),
     };
-    let next = || events.recv_timeout(Duration::from_secs(10)).unwrap();
+    let next = || events.recv_timeout(Duration::from_secs(10)).unwrap().0;
     requests
         .send(StorageRequest::SaveSnapshot(snapshot(3)))
         .unwrap();
@@ -278,7 +281,7 @@
         is_full.store(false, Ordering::SeqCst);
         assert!(matches!(next(), Event::StorageHasSpace), "{number}");
         assert!(matches!(next(), Event::SnapshotSaved(_)), "{number}");
-        assert_eq!(persisted(next()), number);
+        assert_eq!(next_persisted(&events), number);
         is_full.store(true, Ordering::SeqCst);
     }
 }
