Count a crash against all runs that ended with the worker, also after its lease

What callers would see: an innocent job that is given up, and a task that crashes its workers and is not counted.

Cause: since runs may be kept when a lease expires, a worker that crashed and stayed away for longer than its lease can have runs that ended then and others that are kept until it returns. The crash was counted against the kept ones alone, so a job whose tasks were among them looked like the only suspect.

Change: both are merged when the crash is counted. The runs that ended with the lease are forgotten as soon as the worker gets tasks or reports ends, so they always belong to the same crash.

Test: a_crash_after_the_end_of_some_leases_counts_the_suspects_of_all; before, the expired task had no crash.

--- a/crates/queues/src/crash.rs
+++ b/crates/queues/src/crash.rs
@@ -94,7 +94,7 @@
 }
 
 impl LostRuns {
-    /// Adds runs that ended later with the same worker.
+    /// Adds runs that ended later with the same incarnation of a worker.
     pub fn merge(&mut self, later: &LostRuns) {
         self.tasks.extend_from_slice(&later.tasks);
         self.suspects.extend_from_slice(&later.suspects);
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -249,7 +249,7 @@
         worker.record = record.clone();
         worker.applied_ends = 0;
         worker.restarted_unix_ms = Some(self.at_unix_ms);
-        let expired = std::mem::take(&mut worker.expired);
+        let mut ended = std::mem::take(&mut worker.expired);
         let runs = worker.runs.clone();
         for (task, checkpoint) in checkpoints {
             if let Some(held) = runs.get(task) {
@@ -259,8 +259,8 @@
         let restarted = QueueChange::WorkerRestarted(record.id.clone());
         self.changes.push(restarted);
         if let Some(lost) = lost {
-            let lost = if lost.is_empty() { &expired } else { lost };
-            self.count_crashes(&record.id, lost);
+            ended.merge(lost);
+            self.count_crashes(&record.id, &ended);
         }
     }
 
@@ -387,10 +387,10 @@
         let Some(worker) = self.state.workers.get(id) else {
             return;
         };
-        let expired = worker.expired.clone();
+        let mut ended = worker.expired.clone();
         self.remove_worker(id, checkpoints);
-        let lost = if lost.is_empty() { &expired } else { lost };
-        self.count_crashes(id, lost);
+        ended.merge(lost);
+        self.count_crashes(id, &ended);
     }
 
     /// Counts a crash of a worker against the tasks that ran there.
--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -379,3 +379,47 @@
     count.record(task, &lost(&[task]));
     assert!(count.is_given_up());
 }
+
+/// Guards against a crash that is attributed to one job alone although tasks of two had just
+/// started, since the lease of one of the two ended before the worker returned.
+#[test]
+fn a_crash_after_the_end_of_some_leases_counts_the_suspects_of_all() {
+    let mut model = model(1, |_| false);
+    submit(&mut model, Kind::Lookup, 1..3);
+    model.run(100);
+    let held = model.state.worker("w0").unwrap().runs.clone();
+    let tasks: Vec<TaskKey> = held.keys().copied().collect();
+    let of_job = |number: u64| -> Vec<TaskKey> {
+        let job = JobKey(load::key(Kind::Lookup, number));
+        let tasks = tasks.iter().filter(|task| task.step.job == job);
+        tasks.copied().collect()
+    };
+    let (expired, kept) = (of_job(1), of_job(2));
+    assert!(!expired.is_empty() && !kept.is_empty());
+    let lost = |tasks: &[TaskKey]| LostRuns {
+        tasks: tasks.to_vec(),
+        suspects: tasks.to_vec(),
+        is_inconclusive: false,
+    };
+    let record = model.state.worker("w0").unwrap().record.clone();
+    let expire = QueueCommand::Expire {
+        worker: record.id.clone(),
+        incarnation: record.incarnation,
+        checkpoints: Vec::new(),
+        lost: lost(&tasks),
+        kept: kept.clone(),
+    };
+    let restart = QueueCommand::RestartWorker {
+        record: Box::new(record.undescribed(record.incarnation.next())),
+        former: record.incarnation,
+        checkpoints: Vec::new(),
+        lost: Some(lost(&kept)),
+    };
+    model.state.apply(1_000, 0, &expire, &mut Vec::new());
+    model.state.apply(1_001, 0, &restart, &mut Vec::new());
+    for number in 1..3 {
+        let counts = crash_counts(&model, Kind::Lookup, number);
+        let is_counted = |count: &&CrashCount| count.suspected == 1 && count.attributed == 0;
+        assert!(counts.iter().any(|count| is_counted(&count)), "{counts:?}");
+    }
+}
