Wait at a change of leaders for a lease of an incarnation that nobody knows yet

Cause: a start for the former incarnation asks for a lease by the former clock, and the new incarnation may grant the longest one. The leader that sent the start waits for that.

Change: a run that is taken over counts as unlisted until a poll lists it, so its expiry waits for the longest lease, and for the time in which the earlier leader may still have sent requests. Runs of ended jobs do not wait, since no task of theirs starts again. Workers whose incarnations have IDs of their own are not concerned.

--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -197,7 +197,9 @@
         {
             return;
         }
-        let kept = worker.runs_that_may_be_elsewhere(config.lease_max_ms, now);
+        let mut kept = worker.runs_that_may_be_elsewhere(&config, now);
+        // No task of an ended job starts again.
+        kept.retain(|task| self.job_steps.contains_key(&task.step.job));
         if kept.len() == worker.runs.len() {
             return;
         }
--- a/crates/queues/src/scheduler/restarts.rs
+++ b/crates/queues/src/scheduler/restarts.rs
@@ -11,6 +11,7 @@
 use crate::command::QueueCommand;
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::SchedulerConfig;
 use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::workers::RunStage;
@@ -94,14 +95,25 @@
 
     /// The tasks whose runs may have begun on another incarnation with the same ID, which the
     /// leader does not know yet: no poll of the known one has listed them. Such a run ends with the
-    /// longest lease that a worker grants. A worker without a number has another ID after a restart.
-    pub fn runs_that_may_be_elsewhere(&self, lease_max_ms: u64, now: Millis) -> Vec<TaskKey> {
+    /// longest lease that a worker grants; an earlier leader may have sent its start for some time
+    /// after this one took it over. A worker without a number has another ID after a restart.
+    pub fn runs_that_may_be_elsewhere(
+        &self,
+        config: &SchedulerConfig,
+        now: Millis,
+    ) -> Vec<TaskKey> {
         if self.record.incarnation == Incarnation::default() {
             return Vec::new();
         }
-        let lease_ms = lease_max_ms * 100 / CLOCK_RATE_MIN_PERCENT;
+        let lease_ms = config.lease_max_ms * 100 / CLOCK_RATE_MIN_PERCENT;
         let is_unlisted = |(task, run): (&TaskKey, &RunView)| {
             let since = run.unlisted_since?;
+            let hand_over_ms = if run.is_adopted {
+                config.hand_over_ms
+            } else {
+                0
+            };
+            let since = since + hand_over_ms;
             (now.since(since) <= lease_ms).then_some(*task)
         };
         let mut tasks: Vec<TaskKey> = self.runs.iter().filter_map(is_unlisted).collect();
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -97,7 +97,7 @@
                 checkpoint: None,
                 progress_percent: 0,
                 progressed: now,
-                unlisted_since: None,
+                unlisted_since: Some(now),
                 has_begun: false,
                 confirmed: now,
             };
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -81,7 +81,8 @@
     pub progress_percent: u32,
     /// When the reported progress last changed.
     pub progressed: Millis,
-    /// When its start was last sent or answered by this leader, unless a poll has listed it since.
+    /// When its start was last sent or answered by this leader, or when this leader took the run over,
+    /// unless a poll has listed it since.
     /// The worker compares only its ID, so another incarnation may have begun it.
     pub unlisted_since: Option<Millis>,
     /// When the worker first accepted or reported the run, or `since` before. A run cannot make
--- a/crates/queues/tests/restarted_workers.rs
+++ b/crates/queues/tests/restarted_workers.rs
@@ -482,3 +482,37 @@
     let (_, phase) = model.jobs[&JobKey(1)].ended.unwrap();
     assert_eq!(phase, JobPhase::Failed);
 }
+
+/// Guards against a new leader that takes the lease of a worker for expired that has started again
+/// unnoticed and got a longer one by the clock of the former incarnation.
+#[test]
+fn a_new_leader_waits_for_a_lease_by_the_clock_of_the_former_incarnation() {
+    let mut unnoticed = 0;
+    for after_ms in (0..60).step_by(STEP_MS as usize) {
+        let mut model = model(2);
+        // The clock of the first incarnation is far ahead of that of the second one.
+        model.run(30_000);
+        run_short_jobs(&mut model, 1, 4);
+        set_reachable(&mut model, OTHER, false);
+        model.run(SETTLE_MS);
+        submit(&mut model, FIRST_LONG_JOB);
+        model.run(after_ms);
+        model.workers.get_mut(WORKER).unwrap().loses_reports = true;
+        model.restart_worker(WORKER, STEP_MS);
+        for _ in 0..20 {
+            model.run(STEP_MS);
+            if !model.workers[WORKER].running.is_empty() {
+                break;
+            }
+        }
+        let is_known = committed(&model, WORKER).incarnation > FIRST_INCARNATION;
+        let is_running = !model.workers[WORKER].running.is_empty();
+        unnoticed += u64::from(is_running && !is_known);
+        set_reachable(&mut model, WORKER, false);
+        model.change_leader();
+        set_reachable(&mut model, OTHER, true);
+        model.run_until_done(60_000);
+        assert_all_completed(&model);
+    }
+    assert!(unnoticed > 0, "no start was on its way");
+}
