Fence late requests that were meant for a former incarnation of a worker

Cause: a worker compares only its ID and the fencing token, and the token was the leader's term. A poll that was sent to the former incarnation within 300 ms of its last reply, lost in a cut and carried out seconds later acknowledged ends of the new one by the old numbers. An end that came while earlier ones were being committed, when no poll is open, was forgotten unread.

Change: the token has the term in its upper bits, and below them the number of restarts that the leader had noticed when it began to track the worker. The first request for the new incarnation raises it, and late starts, stops and polls for the former one are rejected from then on. A worker that is removed and added again gets the present number, so its token never falls.

Ruled out: acknowledging only ends that no reply has confirmed; the late poll is the one that acknowledges them first.

What remains: until the leader has noticed the restart and reached the new incarnation, late requests for the former one are carried out there.

The late stop in ended_jobs.rs carries the token of its term.

--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -9,6 +9,27 @@
 use crate::ids::TaskKey;
 use crate::worker::WorkerRecord;
 
+/// The bits of a token that hold the number of restarts. With the term above them, the token stays
+/// below 2^53, up to which all readers of JSON numbers agree.
+const RESTART_BITS: u32 = 20;
+
+/// What keeps a worker from carrying out requests of earlier leaders, and late ones that were meant
+/// for a former incarnation with its ID.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Fence {
+    /// The term of the leader.
+    pub term: u64,
+    /// How many restarts of workers the leader had noticed when it began to track the worker.
+    pub restarts: u32,
+}
+
+impl Fence {
+    fn token(self) -> u64 {
+        let restarts = u64::from(self.restarts);
+        self.term << RESTART_BITS | restarts.min((1 << RESTART_BITS) - 1)
+    }
+}
+
 /// A request to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRequest {
@@ -21,6 +42,9 @@
     pub address: Arc<str>,
     /// The term of the leader that sends the request.
     pub term: u64,
+    /// The worker rejects requests with a lower token than it has seen. It rises with the term, and
+    /// with each restart of a worker that the leader notices.
+    pub fencing_token: u64,
     /// When the request was created, on the leader's clock.
     pub sent: Millis,
     /// What the worker is asked to do.
@@ -207,7 +231,7 @@
 impl WorkerRequest {
     pub(crate) fn new(
         record: &WorkerRecord,
-        term: u64,
+        fence: Fence,
         sent: Millis,
         kind: WorkerRequestKind,
     ) -> WorkerRequest {
@@ -215,7 +239,8 @@
             worker: record.id.clone(),
             incarnation: record.incarnation,
             address: record.address.clone(),
-            term,
+            term: fence.term,
+            fencing_token: fence.token(),
             sent,
             kind,
         }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -165,6 +165,8 @@
     pub(crate) isolation_turns: IsolationTurns,
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
+    /// The number of restarts of workers under their IDs that this leader has noticed.
+    pub(crate) restarts: u32,
 }
 
 impl Scheduler {
@@ -194,6 +196,7 @@
             isolation_turns: IsolationTurns::default(),
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
+            restarts: 0,
         };
         for worker in state.workers() {
             let age = |at| unix_ms.saturating_sub(at);
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -160,7 +160,7 @@
             acknowledged,
             wait_ms,
         };
-        let request = WorkerRequest::new(&worker.record, term, now, kind);
+        let request = WorkerRequest::new(&worker.record, worker.fence(term), now, kind);
         self.actions.push(crate::Action::Send(request));
     }
 
--- a/crates/queues/src/scheduler/reports.rs
+++ b/crates/queues/src/scheduler/reports.rs
@@ -104,7 +104,9 @@
 
     /// Begins to track an incarnation, which followed another one with the same ID at `restarted`.
     pub(crate) fn add_worker(&mut self, worker: &Worker, restarted: Option<Millis>, now: Millis) {
-        let view = WorkerView::new(worker, restarted, now);
+        let mut view = WorkerView::new(worker, restarted, now);
+        // A worker that was removed and is added again has seen the tokens of all former requests.
+        view.restarts = self.restarts;
         let index = self.workers.insert(view);
         if let Some(worker) = self.workers.get(index) {
             self.quarantine.adopt(index, worker);
--- a/crates/queues/src/scheduler/restarts.rs
+++ b/crates/queues/src/scheduler/restarts.rs
@@ -3,7 +3,8 @@
 //! The new incarnation knows nothing of the former one, and requests that were meant for the former
 //! one may reach it, since a worker compares only its ID. Its runs are therefore not given up at
 //! once: a run that may have begun there by such a start goes on if the new incarnation lists it,
-//! and a start that may still be carried out late is stopped there first.
+//! and a start that may still be carried out late is stopped there first. Once a request of a leader
+//! that knows the new incarnation has reached it, requests for the former one are rejected.
 
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::Millis;
@@ -13,6 +14,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::SchedulerConfig;
 use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+use crate::scheduler::messages::Fence;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
@@ -56,6 +58,12 @@
 }
 
 impl WorkerView {
+    /// The fence of requests to this incarnation.
+    pub(crate) fn fence(&self, term: u64) -> Fence {
+        let restarts = self.restarts;
+        Fence { term, restarts }
+    }
+
     /// Whether runs that this leader has given up may take resources that it does not count.
     pub fn has_uncounted_runs(&self) -> bool {
         self.poll.has_unexpected_runs() || !self.late_start_stops.is_empty()
@@ -180,6 +188,7 @@
             return;
         };
         let former = self.workers.remove(id);
+        self.restarts = self.restarts.saturating_add(1);
         self.add_worker(&known, Some(now), now);
         self.adopt_runs(state, &known, now);
         let Some(index) = self.index(id) else {
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -183,7 +183,7 @@
             checkpoint: resume_checkpoint(job, task),
             permit,
         };
-        let request = WorkerRequest::new(&worker.record, term, now, kind);
+        let request = WorkerRequest::new(&worker.record, worker.fence(term), now, kind);
         let evidence = &mut self.quarantine.evidence;
         evidence.record_start(index, &job.queue.name, now);
         self.counts.starts += u64::from(attempts == 1);
@@ -435,7 +435,7 @@
         let term = self.config.term;
         if let Some(worker) = self.workers.get(index) {
             let kind = WorkerRequestKind::Stop { task, run, reason };
-            let request = WorkerRequest::new(&worker.record, term, now, kind);
+            let request = WorkerRequest::new(&worker.record, worker.fence(term), now, kind);
             self.counts.stops[reason.index()] += 1;
             self.actions.push(Action::Send(request));
         }
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -143,6 +143,8 @@
     pub open_starts: Vec<OpenStart>,
     /// Unanswered stops of starts that were meant for a former incarnation.
     pub late_start_stops: Vec<LateStartStop>,
+    /// How many restarts of workers this leader had noticed when it began to track the worker.
+    pub restarts: u32,
 }
 
 impl WorkerView {
@@ -166,6 +168,7 @@
             successor: None,
             open_starts: Vec::new(),
             late_start_stops: Vec::new(),
+            restarts: 0,
         }
     }
 
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -199,6 +199,7 @@
         worker: worker.record.id.clone(),
         address: worker.record.address.clone(),
         term: 1,
+        fencing_token: 1 << 20,
         sent: now,
         kind: WorkerRequestKind::Stop {
             task,
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -35,6 +35,7 @@
 use sapphirepost_queues::scheduler::WorkerReply;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_queues::scheduler::WorkerRequestKind;
 use sapphirepost_queues::table::PermitCost;
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::Millis;
@@ -75,6 +76,8 @@
 enum Event {
     Applied(Vec<QueueCommand>),
     RequestArrives(WorkerRequest),
+    /// A poll is carried out so late that nobody waits for its reply.
+    PollArrivesLate(WorkerRequest),
     RequestAnswered(WorkerRequest, Result<WorkerReply, WorkerRequestError>),
     PermitsAnswered(Arc<str>, PermitAnswer),
 }
@@ -274,7 +277,7 @@
         self.busy_clients.clear();
         for (key, event) in pending {
             // Requests that were sent may still be carried out.
-            if matches!(event, Event::RequestArrives(_)) {
+            if matches!(event, Event::RequestArrives(_) | Event::PollArrivesLate(_)) {
                 self.events.insert(key, event);
             }
         }
@@ -379,6 +382,11 @@
         match event {
             Event::Applied(commands) => self.apply(&commands),
             Event::RequestArrives(request) => self.request_arrives(request),
+            Event::PollArrivesLate(request) => {
+                if let Some(worker) = self.workers.get_mut(&request.worker) {
+                    worker.handle_late_poll(&request);
+                }
+            }
             Event::RequestAnswered(request, result) => {
                 self.scheduler
                     .handle_reply(&self.state, &request, result, self.now);
@@ -492,6 +500,11 @@
         }
         if worker.is_unreachable || worker.loses(&request) {
             let timeout_ms = worker::timeout_ms(&request);
+            let is_poll = matches!(request.kind, WorkerRequestKind::Poll { .. });
+            if is_poll && worker.poll_delay_ms > 0 {
+                let delay_ms = worker.poll_delay_ms;
+                self.schedule(delay_ms, Event::PollArrivesLate(request.clone()));
+            }
             let missed = Event::RequestAnswered(request, Err(WorkerRequestError::NoAnswer));
             return self.schedule(timeout_ms, missed);
         }
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -51,7 +51,7 @@
     last_end: u64,
     /// For each task, the highest run number that may not start any more.
     superseded: BTreeMap<TaskKey, u32>,
-    term: u64,
+    fencing_token: u64,
     /// When this incarnation started; its clock counts from then.
     pub(super) born: Millis,
     /// The end of the lease, on its clock.
@@ -101,8 +101,13 @@
     /// Starts for the former incarnation. They are carried out once a leader that knows this one has
     /// reached it; nothing can keep it from carrying them out before.
     former_starts: Vec<(Millis, WorkerRequest)>,
+    /// Whether a leader that knows this incarnation has reached it.
+    is_known: bool,
     /// Whether starts are lost on their way to it.
     pub loses_starts: bool,
+    /// If not 0, polls that are sent while it is unreachable are carried out this much later,
+    /// although they have no answer.
+    pub poll_delay_ms: u64,
     /// Whether its reports are lost on their way.
     pub loses_reports: bool,
     /// Its present capacity if that is smaller than in its record.
@@ -158,7 +163,7 @@
             ends: Vec::new(),
             last_end: 0,
             superseded: BTreeMap::new(),
-            term: 0,
+            fencing_token: 0,
             born: Millis::ZERO,
             lease_until_ms: 0,
             lapsed: Millis::ZERO,
@@ -185,7 +190,9 @@
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
             former_starts: Vec::new(),
+            is_known: false,
             loses_starts: false,
+            poll_delay_ms: 0,
             loses_reports: false,
             shrunk_to: None,
             starts_over_capacity: 0,
@@ -347,14 +354,15 @@
             wait_ms,
         } = request.kind
         {
-            if request.term < self.term {
+            if request.fencing_token < self.fencing_token {
                 return Some(Err(WorkerRequestError::Rejected(RejectReason::Fenced)));
             }
-            self.term = request.term;
+            self.fencing_token = request.fencing_token;
             self.extend_lease(until_ms.unwrap_or(0));
             self.acknowledge(acknowledged);
             self.poll = Some((request.clone(), now + wait_ms));
             if request.incarnation == self.record.incarnation {
+                self.is_known = true;
                 self.delayed_starts.append(&mut self.former_starts);
             }
             return None;
@@ -368,10 +376,10 @@
         now: Millis,
     ) -> Result<WorkerReply, WorkerRequestError> {
         let reject = |reason| Err(WorkerRequestError::Rejected(reason));
-        if request.term < self.term {
+        if request.fencing_token < self.fencing_token {
             return reject(RejectReason::Fenced);
         }
-        self.term = request.term;
+        self.fencing_token = request.fencing_token;
         match &request.kind {
             WorkerRequestKind::Start {
                 task,
@@ -434,6 +442,26 @@
         Ok(WorkerReply::Accepted)
     }
 
+    /// Carries out a poll that is so late that nobody waits for its reply, unless no leader that
+    /// knows this incarnation has reached it; nothing can keep it from carrying it out before.
+    pub fn handle_late_poll(&mut self, request: &WorkerRequest) {
+        let WorkerRequestKind::Poll {
+            until_ms,
+            acknowledged,
+            ..
+        } = request.kind
+        else {
+            return;
+        };
+        let is_down = self.is_unreachable || self.is_crashed;
+        if is_down || !self.is_known || request.fencing_token < self.fencing_token {
+            return;
+        }
+        self.fencing_token = request.fencing_token;
+        self.extend_lease(until_ms.unwrap_or(0));
+        self.acknowledge(acknowledged);
+    }
+
     /// Why a poll that an earlier process held open has no reply.
     fn poll_error(&self) -> WorkerRequestError {
         if self.is_unreachable {
--- a/crates/queues/tests/restarted_workers.rs
+++ b/crates/queues/tests/restarted_workers.rs
@@ -483,6 +483,35 @@
     assert_eq!(phase, JobPhase::Failed);
 }
 
+/// Guards against ends that a late poll acknowledges unread, since it was sent to the former
+/// incarnation and is carried out by the new one.
+#[test]
+fn a_late_poll_for_the_former_incarnation_acknowledges_no_end() {
+    for after_ms in (720..900).step_by(20) {
+        for delay_ms in (700..2_000).step_by(50) {
+            let mut model = model(2);
+            run_short_jobs(&mut model, 1, 12);
+            set_reachable(&mut model, OTHER, false);
+            model.run(SETTLE_MS);
+            model.commit_ms = 150;
+            submit(&mut model, 20);
+            model.run(after_ms);
+            model.workers.get_mut(WORKER).unwrap().poll_delay_ms = delay_ms;
+            set_reachable(&mut model, WORKER, false);
+            model.restart_worker(WORKER, STEP_MS);
+            model.run(400);
+            set_reachable(&mut model, WORKER, true);
+            for job in 21..32 {
+                submit(&mut model, job);
+                model.run(130);
+            }
+            set_reachable(&mut model, OTHER, true);
+            model.run_until_done(40_000);
+            assert_all_completed(&model);
+        }
+    }
+}
+
 /// Guards against a new leader that takes the lease of a worker for expired that has started again
 /// unnoticed and got a longer one by the clock of the former incarnation.
 #[test]
