Test tasks whose workers stay down for long, or crash in the same moment (known red)

A worker that is down for longer than its lease: three leases (12 s) are fine, the task begins four times. With four leases (16 s) it begins nine times in 90 s and is never given up: the leader removes a worker that has been silent for 15 s, the runs that ended with its lease are forgotten with it, and the next incarnation is a new worker.

Many deadly tasks that take their workers down in the same moment, which counts as an outer cause: 40 lookups on 24 workers are all given up, each after at most five crashes.

--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -380,6 +380,37 @@
     assert!(count.is_given_up());
 }
 
+/// Guards against a task that is started too often, since each lease of a worker that it crashed
+/// ends before the worker returns and shows the crash.
+#[test]
+fn a_task_whose_workers_stay_down_for_several_leases_is_given_up() {
+    for leases in [3, 4, 6] {
+        let mut model = model(16, is_crashing);
+        for worker in model.workers.values_mut() {
+            worker.down_ms = leases * LEASE_MS;
+        }
+        submit(&mut model, Kind::Tally, 0..2);
+        submit(&mut model, Kind::Lookup, 0..1);
+        model.run_until_done(90_000);
+        assert_only_crashing_jobs_failed(&model, is_crashing);
+    }
+}
+
+/// Guards against tasks that are started for ever since many of them crash their workers in the
+/// same moment, which points to an outer cause.
+#[test]
+fn many_tasks_that_crash_their_workers_in_the_same_moment_are_given_up() {
+    let mut model = model(24, is_lookup);
+    submit(&mut model, Kind::Lookup, 0..40);
+    model.run_until_done(180_000);
+    assert_only_crashing_jobs_failed(&model, is_lookup);
+}
+
+fn is_lookup(task: TaskKey) -> bool {
+    let number = task.step.job.0.wrapping_sub(load::key(Kind::Lookup, 0));
+    number < load::key(Kind::Lookup, 0)
+}
+
 /// Guards against a crash that is attributed to one job alone although tasks of two had just
 /// started, since the lease of one of the two ended before the worker returned.
 #[test]
