Leave a turn to be isolated to steps that have not had one in vain

Cause: since pauses do not count while half of the capacity is free, steps that find no worker take their turns again at once. As many of them as there are places keep all turns, and a suspect job behind them that has room waits for as long as they do. In a cluster of four workers two such gangs are enough.

Change: a step that had its turn in vain a short time ago, and would pause if the cluster were full, takes the last place only after its pause.

--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -227,9 +227,14 @@
         if self.isolation_turns.has(view.key, now) {
             return true;
         }
+        let is_paused = self.isolation_turns.is_paused(view.key, now);
         // While half of the capacity is free, a turn is unlikely to be in vain again.
-        let is_paused = !self.rounds.is_half_free && self.isolation_turns.is_paused(view.key, now);
-        if is_paused || !self.may_isolate(view, now) {
+        if is_paused && !self.rounds.is_half_free {
+            return false;
+        }
+        // Steps that find no worker leave the last place to others.
+        let left = usize::from(is_paused);
+        if !self.may_isolate(view, left, now) {
             return false;
         }
         let queue = view.queue_name.clone();
@@ -237,9 +242,9 @@
         true
     }
 
-    /// Whether another worker may be used to isolate tasks of the step. Workers that the step's
-    /// own job holds do not count.
-    fn may_isolate(&self, view: &StepView, now: Millis) -> bool {
+    /// Whether another worker may be used to isolate tasks of the step, so that `left` more are left
+    /// to other steps. Workers that the step's own job holds do not count.
+    fn may_isolate(&self, view: &StepView, left: usize, now: Millis) -> bool {
         let turns = self.isolation_turns.count(&view.queue_name, now);
         let isolating = self.workers.iter().filter(|(_, worker)| {
             worker.isolated_job(now).is_some_and(|exclusive| {
@@ -252,7 +257,7 @@
             WORKERS_PER_ISOLATED
         };
         let limit = (self.workers.len() / workers_per_isolated).max(ISOLATED_WORKERS_MIN);
-        isolating.count() + turns < limit
+        isolating.count() + turns + left < limit
     }
 
     /// Ends the turn of a step whose isolated start is proposed.
--- a/crates/queues/tests/isolation.rs
+++ b/crates/queues/tests/isolation.rs
@@ -34,7 +34,7 @@
 const START_MAX_MS: u64 = 3_000;
 
 fn need(task: TaskKey) -> Resources {
-    let cores = if task.step.job == FILLER { 50 } else { 30 };
+    let cores = if is_wide(task.step.job) { 50 } else { 30 };
     Resources::new(cores * 1_000, 1_024, 0)
 }
 
@@ -61,6 +61,15 @@
     }
 }
 
+/// Gangs of which three members are too wide for two free workers.
+const WIDE_GANGS: [JobKey; 2] = [JobKey(3), JobKey(4)];
+/// The time of a turn in vain, and that until the next one leads to a start.
+const NEXT_TURN_MAX_MS: u64 = 3_000 + START_MAX_MS;
+
+fn is_wide(job: JobKey) -> bool {
+    job == FILLER || WIDE_GANGS.contains(&job)
+}
+
 /// A full cluster in which a job waits whose tasks were suspects of a crash.
 fn model_with_suspect(is_gang: bool) -> Model {
     let worker = |number| ModelWorker::new(&format!("w{number}"), 64, need, work_ms);
@@ -77,11 +86,17 @@
     model.run(200);
     model.submit(SUSPECT.0, "suspect", job(SUSPECT, MEMBERS, is_gang));
     model.run(2 * COMMIT_MS);
-    let step = StepKey {
-        job: SUSPECT,
-        step: 0,
-    };
-    let tasks: Vec<TaskKey> = (0..MEMBERS).map(|index| step.task(index)).collect();
+    crash_under(&mut model, tasks_of(SUSPECT, MEMBERS));
+    model
+}
+
+fn tasks_of(job: JobKey, count: u32) -> Vec<TaskKey> {
+    let step = StepKey { job, step: 0 };
+    (0..count).map(|index| step.task(index)).collect()
+}
+
+/// Makes suspects of these tasks.
+fn crash_under(model: &mut Model, tasks: Vec<TaskKey>) {
     model.propose(QueueCommand::Crash {
         worker: Arc::from(CRASHED),
         incarnation: FIRST_INCARNATION,
@@ -93,7 +108,6 @@
         },
     });
     model.run(2 * COMMIT_MS);
-    model
 }
 
 /// Guards against a job that waits although most of the cluster is free, since its turns to be
@@ -129,3 +143,40 @@
     }
     assert!(reasons.contains(&WaitReason::Isolation), "{reasons:?}");
 }
+
+/// Guards against a suspect job that waits although it has room, since wide gangs of suspects that
+/// have none take all turns again and again while half of the cluster is free.
+#[test]
+fn gangs_without_room_leave_turns_to_a_suspect_job_that_has_room() {
+    let names = ["w0", "w1", "w2", "w3", CRASHED];
+    let workers = names.map(|name| ModelWorker::new(name, 64, need, work_ms));
+    let queues = vec![
+        queue("filler", 0, 4.0, 3_000),
+        queue("suspect", 1, 2.2, 1_000),
+    ];
+    let mut model = Model::new(queues, workers.into(), 4);
+    model.run(50);
+    model.workers.get_mut(CRASHED).unwrap().is_unreachable = true;
+    model.run(1_000);
+    model.submit(FILLER.0, "filler", job(FILLER, 2, false));
+    model.run(200);
+    let mut suspects = tasks_of(SUSPECT, 1);
+    for key in WIDE_GANGS {
+        model.submit(key.0, "suspect", job(key, 3, true));
+        model.run(50);
+        suspects.extend(tasks_of(key, 3));
+    }
+    model.submit(SUSPECT.0, "suspect", job(SUSPECT, 1, false));
+    crash_under(&mut model, suspects);
+    assert!(!model.has_started(SUSPECT));
+    let begin = model.now;
+    while !model.has_started(SUSPECT) {
+        let waits_ms = model.now.since(begin);
+        assert!(
+            waits_ms <= NEXT_TURN_MAX_MS,
+            "not started after {waits_ms} ms"
+        );
+        model.run(STEP_MS);
+    }
+    println!("started after {} ms", model.now.since(begin));
+}
