--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -173,6 +173,8 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
     pub(crate) overload: Overload,
+    /// The number of restarts of workers under their IDs that this leader has noticed.
+    pub(crate) restarts: u32,
 }
 
 impl Scheduler {
@@ -204,6 +206,7 @@
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
             overload: Overload::default(),
+            restarts: 0,
         };
         for worker in state.workers() {
             let age = |at| unix_ms.saturating_sub(at);
--- a/crates/queues/src/scheduler/restarts.rs
+++ b/crates/queues/src/scheduler/restarts.rs
@@ -3,7 +3,8 @@
 //! The new incarnation knows nothing of the former one, and requests that were meant for the former
 //! one may reach it, since a worker compares only its ID. Its runs are therefore not given up at
 //! once: a run that may have begun there by such a start goes on if the new incarnation lists it,
-//! and a start that may still be carried out late is stopped there first.
+//! and a start that may still be carried out late is stopped there first. Once a request of a leader
+//! that knows the new incarnation has reached it, requests for the former one are rejected.
 
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::Millis;
@@ -11,7 +12,9 @@
 use crate::command::QueueCommand;
 use crate::ids::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::scheduler::SchedulerConfig;
 use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+use crate::scheduler::messages::Fence;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
@@ -55,6 +58,12 @@
 }
 
 impl WorkerView {
+    /// The fence of requests to this incarnation.
+    pub(crate) fn fence(&self, term: u64) -> Fence {
+        let restarts = self.restarts;
+        Fence { term, restarts }
+    }
+
     /// Whether runs that this leader has given up may take resources that it does not count.
     pub fn has_uncounted_runs(&self) -> bool {
         self.poll.has_unexpected_runs() || !self.late_start_stops.is_empty()
@@ -94,14 +103,25 @@
 
     /// The tasks whose runs may have begun on another incarnation with the same ID, which the
     /// leader does not know yet: no poll of the known one has listed them. Such a run ends with the
-    /// longest lease that a worker grants. A worker without a number has another ID after a restart.
-    pub fn runs_that_may_be_elsewhere(&self, lease_max_ms: u64, now: Millis) -> Vec<TaskKey> {
+    /// longest lease that a worker grants; an earlier leader may have sent its start for some time
+    /// after this one took it over. A worker without a number has another ID after a restart.
+    pub fn runs_that_may_be_elsewhere(
+        &self,
+        config: &SchedulerConfig,
+        now: Millis,
+    ) -> Vec<TaskKey> {
         if self.record.incarnation == Incarnation::default() {
             return Vec::new();
         }
-        let lease_ms = lease_max_ms * 100 / CLOCK_RATE_MIN_PERCENT;
+        let lease_ms = config.lease_max_ms * 100 / CLOCK_RATE_MIN_PERCENT;
         let is_unlisted = |(task, run): (&TaskKey, &RunView)| {
             let since = run.unlisted_since?;
+            let hand_over_ms = if run.is_adopted {
+                config.hand_over_ms
+            } else {
+                0
+            };
+            let since = since + hand_over_ms;
             (now.since(since) <= lease_ms).then_some(*task)
         };
         let mut tasks: Vec<TaskKey> = self.runs.iter().filter_map(is_unlisted).collect();
@@ -168,6 +188,7 @@
             return;
         };
         let former = self.workers.remove(id);
+        self.restarts = self.restarts.saturating_add(1);
         self.add_worker(&known, Some(now), now);
         self.adopt_runs(state, &known, now);
         let Some(index) = self.index(id) else {
