Let refusals of a slow leader end when nothing is committed any more

While all new jobs are refused there may be nothing left to commit, so no faster commit could ever end the refusals: an idle cluster would refuse for ever after a slow moment. The last slow commits now count for 500 ms. refusals_end_when_nothing_is_committed_any_more failed before (a refusal 1 s after the last commit).

--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -12,6 +12,9 @@
 /// Commits that are all slow for this long show that the leader falls behind. A single slow one
 /// shows nothing: the disk or another member may have paused.
 const SLOW_SINCE_MS: u64 = 200;
+/// The last commits show nothing any more after this long. While all new jobs are refused, there may
+/// be nothing left to commit.
+const VALID_MS: u64 = 500;
 /// The shortest time after which a refused caller may retry.
 const RETRY_MIN_MS: u64 = 1_000;
 /// How many times as long as its commits take a leader needs to catch up.
@@ -19,11 +22,29 @@
 /// The longest time after which a refused caller may retry.
 const RETRY_MAX_MS: u64 = 5_000;
 
+/// Slow commits without a faster one between them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SlowCommits {
+    /// When the first one ended.
+    since: Millis,
+    /// When the last one ended.
+    last: Millis,
+    /// How long the last one took.
+    took_ms: u64,
+}
+
+impl SlowCommits {
+    /// Whether they show at `now` that the leader falls behind.
+    fn are_evidence(&self, now: Millis) -> bool {
+        now.since(self.since) >= SLOW_SINCE_MS && now.since(self.last) < VALID_MS
+    }
+}
+
 /// The commit times of a leader in its term.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Overload {
-    /// When the first of the slow commits in a row ended, and how long the last one took.
-    slow: Option<(Millis, u64)>,
+    /// The slow commits in a row up to the last commit.
+    slow: Option<SlowCommits>,
     /// The age of the oldest commit in progress.
     in_progress_ms: u64,
 }
@@ -34,8 +55,12 @@
         self.slow = if took_ms < SLOW_COMMIT_MS {
             None
         } else {
-            let since = self.slow.map_or(now, |(since, _)| since);
-            Some((since, took_ms))
+            let since = self.slow.map_or(now, |slow| slow.since);
+            Some(SlowCommits {
+                since,
+                last: now,
+                took_ms,
+            })
         };
     }
 
@@ -46,13 +71,12 @@
 
     /// The time after which a new job may be submitted again; `None` while the leader keeps up.
     pub fn retry_after_ms(&self, now: Millis) -> Option<u64> {
-        let (slow_for_ms, took_ms) = self
-            .slow
-            .map_or((0, 0), |(since, took_ms)| (now.since(since), took_ms));
+        let slow = self.slow.filter(|slow| slow.are_evidence(now));
         let is_stuck = self.in_progress_ms >= SLOW_COMMIT_MS + SLOW_SINCE_MS;
-        if slow_for_ms < SLOW_SINCE_MS && !is_stuck {
+        if slow.is_none() && !is_stuck {
             return None;
         }
+        let took_ms = slow.map_or(0, |slow| slow.took_ms);
         let took_ms = took_ms.max(self.in_progress_ms);
         Some((RETRY_FACTOR * took_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
--- a/crates/queues/tests/slow_commits.rs
+++ b/crates/queues/tests/slow_commits.rs
@@ -50,6 +50,19 @@
     assert_eq!(retry_after_ms(&model, 1, begin + 400), None);
 }
 
+/// Guards against refusals without an end: while all new jobs are refused, there may be nothing left
+/// to commit that could show a faster commit.
+#[test]
+fn refusals_end_when_nothing_is_committed_any_more() {
+    let mut model = model();
+    let begin = model.now;
+    for at_ms in [0, 100, 200, 300] {
+        model.scheduler.record_commit(SLOW_MS, begin + at_ms);
+    }
+    assert!(retry_after_ms(&model, 1, begin + 300).is_some());
+    assert_eq!(retry_after_ms(&model, 1, begin + 1_300), None);
+}
+
 /// Guards against a leader that accepts jobs while no commit ends at all.
 #[test]
 fn new_jobs_are_refused_while_a_commit_does_not_end() {
