Answer heartbeats from before the commit index at once, on a full disk too

In plays with the disks of single members full for 4 s, a follower that was in touch all the time was removed from the voters as dead after 2.5 s, joined again and was made a voter again, for each full disk. With one more voter out of contact the leader would have stepped down. A disk that stalls or is slow has the same effect.

Cause: a heartbeat is answered at once, so that a member with a slow disk counts as live, but one from before the follower's commit index was taken for a delayed message, whose answer waits for the sync. A heartbeat that overtakes entries is rejected; the leader then probes from the follower's last entry, the probe moves the follower's commit index on, and as the answer to the probe waits for the disk, all heartbeats that follow come from before that index.

Why it is safe: the logs match up to the commit index, and the answer acknowledges no more than what is synced, as for other heartbeats.

Ruled out: the queue of the storage thread (64 messages in flight at most) and an unsynced term, which still makes a member wait: a former leader whose disk is full.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -160,15 +160,11 @@
         commit: Index,
         round: u64,
     ) {
+        let is_heartbeat = entries.is_empty();
         if prev_index < self.commit_index {
-            // A delayed message. The log matches the leader's at least up to the commit index.
-            return self.send_after_persist(
-                from,
-                Body::Accepted {
-                    matched: self.commit_index,
-                    round,
-                },
-            );
+            // The log matches the leader's at least up to the commit index. The message is delayed,
+            // or this member has not synced what it was sent, and the leader starts from there.
+            return self.accept(from, self.commit_index, is_heartbeat, round);
         }
         if self.log.term(prev_index) != Some(prev_term) {
             let hint = self.conflict_hint(prev_index);
@@ -181,13 +177,17 @@
                 },
             );
         }
-        let is_heartbeat = entries.is_empty();
         let matched = prev_index + entries.len() as u64;
         self.append_received(entries);
         self.commit_to(commit.min(matched));
+        self.accept(from, matched, is_heartbeat, round);
+    }
+
+    /// Answers an append message with the index up to which the logs match. The reply to a heartbeat
+    /// does not wait for a sync in progress, so that the leader does not take a member with a slow
+    /// or full disk for a failed one. It acknowledges only what is synced.
+    fn accept(&mut self, from: MemberId, matched: Index, is_heartbeat: bool, round: u64) {
         if is_heartbeat && self.is_hard_state_synced() {
-            // The reply does not wait for a sync in progress, so that the leader does not take a
-            // member with a slow disk for a failed one. It acknowledges only what is synced.
             let matched = matched.min(self.log.stable());
             return self.send(from, Body::Accepted { matched, round });
         }
--- a/crates/consensus/tests/full_disks.rs
+++ b/crates/consensus/tests/full_disks.rs
@@ -279,3 +279,39 @@
         assert!(snapshots > 0, "a full disk must have received a snapshot");
     }
 }
+
+/// Guards against a follower that counts as dead, and is removed, because its disk is full for some
+/// seconds, where heartbeats overtake entries.
+#[test]
+fn a_follower_with_a_full_disk_stays_in_contact() {
+    let environment = Environment {
+        delay_ms: 10,
+        ..Environment::RELIABLE
+    };
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, 3, environment, Faults::default());
+        sim.has_group_commit = true;
+        let leader = sim.elect();
+        sim.run(500).unwrap();
+        let full = (leader + 1) % 3;
+        sim.hosts[full].is_disk_full = true;
+        let id = sim.hosts[full].id;
+        for step in 0..4_000 {
+            if step % 5 == 0 {
+                assert!(sim.propose(leader, format!("command {step}")).unwrap());
+            }
+            // Each round of reads sends heartbeats.
+            sim.read(leader).unwrap();
+            sim.run(1).unwrap();
+            let found = sim.node(leader).member_progress(id).unwrap();
+            let silent_ms = found.silent_ms.unwrap();
+            assert!(
+                silent_ms < 500,
+                "seed {seed}: silent for {silent_ms} ms at step {step}"
+            );
+        }
+        sim.hosts[full].is_disk_full = false;
+        sim.run(ACK_MAX_MS).unwrap();
+        assert_eq!(sim.hosts[full].applied, sim.hosts[leader].applied);
+    }
+}
