Let no single slow commit refuse jobs

Found by a reviewer: one slow commit and a submission 250 ms later was refused, and two slow commits minutes apart counted as slow for all of that time, so a cluster with few commits refused jobs that it could serve.

--- a/crates/queues/src/scheduler/admission.rs
+++ b/crates/queues/src/scheduler/admission.rs
@@ -47,9 +47,12 @@
 
     /// `None` if the job is accepted, or the time after which the refused caller may retry.
     pub fn retry_after_ms(&self) -> Option<u64> {
-        if self.overload_retry_ms.is_some() || self.capacity_millicores == 0 {
+        if self.overload_retry_ms.is_some() {
             return self.overload_retry_ms;
         }
+        if self.capacity_millicores == 0 {
+            return None;
+        }
         let backlog_ms = self.wait_ms(self.backlog_core_ms);
         let ends_in_ms = self.wait_ms(self.ahead_core_ms) + self.critical_path_ms;
         if ends_in_ms <= self.deadline_ms && backlog_ms <= BACKLOG_MAX_MS {
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -6,11 +6,11 @@
 
 use sapphirepost_types::Millis;
 
-/// A commit that takes longer than this is slow. It is well above the time of a commit on slow
-/// disks.
+/// A commit that takes longer than this is slow. A job with a short deadline has lost most of its
+/// time by then.
 const SLOW_COMMIT_MS: u64 = 150;
-/// Commits that are all slow for this long show that the leader falls behind. A single slow one
-/// shows nothing: the disk or another member may have paused.
+/// Slow commits without a faster one over this time show that the leader falls behind. A single one
+/// shows nothing: a disk or another member may have paused.
 const SLOW_SINCE_MS: u64 = 200;
 /// The last commits show nothing any more after this long. While all new jobs are refused, there may
 /// be nothing left to commit.
@@ -36,7 +36,11 @@
 impl SlowCommits {
     /// Whether they show at `now` that the leader falls behind.
     fn are_evidence(&self, now: Millis) -> bool {
-        now.since(self.since) >= SLOW_SINCE_MS && now.since(self.last) < VALID_MS
+        self.last.since(self.since) >= SLOW_SINCE_MS && self.is_recent(now)
+    }
+
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.last) < VALID_MS
     }
 }
 
@@ -55,7 +59,8 @@
         self.slow = if took_ms < SLOW_COMMIT_MS {
             None
         } else {
-            let since = self.slow.map_or(now, |slow| slow.since);
+            let recent = self.slow.filter(|slow| slow.is_recent(now));
+            let since = recent.map_or(now, |slow| slow.since);
             Some(SlowCommits {
                 since,
                 last: now,
--- a/crates/queues/tests/slow_commits.rs
+++ b/crates/queues/tests/slow_commits.rs
@@ -79,7 +79,14 @@
     let mut model = model();
     let begin = model.now;
     model.scheduler.record_commit(SLOW_MS, begin);
-    assert_eq!(retry_after_ms(&model, 1, begin + 100), None);
+    for at_ms in [100, 250, 450] {
+        assert_eq!(retry_after_ms(&model, 1, begin + at_ms), None);
+    }
+    let later = begin + 10_000;
+    model.scheduler.record_commit(SLOW_MS, later);
+    for at_ms in [0, 250] {
+        assert_eq!(retry_after_ms(&model, 1, later + at_ms), None);
+    }
 }
 
 /// Guards against a refusal of a job that is accepted already and will run.
