Try the steps first that earlier rounds left out

Found by a reviewer: the limit of checks of a round always left out the steps at the end of the order, so steps that cannot be placed kept a step from being tried whose workers were free, for as long as they waited; a gang behind the limit lost its reservation.

--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -39,10 +39,10 @@
 const GANG_CHECKS_PER_PAUSE_MS: u64 = 1_500;
 /// The longest pause between placements of gangs.
 const GANG_PAUSE_MAX_MS: u64 = 50;
-/// The pause after a round is at least this many times as long as the round took, so that placement
-/// takes at most a third of the leader's time.
+/// The pause after a round is this many times as long as the round took, if that is longer than the
+/// pause by the number of steps.
 const PAUSE_FACTOR: u64 = 2;
-/// The longest pause after a slow round.
+/// The longest pause after a slow round. A leader whose rounds take longer still has to place tasks.
 const SLOW_PAUSE_MAX_MS: u64 = 150;
 /// A round tries no further steps after this many checks.
 const CHECKS_PER_ROUND_MAX: u64 = 50_000;
@@ -85,7 +85,8 @@
     pub(crate) is_half_free: bool,
     /// The waiting work and the capacity when the last round began.
     pub(crate) backlog: Backlog,
-    /// These workers with their free processor capacity in millicores, those with the most first.
+    /// The workers that accepted tasks then, with their free processor capacity in millicores, those
+    /// with the most first.
     pub(crate) by_free: Vec<(u64, WorkerIndex)>,
 }
 
@@ -213,6 +214,9 @@
             ranks.push(rank);
         }
         ranks.sort_unstable();
+        // What earlier rounds left out comes first, or steps that cannot be placed would keep others
+        // from being tried for as long as they wait.
+        ranks.sort_by_key(|rank| self.left_out_at(rank.key).unwrap_or(now));
         self.rounds.backlog = backlog;
         self.rounds.pause(ranks.len());
         self.record_free_capacity(now);
@@ -249,10 +253,10 @@
         if !self.is_try_due(view, round, now) {
             return;
         }
-        if self.checks.get() >= round.checks_end {
-            // The workers freed before this round are not told to the next one.
+        // A gang that is not tried loses its reservation.
+        if self.checks.get() >= round.checks_end && !round.owners.contains(&key) {
             if let Some(view) = self.steps.get_mut(&key) {
-                view.tried = None;
+                view.left_out_at.get_or_insert(now);
             }
             return;
         }
@@ -260,6 +264,7 @@
             return;
         };
         view.tried = Some(now);
+        view.left_out_at = None;
         if !view.is_ready {
             self.prefetch_permits(&mut view, now);
         } else if view.spec().is_gang {
@@ -286,6 +291,10 @@
         round.gang_checks += self.checks.get() - checks;
     }
 
+    fn left_out_at(&self, key: StepKey) -> Option<Millis> {
+        self.steps.get(&key)?.left_out_at
+    }
+
     /// Whether a round tries a step.
     fn is_try_due(&self, view: &StepView, round: &Round, now: Millis) -> bool {
         let is_gang = view.is_ready && view.spec().is_gang;
@@ -295,7 +304,7 @@
         let Some(tried) = view.tried else {
             return true;
         };
-        if now.since(tried) >= self.rounds.retry_ms {
+        if view.left_out_at.is_some() || now.since(tried) >= self.rounds.retry_ms {
             return true;
         }
         if !is_gang {
@@ -324,7 +333,11 @@
         workers.iter().any(|index| {
             let is_possible = view.queue.permits.is_none() || view.permits.may_use_or_ask(*index);
             let worker = self.workers.get(*index).filter(|_| is_possible);
-            worker.is_some_and(|worker| need.fits_in(&worker.free()))
+            worker.is_some_and(|worker| {
+                need.fits_in(&worker.free())
+                    && view.can_run_on(worker)
+                    && self.may_use(view, *index)
+            })
         })
     }
 
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -91,7 +91,9 @@
     pub preempt_retry_at: Millis,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
-    /// Whether its waiting tasks have to be isolated and it had no turn for that in the last round.
+    /// Since when rounds have left it out, because they had done their limit of checks before it.
+    pub left_out_at: Option<Millis>,
+    /// Whether its waiting tasks have to be isolated and it had no turn for that when it was last tried.
     pub is_without_turn: bool,
     /// The permits known from the placement policy, and what to request next.
     pub permits: StepPermits,
@@ -339,6 +341,7 @@
         hold: Hold::default(),
         preempt_retry_at: Millis::ZERO,
         tried: None,
+        left_out_at: None,
         is_without_turn: false,
         permits: StepPermits::default(),
     };
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -46,8 +46,9 @@
     /// have expired, or workers rejected a start of the step and are paused.
     Gang,
     /// An allowed worker has enough free resources, but they are reserved for a gang, the worker is
-    /// at the step's limit for one worker, it rejected a start of the step and is paused, or the
-    /// step's queue or another one is quarantined. If none of these holds, the leader has a fault.
+    /// at the step's limit for one worker, it rejected a start of the step and is paused, the step's
+    /// queue or another one is quarantined, or the step has not been tried since the resources were
+    /// freed. If none of these holds, the leader has a fault.
     Withheld,
 }
 
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -618,6 +618,9 @@
                     worker.remove_run(task, placement.run);
                 }
             }
+            if let Some(index) = self.index(&placement.worker) {
+                self.rounds.note_freed(index);
+            }
             if let Some(view) = self.steps.get_mut(&step) {
                 view.proposed.remove(&placement.index);
             }
