Handle no call that has waited for another leadership

Found by a reviewer, from the code: a submission that waits at a leader is given up by the entry, refused by the next leader, and handled when the first one leads again, since events of the group overtake calls: a job that was said to be refused runs. Calls from before the present leadership, and those older than any caller waits, are now answered as not handled. The node's answer that it is busy makes the core thread wait for the next tick; it encoded the same commands each millisecond. No test of its own yet: the core thread has no test that changes leaders with calls queued.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -53,6 +53,9 @@
 /// A round turns to the node's output after this time even if more events are queued. It is a part
 /// of the interval of heartbeats, which are output.
 const EVENT_TIME_PER_ROUND: Duration = Duration::from_millis(15);
+/// A call that has waited for this long is not handled any more. Callers wait for less, and submit
+/// again under the same ID.
+const CALL_AGE_MAX: Duration = Duration::from_millis(1_000);
 /// How long a graceful stop waits for the leadership transfer.
 const LEADERSHIP_TRANSFER_WAIT_MS: u64 = 1_000;
 
@@ -127,19 +130,34 @@
         let began = Instant::now();
         for (event, queued_at) in events {
             self.load.record_event(queued_at, event.kind());
-            self.handle_event(event)?;
+            match event {
+                Event::Queue(_, done) if self.is_outdated(queued_at) => {
+                    done.send(Err(self.not_leading()));
+                }
+                event => self.handle_event(event)?,
+            }
         }
         self.load.record_work(Work::Events, began);
         Ok(())
     }
 
+    /// Whether a call is too old to be handled: its sender has given it up, or it waited for another
+    /// leadership of this member. In between, another leader may have refused the job that the call
+    /// submits, and a job that is said to be refused must not run.
+    fn is_outdated(&self, queued_at: Instant) -> bool {
+        let is_of_earlier_term = self
+            .leadership
+            .began()
+            .is_some_and(|began| queued_at < began);
+        is_of_earlier_term || queued_at.elapsed() >= CALL_AGE_MAX
+    }
+
     fn wait_time(&self) -> Duration {
         let now = self.clock.now();
         let due_ms = self.node.next_due().since(now);
         let limit_ms = if self.is_leading() {
-            let proposal_ms = self.queues.proposal_due_ms(now);
-            let proposal_ms = proposal_ms.map_or(u64::MAX, |due_ms| due_ms.max(1));
-            LEADER_TICK_INTERVAL_MS.min(proposal_ms)
+            let proposal_ms = self.queues.proposal_wait_ms(now);
+            LEADER_TICK_INTERVAL_MS.min(proposal_ms.unwrap_or(u64::MAX))
         } else {
             u64::MAX
         };
--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -29,6 +29,7 @@
 struct LeaderTerm {
     term: Term,
     leader: Leader,
+    began: Instant,
     ticked_at: Millis,
     /// When the cluster metrics were last set; zero before the first time.
     metrics_set_at: Millis,
@@ -47,6 +48,13 @@
     deferred_reads: Vec<u64>,
 }
 
+impl Leadership {
+    /// When this member began to lead; `None` if it does not lead.
+    pub(crate) fn began(&self) -> Option<Instant> {
+        self.current.as_ref().map(|current| current.began)
+    }
+}
+
 impl Core {
     /// Creates the [`Leader`] once this member leads and the state's clock was advanced in this
     /// term. When the leadership is lost or the term has changed, drops it and fails all calls.
@@ -112,6 +120,7 @@
         self.leadership.current = Some(LeaderTerm {
             term,
             leader,
+            began: Instant::now(),
             ticked_at,
             metrics_set_at: Millis::ZERO,
         });
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -98,6 +98,8 @@
     pub(crate) scheduler: Option<Scheduler>,
     /// The commands to propose next, in order.
     batch: VecDeque<Proposal>,
+    /// Whether the consensus node was busy when commands were last proposed.
+    is_node_busy: bool,
     /// For each proposed log entry: its index, when it was proposed, and the answers to send when
     /// it is applied.
     pub(crate) pending_answers: VecDeque<(Index, Millis, Vec<Answer>)>,
@@ -125,6 +127,7 @@
             event_sender,
             scheduler: None,
             batch: VecDeque::new(),
+            is_node_busy: false,
             pending_answers: VecDeque::new(),
             submitting: FxHashSet::default(),
             policy_clients: FxHashMap::default(),
@@ -156,6 +159,13 @@
         }))
     }
 
+    /// How long the core thread may wait before it proposes the collected commands; `None` if there
+    /// are none, or if the consensus node has refused them as busy, which the next tick tries again.
+    pub(crate) fn proposal_wait_ms(&self, now: Millis) -> Option<u64> {
+        let due_ms = self.proposal_due_ms(now)?;
+        (!self.is_node_busy).then_some(due_ms.max(1))
+    }
+
     /// How long ago the oldest entry in progress was proposed.
     fn commit_in_progress_ms(&self, now: Millis) -> u64 {
         let oldest = self.pending_answers.front();
@@ -424,6 +434,7 @@
             let (commands, answers): (Vec<_>, Vec<_>) =
                 proposals.map(|p| (p.command, p.answer)).unzip();
             let (commands, result) = self.propose_commands(commands);
+            self.queues.is_node_busy = matches!(result, Err(ProposeError::Busy));
             match result {
                 Ok(index) => {
                     self.metrics.proposals.inc();
