--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -207,18 +207,17 @@
     fn place_steps(&mut self, state: &QueueState, now: Millis) {
         self.count_checks(self.steps.len());
         let mut backlog = Backlog::default();
-        let mut ranks: Vec<Rank> = Vec::new();
+        // What earlier rounds left out comes first, or steps that cannot be placed would keep others
+        // from being tried for as long as they wait.
+        let mut order: Vec<(Millis, Rank)> = Vec::new();
         for view in self.steps.values().filter(|view| !view.waiting.is_empty()) {
             let rank = Rank::of(view, now);
             backlog.add_step(view, &rank);
-            ranks.push(rank);
+            order.push((view.left_out_at.unwrap_or(now), rank));
         }
-        ranks.sort_unstable();
-        // What earlier rounds left out comes first, or steps that cannot be placed would keep others
-        // from being tried for as long as they wait.
-        ranks.sort_by_key(|rank| self.left_out_at(rank.key).unwrap_or(now));
+        order.sort_unstable();
         self.rounds.backlog = backlog;
-        self.rounds.pause(ranks.len());
+        self.rounds.pause(order.len());
         self.record_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
         let reservations = if has_gangs {
@@ -236,7 +235,7 @@
             checks_end: self.checks.get() + CHECKS_PER_ROUND_MAX,
             gang_checks: 0,
         };
-        for rank in ranks {
+        for (_, rank) in order {
             self.place_step(state, rank.key, &mut round, now);
         }
         self.rounds.reservations = round.reservations;
@@ -291,10 +290,6 @@
         round.gang_checks += self.checks.get() - checks;
     }
 
-    fn left_out_at(&self, key: StepKey) -> Option<Millis> {
-        self.steps.get(&key)?.left_out_at
-    }
-
     /// Whether a round tries a step.
     fn is_try_due(&self, view: &StepView, round: &Round, now: Millis) -> bool {
         let is_gang = view.is_ready && view.spec().is_gang;
