Count what placement tries, and with which result

Callers saw few placements after a burst on a large cluster, and no log line or metric told what the placement rounds did: how many steps a round tried, why a try placed nothing, or how many answers of the policy were of no use.

The scheduler counts tries by result with their checks, visits of workers and steps by purpose (also those that are not checks: freed workers compared with waiting steps, racks, members of gangs), permit requests by cause with the workers that they name, answers that follow one without a placement, and permits that replace an earlier one. The leader logs them once a second as `placement load` and adds them to the metrics. No decision changes.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod peers;
 mod pending_calls;
+mod placement_load;
 mod queue_calls;
 mod queue_log;
 mod queue_metrics;
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -9,7 +9,11 @@
 
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_queues::scheduler::Counts;
+use sapphirepost_queues::scheduler::PlacementCounts;
+use sapphirepost_queues::scheduler::RequestCause;
 use sapphirepost_queues::scheduler::StopReason;
+use sapphirepost_queues::scheduler::TryResult;
+use sapphirepost_queues::scheduler::VisitKind;
 
 pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -43,6 +47,29 @@
     rejected_starts: Counter,
     permit_requests: Counter,
     refused_permit_requests: Counter,
+    placement_tries: Family<TryLabel, Counter>,
+    placement_visits: Family<VisitLabel, Counter>,
+    permit_requests_by_cause: Family<CauseLabel, Counter>,
+    requested_workers: Family<CauseLabel, Counter>,
+    repeated_permit_answers: Counter,
+}
+
+/// What came of a try to place a step, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TryLabel {
+    result: &'static str,
+}
+
+/// What workers or steps were visited for, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VisitLabel {
+    kind: &'static str,
+}
+
+/// Why a permit request was made, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
 }
 
 /// The number of tasks that are placed together, as a label.
@@ -141,6 +168,30 @@
                 "queue_questions_refused",
                 "Questions that the placement policy did not accept",
             ),
+            placement_tries: metrics.register(
+                "queue_placement_tries",
+                "Tries to place a step, by result",
+                Family::default(),
+            ),
+            placement_visits: metrics.register(
+                "queue_placement_visits",
+                "Visits of workers and steps for placement, by purpose",
+                Family::default(),
+            ),
+            permit_requests_by_cause: metrics.register(
+                "queue_questions_by_cause",
+                "Questions to the placement policy, by cause",
+                Family::default(),
+            ),
+            requested_workers: metrics.register(
+                "queue_question_workers",
+                "Workers named in questions to the placement policy, by cause",
+                Family::default(),
+            ),
+            repeated_permit_answers: counter(
+                "queue_questions_repeated",
+                "Answered questions for a step that placed no task since the answer before",
+            ),
         }
     }
 
@@ -150,6 +201,30 @@
         histogram.observe(wait_ms as f64 / MILLIS_PER_SECOND);
     }
 
+    /// Adds the counts of placement.
+    pub(crate) fn add_placement(&self, counts: &PlacementCounts) {
+        for (result, tries) in TryResult::ALL.iter().zip(counts.tries) {
+            let label = TryLabel {
+                result: result.label(),
+            };
+            self.placement_tries.get_or_create(&label).inc_by(tries);
+        }
+        for (kind, visits) in VisitKind::ALL.iter().zip(counts.visits) {
+            let label = VisitLabel { kind: kind.label() };
+            self.placement_visits.get_or_create(&label).inc_by(visits);
+        }
+        let requests = counts.requests.iter().zip(counts.requested_workers);
+        for (cause, (requests, workers)) in RequestCause::ALL.iter().zip(requests) {
+            let label = CauseLabel {
+                cause: cause.label(),
+            };
+            let by_cause = &self.permit_requests_by_cause;
+            by_cause.get_or_create(&label).inc_by(*requests);
+            self.requested_workers.get_or_create(&label).inc_by(workers);
+        }
+        self.repeated_permit_answers.inc_by(counts.repeated_answers);
+    }
+
     pub(crate) fn add_counts(&self, counts: Counts) {
         self.worker_crashes.inc_by(counts.worker_crashes);
         self.starts.inc_by(counts.starts);
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -35,6 +35,7 @@
 use crate::event::Event;
 use crate::event::EventSender;
 use crate::incarnation_log;
+use crate::placement_load;
 use crate::queue_log;
 use crate::queue_metrics::MILLIS_PER_SECOND;
 use crate::queue_metrics::QueueMetrics;
@@ -336,7 +337,11 @@
         let quarantined = scheduler.quarantined_queues() as i64;
         self.queues.metrics.quarantined_queues.set(quarantined);
         if now.since(self.queues.reported_at) >= REPORT_INTERVAL_MS {
+            let interval_ms = now.since(self.queues.reported_at);
             self.queues.reported_at = now;
+            let placement = scheduler.take_placement_counts();
+            placement_load::log(&placement, interval_ms);
+            self.queues.metrics.add_placement(&placement);
             let waiting = scheduler.find_waiting_steps(now);
             waiting.iter().for_each(queue_log::log_waiting);
             let ended = scheduler.find_ended_job_runs(now);
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -12,6 +12,8 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::isolation::gang_isolation;
 use crate::scheduler::place::Candidate;
+use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
 use crate::scheduler::step_permits::Permission;
@@ -34,7 +36,7 @@
     pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
         let mut reservations = Reservations::default();
         let views = self.steps.values().filter(|view| now < view.hold.until);
-        self.count_checks(self.steps.len());
+        self.count_visits(VisitKind::Round, self.steps.len());
         for view in views {
             self.reserve_now(view, &view.hold.workers, &mut reservations, now);
         }
@@ -51,8 +53,10 @@
         now: Millis,
     ) -> bool {
         let members = view.spec().count as usize;
+        let begin = self.begin_try();
         // A gang starts again only after all members of its last run have ended.
         if view.waiting.len() < members {
+            self.end_try(begin, TryResult::FormerRun);
             return false;
         }
         reservations.release(view.key);
@@ -61,6 +65,7 @@
         let has_turn = isolation == Isolation::None || self.take_isolation_turn(view, now);
         view.is_without_turn = !has_turn;
         if !has_turn {
+            self.end_try(begin, TryResult::Withheld);
             return false;
         }
         let candidates = self.candidates(view, reservations, isolation, now);
@@ -69,10 +74,12 @@
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
             let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
             if isolation != Isolation::None && !self.isolate(view, &candidates, chosen, now) {
+                self.end_try(begin, TryResult::Withheld);
                 return false;
             }
             self.end_isolation_turn(view);
             self.start(job, view, &placements, now);
+            self.end_try(begin, TryResult::Placed);
             return false;
         }
         let allowed = [Permission::Granted, Permission::Expired];
@@ -82,11 +89,18 @@
             Some(chosen) => self.renew_permits(view, chosen, now),
             None => self.request_gang_permits(view, now),
         }
+        let result = match has_room {
+            true => TryResult::ExpiredPermit,
+            false => self.vain_gang_result(view, &candidates, begin),
+        };
         if now < view.hold.until || (!has_room && self.preempt(view, reservations, now)) {
             self.reserve_now(view, &view.hold.workers, reservations, now);
+            self.end_try(begin, result);
             return true;
         }
-        !has_room && may_reserve && self.reserve(view, reservations, now)
+        let has_reservation = !has_room && may_reserve && self.reserve(view, reservations, now);
+        self.end_try(begin, result);
+        has_reservation
     }
 
     /// One worker for each member of a gang; a worker may appear several times.
@@ -124,6 +138,7 @@
     /// Workers with a common label for all members of a gang, to place it on one rack.
     fn choose_rack(&self, usable: &[&Candidate], members: usize) -> Option<Vec<WorkerIndex>> {
         let mut labels: Vec<Arc<str>> = Vec::new();
+        self.tally.count_visits(VisitKind::Rack, usable.len());
         for candidate in usable {
             let worker = self.workers.get(candidate.index)?;
             for label in &worker.record.labels {
@@ -135,6 +150,7 @@
         // Labels name kinds and racks of workers. Of the labels whose workers can hold the gang,
         // the one with the fewest workers is taken to be the rack.
         let feasible = labels.into_iter().filter_map(|label| {
+            self.tally.count_visits(VisitKind::Rack, usable.len());
             let with_label = usable.iter().copied().filter(|c| {
                 let worker = self.workers.get(c.index);
                 worker.is_some_and(|worker| worker.record.has_label(&label))
@@ -180,7 +196,7 @@
     fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
         let (spec, members) = (view.spec(), view.spec().count as usize);
         let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
-        self.count_checks(self.workers.len());
+        self.count_visits(VisitKind::Reservation, self.workers.len());
         for (index, worker) in self.workers.iter() {
             let permission = self.permission(view, index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod permit_requests;
 mod permits;
 mod place;
+mod placement_counts;
 mod policy_clients;
 mod polls;
 mod preempt;
@@ -53,6 +54,7 @@
 use crate::scheduler::isolation::IsolationTurns;
 use crate::scheduler::overload::Overload;
 use crate::scheduler::permits::PermitDispatcher;
+use crate::scheduler::placement_counts::PlacementTally;
 use crate::scheduler::quarantine::Quarantine;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
@@ -82,6 +84,10 @@
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::placement_counts::PlacementCounts;
+pub use crate::scheduler::placement_counts::RequestCause;
+pub use crate::scheduler::placement_counts::TryResult;
+pub use crate::scheduler::placement_counts::VisitKind;
 pub use crate::scheduler::quarantine::QuarantineChange;
 pub use crate::scheduler::ranking::Lateness;
 pub use crate::scheduler::reports::WorkerReport;
@@ -163,6 +169,7 @@
     pub(crate) poll_candidates: Vec<WorkerIndex>,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
+    pub(crate) tally: PlacementTally,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
@@ -197,6 +204,7 @@
             poll_candidates: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            tally: PlacementTally::default(),
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -12,6 +12,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
 use crate::scheduler::place::count_fitting;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::steps::StepView;
@@ -138,7 +139,7 @@
         let allowed = view.permits.allowed();
         let allowed = allowed.filter_map(|index| Some((index, self.workers.get(index)?)));
         let usable = allowed.filter(|(index, worker)| {
-            self.count_checks(1);
+            self.count_visits(VisitKind::Request, 1);
             self.permission(view, *index, now) != Permission::Denied
                 && worker.accepts_tasks(now)
                 && view.can_run_on(worker)
@@ -165,6 +166,7 @@
         let known = workers.iter().filter_map(|index| self.workers.get(*index));
         let mut members = 0;
         for (position, worker) in known.enumerate() {
+            self.tally.count_visits(VisitKind::Request, 1);
             members += u64::from(count_fitting(spec.resources, worker.record.capacity).min(limit));
             if members >= needed {
                 return Some(position + 1);
@@ -242,7 +244,7 @@
             if workers.len() == size || (!is_gang && *free_millicores < need.millicores) {
                 break;
             }
-            self.count_checks(1);
+            self.count_visits(VisitKind::Request, 1);
             let worker = self.workers.get(*index);
             if worker.is_some_and(|worker| is_useful(*index, worker)) {
                 workers.push(*index);
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -16,6 +16,8 @@
 use crate::scheduler::Action;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::placement_counts::RequestCause;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::policy_clients::CLIENTS_FOR_SHORT;
 use crate::scheduler::policy_clients::PolicyClients;
 use crate::scheduler::ranking::Rank;
@@ -214,6 +216,10 @@
         };
         view.permits.end_request();
         view.tried = None;
+        let is_repeated = view.permits.note_answer();
+        let counts = &mut self.tally.counts;
+        counts.answers += 1;
+        counts.repeated_answers += u64::from(is_repeated);
         let allowed = match &answer.outcome {
             PermitOutcome::Allowed(allowed) => allowed,
             PermitOutcome::Refused => {
@@ -237,7 +243,9 @@
             let found = allowed.iter().find(|(id, _)| *id == worker.record.id);
             match found {
                 Some((_, token)) => {
-                    view.permits.allow(index, token.clone(), issued);
+                    let is_renewed = view.permits.allow(index, token.clone(), issued);
+                    counts.permits += 1;
+                    counts.renewed_permits += u64::from(is_renewed);
                 }
                 None => {
                     view.permits.deny(index);
@@ -294,7 +302,7 @@
             .steps
             .values()
             .filter(|view| view.permits.next_need().is_some());
-        self.count_checks(self.steps.len());
+        self.count_visits(VisitKind::Round, self.steps.len());
         let mut candidates: Vec<(bool, Rank)> = candidates
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
@@ -402,6 +410,14 @@
         };
         let expected_ms = cost.total_ms(workers.len());
         let timeout_ms = expected_ms + REQUEST_SLACK_MS;
+        let cause = match is_renewal {
+            true => RequestCause::Renewal,
+            false if view.permits.is_empty() => RequestCause::First,
+            false => RequestCause::Further,
+        };
+        let counts = &mut self.tally.counts;
+        counts.requests[cause as usize] += 1;
+        counts.requested_workers[cause as usize] += workers.len() as u64;
         self.dispatcher.last_id += 1;
         let id = self.dispatcher.last_id;
         view.permits.begin_request(id, is_renewal, now);
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -15,6 +15,8 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::isolation::task_isolation;
+use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
@@ -86,16 +88,18 @@
             return found;
         }
         for (index, worker) in self.possible_workers(view) {
-            self.count_checks(1);
+            self.count_visits(VisitKind::Candidate, 1);
             // Most workers lack the resources, and this check is the cheapest.
             let has_room = spec.resources.fits_in(&worker.free());
             if !has_room || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
                 continue;
             }
             if view.rejections.is_paused(index, now) || worker.is_closed_to(view.key.job, now) {
+                self.tally.count_withheld();
                 continue;
             }
             if !self.may_use(view, index) || self.is_settling(view, index, now) {
+                self.tally.count_withheld();
                 continue;
             }
             let permission = self.permission(view, index, now);
@@ -107,6 +111,7 @@
             let available = reservations.available(index, worker, view.key, task_ms, now);
             let fits = self.fits(view, worker, available, now);
             if fits == 0 {
+                self.tally.count_withheld();
                 continue;
             }
             let remaining = available.saturating_sub(&spec.resources);
@@ -149,6 +154,7 @@
         fits.min(u32::try_from(open_slots).unwrap_or(u32::MAX))
     }
 
+    /// Places tasks of a step that is no gang.
     pub(crate) fn place_tasks(
         &mut self,
         state: &QueueState,
@@ -156,6 +162,26 @@
         reservations: &Reservations,
         now: Millis,
     ) {
+        let begin = self.begin_try();
+        let waiting = view.waiting.len();
+        let candidates = self.place_on_candidates(state, view, reservations, now);
+        let result = if view.waiting.len() < waiting {
+            TryResult::Placed
+        } else {
+            self.vain_result(view, &candidates, begin)
+        };
+        self.end_try(begin, result);
+    }
+
+    /// Places tasks of a step, and requests the permits that it lacks. Returns the workers that had
+    /// room.
+    fn place_on_candidates(
+        &mut self,
+        state: &QueueState,
+        view: &mut StepView,
+        reservations: &Reservations,
+        now: Millis,
+    ) -> Vec<Candidate> {
         let mut candidates = self.candidates(view, reservations, Isolation::None, now);
         candidates.sort_unstable_by_key(|c| {
             (
@@ -192,10 +218,11 @@
         if let Some(job) = job {
             self.place_isolated_tasks(job, view, reservations, now);
             if self.waits_for_isolation(job, view, &candidates, now) {
-                return;
+                return candidates;
             }
         }
         self.request_permits(view, &candidates, now);
+        candidates
     }
 
     /// Places the tasks that were on a worker when it crashed, each on a worker that is closed to
@@ -261,6 +288,8 @@
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let exclusive_ms = self.exclusive_ms();
         let mut proposed = Vec::with_capacity(placements.len());
+        self.tally.counts.tasks += placements.len() as u64;
+        view.permits.note_placement();
         for (task, index) in placements {
             let Some(worker) = self.workers.get_mut(*index) else {
                 continue;
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -12,6 +12,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::messages::StopReason;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::reservations::Reservations;
@@ -96,7 +97,7 @@
         members: usize,
         now: Millis,
     ) -> Vec<PreemptionOption> {
-        self.count_checks(self.workers.len());
+        self.count_visits(VisitKind::Preemption, self.workers.len());
         let allowed = self.workers.iter().filter(|(index, worker)| {
             let permission = self.permission(view, *index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -16,6 +16,8 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::backlog::Backlog;
+use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::reservations::Reservations;
@@ -205,7 +207,7 @@
 
     /// Places the waiting steps in the order of their ranks.
     fn place_steps(&mut self, state: &QueueState, now: Millis) {
-        self.count_checks(self.steps.len());
+        self.count_visits(VisitKind::Round, self.steps.len());
         let mut backlog = Backlog::default();
         // What earlier rounds left out comes first, or steps that cannot be placed would keep others
         // from being tried for as long as they wait.
@@ -218,6 +220,8 @@
         order.sort_unstable();
         self.rounds.backlog = backlog;
         self.rounds.pause(order.len());
+        self.tally.counts.rounds += 1;
+        self.tally.counts.waiting_steps += order.len() as u64;
         self.record_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
         let reservations = if has_gangs {
@@ -250,10 +254,12 @@
             return;
         };
         if !self.is_try_due(view, round, now) {
+            self.tally.counts.not_due += 1;
             return;
         }
         // A gang that is not tried loses its reservation.
         if self.checks.get() >= round.checks_end && !round.owners.contains(&key) {
+            self.tally.counts.left_out += 1;
             if let Some(view) = self.steps.get_mut(&key) {
                 view.left_out_at.get_or_insert(now);
             }
@@ -265,7 +271,9 @@
         view.tried = Some(now);
         view.left_out_at = None;
         if !view.is_ready {
+            let begin = self.begin_try();
             self.prefetch_permits(&mut view, now);
+            self.end_try(begin, TryResult::NotReady);
         } else if view.spec().is_gang {
             self.place_gang_in_round(state, &mut view, round, now);
         } else {
@@ -326,6 +334,7 @@
             return false;
         }
         workers.iter().any(|index| {
+            self.tally.count_visits(VisitKind::Freed, 1);
             let is_possible = view.queue.permits.is_none() || view.permits.may_use_or_ask(*index);
             let worker = self.workers.get(*index).filter(|_| is_possible);
             worker.is_some_and(|worker| {
@@ -346,6 +355,7 @@
             let is_in_time = Rank::of(&view, now).lateness == Lateness::InTime;
             let mut reservations = std::mem::take(&mut self.rounds.reservations);
             if view.is_urgent() && view.is_ready && is_in_time {
+                self.tally.counts.urgent_tries += 1;
                 if view.spec().is_gang {
                     self.place_gang(state, &mut view, &mut reservations, false, now);
                 } else {
@@ -369,7 +379,7 @@
                 backlog.add_worker(&record.service, record.capacity.millicores);
             }
         }
-        self.count_checks(2 * self.workers.len());
+        self.count_visits(VisitKind::Round, 2 * self.workers.len());
         let mut by_free = std::mem::take(&mut self.rounds.by_free);
         by_free.clear();
         let open = self.workers.iter();
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -47,6 +47,8 @@
     further_requested_at: Millis,
     /// No request is made before this time.
     paused_until: Millis,
+    /// Whether a request was answered and no task was placed since.
+    is_answer_unused: bool,
 }
 
 /// What a step needs from the placement policy. The workers of a request for `More` are chosen only
@@ -97,6 +99,7 @@
             needed_since: None,
             further_requested_at: Millis::ZERO,
             paused_until: Millis::ZERO,
+            is_answer_unused: false,
         }
     }
 }
@@ -228,14 +231,30 @@
         self.in_flight = None;
     }
 
-    /// Stores a permit for a worker that was issued at `issued`, or later.
-    pub fn allow(&mut self, worker: WorkerIndex, token: Arc<str>, issued: Millis) {
+    /// Records an answer. Returns whether no task was placed since the answer before.
+    pub fn note_answer(&mut self) -> bool {
+        std::mem::replace(&mut self.is_answer_unused, true)
+    }
+
+    /// Records that a task of the step was placed.
+    pub fn note_placement(&mut self) {
+        self.is_answer_unused = false;
+    }
+
+    /// Whether nothing is known about any worker.
+    pub fn is_empty(&self) -> bool {
+        self.allowed.is_empty() && self.denied.is_empty()
+    }
+
+    /// Stores a permit for a worker that was issued at `issued`, or later. Returns whether there
+    /// was an earlier one.
+    pub fn allow(&mut self, worker: WorkerIndex, token: Arc<str>, issued: Millis) -> bool {
         let permit = Permit {
             token,
             issued,
             is_invalidated: false,
         };
-        self.allowed.insert(worker, permit);
+        self.allowed.insert(worker, permit).is_some()
     }
 
     /// Marks a worker as denied for good.
