Apply a long log in parts, with heartbeats between them

Cause: Node::ready returned all committed entries at once and the core thread applied them in one step.

Ruled out: an election that waits for the log.

Change: a Ready has committed entries of 64 KiB at most, and a later one the rest. A confirmed read is returned with the entries that it has to see; if the leader steps down before, the read is aborted. The core thread goes to its next round, with events, messages and the tick of the node, after 15 ms of applying. The leader proposes its clock command, which has to be applied before the scheduler starts, once an entry of its own term is applied, so with the state that it used before. The simulated group of the consensus tests now gets entries in parts of 150 bytes. The line leader load tells the longest part.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -18,6 +18,9 @@
     pub max_entry_bytes: usize,
     /// Maximum number of unacknowledged append messages to one member.
     pub max_inflight_messages: usize,
+    /// Maximum size of the entries in [`Ready::committed`](crate::Ready::committed); a larger entry
+    /// is returned alone. The owner handles messages and the time between two parts.
+    pub max_committed_bytes: usize,
     /// Proposals are refused with [`ProposeError::Busy`](crate::ProposeError::Busy) while the
     /// uncommitted entries are larger than this.
     pub max_uncommitted_bytes: usize,
@@ -43,6 +46,7 @@
             max_batch_bytes: 256 * 1024,
             max_entry_bytes: 4 * 1024 * 1024,
             max_inflight_messages: 64,
+            max_committed_bytes: 64 * 1024,
             max_uncommitted_bytes: 16 * 1024 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             trailing_entries: 1_000,
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -4,6 +4,7 @@
 //! `first_unsaved` on have not been returned by [`Log::take_unsaved`] for storage yet.
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 
 use crate::entry::Entry;
 use crate::entry::Index;
@@ -78,12 +79,12 @@
         (last_term, last_index) >= (self.last_term(), self.last_index())
     }
 
-    /// Entries from `from` on with a total size of at most `max_bytes`, but at least one entry if
-    /// there is any.
-    pub(crate) fn slice(&self, from: Index, max_bytes: usize) -> Vec<Entry> {
+    /// The first entries of `range` with a total size of at most `max_bytes`, but at least one entry
+    /// if there is any.
+    pub(crate) fn slice(&self, range: RangeInclusive<Index>, max_bytes: usize) -> Vec<Entry> {
         let mut size_bytes = 0;
         let mut batch = Vec::new();
-        for index in from..=self.last_index() {
+        for index in range {
             let Some(entry) = self.get(index) else { break };
             size_bytes += entry.size_bytes();
             if size_bytes > max_bytes && !batch.is_empty() {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -96,6 +96,7 @@
     pub(crate) log: Log,
     pub(crate) memberships: MembershipHistory,
     pub(crate) commit_index: Index,
+    /// The last index that was returned in [`Ready::committed`].
     applied_index: Index,
     /// Time of the last message from a leader or, on a former leader, of its stepping down.
     pub(crate) leader_contact: Option<Millis>,
@@ -232,7 +233,9 @@
         self.check_leading()
     }
 
-    /// Returns the output since the last call; the caller handles it as [`Ready`] describes.
+    /// Returns the output since the last call; the caller handles it as [`Ready`] describes. If more
+    /// entries are committed than [`Config::max_committed_bytes`] allows, later calls return the
+    /// rest, and the reads that have to see it.
     pub fn ready(&mut self) -> Ready {
         if self.role == Role::Leader {
             self.replicate_all(false);
@@ -243,7 +246,7 @@
             snapshot: self.received_snapshot.take(),
             records: self.take_records(),
             committed: self.take_committed(),
-            reads: self.reads.take_confirmed(),
+            reads: self.reads.take_confirmed(self.applied_index),
             aborted_reads: self.reads.take_aborted(),
             role_change: self.take_role_change(),
             messages: std::mem::take(&mut self.outbox.messages),
@@ -409,11 +412,12 @@
     }
 
     fn take_committed(&mut self) -> Vec<Entry> {
-        let from = self.applied_index + 1;
-        self.applied_index = self.commit_index;
-        (from..=self.commit_index)
-            .filter_map(|index| self.log.get(index).cloned())
-            .collect()
+        let range = self.applied_index + 1..=self.commit_index;
+        let committed = self.log.slice(range, self.config.max_committed_bytes);
+        if let Some(last) = committed.last() {
+            self.applied_index = last.index;
+        }
+        committed
     }
 
     /// Excludes the entries that a received snapshot covers from the entries to apply.
--- a/crates/consensus/src/reads.rs
+++ b/crates/consensus/src/reads.rs
@@ -31,13 +31,19 @@
         self.round
     }
 
+    /// Aborts all reads, also those that are confirmed and not returned yet.
     pub(crate) fn abort(&mut self) {
+        let confirmed = self.confirmed.drain(..).map(|read| read.token);
+        self.aborted.extend(confirmed);
         self.aborted.append(&mut self.active);
         self.aborted.append(&mut self.waiting);
     }
 
-    pub(crate) fn take_confirmed(&mut self) -> Vec<ConfirmedRead> {
-        std::mem::take(&mut self.confirmed)
+    /// Returns the confirmed reads that the entries up to `applied` suffice for.
+    pub(crate) fn take_confirmed(&mut self, applied: Index) -> Vec<ConfirmedRead> {
+        self.confirmed
+            .extract_if(.., |read| read.index <= applied)
+            .collect()
     }
 
     pub(crate) fn take_aborted(&mut self) -> Vec<u64> {
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -26,9 +26,10 @@
     pub records: Vec<Record>,
     /// Messages to send after this and all earlier values are synced.
     pub messages_after_persist: Vec<OutgoingMessage>,
-    /// Committed entries to apply, in ascending order without gaps.
+    /// Committed entries to apply, in ascending order without gaps. If the next value has more of
+    /// them, its [`Ready::is_empty`] is false.
     pub committed: Vec<Entry>,
-    /// Reads that a quorum has confirmed.
+    /// Reads that a quorum has confirmed and for which `committed` and the entries before it suffice.
     pub reads: Vec<ConfirmedRead>,
     /// Tokens of reads that were aborted because the leader stepped down.
     pub aborted_reads: Vec<u64>,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -127,7 +127,9 @@
         let Some(prev_term) = self.log.term(prev_index) else {
             return self.start_snapshot(to);
         };
-        let entries = self.log.slice(next, self.config.max_batch_bytes);
+        let entries = self
+            .log
+            .slice(next..=self.log.last_index(), self.config.max_batch_bytes);
         let last = entries.last().map(|entry| entry.index);
         if let Some(progress) = self.progress.get_mut(&to) {
             match &mut progress.mode {
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -195,6 +195,7 @@
         config.max_batch_bytes = 300;
         config.max_inflight_messages = 4;
         config.snapshot_chunk_bytes = 5;
+        config.max_committed_bytes = 150;
         config.trailing_entries = 3;
         found.node = Some(Node::new(config, restored, now));
     }
@@ -348,6 +349,16 @@
         Ok(())
     }
 
+    /// Lets a host apply more of its committed entries, which its node returns in parts.
+    fn process_remaining_commits(&mut self, host: usize) -> CheckResult {
+        let found = &self.hosts[host];
+        let committed = found.node.as_ref().map_or(0, Node::commit_index);
+        if found.applied.index < committed {
+            self.process_ready(host)?;
+        }
+        Ok(())
+    }
+
     fn save_snapshot(&mut self, host: usize) {
         let found = &mut self.hosts[host];
         let Some(node) = found.node.as_mut() else {
@@ -410,6 +421,7 @@
                 continue;
             }
             self.run_storage(host)?;
+            self.process_remaining_commits(host)?;
             let now = self.now(host);
             if self.hosts[host]
                 .node
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,8 +2,9 @@
 //! leads, the scheduling decisions.
 //!
 //! Each round handles queued events, advances the node's time, and then handles the node's output
-//! until none is left. The clock is read again before replies are sent, so that a process that was
-//! paused first notices that it may no longer lead.
+//! until none is left, or for a limited time if many committed entries are to be applied. The clock
+//! is read again before replies are sent, so that a process that was paused first notices that it
+//! may no longer lead.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,9 @@
 /// A round turns to the node's output after this time even if more events are queued. It is a part
 /// of the interval of heartbeats, which are output.
 const EVENT_TIME_PER_ROUND: Duration = Duration::from_millis(15);
+/// A round goes on to the next one after this time even if more committed entries are to be applied,
+/// so that a long log delays neither heartbeats nor the messages of the group.
+const OUTPUT_TIME_PER_ROUND: Duration = Duration::from_millis(15);
 /// A call that has waited for this long is not handled any more. Callers wait for less, and submit
 /// again under the same ID.
 const CALL_AGE_MAX: Duration = Duration::from_millis(1_000);
@@ -102,8 +106,14 @@
 impl Core {
     /// Runs until a graceful stop is complete or a failure ends it.
     pub(crate) fn run(mut self, events: &EventReceiver) -> Result<(), CoreError> {
+        let mut is_output_left = false;
         loop {
-            let first = match events.recv_timeout(self.wait_time()) {
+            let wait_time = if is_output_left {
+                Duration::ZERO
+            } else {
+                self.wait_time()
+            };
+            let first = match events.recv_timeout(wait_time) {
                 Ok(first) => Some(first),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => break,
@@ -113,7 +123,7 @@
             let next = || (Instant::now() < until).then(|| events.try_recv())?;
             let more = std::iter::from_fn(next).take(EVENTS_PER_ROUND);
             self.handle_events(first.into_iter().chain(more))?;
-            self.handle_output(events.len())?;
+            is_output_left = self.handle_output(events.len())?;
             self.load.end_round(events.len(), self.is_leading());
             if self.can_stop() {
                 break;
@@ -214,8 +224,11 @@
         Ok(())
     }
 
-    /// Advances the node's time and handles all output.
-    fn handle_output(&mut self, queued: usize) -> Result<(), CoreError> {
+    /// Advances the node's time and handles its output. Returns whether committed entries are left
+    /// to be applied in the next round.
+    fn handle_output(&mut self, queued: usize) -> Result<bool, CoreError> {
+        let until = Instant::now() + OUTPUT_TIME_PER_ROUND;
+        let mut is_output_left = false;
         self.node.tick(self.clock.now());
         self.tick_leadership();
         loop {
@@ -232,9 +245,13 @@
                 break;
             }
             self.handle_ready(ready, queued)?;
+            is_output_left = self.applied < self.node.commit_index();
+            if is_output_left && Instant::now() >= until {
+                break;
+            }
         }
         self.update_metrics();
-        Ok(())
+        Ok(is_output_left)
     }
 
     fn handle_ready(&mut self, mut ready: Ready, queued: usize) -> Result<(), CoreError> {
--- a/crates/control/src/core_load.rs
+++ b/crates/control/src/core_load.rs
@@ -201,7 +201,7 @@
         let ms = |duration: Duration| duration.as_millis() as u64;
         let [handling, apply, schedule, propose] = self.spent.map(ms);
         let [group, workers, reports, policy, other] = self.events;
-        let [.., longest_schedule, _] = self.longest.map(ms);
+        let [_, longest_apply, longest_schedule, _] = self.longest.map(ms);
         log::info!(
             interval_ms = ms(now - self.since), rounds = self.rounds,
             busy_ms = ms(self.busy), longest_round_ms = ms(self.longest_round),
@@ -209,7 +209,8 @@
             policy_polls = policy, other_calls = other, queued,
             oldest_event_ms = ms(self.oldest_event),
             oldest_group_event_ms = ms(self.oldest_group_event),
-            handling_ms = handling, applying_ms = apply, scheduling_ms = schedule,
+            handling_ms = handling, applying_ms = apply, longest_applying_ms = longest_apply,
+            scheduling_ms = schedule,
             longest_scheduling_ms = longest_schedule, proposing_ms = propose; "leader load"
         );
     }
--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -82,10 +82,11 @@
     }
 
     /// Whether a command of this term has advanced the state's clock; proposes one if there is none
-    /// yet. The clock stands still while no member leads, and the state checks the timestamps in
-    /// the IDs of operations against it.
+    /// yet and the entries of all earlier terms are applied. The clock stands still while no member
+    /// leads, and the state checks the timestamps in the IDs of operations against it.
     fn is_clock_current(&mut self, term: Term) -> bool {
-        if !self.node.has_committed_in_current_term() {
+        let has_applied_earlier_terms = self.node.term_at(self.applied) == Some(term);
+        if !self.node.has_committed_in_current_term() || !has_applied_earlier_terms {
             return false;
         }
         if let Some((proposed, index)) = self.leadership.clock_command
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -26,6 +26,9 @@
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
+use sapphirepost_consensus::Record;
+use sapphirepost_control::InitialVoter;
+use sapphirepost_control::InitialVoters;
 use sapphirepost_process::RpcError;
 use sapphirepost_process::SharedKey;
 use sapphirepost_process::rpc;
@@ -90,6 +93,13 @@
 impl Cluster {
     /// Starts a group of voters.
     pub fn start(voters: usize, extra_flags: &[&str]) -> Cluster {
+        let mut cluster = Cluster::prepare(voters, extra_flags);
+        cluster.spawn_all();
+        cluster
+    }
+
+    /// Prepares a group of voters, without starting them.
+    pub fn prepare(voters: usize, extra_flags: &[&str]) -> Cluster {
         let directory = TempDir::new().unwrap();
         std::fs::write(directory.path().join("key"), KEY).unwrap();
         let mut cluster = Cluster {
@@ -109,12 +119,28 @@
             .iter()
             .map(|p| format!("{}@{}", p.member, p.relay.address));
         cluster.bootstrap = initial_voters.collect::<Vec<_>>().join(",");
-        for index in 0..voters {
-            cluster.spawn(index);
-        }
         cluster
     }
 
+    pub fn spawn_all(&mut self) {
+        (0..self.processes.len()).for_each(|index| self.spawn(index));
+    }
+
+    /// The first records in the log of each voter.
+    pub fn first_records(&self) -> Vec<Record> {
+        let voters = self.processes.iter().map(|process| InitialVoter {
+            member: process.member,
+            address: process.relay.address.to_string(),
+        });
+        InitialVoters(voters.collect()).records()
+    }
+
+    /// The log lines of a process.
+    pub fn log_text(&self, index: usize) -> String {
+        let path = self.directory.path().join(format!("log{index}"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Adds a process with a new data directory and a new identity, without starting it.
     pub fn add_process(&mut self) -> usize {
         let index = self.processes.len();
@@ -465,9 +491,7 @@
         }
         if thread::panicking() {
             for index in 0..self.processes.len() {
-                let log =
-                    std::fs::read_to_string(self.directory.path().join(format!("log{index}")));
-                eprintln!("--- log of process {index}\n{}", log.unwrap_or_default());
+                eprintln!("--- log of process {index}\n{}", self.log_text(index));
             }
         }
     }
