Log late ends, runs written off and the checkpoint of a start

No line told an end that a worker reports after its run was written off, what the leader had last seen of a run that it writes off, or from which checkpoint a run starts.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -12,19 +12,22 @@
 use sapphirepost_queues::Placement;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueState;
+use sapphirepost_queues::RunEnd;
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::AdoptedRuns;
 use sapphirepost_queues::scheduler::EndedJobRun;
+use sapphirepost_queues::scheduler::LostRun;
 use sapphirepost_queues::scheduler::QuarantineChange;
 use sapphirepost_queues::scheduler::WaitingStep;
+use sapphirepost_queues::state::LateEnd;
 use sapphirepost_queues::state::QueueChange;
 
 /// The log target of lines about single runs.
 const RUNS_TARGET: &str = "sapphirepost_control::runs";
-/// The log target of lines about runs of ended jobs and runs taken over.
+/// The log target of lines about runs of ended jobs, runs taken over and ends that came late.
 const ENDED_RUNS_TARGET: &str = "sapphirepost_control::ended_runs";
 
 /// The most tasks that the line of a crashed worker names.
@@ -134,10 +137,38 @@
                 task:%, run, worker = &**worker, end:? = kind, index; "run over"
             );
         }
+        QueueChange::LateEnd(late) => log_late_end(late, index),
         QueueChange::StepChanged(_) => {}
     }
 }
 
+/// Logs an end of a run that was written off before.
+fn log_late_end(late: &LateEnd, index: Index) {
+    let RunEnd {
+        task,
+        run,
+        kind,
+        checkpoint,
+    } = &late.end;
+    log::info!(
+        target: ENDED_RUNS_TARGET,
+        task:%, run, worker = &*late.worker, end:? = kind, last_run:? = late.last_run,
+        checkpoint = checkpoint.as_deref().unwrap_or_default(), index; "late end"
+    );
+}
+
+/// Logs a run that was written off although it may have been at work, with what the leader had last
+/// seen of it.
+pub(crate) fn log_lost_run(run: &LostRun) {
+    log::info!(
+        target: RUNS_TARGET,
+        task:% = run.task, run = run.run, worker = &*run.worker,
+        checkpoint = run.checkpoint.as_deref().unwrap_or_default(),
+        checkpoint_age_ms:? = run.checkpoint_age_ms, progress_percent = run.progress_percent,
+        progress_age_ms = run.progress_age_ms; "run written off"
+    );
+}
+
 fn log_ended(job: JobKey, phase: JobPhase, index: Index, state: &QueueState) {
     let ended = state.job(job);
     let took_ms =
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -7,6 +7,7 @@
 
 use crate::crash::CrashCount;
 use crate::ids::JobKey;
+use crate::ids::TaskKey;
 use crate::spec::SubmittedSpec;
 use crate::table::Queue;
 
@@ -133,6 +134,13 @@
         })
     }
 
+    /// A task of the job; `None` if there is none with this key, which may belong to an earlier job
+    /// whose ID was used again, or if the job has ended.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        let step = self.steps.get(usize::from(key.step.step))?;
+        step.tasks.get(key.index as usize)
+    }
+
     /// Ends the job and drops its specification and steps.
     pub fn end(&mut self, phase: JobPhase, at_unix_ms: u64) {
         self.phase = phase;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod health;
 mod isolation;
 mod lease;
+mod lost_runs;
 mod messages;
 mod overload;
 mod permit_requests;
@@ -70,6 +71,7 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+pub use crate::scheduler::lost_runs::LostRun;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -163,6 +165,8 @@
     pub(crate) poll_candidates: Vec<WorkerIndex>,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
+    /// Runs that were written off since the last call of `take_lost_runs`.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
@@ -197,6 +201,7 @@
             poll_candidates: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            lost_runs: Vec::new(),
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
@@ -283,7 +288,9 @@
                 self.step_changed(state, *step, now);
                 self.stop_broken_gang(state, *step, now);
             }
-            QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
+            QueueChange::WorkerCrashed(..)
+            | QueueChange::CrashCounted(..)
+            | QueueChange::LateEnd(_) => {}
         }
     }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -282,6 +282,7 @@
                 usual_ms: view.usual_ms,
                 expected_ms,
                 checkpoint: None,
+                checkpointed: None,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: None,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -55,8 +55,9 @@
         if matches!(self.stage, RunStage::Unknown | RunStage::StartSent { .. }) {
             self.confirm(now);
         }
-        if reported_task.checkpoint.is_some() {
+        if reported_task.checkpoint.is_some() && reported_task.checkpoint != self.checkpoint {
             self.checkpoint = reported_task.checkpoint.clone();
+            self.checkpointed = Some(now);
         }
         if reported_task.progress_percent != self.progress_percent {
             self.progress_percent = reported_task.progress_percent;
@@ -95,6 +96,7 @@
                 usual_ms: step.map_or(0, |step| step.estimate_ms),
                 expected_ms: step.map_or(0, |step| step.estimate_ms),
                 checkpoint: None,
+                checkpointed: None,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: Some(now),
@@ -554,6 +556,7 @@
         let Some(view) = worker.remove_run(task, run) else {
             return;
         };
+        let id = worker.record.id.clone();
         self.rounds.note_freed(index);
         if kind.is_some() {
             self.unstarted_jobs.remove(&task.step.job);
@@ -568,7 +571,8 @@
             }
             Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
             Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
-            _ => {}
+            Some(_) => {}
+            None => self.record_lost_run(&id, task, &view, now),
         }
         if let Some(step) = self.steps.get_mut(&task.step) {
             if kind == Some(EndKind::Failed) {
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -77,6 +77,8 @@
     pub has_begun: bool,
     /// The last checkpoint that the worker reported.
     pub checkpoint: Option<Arc<str>>,
+    /// When the worker reported that checkpoint for the first time.
+    pub checkpointed: Option<Millis>,
     /// The last progress that the worker reported, in percent.
     pub progress_percent: u32,
     /// When the reported progress last changed.
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -57,10 +57,24 @@
     /// A run ended and no longer takes resources on a worker; the kind is `None` if the run never
     /// started or if it is unknown how it ended.
     RunEnded(Arc<str>, TaskKey, u32, Option<EndKind>),
+    /// A worker has reported the end of a run that it no longer holds: the leader had written the
+    /// run off.
+    LateEnd(LateEnd),
     /// A task of the step waits again, or tasks of it are done.
     StepChanged(StepKey),
 }
 
+/// An end that was learnt after its run was written off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateEnd {
+    /// The ID of the worker that reported it.
+    pub worker: Arc<str>,
+    /// The end, with the checkpoint that the worker saved.
+    pub end: RunEnd,
+    /// The number of the last run of the task; `None` if its job has ended.
+    pub last_run: Option<u32>,
+}
+
 /// The replicated queue table, the jobs and the workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -347,6 +361,7 @@
                 return;
             };
             if worker.runs.get(&end.task).map(|held| held.run) != Some(end.run) {
+                self.end_late(id, end);
                 continue;
             }
             Arc::make_mut(worker).runs.remove(&end.task);
@@ -356,6 +371,18 @@
         }
     }
 
+    /// Reports an end of a run that the worker no longer holds.
+    fn end_late(&mut self, id: &Arc<str>, end: &RunEnd) {
+        let job = self.state.jobs.get(&end.task.step.job);
+        let job = job.filter(|job| !job.phase.has_ended());
+        let late = LateEnd {
+            worker: id.clone(),
+            end: end.clone(),
+            last_run: job.and_then(|job| job.task(end.task)).map(|task| task.run),
+        };
+        self.changes.push(QueueChange::LateEnd(late));
+    }
+
     /// Ends the runs of a worker, but for those of the tasks in `kept`.
     fn expire(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)], kept: &[TaskKey]) {
         let Some(worker) = self.state.workers.get_mut(id) else {
