--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod health;
 mod isolation;
 mod lease;
+mod lost_runs;
 mod messages;
 mod overload;
 mod permit_requests;
@@ -72,6 +73,7 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+pub use crate::scheduler::lost_runs::LostRun;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -170,6 +172,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
     pub(crate) tally: PlacementTally,
+    /// Runs that were written off since the last call of `take_lost_runs`.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
@@ -205,6 +209,7 @@
             actions: Vec::new(),
             counts: Counts::default(),
             tally: PlacementTally::default(),
+            lost_runs: Vec::new(),
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
@@ -291,7 +296,9 @@
                 self.step_changed(state, *step, now);
                 self.stop_broken_gang(state, *step, now);
             }
-            QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
+            QueueChange::WorkerCrashed(..)
+            | QueueChange::CrashCounted(..)
+            | QueueChange::LateEnd(_) => {}
         }
     }
 
