--- a/crates/queues/tests/model/crash.rs
+++ b/crates/queues/tests/model/crash.rs
@@ -64,6 +64,7 @@
         next.crashes_at_start = self.crashes_at_start;
         next.is_unreachable = self.is_unreachable;
         next.down_ms = self.down_ms;
+        next.reports_checkpoints = self.reports_checkpoints;
         next
     }
 }
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -9,6 +9,7 @@
 pub mod leader;
 pub mod load;
 pub mod restart;
+pub mod starts;
 pub mod wide_load;
 pub mod worker;
 
@@ -160,6 +161,8 @@
     pub leader: LeaderTime,
     /// When a start of each step was first applied.
     pub first_starts: BTreeMap<StepKey, Millis>,
+    /// For the check that all members of a gang resume from the same checkpoint.
+    pub gang_checkpoints: starts::GangCheckpoints,
 }
 
 pub fn queue(name: &str, priority: u32, factor: f64, target_ms: u64) -> Queue {
@@ -250,6 +253,7 @@
             decision_time: Duration::ZERO,
             leader: LeaderTime::default(),
             first_starts: BTreeMap::new(),
+            gang_checkpoints: starts::GangCheckpoints::default(),
         };
         for client in 0..clients {
             let client: Arc<str> = Arc::from(format!("client-{client}"));
@@ -268,8 +272,9 @@
     }
 
     /// Submits a job; its commit takes `commit_ms`.
-    pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
+    pub fn submit(&mut self, key: u64, queue: &str, mut spec: SubmittedSpec) {
         let key = JobKey(key);
+        spec.payload = starts::payload(key);
         let table = self.state.table().unwrap().clone();
         let queue = Arc::new(table.queue(queue).unwrap().clone());
         let critical_path_ms = spec.critical_path_ms(&spec.estimates_ms());
@@ -542,6 +547,7 @@
     }
 
     fn request_arrives(&mut self, request: WorkerRequest) {
+        self.check_start(&request);
         let Some(worker) = self.workers.get_mut(&request.worker) else {
             return self.schedule(
                 worker::REQUEST_TIMEOUT_MS,
--- a/crates/queues/tests/model/restart.rs
+++ b/crates/queues/tests/model/restart.rs
@@ -43,6 +43,7 @@
         next.keeps_id = true;
         next.is_unreachable = self.is_unreachable;
         next.loses_reports = self.loses_reports;
+        next.reports_checkpoints = self.reports_checkpoints;
         next.poll_delay_ms = self.poll_delay_ms;
         next.take_requests(self);
         next.advance(now);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -20,8 +20,12 @@
 use super::SERVICE;
 use super::crash::Crash;
 use super::restart::FIRST_INCARNATION;
+use super::starts::checkpoint;
+use super::starts::resumed_ms;
 
 pub const REQUEST_TIMEOUT_MS: u64 = 500;
+/// A run writes a checkpoint each time that it has worked for this long.
+const CHECKPOINT_MS: u64 = 500;
 
 /// A run on the worker.
 #[derive(Clone, Debug)]
@@ -95,6 +99,8 @@
     pub start_error: Option<WorkerRequestError>,
     /// Whether its tasks make no progress.
     pub stalls: bool,
+    /// Whether its polls report checkpoints of running tasks.
+    pub reports_checkpoints: bool,
     /// How long a task takes on it, in percent of the usual duration.
     pub duration_percent: u64,
     /// If not 0, starts are carried out after this time and get no reply.
@@ -191,6 +197,7 @@
             rejects_starts: None,
             start_error: None,
             stalls: false,
+            reports_checkpoints: false,
             duration_percent: 100,
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
@@ -252,7 +259,7 @@
         let Some(run) = self.running.remove(&task) else {
             return;
         };
-        let checkpoint = (kind == EndKind::Stopped).then(|| Arc::from(run.done_ms.to_string()));
+        let checkpoint = (kind == EndKind::Stopped).then(|| checkpoint(task, run.done_ms));
         self.superseded.insert(task, run.run);
         if run.is_gang_member {
             let took_ms = self.now.since(run.started);
@@ -338,6 +345,13 @@
         }
     }
 
+    /// The last checkpoint that a run has written.
+    fn last_checkpoint(&self, task: TaskKey, run: &ModelRun) -> Option<Arc<str>> {
+        let done_ms = run.done_ms / CHECKPOINT_MS * CHECKPOINT_MS;
+        let has_written = self.reports_checkpoints && run.elapsed_ms >= CHECKPOINT_MS;
+        has_written.then(|| checkpoint(task, done_ms))
+    }
+
     /// Whether a request gets lost on the way.
     pub fn loses(&self, request: &WorkerRequest) -> bool {
         self.loses_stops && matches!(request.kind, WorkerRequestKind::Stop { .. })
@@ -420,7 +434,7 @@
                     return reject(RejectReason::Superseded);
                 }
                 self.extend_lease(*until_ms);
-                let resumed_ms = checkpoint.as_ref().map_or(0, |text| text.parse().unwrap());
+                let resumed_ms = checkpoint.as_ref().map_or(0, |text| resumed_ms(text));
                 let new = ModelRun {
                     run: *run,
                     resources: (self.need)(*task),
@@ -516,7 +530,7 @@
         let task = |(task, run): (&TaskKey, &ModelRun)| RunningTask {
             task: *task,
             run: run.run,
-            checkpoint: None,
+            checkpoint: self.last_checkpoint(*task, run),
             progress_percent: (run.done_ms * 100 / run.work_ms.max(1)) as u32,
         };
         let ends = self.ends.iter();
--- a/crates/queues/tests/random_faults.rs
+++ b/crates/queues/tests/random_faults.rs
@@ -46,7 +46,11 @@
 }
 
 fn run(seed: u64) {
-    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
+    let worker = |number| {
+        let mut worker = ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
+        worker.reports_checkpoints = seed % 2 == 1;
+        worker
+    };
     let workers = (0..WORKERS).map(worker).collect();
     let mut model = Model::new(queues(), workers, POLICY_CLIENTS);
     model.run(50);
