Keep an ended job until no worker holds runs of it

What a caller would see: a job that is submitted under the ID of a dropped one counts tasks as done that never ran, or resumes from a foreign checkpoint; with fewer tasks than the dropped job, all members panic when they apply the end of one of its runs.

Cause: an ended job was dropped by its age and the number of ended jobs alone, while workers may still hold runs of it. Their ends name the task by the job's ID, so they count for a later job with that ID.

Change: each job counts the runs that workers hold. A job past its retention is dropped when the last of them is over. Until then its ID means the old job.

Ruled out: telling the jobs apart in each held run. The two would still have the same names for the worker, so a task could run twice under one name.

--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -52,6 +52,13 @@
     pub ended_unix_ms: Option<u64>,
     /// The state of each step; empty after the end of the job.
     pub steps: Vec<Step>,
+    /// The number of its runs that workers hold, also after its end. Until there are none, its ID
+    /// is not free for another job.
+    #[serde(default)]
+    pub held_runs: u32,
+    /// Whether its retention is over. It is dropped when no worker holds runs of it any more.
+    #[serde(default)]
+    pub is_past_retention: bool,
 }
 
 /// The state of a step.
@@ -118,6 +125,8 @@
             phase: JobPhase::Queued,
             accepted_unix_ms,
             ended_unix_ms: None,
+            held_runs: 0,
+            is_past_retention: false,
         }
     }
 
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -325,10 +325,10 @@
                 let worker = Arc::make_mut(worker);
                 // A leader starts tasks only on a worker that it has heard from.
                 worker.expired = LostRuns::default();
+                let task = step.task(placement.index);
                 let run = placement.run;
-                worker
-                    .runs
-                    .insert(step.task(placement.index), HeldRun { run, resources });
+                let replaced = worker.runs.insert(task, HeldRun { run, resources });
+                job.held_runs += u32::from(replaced.is_none());
             }
         }
         self.changes.push(QueueChange::Started(step, startable));
@@ -438,7 +438,7 @@
         self.finish_run(task, run, None, None);
     }
 
-    /// Updates the task of a run that has ended on its worker, and ends the job if it is complete
+    /// Updates the task of a run that its worker no longer holds, and ends the job if it is complete
     /// or has failed too often.
     fn finish_run(
         &mut self,
@@ -450,10 +450,12 @@
         let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
             return;
         };
+        let job = Arc::make_mut(job);
+        // Snapshots of earlier versions have no count.
+        job.held_runs = job.held_runs.saturating_sub(1);
         if job.phase.has_ended() {
-            return;
+            return self.drop_if_unused(key.step.job);
         }
-        let job = Arc::make_mut(job);
         let is_gang = job.spec.steps[usize::from(key.step.step)].is_gang;
         let is_service = job.spec.steps[usize::from(key.step.step)].is_service;
         let attempts_max = job.queue.attempts_max;
@@ -531,8 +533,20 @@
             self.state.ended.remove(&index);
             self.state.ended_count -= keys.len();
             for key in keys {
-                self.state.jobs.remove(&key);
+                if let Some(job) = self.state.jobs.get_mut(&key) {
+                    Arc::make_mut(job).is_past_retention = true;
+                }
+                self.drop_if_unused(key);
             }
         }
     }
+
+    /// Drops a job whose retention is over, unless a worker still holds runs of it: its ID may be
+    /// used again, and the ends of these runs would count for the other job.
+    fn drop_if_unused(&mut self, key: JobKey) {
+        let job = self.state.jobs.get(&key);
+        if job.is_some_and(|job| job.is_past_retention && job.held_runs == 0) {
+            self.state.jobs.remove(&key);
+        }
+    }
 }
