Count a done end that a worker reports after its lease was over

Cause: a worker that was cut off reports the end of a run after the leader has written the run off. The replicated state applied an end only if the worker still held the run, so the end was acknowledged, which makes the worker forget it, and thrown away. The task was done again, from the beginning if it writes no checkpoints.

Change: such an end counts as what it is. A `Done` of an earlier run than the present one, or of the last run of a waiting task, makes the task done (all members of a gang). The newer run is stopped, holds its resources until its own end is reported, and changes nothing then. That a run is needless follows from the state (the task is done by a run with another number), so a new leader stops it at the first poll that lists it. A late end of the last run of a waiting task that carries a checkpoint hands it to the next run. Ends as failed do not count, as before; services are not concerned.

Acknowledging a late end is no new step: it was acknowledged before, too. Its lease was certainly over before the run was written off, so the end is never one that was taken note of before a newer start.

The model's workers write checkpoints if a test says so.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -153,6 +153,7 @@
     log::info!(
         target: ENDED_RUNS_TARGET,
         task:%, run, worker = &*late.worker, end:? = kind, last_run:? = late.last_run,
+        effect:? = late.effect,
         checkpoint = checkpoint.as_deref().unwrap_or_default(), index; "late end"
     );
 }
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -1,15 +1,18 @@
 //! Jobs, steps and tasks in the replicated state.
 
+use std::ops::Range;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::command::RunEnd;
 use crate::crash::CrashCount;
 use crate::ids::JobKey;
 use crate::ids::TaskKey;
 use crate::spec::SubmittedSpec;
 use crate::table::Queue;
+use crate::worker::EndKind;
 
 /// The phase of a job, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,7 +76,8 @@
 pub struct Task {
     /// Whether the task waits, is placed or is done.
     pub phase: TaskPhase,
-    /// The number of the last run; 0 before the first one.
+    /// The number of the last run, 0 before the first one; once the task is done, the number of the
+    /// run that did its work.
     pub run: u32,
     /// The number of failed runs; for a gang, the first task counts them.
     pub failures: u32,
@@ -85,6 +89,17 @@
     pub crashes: CrashCount,
 }
 
+/// What the end of a run changes that was written off before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LateEffect {
+    /// Nothing.
+    None,
+    /// The next run of the task resumes from the checkpoint.
+    Checkpoint,
+    /// The task is done, or all tasks of the gang.
+    Done,
+}
+
 /// The phase of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -98,6 +113,19 @@
     Done,
 }
 
+impl Step {
+    /// Marks tasks as done by a run.
+    pub fn finish(&mut self, tasks: Range<usize>, run: u32) {
+        for task in &mut self.tasks[tasks] {
+            if task.phase != TaskPhase::Done {
+                task.phase = TaskPhase::Done;
+                task.run = run;
+                self.left -= 1;
+            }
+        }
+    }
+}
+
 impl Job {
     /// Creates a queued job whose tasks all wait.
     pub fn new(
@@ -141,6 +169,45 @@
         step.tasks.get(key.index as usize)
     }
 
+    /// The indexes of the tasks that are done if a run of this task is: all members of a gang.
+    pub fn done_with(&self, key: TaskKey) -> Range<usize> {
+        let (step, index) = (usize::from(key.step.step), key.index as usize);
+        if self.spec.steps[step].is_gang {
+            0..self.steps[step].tasks.len()
+        } else {
+            index..index + 1
+        }
+    }
+
+    /// What the end of a run changes that was written off before. Its worker had certainly lost its
+    /// lease, so a newer run may have started; the work of the older one is done all the same. A
+    /// run that counts as held by another worker cannot have ended here.
+    pub fn late_effect(&self, end: &RunEnd) -> LateEffect {
+        let spec = self.spec.steps.get(usize::from(end.task.step.step));
+        let (Some(spec), Some(task)) = (spec, self.task(end.task)) else {
+            return LateEffect::None;
+        };
+        let is_over = match task.phase {
+            TaskPhase::Waiting => end.run <= task.run,
+            TaskPhase::Placed => end.run < task.run,
+            TaskPhase::Done => false,
+        };
+        let is_next_run_open = task.phase == TaskPhase::Waiting && end.run == task.run;
+        if is_over && end.kind == EndKind::Done && !spec.is_service {
+            LateEffect::Done
+        } else if is_next_run_open && end.checkpoint.is_some() {
+            LateEffect::Checkpoint
+        } else {
+            LateEffect::None
+        }
+    }
+
+    /// Whether a run that a worker holds is needless: another run has done the work of the task.
+    pub fn is_needless(&self, key: TaskKey, run: u32) -> bool {
+        let task = self.task(key);
+        task.is_some_and(|task| task.phase == TaskPhase::Done && task.run != run)
+    }
+
     /// Ends the job and drops its specification and steps.
     pub fn end(&mut self, phase: JobPhase, at_unix_ms: u64) {
         self.phase = phase;
--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -106,11 +106,13 @@
     Stray,
     /// Another member of its gang's run is over or cannot begin.
     GangIncomplete,
+    /// Another run has done the work of its task.
+    TaskDone,
 }
 
 impl StopReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [StopReason; 7] = [
+    pub const ALL: [StopReason; 8] = [
         StopReason::JobEnded,
         StopReason::Unanswered,
         StopReason::WorkerLeaves,
@@ -118,6 +120,7 @@
         StopReason::Displaced,
         StopReason::Stray,
         StopReason::GangIncomplete,
+        StopReason::TaskDone,
     ];
 
     /// The position in [`StopReason::ALL`].
@@ -130,6 +133,7 @@
             StopReason::Displaced => 4,
             StopReason::Stray => 5,
             StopReason::GangIncomplete => 6,
+            StopReason::TaskDone => 7,
         }
     }
 
@@ -143,6 +147,7 @@
             StopReason::Displaced => "preempted",
             StopReason::Stray => "unexpected",
             StopReason::GangIncomplete => "gang_incomplete",
+            StopReason::TaskDone => "task_done",
         }
     }
 }
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod lease;
 mod lost_runs;
 mod messages;
+mod needless_runs;
 mod overload;
 mod permit_requests;
 mod permits;
@@ -235,6 +236,12 @@
         changes: &[QueueChange],
         now: Millis,
     ) {
+        // A step that is done is forgotten, with the runs that are to be stopped.
+        for change in changes {
+            if let QueueChange::LateEnd(late) = change {
+                self.stop_needless_runs(late, now);
+            }
+        }
         for change in changes {
             self.apply_change(state, change, now);
         }
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -283,6 +283,7 @@
                 expected_ms,
                 checkpoint: None,
                 checkpointed: None,
+                is_needless: false,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: None,
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -290,8 +290,8 @@
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
-    /// started, and stops unexpected ones, those of ended jobs and those of gangs of which another
-    /// member is over.
+    /// started, and stops unexpected ones, those of ended jobs, those of tasks that are done and
+    /// those of gangs of which another member is over.
     ///
     /// The end of a job or of a member may have been applied before this leader led, so what it has
     /// to stop follows from the state and the report alone.
@@ -322,6 +322,8 @@
                     let key = (reported_task.task, reported_task.run);
                     if !self.job_steps.contains_key(&step.job) {
                         to_stop.push((key, StopReason::JobEnded));
+                    } else if run.is_needless {
+                        to_stop.push((key, StopReason::TaskDone));
                     } else if self.steps.get(&step).is_some_and(StepView::is_broken_gang) {
                         to_stop.push((key, StopReason::GangIncomplete));
                     }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -101,6 +101,7 @@
                 progressed: now,
                 unlisted_since: Some(now),
                 has_begun: false,
+                is_needless: job.is_some_and(|job| job.is_needless(*task, held.run)),
                 confirmed: now,
             };
             view.add_run(*task, run);
@@ -158,6 +159,10 @@
         else {
             return self.stop_run(index, (task, run), StopReason::JobEnded, now);
         };
+        if job.is_needless(task, run) {
+            self.mark_needless(index, task, run);
+            return self.stop_run(index, (task, run), StopReason::TaskDone, now);
+        }
         let Some(until_ms) = worker.lease.lease_until_ms(now, lease_ms) else {
             return self.stop_run(index, (task, run), StopReason::Unanswered, now);
         };
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -73,6 +73,8 @@
     pub usual_ms: u64,
     /// The expected duration on this worker.
     pub expected_ms: u64,
+    /// Whether another run has done the work of the task.
+    pub is_needless: bool,
     /// Whether the worker has accepted the start or listed the run.
     pub has_begun: bool,
     /// The last checkpoint that the worker reported.
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -19,6 +19,7 @@
 use crate::ids::TaskKey;
 use crate::job::Job;
 use crate::job::JobPhase;
+use crate::job::LateEffect;
 use crate::job::TaskPhase;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
@@ -73,6 +74,8 @@
     pub end: RunEnd,
     /// The number of the last run of the task; `None` if its job has ended.
     pub last_run: Option<u32>,
+    /// What it changes.
+    pub effect: LateEffect,
 }
 
 /// The replicated queue table, the jobs and the workers.
@@ -371,16 +374,36 @@
         }
     }
 
-    /// Reports an end of a run that the worker no longer holds.
+    /// Handles an end of a run that the worker no longer holds. What that run has done or saved is
+    /// of use if the task is not done yet.
     fn end_late(&mut self, id: &Arc<str>, end: &RunEnd) {
         let job = self.state.jobs.get(&end.task.step.job);
         let job = job.filter(|job| !job.phase.has_ended());
+        let task = job.and_then(|job| job.task(end.task));
         let late = LateEnd {
             worker: id.clone(),
             end: end.clone(),
-            last_run: job.and_then(|job| job.task(end.task)).map(|task| task.run),
+            last_run: task.map(|task| task.run),
+            effect: job.map_or(LateEffect::None, |job| job.late_effect(end)),
         };
+        let effect = late.effect;
         self.changes.push(QueueChange::LateEnd(late));
+        let Some(job) = self.state.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        let step = usize::from(end.task.step.step);
+        match effect {
+            LateEffect::None => {}
+            LateEffect::Checkpoint => {
+                let tasks = &mut Arc::make_mut(job).steps[step].tasks;
+                tasks[end.task.index as usize].checkpoint = end.checkpoint.clone();
+            }
+            LateEffect::Done => {
+                let members = job.done_with(end.task);
+                Arc::make_mut(job).steps[step].finish(members, end.run);
+                self.job_advanced(end.task.step, false);
+            }
+        }
     }
 
     /// Ends the runs of a worker, but for those of the tasks in `kept`.
@@ -480,6 +503,7 @@
         if job.phase.has_ended() {
             return;
         }
+        let done = job.done_with(key);
         let job = Arc::make_mut(job);
         let is_gang = job.spec.steps[usize::from(key.step.step)].is_gang;
         let is_service = job.spec.steps[usize::from(key.step.step)].is_service;
@@ -496,12 +520,7 @@
         let mut has_failed = false;
         match kind {
             Some(EndKind::Done) if !is_service => {
-                let members = if is_gang {
-                    0..step.tasks.len()
-                } else {
-                    key.index as usize..key.index as usize + 1
-                };
-                for index in members {
+                for index in done {
                     let task = &mut step.tasks[index];
                     if task.run == run && task.phase != TaskPhase::Done {
                         task.phase = TaskPhase::Done;
@@ -521,13 +540,19 @@
             }
             _ => {}
         }
-        let is_complete = job.steps.iter().all(|step| step.left == 0);
+        self.job_advanced(key.step, has_failed);
+    }
+
+    /// Ends the job of a changed step if it has failed too often or is complete.
+    fn job_advanced(&mut self, step: StepKey, has_failed: bool) {
+        let job = self.state.jobs.get(&step.job);
+        let is_complete = job.is_some_and(|job| job.steps.iter().all(|step| step.left == 0));
         if has_failed {
-            self.end_job(key.step.job, JobPhase::Failed);
+            self.end_job(step.job, JobPhase::Failed);
         } else if is_complete {
-            self.end_job(key.step.job, JobPhase::Completed);
+            self.end_job(step.job, JobPhase::Completed);
         } else {
-            self.changes.push(QueueChange::StepChanged(key.step));
+            self.changes.push(QueueChange::StepChanged(step));
         }
     }
 
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -95,6 +95,8 @@
     pub start_error: Option<WorkerRequestError>,
     /// Whether its tasks make no progress.
     pub stalls: bool,
+    /// If not 0, its tasks write a checkpoint after each such time of work.
+    pub checkpoint_ms: u64,
     /// How long a task takes on it, in percent of the usual duration.
     pub duration_percent: u64,
     /// If not 0, starts are carried out after this time and get no reply.
@@ -138,6 +140,17 @@
 }
 
 impl ModelRun {
+    /// The work that was done before it, by the checkpoint that it resumes from.
+    pub fn resumed_ms(&self) -> u64 {
+        self.resumed_ms
+    }
+
+    /// The last checkpoint, if one is written after each `interval_ms` of work.
+    fn checkpoint(&self, interval_ms: u64) -> Option<Arc<str>> {
+        let saved_ms = self.done_ms / interval_ms.max(1) * interval_ms;
+        (saved_ms > 0).then(|| Arc::from(saved_ms.to_string()))
+    }
+
     /// How long it has worked on this worker.
     pub fn elapsed_ms(&self) -> u64 {
         self.elapsed_ms
@@ -191,6 +204,7 @@
             rejects_starts: None,
             start_error: None,
             stalls: false,
+            checkpoint_ms: 0,
             duration_percent: 100,
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
@@ -252,7 +266,11 @@
         let Some(run) = self.running.remove(&task) else {
             return;
         };
-        let checkpoint = (kind == EndKind::Stopped).then(|| Arc::from(run.done_ms.to_string()));
+        let checkpoint = match kind {
+            EndKind::Stopped => Some(Arc::from(run.done_ms.to_string())),
+            EndKind::Expired => run.checkpoint(self.checkpoint_ms),
+            _ => None,
+        };
         self.superseded.insert(task, run.run);
         if run.is_gang_member {
             let took_ms = self.now.since(run.started);
@@ -516,7 +534,7 @@
         let task = |(task, run): (&TaskKey, &ModelRun)| RunningTask {
             task: *task,
             run: run.run,
-            checkpoint: None,
+            checkpoint: run.checkpoint(self.checkpoint_ms),
             progress_percent: (run.done_ms * 100 / run.work_ms.max(1)) as u32,
         };
         let ends = self.ends.iter();
