--- a/crates/queues/tests/late_starts.rs
+++ b/crates/queues/tests/late_starts.rs
@@ -25,6 +25,9 @@
 /// A worker that is cut off for this long is removed.
 const REMOVED_MS: u64 = 20_000;
 
+/// Tasks write a checkpoint after each such time of work.
+const CHECKPOINT_MS: u64 = 500;
+
 /// When the leader changes, if it does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaderChange {
@@ -218,7 +221,7 @@
     for step_ms in [300, 700, 1_100, 1_900] {
         let mut model = model();
         for worker in model.workers.values_mut() {
-            worker.reports_checkpoints = true;
+            worker.checkpoint_ms = CHECKPOINT_MS;
         }
         submit(&mut model, Kind::Gang);
         submit(&mut model, Kind::Tally);
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -24,8 +24,6 @@
 use super::starts::resumed_ms;
 
 pub const REQUEST_TIMEOUT_MS: u64 = 500;
-/// A run writes a checkpoint each time that it has worked for this long.
-const CHECKPOINT_MS: u64 = 500;
 
 /// A run on the worker.
 #[derive(Clone, Debug)]
@@ -99,8 +97,8 @@
     pub start_error: Option<WorkerRequestError>,
     /// Whether its tasks make no progress.
     pub stalls: bool,
-    /// Whether its polls report checkpoints of running tasks.
-    pub reports_checkpoints: bool,
+    /// If not 0, its tasks write a checkpoint after each such time of work.
+    pub checkpoint_ms: u64,
     /// How long a task takes on it, in percent of the usual duration.
     pub duration_percent: u64,
     /// If not 0, starts are carried out after this time and get no reply.
@@ -144,6 +142,11 @@
 }
 
 impl ModelRun {
+    /// The work that was done before it, by the checkpoint that it resumes from.
+    pub fn resumed_ms(&self) -> u64 {
+        self.resumed_ms
+    }
+
     /// How long it has worked on this worker.
     pub fn elapsed_ms(&self) -> u64 {
         self.elapsed_ms
@@ -197,7 +200,7 @@
             rejects_starts: None,
             start_error: None,
             stalls: false,
-            reports_checkpoints: false,
+            checkpoint_ms: 0,
             duration_percent: 100,
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
@@ -259,7 +262,11 @@
         let Some(run) = self.running.remove(&task) else {
             return;
         };
-        let checkpoint = (kind == EndKind::Stopped).then(|| checkpoint(task, run.done_ms));
+        let checkpoint = match kind {
+            EndKind::Stopped => Some(checkpoint(task, run.done_ms)),
+            EndKind::Expired => self.last_checkpoint(task, &run),
+            _ => None,
+        };
         self.superseded.insert(task, run.run);
         if run.is_gang_member {
             let took_ms = self.now.since(run.started);
@@ -347,9 +354,8 @@
 
     /// The last checkpoint that a run has written.
     fn last_checkpoint(&self, task: TaskKey, run: &ModelRun) -> Option<Arc<str>> {
-        let done_ms = run.done_ms / CHECKPOINT_MS * CHECKPOINT_MS;
-        let has_written = self.reports_checkpoints && run.elapsed_ms >= CHECKPOINT_MS;
-        has_written.then(|| checkpoint(task, done_ms))
+        let saved_ms = run.done_ms / self.checkpoint_ms.max(1) * self.checkpoint_ms;
+        (saved_ms > run.resumed_ms).then(|| checkpoint(task, saved_ms))
     }
 
     /// Whether a request gets lost on the way.
