Test a late end in one log entry with the start that it makes needless

In the product the leader learns of a log entry when all of its commands are applied; in the model it learnt of each command alone. The model does it as the product does now, and a test puts a start and the late end of its task into one entry. Without the check in `send_start` the test fails: one start is sent.

--- a/crates/queues/tests/late_ends.rs
+++ b/crates/queues/tests/late_ends.rs
@@ -21,7 +21,9 @@
 use sapphirepost_queues::job::TaskPhase;
 use sapphirepost_types::Resources;
 
+use crate::model::COMMIT_MS;
 use crate::model::Model;
+use crate::model::STEP_MS;
 use crate::model::queue;
 use crate::model::restart::FIRST_INCARNATION;
 use crate::model::worker::ModelWorker;
@@ -180,6 +182,27 @@
     assert_completes_within(&mut model, SHORT_WORK_MS + APPLY_MS);
 }
 
+/// Guards against a start that is sent although the same log entry has a late end that makes it
+/// needless.
+#[test]
+fn a_start_in_one_entry_with_the_late_end_of_its_task_is_not_sent() {
+    let mut model = model(1, false);
+    model.commit_ms = 3_000;
+    model.cut_off(CUT_OFF);
+    while task(&model, 0).phase != TaskPhase::Waiting {
+        model.run(STEP_MS);
+    }
+    model.reconnect(CUT_OFF);
+    model.run(500);
+    model.scheduler.take_counts();
+    model.join_proposals();
+    model.commit_ms = COMMIT_MS;
+    model.run(STEP_MS);
+    assert_eq!(task(&model, 0).phase, TaskPhase::Done);
+    assert_eq!(model.scheduler.take_counts().starts, 0);
+    assert_completes_within(&mut model, SHORT_WORK_MS + APPLY_MS);
+}
+
 /// Guards against a run that starts from an older checkpoint than the last one that the leader had
 /// seen before it wrote the former run off.
 #[test]
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -296,6 +296,19 @@
         self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
 
+    /// Puts all proposed commands that are not applied yet into one entry, which is committed now.
+    pub fn join_proposals(&mut self) {
+        let is_proposal = |event: &Event| matches!(event, Event::Applied(_));
+        let pending = self.events.extract_if(.., |_, event| is_proposal(event));
+        let mut joined = Vec::new();
+        for (_, event) in pending {
+            if let Event::Applied(mut commands) = event {
+                joined.append(&mut commands);
+            }
+        }
+        self.schedule(0, Event::Applied(joined));
+    }
+
     /// Replaces the leader. Commands that are proposed and not applied are lost.
     pub fn change_leader(&mut self) {
         self.term += 1;
@@ -449,10 +462,15 @@
 
     fn apply(&mut self, commands: &[QueueCommand]) {
         self.index += 1;
-        for command in commands {
+        // The leader learns of an entry when all of its commands are applied.
+        let applied = commands.iter().map(|command| {
             let mut changes = Vec::new();
             self.state
                 .apply(self.index, self.now.0, command, &mut changes);
+            changes
+        });
+        let applied: Vec<Vec<QueueChange>> = applied.collect();
+        for (command, changes) in commands.iter().zip(applied) {
             self.scheduler
                 .handle_applied(&self.state, command, &changes, self.now);
             for change in &changes {
