Give up a task whose workers stay down longer than the leader tracks them

Cause: a crash is known only when another incarnation returns. After 15 s of silence the worker is removed, and the runs that ended with its lease, which are the evidence, go with it. Besides, with workers that are down for six leases or for good, the task begins on a sixth one before the first returns.

Change: the evidence of a worker that is removed for its silence stays in the state, for five minutes and for at most 256 workers, and counts when another incarnation registers with its ID or at its address. ForgetWorker tells this removal from a planned end. Workers that are silent since their lease expired with the task as a suspect are counted for the task, anew at each expiry and crash: four, two of them attributed to its job alone, end it.

Members of an earlier version cannot read the new command and fields.

--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -121,7 +121,7 @@
             log::info!(
                 target: RUNS_TARGET,
                 task:%, crashes = crashes.workers, suspected = crashes.suspected,
-                attributed = crashes.attributed, is_given_up,
+                attributed = crashes.attributed, silent = crashes.silent, is_given_up,
                 index; "crash counted"
             );
         }
--- a/crates/queues/src/command.rs
+++ b/crates/queues/src/command.rs
@@ -54,8 +54,7 @@
         /// may have caused the crash.
         lost: Option<LostRuns>,
     },
-    /// Removes an incarnation of a worker and ends all its runs. The incarnation has ended as
-    /// planned, or it has no runs and has been silent for long.
+    /// Removes an incarnation of a worker that has ended as planned, and ends all its runs.
     RemoveWorker {
         /// The ID of the worker.
         worker: Arc<str>,
@@ -65,6 +64,14 @@
         /// The last checkpoints that were reported by the worker.
         checkpoints: Vec<(TaskKey, Arc<str>)>,
     },
+    /// Removes an incarnation of a worker that has no runs and has been silent for long. The runs
+    /// that ended with its lease are kept for some time, in case it turns out to have crashed.
+    ForgetWorker {
+        /// The ID of the worker.
+        worker: Arc<str>,
+        /// The incarnation.
+        incarnation: Incarnation,
+    },
     /// Removes an incarnation of a worker that has crashed, and ends all its runs. The crash counts
     /// against the tasks that ran there.
     Crash {
--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 pub mod ids;
 pub mod job;
+pub mod lost_workers;
 pub mod scheduler;
 pub mod spec;
 pub mod state;
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -182,11 +182,9 @@
             let unreported_ms = now.since(worker.reported_at);
             if silent_ms > FORGET_MS && unreported_ms > FORGET_MS {
                 worker.poll.is_expiry_proposed = true;
-                let checkpoints = Vec::new();
-                self.propose(QueueCommand::RemoveWorker {
+                self.propose(QueueCommand::ForgetWorker {
                     worker: id,
-                    incarnation: Some(incarnation),
-                    checkpoints,
+                    incarnation,
                 });
             }
             return;
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -19,7 +19,10 @@
 use crate::ids::TaskKey;
 use crate::job::Job;
 use crate::job::JobPhase;
+use crate::job::Task;
 use crate::job::TaskPhase;
+use crate::lost_workers::LostWorkers;
+use crate::lost_workers::Return;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
 use crate::worker::HeldRun;
@@ -71,6 +74,9 @@
     /// Ended jobs by the log index of the command that ended them, for the retention.
     ended: OrdMap<u64, Vec<JobKey>>,
     ended_count: usize,
+    /// Removed workers that may turn out to have crashed.
+    #[serde(skip_serializing_if = "LostWorkers::is_empty")]
+    lost_workers: LostWorkers,
 }
 
 impl QueueState {
@@ -166,6 +172,10 @@
             } if incarnation.is_none_or(|incarnation| self.has(worker, incarnation)) => {
                 self.remove_worker(worker, checkpoints);
             }
+            QueueCommand::ForgetWorker {
+                worker,
+                incarnation,
+            } if self.has(worker, *incarnation) => self.forget_worker(worker),
             QueueCommand::Crash {
                 worker,
                 incarnation,
@@ -218,18 +228,33 @@
                 // A draining worker never becomes available again; an older report may arrive late.
                 known.record.is_draining = is_draining;
             }
-            None => {
-                let worker = Worker {
-                    record: record.clone(),
-                    applied_ends: 0,
-                    restarted_unix_ms: None,
-                    runs: OrdMap::new(),
-                    expired: LostRuns::default(),
-                };
-                self.state.workers.insert(id.clone(), Arc::new(worker));
+            None => return self.add_worker(record),
+        }
+        self.changes.push(QueueChange::Worker(id));
+    }
+
+    /// Adds a worker; if it replaces a removed one, that one has crashed.
+    fn add_worker(&mut self, record: &WorkerRecord) {
+        let mut worker = Worker {
+            record: record.clone(),
+            applied_ends: 0,
+            restarted_unix_ms: None,
+            runs: OrdMap::new(),
+            expired: LostRuns::default(),
+        };
+        let mut crashed = Vec::new();
+        for returned in self.state.lost_workers.take(record, self.at_unix_ms) {
+            match returned {
+                Return::SameIncarnation(lost) => worker.expired = lost,
+                Return::Crashed(id, lost) => crashed.push((id, lost)),
             }
         }
+        let id = record.id.clone();
+        self.state.workers.insert(id.clone(), Arc::new(worker));
         self.changes.push(QueueChange::Worker(id));
+        for (id, lost) in crashed {
+            self.count_crashes(&id, &lost);
+        }
     }
 
     fn restart_worker(
@@ -284,6 +309,15 @@
         }
     }
 
+    /// Removes a silent worker and keeps the evidence, in case it has crashed.
+    fn forget_worker(&mut self, id: &Arc<str>) {
+        if let Some(worker) = self.state.workers.get(id) {
+            let lost_workers = &mut self.state.lost_workers;
+            lost_workers.add(worker, self.at_unix_ms);
+        }
+        self.remove_worker(id, &[]);
+    }
+
     fn start(&mut self, step: StepKey, placements: &[Placement]) {
         let Some(job) = self.state.jobs.get_mut(&step.job) else {
             return;
@@ -380,6 +414,25 @@
         if let Some(worker) = self.state.workers.get_mut(id) {
             Arc::make_mut(worker).expired.merge(lost);
         }
+        for task in &lost.suspects {
+            if let Some(crashes) = self.update_silent(*task)
+                && crashes.is_given_up()
+            {
+                self.changes.push(QueueChange::CrashCounted(*task, crashes));
+                self.end_job(task.step.job, JobPhase::Failed);
+            }
+        }
+    }
+
+    /// Counts the silent workers of which a task is a suspect, and returns its counts.
+    fn update_silent(&mut self, key: TaskKey) -> Option<CrashCount> {
+        let task = task_mut(&mut self.state.jobs, key)?;
+        let workers = self.state.workers.values();
+        let expired = workers.map(|worker| &worker.expired);
+        let expired = expired.filter(|expired| expired.is_suspect(key));
+        let removed = self.state.lost_workers.suspecting(key);
+        task.crashes.record_silent(key, expired.chain(removed));
+        Some(task.crashes)
     }
 
     /// Removes a crashed worker and counts the crash against the tasks that ran there.
@@ -404,21 +457,14 @@
 
     /// Counts a crash against a task, and fails its job if the task is given up.
     fn count_crash(&mut self, key: TaskKey, lost: &LostRuns) {
-        let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
+        let Some(task) = task_mut(&mut self.state.jobs, key) else {
             return;
         };
-        if job.phase.has_ended() {
-            return;
-        }
-        let steps = &mut Arc::make_mut(job).steps;
-        let step = steps.get_mut(usize::from(key.step.step));
-        // The key may belong to an earlier job whose ID was used again.
-        let task = step.and_then(|step| step.tasks.get_mut(key.index as usize));
-        let Some(task) = task.filter(|task| task.phase != TaskPhase::Done) else {
+        task.crashes.record(key, lost);
+        // A worker that has returned is not silent any more.
+        let Some(crashes) = self.update_silent(key) else {
             return;
         };
-        task.crashes.record(key, lost);
-        let crashes = task.crashes;
         self.changes.push(QueueChange::CrashCounted(key, crashes));
         if crashes.is_given_up() {
             self.end_job(key.step.job, JobPhase::Failed);
@@ -550,3 +596,16 @@
         }
     }
 }
+
+/// A task that is not done, of a job that has not ended.
+fn task_mut(jobs: &mut OrdMap<JobKey, Arc<Job>>, key: TaskKey) -> Option<&mut Task> {
+    let job = jobs.get_mut(&key.step.job)?;
+    if job.phase.has_ended() {
+        return None;
+    }
+    let steps = &mut Arc::make_mut(job).steps;
+    // The key may belong to an earlier job whose ID was used again.
+    let step = steps.get_mut(usize::from(key.step.step))?;
+    let task = step.tasks.get_mut(key.index as usize)?;
+    (task.phase != TaskPhase::Done).then_some(task)
+}
--- a/crates/queues/tests/crashes.rs
+++ b/crates/queues/tests/crashes.rs
@@ -381,10 +381,10 @@
 }
 
 /// Guards against a task that is started too often, since each lease of a worker that it crashed
-/// ends before the worker returns and shows the crash.
+/// ends before the worker returns and shows the crash, or since they never return.
 #[test]
 fn a_task_whose_workers_stay_down_for_several_leases_is_given_up() {
-    for leases in [3, 4, 6] {
+    for leases in [3, 4, 6, 10, 1_000] {
         let mut model = model(16, is_crashing);
         for worker in model.workers.values_mut() {
             worker.down_ms = leases * LEASE_MS;
