Log the processor time of a leader by thread

The share of the network threads in the processor time of a leader was known only as what the core thread leaves. `leader load` now has the time of the core, storage and network threads, read once a second from /proc/self/task, and counts submissions that are repeated while they are being committed.

--- a/crates/control/src/core_load.rs
+++ b/crates/control/src/core_load.rs
@@ -11,10 +11,55 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 
 use sapphirepost_process::metrics::Metrics;
+use sapphirepost_process::process_metrics;
 
 /// Time between two log lines of a leader.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The name of the threads that carry the messages of the group and the calls of other processes.
+pub(crate) const GROUP_NETWORK_THREAD_NAME: &str = "group network";
+
+/// Processor time of the process by thread, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct ProcessorTime {
+    core_ms: u64,
+    group_network_ms: u64,
+    network_ms: u64,
+    storage_ms: u64,
+    other_ms: u64,
+}
+
+impl ProcessorTime {
+    /// Reads the time that the threads have taken since they began.
+    fn read() -> ProcessorTime {
+        let mut total = ProcessorTime::default();
+        for thread in process_metrics::thread_times() {
+            let sum_ms = match &*thread.name {
+                _ if thread.is_main => &mut total.core_ms,
+                GROUP_NETWORK_THREAD_NAME => &mut total.group_network_ms,
+                "network" => &mut total.network_ms,
+                "storage" => &mut total.storage_ms,
+                _ => &mut total.other_ms,
+            };
+            *sum_ms += thread.processor_ms;
+        }
+        total
+    }
+
+    /// The time since `earlier`. The time of a thread that has ended since then is lost.
+    fn since(self, earlier: ProcessorTime) -> ProcessorTime {
+        ProcessorTime {
+            core_ms: self.core_ms.saturating_sub(earlier.core_ms),
+            group_network_ms: self
+                .group_network_ms
+                .saturating_sub(earlier.group_network_ms),
+            network_ms: self.network_ms.saturating_sub(earlier.network_ms),
+            storage_ms: self.storage_ms.saturating_sub(earlier.storage_ms),
+            other_ms: self.other_ms.saturating_sub(earlier.other_ms),
+        }
+    }
+}
+
 /// Metrics of the core thread's rounds.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadMetrics {
@@ -106,6 +151,9 @@
     oldest_group_event: Duration,
     spent: [Duration; Work::COUNT],
     longest: [Duration; Work::COUNT],
+    repeated_submissions: u64,
+    /// The processor time of the process when the interval began; `None` unless it led then.
+    processor_time: Option<ProcessorTime>,
 }
 
 impl Interval {
@@ -120,6 +168,8 @@
             oldest_group_event: Duration::ZERO,
             spent: [Duration::ZERO; Work::COUNT],
             longest: [Duration::ZERO; Work::COUNT],
+            repeated_submissions: 0,
+            processor_time: None,
         }
     }
 }
@@ -171,6 +221,11 @@
         }
     }
 
+    /// Records a submission of a job whose earlier submission is being committed.
+    pub(crate) fn record_repeated_submission(&mut self) {
+        self.interval.repeated_submissions += 1;
+    }
+
     /// Ends a round, with `queued` events still in the channel. A leader logs the figures at
     /// intervals.
     pub(crate) fn end_round(&mut self, queued: usize, is_leading: bool) {
@@ -184,10 +239,12 @@
         if now - self.interval.since < REPORT_INTERVAL {
             return;
         }
+        let mut next = Interval::new(now);
         if is_leading {
             self.interval.log(now, queued);
+            next.processor_time = Some(ProcessorTime::read());
         }
-        self.interval = Interval::new(now);
+        self.interval = next;
     }
 
     /// Logs the figures of the interval so far, because the member stops leading.
@@ -202,6 +259,9 @@
         let [handling, apply, schedule, propose] = self.spent.map(ms);
         let [group, workers, reports, policy, other] = self.events;
         let [_, longest_apply, longest_schedule, _] = self.longest.map(ms);
+        let began_with = self.processor_time;
+        let processor = began_with.map(|began| ProcessorTime::read().since(began));
+        let processor = processor.unwrap_or_default();
         log::info!(
             interval_ms = ms(now - self.since), rounds = self.rounds,
             busy_ms = ms(self.busy), longest_round_ms = ms(self.longest_round),
@@ -211,7 +271,12 @@
             oldest_group_event_ms = ms(self.oldest_group_event),
             handling_ms = handling, applying_ms = apply, longest_applying_ms = longest_apply,
             scheduling_ms = schedule,
-            longest_scheduling_ms = longest_schedule, proposing_ms = propose; "leader load"
+            longest_scheduling_ms = longest_schedule, proposing_ms = propose,
+            repeated_submissions = self.repeated_submissions,
+            core_processor_ms = processor.core_ms, storage_processor_ms = processor.storage_ms,
+            group_network_processor_ms = processor.group_network_ms,
+            network_processor_ms = processor.network_ms,
+            other_processor_ms = processor.other_ms; "leader load"
         );
     }
 }
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -164,6 +164,9 @@
         match (&request.action, phase) {
             (CallerAction::Submit(_), Some(_)) => done.send(Ok(QueueReply::Accepted)),
             (CallerAction::Submit(spec), None) => {
+                if self.queues.submitting.contains(&key) {
+                    self.load.record_repeated_submission();
+                }
                 let spec = Arc::new(spec.clone());
                 self.submit(now, key, queue, spec, done);
             }
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -42,6 +42,7 @@
 use crate::cluster_metrics::ClusterMetrics;
 use crate::core::Core;
 use crate::core_load::CoreLoad;
+use crate::core_load::GROUP_NETWORK_THREAD_NAME;
 use crate::core_load::LoadMetrics;
 use crate::event::Event;
 use crate::event::EventSender;
@@ -133,8 +134,8 @@
         })?;
     }
     let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
-    let group_runtime =
-        rpc::runtime(GROUP_NETWORK_THREADS).context("cannot start the group's network thread")?;
+    let group_runtime = rpc::named_runtime(GROUP_NETWORK_THREAD_NAME, GROUP_NETWORK_THREADS)
+        .context("cannot start the group's network thread")?;
     let (event_sender, events) = EventSender::new();
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
--- a/crates/process/src/process_metrics.rs
+++ b/crates/process/src/process_metrics.rs
@@ -52,6 +52,11 @@
 /// [`CURRENT_PROCESS`]; `None` if the process does not exist or its `stat` file cannot be parsed.
 pub fn processor_seconds(process: &str) -> Option<f64> {
     let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    seconds_in(&stat)
+}
+
+/// Returns the user and system time in the text of a `stat` file, in seconds.
+fn seconds_in(stat: &str) -> Option<f64> {
     // The command name is in parentheses and may itself contain spaces and parentheses.
     let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
     let user: f64 = fields.get(USER_TIME_INDEX)?.parse().ok()?;
@@ -59,6 +64,45 @@
     Some((user + system) / TICKS_PER_SECOND)
 }
 
+/// The processor time of one thread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ThreadTime {
+    /// The name of the thread, at most 15 bytes long.
+    pub name: String,
+    /// Whether this is the thread that runs `main`, whose name is that of the program.
+    pub is_main: bool,
+    /// User and system time since the thread began, in units of 10 ms.
+    pub processor_ms: u64,
+}
+
+/// Returns the processor time of each thread of this process. A thread whose `stat` file cannot be
+/// read or parsed, for example because it has just ended, is left out.
+pub fn thread_times() -> Vec<ThreadTime> {
+    let main = std::process::id().to_string();
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return Vec::new();
+    };
+    threads
+        .filter_map(|thread| {
+            let thread = thread.ok()?;
+            let stat = fs::read_to_string(thread.path().join("stat")).ok()?;
+            let is_main = thread.file_name().to_str() == Some(&*main);
+            thread_time(&stat, is_main)
+        })
+        .collect()
+}
+
+fn thread_time(stat: &str, is_main: bool) -> Option<ThreadTime> {
+    let (id_and_name, _) = stat.rsplit_once(')')?;
+    let (_, name) = id_and_name.split_once('(')?;
+    let seconds = seconds_in(stat)?;
+    Some(ThreadTime {
+        name: name.to_owned(),
+        is_main,
+        processor_ms: (seconds * 1_000.0).round() as u64,
+    })
+}
+
 /// Returns the resident memory of a process in bytes. `process` is a process ID or
 /// [`CURRENT_PROCESS`]; `None` if the process does not exist or its `status` file cannot be parsed.
 pub fn resident_bytes(process: &str) -> Option<i64> {
--- a/crates/process/src/rpc/mod.rs
+++ b/crates/process/src/rpc/mod.rs
@@ -32,9 +32,15 @@
 /// Creates the Tokio runtime for the network code of a process, with the given number of worker
 /// threads. The runtime stops when it is dropped.
 pub fn runtime(threads: usize) -> io::Result<Runtime> {
+    named_runtime("network", threads)
+}
+
+/// Like [`runtime`], with threads called `name`, which tells them apart in
+/// [`thread_times`](crate::process_metrics::thread_times). Linux keeps 15 bytes of it.
+pub fn named_runtime(name: &str, threads: usize) -> io::Result<Runtime> {
     Builder::new_multi_thread()
         .worker_threads(threads)
-        .thread_name("network")
+        .thread_name(name)
         .enable_all()
         .build()
 }
