Leave a leader that answers other calls only when it falls silent

The entry then gave up its connection, moved all its calls to another process, which sent them back to the leader, and sent the call again, although the leader had it and answered others. An overloaded leader got the same calls again, and a new handshake each time.

Change: a call waits on, up to its own limit, while the process answers other calls on the same connection: a reply since the call was sent, at most 200 ms old. A call whose time is over on such a connection ends with an unknown outcome and leaves the connection and the leader of the other calls as they are. A process that answers nothing is left as before: a call that is sent after the last reply waits for one attempt.

Test: a_call_is_not_repeated_while_the_leader_answers_others and a_late_call_does_not_move_other_calls_away_from_the_leader failed before. a_leader_that_stops_answering_is_left_after_one_attempt passed before and after.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -2,7 +2,8 @@
 //!
 //! A call goes first to the last known leader. If a process that is not the leader names another
 //! one, the call goes there next; otherwise, and after any other failure, it goes to the next known
-//! process. An invalid call is not sent again. A call that may have had an effect is sent again
+//! process. A process that answers other calls is not left because one of them takes long: that call
+//! waits there until its time is over, and is neither repeated nor sent elsewhere. An invalid call is not sent again. A call that may have had an effect is sent again
 //! only with [`RetryPolicy::Idempotent`], which states that a resend is harmless: the call changes
 //! nothing, or the receiver recognizes the resend, for example an operator's change by its
 //! operation ID.
@@ -49,7 +50,8 @@
 pub struct CallOptions {
     /// The time limit for the call over all attempts.
     pub total_timeout: Duration,
-    /// The time limit for the answer to one attempt.
+    /// The time limit for the answer to one attempt, unless the process answers other calls
+    /// meanwhile.
     pub attempt_timeout: Duration,
     /// Whether the call may be sent again after an attempt that may have had an effect.
     pub retry: RetryPolicy,
@@ -171,7 +173,7 @@
                 break;
             }
             let answer = client
-                .call(method, params, left.min(options.attempt_timeout))
+                .call_patiently(method, params, options.attempt_timeout, left)
                 .await;
             let error = match answer {
                 Ok(answer) => return Ok(answer),
@@ -181,6 +183,10 @@
             if let RpcError::Invalid(problem) = error {
                 return Err(ControlError::Invalid(problem));
             }
+            // The process answers other calls, so they stay with it. The time for this one is over.
+            if let RpcError::Late(_) = error {
+                return Err(ControlError::OutcomeUnknown(last_failure));
+            }
             // Chosen even if this call is not retried, so that the next call goes to another
             // process.
             let next = self.inner.choose_next(&client, &error);
--- a/crates/entry/tests/control_path.rs
+++ b/crates/entry/tests/control_path.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -142,6 +143,113 @@
     assert_eq!(second, Ok(7));
 }
 
+/// The parameter of a call that takes [`LONG_CALL`].
+const LONG: u64 = 1_000;
+/// Several times the timeout of an attempt in [`options`].
+const LONG_CALL: Duration = Duration::from_millis(700);
+
+/// A leader that answers calls at once, except [`LONG`] ones, until `is_paused`. It counts the long
+/// calls that reach it.
+fn busy_leader(
+    runtime: &Runtime,
+    long_calls: Arc<AtomicU64>,
+    is_paused: Arc<AtomicBool>,
+) -> RpcServer {
+    let mut methods = RpcMethods::new();
+    methods
+        .handle("act", move |n: u64| {
+            let is_paused = is_paused.clone();
+            if n == LONG {
+                long_calls.fetch_add(1, Ordering::SeqCst);
+            }
+            async move {
+                if n == LONG {
+                    tokio::time::sleep(LONG_CALL).await;
+                }
+                if is_paused.load(Ordering::SeqCst) {
+                    tokio::time::sleep(Duration::from_secs(30)).await;
+                }
+                Ok(n)
+            }
+        })
+        .unwrap();
+    start(runtime, local(), methods)
+}
+
+/// Makes short calls, one after another, until `is_over`.
+fn keep_calling(client: &ControlClient, is_over: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+    let client = client.clone();
+    thread::spawn(move || {
+        while !is_over.load(Ordering::SeqCst) {
+            let _ = client.call_blocking::<_, u64>("act", &1u64, options(RetryPolicy::Idempotent));
+            thread::sleep(Duration::from_millis(10));
+        }
+    })
+}
+
+/// Guards against an overloaded leader that gets each call several times: an entry repeated a call
+/// after the timeout of an attempt, although the leader had it and answered other calls.
+#[test]
+fn a_call_is_not_repeated_while_the_leader_answers_others() {
+    let runtime = runtime(2).unwrap();
+    let (long_calls, is_over) = (
+        Arc::new(AtomicU64::new(0)),
+        Arc::new(AtomicBool::new(false)),
+    );
+    let leader = busy_leader(&runtime, long_calls.clone(), Arc::default());
+    let follower = follower(&runtime, Some(leader.address().to_string()));
+    let client = client(&runtime, &[leader.address(), follower.address()]);
+    let other_calls = keep_calling(&client, is_over.clone());
+    thread::sleep(Duration::from_millis(50));
+    let answer = client.call_blocking("act", &LONG, options(RetryPolicy::Idempotent));
+    is_over.store(true, Ordering::SeqCst);
+    other_calls.join().unwrap();
+    assert_eq!(answer, Ok(LONG));
+    assert_eq!(long_calls.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against an entry that leaves a slow leader, together with all its other calls, because the
+/// time of one call is over.
+#[test]
+fn a_late_call_does_not_move_other_calls_away_from_the_leader() {
+    let runtime = runtime(2).unwrap();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let leader = busy_leader(&runtime, Arc::default(), Arc::default());
+    let follower = follower(&runtime, None);
+    let client = client(&runtime, &[leader.address(), follower.address()]);
+    let other_calls = keep_calling(&client, is_over.clone());
+    thread::sleep(Duration::from_millis(50));
+    let mut short = options(RetryPolicy::Idempotent);
+    short.total_timeout = Duration::from_millis(100);
+    let answer = client.call_blocking::<_, u64>("act", &LONG, short);
+    let preferred = client.leader_address();
+    is_over.store(true, Ordering::SeqCst);
+    other_calls.join().unwrap();
+    assert!(matches!(answer, Err(ControlError::OutcomeUnknown(_))));
+    assert_eq!(preferred, Some(leader.address().to_string()));
+}
+
+/// A leader that stops answering every call is left after the timeout of an attempt, although it
+/// answered others shortly before.
+#[test]
+fn a_leader_that_stops_answering_is_left_after_one_attempt() {
+    let runtime = runtime(2).unwrap();
+    let (is_paused, is_over) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let paused = busy_leader(&runtime, Arc::default(), is_paused.clone());
+    let leader = busy_leader(&runtime, Arc::default(), Arc::default());
+    let client = client(&runtime, &[paused.address(), leader.address()]);
+    let other_calls = keep_calling(&client, Arc::clone(&is_over));
+    thread::sleep(Duration::from_millis(100));
+    is_paused.store(true, Ordering::SeqCst);
+    let since = Instant::now();
+    let answer = client.call_blocking("act", &7u64, options(RetryPolicy::Idempotent));
+    let took = since.elapsed();
+    is_over.store(true, Ordering::SeqCst);
+    other_calls.join().unwrap();
+    assert_eq!(answer, Ok(7));
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
 #[test]
 fn a_group_without_a_leader_is_unavailable_not_unknown() {
     let runtime = runtime(2).unwrap();
--- a/crates/process/src/rpc/client.rs
+++ b/crates/process/src/rpc/client.rs
@@ -1,7 +1,8 @@
 //! The RPC client: one connection to one process, established on demand.
 //!
 //! A timeout of a call may mean that the connection is dead, so the next call opens a new one;
-//! calls that still wait on the old connection keep it open until they end. After a failed
+//! calls that still wait on the old connection keep it open until they end. A patient call
+//! ([`RpcClient::call_patiently`]) keeps a connection that brings replies to other calls. After a failed
 //! connection attempt, calls fail immediately until a backoff with jitter has passed, so that many
 //! clients do not reconnect to a restarted process at the same moment.
 
@@ -35,6 +36,9 @@
 pub(crate) const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// A connection is closed after this time without any incoming traffic.
 pub(crate) const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(10);
+/// A process whose last reply on a connection is older has stopped answering. It is shorter than an
+/// election, so that a leader that is gone is left as soon as there may be another one.
+const REPLY_AGE_MAX: Duration = Duration::from_millis(200);
 const UNAUTHORIZED: u16 = 401;
 
 /// The address, shared key and limits of an RPC client.
@@ -94,6 +98,17 @@
     blocked_until: Option<Instant>,
 }
 
+/// How long a call waits for its reply.
+#[derive(Clone, Copy, Debug)]
+struct Patience {
+    /// How long it waits at least, including the time to connect.
+    attempt: Duration,
+    /// How long it waits while the process answers other calls.
+    total: Duration,
+    /// Whether a timeout leaves a connection open that brings replies to other calls.
+    keeps_connection: bool,
+}
+
 impl RpcClient {
     /// Creates a client that uses `runtime` and connects at its first call.
     pub fn new(runtime: Handle, config: RpcClientConfig) -> RpcClient {
@@ -120,6 +135,49 @@
         params: &P,
         timeout: Duration,
     ) -> Result<R, RpcError>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let patience = Patience {
+            attempt: timeout,
+            total: timeout,
+            keeps_connection: false,
+        };
+        self.call_with(method, params, patience).await
+    }
+
+    /// Like [`RpcClient::call`], but goes on waiting after `timeout`, for at most `total_timeout`,
+    /// while the process answers other calls on the connection. It then has the call too, and a
+    /// repeated one would only add to its load.
+    ///
+    /// The call fails with [`RpcError::Late`] if the process still answers others when
+    /// `total_timeout` is over; the connection is kept.
+    pub async fn call_patiently<P, R>(
+        &self,
+        method: &str,
+        params: &P,
+        timeout: Duration,
+        total_timeout: Duration,
+    ) -> Result<R, RpcError>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let patience = Patience {
+            attempt: timeout.min(total_timeout),
+            total: total_timeout,
+            keeps_connection: true,
+        };
+        self.call_with(method, params, patience).await
+    }
+
+    async fn call_with<P, R>(
+        &self,
+        method: &str,
+        params: &P,
+        patience: Patience,
+    ) -> Result<R, RpcError>
     where
         P: Serialize + Sync,
         R: DeserializeOwned,
@@ -129,13 +187,26 @@
             .call_permits
             .try_acquire()
             .map_err(|_| RpcError::Busy)?;
-        let deadline = tokio::time::Instant::now() + timeout;
+        let since = tokio::time::Instant::now();
+        let deadline = since + patience.attempt;
         let connecting = tokio::time::timeout_at(deadline, self.inner.connect());
         let connection = connecting
             .await
             .map_err(|_| RpcError::NotSent("no connection in time".to_owned()))??;
-        let call = connection.call::<P, R>(method, params);
-        match tokio::time::timeout_at(deadline, call).await {
+        let sent = Instant::now();
+        let is_answering =
+            || patience.keeps_connection && connection.has_replied(sent, REPLY_AGE_MAX);
+        let mut call = std::pin::pin!(connection.call::<P, R>(method, params));
+        let end = since + patience.total;
+        let mut deadline = deadline;
+        let result = loop {
+            let result = tokio::time::timeout_at(deadline, &mut call).await;
+            if result.is_ok() || deadline >= end || !is_answering() {
+                break result;
+            }
+            deadline = end.min(deadline + REPLY_AGE_MAX);
+        };
+        match result {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(ClientError::Call(object))) => Err(RpcError::from(object)),
             Ok(Err(error)) => {
@@ -143,11 +214,13 @@
                 Err(from_client_error(error))
             }
             Err(_) => {
+                let waited_ms = since.elapsed().as_millis();
+                let detail = format!("timed out after {waited_ms} ms");
+                if is_answering() {
+                    return Err(RpcError::Late(detail));
+                }
                 self.inner.discard(&connection).await;
-                let waited_ms = timeout.as_millis();
-                Err(RpcError::NoAnswer(format!(
-                    "timed out after {waited_ms} ms"
-                )))
+                Err(RpcError::NoAnswer(detail))
             }
         }
     }
--- a/crates/process/src/rpc/connection.rs
+++ b/crates/process/src/rpc/connection.rs
@@ -8,6 +8,8 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use jsonrpsee::async_client::Client;
 use jsonrpsee::async_client::ClientBuilder;
@@ -32,6 +34,9 @@
     /// The service of `client` that makes calls without a timer; captured while `client` is built.
     service: Arc<OnceLock<RpcService>>,
     next_id: AtomicU64,
+    opened: Instant,
+    /// Milliseconds from `opened` to the last reply; 0 before the first one.
+    last_reply_ms: AtomicU64,
 }
 
 impl Connection {
@@ -54,6 +59,8 @@
             client,
             service,
             next_id: AtomicU64::new(0),
+            opened: Instant::now(),
+            last_reply_ms: AtomicU64::new(0),
         }
     }
 
@@ -62,6 +69,18 @@
         self.client.is_connected()
     }
 
+    /// Returns whether the last reply to any call came after `since`, and at most `age_max` ago.
+    pub(crate) fn has_replied(&self, since: Instant, age_max: Duration) -> bool {
+        let last_reply_ms = self.last_reply_ms.load(Ordering::Relaxed);
+        let last_reply = self.opened + Duration::from_millis(last_reply_ms);
+        last_reply_ms > 0 && last_reply > since && last_reply.elapsed() <= age_max
+    }
+
+    fn record_reply(&self) {
+        let now_ms = self.opened.elapsed().as_millis() as u64;
+        self.last_reply_ms.store(now_ms, Ordering::Relaxed);
+    }
+
     /// Calls a method and waits for its reply without a timeout, as long as the connection is open.
     pub(crate) async fn call<P, R>(&self, method: &str, params: &P) -> Result<R, Error>
     where
@@ -72,7 +91,11 @@
         let params = rpc_params![params].to_rpc_params()?;
         let request = Request::borrowed(method, params.as_deref(), id);
         let service = self.service.get().ok_or(Error::ServiceDisconnect)?;
-        let response = service.call(request).await?;
+        let response = service.call(request).await;
+        if matches!(response, Ok(_) | Err(Error::Call(_))) {
+            self.record_reply();
+        }
+        let response = response?;
         let response = ResponseSuccess::try_from(response.into_response().into_inner())?;
         Ok(serde_json::from_str(response.result.get())?)
     }
--- a/crates/process/src/rpc/error.rs
+++ b/crates/process/src/rpc/error.rs
@@ -49,12 +49,19 @@
     /// effect.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// The call timed out, though the receiver has just answered others on the same connection. It
+    /// may have had an effect, or still have it.
+    #[error("late: {0}")]
+    Late(String),
 }
 
 impl RpcError {
     /// Returns whether the call certainly had no effect.
     pub fn had_no_effect(&self) -> bool {
-        !matches!(self, RpcError::OutcomeUnknown(_) | RpcError::NoAnswer(_))
+        !matches!(
+            self,
+            RpcError::OutcomeUnknown(_) | RpcError::NoAnswer(_) | RpcError::Late(_)
+        )
     }
 }
 
@@ -70,7 +77,9 @@
             }
             RpcError::NoQuorum => error_without_data(CODE_NO_QUORUM, message),
             RpcError::OutcomeUnknown(detail) => error_without_data(CODE_OUTCOME_UNKNOWN, detail),
-            RpcError::NoAnswer(_) => error_without_data(CODE_OUTCOME_UNKNOWN, message),
+            RpcError::NoAnswer(_) | RpcError::Late(_) => {
+                error_without_data(CODE_OUTCOME_UNKNOWN, message)
+            }
             RpcError::Busy | RpcError::NotSent(_) => error_without_data(CODE_BUSY, message),
             RpcError::Unauthorized => error_without_data(CODE_UNAUTHORIZED, message),
             RpcError::Invalid(detail) => error_without_data(CODE_INVALID_PARAMS, detail),
