Ask the policy only about workers whose room is not reserved

Seen: after a burst on the large site many answers of the policy are followed by no placement.

Cause: a step asks about the workers with the most free capacity, also if it is reserved or held for a gang. With the permits it is tried at once, finds no room, and asks about the next ones.

Change: a request for further workers names those that have unreserved room for the time of a task.

Also tried, and not kept: freed workers cause a try only if their room is not reserved.

--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -226,14 +226,18 @@
 
     /// The workers that a request for further workers may name, those first that had the most free
     /// processor capacity when the last round began. They accept tasks and have free resources for
-    /// a task of the step, and no request for them has been answered yet or the permit has expired.
+    /// a task of the step that are not reserved for others, and no request for them has been answered
+    /// yet or the permit has expired.
     /// For a gang, they need no free resources, since it may get a reservation, and expired permits
     /// are left out, since they are renewed by requests of their own.
     fn useful_workers(&self, view: &StepView, now: Millis) -> impl Iterator<Item = WorkerIndex> {
         let is_gang = view.spec().is_gang;
         let need = view.spec().resources;
         let is_useful = move |index: WorkerIndex, worker: &WorkerView| {
-            let has_room = need.fits_in(&worker.free());
+            // A permit on a worker whose resources are held for a gang would lapse unused.
+            let reserved = &self.rounds.reservations;
+            let available = self.available_to(view, index, worker, reserved, now);
+            let has_room = need.fits_in(&available);
             let is_wanted = match self.permission(view, index, now) {
                 Permission::Unknown => has_room || is_gang,
                 Permission::Expired => has_room && !is_gang,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -140,6 +140,20 @@
         found
     }
 
+    /// The free resources of a worker that are not reserved for others while a task of the step
+    /// would run.
+    pub(crate) fn available_to(
+        &self,
+        view: &StepView,
+        index: WorkerIndex,
+        worker: &WorkerView,
+        reservations: &Reservations,
+        now: Millis,
+    ) -> Resources {
+        let task_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+        reservations.available(index, worker, view.key, task_ms, now)
+    }
+
     /// How many tasks of the step fit into the available resources of a worker, within the limits
     /// of the step and of the worker's health.
     fn fits(&self, view: &StepView, worker: &WorkerView, available: Resources, now: Millis) -> u32 {
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -80,7 +80,7 @@
     /// Workers with resources that were freed since the last placement of gangs.
     freed_for_gangs: Vec<WorkerIndex>,
     /// The reservations of the last round.
-    reservations: Reservations,
+    pub(crate) reservations: Reservations,
     /// The largest free amount of each resource on any worker that accepted tasks when the last
     /// round began.
     pub(crate) max_free: Resources,
