Compare a waiting step with few freed workers

In the new test, a leader that is just able to serve the load (1,100 workers, 1,200 ns a check on the model's clock) serves a burst of 4 s. 5 to 11 s after it, it asks the policy 1.34 times as often for each started step as before the burst (3,971 answers for 2,587 steps, 1,255 for 1,092 before), and 606 to 865 jobs wait.

Cause: after a slow round nearly all workers are freed ones, and each waiting step is compared with all of them that have room: up to 430,000 visits a second, most of all checks, which make the next round slow again. The work of a round grows with the product of waiting steps and freed workers.

Change: a step is compared with at most 16 freed workers, those with the most free capacity; if it can use none of them, it is tried at its interval. A gang for which all free capacity would not suffice looks for no workers in a round, and only requests permits, preempts or gets a reservation.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -31,6 +31,15 @@
     pub until: Millis,
 }
 
+/// What a try of a gang may do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GangTry {
+    /// Whether the free resources may suffice for all members. If not, no worker is looked at.
+    pub(crate) may_fit: bool,
+    /// Whether the gang may get a reservation for later.
+    pub(crate) may_reserve: bool,
+}
+
 impl Scheduler {
     /// Reserves the resources that gangs hold.
     pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
@@ -49,7 +58,7 @@
         state: &QueueState,
         view: &mut StepView,
         reservations: &mut Reservations,
-        may_reserve: bool,
+        tries: GangTry,
         now: Millis,
     ) -> bool {
         let members = view.spec().count as usize;
@@ -68,7 +77,11 @@
             self.end_try(begin, TryResult::Withheld);
             return false;
         }
-        let candidates = self.candidates(view, reservations, isolation, now);
+        let candidates = if tries.may_fit {
+            self.candidates(view, reservations, isolation, now)
+        } else {
+            Vec::new()
+        };
         let granted = self.choose_workers(view, &candidates, &[Permission::Granted], members);
         if let (Some(job), Some(chosen)) = (job, &granted) {
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
@@ -98,7 +111,8 @@
             self.end_try(begin, result);
             return true;
         }
-        let has_reservation = !has_room && may_reserve && self.reserve(view, reservations, now);
+        let has_reservation =
+            !has_room && tries.may_reserve && self.reserve(view, reservations, now);
         self.end_try(begin, result);
         has_reservation
     }
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -16,6 +16,7 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::backlog::Backlog;
+use crate::scheduler::gangs::GangTry;
 use crate::scheduler::placement_counts::TryResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
@@ -58,6 +59,9 @@
 /// The number of blocked gangs that a round tries for a reservation although nothing has changed
 /// for them.
 const RESERVATION_TRIES_MAX: usize = 4;
+/// The number of freed workers that are compared with a waiting step. After a slow round nearly all
+/// workers are freed ones, and a step that can use none of the first is tried at its interval.
+const FREED_PER_STEP_MAX: usize = 16;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
 const INTERVAL_MS: u64 = 100;
@@ -299,10 +303,14 @@
         now: Millis,
     ) {
         let checks = self.checks.get();
+        let may_fit = self.may_fit_gang(view);
         let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX;
         round.reservation_tries += usize::from(may_reserve);
-        let has_reservation =
-            self.place_gang(state, view, &mut round.reservations, may_reserve, now);
+        let tries = GangTry {
+            may_fit,
+            may_reserve,
+        };
+        let has_reservation = self.place_gang(state, view, &mut round.reservations, tries, now);
         round.reserved += usize::from(has_reservation);
         round.gang_checks += self.checks.get() - checks;
     }
@@ -320,7 +328,8 @@
             return true;
         }
         if !is_gang {
-            return view.is_ready && self.has_use_for(view, &round.freed.for_tasks);
+            let freed = &round.freed.for_tasks;
+            return view.is_ready && self.has_use_for(view, freed);
         }
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
@@ -344,7 +353,8 @@
         }
         let mut with_room = workers
             .iter()
-            .take_while(|(millicores, _)| *millicores >= need.millicores);
+            .take_while(|(millicores, _)| *millicores >= need.millicores)
+            .take(FREED_PER_STEP_MAX);
         with_room.any(|(_, index)| {
             self.count_visits(VisitKind::Freed, 1);
             let worker = self.workers.get(*index);
@@ -386,7 +396,11 @@
             if view.is_urgent() && view.is_ready && is_in_time {
                 self.tally.counts.urgent_tries += 1;
                 if view.spec().is_gang {
-                    self.place_gang(state, &mut view, &mut reservations, false, now);
+                    let tries = GangTry {
+                        may_fit: true,
+                        may_reserve: false,
+                    };
+                    self.place_gang(state, &mut view, &mut reservations, tries, now);
                 } else {
                     self.place_tasks(state, &mut view, &reservations, now);
                 }
