--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -16,6 +16,7 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::backlog::Backlog;
+use crate::scheduler::gangs::GangTry;
 use crate::scheduler::placement_counts::TryResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
@@ -23,6 +24,7 @@
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::Workers;
 use crate::state::QueueState;
 
 /// A gang gets a reservation for later only while fewer gangs than this hold reservations, since
@@ -57,6 +59,9 @@
 /// The number of blocked gangs that a round tries for a reservation although nothing has changed
 /// for them.
 const RESERVATION_TRIES_MAX: usize = 4;
+/// The number of freed workers that are compared with a waiting step. After a slow round nearly all
+/// workers are freed ones, and a step that can use none of the first is tried at its interval.
+const FREED_PER_STEP_MAX: usize = 16;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
 const INTERVAL_MS: u64 = 100;
@@ -79,7 +84,7 @@
     /// Workers with resources that were freed since the last placement of gangs.
     freed_for_gangs: Vec<WorkerIndex>,
     /// The reservations of the last round.
-    reservations: Reservations,
+    pub(crate) reservations: Reservations,
     /// The largest free amount of each resource on any worker that accepted tasks when the last
     /// round began.
     pub(crate) max_free: Resources,
@@ -152,27 +157,35 @@
 
     /// Takes the workers freed since the last round and, in a round with gangs, those freed since
     /// the last placement of gangs.
-    fn take_freed(&mut self, has_gangs: bool) -> FreedWorkers {
-        let mut freed = FreedWorkers {
-            for_tasks: std::mem::take(&mut self.freed),
-            for_gangs: Vec::new(),
+    fn take_freed(&mut self, has_gangs: bool, workers: &Workers) -> FreedWorkers {
+        let for_tasks = std::mem::take(&mut self.freed);
+        let for_gangs = if has_gangs {
+            std::mem::take(&mut self.freed_for_gangs)
+        } else {
+            Vec::new()
         };
-        if has_gangs {
-            freed.for_gangs = std::mem::take(&mut self.freed_for_gangs);
+        FreedWorkers {
+            for_tasks: sort_by_free(for_tasks, workers),
+            for_gangs: sort_by_free(for_gangs, workers),
         }
-        for list in [&mut freed.for_tasks, &mut freed.for_gangs] {
-            list.sort_unstable();
-            list.dedup();
-        }
-        freed
     }
 }
 
-/// Workers with freed resources.
+/// Workers with freed resources, with their free processor capacity in millicores, those with the
+/// most first.
 #[derive(Debug)]
 struct FreedWorkers {
-    for_tasks: Vec<WorkerIndex>,
-    for_gangs: Vec<WorkerIndex>,
+    for_tasks: Vec<(u64, WorkerIndex)>,
+    for_gangs: Vec<(u64, WorkerIndex)>,
+}
+
+fn sort_by_free(freed: Vec<WorkerIndex>, workers: &Workers) -> Vec<(u64, WorkerIndex)> {
+    let known = freed.into_iter();
+    let known = known.filter_map(|index| Some((workers.get(index)?.free().millicores, index)));
+    let mut sorted: Vec<(u64, WorkerIndex)> = known.collect();
+    sorted.sort_unstable_by_key(|(millicores, index)| (u64::MAX - millicores, *index));
+    sorted.dedup();
+    sorted
 }
 
 /// The state of a round in progress.
@@ -231,7 +244,7 @@
         };
         let mut round = Round {
             has_gangs,
-            freed: self.rounds.take_freed(has_gangs),
+            freed: self.rounds.take_freed(has_gangs, &self.workers),
             reservations,
             owners: self.rounds.reservations.owners(),
             reserved: 0,
@@ -290,10 +303,14 @@
         now: Millis,
     ) {
         let checks = self.checks.get();
+        let may_fit = self.may_fit_gang(view);
         let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX;
         round.reservation_tries += usize::from(may_reserve);
-        let has_reservation =
-            self.place_gang(state, view, &mut round.reservations, may_reserve, now);
+        let tries = GangTry {
+            may_fit,
+            may_reserve,
+        };
+        let has_reservation = self.place_gang(state, view, &mut round.reservations, tries, now);
         round.reserved += usize::from(has_reservation);
         round.gang_checks += self.checks.get() - checks;
     }
@@ -311,7 +328,8 @@
             return true;
         }
         if !is_gang {
-            return view.is_ready && self.has_use_for(view, &round.freed.for_tasks);
+            let freed = &round.freed.for_tasks;
+            return view.is_ready && self.has_use_for(view, freed);
         }
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
@@ -323,28 +341,49 @@
         } else {
             &round.freed.for_tasks
         };
-        may_reserve || self.has_use_for(view, freed)
+        may_reserve || (self.has_use_for(view, freed) && self.may_fit_gang(view))
     }
 
     /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
     /// may be asked about it.
-    fn has_use_for(&self, view: &StepView, workers: &[WorkerIndex]) -> bool {
+    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> bool {
         let need = view.spec().resources;
         if !need.fits_in(&self.rounds.max_free) {
             return false;
         }
-        workers.iter().any(|index| {
-            self.tally.count_visits(VisitKind::Freed, 1);
-            let is_possible = view.queue.permits.is_none() || view.permits.may_use_or_ask(*index);
-            let worker = self.workers.get(*index).filter(|_| is_possible);
+        let mut with_room = workers
+            .iter()
+            .take_while(|(millicores, _)| *millicores >= need.millicores)
+            .take(FREED_PER_STEP_MAX);
+        with_room.any(|(_, index)| {
+            self.count_visits(VisitKind::Freed, 1);
+            let worker = self.workers.get(*index);
             worker.is_some_and(|worker| {
                 need.fits_in(&worker.free())
                     && view.can_run_on(worker)
                     && self.may_use(view, *index)
+                    && (view.queue.permits.is_none() || view.permits.may_use_or_ask(*index))
             })
         })
     }
 
+    /// Whether a gang could have room for all members if the policy allowed it on all workers. A
+    /// gang for which it could not is not tried each time when a worker gets free resources.
+    fn may_fit_gang(&self, view: &StepView) -> bool {
+        let spec = view.spec();
+        let per_worker_max = u64::from(spec.per_worker_max.unwrap_or(u32::MAX));
+        let each = spec.resources.millicores.max(1);
+        let mut members = 0;
+        for (millicores, _) in &self.rounds.by_free {
+            members += (millicores / each).min(per_worker_max);
+            if *millicores < each || members >= u64::from(spec.count) {
+                break;
+            }
+            self.count_visits(VisitKind::Freed, 1);
+        }
+        members >= u64::from(spec.count)
+    }
+
     /// Places urgent steps that can meet their deadline as soon as their permit requests are
     /// answered: a short job has no time to wait for a round.
     fn place_urgent(&mut self, state: &QueueState, now: Millis) {
@@ -357,7 +396,11 @@
             if view.is_urgent() && view.is_ready && is_in_time {
                 self.tally.counts.urgent_tries += 1;
                 if view.spec().is_gang {
-                    self.place_gang(state, &mut view, &mut reservations, false, now);
+                    let tries = GangTry {
+                        may_fit: true,
+                        may_reserve: false,
+                    };
+                    self.place_gang(state, &mut view, &mut reservations, tries, now);
                 } else {
                     self.place_tasks(state, &mut view, &reservations, now);
                 }
