Measure what the leader places, and log the reason of each refusal

Cause: after a burst on a large cluster nearly all short jobs are served late. No log line or metric tells how many steps the leader places a second, how many wait for it rather than for room, or why a job was refused beyond two reasons in words.

No decision changes with this commit.

--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -9,6 +9,9 @@
 
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_queues::scheduler::Counts;
+use sapphirepost_queues::scheduler::PlacementLoad;
+use sapphirepost_queues::scheduler::QueueWait;
+use sapphirepost_queues::scheduler::RefusalReason;
 use sapphirepost_queues::scheduler::StopReason;
 
 pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -17,7 +20,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct QueueMetrics {
     pub(crate) accepted: Counter,
-    pub(crate) refused: Counter,
+    refused: Counter,
+    refusals: Family<ReasonLabel, Counter>,
+    /// Steps that the leader placed in the last second.
+    placed_steps_per_s: Gauge,
+    /// How long a new step of a queue is expected to wait for the leader.
+    expected_wait_ms: Family<QueueLabel, Gauge>,
     pub(crate) cancelled: Counter,
     pub(crate) ended: Counter,
     /// Seconds from the proposal of a batch of commands to its application.
@@ -37,7 +45,7 @@
     worker_crashes: Counter,
     pub(crate) worker_restarts: Counter,
     starts: Counter,
-    stops: Family<StopLabel, Counter>,
+    stops: Family<ReasonLabel, Counter>,
     incomplete_gang_ends: Counter,
     unanswered_requests: Counter,
     rejected_starts: Counter,
@@ -51,9 +59,15 @@
     width: &'static str,
 }
 
-/// Why a run is stopped, as a label.
+/// The name of a queue, as a label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StopLabel {
+struct QueueLabel {
+    queue: String,
+}
+
+/// Why a run is stopped or a job is refused, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
     reason: &'static str,
 }
 
@@ -81,7 +95,22 @@
         let histogram = |name: &str, help: &str| metrics.register(name, help, seconds());
         QueueMetrics {
             accepted: counter("queue_jobs_accepted", "Jobs accepted"),
-            refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
+            refused: counter("queue_jobs_refused", "Jobs refused"),
+            refusals: metrics.register(
+                "queue_refusals",
+                "Jobs refused by reason",
+                Family::default(),
+            ),
+            placed_steps_per_s: metrics.register(
+                "queue_placed_steps_per_second",
+                "Steps that the leader placed in the last second",
+                Gauge::default(),
+            ),
+            expected_wait_ms: metrics.register(
+                "queue_expected_wait_milliseconds",
+                "Time that a new step is expected to wait for the leader",
+                Family::default(),
+            ),
             cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
             ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
             commit_seconds: histogram(
@@ -150,12 +179,34 @@
         histogram.observe(wait_ms as f64 / MILLIS_PER_SECOND);
     }
 
+    pub(crate) fn record_refusal(&self, reason: RefusalReason) {
+        self.refused.inc();
+        let label = ReasonLabel {
+            reason: reason.label(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Sets the gauges of what the leader places and what waits for it. Queues without waiting steps
+    /// have none.
+    pub(crate) fn set_waits(&self, load: &PlacementLoad, waits: &[QueueWait]) {
+        self.placed_steps_per_s.set(load.steps_per_s as i64);
+        self.expected_wait_ms.clear();
+        for wait in waits {
+            let label = QueueLabel {
+                queue: wait.queue.to_string(),
+            };
+            let gauge = self.expected_wait_ms.get_or_create(&label);
+            gauge.set(wait.expected_ms as i64);
+        }
+    }
+
     pub(crate) fn add_counts(&self, counts: Counts) {
         self.worker_crashes.inc_by(counts.worker_crashes);
         self.starts.inc_by(counts.starts);
         for (reason, stops) in StopReason::ALL.iter().zip(counts.stops) {
             if stops > 0 {
-                let label = StopLabel {
+                let label = ReasonLabel {
                     reason: reason.label(),
                 };
                 self.stops.get_or_create(&label).inc_by(stops);
