--- a/crates/queues/src/scheduler/leader_load.rs
+++ b/crates/queues/src/scheduler/leader_load.rs
@@ -93,8 +93,8 @@
         let start_ms = self.placement_rate.wait_ms(steps, queue.priority);
         let end_ms = COMMITS_AFTER_START * self.overload.commit_ms();
         Some(LeaderWait {
-            expected_ms: start_ms + end_ms.min(spare_ms / 4),
-            limit_ms: (spare_ms * 3 / 4).max(LEADER_WAIT_MIN_MS),
+            expected_ms: start_ms + end_ms.min(3 * spare_ms / 8),
+            limit_ms: (spare_ms / 2).max(LEADER_WAIT_MIN_MS),
         })
     }
 
