--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -17,6 +17,7 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::SubmittedSpec;
+use sapphirepost_queues::scheduler::Admission;
 use sapphirepost_queues::scheduler::AnsweredPermitRequest;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
@@ -210,13 +211,18 @@
         };
         let admission = scheduler.admission(key, &queue, &spec, now);
         if let Some(admission) = admission
-            && let Some(refusal) = admission.refusal()
+            && let Some(retry_after_ms) = admission.retry_after_ms()
         {
-            queue_log::log_refused(key, &queue, &admission, &refusal);
-            self.queues.metrics.record_refusal(refusal.reason);
+            let reason = refusal_reason(&admission);
+            log::info!(
+                job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
+                capacity_millicores = admission.capacity_millicores, retry_after_ms;
+                "job refused: {reason}"
+            );
+            self.queues.metrics.refused.inc();
             return done.send(Ok(QueueReply::Refused {
-                retry_after_ms: refusal.retry_after_ms,
-                reason: refusal.reason.text().to_owned(),
+                retry_after_ms,
+                reason: reason.to_owned(),
             }));
         }
         scheduler.handle_submission(key, &queue, &spec, now);
@@ -245,6 +251,13 @@
     }
 }
 
+fn refusal_reason(admission: &Admission) -> &'static str {
+    match admission.overload_retry_ms {
+        Some(_) => "the leader falls behind",
+        None => "the backlog is too long",
+    }
+}
+
 fn log_permit_answer(answered: Option<AnsweredPermitRequest>, answer: &PermitAnswer) {
     let Some(answered) = answered else {
         log::debug!(question = answer.id; "an answer of the policy arrived too late");
--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -17,14 +17,10 @@
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
-use sapphirepost_queues::scheduler::Admission;
 use sapphirepost_queues::scheduler::AdoptedRuns;
 use sapphirepost_queues::scheduler::EndedJobRun;
 use sapphirepost_queues::scheduler::LostRun;
-use sapphirepost_queues::scheduler::PlacementLoad;
 use sapphirepost_queues::scheduler::QuarantineChange;
-use sapphirepost_queues::scheduler::QueueWait;
-use sapphirepost_queues::scheduler::Refusal;
 use sapphirepost_queues::scheduler::WaitingStep;
 use sapphirepost_queues::state::LateEnd;
 use sapphirepost_queues::state::QueueChange;
@@ -79,30 +75,6 @@
     );
 }
 
-/// Logs a refused job, and why.
-pub(crate) fn log_refused(job: JobKey, queue: &Queue, admission: &Admission, refusal: &Refusal) {
-    let reason = refusal.reason.text();
-    log::info!(
-        job:%, queue = &*queue.name, expected_wait_ms:? = refusal.expected_wait_ms,
-        backlog_core_ms = admission.backlog_core_ms,
-        capacity_millicores = admission.capacity_millicores,
-        retry_after_ms = refusal.retry_after_ms;
-        "job refused: {reason}"
-    );
-}
-
-/// Logs the rate of placements and what waits, one line for each queue with waiting steps.
-pub(crate) fn log_queue_waits(load: &PlacementLoad, waits: &[QueueWait]) {
-    for wait in waits {
-        log::info!(
-            queue = &*wait.queue, steps = wait.steps, leader_steps = wait.leader_steps,
-            expected_ms = wait.expected_ms, placed_per_s = load.steps_per_s,
-            scheduling_ms = load.scheduling_ms, is_limited = load.is_limited;
-            "queue waits"
-        );
-    }
-}
-
 /// Logs a step that makes no progress, and why.
 pub(crate) fn log_waiting(waiting: &WaitingStep) {
     log::info!(
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -10,9 +10,6 @@
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_queues::scheduler::Counts;
 use sapphirepost_queues::scheduler::PlacementCounts;
-use sapphirepost_queues::scheduler::PlacementLoad;
-use sapphirepost_queues::scheduler::QueueWait;
-use sapphirepost_queues::scheduler::RefusalReason;
 use sapphirepost_queues::scheduler::RequestCause;
 use sapphirepost_queues::scheduler::StopReason;
 use sapphirepost_queues::scheduler::TryResult;
@@ -24,12 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct QueueMetrics {
     pub(crate) accepted: Counter,
-    refused: Counter,
-    refusals: Family<ReasonLabel, Counter>,
-    /// Steps that the leader placed in the last second.
-    placed_steps_per_s: Gauge,
-    /// How long a new step of a queue is expected to wait for the leader.
-    expected_wait_ms: Family<QueueLabel, Gauge>,
+    pub(crate) refused: Counter,
     pub(crate) cancelled: Counter,
     pub(crate) ended: Counter,
     /// Seconds from the proposal of a batch of commands to its application.
@@ -49,7 +41,7 @@
     worker_crashes: Counter,
     pub(crate) worker_restarts: Counter,
     starts: Counter,
-    stops: Family<ReasonLabel, Counter>,
+    stops: Family<StopLabel, Counter>,
     incomplete_gang_ends: Counter,
     unanswered_requests: Counter,
     rejected_starts: Counter,
@@ -86,15 +78,9 @@
     width: &'static str,
 }
 
-/// The name of a queue, as a label.
+/// Why a run is stopped, as a label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct QueueLabel {
-    queue: String,
-}
-
-/// Why a run is stopped or a job is refused, as a label.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ReasonLabel {
+struct StopLabel {
     reason: &'static str,
 }
 
@@ -122,22 +108,7 @@
         let histogram = |name: &str, help: &str| metrics.register(name, help, seconds());
         QueueMetrics {
             accepted: counter("queue_jobs_accepted", "Jobs accepted"),
-            refused: counter("queue_jobs_refused", "Jobs refused"),
-            refusals: metrics.register(
-                "queue_refusals",
-                "Jobs refused by reason",
-                Family::default(),
-            ),
-            placed_steps_per_s: metrics.register(
-                "queue_placed_steps_per_second",
-                "Steps that the leader placed in the last second",
-                Gauge::default(),
-            ),
-            expected_wait_ms: metrics.register(
-                "queue_expected_wait_milliseconds",
-                "Time that a new step is expected to wait for the leader",
-                Family::default(),
-            ),
+            refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
             cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
             ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
             commit_seconds: histogram(
@@ -254,35 +225,12 @@
         self.repeated_permit_answers.inc_by(counts.repeated_answers);
     }
 
-    /// Counts a refused job.
-    pub(crate) fn record_refusal(&self, reason: RefusalReason) {
-        self.refused.inc();
-        let label = ReasonLabel {
-            reason: reason.label(),
-        };
-        self.refusals.get_or_create(&label).inc();
-    }
-
-    /// Sets the gauges of what the leader places and what waits for it. Queues without waiting steps
-    /// have none.
-    pub(crate) fn set_waits(&self, load: &PlacementLoad, waits: &[QueueWait]) {
-        self.placed_steps_per_s.set(load.steps_per_s as i64);
-        self.expected_wait_ms.clear();
-        for wait in waits {
-            let label = QueueLabel {
-                queue: wait.queue.to_string(),
-            };
-            let gauge = self.expected_wait_ms.get_or_create(&label);
-            gauge.set(wait.expected_ms as i64);
-        }
-    }
-
     pub(crate) fn add_counts(&self, counts: Counts) {
         self.worker_crashes.inc_by(counts.worker_crashes);
         self.starts.inc_by(counts.starts);
         for (reason, stops) in StopReason::ALL.iter().zip(counts.stops) {
             if stops > 0 {
-                let label = ReasonLabel {
+                let label = StopLabel {
                     reason: reason.label(),
                 };
                 self.stops.get_or_create(&label).inc_by(stops);
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -23,7 +23,6 @@
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
 use sapphirepost_queues::scheduler::PermitRequest;
-use sapphirepost_queues::scheduler::PlacementLoad;
 use sapphirepost_queues::scheduler::WorkerReply;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
@@ -148,7 +147,6 @@
         self.policy_clients.clear();
         self.accepted.clear();
         self.metrics.ended_job_runs.set(0);
-        self.metrics.set_waits(&PlacementLoad::default(), &[]);
     }
 
     /// The time until the collected commands are to be proposed; `None` if there are none.
@@ -348,10 +346,6 @@
             self.queues.metrics.add_placement(&placement);
             let waiting = scheduler.find_waiting_steps(now);
             waiting.iter().for_each(queue_log::log_waiting);
-            let load = scheduler.placement_load(now);
-            let waits = scheduler.queue_waits();
-            queue_log::log_queue_waits(&load, &waits);
-            self.queues.metrics.set_waits(&load, &waits);
             let ended = scheduler.find_ended_job_runs(now);
             ended.longest.iter().for_each(queue_log::log_ended_job_run);
             self.queues.metrics.ended_job_runs.set(ended.count as i64);
--- a/crates/queues/src/scheduler/admission.rs
+++ b/crates/queues/src/scheduler/admission.rs
@@ -3,65 +3,7 @@
 //! When more work arrives than the workers can do, a job that could only be done long after it is
 //! useful is refused on arrival, with the time after which the backlog is expected to have gone
 //! down. Late work is placed after a job that can still meet its deadline, so it is no reason to
-//! refuse that job. A leader whose commits are slow refuses all new jobs.
-
-/// Why a job is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// The workers have more work than they can do.
-    Capacity,
-    /// The same for the few workers of a quarantined queue.
-    Quarantine,
-    /// The commits of the leader have all been slow.
-    SlowCommits,
-}
-
-impl RefusalReason {
-    /// The reason in words, for logs and callers.
-    pub fn text(self) -> &'static str {
-        match self {
-            RefusalReason::Capacity => "the backlog is too long",
-            RefusalReason::Quarantine => "the backlog of the quarantined queue is too long",
-            RefusalReason::SlowCommits => "the leader falls behind",
-        }
-    }
-
-    /// The reason as a label of metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            RefusalReason::Capacity => "capacity",
-            RefusalReason::Quarantine => "quarantine",
-            RefusalReason::SlowCommits => "slow_commits",
-        }
-    }
-}
-
-/// A refused job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// The reason.
-    pub reason: RefusalReason,
-    /// How long the job would be expected to wait, if that is known.
-    pub expected_wait_ms: Option<u64>,
-    /// The time after which the caller may retry.
-    pub retry_after_ms: u64,
-}
-
-/// How long a job waits for a leader that places as many steps as it can.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LeaderWait {
-    /// The expected wait.
-    pub expected_ms: u64,
-    /// The longest wait with which the job can end in time.
-    pub limit_ms: u64,
-}
-
-impl LeaderWait {
-    /// The part of the expected wait beyond the limit.
-    pub fn excess_ms(&self) -> u64 {
-        self.expected_ms.saturating_sub(self.limit_ms)
-    }
-}
+//! refuse that job. A leader that cannot keep up with what it has accepted refuses all new jobs.
 
 /// The waiting work in front of a new job, and its limits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -74,8 +16,6 @@
     /// Processor time of all waiting work in queues of the same service that are at least as
     /// urgent.
     pub backlog_core_ms: u64,
-    /// Whether the queue is limited to few workers, since its tasks crash workers.
-    pub is_quarantined: bool,
     /// The processor capacity of all workers of the queue's service, also of those that could not
     /// run the job.
     pub capacity_millicores: u64,
@@ -83,10 +23,6 @@
     pub deadline_ms: u64,
     /// Time from the arrival of the job until it is of no more use.
     pub useful_ms: u64,
-    /// The wait for the leader, if that places as many steps as it can.
-    pub leader_wait: Option<LeaderWait>,
-    /// What is added to the time after which the caller may retry, if it waits for the leader.
-    pub retry_spread_ms: u64,
     /// The estimated duration of the job's longest chain of dependent steps.
     pub critical_path_ms: u64,
 }
@@ -111,22 +47,9 @@
 
     /// `None` if the job is accepted, or the time after which the refused caller may retry.
     pub fn retry_after_ms(&self) -> Option<u64> {
-        self.refusal().map(|refusal| refusal.retry_after_ms)
-    }
-
-    /// Why the job is refused; `None` if it is accepted.
-    pub fn refusal(&self) -> Option<Refusal> {
-        if let Some(retry_after_ms) = self.overload_retry_ms {
-            return Some(Refusal {
-                reason: RefusalReason::SlowCommits,
-                expected_wait_ms: None,
-                retry_after_ms,
-            });
+        if self.overload_retry_ms.is_some() {
+            return self.overload_retry_ms;
         }
-        self.capacity_refusal()
-    }
-
-    fn capacity_refusal(&self) -> Option<Refusal> {
         if self.capacity_millicores == 0 {
             return None;
         }
@@ -136,16 +59,10 @@
             return None;
         }
         let excess_ms = (backlog_ms + self.critical_path_ms).saturating_sub(self.useful_ms);
-        let reason = if self.is_quarantined {
-            RefusalReason::Quarantine
-        } else {
-            RefusalReason::Capacity
-        };
-        (excess_ms > 0).then(|| Refusal {
-            reason,
-            expected_wait_ms: Some(backlog_ms),
-            retry_after_ms: excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS),
-        })
+        if excess_ms == 0 {
+            return None;
+        }
+        Some(excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
 
     /// How long all workers together take for `core_ms` of processor time.
--- a/crates/queues/src/scheduler/backlog.rs
+++ b/crates/queues/src/scheduler/backlog.rs
@@ -5,8 +5,6 @@
 
 use std::sync::Arc;
 
-use smallvec::SmallVec;
-
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::steps::StepView;
@@ -20,8 +18,6 @@
     pub service: Arc<str>,
     /// Its priority; 0 is the most urgent.
     pub priority: u32,
-    /// The number of its waiting steps.
-    pub steps: u64,
     /// Processor time of the steps that can meet the deadline of their job.
     pub in_time_core_ms: u64,
     /// Processor time of all its waiting steps.
@@ -42,54 +38,9 @@
 pub struct Backlog {
     queues: Vec<QueueBacklog>,
     capacities: Vec<ServiceCapacity>,
-    /// The number of steps that wait for the leader rather than for room, by priority.
-    leader_steps: SmallVec<[(u32, u64); 4]>,
 }
 
 impl Backlog {
-    /// Adds a step of an unfinished job, if it waits for the leader: for a commit, for a permit or
-    /// for a round.
-    pub fn add_leader_step(&mut self, view: &StepView) {
-        let waits_for_commit = if view.is_committed {
-            !view.proposed.is_empty()
-        } else {
-            view.spec().after.is_empty()
-        };
-        let waits_for_round = view.is_ready && !view.waiting.is_empty();
-        if view.lacks_room || !(waits_for_commit || waits_for_round) {
-            return;
-        }
-        *self.leader_steps_mut(view.queue.priority) += 1;
-    }
-
-    /// Adds the first steps of a job that arrived after the sums were made.
-    pub fn add_submission(&mut self, priority: u32, steps: u64) {
-        *self.leader_steps_mut(priority) += steps;
-    }
-
-    /// Removes a step that was placed after the sums were made.
-    pub fn remove_step(&mut self, view: &StepView) {
-        let steps = self.leader_steps_mut(view.queue.priority);
-        *steps = steps.saturating_sub(1);
-    }
-
-    /// The number of steps that wait for the leader in queues that are at least as urgent.
-    pub fn leader_steps(&self, priority: u32) -> u64 {
-        let steps = self.leader_steps.iter();
-        let steps = steps.filter(|(known, _)| *known <= priority);
-        steps.map(|(_, count)| count).sum()
-    }
-
-    fn leader_steps_mut(&mut self, priority: u32) -> &mut u64 {
-        let mut known = self.leader_steps.iter();
-        let position = known.position(|(known, _)| *known == priority);
-        let position = position.unwrap_or_else(|| {
-            self.leader_steps.push((priority, 0));
-            self.leader_steps.len() - 1
-        });
-        &mut self.leader_steps[position].1
-    }
-
     /// Adds a waiting step.
     pub fn add_step(&mut self, view: &StepView, rank: &Rank) {
         let core_ms = view.waiting_core_ms();
@@ -104,14 +55,12 @@
                 queue: view.queue_name.clone(),
                 service: view.queue.service.clone(),
                 priority: view.queue.priority,
-                steps: 0,
                 in_time_core_ms: 0,
                 all_core_ms: 0,
             });
             self.queues.len() - 1
         });
         let queue = &mut self.queues[position];
-        queue.steps += 1;
         queue.all_core_ms += core_ms;
         queue.in_time_core_ms += if is_in_time { core_ms } else { 0 };
     }
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -98,7 +98,6 @@
         let allowed = [Permission::Granted, Permission::Expired];
         let chosen = self.choose_workers(view, &candidates, &allowed, members);
         let has_room = chosen.is_some();
-        view.lacks_room = !has_room;
         match chosen {
             Some(chosen) => self.renew_permits(view, chosen, now),
             None => self.request_gang_permits(view, now),
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -16,7 +16,6 @@
 mod gangs;
 mod health;
 mod isolation;
-mod leader_load;
 mod lease;
 mod lost_runs;
 mod messages;
@@ -26,7 +25,6 @@
 mod permits;
 mod place;
 mod placement_counts;
-mod placement_rate;
 mod policy_clients;
 mod polls;
 mod preempt;
@@ -56,11 +54,9 @@
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::isolation::IsolationTurns;
-use crate::scheduler::leader_load::LEADER_RETRY_SPREAD_MS;
 use crate::scheduler::overload::Overload;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::placement_counts::PlacementTally;
-use crate::scheduler::placement_rate::PlacementRate;
 use crate::scheduler::quarantine::Quarantine;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
@@ -74,14 +70,9 @@
 use crate::table::Queue;
 
 pub use crate::scheduler::admission::Admission;
-pub use crate::scheduler::admission::LeaderWait;
-pub use crate::scheduler::admission::Refusal;
-pub use crate::scheduler::admission::RefusalReason;
 pub use crate::scheduler::ended_runs::AdoptedRuns;
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
-pub use crate::scheduler::leader_load::PlacementLoad;
-pub use crate::scheduler::leader_load::QueueWait;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
 pub use crate::scheduler::lost_runs::LostRun;
 pub use crate::scheduler::messages::PollReply;
@@ -194,7 +185,6 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
     pub(crate) overload: Overload,
-    pub(crate) placement_rate: PlacementRate,
     /// The number of restarts of workers under their IDs that this leader has noticed.
     pub(crate) restarts: u32,
 }
@@ -230,7 +220,6 @@
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
             overload: Overload::default(),
-            placement_rate: PlacementRate::default(),
             restarts: 0,
         };
         for worker in state.workers() {
@@ -305,7 +294,6 @@
             QueueChange::WorkerRestarted(id) => self.worker_restarted(state, id, now),
             QueueChange::WorkerRemoved(id) => drop(self.workers.remove(id)),
             QueueChange::Started(step, placements) => {
-                self.record_placed_step(*step, now);
                 self.send_starts(state, *step, placements, now);
             }
             QueueChange::RunEnded(worker, task, run, kind) => {
@@ -333,7 +321,6 @@
             self.tick_quarantine(now);
         }
         self.tick_placement(state, now);
-        self.placement_rate.update(now);
         if self.dispatcher.take_due(now) {
             self.dispatch_requests(now);
         }
@@ -342,7 +329,6 @@
     /// Records how long a call of [`Scheduler::tick`] took. The pauses between placement rounds grow
     /// with it, so that a slow leader has time for its other work.
     pub fn record_tick_time(&mut self, took_ms: u64) {
-        self.placement_rate.record_time(took_ms);
         self.rounds.record_time(took_ms);
     }
 
@@ -417,8 +403,6 @@
         let deadline_ms = queue.deadline_ms(critical_path_ms);
         let job_millicores = spec.core_ms() * 1_000 / critical_path_ms.max(1);
         let (ahead_core_ms, backlog_core_ms) = self.preceding_core_ms(queue);
-        let spare_ms = deadline_ms.saturating_sub(critical_path_ms);
-        let leader_wait = self.leader_wait(queue, spare_ms, now);
         Some(Admission {
             overload_retry_ms: None,
             ahead_core_ms,
@@ -427,9 +411,6 @@
             deadline_ms,
             useful_ms: USEFUL_FACTOR * deadline_ms,
             critical_path_ms,
-            leader_wait,
-            is_quarantined: self.quarantine.is_quarantined(&queue.name),
-            retry_spread_ms: key.0 % LEADER_RETRY_SPREAD_MS,
         })
     }
 
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -19,8 +19,6 @@
 const RETRY_MIN_MS: u64 = 1_000;
 /// How many times as long as its commits take a leader needs to catch up.
 const RETRY_FACTOR: u64 = 4;
-/// The number of commits over which their time is averaged.
-const AVERAGED: u64 = 16;
 /// The longest time after which a refused caller may retry.
 const RETRY_MAX_MS: u64 = 5_000;
 
@@ -53,14 +51,11 @@
     slow: Option<SlowCommits>,
     /// The age of the oldest commit in progress.
     in_progress_ms: u64,
-    /// How long commits take, as a moving average.
-    average_ms: u64,
 }
 
 impl Overload {
     /// Records a commit that ended now and took `took_ms`.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
-        self.average_ms = (self.average_ms * (AVERAGED - 1) + took_ms) / AVERAGED;
         self.slow = if took_ms < SLOW_COMMIT_MS {
             None
         } else {
@@ -74,11 +69,6 @@
         };
     }
 
-    /// How long commits take at present.
-    pub fn commit_ms(&self) -> u64 {
-        self.average_ms.max(self.in_progress_ms)
-    }
-
     /// Records the age of the oldest commit in progress.
     pub fn record_in_progress(&mut self, age_ms: u64) {
         self.in_progress_ms = age_ms;
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -197,8 +197,6 @@
         now: Millis,
     ) -> Vec<Candidate> {
         let mut candidates = self.candidates(view, reservations, Isolation::None, now);
-        view.lacks_room = candidates.is_empty() && self.has_asked_enough(view);
-        view.lacked_room |= view.lacks_room;
         candidates.sort_unstable_by_key(|c| {
             (
                 c.is_avoided,
@@ -241,13 +239,6 @@
         candidates
     }
 
-    /// Whether a step that finds no worker lacks room rather than permits.
-    fn has_asked_enough(&self, view: &StepView) -> bool {
-        view.queue.permits.is_none()
-            || view.permits.allowed().next().is_some()
-            || !view.spec().resources.fits_in(&self.rounds.max_free)
-    }
-
     /// Places the tasks that were on a worker when it crashed, each on a worker that is closed to
     /// other starts. If no worker allows that yet, the best one is closed until it does.
     fn place_isolated_tasks(
@@ -301,7 +292,6 @@
         now: Millis,
     ) {
         view.blocked_since = None;
-        view.lacks_room = false;
         view.last_wait_ms = view
             .waiting_since
             .take()
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -225,11 +225,7 @@
         // What earlier rounds left out comes first, or steps that cannot be placed would keep others
         // from being tried for as long as they wait.
         let mut order: Vec<(Millis, Rank)> = Vec::new();
-        for view in self.steps.values() {
-            backlog.add_leader_step(view);
-            if view.waiting.is_empty() {
-                continue;
-            }
+        for view in self.steps.values().filter(|view| !view.waiting.is_empty()) {
             let rank = Rank::of(view, now);
             backlog.add_step(view, &rank);
             order.push((view.left_out_at.unwrap_or(now), rank));
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -30,9 +30,6 @@
 /// A late job is still useful to its caller up to this multiple of the time to its deadline.
 pub const USEFUL_FACTOR: u64 = 3;
 
-/// An earlier start is not slow, however little time the job can spare.
-const SLOW_START_MIN_MS: u64 = 100;
-
 /// The settings that a step takes from its queue.
 #[derive(Clone, Debug)]
 pub struct StepQueue {
@@ -92,12 +89,6 @@
     pub hold: Hold,
     /// No preemption for this gang is tried before this time.
     pub preempt_retry_at: Millis,
-    /// Whether no allowed worker had room when it was last tried.
-    pub lacks_room: bool,
-    /// Whether that was so at any time.
-    pub lacked_room: bool,
-    /// When its job was submitted.
-    pub arrived: Millis,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
     /// Since when rounds have left it out, because they had done their limit of checks before it.
@@ -119,13 +110,6 @@
         self.queue.priority == 0
     }
 
-    /// A first start later than this after the arrival of the job is slow: it takes a quarter of the
-    /// time that the job can spare.
-    pub fn slow_start_ms(&self) -> u64 {
-        let deadline_ms = self.deadline.since(self.arrived);
-        (deadline_ms.saturating_sub(self.remaining_path_ms) / 4).max(SLOW_START_MIN_MS)
-    }
-
     /// The expected processor time of the waiting tasks.
     pub fn waiting_core_ms(&self) -> u64 {
         let task_core_ms = self.spec().resources.millicores * self.usual_ms / 1_000;
@@ -164,9 +148,6 @@
             }
             self.steps.entry(view.key).or_insert(view);
         }
-        let first = spec.steps.iter().filter(|step| step.after.is_empty());
-        let first = first.count() as u64;
-        self.rounds.backlog.add_submission(queue.priority, first);
         self.rounds.is_due = true;
     }
 
@@ -357,9 +338,6 @@
         rejections: Rejections::default(),
         preemption_counts: FxHashMap::default(),
         blocked_since: None,
-        lacks_room: false,
-        lacked_room: false,
-        arrived,
         hold: Hold::default(),
         preempt_retry_at: Millis::ZERO,
         tried: None,
