Start no placement round for the poll of an idle worker

Cause: each reply to a poll made a placement round due. Ends, freed resources, a worker that answers again and applied commands make a round due by themselves, and one starts every 100 ms in any case.

The line placement load of a new leader also counts from its start now.

--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -244,6 +244,7 @@
         };
         let scheduler = Scheduler::new(config, self.state.queues(), now, unix_ms);
         queue_log::log_adopted(&scheduler.adopted_runs());
+        self.queues.reported_at = now;
         self.queues.scheduler = Some(scheduler);
     }
 
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -284,7 +284,6 @@
                 ends,
             });
         }
-        self.rounds.is_due = true;
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
