--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -24,6 +24,9 @@
 use super::starts::resumed_ms;
 
 pub const REQUEST_TIMEOUT_MS: u64 = 500;
+/// A reply to a poll lists at most this many ends; the next one lists further ones once these are
+/// acknowledged.
+const ENDS_PER_REPLY_MAX: usize = 500;
 
 /// A run on the worker.
 #[derive(Clone, Debug)]
@@ -539,7 +542,7 @@
             checkpoint: self.last_checkpoint(*task, run),
             progress_percent: (run.done_ms * 100 / run.work_ms.max(1)) as u32,
         };
-        let ends = self.ends.iter();
+        let ends = self.ends.iter().take(ENDS_PER_REPLY_MAX);
         let ends = ends.map(|(number, end, _)| (*number, end.clone()));
         let reply = PollReply {
             incarnation: self.record.incarnation,
