Do not take runs for never started while a worker has further ends to list

What callers could see: tasks that are done run again (TWICE). A new leader that polls a worker for the first time releases the runs that the reply does not list, since their starts had never arrived. A worker lists 500 ends at a time; a run whose end is among the others counted as never started.

Change: a reply says whether the worker may hold further ends, and nothing is released by such a reply; the next one lists them.

--- a/crates/queues/src/scheduler/messages.rs
+++ b/crates/queues/src/scheduler/messages.rs
@@ -176,6 +176,8 @@
     pub running: Vec<RunningTask>,
     /// Ends that are not acknowledged, with their numbers.
     pub ends: Vec<(u64, RunEnd)>,
+    /// Whether the worker may hold further ends, which it lists once these are acknowledged.
+    pub has_more_ends: bool,
 }
 
 /// The reply to a request.
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -345,7 +345,8 @@
                 RunStage::StopAnswered { at } => sent > at + stop_ms,
                 _ => false,
             };
-            if is_certain && !is_listed(task, run.run) {
+            // A run whose end is not listed yet has begun.
+            if is_certain && !reply.has_more_ends && !is_listed(task, run.run) {
                 never_started.push((*task, run.run));
             }
         }
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -545,6 +545,7 @@
         let ends = self.ends.iter().take(ENDS_PER_REPLY_MAX);
         let ends = ends.map(|(number, end, _)| (*number, end.clone()));
         let reply = PollReply {
+            has_more_ends: self.ends.len() >= ENDS_PER_REPLY_MAX,
             incarnation: self.record.incarnation,
             clock_ms: self.clock_ms(),
             running: self.running.iter().map(task).collect(),
