Count late ends only of runs that were written off for the same job

What callers could see: a task that counts as done without having run, or that resumes from the checkpoint of another job: a worker returned after its job had been dropped, another job had been submitted under the same ID, and a run of it had the same number.

Change: a task keeps the last eight runs that were written off with the lease of their workers, with these workers, and only their ends count. A run that was released because it had never begun is none of them.

--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -14,6 +14,9 @@
 use crate::table::Queue;
 use crate::worker::EndKind;
 
+/// How many runs of a task that were written off are kept.
+const WRITTEN_OFF_MAX: usize = 8;
+
 /// The phase of a job, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -91,6 +94,10 @@
     /// The last checkpoint that was known when a run ended, from which the next run resumes. All
     /// members of a gang resume from the checkpoint of the first member that has one.
     pub checkpoint: Option<Arc<str>>,
+    /// The last runs that were written off with the leases of their workers, and these workers. Only
+    /// their ends may be learnt late.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub written_off: Vec<(u32, Arc<str>)>,
     /// The workers that crashed under the task.
     #[serde(default, skip_serializing_if = "CrashCount::is_zero")]
     pub crashes: CrashCount,
@@ -120,6 +127,21 @@
     Done,
 }
 
+impl Task {
+    /// Records that a run was written off with the lease of its worker.
+    pub fn write_off(&mut self, run: u32, worker: &Arc<str>) {
+        if self.written_off.len() == WRITTEN_OFF_MAX {
+            self.written_off.remove(0);
+        }
+        self.written_off.push((run, worker.clone()));
+    }
+
+    fn was_written_off(&self, run: u32, worker: &str) -> bool {
+        let mut known = self.written_off.iter();
+        known.any(|(known, on)| *known == run && **on == *worker)
+    }
+}
+
 impl Step {
     /// Marks tasks as done by a run.
     pub fn finish(&mut self, tasks: Range<usize>, run: u32) {
@@ -188,21 +210,19 @@
         }
     }
 
-    /// What the end of a run changes that was written off before. Its worker had certainly lost its
-    /// lease, so a newer run may have started; the work of the older one is done all the same. A
-    /// run that counts as held by another worker cannot have ended here.
-    pub fn late_effect(&self, end: &RunEnd) -> LateEffect {
+    /// What the end of a run on `worker` changes that was written off before. The worker had certainly
+    /// lost its lease, so a newer run may have started; the work of the older one is done all the
+    /// same.
+    pub fn late_effect(&self, worker: &str, end: &RunEnd) -> LateEffect {
         let spec = self.spec.steps.get(usize::from(end.task.step.step));
         let (Some(spec), Some(task)) = (spec, self.task(end.task)) else {
             return LateEffect::None;
         };
-        let is_over = match task.phase {
-            TaskPhase::Waiting => end.run <= task.run,
-            TaskPhase::Placed => end.run < task.run,
-            TaskPhase::Done => false,
-        };
+        if task.phase == TaskPhase::Done || !task.was_written_off(end.run, worker) {
+            return LateEffect::None;
+        }
         let is_next_run_open = task.phase == TaskPhase::Waiting && end.run == task.run;
-        if is_over && end.kind == EndKind::Done && !spec.is_service {
+        if end.kind == EndKind::Done && !spec.is_service {
             LateEffect::Done
         } else if is_next_run_open && end.checkpoint.is_some() {
             LateEffect::Checkpoint
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -418,7 +418,7 @@
             worker: id.clone(),
             end: end.clone(),
             last_run: task.map(|task| task.run),
-            effect: job.map_or(LateEffect::None, |job| job.late_effect(end)),
+            effect: job.map_or(LateEffect::None, |job| job.late_effect(id, end)),
         };
         let effect = late.effect;
         self.changes.push(QueueChange::LateEnd(late));
@@ -473,6 +473,9 @@
             }
         }
     }
+            if let Some(task) = task_mut(&mut self.state.jobs, task).filter(|t| t.run == run) {
+                task.write_off(run, id);
+            }
 
     /// Counts the silent workers of which a task is a suspect, and returns its counts.
     fn update_silent(&mut self, key: TaskKey) -> Option<CrashCount> {
