Count only silent workers, and recent evidence, as silent

What callers could see: a job that can be done is given up, since four workers had been silent at its start, although they had registered again, or the first of them long ago.

Cause: the evidence of a removed worker went back to it when the same incarnation returned, so that a late report loses none, and counted as silence from then on. The age of the evidence was looked at only when another worker was removed.

Change: a worker that has registered again keeps the evidence for a later crash and is not silent; evidence older than five minutes does not count.

A worker that answers again without having been removed still counts until it reports an end or gets a task.

--- a/crates/queues/src/lost_workers.rs
+++ b/crates/queues/src/lost_workers.rs
@@ -33,8 +33,9 @@
 
 /// What a worker that registers says about one that was removed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Return {
-    /// The removed worker was only silent. These runs ended with its lease.
+pub enum ReturnedWorker {
+    /// The removed worker was only silent, or this is a late report of it. These runs ended with its
+    /// lease.
     SameIncarnation(LostRuns),
     /// The removed worker with this ID has crashed.
     Crashed(Arc<str>, LostRuns),
@@ -101,8 +102,8 @@
     }
 
     /// Takes the evidence that concerns a worker which registers.
-    pub fn take(&mut self, record: &WorkerRecord, at_unix_ms: u64) -> Vec<Return> {
-        let mut returns = Vec::new();
+    pub fn take(&mut self, record: &WorkerRecord, at_unix_ms: u64) -> Vec<ReturnedWorker> {
+        let mut returned = Vec::new();
         let by_id = std::mem::take(&mut self.by_id);
         for (id, lost) in by_id {
             let is_concerned = *record.id == *id || record.address == lost.address;
@@ -111,17 +112,19 @@
             } else if !lost.is_kept(at_unix_ms) {
                 continue;
             } else if lost.is_replaced_by(&id, record) {
-                returns.push(Return::Crashed(id, lost.runs));
+                returned.push(ReturnedWorker::Crashed(id, lost.runs));
             } else {
-                returns.push(Return::SameIncarnation(lost.runs));
+                returned.push(ReturnedWorker::SameIncarnation(lost.runs));
             }
         }
-        returns
+        returned
     }
 
-    /// The runs of each removed worker of which a task is a suspect.
-    pub fn suspecting(&self, task: TaskKey) -> impl Iterator<Item = &LostRuns> {
-        let runs = self.by_id.values().map(|lost| &lost.runs);
+    /// The runs of each removed worker of which a task is a suspect, if they are recent enough.
+    pub fn suspecting(&self, task: TaskKey, at_unix_ms: u64) -> impl Iterator<Item = &LostRuns> {
+        let kept = self.by_id.values();
+        let kept = kept.filter(move |lost| lost.is_kept(at_unix_ms));
+        let runs = kept.map(|lost| &lost.runs);
         runs.filter(move |runs| runs.is_suspect(task))
     }
 }
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -23,7 +23,7 @@
 use crate::job::Task;
 use crate::job::TaskPhase;
 use crate::lost_workers::LostWorkers;
-use crate::lost_workers::Return;
+use crate::lost_workers::ReturnedWorker;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
 use crate::worker::HeldRun;
@@ -262,8 +262,11 @@
         let mut crashed = Vec::new();
         for returned in self.state.lost_workers.take(record, self.at_unix_ms) {
             match returned {
-                Return::SameIncarnation(lost) => worker.expired = lost,
-                Return::Crashed(id, lost) => crashed.push((id, lost)),
+                ReturnedWorker::SameIncarnation(lost) => {
+                    worker.expired = lost;
+                    worker.has_returned = true;
+                }
+                ReturnedWorker::Crashed(id, lost) => crashed.push((id, lost)),
             }
         }
         let id = record.id.clone();
@@ -277,6 +280,7 @@
     fn restart_worker(
         &mut self,
         record: &WorkerRecord,
+            has_returned: false,
         former: Incarnation,
         checkpoints: &[(TaskKey, Arc<str>)],
         lost: Option<&LostRuns>,
@@ -462,7 +466,9 @@
     /// Keeps the runs that ended with the lease of a worker, in case it turns out to have crashed.
     fn record_expired(&mut self, id: &Arc<str>, lost: &LostRuns) {
         if let Some(worker) = self.state.workers.get_mut(id) {
-            Arc::make_mut(worker).expired.merge(lost);
+            let worker = Arc::make_mut(worker);
+            worker.expired.merge(lost);
+            worker.has_returned = false;
         }
         for task in &lost.suspects {
             if let Some(crashes) = self.update_silent(*task)
@@ -481,9 +487,10 @@
     fn update_silent(&mut self, key: TaskKey) -> Option<CrashCount> {
         let task = task_mut(&mut self.state.jobs, key)?;
         let workers = self.state.workers.values();
-        let expired = workers.map(|worker| &worker.expired);
+        let silent = workers.filter(|worker| !worker.has_returned);
+        let expired = silent.map(|worker| &worker.expired);
         let expired = expired.filter(|expired| expired.is_suspect(key));
-        let removed = self.state.lost_workers.suspecting(key);
+        let removed = self.state.lost_workers.suspecting(key, self.at_unix_ms);
         task.crashes.record_silent(key, expired.chain(removed));
         Some(task.crashes)
     }
--- a/crates/queues/src/worker.rs
+++ b/crates/queues/src/worker.rs
@@ -125,4 +125,7 @@
     /// again. If another incarnation returns instead, the worker has crashed.
     #[serde(default, skip_serializing_if = "LostRuns::is_empty")]
     pub expired: LostRuns,
+    /// Whether it has registered again since then, so that it is not silent any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_returned: bool,
 }
