Give written off runs, failed tries and silent workers names of their own

The reviewer, new to the code, stumbled over five names with lost for two things, evidence of a crash and a log line, and over tries and checks in vain. The order in which a Ready takes entries and reads no longer depends on the order of its fields. No behaviour changes.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -241,12 +241,15 @@
             self.replicate_all(false);
         }
         self.outbox.ready_number += 1;
+        // The reads follow, since they may need these entries.
+        let committed = self.take_committed();
+        let reads = self.reads.take_confirmed(self.applied_index);
         let mut ready = Ready {
             number: self.outbox.ready_number,
             snapshot: self.received_snapshot.take(),
             records: self.take_records(),
-            committed: self.take_committed(),
-            reads: self.reads.take_confirmed(self.applied_index),
+            committed,
+            reads,
             aborted_reads: self.reads.take_aborted(),
             role_change: self.take_role_change(),
             messages: std::mem::take(&mut self.outbox.messages),
--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -19,9 +19,9 @@
 use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::AdoptedRuns;
 use sapphirepost_queues::scheduler::EndedJobRun;
-use sapphirepost_queues::scheduler::LostRun;
 use sapphirepost_queues::scheduler::QuarantineChange;
 use sapphirepost_queues::scheduler::WaitingStep;
+use sapphirepost_queues::scheduler::WrittenOffRun;
 use sapphirepost_queues::state::LateEnd;
 use sapphirepost_queues::state::QueueChange;
 
@@ -160,7 +160,7 @@
 
 /// Logs a run that was written off although it may have been at work, with what the leader had last
 /// seen of it.
-pub(crate) fn log_lost_run(run: &LostRun) {
+pub(crate) fn log_written_off_run(run: &WrittenOffRun) {
     log::info!(
         target: RUNS_TARGET,
         task:% = run.task, run = run.run, worker = &*run.worker,
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -268,8 +268,8 @@
             for change in changes.iter().flatten() {
                 queue_log::log_change(change, index, scheduler, self.state.queues());
             }
-            let lost = scheduler.take_lost_runs();
-            lost.iter().for_each(queue_log::log_lost_run);
+            let lost = scheduler.take_written_off_runs();
+            lost.iter().for_each(queue_log::log_written_off_run);
             for change in changes.iter().flatten() {
                 self.queues.record_change(change, now);
             }
--- a/crates/queues/src/crash.rs
+++ b/crates/queues/src/crash.rs
@@ -1,11 +1,11 @@
 //! Crashes of workers as evidence against the tasks that ran on them.
 //!
 //! A worker that another incarnation has replaced has crashed, and a task that ran there may be the
-//! cause. Silence, an expired lease or a planned end proves nothing, unless worker after worker
-//! falls silent at the start of the same task and none is heard of again. Most tasks on a crashed worker
-//! are innocent: those that had started long before are not even suspected, and a suspected one is
-//! given up only after a crash that is attributed to its job alone. Until then its runs are
-//! isolated, so that the next crash can be attributed.
+//! cause. A planned end proves nothing. Silence and an expired lease are evidence only if worker
+//! after worker falls silent at the start of the same task and does not return. Most tasks on a
+//! crashed worker are innocent: those that had started long before are not even suspected, and a
+//! suspected one is given up only after a crash that is attributed to its job alone. Until then its
+//! runs are isolated, so that the next crash can be attributed.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -95,8 +95,8 @@
         lost.is_suspect(task) && is_conclusive && lost.is_only_suspect(task.step.job)
     }
 
-    /// Records the silent workers of which `task` is a suspect.
-    pub fn record_silent<'a>(&mut self, task: TaskKey, silent: impl Iterator<Item = &'a LostRuns>) {
+    /// Sets the counts of the silent workers of which `task` is a suspect.
+    pub fn set_silent<'a>(&mut self, task: TaskKey, silent: impl Iterator<Item = &'a LostRuns>) {
         (self.silent, self.silent_attributed) = (0, 0);
         for lost in silent {
             self.silent += 1;
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -104,7 +104,7 @@
         }
         let result = match has_room {
             true => TryResult::ExpiredPermit,
-            false => self.vain_gang_result(view, &candidates, begin),
+            false => self.failed_gang_result(view, &candidates, begin),
         };
         if now < view.hold.until || (!has_room && self.preempt(view, reservations, now)) {
             self.reserve_now(view, &view.hold.workers, reservations, now);
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -17,7 +17,6 @@
 mod health;
 mod isolation;
 mod lease;
-mod lost_runs;
 mod messages;
 mod needless_runs;
 mod overload;
@@ -40,6 +39,7 @@
 mod waiting;
 mod worker_requests;
 mod workers;
+mod written_off_runs;
 
 use std::cell::Cell;
 use std::sync::Arc;
@@ -74,7 +74,6 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
-pub use crate::scheduler::lost_runs::LostRun;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -97,6 +96,7 @@
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
 pub use crate::scheduler::workers::RunStage;
+pub use crate::scheduler::written_off_runs::WrittenOffRun;
 
 /// Parameters of a [`Scheduler`]. Apart from the term, they are the same on every member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -173,8 +173,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
     pub(crate) tally: PlacementTally,
-    /// Runs that were written off since the last call of `take_lost_runs`.
-    pub(crate) lost_runs: Vec<LostRun>,
+    /// Runs that were written off since the last call of `take_written_off_runs`.
+    pub(crate) written_off_runs: Vec<WrittenOffRun>,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
@@ -210,7 +210,7 @@
             actions: Vec::new(),
             counts: Counts::default(),
             tally: PlacementTally::default(),
-            lost_runs: Vec::new(),
+            written_off_runs: Vec::new(),
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -182,7 +182,7 @@
         let result = if view.waiting.len() < waiting {
             TryResult::Placed
         } else {
-            self.vain_result(view, &candidates, begin)
+            self.failed_result(view, &candidates, begin)
         };
         self.end_try(begin, result);
     }
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -225,7 +225,7 @@
     }
 
     /// Why a step without a placement has none.
-    pub(crate) fn vain_result(
+    pub(crate) fn failed_result(
         &self,
         view: &StepView,
         candidates: &[Candidate],
@@ -244,7 +244,7 @@
     }
 
     /// Why a gang without room for all members has none.
-    pub(crate) fn vain_gang_result(
+    pub(crate) fn failed_gang_result(
         &self,
         view: &StepView,
         candidates: &[Candidate],
--- a/crates/queues/src/scheduler/lost_runs.rs
+++ b/crates/queues/src/scheduler/written_off_runs.rs
@@ -14,7 +14,7 @@
 
 /// A run that was written off although it may have been at work.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LostRun {
+pub struct WrittenOffRun {
     /// The task of the run.
     pub task: TaskKey,
     /// The number of the run.
@@ -33,8 +33,8 @@
 
 impl Scheduler {
     /// Takes the runs that were written off since the last call; the first ones, if there are many.
-    pub fn take_lost_runs(&mut self) -> Vec<LostRun> {
-        std::mem::take(&mut self.lost_runs)
+    pub fn take_written_off_runs(&mut self) -> Vec<WrittenOffRun> {
+        std::mem::take(&mut self.written_off_runs)
     }
 
     /// Keeps what is known of a run that was written off.
@@ -45,10 +45,10 @@
         run: &RunView,
         now: Millis,
     ) {
-        if !run.has_begun || self.lost_runs.len() >= KEPT_MAX {
+        if !run.has_begun || self.written_off_runs.len() >= KEPT_MAX {
             return;
         }
-        self.lost_runs.push(LostRun {
+        self.written_off_runs.push(WrittenOffRun {
             task,
             run: run.run,
             worker: worker.clone(),
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -505,7 +505,7 @@
         let expired = silent.map(|worker| &worker.expired);
         let expired = expired.filter(|expired| expired.is_suspect(key));
         let removed = self.state.lost_workers.suspecting(key, self.at_unix_ms);
-        task.crashes.record_silent(key, expired.chain(removed));
+        task.crashes.set_silent(key, expired.chain(removed));
         Some(task.crashes)
     }
 
