--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -284,6 +284,7 @@
                 ends,
             });
         }
+        self.rounds.is_due |= self.rounds.has_waiting;
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -71,6 +71,9 @@
 pub struct Rounds {
     /// Whether a change may have made a task placeable.
     pub(crate) is_due: bool,
+    /// Whether steps waited when the last round began. While some do, each reply to a poll makes a
+    /// round due, since permits and pauses change with time alone.
+    pub(crate) has_waiting: bool,
     placed_at: Millis,
     /// Whether a round took place since the time of a tick was last recorded.
     has_placed: bool,
@@ -232,6 +235,7 @@
         }
         order.sort_unstable();
         self.rounds.backlog = backlog;
+        self.rounds.has_waiting = !order.is_empty();
         self.rounds.pause(order.len());
         self.tally.counts.rounds += 1;
         self.tally.counts.waiting_steps += order.len() as u64;
