Do not take a restored record for a torn one in the test of torn tails

Byte 125 is the closing brace that the cut had removed, so the random bytes made the record complete again and the store rightly returned it. No fault of the store.

The case is not a torn tail and is left out; all others are checked as before.

--- a/crates/storage/tests/disk.rs
+++ b/crates/storage/tests/disk.rs
@@ -150,8 +150,11 @@
         let unsynced = 2 * synced + 1;
         let text = format!("\"index\":{unsynced},");
         let body = bytes.windows(text.len()).rposition(|window| window == text.as_bytes()).unwrap();
+        let complete = bytes.clone();
         bytes.truncate(body + cut.index(bytes.len() - body));
         bytes.extend(garbage);
+        // Random bytes may restore the record.
+        prop_assume!(!bytes.starts_with(&complete));
         fs::write(&log, &bytes).unwrap();
         prop_assert_eq!(restore(directory.path()).unwrap(), expected.clone());
         // The store continues after the truncation.
