--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -17,7 +17,9 @@
 mod health;
 mod isolation;
 mod lease;
+mod lost_runs;
 mod messages;
+mod needless_runs;
 mod overload;
 mod permit_requests;
 mod permits;
@@ -72,6 +74,7 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+pub use crate::scheduler::lost_runs::LostRun;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -170,6 +173,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
     pub(crate) tally: PlacementTally,
+    /// Runs that were written off since the last call of `take_lost_runs`.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Checks of a worker for a step, and visits of steps, since the last call of `take_checks`.
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
@@ -205,6 +210,7 @@
             actions: Vec::new(),
             counts: Counts::default(),
             tally: PlacementTally::default(),
+            lost_runs: Vec::new(),
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
@@ -238,6 +244,12 @@
         changes: &[QueueChange],
         now: Millis,
     ) {
+        // A step that is done is forgotten, with the runs that are to be stopped.
+        for change in changes {
+            if let QueueChange::LateEnd(late) = change {
+                self.stop_needless_runs(late, now);
+            }
+        }
         for change in changes {
             self.apply_change(state, change, now);
         }
@@ -291,7 +303,9 @@
                 self.step_changed(state, *step, now);
                 self.stop_broken_gang(state, *step, now);
             }
-            QueueChange::WorkerCrashed(..) | QueueChange::CrashCounted(..) => {}
+            QueueChange::WorkerCrashed(..)
+            | QueueChange::CrashCounted(..)
+            | QueueChange::LateEnd(_) => {}
         }
     }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -311,6 +311,8 @@
                 usual_ms: view.usual_ms,
                 expected_ms,
                 checkpoint: None,
+                checkpointed: None,
+                is_needless: false,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: None,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -55,8 +55,9 @@
         if matches!(self.stage, RunStage::Unknown | RunStage::StartSent { .. }) {
             self.confirm(now);
         }
-        if reported_task.checkpoint.is_some() {
+        if reported_task.checkpoint.is_some() && reported_task.checkpoint != self.checkpoint {
             self.checkpoint = reported_task.checkpoint.clone();
+            self.checkpointed = Some(now);
         }
         if reported_task.progress_percent != self.progress_percent {
             self.progress_percent = reported_task.progress_percent;
@@ -95,10 +96,12 @@
                 usual_ms: step.map_or(0, |step| step.estimate_ms),
                 expected_ms: step.map_or(0, |step| step.estimate_ms),
                 checkpoint: None,
+                checkpointed: None,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: Some(now),
                 has_begun: false,
+                is_needless: job.is_some_and(|job| job.is_needless(*task, held.run)),
                 confirmed: now,
             };
             view.add_run(*task, run);
@@ -156,6 +159,10 @@
         else {
             return self.stop_run(index, (task, run), StopReason::JobEnded, now);
         };
+        if job.is_needless(task, run) {
+            self.mark_needless(index, task, run);
+            return self.stop_run(index, (task, run), StopReason::TaskDone, now);
+        }
         let Some(until_ms) = worker.lease.lease_until_ms(now, lease_ms) else {
             return self.stop_run(index, (task, run), StopReason::Unanswered, now);
         };
@@ -554,6 +561,7 @@
         let Some(view) = worker.remove_run(task, run) else {
             return;
         };
+        let id = worker.record.id.clone();
         self.rounds.note_freed(index);
         if kind.is_some() {
             self.unstarted_jobs.remove(&task.step.job);
@@ -568,7 +576,8 @@
             }
             Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
             Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
-            _ => {}
+            Some(_) => {}
+            None => self.record_lost_run(&id, task, &view, now),
         }
         if let Some(step) = self.steps.get_mut(&task.step) {
             if kind == Some(EndKind::Failed) {
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -19,7 +19,11 @@
 use crate::ids::TaskKey;
 use crate::job::Job;
 use crate::job::JobPhase;
+use crate::job::LateEffect;
+use crate::job::Task;
 use crate::job::TaskPhase;
+use crate::lost_workers::LostWorkers;
+use crate::lost_workers::Return;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
 use crate::worker::HeldRun;
@@ -57,10 +61,26 @@
     /// A run ended and no longer takes resources on a worker; the kind is `None` if the run never
     /// started or if it is unknown how it ended.
     RunEnded(Arc<str>, TaskKey, u32, Option<EndKind>),
+    /// A worker has reported the end of a run that it no longer holds: the leader had written the
+    /// run off.
+    LateEnd(LateEnd),
     /// A task of the step waits again, or tasks of it are done.
     StepChanged(StepKey),
 }
 
+/// An end that was learnt after its run was written off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateEnd {
+    /// The ID of the worker that reported it.
+    pub worker: Arc<str>,
+    /// The end, with the checkpoint that the worker saved.
+    pub end: RunEnd,
+    /// The number of the last run of the task; `None` if its job has ended.
+    pub last_run: Option<u32>,
+    /// What it changes.
+    pub effect: LateEffect,
+}
+
 /// The replicated queue table, the jobs and the workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -71,6 +91,9 @@
     /// Ended jobs by the log index of the command that ended them, for the retention.
     ended: OrdMap<u64, Vec<JobKey>>,
     ended_count: usize,
+    /// Removed workers that may turn out to have crashed.
+    #[serde(skip_serializing_if = "LostWorkers::is_empty")]
+    lost_workers: LostWorkers,
 }
 
 impl QueueState {
@@ -166,6 +189,10 @@
             } if incarnation.is_none_or(|incarnation| self.has(worker, incarnation)) => {
                 self.remove_worker(worker, checkpoints);
             }
+            QueueCommand::ForgetWorker {
+                worker,
+                incarnation,
+            } if self.has(worker, *incarnation) => self.forget_worker(worker),
             QueueCommand::Crash {
                 worker,
                 incarnation,
@@ -218,18 +245,33 @@
                 // A draining worker never becomes available again; an older report may arrive late.
                 known.record.is_draining = is_draining;
             }
-            None => {
-                let worker = Worker {
-                    record: record.clone(),
-                    applied_ends: 0,
-                    restarted_unix_ms: None,
-                    runs: OrdMap::new(),
-                    expired: LostRuns::default(),
-                };
-                self.state.workers.insert(id.clone(), Arc::new(worker));
+            None => return self.add_worker(record),
+        }
+        self.changes.push(QueueChange::Worker(id));
+    }
+
+    /// Adds a worker; if it replaces a removed one, that one has crashed.
+    fn add_worker(&mut self, record: &WorkerRecord) {
+        let mut worker = Worker {
+            record: record.clone(),
+            applied_ends: 0,
+            restarted_unix_ms: None,
+            runs: OrdMap::new(),
+            expired: LostRuns::default(),
+        };
+        let mut crashed = Vec::new();
+        for returned in self.state.lost_workers.take(record, self.at_unix_ms) {
+            match returned {
+                Return::SameIncarnation(lost) => worker.expired = lost,
+                Return::Crashed(id, lost) => crashed.push((id, lost)),
             }
         }
+        let id = record.id.clone();
+        self.state.workers.insert(id.clone(), Arc::new(worker));
         self.changes.push(QueueChange::Worker(id));
+        for (id, lost) in crashed {
+            self.count_crashes(&id, &lost);
+        }
     }
 
     fn restart_worker(
@@ -284,6 +326,15 @@
         }
     }
 
+    /// Removes a silent worker and keeps the evidence, in case it has crashed.
+    fn forget_worker(&mut self, id: &Arc<str>) {
+        if let Some(worker) = self.state.workers.get(id) {
+            let lost_workers = &mut self.state.lost_workers;
+            lost_workers.add(worker, self.at_unix_ms);
+        }
+        self.remove_worker(id, &[]);
+    }
+
     fn start(&mut self, step: StepKey, placements: &[Placement]) {
         let Some(job) = self.state.jobs.get_mut(&step.job) else {
             return;
@@ -325,10 +376,10 @@
                 let worker = Arc::make_mut(worker);
                 // A leader starts tasks only on a worker that it has heard from.
                 worker.expired = LostRuns::default();
+                let task = step.task(placement.index);
                 let run = placement.run;
-                worker
-                    .runs
-                    .insert(step.task(placement.index), HeldRun { run, resources });
+                let replaced = worker.runs.insert(task, HeldRun { run, resources });
+                job.held_runs += u32::from(replaced.is_none());
             }
         }
         self.changes.push(QueueChange::Started(step, startable));
@@ -347,6 +398,7 @@
                 return;
             };
             if worker.runs.get(&end.task).map(|held| held.run) != Some(end.run) {
+                self.end_late(id, end);
                 continue;
             }
             Arc::make_mut(worker).runs.remove(&end.task);
@@ -356,6 +408,38 @@
         }
     }
 
+    /// Handles an end of a run that the worker no longer holds. What that run has done or saved is
+    /// of use if the task is not done yet.
+    fn end_late(&mut self, id: &Arc<str>, end: &RunEnd) {
+        let job = self.state.jobs.get(&end.task.step.job);
+        let job = job.filter(|job| !job.phase.has_ended());
+        let task = job.and_then(|job| job.task(end.task));
+        let late = LateEnd {
+            worker: id.clone(),
+            end: end.clone(),
+            last_run: task.map(|task| task.run),
+            effect: job.map_or(LateEffect::None, |job| job.late_effect(end)),
+        };
+        let effect = late.effect;
+        self.changes.push(QueueChange::LateEnd(late));
+        let Some(job) = self.state.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        let step = usize::from(end.task.step.step);
+        match effect {
+            LateEffect::None => {}
+            LateEffect::Checkpoint => {
+                let tasks = &mut Arc::make_mut(job).steps[step].tasks;
+                tasks[end.task.index as usize].checkpoint = end.checkpoint.clone();
+            }
+            LateEffect::Done => {
+                let members = job.done_with(end.task);
+                Arc::make_mut(job).steps[step].finish(members, end.run);
+                self.job_advanced(end.task.step, false);
+            }
+        }
+    }
+
     /// Ends the runs of a worker, but for those of the tasks in `kept`.
     fn expire(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)], kept: &[TaskKey]) {
         let Some(worker) = self.state.workers.get_mut(id) else {
@@ -380,6 +464,25 @@
         if let Some(worker) = self.state.workers.get_mut(id) {
             Arc::make_mut(worker).expired.merge(lost);
         }
+        for task in &lost.suspects {
+            if let Some(crashes) = self.update_silent(*task)
+                && crashes.is_given_up()
+            {
+                self.changes.push(QueueChange::CrashCounted(*task, crashes));
+                self.end_job(task.step.job, JobPhase::Failed);
+            }
+        }
+    }
+
+    /// Counts the silent workers of which a task is a suspect, and returns its counts.
+    fn update_silent(&mut self, key: TaskKey) -> Option<CrashCount> {
+        let task = task_mut(&mut self.state.jobs, key)?;
+        let workers = self.state.workers.values();
+        let expired = workers.map(|worker| &worker.expired);
+        let expired = expired.filter(|expired| expired.is_suspect(key));
+        let removed = self.state.lost_workers.suspecting(key);
+        task.crashes.record_silent(key, expired.chain(removed));
+        Some(task.crashes)
     }
 
     /// Removes a crashed worker and counts the crash against the tasks that ran there.
@@ -404,21 +507,14 @@
 
     /// Counts a crash against a task, and fails its job if the task is given up.
     fn count_crash(&mut self, key: TaskKey, lost: &LostRuns) {
-        let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
+        let Some(task) = task_mut(&mut self.state.jobs, key) else {
             return;
         };
-        if job.phase.has_ended() {
-            return;
-        }
-        let steps = &mut Arc::make_mut(job).steps;
-        let step = steps.get_mut(usize::from(key.step.step));
-        // The key may belong to an earlier job whose ID was used again.
-        let task = step.and_then(|step| step.tasks.get_mut(key.index as usize));
-        let Some(task) = task.filter(|task| task.phase != TaskPhase::Done) else {
+        task.crashes.record(key, lost);
+        // A worker that has returned is not silent any more.
+        let Some(crashes) = self.update_silent(key) else {
             return;
         };
-        task.crashes.record(key, lost);
-        let crashes = task.crashes;
         self.changes.push(QueueChange::CrashCounted(key, crashes));
         if crashes.is_given_up() {
             self.end_job(key.step.job, JobPhase::Failed);
@@ -438,7 +534,7 @@
         self.finish_run(task, run, None, None);
     }
 
-    /// Updates the task of a run that has ended on its worker, and ends the job if it is complete
+    /// Updates the task of a run that its worker no longer holds, and ends the job if it is complete
     /// or has failed too often.
     fn finish_run(
         &mut self,
@@ -450,10 +546,13 @@
         let Some(job) = self.state.jobs.get_mut(&key.step.job) else {
             return;
         };
+        let job = Arc::make_mut(job);
+        // Snapshots of earlier versions have no count.
+        job.held_runs = job.held_runs.saturating_sub(1);
         if job.phase.has_ended() {
-            return;
+            return self.drop_if_unused(key.step.job);
         }
-        let job = Arc::make_mut(job);
+        let done = job.done_with(key);
         let is_gang = job.spec.steps[usize::from(key.step.step)].is_gang;
         let is_service = job.spec.steps[usize::from(key.step.step)].is_service;
         let attempts_max = job.queue.attempts_max;
@@ -469,12 +568,7 @@
         let mut has_failed = false;
         match kind {
             Some(EndKind::Done) if !is_service => {
-                let members = if is_gang {
-                    0..step.tasks.len()
-                } else {
-                    key.index as usize..key.index as usize + 1
-                };
-                for index in members {
+                for index in done {
                     let task = &mut step.tasks[index];
                     if task.run == run && task.phase != TaskPhase::Done {
                         task.phase = TaskPhase::Done;
@@ -494,13 +588,19 @@
             }
             _ => {}
         }
-        let is_complete = job.steps.iter().all(|step| step.left == 0);
+        self.job_advanced(key.step, has_failed);
+    }
+
+    /// Ends the job of a changed step if it has failed too often or is complete.
+    fn job_advanced(&mut self, step: StepKey, has_failed: bool) {
+        let job = self.state.jobs.get(&step.job);
+        let is_complete = job.is_some_and(|job| job.steps.iter().all(|step| step.left == 0));
         if has_failed {
-            self.end_job(key.step.job, JobPhase::Failed);
+            self.end_job(step.job, JobPhase::Failed);
         } else if is_complete {
-            self.end_job(key.step.job, JobPhase::Completed);
+            self.end_job(step.job, JobPhase::Completed);
         } else {
-            self.changes.push(QueueChange::StepChanged(key.step));
+            self.changes.push(QueueChange::StepChanged(step));
         }
     }
 
@@ -531,8 +631,33 @@
             self.state.ended.remove(&index);
             self.state.ended_count -= keys.len();
             for key in keys {
-                self.state.jobs.remove(&key);
+                if let Some(job) = self.state.jobs.get_mut(&key) {
+                    Arc::make_mut(job).is_past_retention = true;
+                }
+                self.drop_if_unused(key);
             }
         }
     }
+
+    /// Drops a job whose retention is over, unless a worker still holds runs of it: its ID may be
+    /// used again, and the ends of these runs would count for the other job.
+    fn drop_if_unused(&mut self, key: JobKey) {
+        let job = self.state.jobs.get(&key);
+        if job.is_some_and(|job| job.is_past_retention && job.held_runs == 0) {
+            self.state.jobs.remove(&key);
+        }
+    }
+}
+
+/// A task that is not done, of a job that has not ended.
+fn task_mut(jobs: &mut OrdMap<JobKey, Arc<Job>>, key: TaskKey) -> Option<&mut Task> {
+    let job = jobs.get_mut(&key.step.job)?;
+    if job.phase.has_ended() {
+        return None;
+    }
+    let steps = &mut Arc::make_mut(job).steps;
+    // The key may belong to an earlier job whose ID was used again.
+    let step = steps.get_mut(usize::from(key.step.step))?;
+    let task = step.tasks.get_mut(key.index as usize)?;
+    (task.phase != TaskPhase::Done).then_some(task)
 }
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -9,6 +9,7 @@
 pub mod leader;
 pub mod load;
 pub mod restart;
+pub mod starts;
 pub mod wide_load;
 pub mod worker;
 
@@ -160,6 +161,8 @@
     pub leader: LeaderTime,
     /// When a start of each step was first applied.
     pub first_starts: BTreeMap<StepKey, Millis>,
+    /// For the check that all members of a gang resume from the same checkpoint.
+    pub gang_checkpoints: starts::GangCheckpoints,
 }
 
 pub fn queue(name: &str, priority: u32, factor: f64, target_ms: u64) -> Queue {
@@ -250,6 +253,7 @@
             decision_time: Duration::ZERO,
             leader: LeaderTime::default(),
             first_starts: BTreeMap::new(),
+            gang_checkpoints: starts::GangCheckpoints::default(),
         };
         for client in 0..clients {
             let client: Arc<str> = Arc::from(format!("client-{client}"));
@@ -268,8 +272,9 @@
     }
 
     /// Submits a job; its commit takes `commit_ms`.
-    pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
+    pub fn submit(&mut self, key: u64, queue: &str, mut spec: SubmittedSpec) {
         let key = JobKey(key);
+        spec.payload = starts::payload(key);
         let table = self.state.table().unwrap().clone();
         let queue = Arc::new(table.queue(queue).unwrap().clone());
         let critical_path_ms = spec.critical_path_ms(&spec.estimates_ms());
@@ -296,6 +301,19 @@
         self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
 
+    /// Puts all proposed commands that are not applied yet into one entry, which is committed now.
+    pub fn join_proposals(&mut self) {
+        let is_proposal = |event: &Event| matches!(event, Event::Applied(_));
+        let pending = self.events.extract_if(.., |_, event| is_proposal(event));
+        let mut joined = Vec::new();
+        for (_, event) in pending {
+            if let Event::Applied(mut commands) = event {
+                joined.append(&mut commands);
+            }
+        }
+        self.schedule(0, Event::Applied(joined));
+    }
+
     /// Replaces the leader. Commands that are proposed and not applied are lost.
     pub fn change_leader(&mut self) {
         self.term += 1;
@@ -449,10 +467,15 @@
 
     fn apply(&mut self, commands: &[QueueCommand]) {
         self.index += 1;
-        for command in commands {
+        // The leader learns of an entry when all of its commands are applied.
+        let applied = commands.iter().map(|command| {
             let mut changes = Vec::new();
             self.state
                 .apply(self.index, self.now.0, command, &mut changes);
+            changes
+        });
+        let applied: Vec<Vec<QueueChange>> = applied.collect();
+        for (command, changes) in commands.iter().zip(applied) {
             self.scheduler
                 .handle_applied(&self.state, command, &changes, self.now);
             for change in &changes {
@@ -542,6 +565,7 @@
     }
 
     fn request_arrives(&mut self, request: WorkerRequest) {
+        self.check_start(&request);
         let Some(worker) = self.workers.get_mut(&request.worker) else {
             return self.schedule(
                 worker::REQUEST_TIMEOUT_MS,
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -20,6 +20,8 @@
 use super::SERVICE;
 use super::crash::Crash;
 use super::restart::FIRST_INCARNATION;
+use super::starts::checkpoint;
+use super::starts::resumed_ms;
 
 pub const REQUEST_TIMEOUT_MS: u64 = 500;
 
@@ -95,6 +97,8 @@
     pub start_error: Option<WorkerRequestError>,
     /// Whether its tasks make no progress.
     pub stalls: bool,
+    /// If not 0, its tasks write a checkpoint after each such time of work.
+    pub checkpoint_ms: u64,
     /// How long a task takes on it, in percent of the usual duration.
     pub duration_percent: u64,
     /// If not 0, starts are carried out after this time and get no reply.
@@ -138,6 +142,11 @@
 }
 
 impl ModelRun {
+    /// The work that was done before it, by the checkpoint that it resumes from.
+    pub fn resumed_ms(&self) -> u64 {
+        self.resumed_ms
+    }
+
     /// How long it has worked on this worker.
     pub fn elapsed_ms(&self) -> u64 {
         self.elapsed_ms
@@ -191,6 +200,7 @@
             rejects_starts: None,
             start_error: None,
             stalls: false,
+            checkpoint_ms: 0,
             duration_percent: 100,
             start_delay_ms: 0,
             delayed_starts: Vec::new(),
@@ -252,7 +262,11 @@
         let Some(run) = self.running.remove(&task) else {
             return;
         };
-        let checkpoint = (kind == EndKind::Stopped).then(|| Arc::from(run.done_ms.to_string()));
+        let checkpoint = match kind {
+            EndKind::Stopped => Some(checkpoint(task, run.done_ms)),
+            EndKind::Expired => self.last_checkpoint(task, &run),
+            _ => None,
+        };
         self.superseded.insert(task, run.run);
         if run.is_gang_member {
             let took_ms = self.now.since(run.started);
@@ -338,6 +352,12 @@
         }
     }
 
+    /// The last checkpoint that a run has written.
+    fn last_checkpoint(&self, task: TaskKey, run: &ModelRun) -> Option<Arc<str>> {
+        let saved_ms = run.done_ms / self.checkpoint_ms.max(1) * self.checkpoint_ms;
+        (saved_ms > run.resumed_ms).then(|| checkpoint(task, saved_ms))
+    }
+
     /// Whether a request gets lost on the way.
     pub fn loses(&self, request: &WorkerRequest) -> bool {
         self.loses_stops && matches!(request.kind, WorkerRequestKind::Stop { .. })
@@ -420,7 +440,7 @@
                     return reject(RejectReason::Superseded);
                 }
                 self.extend_lease(*until_ms);
-                let resumed_ms = checkpoint.as_ref().map_or(0, |text| text.parse().unwrap());
+                let resumed_ms = checkpoint.as_ref().map_or(0, |text| resumed_ms(text));
                 let new = ModelRun {
                     run: *run,
                     resources: (self.need)(*task),
@@ -516,7 +536,7 @@
         let task = |(task, run): (&TaskKey, &ModelRun)| RunningTask {
             task: *task,
             run: run.run,
-            checkpoint: None,
+            checkpoint: self.last_checkpoint(*task, run),
             progress_percent: (run.done_ms * 100 / run.work_ms.max(1)) as u32,
         };
         let ends = self.ends.iter();
--- a/crates/queues/tests/random_faults.rs
+++ b/crates/queues/tests/random_faults.rs
@@ -20,6 +20,8 @@
 /// How long the remaining jobs may take once there are no more faults.
 const END_MS: u64 = 60_000;
 const SEEDS: u64 = 12;
+/// With odd seeds, tasks write a checkpoint after each such time of work.
+const CHECKPOINT_MS: u64 = 500;
 /// The number of the fault that restarts workers under their IDs.
 const RESTART_FAULT: u64 = 5;
 /// The longest time that a worker is down when it restarts: beyond its lease.
@@ -46,7 +48,11 @@
 }
 
 fn run(seed: u64) {
-    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
+    let worker = |number| {
+        let mut worker = ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
+        worker.checkpoint_ms = seed % 2 * CHECKPOINT_MS;
+        worker
+    };
     let workers = (0..WORKERS).map(worker).collect();
     let mut model = Model::new(queues(), workers, POLICY_CLIENTS);
     model.run(50);
