--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -31,6 +31,15 @@
     pub until: Millis,
 }
 
+/// What a try of a gang may do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GangTry {
+    /// Whether the free resources may suffice for all members. If not, no worker is looked at.
+    pub(crate) may_fit: bool,
+    /// Whether the gang may get a reservation for later.
+    pub(crate) may_reserve: bool,
+}
+
 impl Scheduler {
     /// Reserves the resources that gangs hold.
     pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
@@ -49,7 +58,7 @@
         state: &QueueState,
         view: &mut StepView,
         reservations: &mut Reservations,
-        may_reserve: bool,
+        tries: GangTry,
         now: Millis,
     ) -> bool {
         let members = view.spec().count as usize;
@@ -68,7 +77,11 @@
             self.end_try(begin, TryResult::Withheld);
             return false;
         }
-        let candidates = self.candidates(view, reservations, isolation, now);
+        let candidates = if tries.may_fit {
+            self.candidates(view, reservations, isolation, now)
+        } else {
+            Vec::new()
+        };
         let granted = self.choose_workers(view, &candidates, &[Permission::Granted], members);
         if let (Some(job), Some(chosen)) = (job, &granted) {
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
@@ -98,7 +111,8 @@
             self.end_try(begin, result);
             return true;
         }
-        let has_reservation = !has_room && may_reserve && self.reserve(view, reservations, now);
+        let has_reservation =
+            !has_room && tries.may_reserve && self.reserve(view, reservations, now);
         self.end_try(begin, result);
         has_reservation
     }
@@ -138,7 +152,7 @@
     /// Workers with a common label for all members of a gang, to place it on one rack.
     fn choose_rack(&self, usable: &[&Candidate], members: usize) -> Option<Vec<WorkerIndex>> {
         let mut labels: Vec<Arc<str>> = Vec::new();
-        self.tally.count_visits(VisitKind::Rack, usable.len());
+        self.count_visits(VisitKind::Rack, usable.len());
         for candidate in usable {
             let worker = self.workers.get(candidate.index)?;
             for label in &worker.record.labels {
@@ -150,7 +164,7 @@
         // Labels name kinds and racks of workers. Of the labels whose workers can hold the gang,
         // the one with the fewest workers is taken to be the rack.
         let feasible = labels.into_iter().filter_map(|label| {
-            self.tally.count_visits(VisitKind::Rack, usable.len());
+            self.count_visits(VisitKind::Rack, usable.len());
             let with_label = usable.iter().copied().filter(|c| {
                 let worker = self.workers.get(c.index);
                 worker.is_some_and(|worker| worker.record.has_label(&label))
@@ -196,8 +210,8 @@
     fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
         let (spec, members) = (view.spec(), view.spec().count as usize);
         let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
-        self.count_visits(VisitKind::Reservation, self.workers.len());
-        for (index, worker) in self.workers.iter() {
+        for (index, worker) in self.possible_workers(view) {
+            self.count_visits(VisitKind::Reservation, 1);
             let permission = self.permission(view, index, now);
             let is_allowed = matches!(permission, Permission::Granted | Permission::Expired);
             if !is_allowed || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
