--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -284,7 +284,6 @@
                 ends,
             });
         }
-        self.rounds.is_due = true;
     }
 
     /// Compares the runs that a worker reports with the expected ones: releases runs that never
@@ -346,7 +345,8 @@
                 RunStage::StopAnswered { at } => sent > at + stop_ms,
                 _ => false,
             };
-            if is_certain && !is_listed(task, run.run) {
+            // A run whose end is not listed yet has begun.
+            if is_certain && !reply.has_more_ends && !is_listed(task, run.run) {
                 never_started.push((*task, run.run));
             }
         }
