Carry the messages of the group on a thread and connections of their own

Cause: a commit waited behind the calls of all entries. The followers are idle; the messages of the group shared one network thread with some 1,500 calls a second of entries and policy clients, on both ways of each message. Slow commits made the leader refuse, refused callers came back, and each cost another call on the same thread, so the state outlived the burst.

Ruled out: the disk (own sync 33 ms), the core thread (oldest event 30 to 50 ms, of the group 12 to 20 ms), link-time optimisation (0.33 ms of processor time a started task with it, 0.29 without, beside different load).

Change: a client may ask for priority by the path of its handshake, and the server serves such connections on another runtime. The members call each other with priority. No further port or setting.

--- a/crates/control/src/core_load.rs
+++ b/crates/control/src/core_load.rs
@@ -16,13 +16,16 @@
 /// Time between two log lines of a leader.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The name of the threads that carry the messages of the group and the calls of other processes.
+/// The name of the threads that carry the calls of other processes.
+pub(crate) const CALL_NETWORK_THREAD_NAME: &str = "call network";
+/// The name of the threads that carry the messages of the group.
 pub(crate) const GROUP_NETWORK_THREAD_NAME: &str = "group network";
 
 /// Processor time of the process by thread, in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct ProcessorTime {
     core_ms: u64,
+    call_network_ms: u64,
     group_network_ms: u64,
     network_ms: u64,
     storage_ms: u64,
@@ -36,6 +39,7 @@
         for thread in process_metrics::thread_times() {
             let sum_ms = match &*thread.name {
                 _ if thread.is_main => &mut total.core_ms,
+                CALL_NETWORK_THREAD_NAME => &mut total.call_network_ms,
                 GROUP_NETWORK_THREAD_NAME => &mut total.group_network_ms,
                 "network" => &mut total.network_ms,
                 "storage" => &mut total.storage_ms,
@@ -50,6 +54,7 @@
     fn since(self, earlier: ProcessorTime) -> ProcessorTime {
         ProcessorTime {
             core_ms: self.core_ms.saturating_sub(earlier.core_ms),
+            call_network_ms: self.call_network_ms.saturating_sub(earlier.call_network_ms),
             group_network_ms: self
                 .group_network_ms
                 .saturating_sub(earlier.group_network_ms),
@@ -274,6 +279,7 @@
             longest_scheduling_ms = longest_schedule, proposing_ms = propose,
             repeated_submissions = self.repeated_submissions,
             core_processor_ms = processor.core_ms, storage_processor_ms = processor.storage_ms,
+            call_network_processor_ms = processor.call_network_ms,
             group_network_processor_ms = processor.group_network_ms,
             network_processor_ms = processor.network_ms,
             other_processor_ms = processor.other_ms; "leader load"
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -134,6 +134,7 @@
             let mut config = RpcClientConfig::new(address.clone(), key.clone());
             config.connect_timeout = CONNECT_TIMEOUT;
             config.backoff_max = BACKOFF_MAX;
+            config.has_priority = true;
             let client = RpcClient::new(runtime.clone(), config);
             runtime.spawn(send_messages(client, steps));
             Connection { address, queue }
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -41,6 +41,7 @@
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
 use crate::core::Core;
+use crate::core_load::CALL_NETWORK_THREAD_NAME;
 use crate::core_load::CoreLoad;
 use crate::core_load::GROUP_NETWORK_THREAD_NAME;
 use crate::core_load::LoadMetrics;
@@ -63,8 +64,11 @@
 
 /// Threads of the asynchronous runtime; scheduling decisions run on the core thread.
 const NETWORK_THREADS: usize = 2;
-/// Threads that carry the messages of the group and the calls of other processes. They are apart
-/// from the others, which may have thousands of requests to workers to handle first.
+/// Threads that carry the calls of other processes. They are apart from the others, which may have
+/// thousands of requests to workers to handle first.
+const CALL_NETWORK_THREADS: usize = 1;
+/// Threads that carry the messages of the group. A commit passes them several times, so it must not
+/// wait behind the calls of all entries.
 const GROUP_NETWORK_THREADS: usize = 1;
 /// How long the admin listener waits for a dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
@@ -134,6 +138,8 @@
         })?;
     }
     let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
+    let call_runtime = rpc::named_runtime(CALL_NETWORK_THREAD_NAME, CALL_NETWORK_THREADS)
+        .context("cannot start the network thread for calls")?;
     let group_runtime = rpc::named_runtime(GROUP_NETWORK_THREAD_NAME, GROUP_NETWORK_THREADS)
         .context("cannot start the group's network thread")?;
     let (event_sender, events) = EventSender::new();
@@ -149,7 +155,8 @@
     let mut server_config =
         RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
     server_config.connections_max = descriptors.inner as u32;
-    let server = RpcServer::start(
+    let server = RpcServer::start_with_priority(
+        call_runtime.handle(),
         group_runtime.handle(),
         server_config,
         methods::methods(&event_sender)?,
@@ -209,6 +216,7 @@
         storage.finish();
     }
     group_runtime.shutdown_background();
+    call_runtime.shutdown_background();
     runtime.shutdown_background();
     log::info!("stopped");
     Ok(result?)
--- a/crates/process/src/rpc/client.rs
+++ b/crates/process/src/rpc/client.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Semaphore;
 
 use crate::rpc::MESSAGE_MAX_BYTES;
+use crate::rpc::PRIORITY_PATH;
 use crate::rpc::connection::Connection;
 use crate::rpc::error::RpcError;
 use crate::rpc::error::from_client_error;
@@ -57,6 +58,8 @@
     pub backoff_min: Duration,
     /// Maximum backoff after a failed connection attempt.
     pub backoff_max: Duration,
+    /// Whether the server is asked to serve the connection apart from those without priority.
+    pub has_priority: bool,
 }
 
 impl RpcClientConfig {
@@ -70,6 +73,7 @@
             connect_timeout: Duration::from_millis(500),
             backoff_min: Duration::from_millis(50),
             backoff_max: Duration::from_secs(1),
+            has_priority: false,
         }
     }
 }
@@ -299,7 +303,12 @@
             .ping_interval(PING_INTERVAL)
             .inactive_limit(INACTIVITY_TIMEOUT)
             .max_failures(1);
-        let url = Url::parse(&format!("ws://{}", self.config.address))
+        let path = if self.config.has_priority {
+            PRIORITY_PATH
+        } else {
+            ""
+        };
+        let url = Url::parse(&format!("ws://{}{path}", self.config.address))
             .map_err(|error| RpcError::NotSent(error.to_string()))?;
         let transport = WsTransportClientBuilder {
             connection_timeout: self.config.connect_timeout,
--- a/crates/process/src/rpc/mod.rs
+++ b/crates/process/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 //! header of the WebSocket handshake; if the server has a key, it rejects a connection without the
 //! key before any call.
 
+mod acceptor;
 mod auth;
 mod client;
 mod connection;
@@ -29,6 +30,9 @@
 /// Maximum size of one message; snapshot chunks and full worker lists are smaller.
 pub const MESSAGE_MAX_BYTES: u32 = 8 * 1024 * 1024;
 
+/// The path in the handshake of a client whose connections have priority.
+const PRIORITY_PATH: &str = "/priority";
+
 /// Creates the Tokio runtime for the network code of a process, with the given number of worker
 /// threads. The runtime stops when it is dropped.
 pub fn runtime(threads: usize) -> io::Result<Runtime> {
--- a/crates/process/src/rpc/server.rs
+++ b/crates/process/src/rpc/server.rs
@@ -1,9 +1,11 @@
 //! The RPC server: its methods and its listener.
+//!
+//! Connections that must not wait behind those of many other clients can be served by a runtime of
+//! their own. The path of the handshake tells which ones these are.
 
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::BatchRequestConfig;
@@ -12,25 +14,25 @@
 use jsonrpsee::server::Server;
 use jsonrpsee::server::ServerConfig;
 use jsonrpsee::server::ServerHandle;
+use jsonrpsee::server::stop_channel;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::types::Params;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 use crate::rpc::MESSAGE_MAX_BYTES;
+use crate::rpc::acceptor::Acceptor;
+use crate::rpc::acceptor::Runtimes;
 use crate::rpc::auth::AuthLayer;
 use crate::rpc::client::INACTIVITY_TIMEOUT;
 use crate::rpc::client::PING_INTERVAL;
 use crate::rpc::error::RpcError;
 use crate::shared_key::SharedKey;
 
-/// A connection that has not sent its handshake within this time is closed, so that idle
-/// connections cannot use up the connection limit.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Sends the reply to one call.
 ///
 /// It may be moved to another thread. If a responder that [`RpcMethods::forward`] created is
@@ -180,21 +182,57 @@
         runtime: &Handle,
         config: RpcServerConfig,
         methods: RpcMethods,
+    ) -> Result<RpcServer, RpcServerError> {
+        let runtimes = Runtimes {
+            usual: runtime.clone(),
+            priority: runtime.clone(),
+        };
+        RpcServer::start_on(runtimes, config, methods)
+    }
+
+    /// Like [`RpcServer::start`], but serves the connections of clients with
+    /// [`RpcClientConfig::has_priority`](crate::rpc::RpcClientConfig::has_priority) on a runtime of
+    /// their own, so that they do not wait for a thread that serves many others.
+    pub fn start_with_priority(
+        runtime: &Handle,
+        priority_runtime: &Handle,
+        config: RpcServerConfig,
+        methods: RpcMethods,
+    ) -> Result<RpcServer, RpcServerError> {
+        let runtimes = Runtimes {
+            usual: runtime.clone(),
+            priority: priority_runtime.clone(),
+        };
+        RpcServer::start_on(runtimes, config, methods)
+    }
+
+    fn start_on(
+        runtimes: Runtimes,
+        config: RpcServerConfig,
+        methods: RpcMethods,
     ) -> Result<RpcServer, RpcServerError> {
         let address = config.address;
         let bind_error = |error| RpcServerError::Bind(address, error);
         let auth = AuthLayer {
             key: config.key.clone(),
         };
-        let limits = server_limits(&config);
-        let building = Server::builder()
-            .set_config(limits)
+        let services = Server::builder()
+            .set_config(server_limits(&config))
             .set_http_middleware(tower::ServiceBuilder::new().layer(auth))
-            .build(address);
-        let server = runtime.block_on(building).map_err(bind_error)?;
-        let address = server.local_addr().map_err(bind_error)?;
-        let _entered = runtime.enter();
-        let handle = server.start(methods.0);
+            .to_service_builder()
+            .max_connections(config.connections_max);
+        let binding = TcpListener::bind(address);
+        let listener = runtimes.priority.block_on(binding).map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        let (stop_handle, handle) = stop_channel();
+        let priority_runtime = runtimes.priority.clone();
+        let acceptor = Acceptor {
+            runtimes,
+            services,
+            methods: methods.0.into(),
+            stop_handle,
+        };
+        priority_runtime.spawn(acceptor.run(listener));
         Ok(RpcServer { address, handle })
     }
 
@@ -229,7 +267,6 @@
         .set_batch_request_config(BatchRequestConfig::Disabled)
         .set_message_buffer_capacity(config.calls_per_connection_max)
         .set_tcp_no_delay(true)
-        .set_first_request_timeout(Some(HANDSHAKE_TIMEOUT))
         .enable_ws_ping(ping)
         .build()
 }
