Let followers acknowledge reports of workers that change nothing

Cause: one leader handles every report of every worker. On the large site 1,100 workers report each 1.5 s, some 720 HTTP requests a second, because each reply named the address of the leader.

Change: a reply names the member that it comes from, so workers stay where they have begun. A follower that has heard from its leader within an election timeout acknowledges a report that agrees with its applied state, for 5 s after the leader has answered a relayed one. The leader removes a silent worker 15 s after its last report, so two relays may fail. A changed description, another incarnation, an earlier report, a draining or unknown worker and everything a member without a leader gets go to the leader as before. Reports that other members relay are never answered by a follower, since the relaying member takes the answer for the leader's.

Ruled out: replies without an address, after which a worker may ask another member each time and every member relays; comparing with what the leader has in memory, which a follower doesn't know. A worker that changes to and fro before the follower has applied the first change is told to the leader with its next report.

Tests: crates/control/tests/worker_reports.rs on three members in one process, and workers_report_to_all_control_processes with the real programs. The emulated worker now begins at any control process and follows the address in the reply, as the workers of the platform do.

--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -1,6 +1,7 @@
 //! Accessors for the state of a node.
 
 use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
 
 use crate::entry::GroupId;
 use crate::entry::Index;
@@ -46,6 +47,15 @@
         self.leader
     }
 
+    /// Time in milliseconds since the last message of the leader that this member follows; `None`
+    /// unless it follows one.
+    pub fn leader_contact_ms(&self, now: Millis) -> Option<u64> {
+        if self.role != Role::Follower || self.leader.is_none() {
+            return None;
+        }
+        self.leader_contact.map(|at| now.since(at))
+    }
+
     /// Index of the last entry that this member knows to be committed.
     pub fn commit_index(&self) -> Index {
         self.commit_index
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -44,6 +44,7 @@
 use crate::peers::Peers;
 use crate::pending_calls::PendingCalls;
 use crate::queues::Queues;
+use crate::relayed_reports::RelayedReports;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageRequest;
 use crate::storage_thread::StorageSender;
@@ -96,6 +97,7 @@
     pub(crate) leader_settings: LeaderSettings,
     pub(crate) leadership: Leadership,
     pub(crate) queues: Queues,
+    pub(crate) relayed_reports: RelayedReports,
     /// How long the group has been even, as seen by this member as the leader.
     pub(crate) even_timer: EvenTimer,
     pub(crate) load: CoreLoad,
@@ -141,7 +143,9 @@
         for (event, queued_at) in events {
             self.load.record_event(queued_at, event.kind());
             match event {
-                Event::Queue(_, done) if self.is_outdated(queued_at) => {
+                Event::Queue(_, done) | Event::LocalQueue(_, done)
+                    if self.is_outdated(queued_at) =>
+                {
                     done.send(Err(self.not_leading()));
                 }
                 event => self.handle_event(event)?,
@@ -192,6 +196,8 @@
             Event::Claims(batch, done) => self.handle_claims(now, batch, done),
             Event::WatchConfig(watch, done) => self.handle_watch_config(now, watch, done),
             Event::Queue(call, done) => self.handle_queue_call(now, *call, done),
+            Event::LocalQueue(call, done) => self.handle_local_queue_call(now, *call, done),
+            Event::ReportRelayed(worker) => self.relayed_reports.record(worker, now),
             Event::WorkerReplied(request, result) => {
                 self.handle_worker_reply(now, &request, result)
             }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -5,6 +5,7 @@
 //! too late and stop leading.
 
 use std::io;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -57,6 +58,11 @@
     WatchConfig(WatchConfig, Responder<ConfigReply>),
     /// A call about queues, or the request of a process to join the group.
     Queue(Box<QueueCall>, Responder<QueueReply>),
+    /// A call about queues from the program that this member runs in. A follower answers it itself
+    /// where it can.
+    LocalQueue(Box<QueueCall>, Responder<QueueReply>),
+    /// The leader has answered a report of this worker, which the program has relayed to it.
+    ReportRelayed(Arc<str>),
     /// The reply to a request to a worker, or why there is none.
     WorkerReplied(Box<WorkerRequest>, Result<WorkerReply, WorkerRequestError>),
     /// A request for a dump of this member; the function receives it.
@@ -92,11 +98,12 @@
             | Event::StorageFailed(_)
             | Event::Shutdown => EventKind::Group,
             Event::WorkerReplied(..) => EventKind::WorkerReply,
-            Event::Queue(call, _) => match **call {
+            Event::Queue(call, _) | Event::LocalQueue(call, _) => match **call {
                 QueueCall::Report { .. } | QueueCall::Left { .. } => EventKind::WorkerReport,
                 QueueCall::WaitForQuestion { .. } => EventKind::PolicyPoll,
                 _ => EventKind::Call,
             },
+            Event::ReportRelayed(_) => EventKind::WorkerReport,
             _ => EventKind::Call,
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 mod queue_log;
 mod queue_metrics;
 mod queues;
+mod relayed_reports;
 mod requests;
 mod settings;
 mod snapshots;
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -55,24 +55,23 @@
                     incarnation_log::log_report(scheduler, &record);
                     scheduler.handle_report(&record, report, now)
                 });
-                let reply = self.report_reply();
+                self.queues.metrics.reports.inc();
                 if let Some(command) = command {
-                    return self.queues.add(command, Some((done, reply)));
+                    return self.queues.add(command, Some((done, QueueReply::Reported)));
                 }
-                done.send(Ok(reply));
+                done.send(Ok(QueueReply::Reported));
             }
             QueueCall::Left {
                 worker,
                 incarnation,
             } => {
-                let reply = self.report_reply();
                 let scheduler = self.queues.scheduler.as_ref();
                 let command = scheduler.and_then(|s| s.handle_sign_off(&worker, incarnation));
                 if let Some(command) = command {
-                    return self.queues.add(command, Some((done, reply)));
+                    return self.queues.add(command, Some((done, QueueReply::Reported)));
                 }
                 incarnation_log::log_late_sign_off(&worker, incarnation);
-                done.send(Ok(reply));
+                done.send(Ok(QueueReply::Reported));
             }
             QueueCall::WaitForQuestion { caller, answer } => {
                 if let Some(scheduler) = &mut self.queues.scheduler {
@@ -89,13 +88,6 @@
         }
     }
 
-    fn report_reply(&self) -> QueueReply {
-        let address = self.peers.address(self.node.id(), self.node.membership());
-        QueueReply::Reported {
-            leader_address: address.unwrap_or_default(),
-        }
-    }
-
     fn start_queue_read(&mut self, now: Millis, call: QueueCall, done: Responder<QueueReply>) {
         let token = self
             .calls
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the queues, set by the member that leads.
+//! Metrics of the queues, set by the member that leads unless a metric says otherwise.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -24,6 +24,10 @@
     pub(crate) refused: Counter,
     pub(crate) cancelled: Counter,
     pub(crate) ended: Counter,
+    /// Reports of workers that this member handled as the leader.
+    pub(crate) reports: Counter,
+    /// Reports of workers that this member acknowledged as a follower.
+    pub(crate) acknowledged_reports: Counter,
     /// Seconds from the proposal of a batch of commands to its application.
     pub(crate) commit_seconds: Histogram,
     /// Seconds from the acceptance of a job to its first placement.
@@ -111,6 +115,14 @@
             refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
             cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
             ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
+            reports: counter(
+                "queue_worker_reports",
+                "Reports of workers handled as the leader",
+            ),
+            acknowledged_reports: counter(
+                "queue_worker_reports_acknowledged",
+                "Reports of workers acknowledged as a follower",
+            ),
             commit_seconds: histogram(
                 "queue_commit_seconds",
                 "Time from the proposal of a batch to its application",
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -57,6 +57,7 @@
 use crate::queue_metrics::QueueMetrics;
 use crate::queues::QueueParts;
 use crate::queues::Queues;
+use crate::relayed_reports::RelayedReports;
 use crate::settings::Settings;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageThread;
@@ -109,13 +110,23 @@
 }
 
 impl LocalControl {
-    /// Makes a call about queues. Only a leader answers it; other members return an error.
+    /// Makes a call about queues. Members that do not lead return an error, except for a report of
+    /// a worker that changes nothing: a follower acknowledges it itself.
     pub async fn call(&self, call: QueueCall) -> Result<QueueReply, RpcError> {
         let (done, answer) = Responder::channel();
-        methods::forward_call(&self.event_sender, Event::Queue(Box::new(call), done));
+        methods::forward_call(&self.event_sender, Event::LocalQueue(Box::new(call), done));
         let dropped = |_| Err(RpcError::OutcomeUnknown("the call was dropped".to_owned()));
         answer.await.unwrap_or_else(dropped)
     }
+
+    /// Notes that the leader has answered a report of `worker` that was relayed to it. For some
+    /// time this member acknowledges reports of the worker that change nothing.
+    pub fn report_relayed(&self, worker: Arc<str>) {
+        // If it is lost, the next report is relayed as well.
+        let _ = self
+            .event_sender
+            .try_send_call(Event::ReportRelayed(worker));
+    }
 }
 
 /// Runs the process inside another program until it is asked to stop. `embed` is called before the
@@ -327,6 +338,7 @@
         },
         leadership: Leadership::default(),
         queues,
+        relayed_reports: RelayedReports::default(),
         even_timer: EvenTimer::default(),
         load: CoreLoad::new(load_metrics),
         stop_deadline: None,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test binary uses only a part of this module.
 
+pub mod embedded;
 pub mod relay;
 
 use std::collections::BTreeMap;
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -117,11 +117,7 @@
     /// The document of the current queue table, as the operator wrote it.
     Table(Arc<str>),
     /// The report, or the shutdown, of a worker was recorded.
-    Reported {
-        /// The inner address of the leader. A report that is sent to the process of the leader
-        /// takes effect with the least delay.
-        leader_address: String,
-    },
+    Reported,
     /// The answer to [`QueueCall::WaitForQuestion`].
     Question {
         /// The permit request to pass to the placement policy; `None` if there was none for some
