Give connections to workers two thirds of the descriptors

Cause: 37 % of the descriptors of a control process were set aside for operators and for workers that report, since all workers reported to the leader.

Change: reports are spread over the members, so 20 % (762) are enough when two of three members are left with 1,100 workers, 550 each; connections to workers get 67 % (2,554). Beyond its share a listener accepts the next connection when one closes, as before.

--- a/crates/process/src/descriptors.rs
+++ b/crates/process/src/descriptors.rs
@@ -15,8 +15,11 @@
 const DIVIDED_MIN: u64 = 256;
 /// The shares of the divided descriptors, in percent.
 const INNER_PERCENT: u64 = 13;
-const API_PERCENT: u64 = 37;
-const WORKERS_PERCENT: u64 = 50;
+/// Workers are spread over the members. The two members that are left of three must still take the
+/// reports of all of them.
+const API_PERCENT: u64 = 20;
+/// A poll and a start for each worker at the same time, and some more.
+const WORKERS_PERCENT: u64 = 67;
 
 /// How many descriptors a control process may use for each purpose that grows with the cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
