Give a suspect job turns while its own service is half free

A step whose tasks were suspects of a crash pauses for up to 32 s after turns in which it found no room, unless half of the capacity is free. That capacity was summed over the workers of all services, so a job waited although most of its own service was free, as long as another service was full.

Ruled out: the limit on workers that isolate at the same time; the log of the test gives Isolation with no other step of the queue waiting.

The share that is free is now that of the step's service. It is summed when a suspect step takes its turn, next to the scan that counts isolating workers.

a_suspect_job_starts_soon_while_another_service_is_full failed before (not started 3,005 ms after the service was free) and passes.

--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
 
 use crate::crash::Isolation;
 use crate::crash::LostRuns;
@@ -228,13 +229,14 @@
             return true;
         }
         let is_paused = self.isolation_turns.is_paused(view.key, now);
+        let is_half_free = self.is_half_free(&view.queue.service, now);
         // While half of the capacity is free, a turn is unlikely to be in vain again.
-        if is_paused && !self.rounds.is_half_free {
+        if is_paused && !is_half_free {
             return false;
         }
         // Steps that find no worker leave the last place to others.
         let left = usize::from(is_paused);
-        if !self.may_isolate(view, left, now) {
+        if !self.may_isolate(view, is_half_free, left, now) {
             return false;
         }
         let queue = view.queue_name.clone();
@@ -242,16 +244,30 @@
         true
     }
 
+    /// Whether half of the processor capacity and of the memory of the workers of a service that
+    /// accept tasks is free. Other services may be full at the same time.
+    fn is_half_free(&self, service: &str, now: Millis) -> bool {
+        let mut free = Resources::ZERO;
+        let mut capacity = Resources::ZERO;
+        let workers = self.workers.iter().map(|(_, worker)| worker);
+        let of_service = workers.filter(|worker| *worker.record.service == *service);
+        for worker in of_service.filter(|worker| worker.accepts_tasks(now)) {
+            free = free.saturating_add(&worker.free());
+            capacity = capacity.saturating_add(&worker.record.capacity);
+        }
+        free.millicores * 2 >= capacity.millicores && free.memory_mib * 2 >= capacity.memory_mib
+    }
+
     /// Whether another worker may be used to isolate tasks of the step, so that `left` more are left
     /// to other steps. Workers that the step's own job holds do not count.
-    fn may_isolate(&self, view: &StepView, left: usize, now: Millis) -> bool {
+    fn may_isolate(&self, view: &StepView, is_half_free: bool, left: usize, now: Millis) -> bool {
         let turns = self.isolation_turns.count(&view.queue_name, now);
         let isolating = self.workers.iter().filter(|(_, worker)| {
             worker.isolated_job(now).is_some_and(|exclusive| {
                 exclusive.queue == view.queue_name && exclusive.job != view.key.job
             })
         });
-        let workers_per_isolated = if self.rounds.is_half_free {
+        let workers_per_isolated = if is_half_free {
             WORKERS_PER_ISOLATED_IF_FREE
         } else {
             WORKERS_PER_ISOLATED
--- a/crates/queues/tests/isolation.rs
+++ b/crates/queues/tests/isolation.rs
@@ -180,3 +180,50 @@
     }
     println!("started after {} ms", model.now.since(begin));
 }
+
+/// Guards against pauses between the turns of a suspect job for as long as another service is full:
+/// its own service is free, and the job waited for the end of a pause of up to 32 s.
+#[test]
+fn a_suspect_job_starts_soon_while_another_service_is_full() {
+    const OTHER_SERVICE: &str = "other";
+    const OTHER: JobKey = JobKey(5);
+    for is_gang in [true, false] {
+        let worker = |number| ModelWorker::new(&format!("w{number}"), 64, need, work_ms);
+        let mut workers: Vec<ModelWorker> = (0..=WORKERS).map(worker).collect();
+        for number in 0..2 * WORKERS {
+            let need = |_| Resources::new(60_000, 1_024, 0);
+            let mut other = ModelWorker::new(&format!("x{number}"), 64, need, |_| 100_000);
+            other.record.service = Arc::from(OTHER_SERVICE);
+            workers.push(other);
+        }
+        let mut other = queue("other", 0, 4.0, 3_000);
+        other.service = Arc::from(OTHER_SERVICE);
+        let queues = vec![
+            queue("filler", 0, 4.0, 3_000),
+            with_permits(queue("suspect", 1, 2.2, 1_000), 520.0, 7.4),
+            other,
+        ];
+        let mut model = Model::new(queues, workers, 4);
+        model.run(50);
+        model.workers.get_mut(CRASHED).unwrap().is_unreachable = true;
+        model.run(1_000);
+        let mut full = job(OTHER, 2 * WORKERS, false);
+        full.steps[0].resources = Resources::new(60_000, 1_024, 0);
+        model.submit(OTHER.0, "other", full);
+        model.submit(FILLER.0, "filler", job(FILLER, WORKERS, false));
+        model.run(200);
+        model.submit(SUSPECT.0, "suspect", job(SUSPECT, MEMBERS, is_gang));
+        model.run(2 * COMMIT_MS);
+        crash_under(&mut model, tasks_of(SUSPECT, MEMBERS));
+        while model.has_started(FILLER) {
+            model.run(STEP_MS);
+        }
+        let free = model.now;
+        assert!(model.has_started(OTHER));
+        while !model.has_started(SUSPECT) {
+            let waits_ms = model.now.since(free);
+            assert!(waits_ms <= START_MAX_MS, "not started after {waits_ms} ms");
+            model.run(STEP_MS);
+        }
+    }
+}
