--- a/crates/queues/tests/isolation.rs
+++ b/crates/queues/tests/isolation.rs
@@ -227,3 +227,77 @@
         }
     }
 }
+
+/// Guards against a task that waits for a worker of its own for ever, since each worker runs a task
+/// that lasts.
+#[test]
+fn a_task_that_lost_many_workers_starts_although_each_worker_runs_a_lasting_task() {
+    const LASTING: JobKey = JobKey(6);
+    let need = |_| Resources::new(4_000, 1_024, 0);
+    let work_ms = |task: TaskKey| match task.step.job {
+        LASTING => 6_000_000,
+        _ => 500,
+    };
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, need, work_ms);
+    let workers = (0..4).map(worker).collect();
+    let queues = vec![
+        queue("lasting", 0, 4.0, 3_000),
+        queue("suspect", 1, 2.2, 1_000),
+    ];
+    let mut model = Model::new(queues, workers, 0);
+    model.run(100);
+    let step = |count, is_service| StepSpec {
+        count,
+        resources: Resources::new(4_000, 1_024, 0),
+        estimate_ms: 500,
+        per_worker_max: Some(1),
+        is_service,
+        ..StepSpec::default()
+    };
+    let spec = |step| SubmittedSpec {
+        payload: Arc::from("payload"),
+        steps: vec![step],
+    };
+    model.submit(LASTING.0, "lasting", spec(step(4, true)));
+    model.run(200);
+    for number in 0..4 {
+        let id = format!("lost{number}");
+        let new = ModelWorker::new(&id, 1, need, work_ms);
+        model.propose(QueueCommand::PutWorker(Box::new(new.record)));
+    }
+    let mut blocked = spec(step(1, false));
+    blocked.steps[0].required_label = Some(Arc::from("later"));
+    model.submit(SUSPECT.0, "suspect", blocked);
+    model.run(2 * COMMIT_MS);
+    for number in 0..4 {
+        model.propose(QueueCommand::Crash {
+            worker: Arc::from(format!("lost{number}")),
+            incarnation: FIRST_INCARNATION,
+            checkpoints: Vec::new(),
+            lost: LostRuns {
+                tasks: tasks_of(SUSPECT, 1),
+                suspects: Vec::new(),
+                is_inconclusive: false,
+            },
+        });
+    }
+    model.run(2 * COMMIT_MS);
+    for id in ["w0", "w1", "w2", "w3"] {
+        let worker = model.workers.get_mut(id).unwrap();
+        worker.record.labels.push(Arc::from("later"));
+        worker.record.sequence = 1;
+        let record = worker.record.clone();
+        model.report(&record);
+    }
+    let begin = model.now;
+    while !model.has_started(SUSPECT) {
+        let waits_ms = model.now.since(begin);
+        let waiting = model.scheduler.find_waiting_steps(model.now);
+        assert!(
+            waits_ms <= 30_000,
+            "not started after {waits_ms} ms: {waiting:?}"
+        );
+        model.run(STEP_MS);
+    }
+    println!("started after {} ms", model.now.since(begin));
+}
