--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -9,11 +9,13 @@
 use std::sync::Arc;
 
 use sapphirepost_types::Millis;
+use sapphirepost_types::Resources;
 
 use crate::crash::Isolation;
 use crate::crash::LostRuns;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
+use crate::ids::TaskKey;
 use crate::job::Job;
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
@@ -40,6 +42,9 @@
 const TURN_PAUSE_MIN_MS: u64 = 2_000;
 /// The longest pause.
 const TURN_PAUSE_MAX_MS: u64 = 32_000;
+/// How long a run that lasts until its job is cancelled has a worker for itself. Without a limit,
+/// the worker would be closed to other jobs for ever.
+const LASTING_ALONE_MS: u64 = 10_000;
 
 /// A worker on which only one job may start tasks for some time.
 #[derive(Clone, Debug)]
@@ -134,9 +139,17 @@
     pub fn is_closed_to(&self, job: JobKey, now: Millis) -> bool {
         let reserved = self.exclusive.as_ref();
         reserved.is_some_and(|exclusive| exclusive.job != job && now < exclusive.until)
-            || self.runs.iter().any(|(task, run)| {
-                run.isolation == Isolation::ExclusiveWorker && task.step.job != job
-            })
+            || self
+                .runs
+                .iter()
+                .any(|(task, run)| task.step.job != job && self.is_alone(task, run, now))
+    }
+
+    /// Whether a run has the worker for itself.
+    fn is_alone(&self, task: &TaskKey, run: &RunView, now: Millis) -> bool {
+        let is_settled =
+            self.lasting.contains(task) && now.since(run.confirmed) >= LASTING_ALONE_MS;
+        run.isolation == Isolation::ExclusiveWorker && !is_settled
     }
 
     /// Whether the worker is closed to all jobs but this one.
@@ -159,7 +172,12 @@
                 let is_quiet = now.since(self.last_start) >= exclusive_ms;
                 is_quiet || self.has_exclusive_start(job, now)
             }
-            Isolation::ExclusiveWorker => self.runs.keys().all(|task| task.step.job == job),
+            // A run that lasts never leaves the worker to the job.
+            Isolation::ExclusiveWorker => {
+                let is_allowed =
+                    |task: &TaskKey| task.step.job == job || self.lasting.contains(task);
+                self.runs.keys().all(is_allowed)
+            }
         }
     }
 
@@ -191,6 +209,7 @@
     /// cause. A start that nothing shows to have arrived began no run.
     pub fn lost_runs(&self) -> LostRuns {
         let end = self.loss.earliest_end();
+        let lost_at = end.unwrap_or(self.lease.heard_at());
         let started = self
             .runs
             .iter()
@@ -202,7 +221,7 @@
                 continue;
             }
             lost.tasks.push(*task);
-            if is_recent || run.isolation == Isolation::ExclusiveWorker {
+            if is_recent || self.is_alone(task, run, lost_at) {
                 lost.suspects.push(*task);
                 lost.is_inconclusive |= run.stage == RunStage::Unknown;
             }
@@ -228,13 +247,14 @@
             return true;
         }
         let is_paused = self.isolation_turns.is_paused(view.key, now);
+        let is_half_free = self.is_half_free(&view.queue.service, now);
         // While half of the capacity is free, a turn is unlikely to be in vain again.
-        if is_paused && !self.rounds.is_half_free {
+        if is_paused && !is_half_free {
             return false;
         }
         // Steps that find no worker leave the last place to others.
         let left = usize::from(is_paused);
-        if !self.may_isolate(view, left, now) {
+        if !self.may_isolate(view, is_half_free, left, now) {
             return false;
         }
         let queue = view.queue_name.clone();
@@ -242,16 +262,30 @@
         true
     }
 
+    /// Whether half of the processor capacity and of the memory of the workers of a service that
+    /// accept tasks is free. Other services may be full at the same time.
+    fn is_half_free(&self, service: &str, now: Millis) -> bool {
+        let mut free = Resources::ZERO;
+        let mut capacity = Resources::ZERO;
+        let workers = self.workers.iter().map(|(_, worker)| worker);
+        let of_service = workers.filter(|worker| *worker.record.service == *service);
+        for worker in of_service.filter(|worker| worker.accepts_tasks(now)) {
+            free = free.saturating_add(&worker.free());
+            capacity = capacity.saturating_add(&worker.record.capacity);
+        }
+        free.millicores * 2 >= capacity.millicores && free.memory_mib * 2 >= capacity.memory_mib
+    }
+
     /// Whether another worker may be used to isolate tasks of the step, so that `left` more are left
     /// to other steps. Workers that the step's own job holds do not count.
-    fn may_isolate(&self, view: &StepView, left: usize, now: Millis) -> bool {
+    fn may_isolate(&self, view: &StepView, is_half_free: bool, left: usize, now: Millis) -> bool {
         let turns = self.isolation_turns.count(&view.queue_name, now);
         let isolating = self.workers.iter().filter(|(_, worker)| {
             worker.isolated_job(now).is_some_and(|exclusive| {
                 exclusive.queue == view.queue_name && exclusive.job != view.key.job
             })
         });
-        let workers_per_isolated = if self.rounds.is_half_free {
+        let workers_per_isolated = if is_half_free {
             WORKERS_PER_ISOLATED_IF_FREE
         } else {
             WORKERS_PER_ISOLATED
