--- a/crates/queues/tests/after_a_burst.rs
+++ b/crates/queues/tests/after_a_burst.rs
@@ -3,30 +3,19 @@
 
 mod model;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use sapphirepost_queues::scheduler::PlacementCounts;
 
-use crate::model::Model;
-use crate::model::STEP_MS;
-use crate::model::wide_load;
-use crate::model::wide_load::Kind;
+use crate::model::large;
+use crate::model::large::Callers;
+use crate::model::large::Load;
 use crate::model::wide_load::LARGE_KINDS;
-use crate::model::wide_load::LARGE_SHORT;
-use crate::model::worker::ModelWorker;
 
-const WORKERS: usize = 1_100;
-const CORES_PER_WORKER: u64 = 32;
-const POLICY_CLIENTS: usize = 138;
-/// An event costs as much as this many checks.
-const CHECKS_PER_EVENT: u64 = 40;
 /// The seconds whose placements are the measure.
 const BEFORE: std::ops::Range<usize> = 3..6;
 /// The seconds of the burst.
-const BURST: std::ops::Range<usize> = 6..10;
-/// The load of short jobs during the burst, as a multiple of the usual load.
-const BURST_FACTOR: f64 = 2.0;
+const BURST: std::ops::Range<u64> = 6..10;
 /// The seconds in which the leader has to serve as before.
 const AFTER: std::ops::Range<usize> = 15..21;
 
@@ -48,53 +37,17 @@
     decision_time: Duration,
 }
 
-fn model(check_cost_ns: u64) -> Model {
-    let worker = |number| {
-        let name = format!("w{number}");
-        ModelWorker::new(&name, CORES_PER_WORKER, wide_load::need, wide_load::work_ms)
-    };
-    let queues = LARGE_KINDS.iter().map(Kind::queue).collect();
-    let workers = (0..WORKERS).map(worker).collect();
-    let mut model = Model::new(queues, workers, POLICY_CLIENTS);
-    for kind in LARGE_KINDS {
-        let name = Arc::from(kind.queue);
-        model
-            .allowed_percent_by_queue
-            .insert(name, kind.allowed_percent);
-    }
-    model.run(500);
-    model.leader.check_cost_ns = check_cost_ns;
-    model.leader.event_cost_us = check_cost_ns * CHECKS_PER_EVENT / 1_000;
-    model
-}
-
 /// Runs the usual load, a burst of short jobs, and the usual load again.
 fn run(check_cost_ns: u64) -> Vec<Second> {
-    let mut model = model(check_cost_ns);
-    let share = (WORKERS as u64 * CORES_PER_WORKER) as f64 / wide_load::CORES as f64;
-    let mut due = [0.0; LARGE_KINDS.len()];
-    let mut next = [0; LARGE_KINDS.len()];
+    let mut model = large::slow_model(check_cost_ns);
+    let mut load = Load::new(BURST, Callers::ReturnOnce);
     let mut seconds = Vec::new();
     for second in 0..AFTER.end {
         let starts = model.first_starts.len();
         let checks = model.leader.checks;
         let refused = model.leader.refused;
         let decision_time = model.decision_time;
-        let end = model.now + 1_000;
-        while model.now < end {
-            for (position, kind) in LARGE_KINDS.iter().enumerate() {
-                let is_burst = kind.queue == LARGE_SHORT.queue && BURST.contains(&second);
-                let factor = if is_burst { BURST_FACTOR } else { 1.0 };
-                due[position] += kind.per_1000_s as f64 * share * factor * STEP_MS as f64 / 1e6;
-                while due[position] >= 1.0 {
-                    due[position] -= 1.0;
-                    let number = next[position];
-                    next[position] += 1;
-                    model.offer(kind.key(number), kind.queue, kind.spec(number));
-                }
-            }
-            model.run(STEP_MS);
-        }
+        load.run_second(&mut model);
         let waiting = LARGE_KINDS
             .iter()
             .map(|kind| model.scheduler.waiting_jobs(kind.queue));
--- a/crates/queues/tests/burst_admission.rs
+++ b/crates/queues/tests/burst_admission.rs
@@ -2,29 +2,16 @@
 
 mod model;
 
-use std::sync::Arc;
-
-use sapphirepost_queues::JobKey;
-use sapphirepost_queues::JobPhase;
 use sapphirepost_types::Millis;
 
 use crate::model::Model;
-use crate::model::STEP_MS;
-use crate::model::wide_load;
-use crate::model::wide_load::Kind;
+use crate::model::large;
+use crate::model::large::Callers;
+use crate::model::large::Load;
 use crate::model::wide_load::LARGE_KINDS;
-use crate::model::wide_load::LARGE_SHORT;
-use crate::model::worker::ModelWorker;
 
-const WORKERS: usize = 1_100;
-const CORES_PER_WORKER: u64 = 32;
-const POLICY_CLIENTS: usize = 138;
-/// An event costs as much as this many checks.
-const CHECKS_PER_EVENT: u64 = 40;
 /// The seconds of the burst.
 const BURST: std::ops::Range<u64> = 3..7;
-/// The load of short jobs during the burst, as a multiple of the usual load.
-const BURST_FACTOR: f64 = 2.0;
 /// Within this time after the burst the leader has to serve short jobs in time again.
 const RECOVERY_S: usize = 4;
 /// This share of the short jobs that are accepted after the recovery ends within the objective.
@@ -38,8 +25,6 @@
 const LOAD_S: usize = 19;
 /// Time after the load in which the accepted jobs end.
 const REST_MS: u64 = 4_000;
-/// A late job is useful up to this multiple of its objective.
-const USEFUL_FACTOR: u64 = 3;
 
 /// What became of the jobs of one kind that were accepted in the same second.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,48 +44,11 @@
     refused: u64,
 }
 
-fn model(check_cost_ns: u64) -> Model {
-    let worker = |number| {
-        let name = format!("w{number}");
-        ModelWorker::new(&name, CORES_PER_WORKER, wide_load::need, wide_load::work_ms)
-    };
-    let queues = LARGE_KINDS.iter().map(Kind::queue).collect();
-    let workers = (0..WORKERS).map(worker).collect();
-    let mut model = Model::new(queues, workers, POLICY_CLIENTS);
-    for kind in LARGE_KINDS {
-        let name = Arc::from(kind.queue);
-        model
-            .allowed_percent_by_queue
-            .insert(name, kind.allowed_percent);
-    }
-    model.run(500);
-    model.leader.check_cost_ns = check_cost_ns;
-    model.leader.event_cost_us = check_cost_ns * CHECKS_PER_EVENT / 1_000;
-    model
-}
-
 /// Runs the usual load, a burst of short jobs, and the usual load again.
 fn run(check_cost_ns: u64) -> Outcome {
-    let mut model = model(check_cost_ns);
-    let share = (WORKERS as u64 * CORES_PER_WORKER) as f64 / wide_load::CORES as f64;
-    let mut due = [0.0; LARGE_KINDS.len()];
-    let mut next = [0; LARGE_KINDS.len()];
+    let mut model = large::slow_model(check_cost_ns);
     let begin = model.now;
-    while model.now.since(begin) < LOAD_S as u64 * 1_000 {
-        let second = model.now.since(begin) / 1_000;
-        for (position, kind) in LARGE_KINDS.iter().enumerate() {
-            let is_burst = kind.queue == LARGE_SHORT.queue && BURST.contains(&second);
-            let factor = if is_burst { BURST_FACTOR } else { 1.0 };
-            due[position] += kind.per_1000_s as f64 * share * factor * STEP_MS as f64 / 1e6;
-            while due[position] >= 1.0 {
-                due[position] -= 1.0;
-                let number = next[position];
-                next[position] += 1;
-                model.offer(kind.key(number), kind.queue, kind.spec(number));
-            }
-        }
-        model.run(STEP_MS);
-    }
+    Load::new(BURST, Callers::ReturnOnce).run(&mut model, LOAD_S as u64);
     model.run(REST_MS);
     outcome(&model, begin, check_cost_ns)
 }
@@ -122,24 +70,22 @@
         refused: model.leader.refused,
     };
     let second = |at: Millis| (at.since(begin) / 1_000) as usize;
-    let position = |queue: &str| LARGE_KINDS.iter().position(|kind| kind.queue == queue);
     for (key, job) in &model.jobs {
-        let position = position(&job.queue).unwrap();
+        let position = large::position(&job.queue);
         let Some(seen) = outcome.kinds[position].get_mut(second(job.at)) else {
             continue;
         };
         seen.accepted += 1;
-        let ended = job.ended.filter(|(_, phase)| *phase == JobPhase::Completed);
-        let Some((ended, _)) = ended else { continue };
+        let completion = large::completion_ms(model, *key, job.at);
+        let Some((took_ms, objective_ms)) = completion else {
+            continue;
+        };
         seen.ended += 1;
-        let spec = LARGE_KINDS[position].spec(key.0 & 0xff_ffff_ffff);
-        let objective_ms = LARGE_KINDS[position].objective_ms(JobKey(key.0), &spec);
-        let took_ms = ended.since(job.at);
         seen.in_time += usize::from(took_ms <= objective_ms);
-        seen.useful += usize::from(took_ms <= USEFUL_FACTOR * objective_ms);
+        seen.useful += usize::from(took_ms <= large::USEFUL_FACTOR * objective_ms);
     }
     for (step, at) in &model.first_starts {
-        let position = position(&model.jobs[&step.job].queue).unwrap();
+        let position = large::position(&model.jobs[&step.job].queue);
         if let Some(seen) = outcome.kinds[position].get_mut(second(*at)) {
             seen.starts += 1;
         }
--- a/crates/queues/tests/model/leader.rs
+++ b/crates/queues/tests/model/leader.rs
@@ -3,6 +3,7 @@
 //! Each check of the scheduler, each event and each action costs time. While the leader is busy,
 //! events that become due wait, and no tick happens. By default the work costs nothing.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -26,6 +27,18 @@
     pub spec: SubmittedSpec,
     /// Whether it was refused before.
     pub is_retry: bool,
+    /// How long after the first offer the caller may return; `None` for a caller that returns once.
+    pub useful_ms: Option<u64>,
+}
+
+/// How a job was offered to the leader.
+pub struct Offer {
+    pub queue: Arc<str>,
+    /// When the caller sent it for the first time.
+    pub first_at: Millis,
+    /// When the caller sent it for the last time.
+    pub last_at: Millis,
+    pub refusals: usize,
 }
 
 /// What the leader's work costs, and how far it is behind.
@@ -41,10 +54,14 @@
     pub oldest_event_ms: u64,
     /// The number of refused submissions, also those of jobs that come back.
     pub refused: u64,
-    /// The number of jobs that were refused twice.
+    /// The number of jobs whose callers were refused and do not return.
     pub refused_for_good: u64,
+    /// All offered jobs.
+    pub offers: BTreeMap<JobKey, Offer>,
     /// The checks of the scheduler.
     pub checks: u64,
+    /// The time that all work of the leader has taken.
+    pub work_ns: u64,
     busy_until_ns: u64,
     /// The end of the last break.
     busy_since_ns: u64,
@@ -66,8 +83,9 @@
     /// Records work that the leader has just done.
     pub fn spend(&mut self, checks: u64, events: usize) {
         self.checks += checks;
-        self.busy_until_ns += checks * self.check_cost_ns;
-        self.busy_until_ns += events as u64 * self.event_cost_us * 1_000;
+        let took_ns = checks * self.check_cost_ns + events as u64 * self.event_cost_us * 1_000;
+        self.work_ns += took_ns;
+        self.busy_until_ns += took_ns;
         let busy_ns = self.busy_until_ns.saturating_sub(self.busy_since_ns);
         self.longest_busy_ms = self.longest_busy_ms.max(busy_ns / 1_000_000);
     }
@@ -90,12 +108,36 @@
 impl Model {
     /// Sends a job to the leader, which accepts or refuses it. A refused job comes back once.
     pub fn offer(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
+        self.send_first(key, queue, spec, None);
+    }
+
+    /// The same, and a refused job comes back if this is less than `useful_ms` after the first
+    /// offer.
+    pub fn offer_while_useful(
+        &mut self,
+        key: u64,
+        queue: &str,
+        spec: SubmittedSpec,
+        useful_ms: u64,
+    ) {
+        self.send_first(key, queue, spec, Some(useful_ms));
+    }
+
+    fn send_first(&mut self, key: u64, queue: &str, spec: SubmittedSpec, useful_ms: Option<u64>) {
         let submission = Submission {
             key,
             queue: Arc::from(queue),
             spec,
             is_retry: false,
+            useful_ms,
         };
+        let offer = Offer {
+            queue: submission.queue.clone(),
+            first_at: self.now,
+            last_at: self.now,
+            refusals: 0,
+        };
+        self.leader.offers.insert(JobKey(key), offer);
         self.schedule(NET_MS, Event::Submitted(submission));
     }
 
@@ -111,10 +153,18 @@
             return self.submit(submission.key, &submission.queue, submission.spec);
         };
         self.leader.refused += 1;
-        if submission.is_retry {
+        let offer = self.leader.offers.get_mut(&key).unwrap();
+        offer.refusals += 1;
+        let returns_at = self.now + retry_after_ms;
+        let returns = match submission.useful_ms {
+            Some(useful_ms) => returns_at.since(offer.first_at) < useful_ms,
+            None => !submission.is_retry,
+        };
+        if !returns {
             self.leader.refused_for_good += 1;
             return;
         }
+        offer.last_at = returns_at;
         let retry = Submission {
             is_retry: true,
             ..submission
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)] // Each test binary uses a part of it.
 
 pub mod crash;
+pub mod large;
 pub mod leader;
 pub mod load;
 pub mod restart;
--- a/crates/queues/tests/round_cost.rs
+++ b/crates/queues/tests/round_cost.rs
@@ -3,7 +3,6 @@
 
 mod model;
 
-use std::sync::Arc;
 use std::thread;
 
 use sapphirepost_queues::JobKey;
@@ -11,14 +10,9 @@
 
 use crate::model::Model;
 use crate::model::STEP_MS;
-use crate::model::wide_load;
-use crate::model::wide_load::Kind;
+use crate::model::large;
 use crate::model::wide_load::LARGE_KINDS;
-use crate::model::worker::ModelWorker;
 
-const WORKERS: usize = 1_100;
-const CORES_PER_WORKER: u64 = 32;
-const POLICY_CLIENTS: usize = 138;
 /// Until then the cluster is full, and the first permits have been answered.
 const WARM_UP_MS: u64 = 2_500;
 const MEASURED_MS: u64 = 1_000;
@@ -52,19 +46,7 @@
 
 impl Backlog {
     fn new(steps: usize) -> Backlog {
-        let worker = |number| {
-            let name = format!("w{number}");
-            ModelWorker::new(&name, CORES_PER_WORKER, wide_load::need, wide_load::work_ms)
-        };
-        let queues = LARGE_KINDS.iter().map(Kind::queue).collect();
-        let workers = (0..WORKERS).map(worker).collect();
-        let mut model = Model::new(queues, workers, POLICY_CLIENTS);
-        for kind in LARGE_KINDS {
-            let name = Arc::from(kind.queue);
-            model
-                .allowed_percent_by_queue
-                .insert(name, kind.allowed_percent);
-        }
+        let mut model = large::model();
         model.run(100);
         Backlog {
             model,
@@ -101,8 +83,7 @@
     fn admit_usual_load(&self, step: u64) {
         let table = self.model.state.table().unwrap();
         for kind in LARGE_KINDS {
-            let share = (WORKERS as u64 * CORES_PER_WORKER) as f64 / wide_load::CORES as f64;
-            let per_step = kind.per_1000_s as f64 * share * STEP_MS as f64 / 1e6;
+            let per_step = large::jobs_per_step(&kind);
             let jobs = (per_step * (step + 1) as f64) as u64 - (per_step * step as f64) as u64;
             let queue = table.queue(kind.queue).unwrap();
             for number in 0..jobs {
--- a/crates/queues/tests/slow_leader.rs
+++ b/crates/queues/tests/slow_leader.rs
@@ -3,24 +3,16 @@
 
 mod model;
 
-use std::sync::Arc;
 use std::sync::OnceLock;
 
-use crate::model::Model;
-use crate::model::STEP_MS;
-use crate::model::wide_load;
-use crate::model::wide_load::Kind;
+use crate::model::large;
+use crate::model::large::Callers;
+use crate::model::large::Load;
 use crate::model::wide_load::LARGE_KINDS;
 use crate::model::wide_load::LARGE_SHORT;
-use crate::model::worker::ModelWorker;
 
-const WORKERS: usize = 1_100;
-const CORES_PER_WORKER: u64 = 32;
-const POLICY_CLIENTS: usize = 138;
 /// The seconds of the burst.
 const BURST: std::ops::Range<u64> = 3..7;
-/// The load of short jobs during the burst, as a multiple of the usual load.
-const BURST_FACTOR: f64 = 2.0;
 /// Within this time after the burst the leader has to serve short jobs again.
 const RECOVERY_S: u64 = 5;
 const END_S: u64 = BURST.end + 10;
@@ -30,8 +22,6 @@
 /// A leader that refuses what it cannot serve starts this share of the short jobs that it accepts
 /// after the recovery; the last ones may still wait.
 const STARTED_PERCENT: usize = 90;
-/// An event costs as much as this many checks.
-const CHECKS_PER_EVENT: u64 = 40;
 
 /// What became of the load under one leader.
 #[derive(Clone, Copy, Debug)]
@@ -50,48 +40,11 @@
     waiting: u64,
 }
 
-fn model(check_cost_ns: u64) -> Model {
-    let worker = |number| {
-        let name = format!("w{number}");
-        ModelWorker::new(&name, CORES_PER_WORKER, wide_load::need, wide_load::work_ms)
-    };
-    let queues = LARGE_KINDS.iter().map(Kind::queue).collect();
-    let workers = (0..WORKERS).map(worker).collect();
-    let mut model = Model::new(queues, workers, POLICY_CLIENTS);
-    for kind in LARGE_KINDS {
-        let name = Arc::from(kind.queue);
-        model
-            .allowed_percent_by_queue
-            .insert(name, kind.allowed_percent);
-    }
-    model.run(500);
-    model.leader.check_cost_ns = check_cost_ns;
-    model.leader.event_cost_us = check_cost_ns * CHECKS_PER_EVENT / 1_000;
-    model
-}
-
 /// Runs the usual load, a burst of short jobs, and the usual load again.
 fn run(check_cost_ns: u64) -> Outcome {
-    let mut model = model(check_cost_ns);
-    let share = (WORKERS as u64 * CORES_PER_WORKER) as f64 / wide_load::CORES as f64;
-    let mut due = [0.0; LARGE_KINDS.len()];
-    let mut next = [0; LARGE_KINDS.len()];
+    let mut model = large::slow_model(check_cost_ns);
     let begin = model.now;
-    while model.now.since(begin) < END_S * 1_000 {
-        let second = model.now.since(begin) / 1_000;
-        for (position, kind) in LARGE_KINDS.iter().enumerate() {
-            let is_burst = kind.queue == LARGE_SHORT.queue && BURST.contains(&second);
-            let factor = if is_burst { BURST_FACTOR } else { 1.0 };
-            due[position] += kind.per_1000_s as f64 * share * factor * STEP_MS as f64 / 1e6;
-            while due[position] >= 1.0 {
-                due[position] -= 1.0;
-                let number = next[position];
-                next[position] += 1;
-                model.offer(kind.key(number), kind.queue, kind.spec(number));
-            }
-        }
-        model.run(STEP_MS);
-    }
+    Load::new(BURST, Callers::ReturnOnce).run(&mut model, END_S);
     let recovered = begin + (BURST.end + RECOVERY_S) * 1_000;
     let is_short = |queue: &str| queue == LARGE_SHORT.queue;
     let starts = model.first_starts.iter();
