--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -395,12 +395,13 @@
         if self.job_steps.contains_key(&key) {
             return None;
         }
-        if let Some(retry_ms) = self.overload.retry_after_ms(now) {
-            return Some(Admission::of_overloaded_leader(retry_ms));
-        }
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
         let critical_path_ms = spec.critical_path_ms(&durations_ms);
         let deadline_ms = queue.deadline_ms(critical_path_ms);
+        let useful_ms = USEFUL_FACTOR * deadline_ms;
+        if let Some(retry_ms) = self.overload.retry_after_ms(key, useful_ms, now) {
+            return Some(Admission::of_overloaded_leader(retry_ms));
+        }
         let job_millicores = spec.core_ms() * 1_000 / critical_path_ms.max(1);
         let (ahead_core_ms, backlog_core_ms) = self.preceding_core_ms(queue);
         Some(Admission {
@@ -409,7 +410,7 @@
             backlog_core_ms,
             capacity_millicores: self.serving_millicores(queue, job_millicores, now),
             deadline_ms,
-            useful_ms: USEFUL_FACTOR * deadline_ms,
+            useful_ms,
             critical_path_ms,
         })
     }
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -1,72 +1,94 @@
-//! Whether this leader is too slow for the work that arrives.
+//! How large a share of the new jobs this leader admits.
 //!
 //! A leader that lacks processor time commits later and later, while the callers of what it commits
-//! have already left. From the commit times it can tell that it falls behind, and refuses new jobs
-//! at once, so that the jobs that it has accepted get the processor.
+//! have already left. The share of admitted jobs falls step by step while commits or placements are
+//! slow, and rises slowly while they are not, so that what is admitted is served in time. Refusing
+//! all jobs until a commit is fast again would let all callers return at once.
+//!
+//! All queues have the same share. Whether a job is admitted follows from its key and the share, so
+//! a caller that returns too early gets the same answer, and callers return in the order in which
+//! the rising share reaches them.
 
 use sapphirepost_types::Millis;
 
-/// A commit that takes longer than this is slow. A job with a short deadline has lost most of its
-/// time by then.
-const SLOW_COMMIT_MS: u64 = 150;
-/// Slow commits without a faster one over this time show that the leader falls behind. A single one
-/// shows nothing: a disk or another member may have paused.
-const SLOW_SINCE_MS: u64 = 200;
-/// The last commits show nothing any more after this long. While all new jobs are refused, there may
-/// be nothing left to commit.
+use crate::ids::JobKey;
+
+/// The delay of commits or placements above which the share falls. A job waits for three commits,
+/// and a short one has little more time than its tasks take.
+const DELAY_MAX_MS: u64 = 60;
+/// The share is reconsidered at this interval, by the shortest commit in it. A longer one shows
+/// nothing: a disk or another member may have paused.
+const WINDOW_MS: u64 = 100;
+/// The number of slow intervals in a row after which the share falls.
+const SLOW_WINDOWS: u32 = 2;
+/// After the share has fallen, it falls again only after this time, when commits can show the
+/// effect.
+const FALL_INTERVAL_MS: u64 = 300;
+/// The smallest part of the share that is left when it falls.
+const FALL_MIN_PERCENT: u64 = 60;
+/// How much the share rises in an interval without a delay, in thousandths of all jobs.
+const RISE_PERMILLE: u64 = 6;
+/// The smallest share, in thousandths of all jobs. Slow commits may have a cause other than load, and
+/// then refusals do not help.
+const SHARE_MIN_PERMILLE: u64 = 100;
+const ALL_PERMILLE: u64 = 1_000;
+/// All jobs are admitted after this time without a commit, since nothing shows a delay any more.
 const VALID_MS: u64 = 500;
+/// No job is admitted while a commit has been in progress for this long.
+const STUCK_MS: u64 = 500;
+
 /// The shortest time after which a refused caller may retry.
-const RETRY_MIN_MS: u64 = 1_000;
-/// How many times as long as its commits take a leader needs to catch up.
-const RETRY_FACTOR: u64 = 4;
-/// The longest time after which a refused caller may retry.
-const RETRY_MAX_MS: u64 = 5_000;
+const RETRY_MIN_MS: u64 = 2_000;
+/// The time after which a refused caller may retry while the share does not rise.
+const RETRY_FALLING_MS: u64 = 5_000;
+/// The time until the share is expected to reach a job is multiplied by this, since the share may
+/// fall once more meanwhile.
+const RISE_SLACK: u64 = 2;
+/// A refused job that stays useful for long may retry after this part of that time, so that it does
+/// not cost the leader a call again and again.
+const USEFUL_PER_RETRY: u64 = 2;
 
-/// Slow commits without a faster one between them.
+/// The share of new jobs that a leader admits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct SlowCommits {
-    /// When the first one ended.
-    since: Millis,
-    /// When the last one ended.
-    last: Millis,
-    /// How long the last one took.
-    took_ms: u64,
-}
-
-impl SlowCommits {
-    /// Whether they show at `now` that the leader falls behind.
-    fn are_evidence(&self, now: Millis) -> bool {
-        self.last.since(self.since) >= SLOW_SINCE_MS && self.is_recent(now)
-    }
-
-    fn is_recent(&self, now: Millis) -> bool {
-        now.since(self.last) < VALID_MS
-    }
-}
-
-/// The commit times of a leader in its term.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Overload {
-    /// The slow commits in a row up to the last commit.
-    slow: Option<SlowCommits>,
+    share_permille: u64,
+    /// The begin of the present interval.
+    window_began: Millis,
+    /// The shortest commit that ended in it.
+    shortest_commit_ms: Option<u64>,
+    /// When a commit last ended.
+    committed_at: Option<Millis>,
     /// The age of the oldest commit in progress.
     in_progress_ms: u64,
+    /// For how long the last placement round left steps out.
+    left_out_ms: u64,
+    /// The number of slow intervals in a row.
+    slow_windows: u32,
+    fallen_at: Option<Millis>,
+}
+
+impl Default for Overload {
+    fn default() -> Overload {
+        Overload {
+            share_permille: ALL_PERMILLE,
+            window_began: Millis::ZERO,
+            shortest_commit_ms: None,
+            committed_at: None,
+            in_progress_ms: 0,
+            left_out_ms: 0,
+            slow_windows: 0,
+            fallen_at: None,
+        }
+    }
 }
 
 impl Overload {
     /// Records a commit that ended now and took `took_ms`.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
-        self.slow = if took_ms < SLOW_COMMIT_MS {
-            None
-        } else {
-            let recent = self.slow.filter(|slow| slow.is_recent(now));
-            let since = recent.map_or(now, |slow| slow.since);
-            Some(SlowCommits {
-                since,
-                last: now,
-                took_ms,
-            })
-        };
+        self.advance(now);
+        let shortest_ms = self.shortest_commit_ms.unwrap_or(took_ms);
+        self.shortest_commit_ms = Some(shortest_ms.min(took_ms));
+        self.committed_at = Some(now);
     }
 
     /// Records the age of the oldest commit in progress.
@@ -74,15 +96,88 @@
         self.in_progress_ms = age_ms;
     }
 
-    /// The time after which a new job may be submitted again; `None` while the leader keeps up.
-    pub fn retry_after_ms(&self, now: Millis) -> Option<u64> {
-        let slow = self.slow.filter(|slow| slow.are_evidence(now));
-        let is_stuck = self.in_progress_ms >= SLOW_COMMIT_MS + SLOW_SINCE_MS;
-        if slow.is_none() && !is_stuck {
+    /// Records for how long the steps that a placement round has left out have been left out.
+    pub fn record_left_out(&mut self, left_out_ms: u64) {
+        self.left_out_ms = left_out_ms;
+    }
+
+    /// The share of new jobs that is admitted, in thousandths.
+    pub fn share_permille(&self) -> u64 {
+        self.share_permille
+    }
+
+    /// The time after which a new job that stays useful for `useful_ms` may be submitted again;
+    /// `None` if it is admitted.
+    pub fn retry_after_ms(&self, job: JobKey, useful_ms: u64, now: Millis) -> Option<u64> {
+        let mut level = *self;
+        level.advance(now);
+        if level.in_progress_ms >= STUCK_MS {
+            return Some(
+                RETRY_MIN_MS
+                    .max(2 * level.in_progress_ms)
+                    .min(RETRY_FALLING_MS),
+            );
+        }
+        let rank = rank_permille(job);
+        if rank < level.share_permille {
             return None;
         }
-        let took_ms = slow.map_or(0, |slow| slow.took_ms);
-        let took_ms = took_ms.max(self.in_progress_ms);
-        Some((RETRY_FACTOR * took_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS))
+        let is_falling = level
+            .fallen_at
+            .is_some_and(|at| now.since(at) < RETRY_FALLING_MS);
+        let rises = (rank - level.share_permille) / RISE_PERMILLE + 1;
+        let retry_ms = if is_falling {
+            RETRY_FALLING_MS
+        } else {
+            RETRY_MIN_MS.max(RISE_SLACK * rises * WINDOW_MS)
+        };
+        Some(retry_ms.max(useful_ms / USEFUL_PER_RETRY))
+    }
+
+    /// Reconsiders the share for each interval that has ended.
+    fn advance(&mut self, now: Millis) {
+        let is_idle = self.committed_at.is_none_or(|at| now.since(at) >= VALID_MS);
+        if is_idle && self.in_progress_ms < DELAY_MAX_MS {
+            self.share_permille = ALL_PERMILLE;
+            self.slow_windows = 0;
+            self.fallen_at = None;
+            self.window_began = now;
+            self.shortest_commit_ms = None;
+            return;
+        }
+        while now.since(self.window_began) >= WINDOW_MS {
+            self.window_began = self.window_began + WINDOW_MS;
+            self.end_window();
+        }
+    }
+
+    fn end_window(&mut self) {
+        let commit_ms = self.shortest_commit_ms.take();
+        let delay_ms = commit_ms
+            .unwrap_or(self.in_progress_ms)
+            .max(self.left_out_ms);
+        if delay_ms <= DELAY_MAX_MS {
+            self.slow_windows = 0;
+            self.share_permille = ALL_PERMILLE.min(self.share_permille + RISE_PERMILLE);
+            return;
+        }
+        self.slow_windows += 1;
+        let now = self.window_began;
+        let has_effect = self
+            .fallen_at
+            .is_none_or(|at| now.since(at) >= FALL_INTERVAL_MS);
+        if self.slow_windows >= SLOW_WINDOWS && has_effect {
+            let left_percent = (100 * DELAY_MAX_MS / delay_ms).max(FALL_MIN_PERCENT);
+            let share = self.share_permille * left_percent / 100;
+            self.share_permille = share.max(SHARE_MIN_PERMILLE);
+            self.fallen_at = Some(now);
+        }
     }
 }
+
+/// The rank of a job among all jobs, in thousandths. It is spread evenly, whatever keys the callers
+/// choose.
+fn rank_permille(job: JobKey) -> u64 {
+    let mixed = (job.0 ^ (job.0 >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed >> 32) % ALL_PERMILLE
+}
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -208,6 +208,8 @@
     checks_end: u64,
     /// The checks that gangs took.
     gang_checks: u64,
+    /// The longest time for which a step that the round left out has been left out.
+    left_out_ms: u64,
 }
 
 impl Scheduler {
@@ -255,11 +257,13 @@
             reservation_tries: 0,
             checks_end: self.checks.get() + CHECKS_PER_ROUND_MAX,
             gang_checks: 0,
+            left_out_ms: 0,
         };
         for (_, rank) in order {
             self.place_step(state, rank.key, &mut round, now);
         }
         self.rounds.reservations = round.reservations;
+        self.overload.record_left_out(round.left_out_ms);
         if has_gangs {
             self.rounds.pause_gangs(round.gang_checks, now);
         }
@@ -278,7 +282,8 @@
         if self.checks.get() >= round.checks_end && !round.owners.contains(&key) {
             self.tally.counts.left_out += 1;
             if let Some(view) = self.steps.get_mut(&key) {
-                view.left_out_at.get_or_insert(now);
+                let since = *view.left_out_at.get_or_insert(now);
+                round.left_out_ms = round.left_out_ms.max(now.since(since));
             }
             return;
         }
