Look up permits and answered workers by index

Cause: an answer of the policy was compared with each worker of its request, by the text of their IDs (workers times permits). The permits of a step were in a B-tree that is searched once or twice for each worker that a try looks at. A gang that cannot be placed collected and sorted its candidates twice.

Ruled out: a table of permits by worker for each step. It would have one entry for each worker of the cluster, and a step is asked about some hundred at most.

Change: the IDs of an answer are looked up in the index of workers once. Permits are a vector in the order of the workers' indexes. Candidates of a gang are sorted once, in the order that serves both choices.

Run on this commit: after_a_burst, gang_permits, quarantine, random_faults, refusals: all pass.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -77,12 +77,14 @@
             self.end_try(begin, TryResult::Withheld);
             return false;
         }
-        let candidates = if tries.may_fit {
+        let mut candidates = if tries.may_fit {
             self.candidates(view, reservations, isolation, now)
         } else {
             Vec::new()
         };
-        let granted = self.choose_workers(view, &candidates, &[Permission::Granted], members);
+        sort_for_members(&mut candidates);
+        let is_granted = |c: &&Candidate| c.permission == Permission::Granted;
+        let granted = self.choose_workers(view, candidates.iter().filter(is_granted), members);
         if let (Some(job), Some(chosen)) = (job, &granted) {
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
             let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
@@ -95,8 +97,9 @@
             self.end_try(begin, TryResult::Placed);
             return false;
         }
-        let allowed = [Permission::Granted, Permission::Expired];
-        let chosen = self.choose_workers(view, &candidates, &allowed, members);
+        let is_allowed =
+            |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
+        let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
         let has_room = chosen.is_some();
         match chosen {
             Some(chosen) => self.renew_permits(view, chosen, now),
@@ -117,36 +120,21 @@
         has_reservation
     }
 
-    /// One worker for each member of a gang; a worker may appear several times.
-    fn choose_workers(
+    /// One worker for each member of a gang, from candidates in the order of preference; a worker
+    /// may appear several times.
+    fn choose_workers<'a>(
         &self,
         view: &StepView,
-        candidates: &[Candidate],
-        permissions: &[Permission],
+        usable: impl Iterator<Item = &'a Candidate> + Clone,
         members: usize,
     ) -> Option<Vec<WorkerIndex>> {
-        let mut usable: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|c| permissions.contains(&c.permission))
-            .collect();
-        let is_granted = |c: &Candidate| c.permission == Permission::Granted;
-        usable.sort_unstable_by_key(|c| {
-            (
-                c.is_avoided,
-                !c.allows_isolation,
-                !c.is_held,
-                !is_granted(c),
-                c.slowdown_percent / 50,
-                c.left_millicores,
-                c.index,
-            )
-        });
-        if view.spec().is_single_rack
-            && let Some(chosen) = self.choose_rack(&usable, members)
-        {
-            return Some(chosen);
+        if view.spec().is_single_rack {
+            let usable: Vec<&Candidate> = usable.clone().collect();
+            if let Some(chosen) = self.choose_rack(&usable, members) {
+                return Some(chosen);
+            }
         }
-        assign_members(usable.into_iter(), members)
+        assign_members(usable, members)
     }
 
     /// Workers with a common label for all members of a gang, to place it on one rack.
@@ -238,6 +226,21 @@
     }
 }
 
+/// Sorts the candidates of a gang in the order of preference.
+fn sort_for_members(candidates: &mut [Candidate]) {
+    candidates.sort_unstable_by_key(|c| {
+        (
+            c.is_avoided,
+            !c.allows_isolation,
+            !c.is_held,
+            c.permission != Permission::Granted,
+            c.slowdown_percent / 50,
+            c.left_millicores,
+            c.index,
+        )
+    });
+}
+
 /// Assigns a worker to each member, in the order of the candidates.
 fn assign_members<'a>(
     candidates: impl Iterator<Item = &'a Candidate>,
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -236,18 +236,24 @@
         view.permits.answered();
         // An answer that took longer may have been delayed after the policy issued the permits.
         let issued = now.min(outstanding.dispatched_at + outstanding.expected_ms);
+        let known = allowed
+            .iter()
+            .filter_map(|(id, token)| Some((self.workers.index(id)?, token)));
+        let mut known: Vec<(WorkerIndex, &Arc<str>)> = known.collect();
+        known.sort_by_key(|(index, _)| *index);
+        known.dedup_by_key(|(index, _)| *index);
         for index in outstanding.workers {
-            let Some(worker) = self.workers.get(index) else {
+            if self.workers.get(index).is_none() {
                 continue;
-            };
-            let found = allowed.iter().find(|(id, _)| *id == worker.record.id);
-            match found {
-                Some((_, token)) => {
-                    let is_renewed = view.permits.allow(index, token.clone(), issued);
+            }
+            match known.binary_search_by_key(&index, |(index, _)| *index) {
+                Ok(position) => {
+                    let token = known[position].1.clone();
+                    let is_renewed = view.permits.allow(index, token, issued);
                     counts.permits += 1;
                     counts.renewed_permits += u64::from(is_renewed);
                 }
-                None => {
+                Err(_) => {
                     view.permits.deny(index);
                 }
             }
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -1,6 +1,5 @@
 //! The permits of one step and the next request for them.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
@@ -28,7 +27,8 @@
 /// The known permits of one step and the state of its requests.
 #[derive(Debug)]
 pub struct StepPermits {
-    allowed: BTreeMap<WorkerIndex, Permit>,
+    /// The last permit for each allowed worker, in the order of their index.
+    allowed: Vec<(WorkerIndex, Permit)>,
     denied: FxHashSet<WorkerIndex>,
     /// Workers that are left out of requests, and until when.
     refused: FxHashMap<WorkerIndex, Millis>,
@@ -89,7 +89,7 @@
 impl Default for StepPermits {
     fn default() -> StepPermits {
         StepPermits {
-            allowed: BTreeMap::new(),
+            allowed: Vec::new(),
             denied: FxHashSet::default(),
             refused: FxHashMap::default(),
             request_size_max: WORKERS_PER_REQUEST_MAX,
@@ -107,7 +107,8 @@
 impl StepPermits {
     /// Whether the step may start on a worker, given how long its permits are valid.
     pub fn permission(&self, worker: WorkerIndex, valid_ms: u64, now: Millis) -> Permission {
-        if let Some(permit) = self.allowed.get(&worker) {
+        let permit = self.allowed_permit(worker);
+        if let Some(permit) = permit {
             let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
             let is_fresh = !permit.is_invalidated && now.since(permit.issued) < usable_ms;
             if is_fresh {
@@ -117,10 +118,21 @@
         if self.denied.contains(&worker) || !self.may_include(worker, now) {
             return Permission::Denied;
         }
-        if self.allowed.contains_key(&worker) {
-            return Permission::Expired;
+        match permit {
+            Some(_) => Permission::Expired,
+            None => Permission::Unknown,
         }
-        Permission::Unknown
+    }
+
+    fn position(&self, worker: WorkerIndex) -> Result<usize, usize> {
+        self.allowed
+            .binary_search_by_key(&worker, |(index, _)| *index)
+    }
+
+    /// The last permit for a worker, which may have expired.
+    fn allowed_permit(&self, worker: WorkerIndex) -> Option<&Permit> {
+        let position = self.position(worker).ok()?;
+        Some(&self.allowed[position].1)
     }
 
     /// Sets what to request next, unless a request is unanswered or requests are paused.
@@ -133,14 +145,14 @@
 
     /// The workers that the policy has allowed, in the order of their index.
     pub fn allowed(&self) -> impl Iterator<Item = WorkerIndex> {
-        self.allowed.keys().copied()
+        self.allowed.iter().map(|(index, _)| *index)
     }
 
     /// Whether the policy has allowed a worker, also if the permit has expired, or has not been
     /// asked about it while no request is needed or unanswered.
     pub fn may_use_or_ask(&self, worker: WorkerIndex) -> bool {
         let may_ask = self.need.is_none() && self.in_flight.is_none();
-        self.allowed.contains_key(&worker) || (may_ask && !self.denied.contains(&worker))
+        self.position(worker).is_ok() || (may_ask && !self.denied.contains(&worker))
     }
 
     /// Whether a request is unanswered.
@@ -254,24 +266,35 @@
             issued,
             is_invalidated: false,
         };
-        self.allowed.insert(worker, permit).is_some()
+        match self.position(worker) {
+            Ok(position) => {
+                self.allowed[position].1 = permit;
+                true
+            }
+            Err(position) => {
+                self.allowed.insert(position, (worker, permit));
+                false
+            }
+        }
     }
 
     /// Marks a worker as denied for good.
     pub fn deny(&mut self, worker: WorkerIndex) {
-        self.allowed.remove(&worker);
+        if let Ok(position) = self.position(worker) {
+            self.allowed.remove(position);
+        }
         self.denied.insert(worker);
     }
 
     /// The last permit for a worker, which may have expired.
     pub fn token(&self, worker: WorkerIndex) -> Option<Arc<str>> {
-        Some(self.allowed.get(&worker)?.token.clone())
+        Some(self.allowed_permit(worker)?.token.clone())
     }
 
     /// Marks the permit of a worker as unusable, since the worker has rejected it.
     pub fn invalidate(&mut self, worker: WorkerIndex) {
-        if let Some(permit) = self.allowed.get_mut(&worker) {
-            permit.is_invalidated = true;
+        if let Ok(position) = self.position(worker) {
+            self.allowed[position].1.is_invalidated = true;
         }
     }
 
