Let followers answer reads of jobs

Change: an entry sends the read of a job to one follower, chosen by a hash of the entry's name. The follower answers with the phase of a job that it knows, while its state is at most 200 ms old. Unknown jobs and queues, malformed paths, numbers of waiting jobs, cancels and submissions are the leader's as before, and so is a read that a follower does not answer within 100 ms; the entry then reads at the leader for 0.5 s.

The age is bounded on the follower's own clock: while reads come it notes the time, asks the leader each 40 ms up to which entry it has applied the log, and counts its state as of the noted time once it has applied that entry. The question goes before other calls at the leader, so that a busy leader does not get the reads back. A route that is removed is obeyed after 200 ms by all entries, and what one entry shows goes back by at most that time.

Ruled out: the time of the last message of the leader as the age, since a message may be long on its way or be read after a pause, and a member in contact may lag; versions of the table in calls and replies, which bound neither the age of a phase nor the time until a change is obeyed; answers from a job past its retention, whose ID may be used again.

Tests: crates/control/tests/job_reads.rs on three members in one process, and reads_of_jobs_are_answered_by_a_follower_or_the_leader with the real programs, one of which hangs.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -36,6 +36,7 @@
 use crate::core_load::Work;
 use crate::event::Event;
 use crate::event::EventReceiver;
+use crate::follower_reads::StateAge;
 use crate::group_size::EvenTimer;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::LEADER_TICK_INTERVAL_MS;
@@ -98,6 +99,7 @@
     pub(crate) leadership: Leadership,
     pub(crate) queues: Queues,
     pub(crate) relayed_reports: RelayedReports,
+    pub(crate) state_age: StateAge,
     /// How long the group has been even, as seen by this member as the leader.
     pub(crate) even_timer: EvenTimer,
     pub(crate) load: CoreLoad,
@@ -201,6 +203,8 @@
             Event::WorkerReplied(request, result) => {
                 self.handle_worker_reply(now, &request, result)
             }
+            Event::LeaderIndexWanted(done) => self.handle_leader_index_wanted(now, done),
+            Event::LeaderIndexKnown(index, asked) => self.state_age.record(index, asked),
             Event::Dump(reply) => reply(self.dump()),
             Event::Persisted(up_to, messages) => {
                 self.node.persisted(now, up_to);
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -15,6 +15,7 @@
 use flume::TrySendError;
 use serde_json::Value;
 
+use sapphirepost_consensus::Index;
 use sapphirepost_consensus::Message;
 use sapphirepost_consensus::OutgoingMessage;
 use sapphirepost_consensus::Persisted;
@@ -34,6 +35,7 @@
 use sapphirepost_queues::scheduler::WorkerReply;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_types::Millis;
 
 use crate::core_load::EventKind;
 
@@ -65,6 +67,11 @@
     ReportRelayed(Arc<str>),
     /// The reply to a request to a worker, or why there is none.
     WorkerReplied(Box<WorkerRequest>, Result<WorkerReply, WorkerRequestError>),
+    /// The program that this member runs in may ask the leader for its index. Answered with the
+    /// time to pass on with it, or an error if it is of no use now.
+    LeaderIndexWanted(Responder<Millis>),
+    /// The leader had applied the log up to this index at some time after this one.
+    LeaderIndexKnown(Index, Millis),
     /// A request for a dump of this member; the function receives it.
     Dump(Box<dyn FnOnce(Value) + Send>),
     /// The output of the consensus node up to this number is durable, so the messages that had to
@@ -96,11 +103,15 @@
             | Event::StorageFull(_)
             | Event::StorageHasSpace
             | Event::StorageFailed(_)
+            | Event::LeaderIndexWanted(_)
+            | Event::LeaderIndexKnown(..)
             | Event::Shutdown => EventKind::Group,
             Event::WorkerReplied(..) => EventKind::WorkerReply,
             Event::Queue(call, _) | Event::LocalQueue(call, _) => match **call {
                 QueueCall::Report { .. } | QueueCall::Left { .. } => EventKind::WorkerReport,
                 QueueCall::WaitForQuestion { .. } => EventKind::PolicyPoll,
+                // A follower whose question waits cannot take reads off the leader.
+                QueueCall::LeaderIndex => EventKind::Group,
                 _ => EventKind::Call,
             },
             Event::ReportRelayed(_) => EventKind::WorkerReport,
@@ -188,10 +199,11 @@
 
     /// Sends a call, or returns it if too many events are queued or the core thread has ended.
     pub fn try_send_call(&self, event: Event) -> Result<(), Box<Event>> {
-        if self.others.len() >= CALLS_MAX {
+        let channel = self.channel(&event);
+        if channel.len() >= CALLS_MAX {
             return Err(Box::new(event));
         }
-        self.others
+        channel
             .try_send(QueuedEvent::new(event))
             .map_err(|error| Box::new(error.into_inner().event))
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod core_load;
 mod event;
+mod follower_reads;
 pub mod group_size;
 mod incarnation_log;
 mod initial_voters;
--- a/crates/control/src/methods.rs
+++ b/crates/control/src/methods.rs
@@ -69,6 +69,7 @@
         Event::Claims(_, done) => done.send(Err(RpcError::Busy)),
         Event::WatchConfig(_, done) => done.send(Err(RpcError::Busy)),
         Event::Queue(_, done) | Event::LocalQueue(_, done) => done.send(Err(RpcError::Busy)),
+        Event::LeaderIndexWanted(done) => done.send(Err(RpcError::Busy)),
         _ => {}
     }
 }
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -36,6 +36,12 @@
         call: QueueCall,
         done: Responder<QueueReply>,
     ) {
+        if let QueueCall::Caller(request) = &call
+            && let Some(phase) = self.recent_phase(now, request)
+        {
+            self.queues.metrics.follower_reads.inc();
+            return done.send(Ok(QueueReply::Phase(phase)));
+        }
         if let Err(error) = self.node.ensure_leading(now) {
             return done.send(Err(self.rpc_error(error)));
         }
@@ -49,6 +55,7 @@
             QueueCall::Caller(request) => self.handle_caller_request(now, request, done),
             QueueCall::PutTable(table) => self.put_table(table, done),
             QueueCall::GetTable => self.start_queue_read(now, QueueCall::GetTable, done),
+            QueueCall::LeaderIndex => done.send(Ok(QueueReply::LeaderIndex(self.applied))),
             QueueCall::Report { record, report } => {
                 let scheduler = self.queues.scheduler.as_mut();
                 let command = scheduler.and_then(|scheduler| {
@@ -145,6 +152,9 @@
         request: CallerRequest,
         done: Responder<QueueReply>,
     ) {
+        if request.action == CallerAction::Read {
+            self.queues.metrics.reads.inc();
+        }
         let Some((queue, key)) = self.resolve_job(&request) else {
             // The path names no job: it belongs to no queue, is the path of a queue itself (a read
             // then returns the number of waiting jobs), or is malformed. Which of these is true
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -24,6 +24,10 @@
     pub(crate) refused: Counter,
     pub(crate) cancelled: Counter,
     pub(crate) ended: Counter,
+    /// Reads of callers that this member handled as the leader.
+    pub(crate) reads: Counter,
+    /// Reads of job phases that this member answered as a follower.
+    pub(crate) follower_reads: Counter,
     /// Reports of workers that this member handled as the leader.
     pub(crate) reports: Counter,
     /// Reports of workers that this member acknowledged as a follower.
@@ -115,6 +119,11 @@
             refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
             cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
             ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
+            reads: counter("queue_reads", "Reads of callers handled as the leader"),
+            follower_reads: counter(
+                "queue_reads_by_follower",
+                "Reads of job phases answered as a follower",
+            ),
             reports: counter(
                 "queue_worker_reports",
                 "Reports of workers handled as the leader",
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -7,6 +7,7 @@
 use anyhow::Context as _;
 
 use sapphirepost_consensus::Config;
+use sapphirepost_consensus::Index;
 use sapphirepost_consensus::Node;
 use sapphirepost_consensus::PersistentState;
 use tokio::runtime::Handle;
@@ -36,6 +37,7 @@
 use sapphirepost_storage::StoreError;
 use sapphirepost_types::Clock;
 use sapphirepost_types::MemberId;
+use sapphirepost_types::Millis;
 
 use crate::cluster_clock::ClockMetrics;
 use crate::cluster_clock::ClusterClock;
@@ -46,6 +48,7 @@
 use crate::core_load::LoadMetrics;
 use crate::event::Event;
 use crate::event::EventSender;
+use crate::follower_reads::StateAge;
 use crate::group_size::EvenTimer;
 use crate::initial_voters::InitialVoters;
 use crate::leader_settings::LeaderSettings;
@@ -111,7 +114,8 @@
 
 impl LocalControl {
     /// Makes a call about queues. Members that do not lead return an error, except for a report of
-    /// a worker that changes nothing: a follower acknowledges it itself.
+    /// a worker that changes nothing and a read of a job: a follower answers these itself if its
+    /// state is recent.
     pub async fn call(&self, call: QueueCall) -> Result<QueueReply, RpcError> {
         let (done, answer) = Responder::channel();
         methods::forward_call(&self.event_sender, Event::LocalQueue(Box::new(call), done));
@@ -119,6 +123,22 @@
         answer.await.unwrap_or_else(dropped)
     }
 
+    /// Returns the time to pass to [`LocalControl::leader_index_known`] with the answer of the leader
+    /// to a [`QueueCall::LeaderIndex`] that is made now; `None` if it would be of no use, because
+    /// this member leads or gets no reads.
+    pub async fn leader_index_wanted(&self) -> Option<Millis> {
+        let (done, answer) = Responder::channel();
+        methods::forward_call(&self.event_sender, Event::LeaderIndexWanted(done));
+        answer.await.ok()?.ok()
+    }
+
+    /// Notes that the leader, asked at `asked`, had applied the log up to `index`. Once this member
+    /// has done so too, it answers reads of jobs for some time.
+    pub fn leader_index_known(&self, index: Index, asked: Millis) {
+        self.event_sender
+            .send_or_drop(Event::LeaderIndexKnown(index, asked));
+    }
+
     /// Notes that the leader has answered a report of `worker` that was relayed to it. For some
     /// time this member acknowledges reports of the worker that change nothing.
     pub fn report_relayed(&self, worker: Arc<str>) {
@@ -339,6 +359,7 @@
         leadership: Leadership::default(),
         queues,
         relayed_reports: RelayedReports::default(),
+        state_age: StateAge::default(),
         even_timer: EvenTimer::default(),
         load: CoreLoad::new(load_metrics),
         stop_deadline: None,
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -88,6 +88,10 @@
         group
     }
 
+    pub fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
+        self.runtime.block_on(future)
+    }
+
     /// Makes a call to one member as the program does in which it runs.
     pub fn call(&self, index: usize, call: &QueueCall) -> Result<QueueReply, RpcError> {
         let local = &self.members[index].local;
--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -10,6 +10,7 @@
 //!
 //! A process creates one client with [`ControlClient::new`]; clones share the connections.
 
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -23,6 +24,7 @@
 use sapphirepost_process::rpc::RpcClientConfig;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use siphasher::sip::SipHasher13;
 use thiserror::Error;
 use tokio::runtime::Handle;
 
@@ -211,6 +213,29 @@
         }
     }
 
+    /// Calls one process other than the last known leader, without a retry. While the same
+    /// processes are known, it is the same one for the same `key`, and different keys are spread
+    /// over the processes.
+    pub async fn call_follower<P, R>(
+        &self,
+        key: u64,
+        method: &str,
+        params: &P,
+        timeout: Duration,
+    ) -> Result<R, RpcError>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let Some(client) = self.inner.follower(key) else {
+            return Err(RpcError::NotSent("no other process is known".to_owned()));
+        };
+        // A late reply to one call is no reason to close the connection, which other calls use.
+        client
+            .call_patiently(method, params, timeout, timeout)
+            .await
+    }
+
     /// Like [`ControlClient::call`], for threads outside the runtime.
     pub fn call_blocking<P, R>(
         &self,
@@ -238,6 +263,20 @@
         targets.clients.get(targets.preferred).cloned()
     }
 
+    /// The process with the highest hash for the key, apart from the last known leader: most keys
+    /// keep theirs when another process becomes known.
+    fn follower(&self, key: u64) -> Option<RpcClient> {
+        let targets = self.lock();
+        let others = targets.clients.iter().enumerate();
+        let others = others.filter(|(position, _)| *position != targets.preferred);
+        let chosen = others.max_by_key(|(_, client)| {
+            let mut hasher = SipHasher13::new_with_keys(key, 0);
+            hasher.write(client.address().as_bytes());
+            hasher.finish()
+        });
+        chosen.map(|(_, client)| client.clone())
+    }
+
     fn client_count(&self) -> usize {
         self.lock().clients.len()
     }
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -50,6 +50,8 @@
         /// there is no answer to report.
         answer: Option<PermitAnswer>,
     },
+    /// A follower asks up to which entry the leader has applied the log.
+    LeaderIndex,
     /// A control process asks to become a member of the replicated group. It repeats the call until
     /// it votes.
     Join {
@@ -127,6 +129,8 @@
         /// finds a later leader.
         members: Vec<String>,
     },
+    /// The answer to [`QueueCall::LeaderIndex`].
+    LeaderIndex(u64),
     /// The progress of a process that joins.
     Joining {
         /// Whether the process is a voting member.
