Send no start to a worker that has announced that it leaves

A start that is proposed before the drain of its worker is applied follows it in the log, and nothing looked at the drain again: if its commit took seconds, it was sent seconds after the drain was acknowledged. Placement looked at the committed drain alone, not at a report that is being committed.

A committed start is now released instead of sent if its worker has announced that it leaves, a gang's as a whole, and such a worker is no candidate from its report on. Unanswered starts are not repeated there either. All of it follows from what the leader knows of the worker when it sends.

Ruled out: starts of a cancelled job. A start that follows the cancel in the log has no effect when it is applied, and one that precedes it is sent before the cancel is answered.

Test: the disk takes 3 s for the start after the drain. Before, the tasks began on the draining worker at 3,070 ms of the model, 3 s after its drain; with the change nothing begins there and all jobs complete.

--- a/crates/queues/src/scheduler/gang_runs.rs
+++ b/crates/queues/src/scheduler/gang_runs.rs
@@ -60,7 +60,7 @@
             let index = self.index(&placement.worker);
             let worker = index.and_then(|index| self.workers.get(index));
             let has_clock = worker.is_some_and(|worker| worker.lease.clock_ms(now).is_some());
-            has_clock && self.has_room(&placement.worker, |task| task.step == step)
+            has_clock && self.may_start(&placement.worker, |task| task.step == step)
         })
     }
 
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Sends the start requests of a committed start, unless the capacity has shrunk or the worker
-    /// has started again meanwhile. A gang is started as a whole or not at all.
+    /// Sends the start requests of a committed start, unless the capacity has shrunk, or the worker
+    /// has started again or announced that it leaves meanwhile. A gang is started as a whole or not at all.
     pub(crate) fn send_starts(
         &mut self,
         state: &QueueState,
@@ -126,7 +126,7 @@
             let Some(index) = self.index(&placement.worker) else {
                 continue;
             };
-            if can_send && self.has_room(&placement.worker, |other| *other == task) {
+            if can_send && self.may_start(&placement.worker, |other| *other == task) {
                 self.send_start(state, index, task, placement.run, now);
             } else {
                 self.release(index, task, placement.run);
@@ -134,9 +134,13 @@
         }
     }
 
-    pub(crate) fn has_room(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
+    /// Whether a committed start may be sent to a worker. The commit may have taken seconds.
+    pub(crate) fn may_start(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
         let worker = self.index(worker).and_then(|index| self.workers.get(index));
-        worker.is_some_and(|worker| worker.successor.is_none() && worker.has_room_for(is_next))
+        worker.is_some_and(|worker| {
+            let stays = worker.successor.is_none() && !worker.is_leaving();
+            stays && worker.has_room_for(is_next)
+        })
     }
 
     fn send_start(
@@ -329,7 +333,7 @@
                 let is_useful = self.is_retry_useful(task.step, sent, now);
                 let may_retry = is_useful
                     && self.workers.get(index).is_some_and(|worker| {
-                        !worker.record.is_draining
+                        !worker.is_leaving()
                             && worker.successor.is_none()
                             && worker.has_room_for(|_| false)
                             && attempts < START_ATTEMPTS_MAX
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -202,7 +202,7 @@
     /// Whether a task may be placed on it now, if there are enough free resources. A worker that
     /// has shrunk below what its runs take accepts none, whatever resource is short.
     pub fn accepts_tasks(&self, now: Millis) -> bool {
-        !self.record.is_draining
+        !self.is_leaving()
             && self.used.fits_in(&self.record.capacity)
             && !self.has_uncounted_runs()
             && self.lease.is_reachable()
