--- a/crates/queues/tests/placement_after_room.rs
+++ b/crates/queues/tests/placement_after_room.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::LostRuns;
 use sapphirepost_queues::QueueCommand;
+use sapphirepost_queues::StepKey;
 use sapphirepost_queues::StepSpec;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
@@ -23,6 +25,7 @@
 use crate::model::PolicyFault;
 use crate::model::STEP_MS;
 use crate::model::queue;
+use crate::model::restart::FIRST_INCARNATION;
 use crate::model::with_permits;
 use crate::model::worker::ModelWorker;
 use crate::model::worker::REQUEST_TIMEOUT_MS;
@@ -471,3 +474,36 @@
         }
     }
 }
+
+/// Guards against waiting work that is not tried when a worker is no longer closed for the isolated
+/// start of a suspect.
+#[test]
+fn work_starts_when_a_worker_is_no_longer_closed_for_an_isolated_start() {
+    for case in CASES.into_iter().filter(|case| !case.is_gang) {
+        let mut model = model(1, long_filler);
+        model.submit(SMALL_FILLER.0, "filler", spec(1, HALF, 5_000, false));
+        let step = StepKey {
+            job: SMALL_FILLER,
+            step: 0,
+        };
+        let lost = worker("lost", long_filler);
+        model.propose(QueueCommand::PutWorker(Box::new(lost.record)));
+        model.propose(QueueCommand::Crash {
+            worker: Arc::from("lost"),
+            incarnation: FIRST_INCARNATION,
+            checkpoints: Vec::new(),
+            lost: LostRuns {
+                tasks: vec![step.task(0)],
+                suspects: vec![step.task(0)],
+                is_inconclusive: false,
+            },
+        });
+        model.join_proposals();
+        while !model.has_started(SMALL_FILLER) {
+            model.run(STEP_MS);
+        }
+        case.submit(&mut model, HALF);
+        case.assert_waits(&mut model, 300);
+        case.assert_starts_within(&mut model, SOON_MS);
+    }
+}
