Measure each hop of a commit

Each hop has a histogram now, and each control process logs their means and longest times once a second as `commit path`, with the appends that it received and rejected.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -13,6 +13,7 @@
 use flume::RecvTimeoutError;
 use thiserror::Error;
 
+use sapphirepost_consensus::Body;
 use sapphirepost_consensus::Entry;
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::Node;
@@ -32,7 +33,10 @@
 
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
+use crate::commit_path::CommitPath;
+use crate::commit_path::Hop;
 use crate::core_load::CoreLoad;
+use crate::core_load::EventKind;
 use crate::core_load::Work;
 use crate::event::Event;
 use crate::event::EventReceiver;
@@ -99,6 +103,7 @@
     /// How long the group has been even, as seen by this member as the leader.
     pub(crate) even_timer: EvenTimer,
     pub(crate) load: CoreLoad,
+    pub(crate) commit_path: CommitPath,
     /// When a graceful stop ends without a leadership transfer; `None` unless stopping.
     pub(crate) stop_deadline: Option<Millis>,
 }
@@ -125,6 +130,7 @@
             self.handle_events(first.into_iter().chain(more))?;
             is_output_left = self.handle_output(events.len())?;
             self.load.end_round(events.len(), self.is_leading());
+            self.commit_path.end_round(self.is_leading());
             if self.can_stop() {
                 break;
             }
@@ -140,6 +146,7 @@
         let began = Instant::now();
         for (event, queued_at) in events {
             self.load.record_event(queued_at, event.kind());
+            self.follow_commit(&event, queued_at);
             match event {
                 Event::Queue(_, done) if self.is_outdated(queued_at) => {
                     done.send(Err(self.not_leading()));
@@ -151,6 +158,25 @@
         Ok(())
     }
 
+    /// Records how far an event of the group has come.
+    fn follow_commit(&mut self, event: &Event, queued_at: Instant) {
+        if event.kind() != EventKind::Group {
+            return;
+        }
+        let hops = self.commit_path.hops();
+        hops.record(Hop::GroupEvent, queued_at.elapsed());
+        match event {
+            Event::Step(step) => {
+                let body = &step.message.body;
+                if matches!(body, Body::Append { entries, .. } if !entries.is_empty()) {
+                    self.commit_path.received(queued_at);
+                }
+            }
+            Event::Persisted(up_to, _) => self.commit_path.written(up_to.number, queued_at),
+            _ => {}
+        }
+    }
+
     /// Whether a call is too old to be handled: its sender has given it up, or it waited for another
     /// leadership of this member. In between, another leader may have refused the job that the call
     /// submits, and a job that is said to be refused must not run.
@@ -255,7 +281,9 @@
     }
 
     fn handle_ready(&mut self, mut ready: Ready, queued: usize) -> Result<(), CoreError> {
+        self.commit_path.committed(self.node.commit_index());
         let messages = std::mem::take(&mut ready.messages);
+        self.commit_path.sending(&messages);
         self.peers.send(messages, self.node.membership());
         if let Some(snapshot) = &ready.snapshot {
             let index = snapshot.meta.index;
@@ -272,6 +300,8 @@
                 records: std::mem::take(&mut ready.records),
                 messages: std::mem::take(&mut ready.messages_after_persist),
             };
+            self.commit_path
+                .write_sent(ready.number, self.node.last_index());
             // Fails only after the storage thread has reported its failure.
             let _ = self.storage_requests.send(request);
         }
@@ -282,6 +312,7 @@
         self.load.record_work(Work::Apply, began);
         if let Some(change) = ready.role_change {
             self.log_role_change(&change, queued);
+            self.commit_path.change_role();
         }
         self.update_leadership();
         if !ready.committed.is_empty() {
--- a/crates/control/src/core_load.rs
+++ b/crates/control/src/core_load.rs
@@ -74,7 +74,7 @@
 }
 
 /// A histogram of seconds: the first bucket ends at 0.1 ms, the last finite one at 6.5 s.
-fn seconds() -> Histogram {
+pub(crate) fn seconds() -> Histogram {
     Histogram::new(exponential_buckets(0.0001, 2.0, 17))
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod cluster_clock;
 mod cluster_metrics;
+mod commit_path;
 mod core;
 mod core_load;
 mod event;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -20,6 +21,9 @@
 use sapphirepost_protocol::method;
 use sapphirepost_types::MemberId;
 
+use crate::commit_path::Hop;
+use crate::commit_path::Hops;
+
 /// The most messages queued for one member.
 const QUEUE_MAX: usize = 512;
 /// The most calls in flight to one member.
@@ -31,9 +35,12 @@
 /// Short, so that a member that returns is reached again within an election timeout.
 const BACKOFF_MAX: Duration = Duration::from_millis(200);
 
+/// A message with the time at which it was queued.
+type QueuedStep = (Step<Message>, Instant);
+
 struct Connection {
     address: String,
-    queue: flume::Sender<Step<Message>>,
+    queue: flume::Sender<QueuedStep>,
 }
 
 /// The connections to the other members.
@@ -43,6 +50,7 @@
     member: MemberId,
     /// The address at which the other members reach this one.
     own_address: String,
+    hops: Hops,
     connections: HashMap<MemberId, Connection>,
     /// The address in the last message of each sender; a sender may be missing from the membership
     /// known here.
@@ -55,6 +63,7 @@
         key: Option<SharedKey>,
         member: MemberId,
         own_address: String,
+        hops: Hops,
     ) -> Peers {
         let (connections, sender_addresses) = (HashMap::new(), HashMap::new());
         Peers {
@@ -62,6 +71,7 @@
             key,
             member,
             own_address,
+            hops,
             connections,
             sender_addresses,
         }
@@ -108,7 +118,10 @@
                 message,
             };
             // A full queue means that the member does not answer. Consensus resends what is lost.
-            let _ = self.connection(to, address).queue.try_send(step);
+            let _ = self
+                .connection(to, address)
+                .queue
+                .try_send((step, Instant::now()));
         }
     }
 
@@ -128,14 +141,14 @@
         {
             self.connections.remove(&member);
         }
-        let (runtime, key) = (&self.runtime, &self.key);
+        let (runtime, key, hops) = (&self.runtime, &self.key, &self.hops);
         self.connections.entry(member).or_insert_with(|| {
             let (queue, steps) = flume::bounded(QUEUE_MAX);
             let mut config = RpcClientConfig::new(address.clone(), key.clone());
             config.connect_timeout = CONNECT_TIMEOUT;
             config.backoff_max = BACKOFF_MAX;
             let client = RpcClient::new(runtime.clone(), config);
-            runtime.spawn(send_messages(client, steps));
+            runtime.spawn(send_messages(client, steps, hops.clone()));
             Connection { address, queue }
         })
     }
@@ -143,13 +156,16 @@
 
 /// Sends queued messages until the queue is closed, with up to [`CALLS_MAX`] calls in flight. Logs
 /// when the member becomes unreachable and when it is reachable again.
-async fn send_messages(client: RpcClient, steps: flume::Receiver<Step<Message>>) {
+async fn send_messages(client: RpcClient, steps: flume::Receiver<QueuedStep>, hops: Hops) {
     let mut calls = FuturesUnordered::new();
     let mut is_reachable = true;
-    let call = async |step: Step<Message>| {
+    let call = async |(step, queued_at): QueuedStep| {
+        hops.record(Hop::PeerQueue, queued_at.elapsed());
+        let called_at = Instant::now();
         let result = client
             .call::<_, ()>(method::CONSENSUS_STEP, &step, CALL_TIMEOUT)
             .await;
+        hops.record(Hop::PeerCall, called_at.elapsed());
         (step.to, result)
     };
     loop {
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
@@ -31,6 +32,7 @@
 use sapphirepost_state::Request;
 use sapphirepost_types::Millis;
 
+use crate::commit_path::Hop;
 use crate::core::Core;
 use crate::event::Event;
 use crate::event::EventSender;
@@ -90,6 +92,7 @@
 pub(crate) struct Proposal {
     command: QueueCommand,
     answer: Option<Answer>,
+    queued_at: Instant,
 }
 
 /// The queue scheduler of this process, and the calls that wait for it.
@@ -209,7 +212,11 @@
     }
 
     pub(crate) fn add(&mut self, command: QueueCommand, answer: Option<Answer>) {
-        self.batch.push_back(Proposal { command, answer });
+        self.batch.push_back(Proposal {
+            command,
+            answer,
+            queued_at: Instant::now(),
+        });
     }
 
     /// Records that a command is applied, or refused for good.
@@ -223,7 +230,11 @@
     fn put_back(&mut self, commands: Vec<QueueCommand>, answers: Vec<Option<Answer>>) {
         let proposals = commands.into_iter().zip(answers);
         for (command, answer) in proposals.rev() {
-            self.batch.push_front(Proposal { command, answer });
+            self.batch.push_front(Proposal {
+                command,
+                answer,
+                queued_at: Instant::now(),
+            });
         }
     }
 }
@@ -438,6 +449,10 @@
         let mut count_max = BATCH_MAX_COMMANDS;
         while !self.queues.batch.is_empty() {
             let count = self.queues.batch.len().min(count_max);
+            let hops = self.commit_path.hops();
+            for proposal in self.queues.batch.iter().take(count) {
+                hops.record(Hop::Collect, proposal.queued_at.elapsed());
+            }
             let proposals = self.queues.batch.drain(..count);
             let (commands, answers): (Vec<_>, Vec<_>) =
                 proposals.map(|p| (p.command, p.answer)).unzip();
@@ -446,6 +461,7 @@
             match result {
                 Ok(index) => {
                     self.metrics.proposals.inc();
+                    self.commit_path.proposed(index);
                     let now = self.clock.now();
                     let answers = answers.into_iter().flatten().collect();
                     self.queues.pending_answers.push_back((index, now, answers));
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -40,6 +40,9 @@
 use crate::cluster_clock::ClockMetrics;
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
+use crate::commit_path;
+use crate::commit_path::CommitPath;
+use crate::commit_path::Hops;
 use crate::core::Core;
 use crate::core_load::CoreLoad;
 use crate::core_load::GROUP_NETWORK_THREAD_NAME;
@@ -140,6 +143,8 @@
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
     let load_metrics = LoadMetrics::register(&metrics);
+    let hops = Hops::register(&metrics);
+    group_runtime.spawn(commit_path::measure_lateness(hops.clone()));
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
     let queue_metrics = QueueMetrics::register(&metrics);
@@ -187,6 +192,7 @@
         settings.inner_key.clone(),
         member,
         settings.advertise_address.to_string(),
+        hops.clone(),
     );
     let core = new_core(
         &settings,
@@ -194,7 +200,13 @@
         peers,
         &storage,
         readiness,
-        (core_metrics, load_metrics, cluster_metrics, clock_metrics),
+        (
+            core_metrics,
+            load_metrics,
+            hops,
+            cluster_metrics,
+            clock_metrics,
+        ),
         Queues::new(queue_parts, event_sender.clone(), queue_metrics),
     )?;
     let result = core.run(&events);
@@ -285,9 +297,10 @@
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    (metrics, load_metrics, cluster_metrics, clock_metrics): (
+    (metrics, load_metrics, hops, cluster_metrics, clock_metrics): (
         CoreMetrics,
         LoadMetrics,
+        Hops,
         ClusterMetrics,
         ClockMetrics,
     ),
@@ -329,6 +342,7 @@
         queues,
         even_timer: EvenTimer::default(),
         load: CoreLoad::new(load_metrics),
+        commit_path: CommitPath::new(hops),
         stop_deadline: None,
     })
 }
