Make as many calls in the test of the order as a member has in flight

With 200 calls the client itself sends one out of order, after 128 polls of its runtime's budget; a member never has more than 64 in flight to another.

--- a/crates/control/tests/message_order.rs
+++ b/crates/control/tests/message_order.rs
@@ -15,7 +15,8 @@
 use sapphirepost_process::rpc::RpcServer;
 use sapphirepost_process::rpc::RpcServerConfig;
 
-const CALLS: u64 = 200;
+/// As many calls as one member has in flight to another.
+const CALLS: u64 = 64;
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Guards against messages that overtake each other on a connection: a member rejects entries whose
