--- a/crates/control/src/placement_load.rs
+++ b/crates/control/src/placement_load.rs
@@ -2,8 +2,9 @@
 
 use sapphirepost_queues::scheduler::PlacementCounts;
 
-/// Logs the counts of placement of the last `interval_ms`.
-pub(crate) fn log(counts: &PlacementCounts, interval_ms: u64) {
+/// Logs the counts of placement of the last `interval_ms`, and the share of new jobs that the leader
+/// admits now.
+pub(crate) fn log(counts: &PlacementCounts, interval_ms: u64, admitted_permille: u64) {
     let [
         placed,
         not_ready,
@@ -27,7 +28,7 @@
     let [placed_checks, failed_checks @ ..] = counts.try_checks;
     let failed_checks: u64 = failed_checks.iter().sum();
     log::info!(
-        interval_ms, rounds = counts.rounds, waiting_steps = counts.waiting_steps,
+        interval_ms, admitted_permille, rounds = counts.rounds, waiting_steps = counts.waiting_steps,
         not_due = counts.not_due, left_out = counts.left_out, placed, not_ready, no_room, no_permit,
         expired_permit = expired, withheld, former_run, urgent_tries = counts.urgent_tries,
         tasks = counts.tasks, placed_checks, failed_checks, round_visits = round,
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -23,6 +23,7 @@
 use sapphirepost_process::logging;
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_process::rpc;
+use sapphirepost_process::rpc::OrderedRuntime;
 use sapphirepost_process::rpc::Responder;
 use sapphirepost_process::rpc::RpcServer;
 use sapphirepost_process::rpc::RpcServerConfig;
@@ -42,6 +43,9 @@
 use crate::cluster_clock::ClockMetrics;
 use crate::cluster_clock::ClusterClock;
 use crate::cluster_metrics::ClusterMetrics;
+use crate::commit_path;
+use crate::commit_path::CommitPath;
+use crate::commit_path::Hops;
 use crate::core::Core;
 use crate::core_load::CALL_NETWORK_THREAD_NAME;
 use crate::core_load::CoreLoad;
@@ -71,9 +75,6 @@
 /// Threads that carry the calls of other processes. They are apart from the others, which may have
 /// thousands of requests to workers to handle first.
 const CALL_NETWORK_THREADS: usize = 1;
-/// Threads that carry the messages of the group. A commit passes them several times, so it must not
-/// wait behind the calls of all entries.
-const GROUP_NETWORK_THREADS: usize = 1;
 /// How long the admin listener waits for a dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a stopping process waits for its last replies to be sent.
@@ -169,14 +170,18 @@
         })?;
     }
     let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
+    // A commit passes the thread of the group several times, so it must not wait behind the calls of
+    // all entries. A member rejects entries that overtake earlier ones.
     let call_runtime = rpc::named_runtime(CALL_NETWORK_THREAD_NAME, CALL_NETWORK_THREADS)
         .context("cannot start the network thread for calls")?;
-    let group_runtime = rpc::named_runtime(GROUP_NETWORK_THREAD_NAME, GROUP_NETWORK_THREADS)
+    let group_runtime = OrderedRuntime::start(GROUP_NETWORK_THREAD_NAME)
         .context("cannot start the group's network thread")?;
     let (event_sender, events) = EventSender::new();
     let metrics = Metrics::new();
     let core_metrics = CoreMetrics::register(&metrics);
     let load_metrics = LoadMetrics::register(&metrics);
+    let hops = Hops::register(&metrics);
+    group_runtime.spawn(commit_path::measure_lateness(hops.clone()));
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
     let queue_metrics = QueueMetrics::register(&metrics);
@@ -225,6 +230,7 @@
         settings.inner_key.clone(),
         member,
         settings.advertise_address.to_string(),
+        hops.clone(),
     );
     let core = new_core(
         &settings,
@@ -232,7 +238,13 @@
         peers,
         &storage,
         readiness,
-        (core_metrics, load_metrics, cluster_metrics, clock_metrics),
+        (
+            core_metrics,
+            load_metrics,
+            hops,
+            cluster_metrics,
+            clock_metrics,
+        ),
         Queues::new(queue_parts, event_sender.clone(), queue_metrics),
     )?;
     let result = core.run(&events);
@@ -246,7 +258,7 @@
         drop(events);
         storage.finish();
     }
-    group_runtime.shutdown_background();
+    drop(group_runtime);
     call_runtime.shutdown_background();
     runtime.shutdown_background();
     log::info!("stopped");
@@ -324,9 +336,10 @@
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    (metrics, load_metrics, cluster_metrics, clock_metrics): (
+    (metrics, load_metrics, hops, cluster_metrics, clock_metrics): (
         CoreMetrics,
         LoadMetrics,
+        Hops,
         ClusterMetrics,
         ClockMetrics,
     ),
@@ -370,6 +383,7 @@
         state_age: StateAge::default(),
         even_timer: EvenTimer::default(),
         load: CoreLoad::new(load_metrics),
+        commit_path: CommitPath::new(hops),
         stop_deadline: None,
     })
 }
--- a/crates/process/src/rpc/mod.rs
+++ b/crates/process/src/rpc/mod.rs
@@ -11,11 +11,13 @@
 mod client;
 mod connection;
 mod error;
+mod ordered_runtime;
 mod server;
 
 pub use crate::rpc::client::RpcClient;
 pub use crate::rpc::client::RpcClientConfig;
 pub use crate::rpc::error::RpcError;
+pub use crate::rpc::ordered_runtime::OrderedRuntime;
 pub use crate::rpc::server::Responder;
 pub use crate::rpc::server::RpcMethods;
 pub use crate::rpc::server::RpcServer;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -343,6 +343,11 @@
         self.overload.record_in_progress(age_ms);
     }
 
+    /// The share of new jobs that this leader admits, in thousandths.
+    pub fn admitted_permille(&self) -> u64 {
+        self.overload.share_permille()
+    }
+
     /// Takes the actions that have accumulated, in the order in which they are to be carried out.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
