Show that crashes of isolated tasks prolong a quarantine

In the model, with callers who do not come back, the quarantine of a queue ends 30 s after the last crashing job was submitted, since each crash of a task that is suspected already and isolated begins its quiet time anew; jobs of the queue are refused until 26 s after it.

Ruled out by a trial: crashes of isolated tasks as no evidence.

--- a/crates/queues/tests/quarantine.rs
+++ b/crates/queues/tests/quarantine.rs
@@ -95,6 +95,39 @@
     }
 }
 
+impl Load {
+    /// Submits the jobs that are not refused, and returns how many are. Refused callers do not
+    /// come back.
+    fn run_admitted(&mut self, model: &mut Model, duration_ms: u64) -> u64 {
+        let mut refused = 0;
+        for _ in 0..duration_ms / STEP_MS {
+            for (index, (kind, name, rate)) in self.rates.iter().enumerate() {
+                self.due[index] += *rate as f64 * STEP_MS as f64 / 1e6;
+                while self.due[index] >= 1.0 {
+                    self.due[index] -= 1.0;
+                    let number = self.next[index];
+                    self.next[index] += 1;
+                    if is_refused(model, *kind, name, number) {
+                        refused += 1;
+                    } else {
+                        model.submit(load::key(*kind, number), name, load::spec(*kind, number));
+                    }
+                }
+            }
+            model.run(STEP_MS);
+        }
+        refused
+    }
+}
+
+fn is_refused(model: &mut Model, kind: Kind, name: &str, number: u64) -> bool {
+    let table = model.state.table().unwrap();
+    let (queue, spec) = (table.queue(name).unwrap(), load::spec(kind, number));
+    let key = JobKey(load::key(kind, number));
+    let admission = model.scheduler.admission(key, queue, &spec, model.now);
+    admission.unwrap().retry_after_ms().is_some()
+}
+
 fn quarantined(model: &mut Model) -> Vec<Arc<str>> {
     let changes = model.scheduler.take_quarantine_changes();
     let begun = changes.into_iter().filter(|change| change.is_quarantined);
@@ -307,3 +340,38 @@
     assert_eq!(model.scheduler.quarantined_queues(), 1);
     assert!(model.has_started(task(number).step.job));
 }
+
+/// How long after the last submission of a crashing job its queue may be quarantined, with the time
+/// that a worker is down and the time without crashes that a release takes.
+const RELEASED_MS: u64 = 10_000;
+
+/// Guards against refusals that go on long after the fault, because tasks that are suspected already
+/// crash one worker after the other while they are isolated.
+#[test]
+fn crashes_of_isolated_tasks_do_not_prolong_a_quarantine() {
+    let mut sound = model(WORKERS, never);
+    Load::new(RATES).run_admitted(&mut sound, 50_000);
+    sound.run(10_000);
+    let mut faulty = model(WORKERS, fifth_of_lookups);
+    let mut load = Load::new(RATES);
+    assert!(load.run_admitted(&mut faulty, 20_000) > 0);
+    assert_eq!(faulty.scheduler.quarantined_queues(), 1);
+    load.run_admitted(&mut faulty, RELEASED_MS);
+    assert_eq!(faulty.scheduler.quarantined_queues(), 0);
+    let crash_count = faulty.crash_count;
+    assert_eq!(load.run_admitted(&mut faulty, 20_000), 0);
+    assert!(
+        faulty.crash_count > crash_count,
+        "no isolated task has crashed a worker"
+    );
+    assert_eq!(quarantined(&mut faulty), [Arc::from("lookup")]);
+    faulty.run(10_000);
+    for name in ["tally", "gang"] {
+        let (without, with) = (sound.in_time_percent(name), faulty.in_time_percent(name));
+        println!("{name}: {with} % in time of {without} %");
+        assert!(
+            with * 10 >= without * 9,
+            "{name}: {with} % in time of {without} %"
+        );
+    }
+}
