Try a step without room again when room appears

Cause: each waiting step was tried again after 20 ms and a tenth of a millisecond for each waiting step, whether or not anything had changed for it. Workers counted as freed at certain events only, and the end of a pause of a suspected worker is none of them.

Ruled out: the same for all results. What withholds free workers from a step (reservations, rejections, closed or quarantined workers) changes with time alone, so such steps are still tried at the short interval. So are steps for which more workers were freed than a step is compared with.

Change: a step without room or permits is tried again when a worker that it may use has more free resources than at the last round, by difference of the free capacity, or accepts tasks again; when its permits are answered; when a gang gives up its reservation; when permits of a gang are to be renewed or tasks may be preempted for it; and after 500 ms in any case.

--- a/crates/queues/src/scheduler/free_capacity.rs
+++ b/crates/queues/src/scheduler/free_capacity.rs
@@ -59,27 +59,45 @@
     paused: Vec<WorkerIndex>,
 }
 
+/// What an update found.
+#[derive(Debug, Default)]
+pub struct CapacityChange {
+    /// Workers that accept tasks and have more free than before, or did not accept any.
+    pub freed: Vec<WorkerIndex>,
+    /// The number of workers that were visited.
+    pub visits: usize,
+}
+
 impl FreeCapacity {
-    /// Takes over the changes of the workers since the last update. Returns the number of workers
-    /// that were visited.
-    pub fn update(&mut self, workers: &mut Workers, now: Millis) -> usize {
+    /// Takes over the changes of the workers since the last update.
+    pub fn update(&mut self, workers: &mut Workers, now: Millis) -> CapacityChange {
         let mut changed = workers.take_changed();
         changed.append(&mut self.paused);
         changed.sort_unstable();
         changed.dedup();
-        let visits = changed.len();
+        let mut change = CapacityChange {
+            freed: Vec::new(),
+            visits: changed.len(),
+        };
         for index in changed {
             let worker = workers.get(index);
             if worker.is_some_and(|worker| worker.health.changes_after(now)) {
                 self.paused.push(index);
             }
-            self.update_worker(index, worker, now);
+            if self.update_worker(index, worker, now) {
+                change.freed.push(index);
+            }
         }
-        visits
+        change
     }
 
-    /// Takes over a worker.
-    fn update_worker(&mut self, index: WorkerIndex, worker: Option<&WorkerView>, now: Millis) {
+    /// Takes over a worker. Returns whether more is free there than before.
+    fn update_worker(
+        &mut self,
+        index: WorkerIndex,
+        worker: Option<&WorkerView>,
+        now: Millis,
+    ) -> bool {
         let position = index.position();
         if self.counted.len() <= position {
             self.counted.resize(position + 1, None);
@@ -91,12 +109,19 @@
             open: worker.accepts_tasks(now).then(|| worker.free()),
         });
         self.counted[position] = after;
+        let open_before = before.and_then(|before| before.open);
+        let open_after = after.and_then(|after| after.open);
         if let Some(before) = before {
             self.remove(index, &before);
         }
         if let Some(after) = after {
             self.add(index, &after);
         }
+        match (open_before, open_after) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(before), Some(after)) => !after.fits_in(&before),
+        }
     }
 
     fn add(&mut self, index: WorkerIndex, worker: &Counted) {
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -16,6 +16,7 @@
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
+use crate::scheduler::retries::Retry;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
@@ -65,9 +66,11 @@
         let begin = self.begin_try();
         // A gang starts again only after all members of its last run have ended.
         if view.waiting.len() < members {
+            view.retry = self.retry_after(view, TryResult::FormerRun, begin, None, now);
             self.end_try(begin, TryResult::FormerRun);
             return false;
         }
+        view.retry = Retry::Soon;
         reservations.release(view.key);
         let job = state.job(view.key.job).filter(|_| view.is_committed);
         let isolation = job.map_or(Isolation::None, |job| gang_isolation(job, view.key));
@@ -101,10 +104,13 @@
             |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
         let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
         let has_room = chosen.is_some();
-        match chosen {
-            Some(chosen) => self.renew_permits(view, chosen, now),
+        let renewal_due = match chosen {
+            Some(chosen) => {
+                self.renew_permits(view, chosen, now);
+                None
+            }
             None => self.request_gang_permits(view, now),
-        }
+        };
         let result = match has_room {
             true => TryResult::ExpiredPermit,
             false => self.failed_gang_result(view, &candidates, begin),
@@ -114,6 +120,9 @@
             self.end_try(begin, result);
             return true;
         }
+        let due = [renewal_due, view.preemption_due(now)];
+        let due = due.into_iter().flatten().min();
+        view.retry = self.retry_after(view, result, begin, due, now);
         let has_reservation =
             !has_room && tries.may_reserve && self.reserve(view, reservations, now);
         self.end_try(begin, result);
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -34,6 +34,7 @@
 mod reports;
 mod reservations;
 mod restarts;
+mod retries;
 mod rounds;
 mod step_permits;
 mod steps;
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -106,31 +106,39 @@
     }
 
     /// Requests permits for a gang that waits for room: on further workers if the allowed ones are
-    /// few; otherwise fresh permits on the allowed ones before these expire.
-    pub(crate) fn request_gang_permits(&self, view: &mut StepView, now: Millis) {
-        let Some(cost) = view.queue.permits.filter(|_| !view.permits.has_request()) else {
-            return;
-        };
+    /// few; otherwise fresh permits on the allowed ones before these expire. Returns when they are to
+    /// be renewed, if that is later.
+    pub(crate) fn request_gang_permits(&self, view: &mut StepView, now: Millis) -> Option<Millis> {
+        let cost = view.queue.permits.filter(|_| !view.permits.has_request())?;
         let mut workers = self.allowed_workers(view, now);
         if self.needs_further_workers(view, &workers, now) {
-            return view.permits.set_need(PermitNeed::More, now);
+            view.permits.set_need(PermitNeed::More, now);
+            return None;
         }
         if let Some(renewed) = self.count_for_members(view, &workers, RENEWAL_FACTOR) {
             workers.truncate(renewed);
         }
         workers.truncate(view.permits.request_size_max());
-        let answered = now + cost.total_ms(workers.len());
+        let answer_ms = cost.total_ms(workers.len());
         let expired = workers
             .iter()
-            .filter(|index| self.permission(view, **index, answered) == Permission::Expired);
+            .filter(|index| self.permission(view, **index, now + answer_ms) == Permission::Expired);
         let expired = expired.count();
-        if expired > 0 && expired * 100 >= workers.len() * EXPIRED_PERCENT {
-            let renewal = PermitNeed::Renewal {
-                workers,
-                members: Vec::new(),
-            };
-            view.permits.set_need(renewal, now);
+        if expired == 0 || expired * 100 < workers.len() * EXPIRED_PERCENT {
+            let expires = |index: &WorkerIndex| view.permits.expires(*index, cost.valid_ms);
+            let expires = workers.iter().map(|index| expires(index).unwrap_or(now));
+            let mut expires: Vec<Millis> = expires.collect();
+            expires.sort_unstable();
+            let share = (workers.len() * EXPIRED_PERCENT).div_ceil(100);
+            let last = expires.get(share.max(1) - 1)?;
+            return Some(Millis(last.0.saturating_sub(answer_ms)));
         }
+        let renewal = PermitNeed::Renewal {
+            workers,
+            members: Vec::new(),
+        };
+        view.permits.set_need(renewal, now);
+        None
     }
 
     /// The workers that the policy allows for a step and that accept tasks, those with the most free
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -184,6 +184,7 @@
         } else {
             self.failed_result(view, &candidates, begin)
         };
+        view.retry = self.retry_after(view, result, begin, None, now);
         self.end_try(begin, result);
     }
 
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Whether a worker with free resources was withheld from a step since its try began.
+    pub(crate) fn has_withheld_since(&self, begin: TryBegin) -> bool {
+        self.tally.withheld.get() > begin.withheld
+    }
+
     /// Counts a try of a step.
     pub(crate) fn end_try(&mut self, begin: TryBegin, result: TryResult) {
         let checks = self.checks.get() - begin.checks;
@@ -234,7 +239,7 @@
         let has_granted = candidates
             .iter()
             .any(|candidate| candidate.permission == Permission::Granted);
-        if has_granted || self.tally.withheld.get() > begin.withheld {
+        if has_granted || self.has_withheld_since(begin) {
             return TryResult::Withheld;
         }
         if !candidates.is_empty() {
@@ -250,7 +255,7 @@
         candidates: &[Candidate],
         begin: TryBegin,
     ) -> TryResult {
-        if candidates.is_empty() && self.tally.withheld.get() > begin.withheld {
+        if candidates.is_empty() && self.has_withheld_since(begin) {
             return TryResult::Withheld;
         }
         self.permit_or_room(view)
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -44,6 +44,15 @@
     cost_millicores: u64,
 }
 
+impl StepView {
+    /// When a blocked gang may next preempt tasks; `None` if it cannot meet its deadline.
+    pub(crate) fn preemption_due(&self, now: Millis) -> Option<Millis> {
+        let blocked_since = self.blocked_since?;
+        let is_in_time = Rank::of(self, now).lateness == Lateness::InTime;
+        is_in_time.then(|| (blocked_since + PREEMPT_AFTER_MS).max(self.preempt_retry_at))
+    }
+}
+
 impl Scheduler {
     /// Preempts tasks for a gang that has waited long enough. Returns whether it did.
     pub(crate) fn preempt(
@@ -52,10 +61,8 @@
         reservations: &Reservations,
         now: Millis,
     ) -> bool {
-        let blocked_since = *view.blocked_since.get_or_insert(now);
-        let is_in_time = Rank::of(view, now).lateness == Lateness::InTime;
-        if now.since(blocked_since) < PREEMPT_AFTER_MS || !is_in_time || now < view.preempt_retry_at
-        {
+        view.blocked_since.get_or_insert(now);
+        if view.preemption_due(now).is_none_or(|due| now < due) {
             return false;
         }
         view.preempt_retry_at = now + RETRY_MS;
--- a/crates/queues/src/scheduler/quarantine.rs
+++ b/crates/queues/src/scheduler/quarantine.rs
@@ -246,7 +246,7 @@
             };
             self.quarantine.queues.push(quarantined);
             self.record_change(queue, Some(assessment), true, limit);
-            self.rounds.is_due = true;
+            self.retry_all();
         }
     }
 
@@ -285,7 +285,7 @@
         for (queue, assessment, workers) in released {
             self.quarantine.members.retain(|_, owner| *owner != queue);
             self.record_change(queue, Some(assessment), false, workers);
-            self.rounds.is_due = true;
+            self.retry_all();
         }
     }
 
--- a/crates/queues/src/scheduler/reservations.rs
+++ b/crates/queues/src/scheduler/reservations.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// The reserved workers, each with a step that holds a reservation there.
+    pub fn by_owner(&self) -> impl Iterator<Item = (WorkerIndex, StepKey)> {
+        let all = self.by_worker.iter();
+        all.flat_map(|(index, reserved)| reserved.iter().map(|one| (*index, one.owner)))
+    }
+
     /// The steps that hold reservations.
     pub fn owners(&self) -> SmallVec<[StepKey; 4]> {
         let mut owners = SmallVec::new();
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -3,11 +3,11 @@
 //! A round goes through the waiting steps in their order, and each step that it tries costs
 //! processor time that the leader also needs for commits and requests. A step that could not be
 //! placed is tried again only when something has changed for it: its permits were answered, tasks
-//! of it wait again, or a worker that it may use has got free resources. Since permits, pauses and
-//! reservations also change with time alone, each step is tried again at intervals, which grow with
-//! the number of waiting steps. A round does a limited number of checks; steps that it leaves out
-//! are tried in the next one. Urgent steps that can meet their deadline do not wait for a round once
-//! their permit requests are answered.
+//! of it wait again, or a worker that it may use has got free resources. Pauses and reservations also
+//! change with time alone. Steps that they concern are tried again at intervals, which grow with the
+//! number of waiting steps, all others at a long interval. A round does a limited number of checks;
+//! steps that it leaves out are tried in the next one. Urgent steps that can meet their deadline do
+//! not wait for a round once their permit requests are answered.
 
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
@@ -23,6 +23,7 @@
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::reservations::Reservations;
+use crate::scheduler::retries::Retry;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::Workers;
@@ -51,17 +52,17 @@
 const SLOW_PAUSE_MAX_MS: u64 = 150;
 /// A round tries no further steps after this many checks.
 const CHECKS_PER_ROUND_MAX: u64 = 50_000;
-/// A waiting step is tried again after this time although nothing has changed for it.
+/// A waiting step from which free workers are withheld is tried again after this time.
 const RETRY_MIN_MS: u64 = 20;
 /// The number of waiting steps that lengthens this time by a millisecond.
 const STEPS_PER_RETRY_MS: u64 = 10;
-/// The longest time after which a waiting step is tried again.
+/// The longest time after which such a step is tried again.
 const RETRY_MAX_MS: u64 = 500;
 /// The number of blocked gangs that a round tries for a reservation although nothing has changed
 /// for them.
 const RESERVATION_TRIES_MAX: usize = 4;
 /// The number of freed workers that are compared with a waiting step. After a slow round nearly all
-/// workers are freed ones, and a step that can use none of the first is tried at its interval.
+/// workers are freed ones, and a step that can use none of the first is tried soon.
 const FREED_PER_STEP_MAX: usize = 16;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
@@ -81,7 +82,7 @@
     pause_ms: u64,
     gangs_placed_at: Millis,
     gang_pause_ms: u64,
-    /// After how long a waiting step is tried again although nothing has changed for it.
+    /// After how long a step from which free workers are withheld is tried again.
     retry_ms: u64,
     /// Workers with resources that were freed since the last round.
     freed: Vec<WorkerIndex>,
@@ -116,6 +117,11 @@
         self.reservations.begins(step)
     }
 
+    /// After how long a step from which free workers are withheld is tried again.
+    pub(crate) fn retry_ms(&self) -> u64 {
+        self.retry_ms
+    }
+
     /// Whether a round begins now; if so, records it.
     fn begin(&mut self, now: Millis) -> bool {
         let since_ms = now.since(self.placed_at);
@@ -191,6 +197,15 @@
     sorted
 }
 
+/// Whether a round tries a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TryDue {
+    Now,
+    /// Too many workers were freed to compare the step with all of them.
+    Soon,
+    Later,
+}
+
 /// The state of a round in progress.
 #[derive(Debug)]
 struct Round {
@@ -246,6 +261,11 @@
         } else {
             std::mem::take(&mut self.rounds.reservations)
         };
+        let last_reserved: Vec<(WorkerIndex, StepKey)> = if has_gangs {
+            self.rounds.reservations.by_owner().collect()
+        } else {
+            Vec::new()
+        };
         let mut round = Round {
             has_gangs,
             freed: self.rounds.take_freed(has_gangs, &self.workers),
@@ -259,6 +279,9 @@
         for (_, rank) in order {
             self.place_step(state, rank.key, &mut round, now);
         }
+        if has_gangs {
+            self.note_released(&last_reserved, &round.reservations);
+        }
         self.rounds.reservations = round.reservations;
         if has_gangs {
             self.rounds.pause_gangs(round.gang_checks, now);
@@ -270,8 +293,14 @@
         let Some(view) = self.steps.get(&key) else {
             return;
         };
-        if !self.is_try_due(view, round, now) {
+        let due = self.try_due(view, round, now);
+        if due != TryDue::Now {
             self.tally.counts.not_due += 1;
+            if due == TryDue::Soon
+                && let Some(view) = self.steps.get_mut(&key)
+            {
+                view.retry = Retry::Soon;
+            }
             return;
         }
         // A gang that is not tried loses its reservation.
@@ -290,6 +319,7 @@
         if !view.is_ready {
             let begin = self.begin_try();
             self.prefetch_permits(&mut view, now);
+            view.retry = self.retry_after(&view, TryResult::NotReady, begin, None, now);
             self.end_try(begin, TryResult::NotReady);
         } else if view.spec().is_gang {
             self.place_gang_in_round(state, &mut view, round, now);
@@ -320,20 +350,26 @@
     }
 
     /// Whether a round tries a step.
-    fn is_try_due(&self, view: &StepView, round: &Round, now: Millis) -> bool {
+    fn try_due(&self, view: &StepView, round: &Round, now: Millis) -> TryDue {
         let is_gang = view.is_ready && view.spec().is_gang;
         if is_gang && !round.has_gangs && !view.is_urgent() {
-            return false;
+            return TryDue::Later;
         }
         let Some(tried) = view.tried else {
-            return true;
+            return TryDue::Now;
+        };
+        let is_due = match view.retry {
+            Retry::Soon => now.since(tried) >= self.rounds.retry_ms,
+            Retry::At(at) => now >= at,
         };
-        if view.left_out_at.is_some() || now.since(tried) >= self.rounds.retry_ms {
-            return true;
+        if is_due || view.left_out_at.is_some() {
+            return TryDue::Now;
+        }
+        if !is_gang && !view.is_ready {
+            return TryDue::Later;
         }
         if !is_gang {
-            let freed = &round.freed.for_tasks;
-            return view.is_ready && self.has_use_for(view, freed);
+            return self.has_use_for(view, &round.freed.for_tasks);
         }
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
@@ -345,21 +381,25 @@
         } else {
             &round.freed.for_tasks
         };
-        may_reserve || (self.has_use_for(view, freed) && self.may_fit_gang(view))
+        if may_reserve {
+            return TryDue::Now;
+        }
+        match self.has_use_for(view, freed) {
+            TryDue::Now if !self.may_fit_gang(view) => TryDue::Later,
+            due => due,
+        }
     }
 
     /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
     /// may be asked about it.
-    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> bool {
+    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> TryDue {
         let need = view.spec().resources;
         if !need.fits_in(&self.rounds.max_free) {
-            return false;
+            return TryDue::Later;
         }
-        let mut with_room = workers
-            .iter()
-            .take_while(|(millicores, _)| *millicores >= need.millicores)
-            .take(FREED_PER_STEP_MAX);
-        with_room.any(|(_, index)| {
+        let with_room = workers.partition_point(|(millicores, _)| *millicores >= need.millicores);
+        let mut compared = workers[..with_room].iter().take(FREED_PER_STEP_MAX);
+        let has_use = compared.any(|(_, index)| {
             self.count_visits(VisitKind::Freed, 1);
             let worker = self.workers.get(*index);
             worker.is_some_and(|worker| {
@@ -368,7 +408,12 @@
                     && self.may_use(view, *index)
                     && (view.queue.permits.is_none() || view.permits.may_use_or_ask(*index))
             })
-        })
+        });
+        match has_use {
+            true => TryDue::Now,
+            false if with_room > FREED_PER_STEP_MAX => TryDue::Soon,
+            false => TryDue::Later,
+        }
     }
 
     /// Whether a gang could have room for all members if the policy allowed it on all workers. A
@@ -407,6 +452,7 @@
                     self.place_gang(state, &mut view, &mut reservations, tries, now);
                 } else {
                     self.place_tasks(state, &mut view, &reservations, now);
+                    view.tried = Some(now);
                 }
             }
             self.rounds.reservations = reservations;
@@ -414,10 +460,27 @@
         }
     }
 
+    /// Handles the workers of a gang that holds no reservation any more as freed ones.
+    fn note_released(&mut self, last: &[(WorkerIndex, StepKey)], reservations: &Reservations) {
+        self.count_visits(VisitKind::Reservation, last.len());
+        let owners = reservations.owners();
+        for (index, owner) in last {
+            if !owners.contains(owner) {
+                self.rounds.note_freed(*index);
+            }
+        }
+    }
+
     /// Takes over what has changed on the workers since the last round.
     fn update_free_capacity(&mut self, now: Millis) {
-        let visits = self.rounds.capacity.update(&mut self.workers, now);
-        self.count_visits(VisitKind::Round, visits);
+        let change = self.rounds.capacity.update(&mut self.workers, now);
+        self.count_visits(VisitKind::Round, change.visits);
+        // While a queue is quarantined, all steps are tried again soon.
+        if self.quarantined_queues() == 0 {
+            for index in change.freed {
+                self.rounds.note_freed(index);
+            }
+        }
         let backlog = &mut self.rounds.backlog;
         for (service, millicores) in self.rounds.capacity.by_service() {
             backlog.set_capacity(service, millicores);
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -143,6 +143,18 @@
         }
     }
 
+    /// Whether requests are paused after one that was refused or failed.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until
+    }
+
+    /// When the permit of a worker becomes unusable, if there is one that has not been rejected.
+    pub fn expires(&self, worker: WorkerIndex, valid_ms: u64) -> Option<Millis> {
+        let permit = self.allowed_permit(worker)?;
+        let usable_ms = valid_ms.saturating_sub(PERMIT_MARGIN_MS);
+        (!permit.is_invalidated).then(|| permit.issued + usable_ms)
+    }
+
     /// The workers that the policy has allowed, in the order of their index.
     pub fn allowed(&self) -> impl Iterator<Item = WorkerIndex> {
         self.allowed.iter().map(|(index, _)| *index)
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -16,6 +16,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::rejections::Rejections;
+use crate::scheduler::retries::Retry;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
 use crate::scheduler::workers::RunStage;
@@ -91,6 +92,8 @@
     pub preempt_retry_at: Millis,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
+    /// When it is tried again although nothing is known to have changed for it.
+    pub retry: Retry,
     /// Since when rounds have left it out, because they had done their limit of checks before it.
     pub left_out_at: Option<Millis>,
     /// Whether its waiting tasks have to be isolated and it had no turn for that when it was last tried.
@@ -341,6 +344,7 @@
         hold: Hold::default(),
         preempt_retry_at: Millis::ZERO,
         tried: None,
+        retry: Retry::Soon,
         left_out_at: None,
         is_without_turn: false,
         permits: StepPermits::default(),
--- a/crates/queues/tests/placement_cost.rs
+++ b/crates/queues/tests/placement_cost.rs
@@ -23,6 +23,8 @@
 /// A worker changes with each reply to a poll, which it holds open for most of a second, and with
 /// the next poll.
 const CHANGES_PER_WORKER_S: u64 = 4;
+/// A step that waits is tried at a long interval in any case.
+const TRIES_PER_S_MAX: u64 = 4;
 /// The passes over all steps in a round.
 const PASSES_PER_ROUND: u64 = 2;
 
@@ -66,6 +68,18 @@
     counts
 }
 
+/// Guards against tries of all waiting steps at a short interval although no room has appeared.
+#[test]
+fn steps_without_room_are_not_tried_again_and_again() {
+    let counts = counts_without_room();
+    let tries: u64 = counts.tries.iter().sum();
+    let tries_max = WAITING_JOBS * TRIES_PER_S_MAX * MEASURED_S;
+    assert!(
+        tries <= tries_max,
+        "{tries} tries, at most {tries_max}: {counts:?}"
+    );
+}
+
 /// Guards against rounds that go through all workers although few of them have changed.
 #[test]
 fn rounds_visit_no_more_workers_than_have_changed() {
