--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -181,7 +181,9 @@
     let core_metrics = CoreMetrics::register(&metrics);
     let load_metrics = LoadMetrics::register(&metrics);
     let hops = Hops::register(&metrics);
-    group_runtime.handle().spawn(commit_path::measure_lateness(hops.clone()));
+    group_runtime
+        .handle()
+        .spawn(commit_path::measure_lateness(hops.clone()));
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
     let queue_metrics = QueueMetrics::register(&metrics);
