--- a/crates/control/src/commit_path.rs
+++ b/crates/control/src/commit_path.rs
@@ -178,6 +178,8 @@
     received_at: Option<Instant>,
     counts: Counts,
     reported_at: Instant,
+    /// How long the last write took.
+    last_write: Duration,
 }
 
 impl CommitPath {
@@ -190,9 +192,15 @@
             received_at: None,
             counts: Counts::default(),
             reported_at: Instant::now(),
+            last_write: Duration::ZERO,
         }
     }
 
+    /// How long the last write to the own disk took, in milliseconds.
+    pub(crate) fn last_write_ms(&self) -> u64 {
+        self.last_write.as_millis() as u64
+    }
+
     pub(crate) fn hops(&self) -> &Hops {
         &self.hops
     }
@@ -241,6 +249,7 @@
         while let Some(write) = self.writes.pop_front_if(|write| write.number <= number) {
             let took = synced_at.saturating_duration_since(write.sent_at);
             self.hops.record(Hop::Storage, took);
+            self.last_write = took;
             if let Some(received_at) = write.received_at {
                 self.hops.record(Hop::Acknowledge, received_at.elapsed());
             }
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -296,7 +296,8 @@
             let seconds = took_ms as f64 / MILLIS_PER_SECOND;
             self.queues.metrics.commit_seconds.observe(seconds);
             if let Some(scheduler) = &mut self.queues.scheduler {
-                scheduler.record_commit(took_ms, now);
+                let write_ms = self.commit_path.last_write_ms();
+                scheduler.record_commit(took_ms.saturating_sub(write_ms), now);
             }
             for (done, reply) in answers {
                 done.send(Ok(reply));
--- a/crates/process/src/rpc/acceptor.rs
+++ b/crates/process/src/rpc/acceptor.rs
@@ -24,7 +24,8 @@
 use crate::rpc::auth::AuthLayer;
 
 /// A connection that has not begun its handshake within this time is closed, so that idle
-/// connections cannot use up the descriptors of the process.
+/// connections cannot use up the descriptors of the process. The library closes one that does not
+/// complete it.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The pause after a connection could not be accepted, usually for a lack of descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -221,7 +221,7 @@
             isolation_turns: IsolationTurns::default(),
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
-            overload: Overload::default(),
+            overload: Overload::new(now),
             restarts: 0,
         };
         for worker in state.workers() {
@@ -334,7 +334,8 @@
         self.rounds.record_time(took_ms);
     }
 
-    /// Records that an entry with commands was applied `took_ms` after it was proposed.
+    /// Records that an entry with commands was applied `took_ms` after it was proposed, without the
+    /// time that the write to the leader's own disk took.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
         self.overload.record_commit(took_ms, now);
     }
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -28,8 +28,14 @@
 const FALL_MIN_PERCENT: u64 = 60;
 /// How much the share rises in an interval without a delay, in thousandths of all jobs.
 const RISE_PERMILLE: u64 = 6;
-/// The smallest share, in thousandths of all jobs. Slow commits may have a cause other than load, and
-/// then refusals do not help.
+/// After this many intervals without a fall, the share rises by one more thousandth in each interval
+/// than in the one before, so that it soon reaches all jobs when the cause of the delay is gone.
+const STEADY_WINDOWS: u64 = 30;
+/// The share does not fall in the first part of a term. A new leader polls all workers, and commits
+/// are slow meanwhile whatever it admits.
+const TAKEOVER_MS: u64 = 1_500;
+/// The smallest share, in thousandths of all jobs. Commits may be slow for another reason than load,
+/// and then refusals do not help.
 const SHARE_MIN_PERMILLE: u64 = 100;
 const ALL_PERMILLE: u64 = 1_000;
 /// All jobs are admitted after this time without a commit, since nothing shows a delay any more.
@@ -65,25 +71,28 @@
     /// The number of slow intervals in a row.
     slow_windows: u32,
     fallen_at: Option<Millis>,
+    /// The share does not fall before.
+    falls_from: Millis,
 }
 
-impl Default for Overload {
-    fn default() -> Overload {
+impl Overload {
+    /// A new leader admits all jobs.
+    pub fn new(now: Millis) -> Overload {
         Overload {
             share_permille: ALL_PERMILLE,
-            window_began: Millis::ZERO,
+            window_began: now,
             shortest_commit_ms: None,
             committed_at: None,
             in_progress_ms: 0,
             left_out_ms: 0,
             slow_windows: 0,
             fallen_at: None,
+            falls_from: now + TAKEOVER_MS,
         }
     }
-}
 
-impl Overload {
-    /// Records a commit that ended now and took `took_ms`.
+    /// Records a commit that ended now and took `took_ms` without the write to the leader's disk, since
+    /// a slow disk has time for more jobs.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
         self.advance(now);
         let shortest_ms = self.shortest_commit_ms.unwrap_or(took_ms);
@@ -134,31 +143,44 @@
         Some(retry_ms.max(useful_ms / USEFUL_PER_RETRY))
     }
 
-    /// Reconsiders the share for each interval that has ended.
+    /// Reconsiders the share for each interval that has ended. Intervals that nothing was recorded in
+    /// for long show nothing, whatever is in progress now.
     fn advance(&mut self, now: Millis) {
         let is_idle = self.committed_at.is_none_or(|at| now.since(at) >= VALID_MS);
         if is_idle && self.in_progress_ms < DELAY_MAX_MS {
             self.share_permille = ALL_PERMILLE;
-            self.slow_windows = 0;
             self.fallen_at = None;
+        }
+        if is_idle || now.since(self.window_began) >= VALID_MS {
+            self.slow_windows = 0;
             self.window_began = now;
             self.shortest_commit_ms = None;
             return;
         }
         while now.since(self.window_began) >= WINDOW_MS {
             self.window_began = self.window_began + WINDOW_MS;
-            self.end_window();
+            // The age that the commit in progress had when the interval ended.
+            let age_ms = self
+                .in_progress_ms
+                .saturating_sub(now.since(self.window_began));
+            self.end_window(age_ms);
         }
     }
 
-    fn end_window(&mut self) {
+    /// How much the share rises in the interval that ends.
+    fn rise_permille(&self) -> u64 {
+        let windows = self
+            .fallen_at
+            .map_or(0, |at| self.window_began.since(at) / WINDOW_MS);
+        RISE_PERMILLE + windows.saturating_sub(STEADY_WINDOWS)
+    }
+
+    fn end_window(&mut self, in_progress_ms: u64) {
         let commit_ms = self.shortest_commit_ms.take();
-        let delay_ms = commit_ms
-            .unwrap_or(self.in_progress_ms)
-            .max(self.left_out_ms);
+        let delay_ms = commit_ms.unwrap_or(in_progress_ms).max(self.left_out_ms);
         if delay_ms <= DELAY_MAX_MS {
             self.slow_windows = 0;
-            self.share_permille = ALL_PERMILLE.min(self.share_permille + RISE_PERMILLE);
+            self.share_permille = ALL_PERMILLE.min(self.share_permille + self.rise_permille());
             return;
         }
         self.slow_windows += 1;
@@ -166,7 +188,7 @@
         let has_effect = self
             .fallen_at
             .is_none_or(|at| now.since(at) >= FALL_INTERVAL_MS);
-        if self.slow_windows >= SLOW_WINDOWS && has_effect {
+        if self.slow_windows >= SLOW_WINDOWS && has_effect && now >= self.falls_from {
             let left_percent = (100 * DELAY_MAX_MS / delay_ms).max(FALL_MIN_PERCENT);
             let share = self.share_permille * left_percent / 100;
             self.share_permille = share.max(SHARE_MIN_PERMILLE);
