--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -42,9 +42,6 @@
 const TURN_PAUSE_MIN_MS: u64 = 2_000;
 /// The longest pause.
 const TURN_PAUSE_MAX_MS: u64 = 32_000;
-/// How long a run that lasts until its job is cancelled has a worker for itself. Without a limit,
-/// the worker would be closed to other jobs for ever.
-const LASTING_ALONE_MS: u64 = 10_000;
 
 /// A worker on which only one job may start tasks for some time.
 #[derive(Clone, Debug)]
@@ -139,17 +136,9 @@
     pub fn is_closed_to(&self, job: JobKey, now: Millis) -> bool {
         let reserved = self.exclusive.as_ref();
         reserved.is_some_and(|exclusive| exclusive.job != job && now < exclusive.until)
-            || self
-                .runs
-                .iter()
-                .any(|(task, run)| task.step.job != job && self.is_alone(task, run, now))
-    }
-
-    /// Whether a run has the worker for itself.
-    fn is_alone(&self, task: &TaskKey, run: &RunView, now: Millis) -> bool {
-        let is_settled =
-            self.lasting.contains(task) && now.since(run.confirmed) >= LASTING_ALONE_MS;
-        run.isolation == Isolation::ExclusiveWorker && !is_settled
+            || self.runs.iter().any(|(task, run)| {
+                run.isolation == Isolation::ExclusiveWorker && task.step.job != job
+            })
     }
 
     /// Whether the worker is closed to all jobs but this one.
@@ -209,7 +198,6 @@
     /// cause. A start that nothing shows to have arrived began no run.
     pub fn lost_runs(&self) -> LostRuns {
         let end = self.loss.earliest_end();
-        let lost_at = end.unwrap_or(self.lease.heard_at());
         let started = self
             .runs
             .iter()
@@ -221,7 +209,7 @@
                 continue;
             }
             lost.tasks.push(*task);
-            if is_recent || self.is_alone(task, run, lost_at) {
+            if is_recent || run.isolation == Isolation::ExclusiveWorker {
                 lost.suspects.push(*task);
                 lost.is_inconclusive |= run.stage == RunStage::Unknown;
             }
