--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -15,7 +15,6 @@
 use crate::crash::LostRuns;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
-use crate::ids::TaskKey;
 use crate::job::Job;
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
@@ -161,12 +160,7 @@
                 let is_quiet = now.since(self.last_start) >= exclusive_ms;
                 is_quiet || self.has_exclusive_start(job, now)
             }
-            // A run that lasts never leaves the worker to the job.
-            Isolation::ExclusiveWorker => {
-                let is_allowed =
-                    |task: &TaskKey| task.step.job == job || self.lasting.contains(task);
-                self.runs.keys().all(is_allowed)
-            }
+            Isolation::ExclusiveWorker => self.runs.keys().all(|task| task.step.job == job),
         }
     }
 
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -105,9 +105,6 @@
                 confirmed: now,
             };
             view.add_run(*task, run);
-            if step.is_some_and(|step| step.is_service) {
-                view.lasting.insert(*task);
-            }
         }
     }
 
@@ -182,9 +179,6 @@
         };
         view.stage = RunStage::StartSent { attempts };
         view.unlisted_since = Some(now);
-        if job.spec.steps[usize::from(task.step.step)].is_service {
-            worker.lasting.insert(task);
-        }
         worker.record_open_start(task, run, now);
         worker.record_start(task.step.job, exclusive_ms, now);
         let kind = WorkerRequestKind::Start {
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
@@ -131,8 +130,6 @@
     pub runs: FxHashMap<TaskKey, RunView>,
     /// The number of runs of each step, for the limit of a step on one worker.
     pub runs_by_step: FxHashMap<StepKey, u32>,
-    /// Those of its runs that last until their job is cancelled.
-    pub lasting: FxHashSet<TaskKey>,
     /// Its clock and its lease.
     pub lease: WorkerLease,
     /// How contact with it was lost, if it was.
@@ -171,7 +168,6 @@
             used: Resources::ZERO,
             runs: FxHashMap::default(),
             runs_by_step: FxHashMap::default(),
-            lasting: FxHashSet::default(),
             lease: WorkerLease::new(now, restarted),
             loss: ContactLoss::default(),
             health: Health::default(),
@@ -245,7 +241,6 @@
             return None;
         }
         let removed = self.runs.remove(&task)?;
-        self.lasting.remove(&task);
         self.used = self.used.saturating_sub(&removed.resources);
         if let Some(count) = self.runs_by_step.get_mut(&task.step) {
             *count -= 1;
