--- a/crates/queues/src/scheduler/reservations.rs
+++ b/crates/queues/src/scheduler/reservations.rs
@@ -125,12 +125,11 @@
 
 /// The resources that are expected to be free at a time, if reservations are ignored.
 fn expected_free_at(worker: &WorkerView, at: Millis, now: Millis) -> Resources {
-    let runs = worker.runs.iter();
-    let ended =
-        runs.filter(|(task, run)| !worker.lasting.contains(task) && run.expected_end(now) <= at);
-    ended.fold(worker.free(), |sum, (_, run)| {
-        sum.saturating_add(&run.resources)
-    })
+    let ended = worker
+        .runs
+        .values()
+        .filter(|run| run.expected_end(now) <= at);
+    ended.fold(worker.free(), |sum, run| sum.saturating_add(&run.resources))
 }
 
 fn min_resources(a: Resources, b: Resources) -> Resources {
@@ -150,11 +149,10 @@
     max_members: usize,
     now: Millis,
 ) -> SmallVec<[Millis; 8]> {
-    // A run that lasts until its job is cancelled has no expected end.
-    let runs = worker.runs.iter();
-    let ending = runs.filter(|(task, _)| !worker.lasting.contains(task));
-    let mut ends: Vec<(Millis, Resources)> = ending
-        .map(|(_, run)| (run.expected_end(now), run.resources))
+    let mut ends: Vec<(Millis, Resources)> = worker
+        .runs
+        .values()
+        .map(|run| (run.expected_end(now), run.resources))
         .collect();
     ends.sort_unstable_by_key(|(at, _)| *at);
     let mut available = worker.free();
