--- a/crates/queues/tests/isolation.rs
+++ b/crates/queues/tests/isolation.rs
@@ -227,3 +227,141 @@
         }
     }
 }
+
+/// Guards against a task that waits for a worker of its own for ever, since each worker runs a task
+/// that lasts.
+#[test]
+fn a_task_that_lost_many_workers_starts_although_each_worker_runs_a_lasting_task() {
+    const LASTING: JobKey = JobKey(6);
+    let need = |_| Resources::new(4_000, 1_024, 0);
+    let work_ms = |task: TaskKey| match task.step.job {
+        LASTING => 6_000_000,
+        _ => 500,
+    };
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, need, work_ms);
+    let workers = (0..4).map(worker).collect();
+    let queues = vec![
+        queue("lasting", 0, 4.0, 3_000),
+        queue("suspect", 1, 2.2, 1_000),
+    ];
+    let mut model = Model::new(queues, workers, 0);
+    model.run(100);
+    let step = |count, is_service| StepSpec {
+        count,
+        resources: Resources::new(4_000, 1_024, 0),
+        estimate_ms: 500,
+        per_worker_max: Some(1),
+        is_service,
+        ..StepSpec::default()
+    };
+    let spec = |step| SubmittedSpec {
+        payload: Arc::from("payload"),
+        steps: vec![step],
+    };
+    model.submit(LASTING.0, "lasting", spec(step(4, true)));
+    model.run(200);
+    for number in 0..4 {
+        let id = format!("lost{number}");
+        let new = ModelWorker::new(&id, 1, need, work_ms);
+        model.propose(QueueCommand::PutWorker(Box::new(new.record)));
+    }
+    let mut blocked = spec(step(1, false));
+    blocked.steps[0].required_label = Some(Arc::from("later"));
+    model.submit(SUSPECT.0, "suspect", blocked);
+    model.run(2 * COMMIT_MS);
+    for number in 0..4 {
+        model.propose(QueueCommand::Crash {
+            worker: Arc::from(format!("lost{number}")),
+            incarnation: FIRST_INCARNATION,
+            checkpoints: Vec::new(),
+            lost: LostRuns {
+                tasks: tasks_of(SUSPECT, 1),
+                suspects: Vec::new(),
+                is_inconclusive: false,
+            },
+        });
+    }
+    model.run(2 * COMMIT_MS);
+    for id in ["w0", "w1", "w2", "w3"] {
+        let worker = model.workers.get_mut(id).unwrap();
+        worker.record.labels.push(Arc::from("later"));
+        worker.record.sequence = 1;
+        let record = worker.record.clone();
+        model.report(&record);
+    }
+    let begin = model.now;
+    while !model.has_started(SUSPECT) {
+        let waits_ms = model.now.since(begin);
+        let waiting = model.scheduler.find_waiting_steps(model.now);
+        assert!(
+            waits_ms <= 30_000,
+            "not started after {waits_ms} ms: {waiting:?}"
+        );
+        model.run(STEP_MS);
+    }
+    println!("started after {} ms", model.now.since(begin));
+}
+
+/// Guards against a worker that a task which lasts keeps for itself for ever, since it was on many
+/// crashed workers: other jobs find no room, although nearly all of the worker is free.
+#[test]
+fn a_lasting_task_that_lost_many_workers_leaves_room_to_others_after_a_while() {
+    const LASTING: JobKey = JobKey(6);
+    const OTHER: JobKey = JobKey(7);
+    const ALONE_MAX_MS: u64 = 15_000;
+    let need = |_| Resources::new(4_000, 1_024, 0);
+    let work_ms = |task: TaskKey| match task.step.job {
+        LASTING => 6_000_000,
+        _ => 500,
+    };
+    let queues = vec![
+        queue("lasting", 0, 4.0, 3_000),
+        queue("other", 1, 2.2, 1_000),
+    ];
+    let lost = |number| ModelWorker::new(&format!("lost{number}"), 64, need, work_ms);
+    let mut model = Model::new(queues, (0..4).map(lost).collect(), 0);
+    model.run(100);
+    let spec = |is_service| SubmittedSpec {
+        payload: Arc::from("payload"),
+        steps: vec![StepSpec {
+            count: 1,
+            resources: Resources::new(4_000, 1_024, 0),
+            estimate_ms: 500,
+            is_service,
+            ..StepSpec::default()
+        }],
+    };
+    model.submit(LASTING.0, "lasting", spec(true));
+    model.run(2 * COMMIT_MS);
+    for number in 0..4 {
+        model.workers.remove(format!("lost{number}").as_str());
+        model.propose(QueueCommand::Crash {
+            worker: Arc::from(format!("lost{number}")),
+            incarnation: FIRST_INCARNATION,
+            checkpoints: Vec::new(),
+            lost: LostRuns {
+                tasks: tasks_of(LASTING, 1),
+                suspects: Vec::new(),
+                is_inconclusive: false,
+            },
+        });
+    }
+    model.run(2 * COMMIT_MS);
+    let new = ModelWorker::new("w0", 64, need, work_ms);
+    model.propose(QueueCommand::PutWorker(Box::new(new.record.clone())));
+    model.workers.insert(new.record.id.clone(), new);
+    model.run(2_000);
+    assert!(model.has_started(LASTING));
+    model.submit(OTHER.0, "other", spec(false));
+    model.run(1_000);
+    assert!(
+        !model.has_started(OTHER),
+        "the task has no worker of its own"
+    );
+    let begin = model.now;
+    while !model.has_started(OTHER) {
+        let waits_ms = model.now.since(begin);
+        assert!(waits_ms <= ALONE_MAX_MS, "not started after {waits_ms} ms");
+        model.run(STEP_MS);
+    }
+}
