Start no process while a test of entries tries a port

The port was tried in the same process shortly before. Suspected cause: a child that another thread starts meanwhile has the trying socket until its exec. Ruled out: outgoing connections, whose ports begin at 32,768 here, and other test processes, which have addresses of their own.

No check is changed: a mutex keeps tries of ports and starts of processes apart.

--- a/crates/entry/tests/harness/mod.rs
+++ b/crates/entry/tests/harness/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::LazyLock;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -58,12 +59,18 @@
     }
 }
 
+/// Held while a process is started and while a port is tried. A child has the sockets of all threads
+/// between its fork and its exec, and would keep a port that is being tried from the entry that it
+/// is for.
+static STARTING: Mutex<()> = Mutex::new(());
+
 pub fn free_address() -> SocketAddr {
     static RESERVED: LazyLock<ReservedIp> = LazyLock::new(ReservedIp::new);
     static NEXT: AtomicU16 = AtomicU16::new(0);
     loop {
         let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
         let address = SocketAddr::from((RESERVED.ip, FIRST_PORT + offset));
+        let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -128,12 +135,14 @@
     }
 
     pub fn spawn(&mut self, index: usize) {
+        let starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(env!("CARGO_BIN_EXE_sapphirepost-entry"))
             .args(&self.arguments[index])
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        drop(starting);
         self.children[index] = Some(child);
         // The listener for callers starts last.
         let callers = self.callers[index];
@@ -145,6 +154,7 @@
     /// Sends a signal to one entry.
     pub fn signal(&self, index: usize, signal: &str) {
         let id = self.children[index].as_ref().unwrap().id().to_string();
+        let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let status = Command::new("kill").args([signal, &id]).status().unwrap();
         assert!(status.success());
     }
