Begin with a part of the jobs when a takeover is slow, and discount only slow disks

Now only what a write takes over 40 ms is taken out, and a leader whose first commit is slow begins with a quarter of the jobs and rises from there. A leader that commits in time refuses nothing, so a small cluster sees no difference. Two tests; with a grace of 1.5 s the first one fails by its bound of 600 of 1,000.

--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -54,6 +54,10 @@
 /// takes, and each entry costs a message and a reply for every member.
 const PROPOSAL_INTERVAL_MS: u64 = 6;
 
+/// A write to the own disk that takes longer than this is delayed by the disk, and not by a lack of
+/// processor time.
+const WRITE_MAX_MS: u64 = 40;
+
 /// Sends requests to workers in their own protocol; implemented by the embedding program.
 pub trait WorkerGateway: Send {
     /// Sends a request without blocking. `done` receives the reply and may be called on any thread;
@@ -296,8 +300,11 @@
             let seconds = took_ms as f64 / MILLIS_PER_SECOND;
             self.queues.metrics.commit_seconds.observe(seconds);
             if let Some(scheduler) = &mut self.queues.scheduler {
-                let write_ms = self.commit_path.last_write_ms();
-                scheduler.record_commit(took_ms.saturating_sub(write_ms), now);
+                let slow_disk_ms = self
+                    .commit_path
+                    .last_write_ms()
+                    .saturating_sub(WRITE_MAX_MS);
+                scheduler.record_commit(took_ms.saturating_sub(slow_disk_ms), now);
             }
             for (done, reply) in answers {
                 done.send(Ok(reply));
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -335,7 +335,7 @@
     }
 
     /// Records that an entry with commands was applied `took_ms` after it was proposed, without the
-    /// time that the write to the leader's own disk took.
+    /// delay of a slow disk of the leader.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
         self.overload.record_commit(took_ms, now);
     }
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -31,8 +31,10 @@
 /// After this many intervals without a fall, the share rises by one more thousandth in each interval
 /// than in the one before, so that it soon reaches all jobs when the cause of the delay is gone.
 const STEADY_WINDOWS: u64 = 30;
-/// The share does not fall in the first part of a term. A new leader polls all workers, and commits
-/// are slow meanwhile whatever it admits.
+/// The share of a new leader whose first commit is slow. It polls all workers and takes over all runs,
+/// while the callers of the former leader return.
+const START_PERMILLE: u64 = 250;
+/// A first commit that ends later shows nothing about the takeover.
 const TAKEOVER_MS: u64 = 1_500;
 /// The smallest share, in thousandths of all jobs. Commits may be slow for another reason than load,
 /// and then refusals do not help.
@@ -58,46 +60,54 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overload {
     share_permille: u64,
+    /// When the term began.
+    began: Millis,
+    /// Whether a commit has ended in this term.
+    has_committed: bool,
     /// The begin of the present interval.
     window_began: Millis,
     /// The shortest commit that ended in it.
     shortest_commit_ms: Option<u64>,
-    /// When a commit last ended.
-    committed_at: Option<Millis>,
+    /// When a commit last ended, or the term began.
+    committed_at: Millis,
     /// The age of the oldest commit in progress.
     in_progress_ms: u64,
     /// For how long the last placement round left steps out.
     left_out_ms: u64,
     /// The number of slow intervals in a row.
     slow_windows: u32,
+    /// When the share last fell, or began to rise.
     fallen_at: Option<Millis>,
-    /// The share does not fall before.
-    falls_from: Millis,
 }
 
 impl Overload {
-    /// A new leader admits all jobs.
+    /// A new leader admits all jobs unless its first commit is slow.
     pub fn new(now: Millis) -> Overload {
         Overload {
             share_permille: ALL_PERMILLE,
+            began: now,
+            has_committed: false,
             window_began: now,
             shortest_commit_ms: None,
-            committed_at: None,
+            committed_at: now,
             in_progress_ms: 0,
             left_out_ms: 0,
             slow_windows: 0,
             fallen_at: None,
-            falls_from: now + TAKEOVER_MS,
         }
     }
 
-    /// Records a commit that ended now and took `took_ms` without the write to the leader's disk, since
-    /// a slow disk has time for more jobs.
+    /// Records a commit that ended now and took `took_ms` without the delay of a slow disk, which
+    /// leaves time for more jobs.
     pub fn record_commit(&mut self, took_ms: u64, now: Millis) {
         self.advance(now);
         let shortest_ms = self.shortest_commit_ms.unwrap_or(took_ms);
         self.shortest_commit_ms = Some(shortest_ms.min(took_ms));
-        self.committed_at = Some(now);
+        self.committed_at = now;
+        if self.is_slow_takeover(took_ms, now) {
+            self.begin_at_start_share(now);
+        }
+        self.has_committed = true;
     }
 
     /// Records the age of the oldest commit in progress.
@@ -120,6 +130,9 @@
     pub fn retry_after_ms(&self, job: JobKey, useful_ms: u64, now: Millis) -> Option<u64> {
         let mut level = *self;
         level.advance(now);
+        if level.is_slow_takeover(level.in_progress_ms, now) {
+            level.begin_at_start_share(now);
+        }
         if level.in_progress_ms >= STUCK_MS {
             return Some(
                 RETRY_MIN_MS
@@ -146,12 +159,15 @@
     /// Reconsiders the share for each interval that has ended. Intervals that nothing was recorded in
     /// for long show nothing, whatever is in progress now.
     fn advance(&mut self, now: Millis) {
-        let is_idle = self.committed_at.is_none_or(|at| now.since(at) >= VALID_MS);
+        let is_idle = now.since(self.committed_at) >= VALID_MS;
         if is_idle && self.in_progress_ms < DELAY_MAX_MS {
             self.share_permille = ALL_PERMILLE;
             self.fallen_at = None;
         }
-        if is_idle || now.since(self.window_began) >= VALID_MS {
+        let unseen_ms = now.since(self.window_began);
+        if is_idle || unseen_ms >= VALID_MS {
+            let risen = self.share_permille + RISE_PERMILLE * unseen_ms / WINDOW_MS;
+            self.share_permille = ALL_PERMILLE.min(risen);
             self.slow_windows = 0;
             self.window_began = now;
             self.shortest_commit_ms = None;
@@ -167,6 +183,17 @@
         }
     }
 
+    /// Whether a commit of this age is the first one of a leader that has just begun, and slow.
+    fn is_slow_takeover(&self, commit_ms: u64, now: Millis) -> bool {
+        let is_first = !self.has_committed && now.since(self.began) < TAKEOVER_MS;
+        is_first && commit_ms > DELAY_MAX_MS
+    }
+
+    fn begin_at_start_share(&mut self, now: Millis) {
+        self.share_permille = START_PERMILLE;
+        self.fallen_at = Some(now);
+    }
+
     /// How much the share rises in the interval that ends.
     fn rise_permille(&self) -> u64 {
         let windows = self
@@ -188,7 +215,7 @@
         let has_effect = self
             .fallen_at
             .is_none_or(|at| now.since(at) >= FALL_INTERVAL_MS);
-        if self.slow_windows >= SLOW_WINDOWS && has_effect && now >= self.falls_from {
+        if self.slow_windows >= SLOW_WINDOWS && has_effect {
             let left_percent = (100 * DELAY_MAX_MS / delay_ms).max(FALL_MIN_PERCENT);
             let share = self.share_permille * left_percent / 100;
             self.share_permille = share.max(SHARE_MIN_PERMILLE);
--- a/crates/queues/tests/slow_commits.rs
+++ b/crates/queues/tests/slow_commits.rs
@@ -20,7 +20,6 @@
     let worker = |number| ModelWorker::new(&format!("w{number}"), 64, load::need, load::work_ms);
     let workers = (0..4).map(worker).collect();
     let mut model = Model::new(vec![queue("lookup", 0, 1.5, 250)], workers, 0);
-    // A new leader refuses nothing for slow commits at first.
     model.run(2_000);
     model
 }
@@ -167,3 +166,32 @@
     model.scheduler.record_commit_in_progress(80);
     assert_eq!(refused(&model, model.now + 1_000_000).0, 0);
 }
+
+/// Guards against a new leader that accepts all returning callers while it takes over, and against
+/// refusals that go on when its commits are fast.
+#[test]
+fn a_new_leader_whose_first_commit_is_slow_accepts_jobs_step_by_step() {
+    let mut model = model();
+    model.change_leader();
+    let begin = model.now;
+    assert_eq!(refused(&model, begin).0, 0);
+    model.scheduler.record_commit_in_progress(100);
+    let (first, _) = refused(&model, begin + 100);
+    assert!((600..900).contains(&first), "{first} of 1,000 are refused");
+    model.scheduler.record_commit(200, begin + 200);
+    model.scheduler.record_commit_in_progress(0);
+    let (first, _) = refused(&model, begin + 200);
+    assert!((600..900).contains(&first), "{first} of 1,000 are refused");
+    let now = commit_for(&mut model, 20, begin + 250, 8_000);
+    assert_eq!(refused(&model, now).0, 0);
+}
+
+/// Guards against a new leader that refuses jobs although it commits them in time.
+#[test]
+fn a_new_leader_whose_first_commit_is_fast_refuses_nothing() {
+    let mut model = model();
+    model.change_leader();
+    let begin = model.now;
+    let now = commit_for(&mut model, 20, begin, 500);
+    assert_eq!(refused(&model, now).0, 0);
+}
