Let the share of admitted jobs rise evenly

The share rose faster and faster from 3 s after its last fall on, so it reached all jobs when the refused callers returned, fell again, and refused up to 646 jobs a second twice.

--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -28,9 +28,6 @@
 const FALL_MIN_PERCENT: u64 = 60;
 /// How much the share rises in an interval without a delay, in thousandths of all jobs.
 const RISE_PERMILLE: u64 = 6;
-/// After this many intervals without a fall, the share rises by one more thousandth in each interval
-/// than in the one before, so that it soon reaches all jobs when the cause of the delay is gone.
-const STEADY_WINDOWS: u64 = 30;
 /// The share of a new leader whose first commit is slow. It polls all workers and takes over all runs,
 /// while the callers of the former leader return.
 const START_PERMILLE: u64 = 250;
@@ -194,20 +191,12 @@
         self.fallen_at = Some(now);
     }
 
-    /// How much the share rises in the interval that ends.
-    fn rise_permille(&self) -> u64 {
-        let windows = self
-            .fallen_at
-            .map_or(0, |at| self.window_began.since(at) / WINDOW_MS);
-        RISE_PERMILLE + windows.saturating_sub(STEADY_WINDOWS)
-    }
-
     fn end_window(&mut self, in_progress_ms: u64) {
         let commit_ms = self.shortest_commit_ms.take();
         let delay_ms = commit_ms.unwrap_or(in_progress_ms).max(self.left_out_ms);
         if delay_ms <= DELAY_MAX_MS {
             self.slow_windows = 0;
-            self.share_permille = ALL_PERMILLE.min(self.share_permille + self.rise_permille());
+            self.share_permille = ALL_PERMILLE.min(self.share_permille + RISE_PERMILLE);
             return;
         }
         self.slow_windows += 1;
