Keep log lines that are written once a second when the log is at its limit

Cause: the limit of the process makes no difference between targets.

Now 160 of the 2,400 lines are kept for the first 8 lines of each target in a second, and such lines have some capacity of the channel of their own. The new test fails before (the line of the sixth target is not allowed). The test of the limit of the process has 40 targets instead of 5, since 5 targets can no longer reach the limit; it still asserts that exactly 2,400 lines are allowed.

--- a/crates/process/src/line_limits.rs
+++ b/crates/process/src/line_limits.rs
@@ -1,7 +1,9 @@
 //! Limits on the number of log lines in each second.
 //!
 //! Each log target has a limit of its own beside that of the whole process, so that frequent lines
-//! of one kind do not crowd out rare ones of another.
+//! of one kind do not crowd out rare ones of another. Part of the limit of the process is kept for the
+//! first lines of each target in a window: lines that a target writes once a second are needed most
+//! when all others are frequent.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -12,6 +14,10 @@
 const LINES_MAX: u32 = 2_400;
 /// The maximum number of lines of one log target in a window.
 const TARGET_LINES_MAX: u32 = 600;
+/// The part of them that only the first lines of a target may use.
+const RESERVED_LINES: u32 = 160;
+/// The number of lines of a target in a window that may use this part.
+const FIRST_LINES: u32 = 8;
 /// The length of a window.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -52,7 +58,11 @@
         let Some(counts) = self.targets.get_mut(target) else {
             return false;
         };
-        if self.lines >= LINES_MAX || counts.lines >= TARGET_LINES_MAX {
+        let lines_max = match counts.lines < FIRST_LINES {
+            true => LINES_MAX,
+            false => LINES_MAX - RESERVED_LINES,
+        };
+        if self.lines >= lines_max || counts.lines >= TARGET_LINES_MAX {
             counts.dropped += 1;
             return false;
         }
@@ -61,6 +71,12 @@
         true
     }
 
+    /// Whether the last allowed line of a target is among its first ones in the window.
+    pub fn is_first(&self, target: &str) -> bool {
+        let counts = self.targets.get(target);
+        counts.is_none_or(|counts| counts.lines <= FIRST_LINES)
+    }
+
     /// Counts an allowed line that could not be written.
     pub fn drop_line(&mut self, target: &str) {
         if let Some(counts) = self.targets.get_mut(target) {
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -97,7 +97,7 @@
 /// are written as separate lines before the next line that is written. Logging never waits for the
 /// reader of the output, and a line over the limit is not formatted.
 pub fn init_bounded(levels: &LogLevels) -> Result<(), log::SetLoggerError> {
-    let (sender, queue) = flume::bounded(QUEUED_LINES_MAX);
+    let (sender, queue) = flume::bounded(QUEUED_LINES_MAX + RESERVED_QUEUE_LINES);
     let queue_sender = sender.clone();
     let writer = move || write_queue(&queue, &mut io::stdout().lock());
     let started = thread::Builder::new().name("log".to_owned()).spawn(writer);
@@ -112,6 +112,9 @@
     };
     let output = fern::Output::call(move |record| {
         let mut limits = limits.lock().unwrap_or_else(PoisonError::into_inner);
+        if sender.len() >= QUEUED_LINES_MAX && !limits.is_first(record.target()) {
+            return limits.drop_line(record.target());
+        }
         let line = format!("{}{}\n", limits.describe_dropped(), record.args());
         match sender.try_send(Queued::Line(line)) {
             Ok(()) => limits.forget_dropped(),
@@ -156,6 +159,8 @@
 pub const EXIT_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of lines that wait for the writer thread.
 const QUEUED_LINES_MAX: usize = 4_096;
+/// Further lines that may wait for it, if they are among the first ones of their target.
+const RESERVED_QUEUE_LINES: usize = 1_024;
 
 /// The channel to the writer thread; empty without a bounded log.
 static QUEUE: OnceLock<flume::Sender<Queued>> = OnceLock::new();
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -139,6 +139,26 @@
     assert_eq!(limiter.allow("refused", Millis(1000)), Some(1));
 }
 
+/// Guards against lines written once a second that are left out when many other targets write much.
+#[test]
+fn the_first_lines_of_a_target_are_written_while_others_are_left_out() {
+    let mut limits = LineLimits::default();
+    let start = Instant::now();
+    for second in 0..3 {
+        let now = start + Duration::from_secs(second);
+        for target in ["runs", "steps", "calls", "workers", "jobs"] {
+            (0..1_000).for_each(|_| {
+                limits.allow(target, now);
+            });
+        }
+        assert!(!limits.allow("jobs", now), "the process is at its limit");
+        assert!(limits.allow("load", now));
+        assert!(limits.is_first("load"));
+        let allowed = (0..1_000).filter(|_| limits.allow("load", now)).count();
+        assert_eq!(allowed, 7);
+    }
+}
+
 /// Guards against frequent lines of one kind that crowd out the rare ones of another.
 #[test]
 fn lines_of_one_target_do_not_crowd_out_another() {
@@ -161,7 +181,7 @@
 fn all_targets_together_have_a_limit() {
     let mut limits = LineLimits::default();
     let start = Instant::now();
-    let targets = ["a", "b", "c", "d", "e"];
+    let targets: Vec<String> = (0..40).map(|number| format!("target{number}")).collect();
     let lines = targets.iter().flat_map(|target| [target; 1_000]);
     let allowed = lines.filter(|target| limits.allow(target, start)).count();
     assert_eq!(allowed, 2_400);
