Try a gang again only when it may have room for all its members

Cause: work that grows with what waits. Most are tries of gangs: each freed worker makes each gang that may use it due, though one worker is enough for a member or two; each such try goes through all allowed workers twice more for permits, and every 100 ms through all of them for tasks to preempt.

Now a gang that lacked room remembers for how many members, also counting what is withheld from it, and is tried again when freed workers may have room for as many. Its permits are looked at when they are due, or when one was answered or rejected. A round looks for tasks to preempt for at most four gangs. The pass over all steps for held workers is a pass over the gangs that hold some.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -9,6 +9,7 @@
 use sapphirepost_types::Millis;
 
 use crate::crash::Isolation;
+use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::isolation::gang_isolation;
 use crate::scheduler::place::Candidate;
@@ -17,6 +18,7 @@
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
 use crate::scheduler::retries::Retry;
+use crate::scheduler::shortfall::Shortfall;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
@@ -39,14 +41,16 @@
     pub(crate) may_fit: bool,
     /// Whether the gang may get a reservation for later.
     pub(crate) may_reserve: bool,
+    /// Whether tasks may be preempted for it.
+    pub(crate) may_preempt: bool,
 }
 
 impl Scheduler {
-    /// Reserves the resources that gangs hold.
-    pub(crate) fn reserve_held(&self, now: Millis) -> Reservations {
+    /// Reserves the resources that these gangs hold.
+    pub(crate) fn reserve_held(&self, holding: &[StepKey], now: Millis) -> Reservations {
         let mut reservations = Reservations::default();
-        let views = self.steps.values().filter(|view| now < view.hold.until);
-        self.count_visits(VisitKind::Round, self.steps.len());
+        let views = holding.iter().filter_map(|key| self.steps.get(key));
+        self.count_visits(VisitKind::Round, holding.len());
         for view in views {
             self.reserve_now(view, &view.hold.workers, &mut reservations, now);
         }
@@ -104,18 +108,31 @@
             |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
         let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
         let has_room = chosen.is_some();
+        if tries.may_fit {
+            view.shortfall = match has_room {
+                true => None,
+                false => {
+                    let allowed = candidates.iter().filter(is_allowed);
+                    let free: u64 = allowed.map(|c| u64::from(c.fits_free)).sum();
+                    Shortfall::new(members as u64, free + self.withheld_since(begin))
+                }
+            };
+        }
         let renewal_due = match chosen {
             Some(chosen) => {
                 self.renew_permits(view, chosen, now);
                 None
             }
-            None => self.request_gang_permits(view, now),
+            None => self.request_due_gang_permits(view, now),
         };
         let result = match has_room {
             true => TryResult::ExpiredPermit,
             false => self.failed_gang_result(view, &candidates, begin),
         };
-        if now < view.hold.until || (!has_room && self.preempt(view, reservations, now)) {
+        let may_preempt = tries.may_preempt;
+        let has_hold = now < view.hold.until
+            || (!has_room && self.preempt(view, reservations, may_preempt, now));
+        if has_hold {
             self.reserve_now(view, &view.hold.workers, reservations, now);
             self.end_try(begin, result);
             return true;
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod restarts;
 mod retries;
 mod rounds;
+mod shortfall;
 mod step_permits;
 mod steps;
 mod waiting;
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -36,6 +36,8 @@
 /// A gang that still waits requests permits on further workers at this interval, since the allowed
 /// ones may stay busy while others have room.
 const FURTHER_INTERVAL_MS: u64 = 15_000;
+/// For how long the workers of a needed request are kept before they are chosen anew.
+const NEED_VALID_MS: u64 = 200;
 /// The permits of a waiting gang are renewed when this share of them would expire before the answer.
 const EXPIRED_PERCENT: usize = 50;
 
@@ -105,6 +107,24 @@
         }
     }
 
+    /// Like [`Scheduler::request_gang_permits`], unless it is known when they are to be renewed. That
+    /// goes through all allowed workers, and a gang is tried much more often than its permits expire.
+    pub(crate) fn request_due_gang_permits(
+        &self,
+        view: &mut StepView,
+        now: Millis,
+    ) -> Option<Millis> {
+        let needed_since = view.permits.needed_since();
+        if needed_since.is_some_and(|since| now.since(since) < NEED_VALID_MS) {
+            return None;
+        }
+        let is_later = view.renewal_due.is_some_and(|due| now < due);
+        if !is_later || self.rounds.is_half_free {
+            view.renewal_due = self.request_gang_permits(view, now);
+        }
+        view.renewal_due
+    }
+
     /// Requests permits for a gang that waits for room: on further workers if the allowed ones are
     /// few; otherwise fresh permits on the allowed ones before these expire. Returns when they are to
     /// be renewed, if that is later.
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -216,6 +216,7 @@
         };
         view.permits.end_request();
         view.tried = None;
+        view.renewal_due = None;
         let is_repeated = view.permits.note_answer();
         let counts = &mut self.tally.counts;
         counts.answers += 1;
@@ -269,6 +270,7 @@
     pub(crate) fn invalidate_permit(&mut self, step: StepKey, worker: WorkerIndex) {
         if let Some(view) = self.steps.get_mut(&step) {
             view.permits.invalidate(worker);
+            view.renewal_due = None;
         }
     }
 
@@ -290,6 +292,7 @@
             if let Some(view) = self.steps.get_mut(&outstanding.step) {
                 view.permits.end_request();
                 view.tried = None;
+                view.renewal_due = None;
                 view.permits.unanswered(&outstanding.workers, now);
             }
             self.rounds.is_due = true;
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -32,6 +32,8 @@
     pub(crate) permission: Permission,
     /// The number of tasks of the step that may be placed on it.
     pub(crate) fits: u32,
+    /// The number of tasks that its free resources suffice for, whatever is reserved.
+    pub(crate) fits_free: u32,
     /// Whether a run of the step failed or stalled there.
     pub(crate) is_avoided: bool,
     /// Whether it is closed to other jobs for the step's job.
@@ -94,12 +96,13 @@
             if !has_room || !worker.accepts_tasks(now) || !view.can_run_on(worker) {
                 continue;
             }
+            let fits_free = count_fitting(spec.resources, worker.free());
             if view.rejections.is_paused(index, now) || worker.is_closed_to(view.key.job, now) {
-                self.tally.count_withheld();
+                self.tally.count_withheld(fits_free);
                 continue;
             }
             if !self.may_use(view, index) || self.is_settling(view, index, now) {
-                self.tally.count_withheld();
+                self.tally.count_withheld(fits_free);
                 continue;
             }
             let permission = self.permission(view, index, now);
@@ -111,7 +114,7 @@
             let available = reservations.available(index, worker, view.key, task_ms, now);
             let fits = self.fits(view, worker, available, now);
             if fits == 0 {
-                self.tally.count_withheld();
+                self.tally.count_withheld(fits_free);
                 continue;
             }
             let remaining = available.saturating_sub(&spec.resources);
@@ -123,6 +126,7 @@
                 index,
                 permission,
                 fits,
+                fits_free,
                 is_avoided: view.avoided.contains(&index),
                 is_held: worker.is_reserved_for(view.key.job, now),
                 allows_isolation: worker.allows_isolation(
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -166,7 +166,7 @@
 pub struct PlacementTally {
     pub(crate) counts: PlacementCounts,
     visits: [Cell<u64>; VisitKind::ALL.len()],
-    /// Workers with enough free resources for a task that a check withheld from it.
+    /// Tasks that would fit on workers with free resources which a check withheld from them.
     withheld: Cell<u64>,
 }
 
@@ -177,9 +177,14 @@
         count.set(count.get() + visits as u64);
     }
 
-    /// Counts a worker that has the resources for a task and may not take it.
-    pub(crate) fn count_withheld(&self) {
-        self.withheld.set(self.withheld.get() + 1);
+    /// The visits of a kind since the counts were last taken.
+    pub(crate) fn visits(&self, kind: VisitKind) -> u64 {
+        self.visits[kind as usize].get()
+    }
+
+    /// Counts tasks that would fit on a worker that may not take them.
+    pub(crate) fn count_withheld(&self, tasks: u32) {
+        self.withheld.set(self.withheld.get() + u64::from(tasks));
     }
 
     fn take(&mut self) -> PlacementCounts {
@@ -216,9 +221,15 @@
         }
     }
 
+    /// The tasks that would fit on workers with free resources which were withheld from a step since
+    /// its try began.
+    pub(crate) fn withheld_since(&self, begin: TryBegin) -> u64 {
+        self.tally.withheld.get() - begin.withheld
+    }
+
     /// Whether a worker with free resources was withheld from a step since its try began.
     pub(crate) fn has_withheld_since(&self, begin: TryBegin) -> bool {
-        self.tally.withheld.get() > begin.withheld
+        self.withheld_since(begin) > 0
     }
 
     /// Counts a try of a step.
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -54,11 +54,13 @@
 }
 
 impl Scheduler {
-    /// Preempts tasks for a gang that has waited long enough. Returns whether it did.
+    /// Preempts tasks for a gang that has waited long enough, if it may do so now. Returns whether
+    /// it did.
     pub(crate) fn preempt(
         &mut self,
         view: &mut StepView,
         reservations: &Reservations,
+        may_preempt: bool,
         now: Millis,
     ) -> bool {
         view.blocked_since.get_or_insert(now);
@@ -66,6 +68,9 @@
             return false;
         }
         view.preempt_retry_at = now + RETRY_MS;
+        if !may_preempt {
+            return false;
+        }
         let members = view.spec().count as usize;
         let mut options = self.preemption_options(view, reservations, members, now);
         options.sort_unstable_by_key(|option| {
--- a/crates/queues/src/scheduler/retries.rs
+++ b/crates/queues/src/scheduler/retries.rs
@@ -35,12 +35,15 @@
         due: Option<Millis>,
         now: Millis,
     ) -> Retry {
+        // A gang that lacks room also with what is withheld from it waits for room like others.
+        let is_withheld = self.has_withheld_since(begin) && view.shortfall.is_none();
         let waits_for_change = match result {
-            TryResult::NoRoom | TryResult::NoPermit => !self.has_withheld_since(begin),
+            TryResult::NoRoom | TryResult::NoPermit => !is_withheld,
             TryResult::FormerRun => true,
             // Its first permits are requested shortly before it becomes ready.
             TryResult::NotReady => view.queue.permits.is_none() || !view.permits.is_unrequested(),
-            TryResult::Placed | TryResult::ExpiredPermit | TryResult::Withheld => false,
+            TryResult::Withheld => view.shortfall.is_some(),
+            TryResult::Placed | TryResult::ExpiredPermit => false,
         };
         // The workers of a quarantined queue change at each check of its set, and a request that
         // is needed during a pause is made by a later try.
@@ -56,6 +59,7 @@
     pub(crate) fn retry_all(&mut self) {
         for view in self.steps.values_mut() {
             view.tried = None;
+            view.shortfall = None;
         }
         self.rounds.is_due = true;
     }
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -61,6 +61,9 @@
 /// The number of blocked gangs that a round tries for a reservation although nothing has changed
 /// for them.
 const RESERVATION_TRIES_MAX: usize = 4;
+/// The number of blocked gangs for which a round looks for tasks to preempt. Each look goes through
+/// all workers of the gang, and most find too little.
+const PREEMPTION_TRIES_MAX: usize = 4;
 /// The number of freed workers that are compared with a waiting step. After a slow round nearly all
 /// workers are freed ones, and a step that can use none of the first is tried soon.
 const FREED_PER_STEP_MAX: usize = 16;
@@ -219,6 +222,8 @@
     reserved: usize,
     /// The number of gangs that were tried for a reservation.
     reservation_tries: usize,
+    /// The number of gangs that tasks were looked for to preempt for.
+    preemption_tries: usize,
     /// The value of the counter of checks at which no further step is tried.
     checks_end: u64,
     /// The checks that gangs took.
@@ -245,7 +250,11 @@
         // What earlier rounds left out comes first, or steps that cannot be placed would keep others
         // from being tried for as long as they wait.
         let mut order: Vec<(Millis, Rank)> = Vec::new();
+        let mut holding: Vec<StepKey> = Vec::new();
         for view in self.steps.values().filter(|view| !view.waiting.is_empty()) {
+            if now < view.hold.until {
+                holding.push(view.key);
+            }
             let rank = Rank::of(view, now);
             backlog.add_step(view, &rank);
             order.push((view.left_out_at.unwrap_or(now), rank));
@@ -259,7 +268,7 @@
         self.update_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
         let reservations = if has_gangs {
-            self.reserve_held(now)
+            self.reserve_held(&holding, now)
         } else {
             std::mem::take(&mut self.rounds.reservations)
         };
@@ -275,6 +284,7 @@
             owners: self.rounds.reservations.owners(),
             reserved: 0,
             reservation_tries: 0,
+            preemption_tries: 0,
             checks_end: self.checks.get() + CHECKS_PER_ROUND_MAX,
             gang_checks: 0,
             left_out_ms: 0,
@@ -294,6 +304,7 @@
 
     /// Tries to place a step in a round, if it is due.
     fn place_step(&mut self, state: &QueueState, key: StepKey, round: &mut Round, now: Millis) {
+        self.note_room_for_gang(key, round);
         let Some(view) = self.steps.get(&key) else {
             return;
         };
@@ -348,8 +359,12 @@
         let tries = GangTry {
             may_fit,
             may_reserve,
+            may_preempt: round.preemption_tries < PREEMPTION_TRIES_MAX,
         };
+        let preemption_visits = self.tally.visits(VisitKind::Preemption);
         let has_reservation = self.place_gang(state, view, &mut round.reservations, tries, now);
+        let has_tried = self.tally.visits(VisitKind::Preemption) > preemption_visits;
+        round.preemption_tries += usize::from(has_tried);
         round.reserved += usize::from(has_reservation);
         round.gang_checks += self.checks.get() - checks;
     }
@@ -389,12 +404,36 @@
         if may_reserve {
             return TryDue::Now;
         }
-        match self.has_use_for(view, freed) {
+        let due = match view.shortfall {
+            Some(shortfall) if shortfall.may_be_met() => TryDue::Now,
+            Some(_) => TryDue::Later,
+            None => self.has_use_for(view, freed),
+        };
+        match due {
             TryDue::Now if !self.may_fit_gang(view) => TryDue::Later,
             due => due,
         }
     }
 
+    /// Adds the room on freed workers to what has appeared for a gang that lacked room.
+    fn note_room_for_gang(&mut self, key: StepKey, round: &Round) {
+        let Some(view) = self.steps.get(&key) else {
+            return;
+        };
+        let is_compared = view.is_ready && (round.has_gangs || view.is_urgent());
+        let Some(mut shortfall) = view.shortfall.filter(|_| is_compared) else {
+            return;
+        };
+        let freed = match round.has_gangs {
+            true => &round.freed.for_gangs,
+            false => &round.freed.for_tasks,
+        };
+        shortfall.add_room(self.room_on_freed(view, freed));
+        if let Some(view) = self.steps.get_mut(&key) {
+            view.shortfall = Some(shortfall);
+        }
+    }
+
     /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
     /// may be asked about it.
     fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> TryDue {
@@ -453,6 +492,7 @@
                     let tries = GangTry {
                         may_fit: true,
                         may_reserve: false,
+                        may_preempt: true,
                     };
                     self.place_gang(state, &mut view, &mut reservations, tries, now);
                 } else {
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::retries::Retry;
+use crate::scheduler::shortfall::Shortfall;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
 use crate::scheduler::workers::RunStage;
@@ -88,6 +89,10 @@
     pub blocked_since: Option<Millis>,
     /// The workers that this gang holds at present.
     pub hold: Hold,
+    /// The room that this gang lacked when it was last tried; `None` if that is not known.
+    pub shortfall: Option<Shortfall>,
+    /// When the permits of this gang are to be looked at again; `None` if something has changed.
+    pub renewal_due: Option<Millis>,
     /// No preemption for this gang is tried before this time.
     pub preempt_retry_at: Millis,
     /// When a round last tried to place it; `None` if something has changed for it since.
@@ -214,6 +219,8 @@
                 .collect();
             if view.is_ready != was_ready || waiting != view.waiting {
                 view.tried = None;
+                view.renewal_due = None;
+                view.shortfall = None;
             }
             view.waiting = waiting;
             if !view.is_ready || view.waiting.is_empty() {
@@ -270,6 +277,8 @@
             if let Some(queue) = table.queue(&view.queue_name) {
                 view.queue = step_queue(queue);
                 view.tried = None;
+                view.renewal_due = None;
+                view.shortfall = None;
             }
         }
     }
@@ -342,6 +351,8 @@
         preemption_counts: FxHashMap::default(),
         blocked_since: None,
         hold: Hold::default(),
+        shortfall: None,
+        renewal_due: None,
         preempt_retry_at: Millis::ZERO,
         tried: None,
         retry: Retry::Soon,
