Let the share of admitted jobs rise quickly after a slow takeover

What callers saw: after a change of the leader the new one refuses up to three quarters of the jobs and needs 12 s until it admits all, although its commits are quick again within 0.3 s.

Cause: the share that a leader with a slow first commit begins with rises like the share after overload, 6 % a second, and refused callers are sent away for 5 s or half of the time for which their job is useful.

Now the share rises by 50 % a second until a slow commit shows overload, and callers refused meanwhile may return after 0.5 to 3.2 s, in the order in which the share reaches them. The new test of quick commits fails before (retry after 5,000 ms); the one of commits that stay slow holds before and after.

--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -28,6 +28,9 @@
 const FALL_MIN_PERCENT: u64 = 60;
 /// How much the share rises in an interval without a delay, in thousandths of all jobs.
 const RISE_PERMILLE: u64 = 6;
+/// How much it rises after a slow takeover. Nothing shows that the leader lacks processor time for
+/// the jobs themselves, and the work of a takeover is over soon.
+const TAKEOVER_RISE_PERMILLE: u64 = 50;
 /// The share of a new leader whose first commit is slow. It polls all workers and takes over all runs,
 /// while the callers of the former leader return.
 const START_PERMILLE: u64 = 250;
@@ -44,6 +47,8 @@
 
 /// The shortest time after which a refused caller may retry.
 const RETRY_MIN_MS: u64 = 2_000;
+/// The shortest time after which a caller that was refused during a takeover may retry.
+const RETRY_TAKEOVER_MS: u64 = 500;
 /// The time after which a refused caller may retry while the share does not rise.
 const RETRY_FALLING_MS: u64 = 5_000;
 /// The time until the share is expected to reach a job is multiplied by this, since the share may
@@ -75,6 +80,8 @@
     slow_windows: u32,
     /// When the share last fell, or began to rise.
     fallen_at: Option<Millis>,
+    /// Whether the share is below all jobs only because of a slow takeover.
+    is_taking_over: bool,
 }
 
 impl Overload {
@@ -91,6 +98,7 @@
             left_out_ms: 0,
             slow_windows: 0,
             fallen_at: None,
+            is_taking_over: false,
         }
     }
 
@@ -141,10 +149,13 @@
         if rank < level.share_permille {
             return None;
         }
+        let rises = (rank - level.share_permille) / level.rise_permille() + 1;
+        if level.is_taking_over {
+            return Some(RETRY_TAKEOVER_MS.max(RISE_SLACK * rises * WINDOW_MS));
+        }
         let is_falling = level
             .fallen_at
             .is_some_and(|at| now.since(at) < RETRY_FALLING_MS);
-        let rises = (rank - level.share_permille) / RISE_PERMILLE + 1;
         let retry_ms = if is_falling {
             RETRY_FALLING_MS
         } else {
@@ -163,8 +174,7 @@
         }
         let unseen_ms = now.since(self.window_began);
         if is_idle || unseen_ms >= VALID_MS {
-            let risen = self.share_permille + RISE_PERMILLE * unseen_ms / WINDOW_MS;
-            self.share_permille = ALL_PERMILLE.min(risen);
+            self.rise(unseen_ms / WINDOW_MS);
             self.slow_windows = 0;
             self.window_began = now;
             self.shortest_commit_ms = None;
@@ -189,6 +199,7 @@
     fn begin_at_start_share(&mut self, now: Millis) {
         self.share_permille = START_PERMILLE;
         self.fallen_at = Some(now);
+        self.is_taking_over = true;
     }
 
     fn end_window(&mut self, in_progress_ms: u64) {
@@ -196,7 +207,7 @@
         let delay_ms = commit_ms.unwrap_or(in_progress_ms).max(self.left_out_ms);
         if delay_ms <= DELAY_MAX_MS {
             self.slow_windows = 0;
-            self.share_permille = ALL_PERMILLE.min(self.share_permille + RISE_PERMILLE);
+            self.rise(1);
             return;
         }
         self.slow_windows += 1;
@@ -209,8 +220,24 @@
             let share = self.share_permille * left_percent / 100;
             self.share_permille = share.max(SHARE_MIN_PERMILLE);
             self.fallen_at = Some(now);
+            self.is_taking_over = false;
+        }
+    }
+
+    /// How much the share rises in an interval.
+    fn rise_permille(&self) -> u64 {
+        match self.is_taking_over {
+            true => TAKEOVER_RISE_PERMILLE,
+            false => RISE_PERMILLE,
         }
     }
+
+    /// Lets the share rise for some intervals.
+    fn rise(&mut self, intervals: u64) {
+        let risen = self.share_permille + self.rise_permille() * intervals;
+        self.share_permille = ALL_PERMILLE.min(risen);
+        self.is_taking_over &= self.share_permille < ALL_PERMILLE;
+    }
 }
 
 /// The rank of a job among all jobs, in thousandths. It is spread evenly, whatever keys the callers
--- a/crates/queues/tests/slow_commits.rs
+++ b/crates/queues/tests/slow_commits.rs
@@ -186,6 +186,38 @@
     assert_eq!(refused(&model, now).0, 0);
 }
 
+/// Guards against a new leader that refuses jobs for many seconds after a takeover that is over, and
+/// sends callers away for longer than that.
+#[test]
+fn a_new_leader_whose_commits_are_fast_after_a_slow_takeover_soon_accepts_all_jobs() {
+    let mut model = model();
+    model.change_leader();
+    let begin = model.now;
+    model.scheduler.record_commit(200, begin + 200);
+    let (first, _) = refused(&model, begin + 200);
+    assert!((600..900).contains(&first), "{first} of 1,000 are refused");
+    let retries = (0..1_000).filter_map(|number| retry_after_ms(&model, number, begin + 200));
+    let longest_ms = retries.max().unwrap();
+    assert!(longest_ms <= 3_500, "retry after {longest_ms} ms");
+    let now = commit_for(&mut model, 20, begin + 250, 2_000);
+    assert_eq!(refused(&model, now).0, 0);
+}
+
+/// Guards against a share that rises quickly although commits are slow after the takeover too.
+#[test]
+fn a_new_leader_whose_commits_stay_slow_refuses_jobs_like_any_other() {
+    let mut model = model();
+    model.change_leader();
+    let begin = model.now;
+    model.scheduler.record_commit(200, begin + 200);
+    let now = commit_for(&mut model, SLOW_MS, begin + 250, 3_000);
+    let (slow, _) = refused(&model, now);
+    assert!(slow >= 800, "{slow} of 1,000 are refused");
+    let now = commit_for(&mut model, 20, now, 2_000);
+    let (later, _) = refused(&model, now);
+    assert!(later >= 500, "{later} of 1,000 are refused");
+}
+
 /// Guards against a new leader that refuses jobs although it commits them in time.
 #[test]
 fn a_new_leader_whose_first_commit_is_fast_refuses_nothing() {
