Let rounds look only at steps that wait, and check runs less often in large clusters

Cause: a placement round and each dispatch of permit requests went through all steps, 1,700 on the large site of which 230 wait (75,000 to 175,000 visits a second), and every 50 ms a pass went twice through all runs of 1,100 workers. What these passes read is cold by the next one.

Now the steps with waiting tasks, and those of jobs whose commit is in progress, are in a list; a round drops the others from it. All runs are checked each 50 ms in clusters of up to 200 workers and each 250 ms at 1,000: a stop without an answer is repeated after 500 ms, a stalled run is found after seconds, and a draining worker has seconds.

New test rounds_visit_no_more_steps_than_wait (400 jobs run, 20 wait): fails before, where rounds visit all steps.

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -161,6 +161,9 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) workers: Workers,
     pub(crate) steps: FxHashMap<StepKey, StepView>,
+    /// The steps that placement has to look at: those with waiting tasks, those of jobs whose commit
+    /// is in progress, and some that rounds have not dropped from the list yet.
+    pub(crate) pending_steps: Vec<StepKey>,
     /// The number of steps of each job that has not ended, also of jobs whose commit is in
     /// progress.
     pub(crate) job_steps: FxHashMap<JobKey, u16>,
@@ -182,6 +185,8 @@
     pub(crate) checks: Cell<u64>,
     pub(crate) rounds: Rounds,
     pub(crate) checked_at: Millis,
+    /// When all runs were last checked.
+    pub(crate) runs_checked_at: Millis,
     pub(crate) waits: WaitTracker,
     pub(crate) ended_runs: EndedRunTracker,
     pub(crate) isolation_turns: IsolationTurns,
@@ -204,6 +209,7 @@
             config,
             workers: Workers::default(),
             steps: FxHashMap::default(),
+            pending_steps: Vec::new(),
             job_steps: FxHashMap::default(),
             unstarted_jobs: FxHashMap::default(),
             durations: Durations::default(),
@@ -217,6 +223,7 @@
             checks: Cell::default(),
             rounds: Rounds::new(now),
             checked_at: now,
+            runs_checked_at: now,
             waits: WaitTracker::default(),
             ended_runs: EndedRunTracker::default(),
             isolation_turns: IsolationTurns::default(),
@@ -319,7 +326,7 @@
             self.checked_at = now;
             self.tick_polls(now);
             self.tick_leases(now);
-            self.tick_runs(state, now);
+            self.tick_runs_if_due(state, now);
             self.tick_permits(now);
             self.tick_quarantine(now);
         }
@@ -329,6 +336,15 @@
         }
     }
 
+    /// Checks all runs if that is due by the size of the cluster.
+    fn tick_runs_if_due(&mut self, state: &QueueState, now: Millis) {
+        let interval_ms = self.workers.len() as u64 / WORKERS_PER_RUN_CHECK_MS;
+        if now.since(self.runs_checked_at) >= interval_ms.min(RUN_CHECK_INTERVAL_MAX_MS) {
+            self.runs_checked_at = now;
+            self.tick_runs(state, now);
+        }
+    }
+
     /// Records how long a call of [`Scheduler::tick`] took. The pauses between placement rounds grow
     /// with it, so that a slow leader has time for its other work.
     pub fn record_tick_time(&mut self, took_ms: u64) {
@@ -387,8 +403,13 @@
     }
 }
 
-/// Interval between two checks of all polls, leases, runs and permit requests.
+/// Interval between two checks of all polls, leases and permit requests.
 const CHECK_INTERVAL_MS: u64 = 50;
+/// The longest interval between two checks of all runs.
+const RUN_CHECK_INTERVAL_MAX_MS: u64 = 250;
+/// The number of workers that lengthens this interval by a millisecond. A check reads all runs, of
+/// which a large cluster has thousands.
+const WORKERS_PER_RUN_CHECK_MS: u64 = 4;
 
 impl Scheduler {
     /// What a new job of a queue would wait for; `None` if the job is known and has not ended, or
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -307,15 +307,16 @@
             return;
         }
         self.dispatcher.dispatched_at = now;
-        let candidates = self
-            .steps
-            .values()
-            .filter(|view| view.permits.next_need().is_some());
-        self.count_visits(VisitKind::Round, self.steps.len());
+        let pending = self.pending_steps.iter();
+        let pending = pending.filter_map(|key| self.steps.get(key));
+        let candidates =
+            pending.filter(|view| !view.is_settled() && view.permits.next_need().is_some());
+        self.count_visits(VisitKind::Round, self.pending_steps.len());
         let mut candidates: Vec<(bool, Rank)> = candidates
             .map(|view| (self.is_long(view), Rank::of(view, now)))
             .collect();
         candidates.sort_unstable();
+        candidates.dedup();
         let first_long = candidates.partition_point(|(is_long, _)| !is_long);
         let keys: Vec<StepKey> = candidates.iter().map(|(_, rank)| rank.key).collect();
         let (short, long) = keys.split_at(first_long);
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -245,13 +245,16 @@
 
     /// Places the waiting steps in the order of their ranks.
     fn place_steps(&mut self, state: &QueueState, now: Millis) {
-        self.count_visits(VisitKind::Round, self.steps.len());
+        self.drop_settled_steps();
+        self.count_visits(VisitKind::Round, self.pending_steps.len());
         let mut backlog = Backlog::default();
         // What earlier rounds left out comes first, or steps that cannot be placed would keep others
         // from being tried for as long as they wait.
         let mut order: Vec<(Millis, Rank)> = Vec::new();
         let mut holding: Vec<StepKey> = Vec::new();
-        for view in self.steps.values().filter(|view| !view.waiting.is_empty()) {
+        let pending = self.pending_steps.iter();
+        let pending = pending.filter_map(|key| self.steps.get(key));
+        for view in pending.filter(|view| !view.waiting.is_empty()) {
             if now < view.hold.until {
                 holding.push(view.key);
             }
@@ -260,6 +263,7 @@
             order.push((view.left_out_at.unwrap_or(now), rank));
         }
         order.sort_unstable();
+        order.dedup();
         self.rounds.backlog = backlog;
         self.rounds.has_waiting = !order.is_empty();
         self.rounds.pause(order.len());
@@ -302,6 +306,18 @@
         }
     }
 
+    /// Drops steps that placement has nothing to decide for, most of which run, from the list.
+    fn drop_settled_steps(&mut self) {
+        let steps = &mut self.steps;
+        self.pending_steps.retain(|key| {
+            let Some(view) = steps.get_mut(key) else {
+                return false;
+            };
+            view.is_pending = !view.is_settled();
+            view.is_pending
+        });
+    }
+
     /// Tries to place a step in a round, if it is due.
     fn place_step(&mut self, state: &QueueState, key: StepKey, round: &mut Round, now: Millis) {
         self.note_room_for_gang(key, round);
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -58,6 +58,8 @@
     pub is_committed: bool,
     /// Whether all steps that it depends on are done; `false` until the job is committed.
     pub is_ready: bool,
+    /// Whether it is in the list of steps that placement has to look at.
+    pub is_pending: bool,
     /// When the job should be done.
     pub deadline: Millis,
     /// The time after which the job is of no more use to most callers.
@@ -108,6 +110,11 @@
 }
 
 impl StepView {
+    /// Whether placement has nothing to decide for it until tasks of it wait again.
+    pub fn is_settled(&self) -> bool {
+        self.is_committed && self.waiting.is_empty()
+    }
+
     /// The step as submitted.
     pub fn spec(&self) -> &StepSpec {
         &self.job_spec.steps[usize::from(self.key.step)]
@@ -154,7 +161,11 @@
                 view.permits.set_need(PermitNeed::More, now);
                 self.dispatcher.is_dispatch_due = true;
             }
-            self.steps.entry(view.key).or_insert(view);
+            let view = self.steps.entry(view.key).or_insert(view);
+            if !view.is_pending {
+                view.is_pending = true;
+                self.pending_steps.push(view.key);
+            }
         }
         self.rounds.is_due = true;
     }
@@ -223,6 +234,10 @@
                 view.shortfall = None;
             }
             view.waiting = waiting;
+            if !view.waiting.is_empty() && !view.is_pending {
+                view.is_pending = true;
+                self.pending_steps.push(key);
+            }
             if !view.is_ready || view.waiting.is_empty() {
                 view.waiting_since = None;
             } else {
@@ -336,6 +351,7 @@
         queue: step_queue(queue),
         is_committed: false,
         is_ready: false,
+        is_pending: false,
         deadline: arrived + deadline_ms,
         useful_until: arrived + USEFUL_FACTOR * deadline_ms,
         usual_ms: *usual_ms,
--- a/crates/queues/tests/placement_cost.rs
+++ b/crates/queues/tests/placement_cost.rs
@@ -49,16 +49,19 @@
     }
 }
 
-/// The counts of some seconds in which no room appears.
-fn counts_without_room() -> PlacementCounts {
+/// The counts of some seconds in which no room appears, while jobs of so many tasks run.
+fn counts_without_room(running_tasks: u64) -> PlacementCounts {
     let worker = |number| ModelWorker::new(&format!("w{number}"), CORES, need, work_ms);
     let workers = (0..WORKERS).map(worker).collect();
     let mut model = Model::new(vec![queue("full", 0, 4.0, 3_000)], workers, 0);
     model.run(100);
-    model.submit(1, "full", spec(WORKERS as u32));
+    let running_jobs = WORKERS / running_tasks;
+    for number in 0..running_jobs {
+        model.submit(number, "full", spec(running_tasks as u32));
+    }
     model.run(1_000);
     for number in 0..WAITING_JOBS {
-        model.submit(number + 2, "full", spec(1));
+        model.submit(running_jobs + number, "full", spec(1));
     }
     model.run(2_000);
     let _ = model.scheduler.take_placement_counts();
@@ -71,7 +74,7 @@
 /// Guards against tries of all waiting steps at a short interval although no room has appeared.
 #[test]
 fn steps_without_room_are_not_tried_again_and_again() {
-    let counts = counts_without_room();
+    let counts = counts_without_room(WORKERS);
     let tries: u64 = counts.tries.iter().sum();
     let tries_max = WAITING_JOBS * TRIES_PER_S_MAX * MEASURED_S;
     assert!(
@@ -83,8 +86,20 @@
 /// Guards against rounds that go through all workers although few of them have changed.
 #[test]
 fn rounds_visit_no_more_workers_than_have_changed() {
-    let counts = counts_without_room();
-    let of_steps = PASSES_PER_ROUND * (WAITING_JOBS + 1) * counts.rounds;
+    let counts = counts_without_room(WORKERS);
+    assert_round_visits(&counts);
+}
+
+/// Guards against rounds that go through all steps although nearly all of them run.
+#[test]
+fn rounds_visit_no_more_steps_than_wait() {
+    let counts = counts_without_room(1);
+    assert_round_visits(&counts);
+}
+
+/// Rounds visit the waiting steps and the workers that have changed.
+fn assert_round_visits(counts: &PlacementCounts) {
+    let of_steps = PASSES_PER_ROUND * WAITING_JOBS * counts.rounds;
     let of_workers = CHANGES_PER_WORKER_S * WORKERS * MEASURED_S;
     let visits = counts.visits[VisitKind::Round as usize];
     assert!(
