--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -173,6 +173,10 @@
     Flush(flume::Sender<()>),
 }
 
+/// Pause after a batch of lines. The lines of a busy process share a write, and a thread that logs
+/// need not wake the writer for each of them.
+const WRITE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Writes queued lines until the channel is closed, in batches of all lines that are available.
 fn write_queue(queue: &flume::Receiver<Queued>, output: &mut impl io::Write) {
     while let Ok(first) = queue.recv() {
@@ -190,6 +194,7 @@
         for written in flushes {
             let _ = written.send(());
         }
+        thread::sleep(WRITE_PAUSE);
     }
 }
 
