--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -454,7 +454,8 @@
     /// may be asked about it.
     fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> TryDue {
         let need = view.spec().resources;
-        if !need.fits_in(&self.rounds.max_free) {
+        let may_use_any = view.queue.permits.is_none() || view.permits.may_use_any();
+        if !may_use_any || !need.fits_in(&self.rounds.max_free) {
             return TryDue::Later;
         }
         let with_room = workers.partition_point(|(millicores, _)| *millicores >= need.millicores);
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -167,6 +167,11 @@
         self.position(worker).is_ok() || (may_ask && !self.denied.contains(&worker))
     }
 
+    /// Whether room on any worker is of use: the policy has allowed some, or may be asked.
+    pub fn may_use_any(&self) -> bool {
+        !self.allowed.is_empty() || (self.need.is_none() && self.in_flight.is_none())
+    }
+
     /// Whether a request is unanswered.
     pub fn has_request(&self) -> bool {
         self.in_flight.is_some()
