Move the choice of the steps that a round tries to a module of its own

rounds.rs had grown to 570 lines and held two things: the times and the limits of rounds, and the choice of the steps that a round tries. The second one is due_tries now. Whether a step may use a worker with room was written in two places, for freed workers and for what a gang lacks, and is one function. No change of behaviour; the tests of the package give the same results.

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod contact_loss;
 mod crash_evidence;
 mod drain;
+mod due_tries;
 mod durations;
 mod ended_runs;
 mod free_capacity;
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -16,6 +16,7 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::backlog::Backlog;
+use crate::scheduler::due_tries::TryDue;
 use crate::scheduler::free_capacity::FreeCapacity;
 use crate::scheduler::gangs::GangTry;
 use crate::scheduler::placement_counts::TryResult;
@@ -32,7 +33,7 @@
 /// A gang gets a reservation for later only while fewer gangs than this hold reservations, since
 /// reserved resources often stay idle. Gangs that wait for requested permits or for preempted tasks
 /// hold resources even beyond this number.
-const RESERVATIONS_MAX: usize = 1;
+pub(super) const RESERVATIONS_MAX: usize = 1;
 /// The shortest pause between two rounds, so that ends that arrive together share a round.
 const PAUSE_MIN_MS: u64 = 4;
 /// The longest pause between two rounds while changes occur.
@@ -58,15 +59,9 @@
 const STEPS_PER_RETRY_MS: u64 = 10;
 /// The longest time after which such a step is tried again.
 const RETRY_MAX_MS: u64 = 500;
-/// The number of blocked gangs that a round tries for a reservation although nothing has changed
-/// for them.
-const RESERVATION_TRIES_MAX: usize = 4;
 /// The number of blocked gangs for which a round looks for tasks to preempt. Each look goes through
 /// all workers of the gang, and most find too little.
 const PREEMPTION_TRIES_MAX: usize = 4;
-/// The number of freed workers that are compared with a waiting step. After a slow round nearly all
-/// workers are freed ones, and a step that can use none of the first is tried soon.
-const FREED_PER_STEP_MAX: usize = 16;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
 const INTERVAL_MS: u64 = 100;
@@ -186,9 +181,9 @@
 /// Workers with freed resources, with their free processor capacity in millicores, those with the
 /// most first.
 #[derive(Debug)]
-struct FreedWorkers {
-    for_tasks: Vec<(u64, WorkerIndex)>,
-    for_gangs: Vec<(u64, WorkerIndex)>,
+pub(super) struct FreedWorkers {
+    pub(super) for_tasks: Vec<(u64, WorkerIndex)>,
+    pub(super) for_gangs: Vec<(u64, WorkerIndex)>,
 }
 
 fn sort_by_free(freed: Vec<WorkerIndex>, workers: &Workers) -> Vec<(u64, WorkerIndex)> {
@@ -200,28 +195,19 @@
     sorted
 }
 
-/// Whether a round tries a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TryDue {
-    Now,
-    /// Too many workers were freed to compare the step with all of them.
-    Soon,
-    Later,
-}
-
 /// The state of a round in progress.
 #[derive(Debug)]
-struct Round {
+pub(super) struct Round {
     /// Whether gangs are placed in this round, also those that are not urgent.
-    has_gangs: bool,
-    freed: FreedWorkers,
+    pub(super) has_gangs: bool,
+    pub(super) freed: FreedWorkers,
     reservations: Reservations,
     /// The gangs that held reservations after the last round.
-    owners: SmallVec<[StepKey; 4]>,
+    pub(super) owners: SmallVec<[StepKey; 4]>,
     /// The number of gangs that hold a reservation.
-    reserved: usize,
+    pub(super) reserved: usize,
     /// The number of gangs that were tried for a reservation.
-    reservation_tries: usize,
+    pub(super) reservation_tries: usize,
     /// The number of gangs that tasks were looked for to preempt for.
     preemption_tries: usize,
     /// The value of the counter of checks at which no further step is tried.
@@ -385,115 +371,6 @@
         round.gang_checks += self.checks.get() - checks;
     }
 
-    /// Whether a round tries a step.
-    fn try_due(&self, view: &StepView, round: &Round, now: Millis) -> TryDue {
-        let is_gang = view.is_ready && view.spec().is_gang;
-        if is_gang && !round.has_gangs && !view.is_urgent() {
-            return TryDue::Later;
-        }
-        let Some(tried) = view.tried else {
-            return TryDue::Now;
-        };
-        let is_due = match view.retry {
-            Retry::Soon => now.since(tried) >= self.rounds.retry_ms,
-            Retry::At(at) => now >= at,
-        };
-        if is_due || view.left_out_at.is_some() {
-            return TryDue::Now;
-        }
-        if !is_gang && !view.is_ready {
-            return TryDue::Later;
-        }
-        if !is_gang {
-            return self.has_use_for(view, &round.freed.for_tasks);
-        }
-        // A reservation lasts until the next placement of gangs only.
-        let may_reserve = round.has_gangs
-            && round.reserved < RESERVATIONS_MAX
-            && (round.reservation_tries < RESERVATION_TRIES_MAX
-                || round.owners.contains(&view.key));
-        let freed = if round.has_gangs {
-            &round.freed.for_gangs
-        } else {
-            &round.freed.for_tasks
-        };
-        if may_reserve {
-            return TryDue::Now;
-        }
-        let due = match view.shortfall {
-            Some(shortfall) if shortfall.may_be_met() => TryDue::Now,
-            Some(_) => TryDue::Later,
-            None => self.has_use_for(view, freed),
-        };
-        match due {
-            TryDue::Now if !self.may_fit_gang(view) => TryDue::Later,
-            due => due,
-        }
-    }
-
-    /// Adds the room on freed workers to what has appeared for a gang that lacked room.
-    fn note_room_for_gang(&mut self, key: StepKey, round: &Round) {
-        let Some(view) = self.steps.get(&key) else {
-            return;
-        };
-        let is_compared = view.is_ready && (round.has_gangs || view.is_urgent());
-        let Some(mut shortfall) = view.shortfall.filter(|_| is_compared) else {
-            return;
-        };
-        let freed = match round.has_gangs {
-            true => &round.freed.for_gangs,
-            false => &round.freed.for_tasks,
-        };
-        shortfall.add_room(self.room_on_freed(view, freed));
-        if let Some(view) = self.steps.get_mut(&key) {
-            view.shortfall = Some(shortfall);
-        }
-    }
-
-    /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
-    /// may be asked about it.
-    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> TryDue {
-        let need = view.spec().resources;
-        let may_use_any = view.queue.permits.is_none() || view.permits.may_use_any();
-        if !may_use_any || !need.fits_in(&self.rounds.max_free) {
-            return TryDue::Later;
-        }
-        let with_room = workers.partition_point(|(millicores, _)| *millicores >= need.millicores);
-        let mut compared = workers[..with_room].iter().take(FREED_PER_STEP_MAX);
-        let has_use = compared.any(|(_, index)| {
-            self.count_visits(VisitKind::Freed, 1);
-            let worker = self.workers.get(*index);
-            worker.is_some_and(|worker| {
-                need.fits_in(&worker.free())
-                    && view.can_run_on(worker)
-                    && self.may_use(view, *index)
-                    && (view.queue.permits.is_none() || view.permits.may_use_or_ask(*index))
-            })
-        });
-        match has_use {
-            true => TryDue::Now,
-            false if with_room > FREED_PER_STEP_MAX => TryDue::Soon,
-            false => TryDue::Later,
-        }
-    }
-
-    /// Whether a gang could have room for all members if the policy allowed it on all workers. A
-    /// gang for which it could not is not tried each time when a worker gets free resources.
-    fn may_fit_gang(&self, view: &StepView) -> bool {
-        let spec = view.spec();
-        let per_worker_max = u64::from(spec.per_worker_max.unwrap_or(u32::MAX));
-        let each = spec.resources.millicores.max(1);
-        let mut members = 0;
-        for (millicores, _) in self.rounds.capacity.by_free() {
-            members += (millicores / each).min(per_worker_max);
-            if *millicores < each || members >= u64::from(spec.count) {
-                break;
-            }
-            self.count_visits(VisitKind::Freed, 1);
-        }
-        members >= u64::from(spec.count)
-    }
-
     /// Places urgent steps that can meet their deadline as soon as their permit requests are
     /// answered: a short job has no time to wait for a round.
     fn place_urgent(&mut self, state: &QueueState, now: Millis) {
--- a/crates/queues/src/scheduler/shortfall.rs
+++ b/crates/queues/src/scheduler/shortfall.rs
@@ -57,14 +57,9 @@
         let room = freed[..compared].iter().map(|(_, index)| {
             self.count_visits(VisitKind::Freed, 1);
             let worker = self.workers.get(*index);
-            worker.map_or(0, |worker| {
-                let is_usable = view.can_run_on(worker)
-                    && self.may_use(view, *index)
-                    && (view.queue.permits.is_none() || view.permits.may_use_or_ask(*index));
-                match is_usable {
-                    true => u64::from(count_fitting(spec.resources, worker.free()).min(limit)),
-                    false => 0,
-                }
+            let usable = worker.filter(|worker| self.has_use_for_worker(view, *index, worker));
+            usable.map_or(0, |worker| {
+                u64::from(count_fitting(spec.resources, worker.free()).min(limit))
             })
         });
         let room: u64 = room.sum();
