Start as many network threads as there are processors, two at most

On a VM with one processor the second thread of the runtime for requests to workers takes turns with the first one and is woken to look for work in vain. Seen by reading. Kept since it is one thread less for the same work.

--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -1,5 +1,6 @@
 //! Assembles the process and runs it.
 
+use std::num::NonZero;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -70,8 +71,8 @@
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageThread;
 
-/// Threads of the asynchronous runtime; scheduling decisions run on the core thread.
-const NETWORK_THREADS: usize = 2;
+/// The most threads of the asynchronous runtime; scheduling decisions run on the core thread.
+const NETWORK_THREADS_MAX: usize = 2;
 /// Threads that carry the calls of other processes. They are apart from the others, which may have
 /// thousands of requests to workers to handle first.
 const CALL_NETWORK_THREADS: usize = 1;
@@ -169,7 +170,7 @@
             bootstrap(&mut store, &settings.initial_voters, &mut restored)
         })?;
     }
-    let runtime = rpc::runtime(NETWORK_THREADS).context("cannot start the network threads")?;
+    let runtime = rpc::runtime(network_threads()).context("cannot start the network threads")?;
     // A commit passes the thread of the group several times, so it must not wait behind the calls of
     // all entries. A member rejects entries that overtake earlier ones.
     let call_runtime = rpc::named_runtime(CALL_NETWORK_THREAD_NAME, CALL_NETWORK_THREADS)
@@ -267,6 +268,13 @@
     Ok(result?)
 }
 
+/// The number of threads of the asynchronous runtime. On one processor, a second thread only takes
+/// turns with the first one and is woken to look for work in vain.
+fn network_threads() -> usize {
+    let processors = thread::available_parallelism().map_or(1, NonZero::get);
+    processors.min(NETWORK_THREADS_MAX)
+}
+
 fn handle_shutdown(kind: Shutdown, events: &EventSender) {
     match kind {
         Shutdown::Graceful => {
