--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,6 +7,7 @@
 //! may no longer lead.
 
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -63,6 +64,13 @@
 /// A round goes on to the next one after this time even if more committed entries are to be applied,
 /// so that a long log delays neither heartbeats nor the messages of the group.
 const OUTPUT_TIME_PER_ROUND: Duration = Duration::from_millis(15);
+/// A leader begins rounds this far apart for each worker, so that replies that come one by one share
+/// a round and the turns of threads that it costs. At 1,100 workers these are 2.2 ms.
+const ROUND_INTERVAL_PER_WORKER: Duration = Duration::from_micros(2);
+/// A shorter interval saves no turns.
+const ROUND_INTERVAL_MIN: Duration = Duration::from_micros(500);
+/// A commit waits for two rounds of the leader.
+const ROUND_INTERVAL_MAX: Duration = Duration::from_millis(3);
 /// A call that has waited for this long is not handled any more. Callers wait for less, and submit
 /// again under the same ID.
 const CALL_AGE_MAX: Duration = Duration::from_millis(1_000);
@@ -128,7 +136,8 @@
                 Err(RecvTimeoutError::Disconnected) => break,
             };
             self.load.begin_round();
-            let until = Instant::now() + EVENT_TIME_PER_ROUND;
+            let began = Instant::now();
+            let until = began + EVENT_TIME_PER_ROUND;
             let next = || (Instant::now() < until).then(|| events.try_recv())?;
             let more = std::iter::from_fn(next).take(EVENTS_PER_ROUND);
             self.handle_events(first.into_iter().chain(more))?;
@@ -138,11 +147,24 @@
             if self.can_stop() {
                 break;
             }
+            if !is_output_left {
+                self.pause_after_round(began);
+            }
         }
         self.calls.fail_all(&RpcError::NotLeader { hint: None });
         Ok(())
     }
 
+    /// Waits until the next round may begin. A round of a busy leader takes longer than that.
+    fn pause_after_round(&self, began: Instant) {
+        let workers = self.queues.workers() as u32;
+        let interval = (ROUND_INTERVAL_PER_WORKER * workers).min(ROUND_INTERVAL_MAX);
+        let rest = interval.saturating_sub(began.elapsed());
+        if interval >= ROUND_INTERVAL_MIN && !rest.is_zero() {
+            thread::sleep(rest);
+        }
+    }
+
     fn handle_events(
         &mut self,
         events: impl Iterator<Item = (Event, Instant)>,
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -174,6 +174,12 @@
         (!self.is_node_busy).then_some(due_ms.max(1))
     }
 
+    /// The number of workers that this member schedules; 0 unless it leads.
+    pub(crate) fn workers(&self) -> usize {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or(0, Scheduler::worker_count)
+    }
+
     /// How long ago the oldest entry in progress was proposed.
     fn commit_in_progress_ms(&self, now: Millis) -> u64 {
         let oldest = self.pending_answers.front();
