Split the modules on quarantines, requests to workers and the replicated state of queues

The set of workers of a quarantined queue, the starts of tasks, and the changes of workers in the state are modules of their own now. Functions are moved as they were; only their visibility changes.

--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod state;
 pub mod table;
 pub mod worker;
+mod worker_changes;
 
 pub use crate::command::Placement;
 pub use crate::command::QueueCommand;
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -5,11 +5,8 @@
 //! by a stop. After the reply to a stop the run cannot begin any more, and its resources are free
 //! as soon as a poll sent more than `stop_ms` later does not list it.
 
-use std::sync::Arc;
-
 use sapphirepost_types::Millis;
 
-use crate::command::Placement;
 use crate::command::QueueCommand;
 use crate::crash::Isolation;
 use crate::ids::JobKey;
@@ -20,14 +17,12 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::contact_loss::ContactLoss;
 use crate::scheduler::isolation::task_isolation;
-use crate::scheduler::messages::RejectReason;
 use crate::scheduler::messages::RunningTask;
 use crate::scheduler::messages::StopReason;
 use crate::scheduler::messages::WorkerReply;
 use crate::scheduler::messages::WorkerRequest;
 use crate::scheduler::messages::WorkerRequestError;
 use crate::scheduler::messages::WorkerRequestKind;
-use crate::scheduler::restarts::OpenStart;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
@@ -35,14 +30,12 @@
 use crate::worker::EndKind;
 use crate::worker::Worker;
 
-/// The number of unanswered start requests for one run after which the run is stopped instead.
-pub(crate) const START_ATTEMPTS_MAX: u32 = 3;
 /// Time after which an unanswered stop is sent again.
 const STOP_RETRY_MS: u64 = 500;
 
 impl RunView {
     /// Records that the worker has the run.
-    fn confirm(&mut self, now: Millis) {
+    pub(super) fn confirm(&mut self, now: Millis) {
         self.stage = RunStage::Running;
         self.has_begun = true;
         self.confirmed = now;
@@ -108,94 +101,6 @@
         }
     }
 
-    /// Sends the start requests of a committed start, unless the capacity has shrunk, or the worker
-    /// has started again or announced that it leaves meanwhile. A gang is started as a whole or not at all.
-    pub(crate) fn send_starts(
-        &mut self,
-        state: &QueueState,
-        step: StepKey,
-        placements: &[Placement],
-        now: Millis,
-    ) {
-        for placement in placements {
-            self.record_placement(step, placement);
-        }
-        let can_send = self.can_send_starts(step, placements, now);
-        for placement in placements {
-            let task = step.task(placement.index);
-            let Some(index) = self.index(&placement.worker) else {
-                continue;
-            };
-            if can_send && self.may_start(&placement.worker, |other| *other == task) {
-                self.send_start(state, index, task, placement.run, now);
-            } else {
-                self.release(index, task, placement.run);
-            }
-        }
-    }
-
-    /// Whether a committed start may be sent to a worker. The commit may have taken seconds.
-    pub(crate) fn may_start(&self, worker: &str, is_next: impl Fn(&TaskKey) -> bool) -> bool {
-        let worker = self.index(worker).and_then(|index| self.workers.get(index));
-        worker.is_some_and(|worker| {
-            let stays = worker.successor.is_none() && !worker.is_leaving();
-            stays && worker.has_room_for(is_next)
-        })
-    }
-
-    fn send_start(
-        &mut self,
-        state: &QueueState,
-        index: WorkerIndex,
-        task: TaskKey,
-        run: u32,
-        now: Millis,
-    ) {
-        let permit = self.permit(task.step, index);
-        let (term, lease_ms) = (self.config.term, self.config.lease_ms);
-        let exclusive_ms = self.exclusive_ms();
-        let Some(worker) = self.workers.get_mut(index) else {
-            return;
-        };
-        let Some(job) = state
-            .job(task.step.job)
-            .filter(|job| !job.phase.has_ended())
-        else {
-            return self.stop_run(index, (task, run), StopReason::JobEnded, now);
-        };
-        if job.is_needless(task, run) {
-            self.mark_needless(index, task, run);
-            return self.stop_run(index, (task, run), StopReason::TaskDone, now);
-        }
-        let Some(until_ms) = worker.lease.lease_until_ms(now, lease_ms) else {
-            return self.stop_run(index, (task, run), StopReason::Unanswered, now);
-        };
-        let Some(view) = worker.runs.get_mut(&task) else {
-            return;
-        };
-        let attempts = match view.stage {
-            RunStage::StartSent { attempts } => attempts + 1,
-            _ => 1,
-        };
-        view.stage = RunStage::StartSent { attempts };
-        view.unlisted_since = Some(now);
-        worker.record_open_start(task, run, now);
-        worker.record_start(task.step.job, exclusive_ms, now);
-        let kind = WorkerRequestKind::Start {
-            task,
-            run,
-            payload: job.spec.payload.clone(),
-            until_ms,
-            checkpoint: resume_checkpoint(job, task),
-            permit,
-        };
-        let request = WorkerRequest::new(&worker.record, worker.fence(term), now, kind);
-        let evidence = &mut self.quarantine.evidence;
-        evidence.record_start(index, &job.queue.name, now);
-        self.counts.starts += u64::from(attempts == 1);
-        self.actions.push(Action::Send(request));
-    }
-
     /// Handles the reply to a request, or the reason why there is none.
     pub fn handle_reply(
         &mut self,
@@ -258,19 +163,6 @@
         }
     }
 
-    /// Marks a run as not started whose first start certainly reached no worker, so that it is no
-    /// suspect if its worker has crashed.
-    fn forget_first_start(&mut self, index: WorkerIndex, kind: &WorkerRequestKind) {
-        let WorkerRequestKind::Start { task, run, .. } = kind else {
-            return;
-        };
-        if let Some(view) = self.run_mut(index, *task, *run)
-            && view.stage == (RunStage::StartSent { attempts: 1 })
-        {
-            view.stage = RunStage::Proposed;
-        }
-    }
-
     /// Whether a worker has answered this leader, and since its last reply no poll has failed and
     /// no start has gone unanswered.
     pub fn is_reachable(&self, worker: &str) -> bool {
@@ -278,25 +170,6 @@
         worker.is_some_and(|worker| worker.lease.is_reachable())
     }
 
-    /// Forgets that a start may be carried out late, if its outcome is certain.
-    fn close_start(
-        &mut self,
-        index: WorkerIndex,
-        request: &WorkerRequest,
-        result: &Result<WorkerReply, WorkerRequestError>,
-    ) {
-        let WorkerRequestKind::Start { task, run, .. } = request.kind else {
-            return;
-        };
-        if result.as_ref().is_err_and(|error| error.is_uncertain()) {
-            return;
-        }
-        if let Some(worker) = self.workers.get_mut(index) {
-            let sent = request.sent;
-            worker.forget_open_start(OpenStart { task, run, sent });
-        }
-    }
-
     fn record_contact(&mut self, index: WorkerIndex, now: Millis) {
         if let Some(worker) = self.workers.get_mut(index) {
             worker.lease.record_contact(now);
@@ -304,155 +177,7 @@
         }
     }
 
-    fn start_answered(
-        &mut self,
-        state: &QueueState,
-        index: WorkerIndex,
-        (task, run): (TaskKey, u32),
-        sent: Millis,
-        result: Result<WorkerReply, WorkerRequestError>,
-        now: Millis,
-    ) {
-        let Some(view) = self.run_mut(index, task, run) else {
-            return;
-        };
-        let RunStage::StartSent { attempts } = view.stage else {
-            return self.stopped_start_answered(index, (task, run), &result);
-        };
-        match result {
-            Ok(_) => {
-                view.confirm(now);
-                view.unlisted_since = Some(now);
-                self.unstarted_jobs.remove(&task.step.job);
-                if let Some(step) = self.steps.get_mut(&task.step) {
-                    step.rejections.forget(index);
-                }
-            }
-            Err(WorkerRequestError::NoAnswer | WorkerRequestError::Broken) => {
-                self.record_missed(index, sent);
-                let is_useful = self.is_retry_useful(task.step, sent, now);
-                let may_retry = is_useful
-                    && self.workers.get(index).is_some_and(|worker| {
-                        !worker.is_leaving()
-                            && worker.successor.is_none()
-                            && worker.has_room_for(|_| false)
-                            && attempts < START_ATTEMPTS_MAX
-                    });
-                if may_retry {
-                    self.send_start(state, index, task, run, now);
-                } else {
-                    self.give_up_start(state, index, (task, run), now);
-                }
-            }
-            Err(WorkerRequestError::NotSent | WorkerRequestError::Refused) => {
-                self.record_missed(index, sent);
-                self.not_started(state, index, (task, run), attempts, now);
-            }
-            Err(WorkerRequestError::OutOfResources) => {
-                self.not_started(state, index, (task, run), attempts, now);
-            }
-            Err(WorkerRequestError::Rejected(reason)) => {
-                self.counts.rejected_starts += 1;
-                self.start_rejected(state, index, (task, run), attempts, reason, now);
-            }
-            Err(WorkerRequestError::Unhealthy) => {
-                if let Some(worker) = self.workers.get_mut(index) {
-                    worker.health.pause(now);
-                }
-                self.not_started(state, index, (task, run), attempts, now);
-            }
-            Err(WorkerRequestError::OtherLife) => {}
-        }
-    }
-
-    /// Handles the reply to the start of a run that is to be stopped: a run that certainly has not
-    /// begun needs no stop.
-    fn stopped_start_answered(
-        &mut self,
-        index: WorkerIndex,
-        (task, run): (TaskKey, u32),
-        result: &Result<WorkerReply, WorkerRequestError>,
-    ) {
-        let has_open_start = self.workers.get(index).is_some_and(|worker| {
-            let mut open = worker.open_starts.iter();
-            open.any(|start| start.task == task && start.run == run)
-        });
-        let Some(view) = self.run_mut(index, task, run) else {
-            return;
-        };
-        let is_stopping = matches!(
-            view.stage,
-            RunStage::Stopping { .. } | RunStage::StopAnswered { .. }
-        );
-        match result {
-            Ok(_) => view.has_begun = true,
-            Err(error) if is_stopping && !view.has_begun && error.has_started_nothing() => {
-                if !has_open_start {
-                    self.release(index, task, run);
-                }
-            }
-            Err(_) => {}
-        }
-    }
-
-    fn start_rejected(
-        &mut self,
-        state: &QueueState,
-        index: WorkerIndex,
-        (task, run): (TaskKey, u32),
-        attempts: u32,
-        reason: RejectReason,
-        now: Millis,
-    ) {
-        match reason {
-            // A leader of a higher term exists; this one learns that from its quorum.
-            RejectReason::Fenced => return,
-            RejectReason::NoPermit => self.invalidate_permit(task.step, index),
-            _ => {}
-        }
-        if let Some(step) = self.steps.get_mut(&task.step) {
-            step.rejections.record(index, now);
-        }
-        self.not_started(state, index, (task, run), attempts, now);
-    }
-
-    /// Handles a request that started nothing: it was rejected or not sent.
-    fn not_started(
-        &mut self,
-        state: &QueueState,
-        index: WorkerIndex,
-        (task, run): (TaskKey, u32),
-        attempts: u32,
-        now: Millis,
-    ) {
-        if attempts > 1 {
-            // An earlier request for this start may have been carried out, or may still be.
-            return self.give_up_start(state, index, (task, run), now);
-        }
-        self.release(index, task, run);
-        self.stop_other_members(task, run, now);
-    }
-
-    /// Stops a run of which it is unknown whether it has begun. A gang is stopped as a whole, unless
-    /// its progress shows that all members have begun.
-    fn give_up_start(
-        &mut self,
-        state: &QueueState,
-        index: WorkerIndex,
-        (task, run): (TaskKey, u32),
-        now: Millis,
-    ) {
-        if self.has_gang_progress(state, task, run) {
-            if let Some(view) = self.run_mut(index, task, run) {
-                view.confirm(now);
-            }
-            return;
-        }
-        self.stop_run(index, (task, run), StopReason::Unanswered, now);
-        self.stop_other_members(task, run, now);
-    }
-
-    fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
+    pub(super) fn release(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
         if let Some(worker) = self.workers.get(index) {
             let incarnation = worker.record.incarnation;
             let worker = worker.record.id.clone();
@@ -501,7 +226,12 @@
         }
     }
 
-    fn run_mut(&mut self, index: WorkerIndex, task: TaskKey, run: u32) -> Option<&mut RunView> {
+    pub(super) fn run_mut(
+        &mut self,
+        index: WorkerIndex,
+        task: TaskKey,
+        run: u32,
+    ) -> Option<&mut RunView> {
         let view = self.workers.get_mut(index)?.runs.get_mut(&task)?;
         (view.run == run).then_some(view)
     }
@@ -606,41 +336,6 @@
         }
     }
 
-    /// Drops runs whose proposed start had no effect when it was applied, or can never be applied.
-    pub(crate) fn undo_unapplied_starts(
-        &mut self,
-        state: &QueueState,
-        step: StepKey,
-        placements: &[Placement],
-        now: Millis,
-    ) {
-        for placement in placements {
-            let task = step.task(placement.index);
-            let held = state
-                .worker(&placement.worker)
-                .and_then(|worker| worker.runs.get(&task));
-            if held.is_some_and(|held| held.run == placement.run) {
-                continue;
-            }
-            if let Some(worker) = self.workers.by_id_mut(&placement.worker) {
-                let is_proposed = worker
-                    .runs
-                    .get(&task)
-                    .is_some_and(|run| run.stage == RunStage::Proposed);
-                if is_proposed {
-                    worker.remove_run(task, placement.run);
-                }
-            }
-            if let Some(index) = self.index(&placement.worker) {
-                self.rounds.note_freed(index);
-            }
-            if let Some(view) = self.steps.get_mut(&step) {
-                view.proposed.remove(&placement.index);
-            }
-        }
-        self.step_changed(state, step, now);
-    }
-
     /// Repeats unanswered stops, moves runs off draining workers and stops stalled runs.
     pub(crate) fn tick_runs(&mut self, state: &QueueState, now: Millis) {
         let mut stops = Vec::new();
@@ -669,13 +364,3 @@
     }
     task_isolation(job, task.step, task.index)
 }
-
-/// The checkpoint from which a task resumes; all members of a gang resume from the same one.
-pub(crate) fn resume_checkpoint(job: &crate::job::Job, task: TaskKey) -> Option<Arc<str>> {
-    let position = usize::from(task.step.step);
-    let tasks = &job.steps[position].tasks;
-    if !job.spec.steps[position].is_gang {
-        return tasks[task.index as usize].checkpoint.clone();
-    }
-    tasks.iter().find_map(|member| member.checkpoint.clone())
-}
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 
 use imbl::OrdMap;
-use sapphirepost_types::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,12 +23,10 @@
 use crate::job::Task;
 use crate::job::TaskPhase;
 use crate::lost_workers::LostWorkers;
-use crate::lost_workers::ReturnedWorker;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
 use crate::worker::HeldRun;
 use crate::worker::Worker;
-use crate::worker::WorkerRecord;
 
 /// Jobs that ended longer ago are dropped when another job ends; until then, callers can ask for
 /// their phase.
@@ -87,14 +84,14 @@
 #[serde(default, deny_unknown_fields)]
 pub struct QueueState {
     table: Option<Arc<QueueTable>>,
-    jobs: OrdMap<JobKey, Arc<Job>>,
-    workers: OrdMap<Arc<str>, Arc<Worker>>,
+    pub(crate) jobs: OrdMap<JobKey, Arc<Job>>,
+    pub(crate) workers: OrdMap<Arc<str>, Arc<Worker>>,
     /// Ended jobs by the log index of the command that ended them, for the retention.
     ended: OrdMap<u64, Vec<JobKey>>,
     ended_count: usize,
     /// Removed workers that may turn out to have crashed.
     #[serde(skip_serializing_if = "LostWorkers::is_empty")]
-    lost_workers: LostWorkers,
+    pub(crate) lost_workers: LostWorkers,
 }
 
 impl QueueState {
@@ -180,11 +177,11 @@
 }
 
 /// The context in which one command is applied.
-struct Apply<'a> {
-    state: &'a mut QueueState,
-    index: u64,
-    at_unix_ms: u64,
-    changes: &'a mut Vec<QueueChange>,
+pub(crate) struct Apply<'a> {
+    pub(crate) state: &'a mut QueueState,
+    pub(crate) index: u64,
+    pub(crate) at_unix_ms: u64,
+    pub(crate) changes: &'a mut Vec<QueueChange>,
 }
 
 impl Apply<'_> {
@@ -197,162 +194,14 @@
         self.changes.push(QueueChange::Table);
     }
 
-    /// Applies a command that is about one incarnation of a worker. It has no effect if that has
-    /// ended.
-    fn change_worker(&mut self, command: &QueueCommand) {
-        match command {
-            QueueCommand::RemoveWorker {
-                worker,
-                incarnation,
-                checkpoints,
-            } if incarnation.is_none_or(|incarnation| self.has(worker, incarnation)) => {
-                self.remove_worker(worker, checkpoints);
-            }
-            QueueCommand::ForgetWorker {
-                worker,
-                incarnation,
-            } if self.has(worker, *incarnation) => self.forget_worker(worker),
-            QueueCommand::Crash {
-                worker,
-                incarnation,
-                checkpoints,
-                lost,
-            } if self.has(worker, *incarnation) => self.crash(worker, checkpoints, lost),
-            QueueCommand::End {
-                worker,
-                incarnation,
-                upto,
-                ends,
-            } if self.has(worker, *incarnation) => self.end(worker, *upto, ends),
-            QueueCommand::Expire {
-                worker,
-                incarnation,
-                checkpoints,
-                lost,
-                kept,
-            } if self.has(worker, *incarnation) => {
-                self.expire(worker, checkpoints, kept);
-                self.record_expired(worker, lost);
-            }
-            QueueCommand::Release {
-                worker,
-                incarnation,
-                task,
-                run,
-            } if self.has(worker, *incarnation) => self.release(worker, *task, *run),
-            _ => {}
-        }
-    }
-
-    /// Whether this is the present incarnation of the worker.
-    fn has(&self, worker: &str, incarnation: Incarnation) -> bool {
-        let known = self.state.workers.get(worker);
-        known.is_some_and(|known| known.record.incarnation == incarnation)
-    }
-
-    fn put_worker(&mut self, record: &WorkerRecord) {
-        let id = record.id.clone();
-        match self.state.workers.get_mut(&id) {
-            Some(known) if known.record.incarnation != record.incarnation => return,
-            Some(known) if known.record.is_same_description(record) => return,
-            // A new leader does not know the reports to the one before, and may get a late one.
-            Some(known) if known.record.sequence > record.sequence => return,
-            Some(known) => {
-                let known = Arc::make_mut(known);
-                let is_draining = known.record.is_draining || record.is_draining;
-                known.record = record.clone();
-                // A draining worker never becomes available again; an older report may arrive late.
-                known.record.is_draining = is_draining;
-            }
-            None => return self.add_worker(record),
-        }
-        self.changes.push(QueueChange::Worker(id));
-    }
-
-    /// Adds a worker; if it replaces a removed one, that one has crashed.
-    fn add_worker(&mut self, record: &WorkerRecord) {
-        let mut worker = Worker {
-            record: record.clone(),
-            applied_ends: 0,
-            restarted_unix_ms: None,
-            runs: OrdMap::new(),
-            expired: LostRuns::default(),
-            has_returned: false,
-        };
-        let mut crashed = Vec::new();
-        for returned in self.state.lost_workers.take(record, self.at_unix_ms) {
-            match returned {
-                ReturnedWorker::SameIncarnation(lost) => {
-                    worker.expired = lost;
-                    worker.has_returned = true;
-                }
-                ReturnedWorker::Crashed(id, lost) => crashed.push((id, lost)),
-            }
-        }
-        let id = record.id.clone();
-        self.state.workers.insert(id.clone(), Arc::new(worker));
-        self.changes.push(QueueChange::Worker(id));
-        for (id, lost) in crashed {
-            self.count_crashes(&id, &lost);
-        }
-    }
-
-    fn restart_worker(
-        &mut self,
-        record: &WorkerRecord,
-        former: Incarnation,
-        checkpoints: &[(TaskKey, Arc<str>)],
-        lost: Option<&LostRuns>,
-    ) {
-        let is_former = record.incarnation != former;
-        let known = self.state.workers.get_mut(&record.id);
-        let known = known.filter(|known| is_former && known.record.incarnation == former);
-        let Some(worker) = known else {
-            return self.put_worker(record);
-        };
-        let worker = Arc::make_mut(worker);
-        worker.record = record.clone();
-        worker.applied_ends = 0;
-        worker.restarted_unix_ms = Some(self.at_unix_ms);
-        let mut ended = std::mem::take(&mut worker.expired);
-        let runs = worker.runs.clone();
-        for (task, checkpoint) in checkpoints {
-            if let Some(held) = runs.get(task) {
-                self.keep_checkpoint(*task, held.run, checkpoint);
-            }
-        }
-        let restarted = QueueChange::WorkerRestarted(record.id.clone());
-        self.changes.push(restarted);
-        if let Some(lost) = lost {
-            ended.merge(lost);
-            self.count_crashes(&record.id, &ended);
-        }
-    }
-
     /// Keeps the checkpoint of a run whose worker has lost it, for the next run of the task.
-    fn keep_checkpoint(&mut self, key: TaskKey, run: u32, checkpoint: &Arc<str>) {
+    pub(crate) fn keep_checkpoint(&mut self, key: TaskKey, run: u32, checkpoint: &Arc<str>) {
         let task = task_mut(&mut self.state.jobs, key);
         if let Some(task) = task.filter(|task| task.run == run) {
             task.checkpoint = Some(checkpoint.clone());
         }
     }
 
-    fn remove_worker(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)]) {
-        self.expire(id, checkpoints, &[]);
-        if self.state.workers.remove(id).is_some() {
-            self.changes.push(QueueChange::WorkerRemoved(id.clone()));
-        }
-    }
-
-    /// Removes a silent worker and keeps the evidence, in case it has crashed.
-    fn forget_worker(&mut self, id: &Arc<str>) {
-        if let Some(worker) = self.state.workers.get(id) {
-            let lost_workers = &mut self.state.lost_workers;
-            lost_workers.add(worker, self.at_unix_ms);
-        }
-        self.remove_worker(id, &[]);
-    }
-
     fn start(&mut self, step: StepKey, placements: &[Placement]) {
         let Some(job) = self.state.jobs.get_mut(&step.job) else {
             return;
@@ -403,7 +252,7 @@
         self.changes.push(QueueChange::Started(step, startable));
     }
 
-    fn end(&mut self, id: &Arc<str>, upto: u64, ends: &[RunEnd]) {
+    pub(crate) fn end(&mut self, id: &Arc<str>, upto: u64, ends: &[RunEnd]) {
         let Some(worker) = self.state.workers.get_mut(id) else {
             return;
         };
@@ -458,94 +307,7 @@
         }
     }
 
-    /// Ends the runs of a worker, but for those of the tasks in `kept`.
-    fn expire(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)], kept: &[TaskKey]) {
-        let Some(worker) = self.state.workers.get_mut(id) else {
-            return;
-        };
-        let worker = Arc::make_mut(worker);
-        let runs = std::mem::take(&mut worker.runs);
-        let (kept, ended): (OrdMap<_, _>, OrdMap<_, _>) =
-            runs.into_iter().partition(|(task, _)| kept.contains(task));
-        worker.runs = kept;
-        for (task, HeldRun { run, .. }) in ended {
-            let seen = checkpoints.iter().find(|(seen, _)| *seen == task);
-            let checkpoint = seen.map(|(_, checkpoint)| checkpoint);
-            let ended_run = QueueChange::RunEnded(id.clone(), task, run, None);
-            self.changes.push(ended_run);
-            if let Some(task) = task_mut(&mut self.state.jobs, task).filter(|t| t.run == run) {
-                task.write_off(run, id);
-            }
-            self.finish_run(task, run, None, checkpoint);
-        }
-    }
-
-    /// Keeps the runs that ended with the lease of a worker, in case it turns out to have crashed.
-    fn record_expired(&mut self, id: &Arc<str>, lost: &LostRuns) {
-        if let Some(worker) = self.state.workers.get_mut(id) {
-            let worker = Arc::make_mut(worker);
-            worker.expired.merge(lost);
-            worker.has_returned = false;
-        }
-        for task in &lost.suspects {
-            if let Some(crashes) = self.update_silent(*task)
-                && crashes.is_given_up()
-            {
-                self.changes.push(QueueChange::CrashCounted(*task, crashes));
-                self.end_job(task.step.job, JobPhase::Failed);
-            }
-        }
-    }
-
-    /// Counts the silent workers of which a task is a suspect, and returns its counts.
-    fn update_silent(&mut self, key: TaskKey) -> Option<CrashCount> {
-        let task = task_mut(&mut self.state.jobs, key)?;
-        let workers = self.state.workers.values();
-        let silent = workers.filter(|worker| !worker.has_returned);
-        let expired = silent.map(|worker| &worker.expired);
-        let expired = expired.filter(|expired| expired.is_suspect(key));
-        let removed = self.state.lost_workers.suspecting(key, self.at_unix_ms);
-        task.crashes.set_silent(key, expired.chain(removed));
-        Some(task.crashes)
-    }
-
-    /// Removes a crashed worker and counts the crash against the tasks that ran there.
-    fn crash(&mut self, id: &Arc<str>, checkpoints: &[(TaskKey, Arc<str>)], lost: &LostRuns) {
-        let Some(worker) = self.state.workers.get(id) else {
-            return;
-        };
-        let mut ended = worker.expired.clone();
-        self.remove_worker(id, checkpoints);
-        ended.merge(lost);
-        self.count_crashes(id, &ended);
-    }
-
-    /// Counts a crash of a worker against the tasks that ran there.
-    fn count_crashes(&mut self, id: &Arc<str>, lost: &LostRuns) {
-        let crashed = QueueChange::WorkerCrashed(id.clone(), lost.suspects.clone());
-        self.changes.push(crashed);
-        for task in &lost.tasks {
-            self.count_crash(*task, lost);
-        }
-    }
-
-    /// Counts a crash against a task, and fails its job if the task is given up.
-    fn count_crash(&mut self, key: TaskKey, lost: &LostRuns) {
-        let Some(task) = task_mut(&mut self.state.jobs, key) else {
-            return;
-        };
-        task.crashes.record(key, lost);
-        // A worker that has returned is not silent any more.
-        let Some(crashes) = self.update_silent(key) else {
-            return;
-        };
-        self.changes.push(QueueChange::CrashCounted(key, crashes));
-        if crashes.is_given_up() {
-            self.end_job(key.step.job, JobPhase::Failed);
-        }
-    }
-
-    fn release(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
+    pub(crate) fn release(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
         let Some(worker) = self.state.workers.get_mut(id) else {
             return;
         };
@@ -560,7 +322,7 @@
 
     /// Updates the task of a run that its worker no longer holds, and ends the job if it is complete
     /// or has failed too often.
-    fn finish_run(
+    pub(crate) fn finish_run(
         &mut self,
         key: TaskKey,
         run: u32,
@@ -632,7 +394,7 @@
         }
     }
 
-    fn end_job(&mut self, key: JobKey, phase: JobPhase) {
+    pub(crate) fn end_job(&mut self, key: JobKey, phase: JobPhase) {
         let Some(job) = self.state.jobs.get_mut(&key) else {
             return;
         };
@@ -678,7 +440,7 @@
 }
 
 /// A task that is not done, of a job that has not ended.
-fn task_mut(jobs: &mut OrdMap<JobKey, Arc<Job>>, key: TaskKey) -> Option<&mut Task> {
+pub(crate) fn task_mut(jobs: &mut OrdMap<JobKey, Arc<Job>>, key: TaskKey) -> Option<&mut Task> {
     let job = jobs.get_mut(&key.step.job)?;
     if job.phase.has_ended() {
         return None;
