Call a try of the scheduler an attempt in names and comments

"Try" as a noun needed explaining beside the verb and the attempts of runs. Names inside the queues package and comments change; the names that leave the process (metric queue_placement_tries, keys of the line placement load) stay. The module due_tries is due_attempts.

--- a/crates/control/src/placement_load.rs
+++ b/crates/control/src/placement_load.rs
@@ -13,7 +13,7 @@
         expired,
         withheld,
         former_run,
-    ] = counts.tries;
+    ] = counts.attempts;
     let [
         round,
         freed,
@@ -25,12 +25,12 @@
     ] = counts.visits;
     let [first, further, renewal] = counts.requests;
     let [first_workers, further_workers, renewal_workers] = counts.requested_workers;
-    let [placed_checks, failed_checks @ ..] = counts.try_checks;
+    let [placed_checks, failed_checks @ ..] = counts.attempt_checks;
     let failed_checks: u64 = failed_checks.iter().sum();
     log::info!(
         interval_ms, admitted_permille, rounds = counts.rounds, waiting_steps = counts.waiting_steps,
         not_due = counts.not_due, left_out = counts.left_out, placed, not_ready, no_room, no_permit,
-        expired_permit = expired, withheld, former_run, urgent_tries = counts.urgent_tries,
+        expired_permit = expired, withheld, former_run, urgent_tries = counts.urgent_attempts,
         tasks = counts.tasks, placed_checks, failed_checks, round_visits = round,
         freed_visits = freed, candidate_visits = candidate, rack_visits = rack,
         request_visits = request, reservation_visits = reservation,
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -8,11 +8,11 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 
 use sapphirepost_process::metrics::Metrics;
+use sapphirepost_queues::scheduler::AttemptResult;
 use sapphirepost_queues::scheduler::Counts;
 use sapphirepost_queues::scheduler::PlacementCounts;
 use sapphirepost_queues::scheduler::RequestCause;
 use sapphirepost_queues::scheduler::StopReason;
-use sapphirepost_queues::scheduler::TryResult;
 use sapphirepost_queues::scheduler::VisitKind;
 
 pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -62,7 +62,7 @@
     repeated_permit_answers: Counter,
 }
 
-/// What came of a try to place a step, as a label.
+/// What came of an attempt to place a step, as a label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TryLabel {
     result: &'static str,
@@ -224,11 +224,11 @@
 
     /// Adds the counts of placement.
     pub(crate) fn add_placement(&self, counts: &PlacementCounts) {
-        for (result, tries) in TryResult::ALL.iter().zip(counts.tries) {
+        for (result, attempts) in AttemptResult::ALL.iter().zip(counts.attempts) {
             let label = TryLabel {
                 result: result.label(),
             };
-            self.placement_tries.get_or_create(&label).inc_by(tries);
+            self.placement_tries.get_or_create(&label).inc_by(attempts);
         }
         for (kind, visits) in VisitKind::ALL.iter().zip(counts.visits) {
             let label = VisitLabel { kind: kind.label() };
--- a/crates/queues/src/scheduler/due_tries.rs
+++ b/crates/queues/src/scheduler/due_attempts.rs
@@ -1,6 +1,6 @@
 //! Which steps a round tries.
 //!
-//! A try of a step costs the more, the more workers the policy allows for it. A round therefore tries
+//! An attempt of a step costs the more, the more workers the policy allows for it. A round therefore tries
 //! a step only if something may have changed for it: its time has come, or freed workers are of use
 //! to it.
 
@@ -21,11 +21,11 @@
 const FREED_PER_STEP_MAX: usize = 16;
 /// The number of blocked gangs that a round tries for a reservation although nothing has changed
 /// for them.
-const RESERVATION_TRIES_MAX: usize = 4;
+const RESERVATION_ATTEMPTS_MAX: usize = 4;
 
 /// Whether a round tries a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum TryDue {
+pub(super) enum AttemptDue {
     Now,
     /// Too many workers were freed to compare the step with all of them.
     Soon,
@@ -34,23 +34,23 @@
 
 impl Scheduler {
     /// Whether a round tries a step.
-    pub(super) fn try_due(&self, view: &StepView, round: &Round, now: Millis) -> TryDue {
+    pub(super) fn attempt_due(&self, view: &StepView, round: &Round, now: Millis) -> AttemptDue {
         let is_gang = view.is_ready && view.spec().is_gang;
         if is_gang && !round.has_gangs && !view.is_urgent() {
-            return TryDue::Later;
+            return AttemptDue::Later;
         }
         let Some(tried) = view.tried else {
-            return TryDue::Now;
+            return AttemptDue::Now;
         };
         let is_due = match view.retry {
             Retry::Soon => now.since(tried) >= self.rounds.retry_ms(),
             Retry::At(at) => now >= at,
         };
         if is_due || view.left_out_at.is_some() {
-            return TryDue::Now;
+            return AttemptDue::Now;
         }
         if !is_gang && !view.is_ready {
-            return TryDue::Later;
+            return AttemptDue::Later;
         }
         if !is_gang {
             return self.has_use_for(view, &round.freed.for_tasks);
@@ -58,7 +58,7 @@
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
             && round.reserved < RESERVATIONS_MAX
-            && (round.reservation_tries < RESERVATION_TRIES_MAX
+            && (round.reservation_attempts < RESERVATION_ATTEMPTS_MAX
                 || round.owners.contains(&view.key));
         let freed = if round.has_gangs {
             &round.freed.for_gangs
@@ -66,15 +66,15 @@
             &round.freed.for_tasks
         };
         if may_reserve {
-            return TryDue::Now;
+            return AttemptDue::Now;
         }
         let due = match view.shortfall {
-            Some(shortfall) if shortfall.may_be_met() => TryDue::Now,
-            Some(_) => TryDue::Later,
+            Some(shortfall) if shortfall.may_be_met() => AttemptDue::Now,
+            Some(_) => AttemptDue::Later,
             None => self.has_use_for(view, freed),
         };
         match due {
-            TryDue::Now if !self.may_fit_gang(view) => TryDue::Later,
+            AttemptDue::Now if !self.may_fit_gang(view) => AttemptDue::Later,
             due => due,
         }
     }
@@ -100,11 +100,11 @@
 
     /// Whether a task of a step fits on one of these workers, and the policy allows the worker or
     /// may be asked about it.
-    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> TryDue {
+    fn has_use_for(&self, view: &StepView, workers: &[(u64, WorkerIndex)]) -> AttemptDue {
         let need = view.spec().resources;
         let may_use_any = view.queue.permits.is_none() || view.permits.may_use_any();
         if !may_use_any || !need.fits_in(&self.rounds.max_free) {
-            return TryDue::Later;
+            return AttemptDue::Later;
         }
         let with_room = workers.partition_point(|(millicores, _)| *millicores >= need.millicores);
         let mut compared = workers[..with_room].iter().take(FREED_PER_STEP_MAX);
@@ -116,9 +116,9 @@
             })
         });
         match has_use {
-            true => TryDue::Now,
-            false if with_room > FREED_PER_STEP_MAX => TryDue::Soon,
-            false => TryDue::Later,
+            true => AttemptDue::Now,
+            false if with_room > FREED_PER_STEP_MAX => AttemptDue::Soon,
+            false => AttemptDue::Later,
         }
     }
 
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -13,7 +13,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::isolation::gang_isolation;
 use crate::scheduler::place::Candidate;
-use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::reservations::slot_times;
@@ -34,9 +34,9 @@
     pub until: Millis,
 }
 
-/// What a try of a gang may do.
+/// What an attempt of a gang may do.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct GangTry {
+pub(crate) struct GangAttempt {
     /// Whether the free resources may suffice for all members. If not, no worker is looked at.
     pub(crate) may_fit: bool,
     /// Whether the gang may get a reservation for later.
@@ -63,15 +63,15 @@
         state: &QueueState,
         view: &mut StepView,
         reservations: &mut Reservations,
-        tries: GangTry,
+        attempt: GangAttempt,
         now: Millis,
     ) -> bool {
         let members = view.spec().count as usize;
-        let begin = self.begin_try();
+        let begin = self.begin_attempt();
         // A gang starts again only after all members of its last run have ended.
         if view.waiting.len() < members {
-            view.retry = self.retry_after(view, TryResult::FormerRun, begin, None, now);
-            self.end_try(begin, TryResult::FormerRun);
+            view.retry = self.retry_after(view, AttemptResult::FormerRun, begin, None, now);
+            self.end_attempt(begin, AttemptResult::FormerRun);
             return false;
         }
         view.retry = Retry::Soon;
@@ -81,10 +81,10 @@
         let has_turn = isolation == Isolation::None || self.take_isolation_turn(view, now);
         view.is_without_turn = !has_turn;
         if !has_turn {
-            self.end_try(begin, TryResult::Withheld);
+            self.end_attempt(begin, AttemptResult::Withheld);
             return false;
         }
-        let mut candidates = if tries.may_fit {
+        let mut candidates = if attempt.may_fit {
             self.candidates(view, reservations, isolation, now)
         } else {
             Vec::new()
@@ -96,19 +96,19 @@
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
             let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
             if isolation != Isolation::None && !self.isolate(view, &candidates, chosen, now) {
-                self.end_try(begin, TryResult::Withheld);
+                self.end_attempt(begin, AttemptResult::Withheld);
                 return false;
             }
             self.end_isolation_turn(view);
             self.start(job, view, &placements, now);
-            self.end_try(begin, TryResult::Placed);
+            self.end_attempt(begin, AttemptResult::Placed);
             return false;
         }
         let is_allowed =
             |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
         let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
         let has_room = chosen.is_some();
-        if tries.may_fit {
+        if attempt.may_fit {
             view.shortfall = match has_room {
                 true => None,
                 false => {
@@ -126,23 +126,23 @@
             None => self.request_due_gang_permits(view, now),
         };
         let result = match has_room {
-            true => TryResult::ExpiredPermit,
+            true => AttemptResult::ExpiredPermit,
             false => self.failed_gang_result(view, &candidates, begin),
         };
-        let may_preempt = tries.may_preempt;
+        let may_preempt = attempt.may_preempt;
         let has_hold = now < view.hold.until
             || (!has_room && self.preempt(view, reservations, may_preempt, now));
         if has_hold {
             self.reserve_now(view, &view.hold.workers, reservations, now);
-            self.end_try(begin, result);
+            self.end_attempt(begin, result);
             return true;
         }
         let due = [renewal_due, view.preemption_due(now)];
         let due = due.into_iter().flatten().min();
         view.retry = self.retry_after(view, result, begin, due, now);
         let has_reservation =
-            !has_room && tries.may_reserve && self.reserve(view, reservations, now);
-        self.end_try(begin, result);
+            !has_room && attempt.may_reserve && self.reserve(view, reservations, now);
+        self.end_attempt(begin, result);
         has_reservation
     }
 
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -15,7 +15,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::isolation::task_isolation;
-use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
@@ -180,16 +180,16 @@
         reservations: &Reservations,
         now: Millis,
     ) {
-        let begin = self.begin_try();
+        let begin = self.begin_attempt();
         let waiting = view.waiting.len();
         let candidates = self.place_on_candidates(state, view, reservations, now);
         let result = if view.waiting.len() < waiting {
-            TryResult::Placed
+            AttemptResult::Placed
         } else {
             self.failed_result(view, &candidates, begin)
         };
         view.retry = self.retry_after(view, result, begin, None, now);
-        self.end_try(begin, result);
+        self.end_attempt(begin, result);
     }
 
     /// Places tasks of a step, and requests the permits that it lacks. Returns the workers that had
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -7,9 +7,9 @@
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 
-/// The result of one try to place a step.
+/// The result of one attempt to place a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TryResult {
+pub enum AttemptResult {
     /// At least one task was placed.
     Placed,
     /// The step waits for steps before it; permits may be requested early.
@@ -26,28 +26,28 @@
     FormerRun,
 }
 
-impl TryResult {
-    /// All results, in the order of [`PlacementCounts::tries`].
-    pub const ALL: [TryResult; 7] = [
-        TryResult::Placed,
-        TryResult::NotReady,
-        TryResult::NoRoom,
-        TryResult::NoPermit,
-        TryResult::ExpiredPermit,
-        TryResult::Withheld,
-        TryResult::FormerRun,
+impl AttemptResult {
+    /// All results, in the order of [`PlacementCounts::attempts`].
+    pub const ALL: [AttemptResult; 7] = [
+        AttemptResult::Placed,
+        AttemptResult::NotReady,
+        AttemptResult::NoRoom,
+        AttemptResult::NoPermit,
+        AttemptResult::ExpiredPermit,
+        AttemptResult::Withheld,
+        AttemptResult::FormerRun,
     ];
 
     /// The name in metrics.
     pub fn label(self) -> &'static str {
         match self {
-            TryResult::Placed => "placed",
-            TryResult::NotReady => "not_ready",
-            TryResult::NoRoom => "no_room",
-            TryResult::NoPermit => "no_permit",
-            TryResult::ExpiredPermit => "expired_permit",
-            TryResult::Withheld => "withheld",
-            TryResult::FormerRun => "former_run",
+            AttemptResult::Placed => "placed",
+            AttemptResult::NotReady => "not_ready",
+            AttemptResult::NoRoom => "no_room",
+            AttemptResult::NoPermit => "no_permit",
+            AttemptResult::ExpiredPermit => "expired_permit",
+            AttemptResult::Withheld => "withheld",
+            AttemptResult::FormerRun => "former_run",
         }
     }
 }
@@ -137,12 +137,12 @@
     pub not_due: u64,
     /// Steps that a round left out at its limit of checks.
     pub left_out: u64,
-    /// Tries of steps by result, in the order of [`TryResult::ALL`].
-    pub tries: [u64; TryResult::ALL.len()],
+    /// Attempts of steps by result, in the order of [`AttemptResult::ALL`].
+    pub attempts: [u64; AttemptResult::ALL.len()],
     /// Checks that the tries took, by result.
-    pub try_checks: [u64; TryResult::ALL.len()],
-    /// Tries outside of rounds, after an answer of the policy; `tries` includes them.
-    pub urgent_tries: u64,
+    pub attempt_checks: [u64; AttemptResult::ALL.len()],
+    /// Attempts outside of rounds, after an answer of the policy; `attempts` includes them.
+    pub urgent_attempts: u64,
     /// Tasks placed.
     pub tasks: u64,
     /// Visits of workers and steps, in the order of [`VisitKind::ALL`].
@@ -194,9 +194,9 @@
     }
 }
 
-/// The values of counters before a try.
+/// The values of counters before an attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct TryBegin {
+pub(crate) struct AttemptBegin {
     checks: u64,
     withheld: u64,
 }
@@ -213,31 +213,31 @@
         self.count_checks(visits);
     }
 
-    /// The counters before a try of a step.
-    pub(crate) fn begin_try(&self) -> TryBegin {
-        TryBegin {
+    /// The counters before an attempt of a step.
+    pub(crate) fn begin_attempt(&self) -> AttemptBegin {
+        AttemptBegin {
             checks: self.checks.get(),
             withheld: self.tally.withheld.get(),
         }
     }
 
     /// The tasks that would fit on workers with free resources which were withheld from a step since
-    /// its try began.
-    pub(crate) fn withheld_since(&self, begin: TryBegin) -> u64 {
+    /// its attempt began.
+    pub(crate) fn withheld_since(&self, begin: AttemptBegin) -> u64 {
         self.tally.withheld.get() - begin.withheld
     }
 
-    /// Whether a worker with free resources was withheld from a step since its try began.
-    pub(crate) fn has_withheld_since(&self, begin: TryBegin) -> bool {
+    /// Whether a worker with free resources was withheld from a step since its attempt began.
+    pub(crate) fn has_withheld_since(&self, begin: AttemptBegin) -> bool {
         self.withheld_since(begin) > 0
     }
 
-    /// Counts a try of a step.
-    pub(crate) fn end_try(&mut self, begin: TryBegin, result: TryResult) {
+    /// Counts an attempt of a step.
+    pub(crate) fn end_attempt(&mut self, begin: AttemptBegin, result: AttemptResult) {
         let checks = self.checks.get() - begin.checks;
         let counts = &mut self.tally.counts;
-        counts.tries[result as usize] += 1;
-        counts.try_checks[result as usize] += checks;
+        counts.attempts[result as usize] += 1;
+        counts.attempt_checks[result as usize] += checks;
     }
 
     /// Why a step without a placement has none.
@@ -245,16 +245,16 @@
         &self,
         view: &StepView,
         candidates: &[Candidate],
-        begin: TryBegin,
-    ) -> TryResult {
+        begin: AttemptBegin,
+    ) -> AttemptResult {
         let has_granted = candidates
             .iter()
             .any(|candidate| candidate.permission == Permission::Granted);
         if has_granted || self.has_withheld_since(begin) {
-            return TryResult::Withheld;
+            return AttemptResult::Withheld;
         }
         if !candidates.is_empty() {
-            return TryResult::ExpiredPermit;
+            return AttemptResult::ExpiredPermit;
         }
         self.permit_or_room(view)
     }
@@ -264,20 +264,20 @@
         &self,
         view: &StepView,
         candidates: &[Candidate],
-        begin: TryBegin,
-    ) -> TryResult {
+        begin: AttemptBegin,
+    ) -> AttemptResult {
         if candidates.is_empty() && self.has_withheld_since(begin) {
-            return TryResult::Withheld;
+            return AttemptResult::Withheld;
         }
         self.permit_or_room(view)
     }
 
-    fn permit_or_room(&self, view: &StepView) -> TryResult {
+    fn permit_or_room(&self, view: &StepView) -> AttemptResult {
         let has_permits = view.queue.permits.is_none() || view.permits.allowed().next().is_some();
         if has_permits {
-            TryResult::NoRoom
+            AttemptResult::NoRoom
         } else {
-            TryResult::NoPermit
+            AttemptResult::NoPermit
         }
     }
 }
--- a/crates/queues/src/scheduler/retries.rs
+++ b/crates/queues/src/scheduler/retries.rs
@@ -8,8 +8,8 @@
 use sapphirepost_types::Millis;
 
 use crate::scheduler::Scheduler;
-use crate::scheduler::placement_counts::TryBegin;
-use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::placement_counts::AttemptBegin;
+use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::steps::StepView;
 
 /// A step is tried again after this time in any case.
@@ -25,28 +25,30 @@
 }
 
 impl Scheduler {
-    /// When a step is tried again after a try with this result. `due` is the earliest time at which
+    /// When a step is tried again after an attempt with this result. `due` is the earliest time at which
     /// permits of a gang are to be renewed or tasks may be preempted for it.
     pub(crate) fn retry_after(
         &self,
         view: &StepView,
-        result: TryResult,
-        begin: TryBegin,
+        result: AttemptResult,
+        begin: AttemptBegin,
         due: Option<Millis>,
         now: Millis,
     ) -> Retry {
         // A gang that lacks room also with what is withheld from it waits for room like others.
         let is_withheld = self.has_withheld_since(begin) && view.shortfall.is_none();
         let waits_for_change = match result {
-            TryResult::NoRoom | TryResult::NoPermit => !is_withheld,
-            TryResult::FormerRun => true,
+            AttemptResult::NoRoom | AttemptResult::NoPermit => !is_withheld,
+            AttemptResult::FormerRun => true,
             // Its first permits are requested shortly before it becomes ready.
-            TryResult::NotReady => view.queue.permits.is_none() || !view.permits.is_unrequested(),
-            TryResult::Withheld => view.shortfall.is_some(),
-            TryResult::Placed | TryResult::ExpiredPermit => false,
+            AttemptResult::NotReady => {
+                view.queue.permits.is_none() || !view.permits.is_unrequested()
+            }
+            AttemptResult::Withheld => view.shortfall.is_some(),
+            AttemptResult::Placed | AttemptResult::ExpiredPermit => false,
         };
         // The workers of a quarantined queue change at each check of its set, and a request that
-        // is needed during a pause is made by a later try.
+        // is needed during a pause is made by a later attempt.
         if !waits_for_change || self.quarantined_queues() > 0 || view.permits.is_paused(now) {
             return Retry::Soon;
         }
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -16,10 +16,10 @@
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::backlog::Backlog;
-use crate::scheduler::due_tries::TryDue;
+use crate::scheduler::due_attempts::AttemptDue;
 use crate::scheduler::free_capacity::FreeCapacity;
-use crate::scheduler::gangs::GangTry;
-use crate::scheduler::placement_counts::TryResult;
+use crate::scheduler::gangs::GangAttempt;
+use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
@@ -61,7 +61,7 @@
 const RETRY_MAX_MS: u64 = 500;
 /// The number of blocked gangs for which a round looks for tasks to preempt. Each look goes through
 /// all workers of the gang, and most find too little.
-const PREEMPTION_TRIES_MAX: usize = 4;
+const PREEMPTION_ATTEMPTS_MAX: usize = 4;
 /// A round starts after this time even without a change, since permits, pauses and expected ends
 /// depend on time alone.
 const INTERVAL_MS: u64 = 100;
@@ -207,9 +207,9 @@
     /// The number of gangs that hold a reservation.
     pub(super) reserved: usize,
     /// The number of gangs that were tried for a reservation.
-    pub(super) reservation_tries: usize,
+    pub(super) reservation_attempts: usize,
     /// The number of gangs that tasks were looked for to preempt for.
-    preemption_tries: usize,
+    preemption_attempts: usize,
     /// The value of the counter of checks at which no further step is tried.
     checks_end: u64,
     /// The checks that gangs took.
@@ -273,8 +273,8 @@
             reservations,
             owners: SmallVec::from_slice(self.rounds.reservations.owners()),
             reserved: 0,
-            reservation_tries: 0,
-            preemption_tries: 0,
+            reservation_attempts: 0,
+            preemption_attempts: 0,
             checks_end: self.checks.get() + CHECKS_PER_ROUND_MAX,
             gang_checks: 0,
             left_out_ms: 0,
@@ -310,10 +310,10 @@
         let Some(view) = self.steps.get(&key) else {
             return;
         };
-        let due = self.try_due(view, round, now);
-        if due != TryDue::Now {
+        let due = self.attempt_due(view, round, now);
+        if due != AttemptDue::Now {
             self.tally.counts.not_due += 1;
-            if due == TryDue::Soon
+            if due == AttemptDue::Soon
                 && let Some(view) = self.steps.get_mut(&key)
             {
                 view.retry = Retry::Soon;
@@ -335,10 +335,10 @@
         view.tried = Some(now);
         view.left_out_at = None;
         if !view.is_ready {
-            let begin = self.begin_try();
+            let begin = self.begin_attempt();
             self.prefetch_permits(&mut view, now);
-            view.retry = self.retry_after(&view, TryResult::NotReady, begin, None, now);
-            self.end_try(begin, TryResult::NotReady);
+            view.retry = self.retry_after(&view, AttemptResult::NotReady, begin, None, now);
+            self.end_attempt(begin, AttemptResult::NotReady);
         } else if view.spec().is_gang {
             self.place_gang_in_round(state, &mut view, round, now);
         } else {
@@ -357,16 +357,16 @@
         let checks = self.checks.get();
         let may_fit = self.may_fit_gang(view);
         let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX;
-        round.reservation_tries += usize::from(may_reserve);
-        let tries = GangTry {
+        round.reservation_attempts += usize::from(may_reserve);
+        let attempt = GangAttempt {
             may_fit,
             may_reserve,
-            may_preempt: round.preemption_tries < PREEMPTION_TRIES_MAX,
+            may_preempt: round.preemption_attempts < PREEMPTION_ATTEMPTS_MAX,
         };
         let preemption_visits = self.tally.visits(VisitKind::Preemption);
-        let has_reservation = self.place_gang(state, view, &mut round.reservations, tries, now);
+        let has_reservation = self.place_gang(state, view, &mut round.reservations, attempt, now);
         let has_tried = self.tally.visits(VisitKind::Preemption) > preemption_visits;
-        round.preemption_tries += usize::from(has_tried);
+        round.preemption_attempts += usize::from(has_tried);
         round.reserved += usize::from(has_reservation);
         round.gang_checks += self.checks.get() - checks;
     }
@@ -381,14 +381,14 @@
             let is_in_time = Rank::of(&view, now).lateness == Lateness::InTime;
             let mut reservations = std::mem::take(&mut self.rounds.reservations);
             if view.is_urgent() && view.is_ready && is_in_time {
-                self.tally.counts.urgent_tries += 1;
+                self.tally.counts.urgent_attempts += 1;
                 if view.spec().is_gang {
-                    let tries = GangTry {
+                    let attempt = GangAttempt {
                         may_fit: true,
                         may_reserve: false,
                         may_preempt: true,
                     };
-                    self.place_gang(state, &mut view, &mut reservations, tries, now);
+                    self.place_gang(state, &mut view, &mut reservations, attempt, now);
                 } else {
                     self.place_tasks(state, &mut view, &reservations, now);
                     view.tried = Some(now);
--- a/crates/queues/tests/after_a_burst.rs
+++ b/crates/queues/tests/after_a_burst.rs
@@ -81,9 +81,9 @@
             counts.rounds,
             self.decision_time.as_millis(),
             self.checks / 1_000,
-            counts.tries,
-            counts.urgent_tries,
-            counts.try_checks.map(|checks| checks / 1_000),
+            counts.attempts,
+            counts.urgent_attempts,
+            counts.attempt_checks.map(|checks| checks / 1_000),
             counts.not_due,
             counts.left_out,
             counts.visits.map(|visits| visits / 1_000),
@@ -103,7 +103,7 @@
     (steps, answers)
 }
 
-/// Guards against a burst after which a leader goes on with tries and permit requests in vain.
+/// Guards against a burst after which a leader goes on with attempts and permit requests in vain.
 #[test]
 fn a_leader_near_its_limit_places_and_asks_after_a_burst_as_before() {
     let seconds = run(CHECK_COST_NS);
--- a/crates/queues/tests/placement_cost.rs
+++ b/crates/queues/tests/placement_cost.rs
@@ -71,11 +71,11 @@
     counts
 }
 
-/// Guards against tries of all waiting steps at a short interval although no room has appeared.
+/// Guards against attempts of all waiting steps at a short interval although no room has appeared.
 #[test]
 fn steps_without_room_are_not_tried_again_and_again() {
     let counts = counts_without_room(WORKERS);
-    let tries: u64 = counts.tries.iter().sum();
+    let tries: u64 = counts.attempts.iter().sum();
     let tries_max = WAITING_JOBS * TRIES_PER_S_MAX * MEASURED_S;
     assert!(
         tries <= tries_max,
--- a/crates/queues/tests/waiting_gangs.rs
+++ b/crates/queues/tests/waiting_gangs.rs
@@ -35,7 +35,7 @@
 const STEP_MS: u64 = 10;
 const WARM_UP_MS: u64 = 3_000;
 const MEASURED_MS: u64 = 2_000;
-/// The checks of tries that place tasks are at least this multiple of the others.
+/// The checks of attempts that place tasks are at least this multiple of the others.
 const IN_VAIN_FACTOR: u64 = 2;
 
 fn is_gang(task: TaskKey) -> bool {
@@ -104,12 +104,12 @@
     counts
 }
 
-/// Guards against tries of waiting gangs that take more processor time than what is placed, although
+/// Guards against attempts of waiting gangs that take more processor time than what is placed, although
 /// room for a whole gang appears no more often with many of them.
 #[test]
 fn tries_of_many_waiting_gangs_cost_less_than_the_placements_beside_them() {
     let counts = counts(300);
-    let [placed, in_vain @ ..] = counts.try_checks;
+    let [placed, in_vain @ ..] = counts.attempt_checks;
     let in_vain: u64 = in_vain.iter().sum();
     println!("{placed} checks in tries that placed tasks, {in_vain} in others");
     assert!(
