--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -10,7 +10,7 @@
 mod contact_loss;
 mod crash_evidence;
 mod drain;
-mod due_tries;
+mod due_attempts;
 mod durations;
 mod ended_runs;
 mod free_capacity;
@@ -30,6 +30,7 @@
 mod polls;
 mod preempt;
 mod quarantine;
+mod quarantine_set;
 mod ranking;
 mod rejections;
 mod reports;
@@ -38,6 +39,7 @@
 mod retries;
 mod rounds;
 mod shortfall;
+mod starts;
 mod step_permits;
 mod steps;
 mod waiting;
@@ -90,9 +92,9 @@
 pub use crate::scheduler::permits::PermitAnswer;
 pub use crate::scheduler::permits::PermitOutcome;
 pub use crate::scheduler::permits::PermitRequest;
+pub use crate::scheduler::placement_counts::AttemptResult;
 pub use crate::scheduler::placement_counts::PlacementCounts;
 pub use crate::scheduler::placement_counts::RequestCause;
-pub use crate::scheduler::placement_counts::TryResult;
 pub use crate::scheduler::placement_counts::VisitKind;
 pub use crate::scheduler::quarantine::QuarantineChange;
 pub use crate::scheduler::ranking::Lateness;
@@ -320,6 +322,11 @@
         }
     }
 
+    /// The number of workers that this leader knows.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Does everything that is due at `now`.
     pub fn tick(&mut self, state: &QueueState, now: Millis) {
         self.send_due_polls(now);
