--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,210 @@
+//! The scripts.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::Verdict;
+use crate::cluster::Cluster;
+use crate::cluster::Event;
+use crate::cluster::PREFIX;
+use crate::cluster::URGENT;
+
+pub fn play(name: &str, record: PathBuf, has_trouble: bool) -> Verdict {
+    match name {
+        "crashes" => crashes(record, has_trouble),
+        "starved" => starved(record, has_trouble),
+        "failures" => failures(record, has_trouble),
+        _ => Verdict::NotRun(format!("there is no script {name}")),
+    }
+}
+
+fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < limit {
+        if condition() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    condition()
+}
+
+/// Where the task runs now: the place of the runner, and when the run began.
+fn running(events: &[Event], task: &str) -> Option<(usize, u64)> {
+    let mut at = None;
+    for event in events {
+        match event.kind.as_str() {
+            "start" if event.task == task => at = Some((event.place, event.life, event.at_ms)),
+            "end" if event.task == task => at = None,
+            "crash" => at = at.filter(|(place, life, _)| (*place, *life) != (event.place, event.life)),
+            _ => {}
+        }
+    }
+    at.map(|(place, _, began)| (place, began))
+}
+
+/// Five runners crash, one after the other, each with the one task of an ordinary job.
+fn crashes(record: PathBuf, has_trouble: bool) -> Verdict {
+    let Some(mut cluster) = Cluster::start(record, 2, 8) else {
+        return Verdict::NotRun("the cluster did not start".to_owned());
+    };
+    let record = cluster.record.clone();
+    let (id, task) = ("5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0");
+    let body = r#"{"spec":"work 16000","steps":[{"count":1,"cpu":18000,"mem-mb":68000,"estimate-ms":16000}]}"#;
+    if !cluster.submit(PREFIX, id, body) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    let crashes = if has_trouble { 5 } else { 0 };
+    for crash in 0..crashes {
+        if !wait_until(Duration::from_secs(15), || running(&record.events(), task).is_some()) {
+            return Verdict::NotRun(format!("the task does not run after {crash} crashes"));
+        }
+        // The task has worked for more than two seconds when its runner crashes.
+        thread::sleep(Duration::from_millis(2_500));
+        let Some((place, _)) = running(&record.events(), task) else {
+            return Verdict::NotRun("the task has stopped by itself".to_owned());
+        };
+        cluster.crash_runner(place);
+        thread::sleep(Duration::from_millis(3_000));
+        cluster.start_runner(place);
+    }
+    let mut state = String::new();
+    let is_over = |state: &str| state != "queued" && state != "active" && !state.is_empty();
+    let ended = wait_until(Duration::from_secs(60), || {
+        let answer = cluster.read(0, id);
+        state = answer.map(|(_, state)| state).unwrap_or_default();
+        is_over(&state)
+    });
+    cluster.read_all(id);
+    if let Some(process) = cluster.has_ended_process() {
+        return Verdict::NotRun(format!("a process ended: {process}"));
+    }
+    let events = record.events();
+    let failed = events.iter().filter(|event| event.kind == "end" && event.how == "failed").count();
+    match (ended, state.as_str()) {
+        (true, "completed") => Verdict::Held,
+        (true, state) => Verdict::Broken(format!(
+            "the job is shown as {state}, max-attempts is 3, and {failed} of its runs ended failed"
+        )),
+        (false, state) => Verdict::Broken(format!("the job has not ended after 60 s, and is {state}")),
+    }
+}
+
+/// The longest time of each task from the end of a run to the next start, or to `now_ms`: the task, when
+/// its last run ended, and the time.
+fn gaps(events: &[Event], now_ms: u64) -> Vec<(String, u64, u64)> {
+    let mut open: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut longest: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    let mut close = |task, ended: u64, at: u64| {
+        let known = longest.entry(task).or_insert((ended, 0));
+        if at - ended > known.1 {
+            *known = (ended, at - ended);
+        }
+    };
+    for event in events {
+        match event.kind.as_str() {
+            "end" => drop(open.insert(&event.task, event.at_ms)),
+            "start" => {
+                if let Some(ended) = open.remove(event.task.as_str()) {
+                    close(&event.task, ended, event.at_ms);
+                }
+            }
+            _ => {}
+        }
+    }
+    for (task, ended) in open {
+        close(task, ended, now_ms);
+    }
+    longest.into_iter().map(|(task, (ended, gap))| (task.to_owned(), ended, gap)).collect()
+}
+
+/// 96 tasks that last, on 8 runners, fail by themselves, each after 14 to 25 s. They take 192 of 512
+/// cores, and each job may use all runners that do not run another task of it.
+fn failures(record: PathBuf, has_trouble: bool) -> Verdict {
+    let Some(mut cluster) = Cluster::start(record, 2, 8) else {
+        return Verdict::NotRun("the cluster did not start".to_owned());
+    };
+    let record = cluster.record.clone();
+    let spec = match has_trouble {
+        true => "last 300 fail 14000 21000 17000 25000 15000 23000 19000",
+        false => "last 300",
+    };
+    let jobs: Vec<String> = (0..24).map(|job| format!("5c0e7a21d94b36{job:02x}")).collect();
+    for id in &jobs {
+        let body = format!(
+            "{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":4,\"cpu\":2000,\"mem-mb\":1024,\
+             \"estimate-ms\":600000,\"anti-affinity\":1,\"long-running\":true}}]}}"
+        );
+        if !cluster.submit(PREFIX, id, &body) {
+            return Verdict::NotRun("a job was not accepted".to_owned());
+        }
+    }
+    thread::sleep(Duration::from_secs(100));
+    let all = gaps(&record.events(), record.now_ms());
+    if let Some(process) = cluster.has_ended_process() {
+        return Verdict::NotRun(format!("a process ended: {process}"));
+    }
+    let mut longest = all.clone();
+    longest.sort_by_key(|(_, _, gap)| std::cmp::Reverse(*gap));
+    for (task, ended, gap) in longest.iter().take(10) {
+        record.note(&format!("{task}: nothing ran for {gap} ms after {ended} ms"));
+    }
+    // From 6 s after its last run, for 3 s.
+    match longest.first() {
+        Some((task, ended, gap)) if *gap > 9_000 => Verdict::Broken(format!(
+            "{task}, which lasts, has not run for {gap} ms since {ended} ms; {} tasks in all",
+            all.iter().filter(|(_, _, gap)| *gap > 9_000).count()
+        )),
+        _ => Verdict::Held,
+    }
+}
+
+/// Four runners crash, one after the other, each with the one task of a job that lasts. All runners
+/// also run a large task of another job that lasts.
+fn starved(record: PathBuf, has_trouble: bool) -> Verdict {
+    let Some(mut cluster) = Cluster::start(record, 2, 8) else {
+        return Verdict::NotRun("the cluster did not start".to_owned());
+    };
+    let record = cluster.record.clone();
+    let large = r#"{"spec":"last 300","steps":[{"count":8,"cpu":40000,"mem-mb":1024,"estimate-ms":600000,"long-running":true}]}"#;
+    if !cluster.submit(URGENT, "0a4e7a21d94b3600", large) {
+        return Verdict::NotRun("the first job was not accepted".to_owned());
+    }
+    let are_placed = || (0..8).all(|index| running(&record.events(), &format!("0a4e7a21d94b3600.0.0.{index}")).is_some());
+    if !wait_until(Duration::from_secs(10), are_placed) {
+        return Verdict::NotRun("the first job does not run".to_owned());
+    }
+    let (id, task) = ("5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0");
+    let small = r#"{"spec":"last 300","steps":[{"count":1,"cpu":2000,"mem-mb":1024,"estimate-ms":600000,"long-running":true}]}"#;
+    if !cluster.submit(PREFIX, id, small) {
+        return Verdict::NotRun("the second job was not accepted".to_owned());
+    }
+    for crash in 0..4 {
+        if !wait_until(Duration::from_secs(12), || running(&record.events(), task).is_some()) {
+            return Verdict::NotRun(format!("the task does not run after {crash} crashes"));
+        }
+        thread::sleep(Duration::from_millis(2_500));
+        if let (true, Some((place, _))) = (has_trouble, running(&record.events(), task)) {
+            cluster.crash_runner(place);
+            thread::sleep(Duration::from_millis(3_000));
+            cluster.start_runner(place);
+        }
+    }
+    let returned_ms = record.now_ms();
+    let is_restarted = wait_until(Duration::from_secs(25), || running(&record.events(), task).is_some());
+    cluster.read_all(id);
+    if let Some(process) = cluster.has_ended_process() {
+        return Verdict::NotRun(format!("a process ended: {process}"));
+    }
+    if is_restarted && running(&record.events(), task).is_some_and(|(_, at)| at < returned_ms + 10_000) {
+        return Verdict::Held;
+    }
+    Verdict::Broken(format!(
+        "the task has not run again within 10 s after the last runner was back; runs after 25 s: {is_restarted}, \
+         all tasks of the first job run: {}",
+        are_placed()
+    ))
+}
