Review, case 1: a task that lasts and lost four workers closes a runner to all other jobs

Five small tasks that last are on one runner when it crashes, four times in a row on four runners. They start again on five runners. Three large tasks fill the other three. An ordinary job that is accepted afterwards never starts: it is queued 30 s later, with 62 of 64 cores free on each of five runners and 199 of 512 cores in use: LOST.

At fault: is_closed_to in crates/queues/src/scheduler/isolation.rs: a run with Isolation::ExclusiveWorker closes its worker to other jobs as long as it goes on, and a task that lasts goes on for ever.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -14,6 +14,7 @@
 
 pub fn play(name: &str, record: PathBuf, has_trouble: bool) -> Verdict {
     match name {
+        "closed" => closed(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "failures" => failures(record, has_trouble),
         _ => Verdict::NotRun(format!("there is no script {name}")),
@@ -160,3 +161,68 @@
         are_placed()
     ))
 }
+
+/// Five small tasks that last, each of a job of its own, run on one runner when that crashes, four
+/// times. Afterwards three large tasks that last come, and then an ordinary job.
+fn closed(record: PathBuf, has_trouble: bool) -> Verdict {
+    let Some(mut cluster) = Cluster::start(record, 2, 8) else {
+        return Verdict::NotRun("the cluster did not start".to_owned());
+    };
+    let record = cluster.record.clone();
+    let small: Vec<String> = (0..5).map(|job| format!("5c0e7a21d94b36{job:02x}")).collect();
+    for id in &small {
+        let body = r#"{"spec":"last 300","steps":[{"count":1,"cpu":2000,"mem-mb":1024,"estimate-ms":600000,"long-running":true}]}"#;
+        if !cluster.submit(PREFIX, id, body) {
+            return Verdict::NotRun("a small job was not accepted".to_owned());
+        }
+    }
+    let place = |id: &String| running(&record.events(), &format!("{id}.0.0.0")).map(|(place, _)| place);
+    let all_run = || small.iter().all(|id| place(id).is_some());
+    for crash in 0..4 {
+        if !wait_until(Duration::from_secs(15), all_run) {
+            return Verdict::NotRun(format!("the small tasks do not run after {crash} crashes"));
+        }
+        thread::sleep(Duration::from_millis(2_000));
+        if let (true, Some(place)) = (has_trouble, place(&small[0])) {
+            cluster.crash_runner(place);
+            thread::sleep(Duration::from_millis(3_000));
+            cluster.start_runner(place);
+        }
+    }
+    if !wait_until(Duration::from_secs(25), all_run) {
+        return Verdict::NotRun("the small tasks do not run at the end".to_owned());
+    }
+    let places: Vec<Option<usize>> = small.iter().map(place).collect();
+    record.note(&format!("the small tasks run at {places:?}"));
+    let large = r#"{"spec":"last 300","steps":[{"count":3,"cpu":63000,"mem-mb":1024,"estimate-ms":600000,"long-running":true}]}"#;
+    if !cluster.submit(URGENT, "0a4e7a21d94b3600", large) {
+        return Verdict::NotRun("the large job was not accepted".to_owned());
+    }
+    let are_placed = || (0..3).all(|index| running(&record.events(), &format!("0a4e7a21d94b3600.0.0.{index}")).is_some());
+    if !wait_until(Duration::from_secs(10), are_placed) {
+        return Verdict::NotRun("the large job does not run".to_owned());
+    }
+    let id = "77d1c2a05b3e9f44";
+    let ordinary = r#"{"spec":"work 800","steps":[{"count":2,"cpu":5600,"mem-mb":21000,"estimate-ms":800}]}"#;
+    if !cluster.submit(PREFIX, id, ordinary) {
+        return Verdict::NotRun("the ordinary job was not accepted".to_owned());
+    }
+    // No job is handed in any more: the traffic ends here. finish_s is 14 s.
+    let mut state = String::new();
+    let ended = wait_until(Duration::from_secs(30), || {
+        state = cluster.read(0, id).map(|(_, state)| state).unwrap_or_default();
+        state == "completed"
+    });
+    cluster.read_all(id);
+    if let Some(process) = cluster.has_ended_process() {
+        return Verdict::NotRun(format!("a process ended: {process}"));
+    }
+    if ended {
+        return Verdict::Held;
+    }
+    let events = record.events();
+    let starts = events.iter().filter(|event| event.kind == "start" && event.task.starts_with(id)).count();
+    Verdict::Broken(format!(
+        "the ordinary job is {state} 30 s after the end of the traffic, with {starts} starts; small tasks at {places:?}"
+    ))
+}
