Review, case 1: ordinary jobs never start behind a gang that waits for tasks that last

On each of 8 runners a task that lasts takes 8 of 64 cores. A gang of 16 tasks of 30 cores is accepted and waits, since two of them don't fit beside it.

At fault: Scheduler::reserve in crates/queues/src/scheduler/gangs.rs and slot_times in reservations.rs expect the end of a task that lasts by the estimate of its step, so the gang has a reservation on all runners from nearly now on, for ever; what ranks behind it gets the 4 cores of a runner that it leaves.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -14,6 +14,7 @@
 
 pub fn play(name: &str, record: PathBuf, has_trouble: bool) -> Verdict {
     match name {
+        "reserved" => reserved(record, has_trouble),
         "closed" => closed(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "failures" => failures(record, has_trouble),
@@ -162,6 +163,59 @@
     ))
 }
 
+/// On each runner a task that lasts takes an eighth of the cores. A gang comes that would need nearly
+/// all cores of all runners, and then ordinary jobs of a queue behind it.
+fn reserved(record: PathBuf, has_trouble: bool) -> Verdict {
+    let Some(mut cluster) = Cluster::start(record, 2, 8) else {
+        return Verdict::NotRun("the cluster did not start".to_owned());
+    };
+    let record = cluster.record.clone();
+    let lasting = r#"{"spec":"last 300","steps":[{"count":8,"cpu":8000,"mem-mb":1024,"anti-affinity":1,"long-running":true}]}"#;
+    if !cluster.submit(URGENT, "0a4e7a21d94b3600", lasting) {
+        return Verdict::NotRun("the job that lasts was not accepted".to_owned());
+    }
+    let are_placed = || (0..8).all(|index| running(&record.events(), &format!("0a4e7a21d94b3600.0.0.{index}")).is_some());
+    if !wait_until(Duration::from_secs(10), are_placed) {
+        return Verdict::NotRun("the job that lasts does not run".to_owned());
+    }
+    thread::sleep(Duration::from_secs(2));
+    let gang = r#"{"spec":"work 6200","steps":[{"count":16,"cpu":30000,"mem-mb":68000,"estimate-ms":6200,"gang":true}]}"#;
+    if has_trouble && !cluster.submit(URGENT, "6a61e7a21d94b360", gang) {
+        return Verdict::NotRun("the gang was not accepted".to_owned());
+    }
+    let ordinary = r#"{"spec":"work 800","steps":[{"count":2,"cpu":5600,"mem-mb":21000,"estimate-ms":800}]}"#;
+    let ids: Vec<String> = (0..8).map(|job| format!("77d1c2a05b3e9f{job:02x}")).collect();
+    for id in &ids {
+        thread::sleep(Duration::from_millis(700));
+        if !cluster.submit(PREFIX, id, ordinary) {
+            return Verdict::NotRun("an ordinary job was not accepted".to_owned());
+        }
+    }
+    // No job is handed in any more: the traffic ends here. finish_s is 14 s.
+    let is_completed = |id: &String| cluster.read(0, id).is_some_and(|(_, state)| state == "completed");
+    wait_until(Duration::from_secs(35), || {
+        thread::sleep(Duration::from_millis(500));
+        ids.iter().all(is_completed)
+    });
+    let open: Vec<&String> = ids.iter().filter(|id| !is_completed(id)).collect();
+    for id in &ids {
+        cluster.read_all(id);
+    }
+    let events = record.events();
+    let starts = events.iter().filter(|event| event.kind == "start" && open.iter().any(|id| event.task.starts_with(*id)));
+    let starts = starts.count();
+    let verdict = match open.len() {
+        0 => Verdict::Held,
+        count => Verdict::Broken(format!(
+            "{count} of 8 ordinary jobs are not done 35 s after the end of the traffic, with {starts} starts"
+        )),
+    };
+    match cluster.has_ended_process() {
+        Some(process) => Verdict::NotRun(format!("a process ended: {process}")),
+        None => verdict,
+    }
+}
+
 /// Five small tasks that last, each of a job of its own, run on one runner when that crashes, four
 /// times. Afterwards three large tasks that last come, and then an ordinary job.
 fn closed(record: PathBuf, has_trouble: bool) -> Verdict {
