Limit how long reservations withhold free room from a step

Cause: a gang that waits for the end of other runs gets a reservation for the time at which these are expected to end. If they last, overrun their estimate or run for long, that time moves on in each round or is far away, and the reservation withholds the free rest of the workers from every step that ranks behind the gang. Nothing limits this, whatever the reason of the wait is.

Ruled out: the rank (in the new tests all jobs are in time, and the ordinary ones never start either, so lateness only decides which jobs are concerned), permits (the tests fail with and without them), and closed workers (there is no crash).

Change: a step counts for how long attempts find room that only reservations withhold from it, or find that a permit request would name workers but for reservations. After 5 s, or 2 s while half of its service is free, it ignores reservations until it starts a task. Gangs count the same way. The bound is on the waiting step, so it does not depend on why the gang waits, and one gang after another can not add up to more. A new leader counts anew, which adds the bound once for each election. The count of such starts is in `placement load` and the metrics. Whether half of a service is free is now kept by difference, and the isolation of suspects uses the same figure in place of a pass over all workers.

`work_starts_when_a_reservation_ends` asserted a wait of 3 s with two of three workers free, which the rule does not allow any more. It has five workers now, three of them full; its bounds are as before.

--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -60,6 +60,7 @@
     permit_requests_by_cause: Family<CauseLabel, Counter>,
     requested_workers: Family<CauseLabel, Counter>,
     repeated_permit_answers: Counter,
+    tasks_after_withholding: Counter,
 }
 
 /// What came of an attempt to place a step, as a label.
@@ -209,6 +210,10 @@
                 "Workers named in questions to the placement policy, by cause",
                 Family::default(),
             ),
+            tasks_after_withholding: counter(
+                "queue_tasks_placed_after_withholding",
+                "Tasks placed in free room that had been withheld from their step for too long",
+            ),
             repeated_permit_answers: counter(
                 "queue_questions_repeated",
                 "Answered questions for a step that placed no task since the answer before",
@@ -244,6 +249,8 @@
             self.requested_workers.get_or_create(&label).inc_by(workers);
         }
         self.repeated_permit_answers.inc_by(counts.repeated_answers);
+        self.tasks_after_withholding
+            .inc_by(counts.tasks_after_withholding);
     }
 
     pub(crate) fn add_counts(&self, counts: Counts) {
--- a/crates/queues/src/scheduler/free_capacity.rs
+++ b/crates/queues/src/scheduler/free_capacity.rs
@@ -25,11 +25,13 @@
     open: Option<Resources>,
 }
 
-/// The processor capacity of the workers of one service.
+/// The capacity of the workers of one service.
 #[derive(Debug)]
 struct ServiceCapacity {
     service: Arc<str>,
+    /// The processor capacity of all workers.
     millicores: u128,
+    sums: OpenSums,
 }
 
 /// Sums over the workers that accept tasks.
@@ -41,6 +43,27 @@
     memory_mib: u128,
 }
 
+impl OpenSums {
+    fn add(&mut self, free: Resources, capacity: Resources) {
+        self.free_millicores += u128::from(free.millicores);
+        self.free_memory_mib += u128::from(free.memory_mib);
+        self.millicores += u128::from(capacity.millicores);
+        self.memory_mib += u128::from(capacity.memory_mib);
+    }
+
+    fn remove(&mut self, free: Resources, capacity: Resources) {
+        self.free_millicores -= u128::from(free.millicores);
+        self.free_memory_mib -= u128::from(free.memory_mib);
+        self.millicores -= u128::from(capacity.millicores);
+        self.memory_mib -= u128::from(capacity.memory_mib);
+    }
+
+    /// Whether half of the processor capacity and of the memory is free.
+    fn is_half_free(&self) -> bool {
+        self.free_millicores * 2 >= self.millicores && self.free_memory_mib * 2 >= self.memory_mib
+    }
+}
+
 /// The capacity as of the last update.
 #[derive(Debug, Default)]
 pub struct FreeCapacity {
@@ -139,10 +162,10 @@
         }
         *self.by_memory.entry(free.memory_mib).or_default() += 1;
         *self.by_accelerators.entry(free.accelerators).or_default() += 1;
-        self.sums.free_millicores += u128::from(free.millicores);
-        self.sums.free_memory_mib += u128::from(free.memory_mib);
-        self.sums.millicores += u128::from(worker.capacity.millicores);
-        self.sums.memory_mib += u128::from(worker.capacity.memory_mib);
+        self.sums.add(free, worker.capacity);
+        self.services[worker.service]
+            .sums
+            .add(free, worker.capacity);
     }
 
     fn remove(&mut self, index: WorkerIndex, worker: &Counted) {
@@ -155,10 +178,10 @@
         }
         decrement(&mut self.by_memory, free.memory_mib);
         decrement(&mut self.by_accelerators, free.accelerators);
-        self.sums.free_millicores -= u128::from(free.millicores);
-        self.sums.free_memory_mib -= u128::from(free.memory_mib);
-        self.sums.millicores -= u128::from(worker.capacity.millicores);
-        self.sums.memory_mib -= u128::from(worker.capacity.memory_mib);
+        self.sums.remove(free, worker.capacity);
+        self.services[worker.service]
+            .sums
+            .remove(free, worker.capacity);
     }
 
     /// The position of a worker in `by_free`, or the one to insert it at.
@@ -178,6 +201,7 @@
             self.services.push(ServiceCapacity {
                 service: service.clone(),
                 millicores: 0,
+                sums: OpenSums::default(),
             });
             self.services.len() - 1
         })
@@ -204,8 +228,14 @@
     /// Whether half of the processor capacity and of the memory of the workers that accept tasks is
     /// free.
     pub fn is_half_free(&self) -> bool {
-        let sums = &self.sums;
-        sums.free_millicores * 2 >= sums.millicores && sums.free_memory_mib * 2 >= sums.memory_mib
+        self.sums.is_half_free()
+    }
+
+    /// The same of the workers of one service. Other services may be full at the same time.
+    pub fn is_service_half_free(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        let known = services.find(|known| *known.service == *service);
+        known.is_some_and(|known| known.sums.is_half_free())
     }
 
     /// The processor capacity of the workers of each service, in millicores.
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -108,6 +108,11 @@
             |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
         let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
         let has_room = chosen.is_some();
+        let may_fit = candidates.iter().filter(is_allowed);
+        let fits: u64 = may_fit.map(|c| u64::from(c.fits)).sum();
+        let fits_unreserved = fits + self.withheld_for_others_since(begin);
+        let is_withheld = !has_room && fits_unreserved >= members as u64;
+        view.withheld_time.record(is_withheld, now);
         if attempt.may_fit {
             view.shortfall = match has_room {
                 true => None,
--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 
 use sapphirepost_types::Millis;
-use sapphirepost_types::Resources;
 
 use crate::crash::Isolation;
 use crate::crash::LostRuns;
@@ -229,7 +228,8 @@
             return true;
         }
         let is_paused = self.isolation_turns.is_paused(view.key, now);
-        let is_half_free = self.is_half_free(&view.queue.service, now);
+        let capacity = &self.rounds.capacity;
+        let is_half_free = capacity.is_service_half_free(&view.queue.service);
         // While half of the capacity is free, a turn is unlikely to be in vain again.
         if is_paused && !is_half_free {
             return false;
@@ -244,20 +244,6 @@
         true
     }
 
-    /// Whether half of the processor capacity and of the memory of the workers of a service that
-    /// accept tasks is free. Other services may be full at the same time.
-    fn is_half_free(&self, service: &str, now: Millis) -> bool {
-        let mut free = Resources::ZERO;
-        let mut capacity = Resources::ZERO;
-        let workers = self.workers.iter().map(|(_, worker)| worker);
-        let of_service = workers.filter(|worker| *worker.record.service == *service);
-        for worker in of_service.filter(|worker| worker.accepts_tasks(now)) {
-            free = free.saturating_add(&worker.free());
-            capacity = capacity.saturating_add(&worker.record.capacity);
-        }
-        free.millicores * 2 >= capacity.millicores && free.memory_mib * 2 >= capacity.memory_mib
-    }
-
     /// Whether another worker may be used to isolate tasks of the step, so that `left` more are left
     /// to other steps. Workers that the step's own job holds do not count.
     fn may_isolate(&self, view: &StepView, is_half_free: bool, left: usize, now: Millis) -> bool {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -43,6 +43,7 @@
 mod step_permits;
 mod steps;
 mod waiting;
+mod withheld_time;
 mod worker_requests;
 mod workers;
 mod written_off_runs;
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -41,6 +41,15 @@
 /// The permits of a waiting gang are renewed when this share of them would expire before the answer.
 const EXPIRED_PERCENT: usize = 50;
 
+/// Which free resources of a worker count for a permit request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Room {
+    /// Those that are not reserved for other jobs.
+    Available,
+    /// All, as if nothing were reserved.
+    Unreserved,
+}
+
 impl Scheduler {
     /// Requests the permits of a dependent step shortly before it becomes ready.
     pub(crate) fn prefetch_permits(&mut self, view: &mut StepView, now: Millis) {
@@ -214,7 +223,10 @@
         let is_due = now.since(requested_at) >= FURTHER_INTERVAL_MS
             && view.spec().resources.fits_in(&self.rounds.max_free);
         (!has_choice || is_due || self.rounds.is_half_free)
-            && self.useful_workers(view, now).next().is_some()
+            && self
+                .useful_workers(view, Room::Available, now)
+                .next()
+                .is_some()
     }
 
     /// Requests fresh permits on the workers of a gang that has room, if some have expired. Permits
@@ -249,7 +261,21 @@
     /// The workers to name in a request for further workers.
     pub(crate) fn workers_for_request(&self, view: &StepView, now: Millis) -> Vec<WorkerIndex> {
         let size = self.request_size(view);
-        self.useful_workers(view, now).take(size).collect()
+        self.useful_workers(view, Room::Available, now)
+            .take(size)
+            .collect()
+    }
+
+    /// Whether a request for further workers names none, and would name one if nothing were reserved
+    /// for other jobs.
+    pub(crate) fn is_request_withheld(&self, view: &StepView, now: Millis) -> bool {
+        let has_reservations = !self.rounds.reservations.owners().is_empty();
+        let is_request_due = view.queue.permits.is_some() && !view.permits.has_request();
+        let names_any = |room| self.useful_workers(view, room, now).next().is_some();
+        has_reservations
+            && is_request_due
+            && !names_any(Room::Available)
+            && names_any(Room::Unreserved)
     }
 
     /// The workers that a request for further workers may name, those first that had the most free
@@ -258,13 +284,21 @@
     /// yet or the permit has expired.
     /// For a gang, they need no free resources, since it may get a reservation, and expired permits
     /// are left out, since they are renewed by requests of their own.
-    fn useful_workers(&self, view: &StepView, now: Millis) -> impl Iterator<Item = WorkerIndex> {
+    fn useful_workers(
+        &self,
+        view: &StepView,
+        room: Room,
+        now: Millis,
+    ) -> impl Iterator<Item = WorkerIndex> {
         let is_gang = view.spec().is_gang;
         let need = view.spec().resources;
         let is_useful = move |index: WorkerIndex, worker: &WorkerView| {
             // A permit on a worker whose resources are held for a gang would lapse unused.
             let reserved = &self.rounds.reservations;
-            let available = self.available_to(view, index, worker, reserved, now);
+            let available = match room {
+                Room::Available => self.available_to(view, index, worker, reserved, now),
+                Room::Unreserved => worker.free(),
+            };
             let has_room = need.fits_in(&available);
             let is_wanted = match self.permission(view, index, now) {
                 Permission::Unknown => has_room || is_gang,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -20,6 +20,7 @@
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
+use crate::scheduler::withheld_time::WithheldTime;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
@@ -110,9 +111,12 @@
                 continue;
             }
             let slowdown = worker.health.slowdown();
-            let task_ms = (view.usual_ms as f64 * slowdown) as u64;
-            let available = reservations.available(index, worker, view.key, task_ms, now);
+            let available = self.available_to(view, index, worker, reservations, now);
             let fits = self.fits(view, worker, available, now);
+            if available != worker.free() {
+                let fits_unreserved = self.fits(view, worker, worker.free(), now);
+                self.tally.count_withheld_for_others(fits_unreserved - fits);
+            }
             if fits == 0 {
                 self.tally.count_withheld(fits_free);
                 continue;
@@ -145,7 +149,7 @@
     }
 
     /// The free resources of a worker that are not reserved for others while a task of the step
-    /// would run.
+    /// would run, or all of them once reservations have withheld room from the step for too long.
     pub(crate) fn available_to(
         &self,
         view: &StepView,
@@ -154,6 +158,9 @@
         reservations: &Reservations,
         now: Millis,
     ) -> Resources {
+        if self.takes_withheld_room(view) {
+            return worker.free();
+        }
         let task_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
         reservations.available(index, worker, view.key, task_ms, now)
     }
@@ -188,6 +195,7 @@
         } else {
             self.failed_result(view, &candidates, begin)
         };
+        self.record_withheld_time(view, result, begin, now);
         view.retry = self.retry_after(view, result, begin, None, now);
         self.end_attempt(begin, result);
     }
@@ -297,6 +305,10 @@
         now: Millis,
     ) {
         view.blocked_since = None;
+        if self.takes_withheld_room(view) {
+            self.tally.counts.tasks_after_withholding += placements.len() as u64;
+        }
+        view.withheld_time = WithheldTime::default();
         view.last_wait_ms = view
             .waiting_since
             .take()
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -145,6 +145,9 @@
     pub urgent_attempts: u64,
     /// Tasks placed.
     pub tasks: u64,
+    /// Those of them from whose step free room had been withheld for so long that it left no more
+    /// to other jobs.
+    pub tasks_after_withholding: u64,
     /// Visits of workers and steps, in the order of [`VisitKind::ALL`].
     pub visits: [u64; VisitKind::ALL.len()],
     /// Permit requests by cause, in the order of [`RequestCause::ALL`].
@@ -168,6 +171,8 @@
     visits: [Cell<u64>; VisitKind::ALL.len()],
     /// Tasks that would fit on workers with free resources which a check withheld from them.
     withheld: Cell<u64>,
+    /// Tasks that would fit on workers if nothing were withheld in favour of other jobs.
+    withheld_for_others: Cell<u64>,
 }
 
 impl PlacementTally {
@@ -187,6 +192,12 @@
         self.withheld.set(self.withheld.get() + u64::from(tasks));
     }
 
+    /// Counts tasks that would fit on a worker if nothing were withheld in favour of other jobs.
+    pub(crate) fn count_withheld_for_others(&self, tasks: u32) {
+        let count = &self.withheld_for_others;
+        count.set(count.get() + u64::from(tasks));
+    }
+
     fn take(&mut self) -> PlacementCounts {
         let mut counts = std::mem::take(&mut self.counts);
         counts.visits = std::array::from_fn(|position| self.visits[position].take());
@@ -199,6 +210,7 @@
 pub(crate) struct AttemptBegin {
     checks: u64,
     withheld: u64,
+    withheld_for_others: u64,
 }
 
 impl Scheduler {
@@ -218,6 +230,7 @@
         AttemptBegin {
             checks: self.checks.get(),
             withheld: self.tally.withheld.get(),
+            withheld_for_others: self.tally.withheld_for_others.get(),
         }
     }
 
@@ -227,6 +240,12 @@
         self.tally.withheld.get() - begin.withheld
     }
 
+    /// The tasks of a step that would fit too if nothing were withheld from it in favour of other
+    /// jobs, since its attempt began.
+    pub(crate) fn withheld_for_others_since(&self, begin: AttemptBegin) -> u64 {
+        self.tally.withheld_for_others.get() - begin.withheld_for_others
+    }
+
     /// Whether a worker with free resources was withheld from a step since its attempt began.
     pub(crate) fn has_withheld_since(&self, begin: AttemptBegin) -> bool {
         self.withheld_since(begin) > 0
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -20,6 +20,7 @@
 use crate::scheduler::shortfall::Shortfall;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
+use crate::scheduler::withheld_time::WithheldTime;
 use crate::scheduler::workers::RunStage;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
@@ -97,6 +98,8 @@
     pub renewal_due: Option<Millis>,
     /// No preemption for this gang is tried before this time.
     pub preempt_retry_at: Millis,
+    /// For how long free room was withheld from it.
+    pub withheld_time: WithheldTime,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
     /// When it is tried again although nothing is known to have changed for it.
@@ -370,6 +373,7 @@
         shortfall: None,
         renewal_due: None,
         preempt_retry_at: Millis::ZERO,
+        withheld_time: WithheldTime::default(),
         tried: None,
         retry: Retry::Soon,
         left_out_at: None,
--- a/crates/queues/tests/placement_after_room.rs
+++ b/crates/queues/tests/placement_after_room.rs
@@ -389,11 +389,12 @@
 #[test]
 fn work_starts_when_a_reservation_ends() {
     for case in CASES {
-        let mut model = model(3, long_filler);
-        model.submit(FILLER.0, "filler", spec(1, WHOLE, 2_000, false));
+        // With half of the workers free, the work would not wait for as long.
+        let mut model = model(5, long_filler);
+        model.submit(FILLER.0, "filler", spec(3, WHOLE, 2_000, false));
         model.run(300);
         let gang = JobKey(3);
-        model.submit(gang.0, "free", spec(3, HALF, 5_000, true));
+        model.submit(gang.0, "free", spec(5, HALF, 5_000, true));
         model.run(500);
         let mut waiting = case.spec(WHOLE);
         waiting.steps[0].estimate_ms = LONG_FILLER_MS;
