Let other jobs join a task that has a worker for itself after a limited wait

Cause: a task under which four workers have crashed runs on a worker that is closed to all other jobs for as long as the run goes on. If it lasts, or has a long estimate, the worker is out of service for as long. The counts of crashes are never forgotten, so each such task takes a whole worker.

Ruled out: permits and reservations (the tests have neither), the pause of the worker and the short closing before and after an isolated start (it ends after about a second; the tests wait for longer).

Change: room on such a worker counts as withheld in favour of another job, like reserved room, so a step that finds no other room takes it after 5 s, or 2 s while half of its service is free. The run then no longer has the worker for itself, and it is a suspect of a crash only while it is alone there: that is derived from the runs of the worker, so it also holds after an election and again once the other job has ended.

--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -130,13 +130,26 @@
 }
 
 impl WorkerView {
-    /// Whether the worker is closed to starts of a job, since another job is isolated there.
+    /// Whether the worker is closed to starts of a job for a short time, before and after an
+    /// isolated start of another job.
     pub fn is_closed_to(&self, job: JobKey, now: Millis) -> bool {
         let reserved = self.exclusive.as_ref();
         reserved.is_some_and(|exclusive| exclusive.job != job && now < exclusive.until)
-            || self.runs.iter().any(|(task, run)| {
-                run.isolation == Isolation::ExclusiveWorker && task.step.job != job
-            })
+    }
+
+    /// Whether another job has the worker for itself, because of an isolated run of it.
+    pub fn is_kept_from(&self, job: JobKey) -> bool {
+        self.exclusive_job().is_some_and(|owner| owner != job)
+    }
+
+    /// The job that has the worker for itself. A task of another job may have started there after
+    /// room had been withheld from it for too long; then no job has.
+    fn exclusive_job(&self) -> Option<JobKey> {
+        let mut runs = self.runs.iter();
+        let isolated = runs.find(|(_, run)| run.isolation == Isolation::ExclusiveWorker);
+        let job = isolated.map(|(task, _)| task.step.job)?;
+        let is_alone = self.runs.keys().all(|task| task.step.job == job);
+        is_alone.then_some(job)
     }
 
     /// Whether the worker is closed to all jobs but this one.
@@ -191,6 +204,7 @@
     /// cause. A start that nothing shows to have arrived began no run.
     pub fn lost_runs(&self) -> LostRuns {
         let end = self.loss.earliest_end();
+        let exclusive_job = self.exclusive_job();
         let started = self
             .runs
             .iter()
@@ -202,7 +216,10 @@
                 continue;
             }
             lost.tasks.push(*task);
-            if is_recent || run.isolation == Isolation::ExclusiveWorker {
+            // Beside tasks of another job, the run is as likely to be innocent as they are.
+            let is_alone = exclusive_job.is_some();
+            let is_isolated = run.isolation == Isolation::ExclusiveWorker && is_alone;
+            if is_recent || is_isolated {
                 lost.suspects.push(*task);
                 lost.is_inconclusive |= run.stage == RunStage::Unknown;
             }
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -86,6 +86,7 @@
     ) -> Vec<Candidate> {
         let spec = view.spec();
         let exclusive_ms = self.exclusive_ms();
+        let takes_withheld_room = self.takes_withheld_room(view);
         let mut found = Vec::new();
         if !spec.resources.fits_in(&self.rounds.max_free) {
             return found;
@@ -110,6 +111,12 @@
             if permission == Permission::Denied {
                 continue;
             }
+            if !takes_withheld_room && worker.is_kept_from(view.key.job) {
+                let fits = self.fits(view, worker, worker.free(), now);
+                self.tally.count_withheld_for_others(fits);
+                self.tally.count_withheld(fits_free);
+                continue;
+            }
             let slowdown = worker.health.slowdown();
             let available = self.available_to(view, index, worker, reservations, now);
             let fits = self.fits(view, worker, available, now);
--- a/crates/queues/src/scheduler/withheld_time.rs
+++ b/crates/queues/src/scheduler/withheld_time.rs
@@ -1,11 +1,11 @@
 //! How long free room is withheld from a waiting step in favour of other jobs.
 //!
-//! Room that is reserved for a gang is withheld until a run ends. That may be in an hour, or never:
-//! an estimate may be missing or too short, and some tasks last until their job is cancelled. The
-//! expected end of such a run moves on for ever, and so does the reservation. A step therefore
-//! leaves free room to other jobs for a limited time in all. Then it takes what is free, until it
-//! has started a task. While half of the service is free, a reservation keeps more room idle than it
-//! gains, and the time is shorter. A new leader begins to count again.
+//! Room that is reserved for a gang, or on a worker that an isolated task has for itself, is withheld
+//! until a run ends. That may be in an hour, or never: an estimate may be missing or too short, and
+//! some tasks last until their job is cancelled. A step therefore leaves free room to other jobs for
+//! a limited time in all. Then it takes what is free, until it has started a task. While half of the
+//! service is free, more room stays idle than is gained by it, and the time is shorter. A new leader
+//! begins to count again.
 
 use sapphirepost_types::Millis;
 
--- a/crates/queues/tests/withheld_room.rs
+++ b/crates/queues/tests/withheld_room.rs
@@ -5,15 +5,19 @@
 use std::sync::Arc;
 
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::LostRuns;
+use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::StepKey;
 use sapphirepost_queues::StepSpec;
 use sapphirepost_queues::SubmittedSpec;
 use sapphirepost_queues::TaskKey;
 use sapphirepost_types::Resources;
 
+use crate::model::COMMIT_MS;
 use crate::model::Model;
 use crate::model::STEP_MS;
 use crate::model::queue;
+use crate::model::restart::FIRST_INCARNATION;
 use crate::model::with_permits;
 use crate::model::worker::ModelWorker;
 
@@ -154,3 +158,118 @@
 fn long_jobs_start_behind_a_gang_that_waits_for_long_tasks() {
     check_that_ordinary_jobs_start(LongTask::RightEstimate);
 }
+
+/// After this many crashes of its workers a task has a worker for itself.
+const CRASHES: u32 = 4;
+/// The worker that is kept for the task.
+const KEPT: &str = "w0";
+
+/// A task that runs for long, under which many workers have crashed, and which has the only worker
+/// for itself.
+fn model_with_kept_worker(long: LongTask) -> Model {
+    let work_ms = |task: TaskKey| match task.step.job {
+        LONG => LONG_MS,
+        _ => 4 * ORDINARY_MS,
+    };
+    let lost = |number| format!("lost{number}");
+    let worker = |id: &str| ModelWorker::new(id, 64, need, work_ms);
+    let queues = vec![
+        queue("urgent", 0, 2.2, 1_000),
+        queue("ordinary", 1, 2.2, 1_000),
+    ];
+    let workers = (0..CRASHES).map(|number| worker(&lost(number)));
+    let mut model = Model::new(queues, workers.collect(), 0);
+    model.run(100);
+    let mut task = spec(LONG, 1, LONG_MS);
+    task.steps[0].is_service = matches!(long, LongTask::Lasting);
+    model.submit(LONG.0, "urgent", task);
+    model.run(2 * COMMIT_MS);
+    for number in 0..CRASHES {
+        model.workers.remove(lost(number).as_str());
+        propose_crash(&mut model, &lost(number));
+    }
+    model.run(2 * COMMIT_MS);
+    let kept = worker(KEPT);
+    model.propose(QueueCommand::PutWorker(Box::new(kept.record.clone())));
+    model.workers.insert(kept.record.id.clone(), kept);
+    model.run(2_000);
+    assert!(model.has_started(LONG));
+    model
+}
+
+/// Makes a worker crash under the long task, which is no suspect.
+fn propose_crash(model: &mut Model, id: &str) {
+    model.propose(QueueCommand::Crash {
+        worker: Arc::from(id),
+        incarnation: FIRST_INCARNATION,
+        checkpoints: Vec::new(),
+        lost: LostRuns {
+            tasks: vec![StepKey { job: LONG, step: 0 }.task(0)],
+            suspects: Vec::new(),
+            is_inconclusive: false,
+        },
+    });
+}
+
+/// The number of crashes of workers under the long task; `None` if it is given up.
+fn count_crashes(model: &Model) -> Option<u32> {
+    let job = model.state.job(LONG).expect("the job is known");
+    let step = job.steps.first().filter(|_| !job.phase.has_ended())?;
+    Some(step.tasks[0].crashes.workers)
+}
+
+/// Crashes the worker under the long task, and waits until that is counted. Returns whether the task
+/// is given up then.
+fn is_given_up_after_crash(model: &mut Model) -> bool {
+    let begin = model.now;
+    model.crash_worker(KEPT);
+    while count_crashes(model) == Some(CRASHES) {
+        let waited_ms = model.now.since(begin);
+        assert!(waited_ms < 10_000, "no crash counted for {waited_ms} ms");
+        model.run(STEP_MS);
+    }
+    count_crashes(model).is_none()
+}
+
+/// Guards against accepted jobs that never start, since the only worker with room is kept for a task
+/// that runs for hours or for ever, after many crashes of its workers.
+#[test]
+fn ordinary_jobs_start_beside_a_long_task_that_has_a_worker_for_itself() {
+    for long in [LongTask::Lasting, LongTask::RightEstimate] {
+        let mut model = model_with_kept_worker(long);
+        for key in ORDINARY..ORDINARY + 3 {
+            model.submit(key, "ordinary", spec(JobKey(key), 2, ORDINARY_MS));
+            model.run(1_000);
+            assert!(!model.has_started(JobKey(key)), "the worker is not kept");
+            wait_for_start(&mut model, key);
+            model.run(5_000);
+        }
+    }
+}
+
+/// Guards against an innocent task that is given up, since it counts as the only suspect of a crash
+/// although a task of another job ran beside it.
+#[test]
+fn an_isolated_task_is_no_suspect_of_a_crash_if_another_job_has_joined_it() {
+    let mut model = model_with_kept_worker(LongTask::Lasting);
+    model.submit(ORDINARY, "ordinary", spec(JobKey(ORDINARY), 2, ORDINARY_MS));
+    wait_for_start(&mut model, ORDINARY);
+    model.run(1_000);
+    assert!(model.has_started(JobKey(ORDINARY)));
+    assert!(!is_given_up_after_crash(&mut model));
+}
+
+/// Guards against a task that ends its workers long after its start and is never given up.
+#[test]
+fn an_isolated_task_is_a_suspect_of_a_crash_if_it_was_alone() {
+    for has_joined in [false, true] {
+        let mut model = model_with_kept_worker(LongTask::Lasting);
+        if has_joined {
+            model.submit(ORDINARY, "ordinary", spec(JobKey(ORDINARY), 2, ORDINARY_MS));
+            wait_for_start(&mut model, ORDINARY);
+            model.run(10_000);
+            assert!(model.jobs[&JobKey(ORDINARY)].ended.is_some());
+        }
+        assert!(is_given_up_after_crash(&mut model));
+    }
+}
