Start a task that finds no worker for itself beside tasks of other jobs

Cause: a task under which four workers have crashed starts only on a worker without a run of another job. Where each worker has a run that goes on, it never starts. Its turn for isolated starts comes and goes, and meanwhile the worker that was chosen for it is closed to the starts of others again and again.

Ruled out: room (60 tasks would fit in the test) and the turn (the step has it at the first attempt).

Change: the time in which only its isolation keeps a step from free room counts like room that is withheld from it, also while it has no turn. After 5 s, or 2 s while half of its service is free, it starts beside other tasks, with the short closing of the worker around its start that tasks suspected once have too. A crash within 0.2 s of the start still points to it; a later one does not while it is not alone on its worker.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -78,9 +78,12 @@
         reservations.release(view.key);
         let job = state.job(view.key.job).filter(|_| view.is_committed);
         let isolation = job.map_or(Isolation::None, |job| gang_isolation(job, view.key));
+        let isolation = self.isolation_now(view, isolation);
         let has_turn = isolation == Isolation::None || self.take_isolation_turn(view, now);
         view.is_without_turn = !has_turn;
+        let needs_workers = isolation == Isolation::ExclusiveWorker;
         if !has_turn {
+            view.withheld_time.record(needs_workers, now);
             self.end_attempt(begin, AttemptResult::Withheld);
             return false;
         }
@@ -96,6 +99,7 @@
             let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
             let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
             if isolation != Isolation::None && !self.isolate(view, &candidates, chosen, now) {
+                view.withheld_time.record(needs_workers, now);
                 self.end_attempt(begin, AttemptResult::Withheld);
                 return false;
             }
--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -303,6 +303,16 @@
         are_isolated && (has_permit() || !self.isolation_turns.has(view.key, now))
     }
 
+    /// How a task or a gang of a step is isolated now. If no worker is left to it alone for too long,
+    /// it starts beside tasks of other jobs, and is a suspect only of a crash soon after that.
+    pub(crate) fn isolation_now(&self, view: &StepView, isolation: Isolation) -> Isolation {
+        if self.takes_withheld_room(view) {
+            isolation.min(Isolation::ExclusiveStart)
+        } else {
+            isolation
+        }
+    }
+
     /// Closes a worker to the starts of other jobs, before and after an isolated start.
     pub(crate) fn close_for(&mut self, view: &StepView, index: WorkerIndex, now: Millis) {
         let exclusive_ms = self.exclusive_ms();
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -275,8 +275,11 @@
             if isolation == Isolation::None {
                 continue;
             }
+            let isolation = self.isolation_now(view, isolation);
             view.is_without_turn = !self.take_isolation_turn(view, now);
             if view.is_without_turn {
+                let needs_worker = isolation == Isolation::ExclusiveWorker;
+                self.tally.count_withheld_for_others(needs_worker.into());
                 return;
             }
             let candidates = self.candidates(view, reservations, isolation, now);
@@ -299,6 +302,8 @@
             if best.allows_isolation {
                 self.end_isolation_turn(view);
                 self.start(job, view, &[(task, best.index)], now);
+            } else if isolation == Isolation::ExclusiveWorker {
+                self.tally.count_withheld_for_others(best.fits);
             }
         }
     }
--- a/crates/queues/tests/withheld_room.rs
+++ b/crates/queues/tests/withheld_room.rs
@@ -186,7 +186,7 @@
     model.run(2 * COMMIT_MS);
     for number in 0..CRASHES {
         model.workers.remove(lost(number).as_str());
-        propose_crash(&mut model, &lost(number));
+        propose_crash(&mut model, &lost(number), LONG, 1);
     }
     model.run(2 * COMMIT_MS);
     let kept = worker(KEPT);
@@ -197,38 +197,39 @@
     model
 }
 
-/// Makes a worker crash under the long task, which is no suspect.
-fn propose_crash(model: &mut Model, id: &str) {
+/// Makes a worker crash under tasks of a job, which are no suspects.
+fn propose_crash(model: &mut Model, id: &str, job: JobKey, count: u32) {
+    let step = StepKey { job, step: 0 };
     model.propose(QueueCommand::Crash {
         worker: Arc::from(id),
         incarnation: FIRST_INCARNATION,
         checkpoints: Vec::new(),
         lost: LostRuns {
-            tasks: vec![StepKey { job: LONG, step: 0 }.task(0)],
+            tasks: (0..count).map(|index| step.task(index)).collect(),
             suspects: Vec::new(),
             is_inconclusive: false,
         },
     });
 }
 
-/// The number of crashes of workers under the long task; `None` if it is given up.
-fn count_crashes(model: &Model) -> Option<u32> {
-    let job = model.state.job(LONG).expect("the job is known");
+/// The number of crashes of workers under the first task of a job; `None` if it is given up.
+fn count_crashes(model: &Model, job: JobKey) -> Option<u32> {
+    let job = model.state.job(job).expect("the job is known");
     let step = job.steps.first().filter(|_| !job.phase.has_ended())?;
     Some(step.tasks[0].crashes.workers)
 }
 
-/// Crashes the worker under the long task, and waits until that is counted. Returns whether the task
-/// is given up then.
-fn is_given_up_after_crash(model: &mut Model) -> bool {
+/// Crashes the worker under a task, and waits until that is counted. Returns whether the task is given
+/// up then.
+fn is_given_up_after_crash(model: &mut Model, job: JobKey) -> bool {
     let begin = model.now;
     model.crash_worker(KEPT);
-    while count_crashes(model) == Some(CRASHES) {
+    while count_crashes(model, job) == Some(CRASHES) {
         let waited_ms = model.now.since(begin);
         assert!(waited_ms < 10_000, "no crash counted for {waited_ms} ms");
         model.run(STEP_MS);
     }
-    count_crashes(model).is_none()
+    count_crashes(model, job).is_none()
 }
 
 /// Guards against accepted jobs that never start, since the only worker with room is kept for a task
@@ -256,7 +257,7 @@
     wait_for_start(&mut model, ORDINARY);
     model.run(1_000);
     assert!(model.has_started(JobKey(ORDINARY)));
-    assert!(!is_given_up_after_crash(&mut model));
+    assert!(!is_given_up_after_crash(&mut model, LONG));
 }
 
 /// Guards against a task that ends its workers long after its start and is never given up.
@@ -270,6 +271,96 @@
             model.run(10_000);
             assert!(model.jobs[&JobKey(ORDINARY)].ended.is_some());
         }
-        assert!(is_given_up_after_crash(&mut model));
+        assert!(is_given_up_after_crash(&mut model, LONG));
+    }
+}
+
+/// Tasks under which many workers have crashed, and that want a worker for themselves.
+const ISOLATED: JobKey = JobKey(3);
+/// The label of workers that can run them.
+const LABEL: &str = "later";
+/// The rule allows 9 s for a task that lasts, from the end of its last run.
+const RESTART_MAX_MS: u64 = 6_000;
+
+/// With this, the long tasks take most of each worker.
+fn need_if_full(task: TaskKey) -> Resources {
+    match task.step.job {
+        LONG => Resources::new(40_000, 1_024, 0),
+        _ => need(task),
+    }
+}
+
+/// A cluster on whose workers a task runs for long, and a job that wants workers for itself.
+fn model_with_isolated_job(workers: u32, count: u32, is_gang: bool, is_full: bool) -> Model {
+    let work_ms = |_: TaskKey| LONG_MS;
+    let need = if is_full { need_if_full } else { need };
+    let worker = |id: String, cores| ModelWorker::new(&id, cores, need, work_ms);
+    let queues = vec![
+        queue("urgent", 0, 2.2, 1_000),
+        queue("ordinary", 1, 2.2, 1_000),
+    ];
+    let all = (0..workers).map(|number| worker(format!("w{number}"), 64));
+    let mut model = Model::new(queues, all.collect(), 0);
+    model.run(100);
+    let mut lasting = spec(LONG, workers, LONG_MS);
+    lasting.steps[0].resources = need(StepKey { job: LONG, step: 0 }.task(0));
+    lasting.steps[0].per_worker_max = Some(1);
+    lasting.steps[0].is_service = true;
+    model.submit(LONG.0, "urgent", lasting);
+    let mut isolated = spec(ISOLATED, count, LONG_MS);
+    isolated.steps[0].is_gang = is_gang;
+    isolated.steps[0].required_label = Some(Arc::from(LABEL));
+    model.submit(ISOLATED.0, "ordinary", isolated);
+    for number in 0..CRASHES {
+        let lost = worker(format!("lost{number}"), 1);
+        model.propose(QueueCommand::PutWorker(Box::new(lost.record)));
+    }
+    model.run(2 * COMMIT_MS);
+    for number in 0..CRASHES {
+        propose_crash(&mut model, &format!("lost{number}"), ISOLATED, count);
+    }
+    model.run(2 * COMMIT_MS);
+    for number in 0..workers {
+        let worker = model.workers.get_mut(&*format!("w{number}")).unwrap();
+        worker.record.labels.push(Arc::from(LABEL));
+        worker.record.sequence = 1;
+        let record = worker.record.clone();
+        model.report(&record);
+    }
+    model
+}
+
+/// Waits until the isolated job has started.
+fn wait_for_isolated(model: &mut Model) {
+    let begin = model.now;
+    while !model.has_started(ISOLATED) {
+        let waits_ms = model.now.since(begin);
+        assert!(
+            waits_ms <= RESTART_MAX_MS,
+            "not started after {waits_ms} ms"
+        );
+        model.run(STEP_MS);
+    }
+    println!("started after {} ms", model.now.since(begin));
+}
+
+/// Guards against a gang that waits for ever for workers of its own, since each runs a long task.
+#[test]
+fn a_gang_that_wants_workers_for_itself_starts_beside_long_tasks() {
+    for is_full in [false, true] {
+        let mut model = model_with_isolated_job(4, 4, true, is_full);
+        wait_for_isolated(&mut model);
+    }
+}
+
+/// Guards against an innocent job that is given up, since its task counts as the only suspect although
+/// it had to start beside the task of another job.
+#[test]
+fn a_task_that_found_no_worker_for_itself_is_no_suspect_of_a_later_crash() {
+    for is_full in [false, true] {
+        let mut model = model_with_isolated_job(1, 1, false, is_full);
+        wait_for_isolated(&mut model);
+        model.run(2_000);
+        assert!(!is_given_up_after_crash(&mut model, ISOLATED));
     }
 }
