Take failures of tasks that last for evidence against their workers less often

Cause: a worker is suspected after failures of tasks of two jobs without a success between them. A task that lasts never succeeds, and the state counts no failures for it, so that it is never found to be at fault itself. Sound workers are suspected after the second failure of any two such tasks, and each further failure doubles the pause.

Change: a run of a task that lasts which fails after 5 s or more at work is no evidence against its worker. The leader counts on how many workers each such task has failed; after two of them the task is at fault, as for other tasks, and its failures no longer count against workers. A worker that fails whatever it starts is still suspected, since a task fails there once.

--- a/crates/queues/src/scheduler/health.rs
+++ b/crates/queues/src/scheduler/health.rs
@@ -15,6 +15,8 @@
 use crate::ids::TaskKey;
 use crate::job::JobPhase;
 use crate::scheduler::Scheduler;
+use crate::scheduler::workers::RunView;
+use crate::scheduler::workers::WorkerIndex;
 use crate::state::QueueState;
 
 /// A worker is suspected after failures of this many different jobs without a success.
@@ -25,6 +27,9 @@
 const PAUSE_MAX_MS: u64 = 8_000;
 /// A task that has failed this often is at fault, and not the workers on which it failed.
 const TASK_FAILURES_MAX: u32 = 2;
+/// A run of a task that lasts and that fails after it has worked for this long is no evidence against
+/// its worker: one that is at fault does not keep tasks at work.
+const AT_WORK_MS: u64 = 5_000;
 /// The weight of a new observation in the moving mean of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.1;
 /// The smallest and the largest slowdown that an observation counts as.
@@ -119,34 +124,65 @@
     }
 }
 
+impl RunView {
+    /// Whether the run has worked for so long that its worker can run tasks.
+    pub(crate) fn was_at_work(&self, now: Millis) -> bool {
+        self.has_begun && now.since(self.confirmed) >= AT_WORK_MS
+    }
+}
+
 impl Scheduler {
-    /// Stops counting the failures of a task against workers, once the task is at fault.
-    pub(crate) fn clear_worker_failures(&mut self, state: &QueueState, task: TaskKey) {
-        if !is_task_at_fault(state, task) {
-            return;
+    /// Records that a run of a task has failed on a worker, as evidence against the worker or against
+    /// the task.
+    pub(crate) fn record_failure(
+        &mut self,
+        state: &QueueState,
+        index: WorkerIndex,
+        task: TaskKey,
+        now: Millis,
+    ) {
+        let mut is_service = false;
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.avoided.insert(index);
+            is_service = step.spec().is_service;
+            if is_service {
+                step.failed_on.entry(task.index).or_default().insert(index);
+            }
+        }
+        let is_at_fault = self.is_task_at_fault(state, task);
+        // A task that lasts may fail for ever, and each failure would lengthen the next pause.
+        let is_evidence = !(is_service && is_at_fault);
+        if let Some(worker) = self.workers.get_mut(index).filter(|_| is_evidence) {
+            worker.health.failed(task.step.job, now);
         }
-        let Some(step) = self.steps.get(&task.step) else {
+        if !is_at_fault {
             return;
-        };
-        for index in &step.avoided {
+        }
+        let avoided = self.steps.get(&task.step).map(|step| &step.avoided);
+        for index in avoided.into_iter().flatten() {
             if let Some(worker) = self.workers.get_mut(*index) {
                 worker.health.clear_failures(task.step.job);
             }
         }
     }
-}
 
-/// Whether a task has failed so often that its workers are not the cause. The members of a gang
-/// share their failures.
-fn is_task_at_fault(state: &QueueState, task: TaskKey) -> bool {
-    let Some(job) = state.job(task.step.job) else {
-        return false;
-    };
-    if job.phase.has_ended() {
-        return job.phase == JobPhase::Failed && job.queue.attempts_max >= TASK_FAILURES_MAX;
+    /// Whether a task has failed so often that its workers are not the cause. The members of a gang
+    /// share their failures. The state counts none for tasks that last.
+    fn is_task_at_fault(&self, state: &QueueState, task: TaskKey) -> bool {
+        let Some(job) = state.job(task.step.job) else {
+            return false;
+        };
+        if job.phase.has_ended() {
+            return job.phase == JobPhase::Failed && job.queue.attempts_max >= TASK_FAILURES_MAX;
+        }
+        let position = usize::from(task.step.step);
+        let spec = &job.spec.steps[position];
+        if spec.is_service {
+            let failed_on = self.steps.get(&task.step).map(|step| &step.failed_on);
+            let workers = failed_on.and_then(|failed_on| failed_on.get(&task.index));
+            return workers.is_some_and(|workers| workers.len() >= TASK_FAILURES_MAX as usize);
+        }
+        let index = if spec.is_gang { 0 } else { task.index as usize };
+        job.steps[position].tasks[index].failures >= TASK_FAILURES_MAX
     }
-    let position = usize::from(task.step.step);
-    let is_gang = job.spec.steps[position].is_gang;
-    let index = if is_gang { 0 } else { task.index as usize };
-    job.steps[position].tasks[index].failures >= TASK_FAILURES_MAX
 }
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -84,6 +84,8 @@
     pub placed: FxHashMap<u32, (u32, WorkerIndex)>,
     /// Workers on which a run of the step failed or stalled; others are tried first.
     pub avoided: FxHashSet<WorkerIndex>,
+    /// The workers on which each task of a step that lasts has failed, by task index.
+    pub failed_on: FxHashMap<u32, FxHashSet<WorkerIndex>>,
     /// Workers that rejected the last start of the step on them.
     pub rejections: Rejections,
     /// How often each task was preempted by a gang, by task index.
@@ -366,6 +368,7 @@
         proposed: BTreeSet::new(),
         placed: FxHashMap::default(),
         avoided: FxHashSet::default(),
+        failed_on: FxHashMap::default(),
         rejections: Rejections::default(),
         preemption_counts: FxHashMap::default(),
         blocked_since: None,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -296,6 +296,8 @@
             return;
         };
         let id = worker.record.id.clone();
+        let service = self.steps.get(&task.step);
+        let is_service = service.is_some_and(|step| step.spec().is_service);
         self.rounds.note_freed(index);
         if kind.is_some() {
             self.unstarted_jobs.remove(&task.step.job);
@@ -308,19 +310,16 @@
                     self.record_duration(task.step, took_ms);
                 }
             }
-            Some(EndKind::Failed) => worker.health.failed(task.step.job, now),
+            Some(EndKind::Failed) => {}
             Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
             Some(_) => {}
             None => self.record_lost_run(&id, task, &view, now),
         }
         if let Some(step) = self.steps.get_mut(&task.step) {
-            if kind == Some(EndKind::Failed) {
-                step.avoided.insert(index);
-            }
             step.placed.remove(&task.index);
         }
-        if kind == Some(EndKind::Failed) {
-            self.clear_worker_failures(state, task);
+        if kind == Some(EndKind::Failed) && !(is_service && view.was_at_work(now)) {
+            self.record_failure(state, index, task, now);
         }
     }
 
