Split the placement of a gang into its parts

`place_gang` had grown to a hundred lines. The start of a gang that has room and the record of what a blocked one lacks are functions of their own now.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -10,9 +10,11 @@
 
 use crate::crash::Isolation;
 use crate::ids::StepKey;
+use crate::job::Job;
 use crate::scheduler::Scheduler;
 use crate::scheduler::isolation::gang_isolation;
 use crate::scheduler::place::Candidate;
+use crate::scheduler::placement_counts::AttemptBegin;
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
@@ -81,9 +83,9 @@
         let isolation = self.isolation_now(view, isolation);
         let has_turn = isolation == Isolation::None || self.take_isolation_turn(view, now);
         view.is_without_turn = !has_turn;
-        let needs_workers = isolation == Isolation::ExclusiveWorker;
         if !has_turn {
-            view.withheld_time.record(needs_workers, now);
+            view.withheld_time
+                .record(isolation == Isolation::ExclusiveWorker, now);
             self.end_attempt(begin, AttemptResult::Withheld);
             return false;
         }
@@ -93,40 +95,16 @@
             Vec::new()
         };
         sort_for_members(&mut candidates);
-        let is_granted = |c: &&Candidate| c.permission == Permission::Granted;
-        let granted = self.choose_workers(view, candidates.iter().filter(is_granted), members);
-        if let (Some(job), Some(chosen)) = (job, &granted) {
-            let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
-            let placements: Vec<_> = indexes.into_iter().zip(chosen.iter().copied()).collect();
-            if isolation != Isolation::None && !self.isolate(view, &candidates, chosen, now) {
-                view.withheld_time.record(needs_workers, now);
-                self.end_attempt(begin, AttemptResult::Withheld);
-                return false;
-            }
-            self.end_isolation_turn(view);
-            self.start(job, view, &placements, now);
-            self.end_attempt(begin, AttemptResult::Placed);
+        if let Some(job) = job
+            && let Some(result) = self.start_gang(job, view, &candidates, isolation, now)
+        {
+            self.end_attempt(begin, result);
             return false;
         }
-        let is_allowed =
-            |c: &&Candidate| matches!(c.permission, Permission::Granted | Permission::Expired);
-        let chosen = self.choose_workers(view, candidates.iter().filter(is_allowed), members);
+        let allowed = candidates.iter().filter(|c| c.is_allowed());
+        let chosen = self.choose_workers(view, allowed, members);
         let has_room = chosen.is_some();
-        let may_fit = candidates.iter().filter(is_allowed);
-        let fits: u64 = may_fit.map(|c| u64::from(c.fits)).sum();
-        let fits_unreserved = fits + self.withheld_for_others_since(begin);
-        let is_withheld = !has_room && fits_unreserved >= members as u64;
-        view.withheld_time.record(is_withheld, now);
-        if attempt.may_fit {
-            view.shortfall = match has_room {
-                true => None,
-                false => {
-                    let allowed = candidates.iter().filter(is_allowed);
-                    let free: u64 = allowed.map(|c| u64::from(c.fits_free)).sum();
-                    Shortfall::new(members as u64, free + self.withheld_since(begin))
-                }
-            };
-        }
+        self.note_lacking_room(view, &candidates, has_room, attempt, begin, now);
         let renewal_due = match chosen {
             Some(chosen) => {
                 self.renew_permits(view, chosen, now);
@@ -155,6 +133,56 @@
         has_reservation
     }
 
+    /// Starts a gang if it has room with valid permits for all members. Returns `None` if it has not,
+    /// and `Withheld` if the chosen workers do not allow its isolation yet.
+    fn start_gang(
+        &mut self,
+        job: &Job,
+        view: &mut StepView,
+        candidates: &[Candidate],
+        isolation: Isolation,
+        now: Millis,
+    ) -> Option<AttemptResult> {
+        let granted = candidates.iter();
+        let granted = granted.filter(|c| c.permission == Permission::Granted);
+        let chosen = self.choose_workers(view, granted, view.spec().count as usize)?;
+        if isolation != Isolation::None && !self.isolate(view, candidates, &chosen, now) {
+            view.withheld_time
+                .record(isolation == Isolation::ExclusiveWorker, now);
+            return Some(AttemptResult::Withheld);
+        }
+        let indexes = view.waiting.iter().copied().collect::<Vec<_>>();
+        let placements: Vec<_> = indexes.into_iter().zip(chosen).collect();
+        self.end_isolation_turn(view);
+        self.start(job, view, &placements, now);
+        Some(AttemptResult::Placed)
+    }
+
+    /// Records the room that a gang lacks, and whether it would have it if nothing were withheld from
+    /// it in favour of other jobs.
+    fn note_lacking_room(
+        &self,
+        view: &mut StepView,
+        candidates: &[Candidate],
+        has_room: bool,
+        attempt: GangAttempt,
+        begin: AttemptBegin,
+        now: Millis,
+    ) {
+        let members = u64::from(view.spec().count);
+        let allowed = || candidates.iter().filter(|c| c.is_allowed());
+        let fits: u64 = allowed().map(|c| u64::from(c.fits)).sum();
+        let fits_unreserved = fits + self.withheld_for_others_since(begin);
+        let is_withheld = !has_room && fits_unreserved >= members;
+        view.withheld_time.record(is_withheld, now);
+        if !attempt.may_fit {
+            return;
+        }
+        let free: u64 = allowed().map(|c| u64::from(c.fits_free)).sum();
+        let shortfall = Shortfall::new(members, free + self.withheld_since(begin));
+        view.shortfall = shortfall.filter(|_| !has_room);
+    }
+
     /// One worker for each member of a gang, from candidates in the order of preference; a worker
     /// may appear several times.
     fn choose_workers<'a>(
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -49,6 +49,13 @@
     pub(crate) slowdown_percent: u64,
 }
 
+impl Candidate {
+    /// Whether the policy allows the worker, also if the permit has expired.
+    pub(crate) fn is_allowed(&self) -> bool {
+        matches!(self.permission, Permission::Granted | Permission::Expired)
+    }
+}
+
 impl Scheduler {
     pub(crate) fn permission(
         &self,
