Let gangs hold the reservation in turns

Cause: one gang at a time holds a reservation, in the order of the ranks, and the begin of one that depends on runs which last, overrun or take long moves on or is far away. Rank and room are not the reason: without the first gang the second one starts after 0.6 s.

Change: a run of a task that lasts has no expected end, so no reservation rests on it, preemption does not wait for it, and it is moved off a worker that leaves at once. A reservation that has not begun 10 s after it should have, or 20 s after it was taken, is given up for 2 s; each further pause is twice as long, up to 16 s.

Tried and refuted: 2 s in place of 10 s.

--- a/crates/queues/src/scheduler/drain.rs
+++ b/crates/queues/src/scheduler/drain.rs
@@ -36,7 +36,7 @@
                 continue;
             };
             for (task, run) in &worker.runs {
-                if run.stage != RunStage::Running || run.expected_end(now) <= leaves_at {
+                if run.stage != RunStage::Running || run.ends_by(leaves_at, now) {
                     continue;
                 }
                 let job = state.job(task.step.job);
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -258,7 +258,7 @@
     }
 
     /// Reserves for all members the resources that are expected to be free earliest.
-    fn reserve(&self, view: &StepView, reservations: &mut Reservations, now: Millis) -> bool {
+    fn reserve(&self, view: &mut StepView, reservations: &mut Reservations, now: Millis) -> bool {
         let (spec, members) = (view.spec(), view.spec().count as usize);
         let mut slots: Vec<(Millis, WorkerIndex)> = Vec::new();
         for (index, worker) in self.possible_workers(view) {
@@ -282,8 +282,12 @@
         let Some(last) = slots.get(members - 1).map(|(at, _)| *at) else {
             return false;
         };
+        if !view.reservation_turn.take(last, now) {
+            return false;
+        }
+        let resources = view.spec().resources;
         for (_, index) in &slots[..members] {
-            reservations.add(*index, view.key, last, spec.resources);
+            reservations.add(*index, view.key, last, resources);
         }
         true
     }
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -77,7 +77,7 @@
                 .workers
                 .get(*worker)
                 .and_then(|w| w.runs.get(&key.task(*task)));
-            run.is_some_and(|run| run.expected_end(now) <= now + PREFETCH_MS)
+            run.is_some_and(|run| run.ends_by(now + PREFETCH_MS, now))
         };
         let is_placed = view.waiting.is_empty() && view.proposed.is_empty();
         is_placed && view.placed.iter().all(ends_soon)
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -358,6 +358,7 @@
                 since: now,
                 is_adopted: false,
                 isolation: task_isolation(job, view.key, *task),
+                is_service: spec.is_service,
                 usual_ms: view.usual_ms,
                 expected_ms,
                 checkpoint: None,
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -140,7 +140,7 @@
             .iter()
             .filter(|(task, run)| {
                 run.stage == RunStage::Running
-                    && run.expected_end(now) > now + ENDS_SOON_MS
+                    && !run.ends_by(now + ENDS_SOON_MS, now)
                     && self.may_preempt(view, task, now)
             })
             .map(|(task, run)| (*task, run.run, run.resources))
--- a/crates/queues/src/scheduler/reservations.rs
+++ b/crates/queues/src/scheduler/reservations.rs
@@ -18,6 +18,51 @@
 /// this percentage of its estimate.
 const BACKFILL_MARGIN_PERCENT: u64 = 140;
 
+/// A gang holds a reservation for at most this long after the time at which it should have begun.
+const OVERDUE_MAX_MS: u64 = 10_000;
+/// A reservation that should begin later than this is treated as if it should begin then, since an
+/// estimate for that far ahead says little.
+const AHEAD_MAX_MS: u64 = 10_000;
+/// For how long a gang then leaves the reservation to others; each further pause is twice as long, so
+/// that one of them suffices for a gang whose reservation needs longer to begin.
+const PAUSE_MIN_MS: u64 = 2_000;
+/// The longest pause.
+const PAUSE_MAX_MS: u64 = 16_000;
+/// A gang that has held no reservation for this long has a new turn.
+const TURN_GAP_MS: u64 = 1_000;
+
+/// The turn of a gang to hold a reservation. Few gangs hold one at a time, and the begin of a
+/// reservation moves on while a run that it depends on overruns its estimate. Without an end of the
+/// turn, a gang that waits for runs which last would keep the others from a reservation for ever.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReservationTurn {
+    /// When the reservation should have begun, as expected when the turn began, and when the gang
+    /// last held it.
+    expected: Option<(Millis, Millis)>,
+    paused_until: Millis,
+    pause_ms: u64,
+}
+
+impl ReservationTurn {
+    /// Whether the gang may hold a reservation that is now expected to begin at `begin`.
+    pub fn take(&mut self, begin: Millis, now: Millis) -> bool {
+        if now < self.paused_until {
+            return false;
+        }
+        let current = self.expected;
+        let current = current.filter(|(_, held)| now.since(*held) <= TURN_GAP_MS);
+        let first = current.map_or(begin.min(now + AHEAD_MAX_MS), |(first, _)| first);
+        if now <= first + OVERDUE_MAX_MS {
+            self.expected = Some((first, now));
+            return true;
+        }
+        self.expected = None;
+        self.pause_ms = (2 * self.pause_ms).clamp(PAUSE_MIN_MS, PAUSE_MAX_MS);
+        self.paused_until = now + self.pause_ms;
+        false
+    }
+}
+
 /// Resources on one worker that are reserved from a time on.
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
@@ -128,10 +173,7 @@
 
 /// The resources that are expected to be free at a time, if reservations are ignored.
 fn expected_free_at(worker: &WorkerView, at: Millis, now: Millis) -> Resources {
-    let ended = worker
-        .runs
-        .values()
-        .filter(|run| run.expected_end(now) <= at);
+    let ended = worker.runs.values().filter(|run| run.ends_by(at, now));
     ended.fold(worker.free(), |sum, run| sum.saturating_add(&run.resources))
 }
 
@@ -155,7 +197,7 @@
     let mut ends: Vec<(Millis, Resources)> = worker
         .runs
         .values()
-        .map(|run| (run.expected_end(now), run.resources))
+        .filter_map(|run| Some((run.expected_end(now)?, run.resources)))
         .collect();
     ends.sort_unstable_by_key(|(at, _)| *at);
     let mut available = worker.free();
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -16,6 +16,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
 use crate::scheduler::rejections::Rejections;
+use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
 use crate::scheduler::shortfall::Shortfall;
 use crate::scheduler::step_permits::PermitNeed;
@@ -100,6 +101,8 @@
     pub renewal_due: Option<Millis>,
     /// No preemption for this gang is tried before this time.
     pub preempt_retry_at: Millis,
+    /// Its turn to hold a reservation.
+    pub reservation_turn: ReservationTurn,
     /// For how long free room was withheld from it.
     pub withheld_time: WithheldTime,
     /// When a round last tried to place it; `None` if something has changed for it since.
@@ -376,6 +379,7 @@
         shortfall: None,
         renewal_due: None,
         preempt_retry_at: Millis::ZERO,
+        reservation_turn: ReservationTurn::default(),
         withheld_time: WithheldTime::default(),
         tried: None,
         retry: Retry::Soon,
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -86,6 +86,7 @@
                 since: now,
                 is_adopted: true,
                 isolation: job.map_or(Isolation::None, |job| adopted_isolation(job, *task)),
+                is_service: step.is_some_and(|step| step.is_service),
                 usual_ms: step.map_or(0, |step| step.estimate_ms),
                 expected_ms: step.map_or(0, |step| step.estimate_ms),
                 checkpoint: None,
@@ -296,8 +297,6 @@
             return;
         };
         let id = worker.record.id.clone();
-        let service = self.steps.get(&task.step);
-        let is_service = service.is_some_and(|step| step.spec().is_service);
         self.rounds.note_freed(index);
         if kind.is_some() {
             self.unstarted_jobs.remove(&task.step.job);
@@ -318,7 +317,7 @@
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.placed.remove(&task.index);
         }
-        if kind == Some(EndKind::Failed) && !(is_service && view.was_at_work(now)) {
+        if kind == Some(EndKind::Failed) && !(view.is_service && view.was_at_work(now)) {
             self.record_failure(state, index, task, now);
         }
     }
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -76,6 +76,8 @@
     pub is_adopted: bool,
     /// How it is kept apart from other jobs.
     pub isolation: Isolation,
+    /// Whether the task lasts until its job is cancelled.
+    pub is_service: bool,
     /// The expected duration on most workers.
     pub usual_ms: u64,
     /// The expected duration on this worker.
@@ -108,14 +110,22 @@
         self.run == 1 && !self.is_adopted
     }
 
-    /// When the run is expected to end.
-    pub fn expected_end(&self, now: Millis) -> Millis {
+    /// When the run is expected to end; `None` for a task that lasts.
+    pub fn expected_end(&self, now: Millis) -> Option<Millis> {
+        if self.is_service {
+            return None;
+        }
         let end = self.since + self.expected_ms;
         if end > now {
-            return end;
+            return Some(end);
         }
         // The estimate is used up; assume that the run needs another quarter of it.
-        now + self.expected_ms / 4
+        Some(now + self.expected_ms / 4)
+    }
+
+    /// Whether the run is expected to end at `at` or earlier.
+    pub fn ends_by(&self, at: Millis, now: Millis) -> bool {
+        self.expected_end(now).is_some_and(|end| end <= at)
     }
 }
 
--- a/crates/queues/tests/reservations.rs
+++ b/crates/queues/tests/reservations.rs
@@ -20,8 +20,14 @@
 const BLOCKED: JobKey = JobKey(2);
 const GANG: JobKey = JobKey(3);
 const SMALL_MS: u64 = 400;
+/// How long the tasks run that a gang waits for.
+const LONG_MS: u64 = 300_000;
 /// A reservation begins when all small tasks have ended, each of which takes under a second.
 const START_MAX_MS: u64 = 5_000;
+/// The same if the gang that goes first waits for the ends of runs that do not come, and if it expects
+/// them much later.
+const START_MAX_IF_OVERDUE_MS: u64 = 15_000;
+const START_MAX_IF_AHEAD_MS: u64 = 25_000;
 
 fn spec(label: &str, resources: Resources, is_gang: bool) -> SubmittedSpec {
     let step = StepSpec {
@@ -39,16 +45,15 @@
     }
 }
 
-/// Guards against a gang that waits for ever behind small tasks, since another one holds the
-/// reservation that only tasks which last keep from being of use.
-#[test]
-fn a_gang_that_waits_for_lasting_tasks_keeps_no_other_from_a_reservation() {
+/// Submits a gang that waits for two other tasks, then one that waits for a gap between small tasks.
+/// Returns how long the second one waits, which may be `limit_ms` at most.
+fn wait_of_second_gang(others: &SubmittedSpec, limit_ms: u64) -> u64 {
     let need = |task: TaskKey| match task.step.job {
         LASTING | BLOCKED | GANG => WHOLE,
         _ => QUARTER,
     };
     let work_ms = |task: TaskKey| match task.step.job {
-        LASTING => 60_000_000,
+        LASTING => LONG_MS,
         _ => SMALL_MS + task.step.job.0 % 7 * 50,
     };
     let worker = |number: u64| {
@@ -65,9 +70,7 @@
     ];
     let mut model = Model::new(queues, (0..4).map(worker).collect(), 0);
     model.run(100);
-    let mut lasting = spec("lasting", WHOLE, true);
-    (lasting.steps[0].is_gang, lasting.steps[0].is_service) = (false, true);
-    model.submit(LASTING.0, "first", lasting);
+    model.submit(LASTING.0, "first", others.clone());
     model.run(300);
     model.submit(BLOCKED.0, "first", spec("lasting", WHOLE, true));
     let mut next = 100;
@@ -83,9 +86,42 @@
     let begin = model.now;
     while !model.has_started(GANG) {
         let waits_ms = model.now.since(begin);
-        assert!(waits_ms <= START_MAX_MS, "not started after {waits_ms} ms");
+        assert!(waits_ms <= limit_ms, "not started after {waits_ms} ms");
         submit_small(&mut model);
         model.run(50);
     }
-    println!("started after {} ms", model.now.since(begin));
+    model.now.since(begin)
+}
+
+/// Two tasks that take up the workers which a gang wants.
+fn other_tasks() -> SubmittedSpec {
+    let mut tasks = spec("lasting", WHOLE, true);
+    tasks.steps[0].is_gang = false;
+    tasks
+}
+
+/// Guards against a gang that waits for ever behind small tasks, since another one holds the
+/// reservation that only tasks which last keep from being of use.
+#[test]
+fn a_gang_that_waits_for_lasting_tasks_keeps_no_other_from_a_reservation() {
+    let mut lasting = other_tasks();
+    lasting.steps[0].is_service = true;
+    let waited_ms = wait_of_second_gang(&lasting, START_MAX_MS);
+    println!("started after {waited_ms} ms");
+}
+
+/// Guards against the same behind tasks that run for much longer than estimated.
+#[test]
+fn a_gang_that_waits_for_overrunning_tasks_keeps_no_other_from_a_reservation() {
+    let waited_ms = wait_of_second_gang(&other_tasks(), START_MAX_IF_OVERDUE_MS);
+    println!("started after {waited_ms} ms");
+}
+
+/// Guards against a gang that waits for as long as another one expects to wait for long tasks.
+#[test]
+fn a_gang_that_waits_for_long_tasks_leaves_the_reservation_to_others() {
+    let mut long = other_tasks();
+    long.steps[0].estimate_ms = LONG_MS;
+    let waited_ms = wait_of_second_gang(&long, START_MAX_IF_AHEAD_MS);
+    println!("started after {waited_ms} ms");
 }
