Keep ended jobs for as long as callers are promised an answer

Cause: the state kept the last 20,000 ended jobs, whatever their age. At 176 jobs a second these end within 114 s, in bursts sooner. The platform's `status_s` was not read.

Ruled out: lost commits and members that are behind, since exactly the oldest jobs beyond that number are missing.

Change: an ended job is kept for the promised time, up to 60,000 of them to bound the memory, and up to 20,000 for longer, as before. The time is read from the platform's settings and replicated with the queue table, so that all members drop the same jobs. A table with the usual 120 s is written without the field, which members of the earlier version can read; such a member still drops jobs by the number alone.

--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -29,6 +29,7 @@
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_queues::table::ENDED_KEPT_DEFAULT_MS;
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::MemberId;
 
@@ -200,5 +201,6 @@
         queues: vec![queue],
         services: vec![service],
         document: Arc::from("{}"),
+        ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -37,6 +37,7 @@
 use sapphirepost_queues::scheduler::WorkerReport;
 use sapphirepost_queues::scheduler::WorkerRequest;
 use sapphirepost_queues::scheduler::WorkerRequestError;
+use sapphirepost_queues::table::ENDED_KEPT_DEFAULT_MS;
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::MemberId;
@@ -184,6 +185,7 @@
         queues: vec![queue],
         services: vec![service],
         document: Arc::from("{}"),
+        ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
 
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -23,6 +23,7 @@
 use crate::job::Task;
 use crate::job::TaskPhase;
 use crate::lost_workers::LostWorkers;
+use crate::table::ENDED_KEPT_DEFAULT_MS;
 use crate::table::QueueTable;
 use crate::worker::EndKind;
 use crate::worker::HeldRun;
@@ -31,9 +32,12 @@
 /// Jobs that ended longer ago are dropped when another job ends; until then, callers can ask for
 /// their phase.
 const ENDED_RETENTION_MS: u64 = 1_800_000;
-/// The largest number of ended jobs that are kept, which bounds the memory. Beyond it the oldest
-/// ones are dropped before their retention is over.
+/// The largest number of ended jobs that are kept for longer than callers are promised. Beyond it the
+/// oldest ones are dropped before their retention is over.
 const ENDED_JOBS_MAX: usize = 20_000;
+/// The largest number of ended jobs in all, which bounds the memory: 500 jobs a second for the time
+/// that callers are usually promised.
+const ENDED_JOBS_PROMISED_MAX: usize = 60_000;
 
 /// A change that a command made, for the scheduler, log messages and metrics.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -411,11 +415,18 @@
     }
 
     fn drop_old_jobs(&mut self) {
+        let table = self.state.table.as_ref();
+        let kept_ms = table.map_or(ENDED_KEPT_DEFAULT_MS, |table| table.ended_kept_ms);
         while let Some((index, keys)) = self.state.ended.get_min().cloned() {
             let oldest = keys.first().and_then(|key| self.state.jobs.get(key));
             let ended_unix_ms = oldest.and_then(|job| job.ended_unix_ms).unwrap_or(0);
-            let is_old = self.at_unix_ms.saturating_sub(ended_unix_ms) > ENDED_RETENTION_MS;
-            if !is_old && self.state.ended_count <= ENDED_JOBS_MAX {
+            let age_ms = self.at_unix_ms.saturating_sub(ended_unix_ms);
+            let is_promised = age_ms <= kept_ms;
+            let jobs_max = match is_promised {
+                true => ENDED_JOBS_PROMISED_MAX,
+                false => ENDED_JOBS_MAX,
+            };
+            if age_ms <= ENDED_RETENTION_MS && self.state.ended_count <= jobs_max {
                 return;
             }
             self.state.ended.remove(&index);
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -20,6 +20,24 @@
     pub services: Vec<Service>,
     /// The document as the operator submitted it.
     pub document: Arc<str>,
+    /// For how long after its end callers are promised an answer about a job.
+    #[serde(
+        default = "default_ended_kept_ms",
+        skip_serializing_if = "is_default_ended_kept"
+    )]
+    pub ended_kept_ms: u64,
+}
+
+/// The time for which ended jobs are kept if the platform names none.
+pub const ENDED_KEPT_DEFAULT_MS: u64 = 120_000;
+
+fn default_ended_kept_ms() -> u64 {
+    ENDED_KEPT_DEFAULT_MS
+}
+
+/// Members of an earlier version do not know the field, and can read a table without it.
+fn is_default_ended_kept(kept_ms: &u64) -> bool {
+    *kept_ms == ENDED_KEPT_DEFAULT_MS
 }
 
 /// A queue and its settings.
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -513,3 +513,49 @@
         assert_eq!(phase, Some(JobPhase::Completed), "{key}");
     }
 }
+
+/// Submits and cancels a job at a time of the log.
+fn end_job(model: &mut Model, job: JobKey, at_unix_ms: u64) {
+    let cancel = QueueCommand::Cancel { job };
+    let mut changes = Vec::new();
+    for command in [submission(model, job, 1), cancel] {
+        let state = &mut model.state;
+        state.apply(job.0, at_unix_ms, &command, &mut changes);
+    }
+}
+
+/// Guards against callers that are told that their job does not exist, although it has ended a short
+/// time ago: the oldest jobs beyond 20,000 were dropped however short the time was.
+#[test]
+fn jobs_are_known_for_the_promised_time_however_many_end() {
+    const INTERVAL_MS: u64 = 4;
+    const KEPT_MS: u64 = 100_000;
+    let mut model = Model::new(queues(), Vec::new(), 0);
+    let mut table = (**model.state.table().unwrap()).clone();
+    (table.version, table.ended_kept_ms) = (2, KEPT_MS);
+    let put = QueueCommand::PutTable(Box::new(table));
+    model.state.apply(1, 0, &put, &mut Vec::new());
+    let first = 1_000;
+    for number in 0..KEPT_MS / INTERVAL_MS {
+        end_job(&mut model, JobKey(first + number), number * INTERVAL_MS);
+    }
+    assert!(model.state.job(JobKey(first)).is_some());
+    // Beyond the promised time, the number counts again.
+    let later = first + KEPT_MS / INTERVAL_MS;
+    end_job(&mut model, JobKey(later), KEPT_MS + 10);
+    assert!(model.state.job(JobKey(first)).is_none());
+    assert!(model.state.job(JobKey(first + 10)).is_some());
+}
+
+/// Guards against memory that grows with the rate of jobs without a limit.
+#[test]
+fn the_number_of_ended_jobs_is_limited() {
+    const JOBS_MAX: u64 = 60_000;
+    let mut model = Model::new(queues(), Vec::new(), 0);
+    let first = 1_000;
+    for number in 0..JOBS_MAX + 1 {
+        end_job(&mut model, JobKey(first + number), number / 10);
+    }
+    assert!(model.state.job(JobKey(first)).is_none());
+    assert!(model.state.job(JobKey(first + 1)).is_some());
+}
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -43,6 +43,7 @@
 use sapphirepost_queues::scheduler::WorkerRequestError;
 use sapphirepost_queues::scheduler::WorkerRequestKind;
 use sapphirepost_queues::state::QueueChange;
+use sapphirepost_queues::table::ENDED_KEPT_DEFAULT_MS;
 use sapphirepost_queues::table::PermitCost;
 use sapphirepost_queues::table::Service;
 use sapphirepost_types::Millis;
@@ -212,6 +213,7 @@
                 workers_check_room: false,
             }],
             document: Arc::from("{}"),
+            ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
         };
         let mut changes = Vec::new();
         state.apply(1, 0, &QueueCommand::PutTable(Box::new(table)), &mut changes);
