Add a known red test: long tasks that make progress count as stalled

A run whose progress has not changed for 1.8 s counts as stalled if its worker has another such run, a single one after 4 s. Progress is kept in whole percents, so a task of 300 s changes it every 3 s: two of them on a sound worker are started 12 times within 20 s and would never end. `ordinary jobs` of the sites are far shorter.

--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -10,6 +10,7 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueState;
 use sapphirepost_queues::StepKey;
+use sapphirepost_queues::TaskKey;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
 use sapphirepost_queues::scheduler::WaitReason;
@@ -533,3 +534,19 @@
     let tasks: u64 = specs.map(|spec| u64::from(spec.steps[0].count)).sum();
     assert_eq!(model.starts, tasks, "tasks were started again");
 }
+
+/// Guards against long tasks that never end: whole percents of a task of minutes change so seldom
+/// that it counted as stalled, and was stopped and started again for ever.
+#[test]
+fn long_tasks_that_make_progress_are_not_stopped() {
+    let work_ms = |_: TaskKey| 300_000;
+    let worker = ModelWorker::new("w0", 64, load::need, work_ms);
+    let mut model = Model::new(queues(), vec![worker], 0);
+    model.run(50);
+    let mut spec = load::spec(Kind::Tally, 1);
+    spec.steps.truncate(1);
+    (spec.steps[0].count, spec.steps[0].estimate_ms) = (2, 300_000);
+    model.submit(load::key(Kind::Tally, 1), "tally", spec);
+    model.run(20_000);
+    assert_eq!(model.scheduler.take_counts().starts, 2);
+}
