Test the limit of withheld room over elections, cancels and other widths

Nothing showed that the limit survives a change of the leader, a cancel or a returning worker, that it holds for other widths, or that no order of crashes gives up an innocent task with company.

--- a/crates/queues/tests/isolation.rs
+++ b/crates/queues/tests/isolation.rs
@@ -365,3 +365,63 @@
         model.run(STEP_MS);
     }
 }
+
+/// Guards against a task that lasts and waits for long although it has room, since its turns to be
+/// isolated came while there was none, and more than half of the cluster is in use.
+#[test]
+fn a_suspect_task_that_lasts_starts_soon_after_it_has_room_on_a_busy_cluster() {
+    const BUSY: JobKey = JobKey(8);
+    /// The rule allows 6 s and 3 s of calm.
+    const RESTART_MAX_MS: u64 = 9_000;
+    let need = |task: TaskKey| match task.step.job {
+        BUSY => Resources::new(40_000, 1_024, 0),
+        _ => Resources::new(20_000, 1_024, 0),
+    };
+    let work_ms = |task: TaskKey| match task.step.job {
+        FILLER => FILLER_MS,
+        _ => 300_000,
+    };
+    let worker = |number| ModelWorker::new(&format!("w{number}"), 64, need, work_ms);
+    let queues = vec![
+        queue("filler", 0, 4.0, 3_000),
+        queue("suspect", 1, 2.2, 1_000),
+    ];
+    let mut model = Model::new(queues, (0..=WORKERS).map(worker).collect(), 0);
+    model.run(50);
+    model.workers.get_mut(CRASHED).unwrap().is_unreachable = true;
+    model.run(1_000);
+    let spec = |key: JobKey, count, is_service| {
+        let task = StepKey { job: key, step: 0 }.task(0);
+        SubmittedSpec {
+            payload: Arc::from("payload"),
+            steps: vec![StepSpec {
+                count,
+                resources: need(task),
+                estimate_ms: work_ms(task),
+                per_worker_max: Some(1),
+                is_service,
+                ..StepSpec::default()
+            }],
+        }
+    };
+    model.submit(BUSY.0, "filler", spec(BUSY, WORKERS, true));
+    model.submit(FILLER.0, "filler", spec(FILLER, WORKERS, false));
+    model.run(200);
+    model.submit(SUSPECT.0, "suspect", spec(SUSPECT, 1, true));
+    model.run(2 * COMMIT_MS);
+    crash_under(&mut model, tasks_of(SUSPECT, 1));
+    while model.has_started(FILLER) {
+        assert!(!model.has_started(SUSPECT), "there is room");
+        model.run(STEP_MS);
+    }
+    let free = model.now;
+    while !model.has_started(SUSPECT) {
+        let waits_ms = model.now.since(free);
+        assert!(
+            waits_ms <= RESTART_MAX_MS,
+            "not started after {waits_ms} ms"
+        );
+        model.run(STEP_MS);
+    }
+    println!("started after {} ms", model.now.since(free));
+}
--- a/crates/queues/tests/withheld_room.rs
+++ b/crates/queues/tests/withheld_room.rs
@@ -142,8 +142,19 @@
 /// Guards against a gang that never starts although it has room, since that is reserved for another.
 #[test]
 fn a_gang_with_room_starts_behind_a_gang_that_waits_for_lasting_tasks() {
+    check_that_a_gang_starts(LongTask::Lasting);
+}
+
+/// Guards against the same behind tasks that run for much longer than estimated.
+#[test]
+fn a_gang_with_room_starts_behind_a_gang_that_waits_for_overrunning_tasks() {
+    check_that_a_gang_starts(LongTask::ShortEstimate);
+}
+
+/// Submits a gang with room to a cluster with a blocked gang, and checks that it starts soon.
+fn check_that_a_gang_starts(long: LongTask) {
     for has_permits in [false, true] {
-        let mut model = model_with_blocked_gang(LongTask::Lasting, has_permits);
+        let mut model = model_with_blocked_gang(long, has_permits);
         model.run(700);
         let mut gang = spec(JobKey(ORDINARY), 4, ORDINARY_MS);
         gang.steps[0].is_gang = true;
@@ -364,3 +375,101 @@
         assert!(!is_given_up_after_crash(&mut model, ISOLATED));
     }
 }
+
+/// Checks that no task of the ordinary job has started.
+fn assert_waits(model: &Model) {
+    let has_ended = model.jobs[&JobKey(ORDINARY)].ended.is_some();
+    let has_started = model.has_started(JobKey(ORDINARY));
+    assert!(!has_started && !has_ended, "it does not wait");
+}
+
+/// An ordinary job that waits behind a blocked gang, and has waited for part of the limit.
+fn model_with_waiting_job(waited_ms: u64) -> Model {
+    let mut model = model_with_blocked_gang(LongTask::ShortEstimate, false);
+    model.run(700);
+    model.submit(ORDINARY, "ordinary", spec(JobKey(ORDINARY), 2, ORDINARY_MS));
+    model.run(waited_ms);
+    assert_waits(&model);
+    model
+}
+
+/// Guards against a wait that begins again more than once for each change of the leader.
+#[test]
+fn a_change_of_the_leader_adds_the_limit_once() {
+    let mut model = model_with_waiting_job(1_500);
+    for _ in 0..3 {
+        model.change_leader();
+        model.run(1_500);
+        assert_waits(&model);
+    }
+    model.change_leader();
+    let waited_ms = wait_for_start(&mut model, ORDINARY);
+    println!("started {waited_ms} ms after the last change of the leader");
+}
+
+/// Guards against a limit that the cancel of another waiting job begins again.
+#[test]
+fn a_cancel_of_another_job_does_not_prolong_the_wait() {
+    let mut model = model_with_waiting_job(1_000);
+    let other = JobKey(ORDINARY + 1);
+    model.submit(other.0, "ordinary", spec(other, 2, ORDINARY_MS));
+    model.run(500);
+    model.propose(QueueCommand::Cancel { job: other });
+    let waited_ms = wait_for_start(&mut model, ORDINARY);
+    assert!(waited_ms <= 1_500, "{waited_ms} ms more");
+}
+
+/// Guards against a limit that workers which crash and return begin again.
+#[test]
+fn workers_that_return_do_not_prolong_the_wait() {
+    let mut model = model_with_waiting_job(500);
+    // Too small for any task, so that only its return counts.
+    let small = ModelWorker::new("x0", 1, need, |_| LONG_MS);
+    model.propose(QueueCommand::PutWorker(Box::new(small.record.clone())));
+    model.workers.insert(small.record.id.clone(), small);
+    model.run(300);
+    model.crash_worker("x0");
+    model.run(700);
+    assert_waits(&model);
+    let waited_ms = wait_for_start(&mut model, ORDINARY);
+    assert!(waited_ms <= 1_000, "{waited_ms} ms more");
+}
+
+/// Guards against an innocent task that is given up after crashes in any order while a task of
+/// another job is beside it: before it has begun, just begun, or long after.
+#[test]
+fn an_innocent_task_with_company_is_given_up_by_no_order_of_crashes() {
+    for after_ms in [0, 20, 100, 300, 1_000, 2_500] {
+        for changes_leader in [false, true] {
+            let mut model = model_with_kept_worker(LongTask::Lasting);
+            model.submit(ORDINARY, "ordinary", spec(JobKey(ORDINARY), 2, ORDINARY_MS));
+            wait_for_start(&mut model, ORDINARY);
+            model.run(after_ms);
+            if changes_leader {
+                model.change_leader();
+                model.run(100);
+            }
+            let is_given_up = is_given_up_after_crash(&mut model, LONG);
+            assert!(!is_given_up, "{after_ms} ms, {changes_leader}");
+        }
+    }
+}
+
+/// Guards against a limit that holds only for one width: the job that waits needs less or more of
+/// the free room than in the other tests, or all workers.
+#[test]
+fn jobs_of_other_widths_start_behind_a_gang_that_waits_for_overrunning_tasks() {
+    for count in [1, 8, 40] {
+        let mut model = model_with_blocked_gang(LongTask::ShortEstimate, false);
+        model.run(700);
+        model.submit(
+            ORDINARY,
+            "ordinary",
+            spec(JobKey(ORDINARY), count, ORDINARY_MS),
+        );
+        model.run(1_000);
+        assert_waits(&model);
+        let waited_ms = wait_for_start(&mut model, ORDINARY);
+        println!("{count} tasks waited for {waited_ms} ms");
+    }
+}
