Add tenants and their keys to the queue table

Callers of a tenant authenticate with a key. Nothing knew tenants before: a request with an unknown or revoked key ran like any other. The control process that answers checks the key against the table that it has applied, so that a revoked key stops working when the table is in force; a refusal is given only after a quorum has confirmed the leader. A copy of the keys on each entry was ruled out: a partitioned entry would accept revoked keys. Quotas and shares are read from the configuration and do not limit anything yet.

Tables without tenants are encoded as before, and need no keys.

--- a/crates/control/src/follower_reads.rs
+++ b/crates/control/src/follower_reads.rs
@@ -94,8 +94,14 @@
         let state = self.state.queues();
         let resolved = state.table()?.resolve(&request.host, &request.path)?;
         let key: JobKey = resolved.rest.parse().ok()?;
+        // Only the leader refuses callers: a newer table may allow them.
+        let tenant = state
+            .table()?
+            .authenticate(resolved.queue, request.key.as_ref());
+        let tenant = tenant.ok()?;
         // The ID of a job past its retention may soon be that of another job.
         let job = state.job(key).filter(|job| !job.is_past_retention);
+        let job = job.filter(|job| job.is_accessible_to(tenant));
         Some(job?.phase)
     }
 }
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -13,6 +13,7 @@
 use sapphirepost_protocol::queue::QueueCall;
 use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueTable;
@@ -28,6 +29,14 @@
 use crate::pending_calls::PendingRead;
 use crate::queue_log;
 
+/// The job that a caller's request names.
+struct ResolvedJob {
+    queue: Arc<Queue>,
+    key: JobKey,
+    /// The tenant whose key the caller has presented.
+    tenant: Option<Arc<JobTenant>>,
+}
+
 impl Core {
     /// Answers a call about queues, or starts the read or the proposal that it needs.
     pub(crate) fn handle_queue_call(
@@ -128,6 +137,9 @@
         let Some(resolved) = table.resolve(&request.host, &request.path) else {
             return Ok(QueueReply::NoQueue);
         };
+        let Ok(tenant) = table.authenticate(resolved.queue, request.key.as_ref()) else {
+            return Ok(QueueReply::Unauthorized);
+        };
         if resolved.rest.is_empty() && request.action == CallerAction::Read {
             let scheduler = self.queues.scheduler.as_ref();
             let waiting = scheduler.map_or(0, |s| s.waiting_jobs(&resolved.queue.name));
@@ -137,6 +149,7 @@
             return Ok(QueueReply::Invalid("the path names no job".to_owned()));
         };
         match state.job(key) {
+            Some(job) if !job.is_accessible_to(tenant) => Ok(QueueReply::Forbidden),
             Some(job) if job.phase.has_ended() && request.action == CallerAction::Cancel => {
                 Ok(QueueReply::Cancelled)
             }
@@ -155,13 +168,15 @@
         if request.action == CallerAction::Read {
             self.queues.metrics.reads.inc();
         }
-        let Some((queue, key)) = self.resolve_job(&request) else {
+        let Some(resolved) = self.resolve_job(&request) else {
             // The path names no job: it belongs to no queue, is the path of a queue itself (a read
-            // then returns the number of waiting jobs), or is malformed. Which of these is true
-            // depends on the current table, so a quorum must confirm this leader first.
+            // then returns the number of waiting jobs), or is malformed. Or the caller may not use
+            // the job. Which of these is true depends on the current table, so a quorum must confirm
+            // this leader first.
             let call = QueueCall::Caller(request);
             return self.start_queue_read(now, call, done);
         };
+        let ResolvedJob { queue, key, tenant } = resolved;
         let job = self.state.queues().job(key);
         // The ID is free again once the workers hold no runs of the former job any more.
         let is_id_in_use = job.is_some_and(|job| job.is_past_retention);
@@ -174,7 +189,7 @@
                     self.load.record_repeated_submission();
                 }
                 let spec = Arc::new(spec.clone());
-                self.submit(now, key, queue, spec, done);
+                self.submit(now, ResolvedJob { queue, key, tenant }, spec, done);
             }
             (CallerAction::Read, Some(phase)) => done.send(Ok(QueueReply::Phase(phase))),
             (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => self.cancel(key, done),
@@ -194,18 +209,28 @@
             .add(command, Some((done, QueueReply::Cancelled)));
     }
 
-    fn resolve_job(&self, request: &CallerRequest) -> Option<(Arc<Queue>, JobKey)> {
+    /// The job that a request names; `None` if it names none, or if the caller may not use it.
+    fn resolve_job(&self, request: &CallerRequest) -> Option<ResolvedJob> {
         let table = self.state.queues().table()?;
         let resolved = table.resolve(&request.host, &request.path)?;
         let key = resolved.rest.parse().ok()?;
-        Some((Arc::new(resolved.queue.clone()), key))
+        let tenant = table.authenticate(resolved.queue, request.key.as_ref());
+        let tenant = tenant.ok()?;
+        let job = self.state.queues().job(key);
+        if job.is_some_and(|job| !job.is_accessible_to(tenant)) {
+            return None;
+        }
+        Some(ResolvedJob {
+            queue: Arc::new(resolved.queue.clone()),
+            key,
+            tenant: tenant.map(|tenant| Arc::new(JobTenant::from(tenant))),
+        })
     }
 
     fn submit(
         &mut self,
         now: Millis,
-        key: JobKey,
-        queue: Arc<Queue>,
+        ResolvedJob { queue, key, tenant }: ResolvedJob,
         spec: Arc<SubmittedSpec>,
         done: Responder<QueueReply>,
     ) {
@@ -238,6 +263,7 @@
             job: key,
             queue,
             spec,
+            tenant,
         };
         self.queues.add(command, Some((done, QueueReply::Accepted)));
     }
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -191,6 +191,7 @@
         target_ms: 1_000,
         timeout_ms: 1_000,
         permits: None,
+        is_public: false,
     };
     let service = Service {
         name: Arc::from("s"),
@@ -200,6 +201,7 @@
         version,
         queues: vec![queue],
         services: vec![service],
+        tenants: None,
         document: Arc::from("{}"),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
--- a/crates/control/tests/job_reads.rs
+++ b/crates/control/tests/job_reads.rs
@@ -29,6 +29,7 @@
     QueueCall::Caller(CallerRequest {
         host: "h".to_owned(),
         path: path.to_owned(),
+        key: None,
         action,
     })
 }
--- a/crates/control/tests/long_log.rs
+++ b/crates/control/tests/long_log.rs
@@ -35,6 +35,7 @@
         job: JobKey(job),
         queue: queue.clone(),
         spec: spec.clone(),
+        tenant: None,
     };
     let command = Command {
         at_unix_ms: index,
@@ -60,6 +61,7 @@
         target_ms: 1_000,
         timeout_ms: 1_000,
         permits: None,
+        is_public: false,
     });
     let step = StepSpec {
         count: 1,
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -175,6 +175,7 @@
         target_ms: 1_000,
         timeout_ms: 1_000,
         permits: None,
+        is_public: false,
     };
     let service = Service {
         name: Arc::from("s"),
@@ -184,6 +185,7 @@
         version: 1,
         queues: vec![queue],
         services: vec![service],
+        tenants: None,
         document: Arc::from("{}"),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
@@ -193,6 +195,7 @@
     QueueCall::Caller(CallerRequest {
         host: "h".to_owned(),
         path: format!("/jobs/{job:016x}"),
+        key: None,
         action,
     })
 }
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use sapphirepost_queues::ApiKey;
 use sapphirepost_queues::JobPhase;
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::SubmittedSpec;
@@ -71,6 +72,10 @@
     /// The path of the caller's request: the path prefix of a queue, followed by the key of a job
     /// or by nothing.
     pub path: String,
+    /// The key that the caller has presented. Members of an earlier version do not know the field,
+    /// and can read a request without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<ApiKey>,
     /// What to do with the job or queue.
     pub action: CallerAction,
 }
@@ -104,6 +109,10 @@
     NoQueue,
     /// No queue table has been set yet.
     NoTable,
+    /// The request has no key of a tenant, or an unknown one; nothing was done.
+    Unauthorized,
+    /// The job belongs to another tenant than the key; nothing was done.
+    Forbidden,
     /// The phase of a job.
     Phase(JobPhase),
     /// The number of jobs of a queue that have not started any task.
--- a/crates/queues/src/command.rs
+++ b/crates/queues/src/command.rs
@@ -13,6 +13,7 @@
 use crate::spec::SubmittedSpec;
 use crate::table::Queue;
 use crate::table::QueueTable;
+use crate::tenant::JobTenant;
 use crate::worker::EndKind;
 use crate::worker::WorkerRecord;
 
@@ -31,6 +32,9 @@
         queue: Arc<Queue>,
         /// The payload and the steps, as checked by [`SubmittedSpec::check`].
         spec: Arc<SubmittedSpec>,
+        /// The tenant whose key the caller has presented.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenant: Option<Arc<JobTenant>>,
     },
     /// Cancels a job that has not ended.
     Cancel {
--- a/crates/queues/src/job.rs
+++ b/crates/queues/src/job.rs
@@ -12,6 +12,8 @@
 use crate::ids::TaskKey;
 use crate::spec::SubmittedSpec;
 use crate::table::Queue;
+use crate::tenant::JobTenant;
+use crate::tenant::Tenant;
 use crate::worker::EndKind;
 
 /// How many runs of a task that were written off are kept.
@@ -51,6 +53,9 @@
     pub queue: Arc<Queue>,
     /// The submitted specification; empty after the end of the job.
     pub spec: Arc<SubmittedSpec>,
+    /// The tenant that submitted the job; `None` if it needed no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<Arc<JobTenant>>,
     /// The phase; it no longer changes once the job has ended.
     pub phase: JobPhase,
     /// When the job was accepted, by the time in the log.
@@ -161,6 +166,7 @@
         key: JobKey,
         queue: Arc<Queue>,
         spec: Arc<SubmittedSpec>,
+        tenant: Option<Arc<JobTenant>>,
         accepted_unix_ms: u64,
     ) -> Job {
         let steps = spec.steps.iter().map(|step| Step {
@@ -173,6 +179,7 @@
             queue,
             steps: steps.collect(),
             spec,
+            tenant,
             phase: JobPhase::Queued,
             accepted_unix_ms,
             ended_unix_ms: None,
@@ -193,6 +200,15 @@
         })
     }
 
+    /// Whether a caller may use the job. A caller without a tenant comes through a queue that needs
+    /// no key.
+    pub fn is_accessible_to(&self, caller: Option<&Tenant>) -> bool {
+        match (&self.tenant, caller) {
+            (Some(own), Some(caller)) => own.name == caller.name,
+            _ => true,
+        }
+    }
+
     /// A task of the job; `None` if there is none with this key, which may belong to an earlier job
     /// whose ID was used again, or if the job has ended.
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod spec;
 pub mod state;
 pub mod table;
+pub mod tenant;
 pub mod worker;
 mod worker_changes;
 
@@ -37,5 +38,9 @@
 pub use crate::table::Queue;
 pub use crate::table::QueueTable;
 pub use crate::table::TableError;
+pub use crate::tenant::ApiKey;
+pub use crate::tenant::JobTenant;
+pub use crate::tenant::Tenant;
+pub use crate::tenant::TenantLimits;
 pub use crate::worker::EndKind;
 pub use crate::worker::WorkerRecord;
--- a/crates/queues/src/state.rs
+++ b/crates/queues/src/state.rs
@@ -158,10 +158,15 @@
         };
         match command {
             QueueCommand::PutTable(table) => apply.put_table(table),
-            QueueCommand::Submit { job, queue, spec } => {
+            QueueCommand::Submit {
+                job,
+                queue,
+                spec,
+                tenant,
+            } => {
                 if !apply.state.jobs.contains_key(job) {
                     let (queue, spec) = (queue.clone(), spec.clone());
-                    let new = Job::new(*job, queue, spec, at_unix_ms);
+                    let new = Job::new(*job, queue, spec, tenant.clone(), at_unix_ms);
                     apply.state.jobs.insert(*job, Arc::new(new));
                     apply.changes.push(QueueChange::Accepted(*job));
                 }
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -8,6 +8,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::tenant::ApiKey;
+use crate::tenant::Tenant;
+
 /// All queues and services of the cluster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -18,6 +21,10 @@
     pub queues: Vec<Queue>,
     /// The services that the queues refer to.
     pub services: Vec<Service>,
+    /// The tenants; `None` if callers need no key. Members of an earlier version do not know the
+    /// field, and can read a table without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Vec<Tenant>>,
     /// The document as the operator submitted it.
     pub document: Arc<str>,
     /// For how long after its end callers are promised an answer about a job.
@@ -65,6 +72,13 @@
     pub timeout_ms: u64,
     /// The cost of requests to the queue's placement policy; `None` if the queue needs no permits.
     pub permits: Option<PermitCost>,
+    /// Whether requests need no key although the table has tenants.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_public: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// The cost and validity of permits of a queue's placement policy.
@@ -127,8 +141,30 @@
     /// Two queues or two services have the same name.
     #[error("the name {0} stands twice")]
     DuplicateName(Arc<str>),
+    /// A tenant has no name.
+    #[error("a tenant has no name")]
+    UnnamedTenant,
+    /// A tenant has an empty key.
+    #[error("tenant {0} has an empty key")]
+    EmptyKey(Arc<str>),
+    /// Two tenants have a key in common.
+    #[error("tenants {first} and {second} share a key")]
+    SharedKey {
+        /// The name of the one tenant.
+        first: Arc<str>,
+        /// The name of the other tenant.
+        second: Arc<str>,
+    },
+    /// The weight of a tenant is negative or no number.
+    #[error("tenant {0} has an invalid weight")]
+    InvalidWeight(Arc<str>),
 }
 
+/// A request has no valid key although its queue requires one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the key is missing or unknown")]
+pub struct Unauthorized;
+
 /// The queue that a request path resolves to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResolvedPath<'a> {
@@ -164,7 +200,33 @@
                 return Err(TableError::DuplicateName(queue.name.clone()));
             }
         }
-        Ok(())
+        check_tenants(self.tenants.as_deref().unwrap_or_default())
+    }
+
+    /// The tenant whose key a request for a queue carries; `None` if the request needs no key. A key
+    /// that is unknown is refused at public queues too.
+    pub fn authenticate(
+        &self,
+        queue: &Queue,
+        key: Option<&ApiKey>,
+    ) -> Result<Option<&Tenant>, Unauthorized> {
+        let Some(tenants) = &self.tenants else {
+            return Ok(None);
+        };
+        match key {
+            Some(key) => {
+                let tenant = tenants.iter().find(|tenant| tenant.keys.contains(key));
+                tenant.map(Some).ok_or(Unauthorized)
+            }
+            None if queue.is_public => Ok(None),
+            None => Err(Unauthorized),
+        }
+    }
+
+    /// The tenant with this name.
+    pub fn tenant(&self, name: &str) -> Option<&Tenant> {
+        let mut tenants = self.tenants.iter().flatten();
+        tenants.find(|tenant| &*tenant.name == name)
     }
 
     /// Resolves a path at a host to the queue with the longest matching prefix.
@@ -182,3 +244,29 @@
         self.queues.iter().find(|queue| &*queue.name == name)
     }
 }
+
+fn check_tenants(tenants: &[Tenant]) -> Result<(), TableError> {
+    let mut names = BTreeSet::new();
+    for (position, tenant) in tenants.iter().enumerate() {
+        let name = || tenant.name.clone();
+        if tenant.name.is_empty() {
+            return Err(TableError::UnnamedTenant);
+        }
+        if !names.insert(name()) {
+            return Err(TableError::DuplicateName(name()));
+        }
+        if tenant.keys.iter().any(ApiKey::is_empty) {
+            return Err(TableError::EmptyKey(name()));
+        }
+        let weight = tenant.limits.weight;
+        if !weight.is_finite() || weight < 0.0 {
+            return Err(TableError::InvalidWeight(name()));
+        }
+        let shares_key = |other: &&Tenant| tenant.keys.iter().any(|key| other.keys.contains(key));
+        if let Some(other) = tenants[..position].iter().find(shares_key) {
+            let (first, second) = (other.name.clone(), name());
+            return Err(TableError::SharedKey { first, second });
+        }
+    }
+    Ok(())
+}
--- a/crates/queues/tests/ended_jobs.rs
+++ b/crates/queues/tests/ended_jobs.rs
@@ -238,6 +238,7 @@
         job,
         queue: Arc::new(queue),
         spec: Arc::new(spec),
+        tenant: None,
     }
 }
 
--- a/crates/queues/tests/late_ends.rs
+++ b/crates/queues/tests/late_ends.rs
@@ -267,6 +267,7 @@
         job: JOB,
         queue,
         spec: Arc::new(spec),
+        tenant: None,
     };
     let expire = QueueCommand::Expire {
         worker: Arc::from(CUT_OFF),
--- a/crates/queues/tests/late_ends_of_dropped_jobs.rs
+++ b/crates/queues/tests/late_ends_of_dropped_jobs.rs
@@ -38,6 +38,7 @@
         job,
         queue: Arc::new(queue("tally", 2, 4.0, 3_000)),
         spec: Arc::new(load::spec(Kind::Tally, 1)),
+        tenant: None,
     }
 }
 
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -179,6 +179,7 @@
         target_ms,
         timeout_ms: 3_000,
         permits: None,
+        is_public: false,
     }
 }
 
@@ -212,6 +213,7 @@
                 name: Arc::from(SERVICE),
                 workers_check_room: false,
             }],
+            tenants: None,
             document: Arc::from("{}"),
             ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
         };
@@ -296,6 +298,7 @@
             job: key,
             queue,
             spec,
+            tenant: None,
         };
         self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
--- a/crates/queues/tests/snapshots_without_held_runs.rs
+++ b/crates/queues/tests/snapshots_without_held_runs.rs
@@ -28,6 +28,7 @@
         job,
         queue: Arc::new(queue("tally", 2, 4.0, 3_000)),
         spec: Arc::new(spec),
+        tenant: None,
     }
 }
 
