Add a check of a configuration before it is sent

An operator learnt only from the answer of a control process that a configuration is invalid, and never that an entry of it has no effect. The check names errors as the control process would, and warns of paths that match no request, queues that take the jobs of others, permits that expire before they are answered, tenants without a key or a share, and what changes against the version in force. Warnings do not make a configuration invalid, since the control processes accept it. Keys are counted and never printed.

--- a/crates/queues/src/ids.rs
+++ b/crates/queues/src/ids.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 /// The length of a job key in hexadecimal digits.
-const JOB_KEY_DIGITS: usize = 16;
+pub(crate) const JOB_KEY_DIGITS: usize = 16;
 
 /// The error for a text that is not a valid key, with the expected form.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod spec;
 pub mod state;
 pub mod table;
+pub mod table_review;
 pub mod tenant;
 pub mod worker;
 mod worker_changes;
