Keep what each tenant runs within its quota

A tenant could take all workers, whatever its quota said: the quota was read from the table and limited nothing. The scheduler now keeps one total for each tenant, changed where runs are added to workers, reported as ended, removed, or adopted by a new leader, and starts nothing that would bring the tenant beyond its quota. A sum over all runs in each round was ruled out, since a round would then cost more with each running task.

A step at its quota is left out of the order of a round before anything is done for it, so it holds no reservation, worker, turn or permit request and uses none of the checks of the round. Each round compares it with the quota again, which takes no search, so no list of waiting steps by tenant has to be kept. A start that was decided under a quota which has been lowered since is released before it is sent, like one whose worker has shrunk.

--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -256,7 +256,7 @@
                 reason: reason.to_owned(),
             }));
         }
-        scheduler.handle_submission(key, &queue, &spec, now);
+        scheduler.handle_submission(key, &queue, &spec, tenant.as_deref(), now);
         queue_log::log_proposed(key, &queue, &spec);
         self.queues.submitting.insert(key);
         let command = QueueCommand::Submit {
--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -284,6 +284,25 @@
         self.isolation_turns.end(view.key);
     }
 
+    /// Ends the turn of a step that may start nothing, and opens the workers that are closed for a
+    /// start that has not come.
+    pub(crate) fn drop_isolation(&mut self, step: StepKey, now: Millis) {
+        if !self.isolation_turns.has(step, now) {
+            return;
+        }
+        self.isolation_turns.end(step);
+        for index in self.workers.indexes() {
+            let worker = self.workers.get(index);
+            let is_closed = worker.is_some_and(|worker| {
+                worker.is_reserved_for(step.job, now) && !worker.has_exclusive_start(step.job, now)
+            });
+            if is_closed && let Some(worker) = self.workers.get_mut(index) {
+                worker.exclusive = None;
+                self.rounds.note_freed(index);
+            }
+        }
+    }
+
     /// Whether the tasks of a step wait only for a worker on which they can be isolated. Further
     /// permits would not help them, and their requests would delay those of other steps.
     pub(crate) fn waits_for_isolation(
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod preempt;
 mod quarantine;
 mod quarantine_set;
+mod quotas;
 mod ranking;
 mod rejections;
 mod reports;
@@ -42,6 +43,8 @@
 mod starts;
 mod step_permits;
 mod steps;
+mod tenant_reports;
+mod tenants;
 mod waiting;
 mod withheld_time;
 mod worker_requests;
@@ -100,6 +103,7 @@
 pub use crate::scheduler::quarantine::QuarantineChange;
 pub use crate::scheduler::ranking::Lateness;
 pub use crate::scheduler::reports::WorkerReport;
+pub use crate::scheduler::tenant_reports::TenantReport;
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
 pub use crate::scheduler::workers::RunStage;
@@ -236,6 +240,9 @@
             overload: Overload::new(now),
             restarts: 0,
         };
+        if let Some(table) = state.table() {
+            scheduler.update_limits(table);
+        }
         for worker in state.workers() {
             let age = |at| unix_ms.saturating_sub(at);
             let restarted = worker.restarted_unix_ms.map(|at| now - age(at));
--- a/crates/queues/src/scheduler/permit_requests.rs
+++ b/crates/queues/src/scheduler/permit_requests.rs
@@ -98,7 +98,7 @@
                 .iter()
                 .filter(move |c| c.permission == permission)
         };
-        let needed = view.waiting.len();
+        let needed = view.waiting.len().min(self.quota_room(view) as usize);
         let expired: Vec<WorkerIndex> = with_permission(Permission::Expired)
             .map(|c| c.index)
             .collect();
@@ -325,7 +325,7 @@
     pub(crate) fn request_size(&self, view: &StepView) -> usize {
         // The waiting tasks of a step are known only after the commit of its job.
         let tasks = if view.is_committed {
-            view.waiting.len()
+            view.waiting.len().min(self.quota_room(view) as usize)
         } else {
             view.spec().count as usize
         };
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -309,8 +309,10 @@
         self.dispatcher.dispatched_at = now;
         let pending = self.pending_steps.iter();
         let pending = pending.filter_map(|key| self.steps.get(key));
-        let candidates =
-            pending.filter(|view| !view.is_settled() && view.permits.next_need().is_some());
+        let candidates = pending.filter(|view| {
+            let needs_request = !view.is_settled() && view.permits.next_need().is_some();
+            needs_request && !self.is_at_quota(view)
+        });
         self.count_visits(VisitKind::Round, self.pending_steps.len());
         let mut candidates: Vec<(bool, Rank)> = candidates
             .map(|view| (self.is_long(view), Rank::of(view, now)))
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -239,6 +239,7 @@
             let waiting = view.waiting.iter().copied();
             let mut waiting = waiting
                 .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
+                .take(self.quota_room(view) as usize)
                 .collect::<Vec<_>>()
                 .into_iter();
             let granted = candidates
@@ -262,6 +263,9 @@
                 return candidates;
             }
         }
+        if self.is_at_quota(view) {
+            return candidates;
+        }
         self.request_permits(view, &candidates, now);
         candidates
     }
@@ -282,6 +286,9 @@
             if isolation == Isolation::None {
                 continue;
             }
+            if self.is_at_quota(view) {
+                return;
+            }
             let isolation = self.isolation_now(view, isolation);
             view.is_without_turn = !self.take_isolation_turn(view, now);
             if view.is_without_turn {
@@ -354,6 +361,7 @@
             let run_view = RunView {
                 run,
                 resources: spec.resources,
+                tenant: None,
                 stage: RunStage::Proposed,
                 since: now,
                 is_adopted: false,
@@ -370,15 +378,17 @@
                 has_begun: false,
                 confirmed: now,
             };
-            worker.add_run(view.key.task(*task), run_view);
-            view.waiting.remove(task);
-            view.proposed.insert(*task);
             proposed.push(Placement {
                 index: *task,
                 run,
                 worker: worker.record.id.clone(),
                 incarnation: worker.record.incarnation,
             });
+            let tenant = view.tenant.map(|tenant| tenant.index);
+            self.workers
+                .add_run(*index, view.key.task(*task), run_view, tenant);
+            view.waiting.remove(task);
+            view.proposed.insert(*task);
         }
         self.propose(QueueCommand::Start {
             step: view.key,
--- a/crates/queues/src/scheduler/polls.rs
+++ b/crates/queues/src/scheduler/polls.rs
@@ -279,11 +279,11 @@
         if let Some(upto) = upto.filter(|upto| *upto > applied) {
             if let Some(worker) = self.workers.get_mut(index) {
                 worker.poll.proposed_ends = upto;
-                // A start that is proposed from now on follows these ends in the log, so it can use
-                // their resources before they are committed.
-                for end in &ends {
-                    worker.release_resources(end.task, end.run);
-                }
+            }
+            // A start that is proposed from now on follows these ends in the log, so it can use
+            // their resources before they are committed.
+            for end in &ends {
+                self.workers.release_resources(index, end.task, end.run);
             }
             self.propose(QueueCommand::End {
                 worker: id,
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -240,7 +240,12 @@
         let mut holding: Vec<StepKey> = Vec::new();
         let pending = self.pending_steps.iter();
         let pending = pending.filter_map(|key| self.steps.get(key));
+        let mut at_quota: Vec<StepKey> = Vec::new();
         for view in pending.filter(|view| !view.waiting.is_empty()) {
+            if self.is_at_quota(view) {
+                at_quota.push(view.key);
+                continue;
+            }
             if now < view.hold.until {
                 holding.push(view.key);
             }
@@ -257,7 +262,7 @@
         self.tally.counts.waiting_steps += order.len() as u64;
         self.update_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
-        let reservations = if has_gangs {
+        let mut reservations = if has_gangs {
             self.reserve_held(&holding, now)
         } else {
             std::mem::take(&mut self.rounds.reservations)
@@ -267,6 +272,9 @@
         } else {
             Vec::new()
         };
+        for key in at_quota {
+            self.wait_for_quota(key, &mut reservations, now);
+        }
         let mut round = Round {
             has_gangs,
             freed: self.rounds.take_freed(has_gangs, &self.workers),
@@ -306,6 +314,10 @@
 
     /// Tries to place a step in a round, if it is due.
     fn place_step(&mut self, state: &QueueState, key: StepKey, round: &mut Round, now: Millis) {
+        // Another step of the tenant may have started tasks in this round.
+        if self.has_tenants() && self.update_wait_for_quota(key, &mut round.reservations, now) {
+            return;
+        }
         self.note_room_for_gang(key, round);
         let Some(view) = self.steps.get(&key) else {
             return;
@@ -380,7 +392,8 @@
             };
             let is_in_time = Rank::of(&view, now).lateness == Lateness::InTime;
             let mut reservations = std::mem::take(&mut self.rounds.reservations);
-            if view.is_urgent() && view.is_ready && is_in_time {
+            let may_start = is_in_time && !self.is_at_quota(&view);
+            if view.is_urgent() && view.is_ready && may_start {
                 self.tally.counts.urgent_attempts += 1;
                 if view.spec().is_gang {
                     let attempt = GangAttempt {
--- a/crates/queues/src/scheduler/starts.rs
+++ b/crates/queues/src/scheduler/starts.rs
@@ -24,8 +24,9 @@
 pub(crate) const START_ATTEMPTS_MAX: u32 = 3;
 
 impl Scheduler {
-    /// Sends the start requests of a committed start, unless the capacity has shrunk, or the worker
-    /// has started again or announced that it leaves meanwhile. A gang is started as a whole or not at all.
+    /// Sends the start requests of a committed start, unless the capacity or the quota of the tenant
+    /// has shrunk, or the worker has started again or announced that it leaves meanwhile. A gang is
+    /// started as a whole or not at all.
     pub(crate) fn send_starts(
         &mut self,
         state: &QueueState,
@@ -36,7 +37,7 @@
         for placement in placements {
             self.record_placement(step, placement);
         }
-        let can_send = self.can_send_starts(step, placements, now);
+        let can_send = self.is_within_quota(step) && self.can_send_starts(step, placements, now);
         for placement in placements {
             let task = step.task(placement.index);
             let Some(index) = self.index(&placement.worker) else {
@@ -313,8 +314,8 @@
                     .runs
                     .get(&task)
                     .is_some_and(|run| run.stage == RunStage::Proposed);
-                if is_proposed {
-                    worker.remove_run(task, placement.run);
+                if is_proposed && let Some(index) = self.index(&placement.worker) {
+                    self.workers.remove_run(index, task, placement.run);
                 }
             }
             if let Some(index) = self.index(&placement.worker) {
--- a/crates/queues/src/scheduler/step_permits.rs
+++ b/crates/queues/src/scheduler/step_permits.rs
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Withdraws a request that no policy client has taken.
+    pub fn drop_need(&mut self) {
+        self.need = None;
+        self.needed_since = None;
+    }
+
     /// Whether requests are paused after one that was refused or failed.
     pub fn is_paused(&self, now: Millis) -> bool {
         now < self.paused_until
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -15,6 +15,7 @@
 use crate::job::TaskPhase;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::quotas::StepTenant;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
@@ -30,6 +31,7 @@
 use crate::state::QueueState;
 use crate::table::PermitCost;
 use crate::table::Queue;
+use crate::tenant::JobTenant;
 
 /// A late job is still useful to its caller up to this multiple of the time to its deadline.
 pub const USEFUL_FACTOR: u64 = 3;
@@ -56,6 +58,10 @@
     pub queue_name: Arc<str>,
     /// The current settings of the queue.
     pub queue: StepQueue,
+    /// The tenant of the job; `None` if the caller needed no key.
+    pub tenant: Option<StepTenant>,
+    /// Whether nothing of it may start within the quota of the tenant, as of the last round.
+    pub is_at_quota: bool,
     /// Whether the job is committed; nothing starts before.
     pub is_committed: bool,
     /// Whether all steps that it depends on are done; `false` until the job is committed.
@@ -157,6 +163,7 @@
         key: JobKey,
         queue: &Queue,
         spec: &Arc<SubmittedSpec>,
+        tenant: Option<&JobTenant>,
         now: Millis,
     ) {
         if self.job_steps.contains_key(&key) {
@@ -164,8 +171,11 @@
         }
         self.job_steps.insert(key, spec.steps.len() as u16);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
+        let tenant = self.step_tenant(tenant);
         for mut view in new_views(key, spec, queue, &durations_ms, now) {
-            if view.spec().after.is_empty() && view.queue.permits.is_some() {
+            view.tenant = tenant;
+            let needs_permits = view.spec().after.is_empty() && view.queue.permits.is_some();
+            if needs_permits && !self.is_at_quota(&view) {
                 view.permits.set_need(PermitNeed::More, now);
                 self.dispatcher.is_dispatch_due = true;
             }
@@ -207,9 +217,11 @@
         let queue = state.table().and_then(|table| table.queue(&job.queue.name));
         let queue = queue.unwrap_or(&job.queue);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, &job.spec);
+        let tenant = self.step_tenant(job.tenant.as_deref());
         for new in new_views(key, &job.spec, queue, &durations_ms, arrived) {
             let view = self.steps.entry(new.key).or_insert(new);
             view.is_committed = is_committed;
+            view.tenant = tenant;
         }
         self.refresh_job(job, arrived);
     }
@@ -304,6 +316,7 @@
                 view.shortfall = None;
             }
         }
+        self.update_limits(table);
     }
 
     /// Records in the steps the runs that were adopted from an earlier leader.
@@ -357,6 +370,8 @@
         job_spec: spec.clone(),
         queue_name: queue.name.clone(),
         queue: step_queue(queue),
+        tenant: None,
+        is_at_quota: false,
         is_committed: false,
         is_ready: false,
         is_pending: false,
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -39,6 +39,8 @@
     Room,
     /// Members of the last run of its gang are still on workers.
     FormerRun,
+    /// The quota of its tenant leaves no room for a task, or for all members of its gang.
+    Quota,
     /// Its tasks have to be isolated, and it has no turn to use workers for that.
     Isolation,
     /// Some allowed worker has enough free resources for a member of its gang, but the gang cannot
@@ -152,14 +154,14 @@
         let others = self
             .steps
             .values()
-            .filter(|other| !other.waiting.is_empty());
+            .filter(|other| !other.waiting.is_empty() && !other.is_at_quota);
         self.count_checks(self.steps.len());
         let ahead = others.filter(|other| Rank::of(other, now) < rank);
         Some(WaitingStep {
             step: view.key,
             tasks: wait.tasks,
             waits_ms: wait.waits_ms,
-            reason: wait_reason(view, &room),
+            reason: wait_reason(view, &room, self.is_at_quota(view)),
             lateness: rank.lateness,
             steps_ahead: ahead.count(),
             is_asking: view.permits.has_request(),
@@ -222,7 +224,7 @@
     tasks_if_empty: u64,
 }
 
-fn wait_reason(view: &StepView, room: &RoomCount) -> WaitReason {
+fn wait_reason(view: &StepView, room: &RoomCount, is_at_quota: bool) -> WaitReason {
     let members = view.spec().count as usize;
     let is_gang = view.spec().is_gang;
     if !view.is_committed {
@@ -233,6 +235,8 @@
         WaitReason::NoWorker
     } else if is_gang && view.waiting.len() < members {
         WaitReason::FormerRun
+    } else if is_at_quota {
+        WaitReason::Quota
     } else if view.is_without_turn {
         WaitReason::Isolation
     } else if room.allowed == 0 {
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -73,7 +73,7 @@
 impl Scheduler {
     /// Takes over the runs that an earlier leader started on a worker.
     pub(crate) fn adopt_runs(&mut self, state: &QueueState, worker: &Worker, now: Millis) {
-        let Some(view) = self.workers.by_id_mut(&worker.record.id) else {
+        let Some(index) = self.workers.index(&worker.record.id) else {
             return;
         };
         for (task, held) in &worker.runs {
@@ -82,6 +82,7 @@
             let run = RunView {
                 run: held.run,
                 resources: held.resources,
+                tenant: None,
                 stage: RunStage::Unknown,
                 since: now,
                 is_adopted: true,
@@ -98,7 +99,9 @@
                 is_needless: job.is_some_and(|job| job.is_needless(*task, held.run)),
                 confirmed: now,
             };
-            view.add_run(*task, run);
+            let tenant = job.and_then(|job| job.tenant.as_deref());
+            let tenant = self.adopted_tenant(tenant);
+            self.workers.add_run(index, *task, run, tenant);
         }
     }
 
@@ -290,10 +293,10 @@
         let Some(index) = self.workers.index(id) else {
             return;
         };
-        let Some(worker) = self.workers.get_mut(index) else {
+        let Some(view) = self.workers.remove_run(index, task, run) else {
             return;
         };
-        let Some(view) = worker.remove_run(task, run) else {
+        let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
         let id = worker.record.id.clone();
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -18,6 +18,9 @@
 use crate::scheduler::polls::PollState;
 use crate::scheduler::restarts::LateStartStop;
 use crate::scheduler::restarts::OpenStart;
+use crate::scheduler::tenants::RunTenant;
+use crate::scheduler::tenants::TenantIndex;
+use crate::scheduler::tenants::Tenants;
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
 
@@ -68,6 +71,9 @@
     pub run: u32,
     /// The resources that it takes; zero once the worker has reported its end.
     pub resources: Resources,
+    /// The tenant whose usage includes the run; `None` for a run of no tenant, and once the worker has
+    /// reported the end.
+    pub tenant: Option<RunTenant>,
     /// How far it has come.
     pub stage: RunStage,
     /// When the start was proposed, or when this leader took the run over.
@@ -226,27 +232,28 @@
             && self.runs.len() < self.health.tasks_max(now)
     }
 
-    /// Adds a run, or replaces an earlier run of the task.
-    pub fn add_run(&mut self, task: TaskKey, run: RunView) {
+    /// Adds a run, or replaces and returns an earlier run of the task.
+    fn add_run(&mut self, task: TaskKey, run: RunView) -> Option<RunView> {
         self.used = self.used.saturating_add(&run.resources);
-        if let Some(earlier) = self.runs.insert(task, run) {
-            self.used = self.used.saturating_sub(&earlier.resources);
-        } else {
-            *self.runs_by_step.entry(task.step).or_default() += 1;
+        let earlier = self.runs.insert(task, run);
+        match &earlier {
+            Some(earlier) => self.used = self.used.saturating_sub(&earlier.resources),
+            None => *self.runs_by_step.entry(task.step).or_default() += 1,
         }
+        earlier
     }
 
-    /// Frees the resources of a run that has ended, before its end is applied.
-    pub fn release_resources(&mut self, task: TaskKey, run: u32) {
-        let ended = self.runs.get_mut(&task).filter(|held| held.run == run);
-        if let Some(held) = ended {
-            let freed = std::mem::replace(&mut held.resources, Resources::ZERO);
-            self.used = self.used.saturating_sub(&freed);
-        }
+    /// Frees and returns the resources of a run that has ended, before its end is applied, and the
+    /// tenant whose usage included them.
+    fn release_resources(&mut self, task: TaskKey, run: u32) -> Option<(RunTenant, Resources)> {
+        let held = self.runs.get_mut(&task).filter(|held| held.run == run)?;
+        let freed = std::mem::replace(&mut held.resources, Resources::ZERO);
+        self.used = self.used.saturating_sub(&freed);
+        Some((held.tenant.take()?, freed))
     }
 
     /// Removes and returns the run of a task if its number is `run`.
-    pub fn remove_run(&mut self, task: TaskKey, run: u32) -> Option<RunView> {
+    fn remove_run(&mut self, task: TaskKey, run: u32) -> Option<RunView> {
         if self.runs.get(&task)?.run != run {
             return None;
         }
@@ -279,6 +286,8 @@
     changed: Vec<WorkerIndex>,
     /// Whether a worker is among these, by index.
     is_changed: Vec<bool>,
+    /// What the tenants use on all workers.
+    pub tenants: Tenants,
 }
 
 impl Workers {
@@ -334,7 +343,58 @@
     pub fn remove(&mut self, id: &str) -> Option<WorkerView> {
         let index = self.by_id.remove(id)?;
         self.note_changed(index);
-        self.slots[index.0 as usize].take()
+        let removed = self.slots[index.0 as usize].take()?;
+        for run in removed.runs.values() {
+            self.remove_usage(run);
+        }
+        Some(removed)
+    }
+
+    /// Adds a run of a tenant to a worker, or replaces an earlier run of the task.
+    pub fn add_run(
+        &mut self,
+        index: WorkerIndex,
+        task: TaskKey,
+        mut run: RunView,
+        tenant: Option<TenantIndex>,
+    ) {
+        self.note_changed(index);
+        let slot = self.slots.get_mut(index.position());
+        let Some(worker) = slot.and_then(Option::as_mut) else {
+            return;
+        };
+        run.tenant = tenant.map(|tenant| RunTenant {
+            tenant,
+            service: self.tenants.service(&worker.record.service),
+        });
+        if let Some(key) = run.tenant {
+            self.tenants.add(key, &run.resources);
+        }
+        if let Some(earlier) = worker.add_run(task, run) {
+            self.remove_usage(&earlier);
+        }
+    }
+
+    /// Removes and returns the run of a task on a worker if its number is `run`.
+    pub fn remove_run(&mut self, index: WorkerIndex, task: TaskKey, run: u32) -> Option<RunView> {
+        let removed = self.get_mut(index)?.remove_run(task, run)?;
+        self.remove_usage(&removed);
+        Some(removed)
+    }
+
+    /// Frees the resources of a run that has ended, before its end is applied.
+    pub fn release_resources(&mut self, index: WorkerIndex, task: TaskKey, run: u32) {
+        let worker = self.get_mut(index);
+        if let Some((key, freed)) = worker.and_then(|worker| worker.release_resources(task, run)) {
+            self.tenants.remove(key, &freed);
+        }
+    }
+
+    /// Takes a run that is no longer on a worker from the usage of its tenant.
+    fn remove_usage(&mut self, run: &RunView) {
+        if let Some(key) = run.tenant {
+            self.tenants.remove(key, &run.resources);
+        }
     }
 
     /// The number of workers, without removed ones.
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -1,7 +1,7 @@
 //! A model of a cluster on a virtual clock: workers, the placement policy and the replicated log.
 //!
-//! It drives the real state and scheduler. At each step it checks that no task runs twice and that
-//! no worker uses more than its capacity. The tests switch faults on and off.
+//! It drives the real state and scheduler. At each step it checks that no task runs twice, that no
+//! worker uses more than its capacity, and that no tenant exceeds its quota. The tests switch faults on and off.
 
 #![allow(dead_code)] // Each test binary uses a part of it.
 
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod restart;
 pub mod starts;
+pub mod tenants;
 pub mod wide_load;
 pub mod worker;
 
@@ -24,6 +25,7 @@
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueState;
@@ -165,6 +167,8 @@
     pub first_starts: BTreeMap<StepKey, Millis>,
     /// For the check that all members of a gang resume from the same checkpoint.
     pub gang_checkpoints: starts::GangCheckpoints,
+    /// The tenants and their jobs.
+    tenants: tenants::ModelTenants,
 }
 
 pub fn queue(name: &str, priority: u32, factor: f64, target_ms: u64) -> Queue {
@@ -259,6 +263,7 @@
             leader: LeaderTime::default(),
             first_starts: BTreeMap::new(),
             gang_checkpoints: starts::GangCheckpoints::default(),
+            tenants: tenants::ModelTenants::default(),
         };
         for client in 0..clients {
             let client: Arc<str> = Arc::from(format!("client-{client}"));
@@ -277,7 +282,17 @@
     }
 
     /// Submits a job; its commit takes `commit_ms`.
-    pub fn submit(&mut self, key: u64, queue: &str, mut spec: SubmittedSpec) {
+    pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
+        self.submit_for(None, key, queue, spec);
+    }
+
+    fn submit_for(
+        &mut self,
+        tenant: Option<Arc<JobTenant>>,
+        key: u64,
+        queue: &str,
+        mut spec: SubmittedSpec,
+    ) {
         let key = JobKey(key);
         spec.payload = starts::payload(key);
         let table = self.state.table().unwrap().clone();
@@ -293,12 +308,12 @@
         self.jobs.insert(key, submitted);
         let spec = Arc::new(spec);
         self.scheduler
-            .handle_submission(key, &queue, &spec, self.now);
+            .handle_submission(key, &queue, &spec, tenant.as_deref(), self.now);
         let command = QueueCommand::Submit {
             job: key,
             queue,
             spec,
-            tenant: None,
+            tenant,
         };
         self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
@@ -430,6 +445,7 @@
         self.check();
         self.check_broken_gangs();
         self.check_ended_tasks();
+        self.check_quotas();
     }
 
     fn tick(&mut self) {
