Limit the rates of tenants and reject what exceeds a quota on arrival

A tenant that sends many times its rate filled the backlog, and the jobs of all others were refused for it. Each tenant now has a token bucket with its weight as the rate. Jobs beyond it are admitted while the service has room and rejected while it has none. A rejected job is promised the first future token that no earlier promise takes, so that the rejected jobs of a tenant come back at its rate; the token is kept for 2 s and then given to another job. A job that comes early is told the rest of its time. Telling all rejected jobs the time until the backlog is gone was ruled out, since they would come back at once, and so was a stateless choice by the key of the job, since its retry time could not be kept.

Jobs within the rate are compared with the backlog without the waiting work of admitted jobs beyond the rates of other tenants, and a leader that falls behind first rejects what is beyond the rates. A gang wider than the quota, or a task larger than it, is rejected with the step and the resource. Answers, log lines and metrics name the tenant and the limit. Admission changes the buckets, so it takes the scheduler by a mutable reference, and some tests change in that alone.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,12 +28,14 @@
 mod queue_log;
 mod queue_metrics;
 mod queues;
+mod rejection_log;
 mod relayed_reports;
 mod requests;
 mod settings;
 mod snapshots;
 mod start;
 mod storage_thread;
+mod tenant_metrics;
 
 pub use crate::event::Event;
 pub use crate::event::EventReceiver;
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -18,7 +18,6 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::SubmittedSpec;
-use sapphirepost_queues::scheduler::Admission;
 use sapphirepost_queues::scheduler::AnsweredPermitRequest;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
@@ -28,6 +27,7 @@
 use crate::incarnation_log;
 use crate::pending_calls::PendingRead;
 use crate::queue_log;
+use crate::rejection_log;
 
 /// The job that a caller's request names.
 struct ResolvedJob {
@@ -240,20 +240,20 @@
         let Some(scheduler) = &mut self.queues.scheduler else {
             return done.send(Err(RpcError::Busy));
         };
-        let admission = scheduler.admission(key, &queue, &spec, now);
+        let admission = scheduler.admission(key, &queue, &spec, tenant.as_deref(), now);
         if let Some(admission) = admission
-            && let Some(retry_after_ms) = admission.retry_after_ms()
+            && let Some(rejection) = admission.rejection()
         {
-            let reason = refusal_reason(&admission);
-            log::info!(
-                job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
-                capacity_millicores = admission.capacity_millicores, retry_after_ms;
-                "job refused: {reason}"
-            );
+            let by = tenant.as_deref();
+            let reason = rejection_log::log_rejected(key, &queue, by, &admission, rejection);
             self.queues.metrics.refused.inc();
+            if let Some(tenant) = &tenant {
+                let metrics = &mut self.queues.metrics.tenants;
+                metrics.count_rejected(&tenant.name, rejection.limit);
+            }
             return done.send(Ok(QueueReply::Refused {
-                retry_after_ms,
-                reason: reason.to_owned(),
+                retry_after_ms: rejection.retry_after_ms,
+                reason,
             }));
         }
         scheduler.handle_submission(key, &queue, &spec, now);
@@ -283,13 +283,6 @@
     }
 }
 
-fn refusal_reason(admission: &Admission) -> &'static str {
-    match admission.overload_retry_ms {
-        Some(_) => "the leader falls behind",
-        None => "the backlog is too long",
-    }
-}
-
 fn log_permit_answer(answered: Option<AnsweredPermitRequest>, answer: &PermitAnswer) {
     let Some(answered) = answered else {
         log::debug!(question = answer.id; "an answer of the policy arrived too late");
--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -15,6 +15,8 @@
 use sapphirepost_queues::scheduler::StopReason;
 use sapphirepost_queues::scheduler::VisitKind;
 
+use crate::tenant_metrics::TenantMetrics;
+
 pub(crate) const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Metrics of the queues. Counters and histograms go on across terms.
@@ -61,6 +63,7 @@
     requested_workers: Family<CauseLabel, Counter>,
     repeated_permit_answers: Counter,
     tasks_after_withholding: Counter,
+    pub(crate) tenants: TenantMetrics,
 }
 
 /// What came of an attempt to place a step, as a label.
@@ -117,7 +120,7 @@
         let histogram = |name: &str, help: &str| metrics.register(name, help, seconds());
         QueueMetrics {
             accepted: counter("queue_jobs_accepted", "Jobs accepted"),
-            refused: counter("queue_jobs_refused", "Jobs refused for a long backlog"),
+            refused: counter("queue_jobs_refused", "Jobs refused on arrival"),
             cancelled: counter("queue_jobs_cancelled", "Cancels of live jobs"),
             ended: counter("queue_jobs_ended", "Jobs that ended in any way"),
             reads: counter("queue_reads", "Reads of callers handled as the leader"),
@@ -218,6 +221,7 @@
                 "queue_questions_repeated",
                 "Answered questions for a step that placed no task since the answer before",
             ),
+            tenants: TenantMetrics::register(metrics),
         }
     }
 
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -154,6 +154,7 @@
         self.policy_clients.clear();
         self.accepted.clear();
         self.metrics.ended_job_runs.set(0);
+        self.metrics.tenants.stop_leading();
     }
 
     /// The time until the collected commands are to be proposed; `None` if there are none.
@@ -281,6 +282,12 @@
         for command in commands {
             self.queues.command_ended(command);
         }
+        if let Some(table) = self.state.queues().table()
+            && changes.iter().flatten().any(|c| *c == QueueChange::Table)
+        {
+            let tenants = &mut self.queues.metrics.tenants;
+            tenants.retain(|name| table.tenant(name).is_some());
+        }
         // Followers and members that replay their log have no scheduler and log nothing.
         if let Some(scheduler) = &mut self.queues.scheduler {
             for (command, changes) in commands.iter().zip(&changes) {
@@ -376,6 +383,8 @@
             let ended = scheduler.find_ended_job_runs(now);
             ended.longest.iter().for_each(queue_log::log_ended_job_run);
             self.queues.metrics.ended_job_runs.set(ended.count as i64);
+            let tenants = scheduler.tenant_statuses(self.state.queues());
+            self.queues.metrics.tenants.set(&tenants);
         }
         let actions = scheduler.take_actions();
         self.queues.metrics.add_counts(scheduler.take_counts());
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -118,9 +118,14 @@
         self.call_leader(&QueueCall::GetTable).0
     }
 
+    /// Returns the metrics of one member as text.
+    pub fn metrics(&self, index: usize) -> String {
+        self.members[index].metrics.encode().unwrap()
+    }
+
     /// Returns the value of a counter of one member.
     pub fn counter(&self, index: usize, name: &str) -> u64 {
-        let text = self.members[index].metrics.encode().unwrap();
+        let text = self.metrics(index);
         let prefix = format!("sapphirepost_{name}_total ");
         let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
         value.unwrap().parse().unwrap()
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod due_attempts;
 mod durations;
 mod ended_runs;
+mod excess_work;
 mod free_capacity;
 mod gang_runs;
 mod gangs;
@@ -31,7 +32,9 @@
 mod preempt;
 mod quarantine;
 mod quarantine_set;
+mod quota_limits;
 mod ranking;
+mod rate_limits;
 mod rejections;
 mod reports;
 mod reservations;
@@ -42,6 +45,9 @@
 mod starts;
 mod step_permits;
 mod steps;
+mod tenant_admission;
+mod tenant_status;
+mod token_bucket;
 mod waiting;
 mod withheld_time;
 mod worker_requests;
@@ -57,6 +63,7 @@
 use crate::command::QueueCommand;
 use crate::ids::JobKey;
 use crate::ids::StepKey;
+use crate::scheduler::backlog::Backlog;
 use crate::scheduler::contact_loss::ContactLosses;
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
@@ -65,6 +72,7 @@
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::placement_counts::PlacementTally;
 use crate::scheduler::quarantine::Quarantine;
+use crate::scheduler::rate_limits::RateLimits;
 use crate::scheduler::rounds::Rounds;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::USEFUL_FACTOR;
@@ -77,6 +85,9 @@
 use crate::table::Queue;
 
 pub use crate::scheduler::admission::Admission;
+pub use crate::scheduler::admission::AdmissionLimit;
+pub use crate::scheduler::admission::Rejection;
+pub use crate::scheduler::admission::TenantRejection;
 pub use crate::scheduler::ended_runs::AdoptedRuns;
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
@@ -98,8 +109,11 @@
 pub use crate::scheduler::placement_counts::RequestCause;
 pub use crate::scheduler::placement_counts::VisitKind;
 pub use crate::scheduler::quarantine::QuarantineChange;
+pub use crate::scheduler::quota_limits::QuotaExcess;
 pub use crate::scheduler::ranking::Lateness;
+pub use crate::scheduler::rate_limits::RejectedJobs;
 pub use crate::scheduler::reports::WorkerReport;
+pub use crate::scheduler::tenant_status::TenantStatus;
 pub use crate::scheduler::waiting::WaitReason;
 pub use crate::scheduler::waiting::WaitingStep;
 pub use crate::scheduler::workers::RunStage;
@@ -197,6 +211,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
     pub(crate) overload: Overload,
+    pub(crate) rate_limits: RateLimits,
     /// The number of restarts of workers under their IDs that this leader has noticed.
     pub(crate) restarts: u32,
 }
@@ -234,6 +249,7 @@
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
             overload: Overload::new(now),
+            rate_limits: RateLimits::default(),
             restarts: 0,
         };
         for worker in state.workers() {
@@ -247,6 +263,7 @@
             scheduler.add_job(state, job.key, now - age_ms, true);
         }
         scheduler.record_adopted_runs();
+        scheduler.update_rate_limits(state);
         scheduler
     }
 
@@ -301,7 +318,10 @@
 
     fn apply_change(&mut self, state: &QueueState, change: &QueueChange, now: Millis) {
         match change {
-            QueueChange::Table => self.table_changed(state),
+            QueueChange::Table => {
+                self.table_changed(state);
+                self.update_rate_limits(state);
+            }
             QueueChange::Accepted(job) => self.add_job(state, *job, now, true),
             QueueChange::Ended(job, phase) => self.job_ended(*job, *phase, now),
             QueueChange::Worker(id) => self.worker_changed(state, id, now),
@@ -421,29 +441,38 @@
 const WORKERS_PER_RUN_CHECK_MS: u64 = 4;
 
 impl Scheduler {
-    /// What a new job of a queue would wait for; `None` if the job is known and has not ended, or
-    /// if its commit is in progress. A caller that submits such a job again must not be told that
-    /// it is refused, since it may run.
-    pub fn admission(
+    /// What a new job would wait for. A job within the rate of `owed_tenant` is compared only with
+    /// the work that is owed service, and with that of its own tenant.
+    fn service_admission(
         &self,
         key: JobKey,
         queue: &Queue,
         spec: &SubmittedSpec,
+        owed_tenant: Option<&str>,
         now: Millis,
-    ) -> Option<Admission> {
-        if self.job_steps.contains_key(&key) {
-            return None;
-        }
+    ) -> Admission {
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
         let critical_path_ms = spec.critical_path_ms(&durations_ms);
         let deadline_ms = queue.deadline_ms(critical_path_ms);
         let useful_ms = USEFUL_FACTOR * deadline_ms;
-        if let Some(retry_ms) = self.overload.retry_after_ms(key, useful_ms, now) {
-            return Some(Admission::of_overloaded_leader(retry_ms));
+        let owed_permille = owed_tenant.map_or(1_000, |_| self.rate_limits.owed_permille());
+        let overload = &self.overload;
+        if let Some(retry_ms) = overload.retry_after_ms(key, useful_ms, owed_permille, now) {
+            return Admission::of_overloaded_leader(retry_ms);
         }
         let job_millicores = spec.core_ms() * 1_000 / critical_path_ms.max(1);
-        let (ahead_core_ms, backlog_core_ms) = self.preceding_core_ms(queue);
-        Some(Admission {
+        let (mut ahead_core_ms, mut backlog_core_ms) =
+            self.preceding_core_ms(queue, &self.rounds.backlog);
+        let excess = owed_tenant.into_iter();
+        let excess = excess.flat_map(|tenant| self.rate_limits.excess.of_others(tenant));
+        for excess in excess {
+            let (excess_ahead_core_ms, excess_core_ms) = self.preceding_core_ms(queue, excess);
+            ahead_core_ms = ahead_core_ms.saturating_sub(excess_ahead_core_ms);
+            backlog_core_ms = backlog_core_ms.saturating_sub(excess_core_ms);
+        }
+        Admission {
+            tenant_rejection: None,
+            is_promised: false,
             overload_retry_ms: None,
             ahead_core_ms,
             backlog_core_ms,
@@ -451,16 +480,16 @@
             deadline_ms,
             useful_ms,
             critical_path_ms,
-        })
+        }
     }
 
-    /// The processor time of the waiting work that is placed before a new job of a queue as long as
-    /// the job can meet its deadline, and of all waiting work that is as urgent.
-    fn preceding_core_ms(&self, queue: &Queue) -> (u64, u64) {
+    /// Of some waiting work, the processor time of what is placed before a new job of a queue as
+    /// long as the job can meet its deadline, and of all that is as urgent.
+    fn preceding_core_ms(&self, queue: &Queue, backlog: &Backlog) -> (u64, u64) {
         let is_quarantined = self.quarantine.is_quarantined(&queue.name);
         let mut ahead_core_ms = 0;
         let mut backlog_core_ms = 0;
-        for other in self.rounds.backlog.queues() {
+        for other in backlog.queues() {
             let precedes = other.priority <= queue.priority
                 && other.service == queue.service
                 && self.quarantine.share_workers(&other.queue, &queue.name);
--- a/crates/queues/src/scheduler/overload.rs
+++ b/crates/queues/src/scheduler/overload.rs
@@ -130,22 +130,39 @@
         self.share_permille
     }
 
+    /// Whether this leader admits less than all new jobs.
+    pub fn is_shedding(&self, now: Millis) -> bool {
+        let mut level = *self;
+        level.advance(now);
+        level.share_permille < ALL_PERMILLE || level.in_progress_ms >= STUCK_MS
+    }
+
+    /// The time after which any new job may be submitted again, while a commit is in progress for
+    /// so long that no job is admitted.
+    pub fn stuck_retry_ms(&self) -> Option<u64> {
+        let retry_ms = RETRY_MIN_MS.max(2 * self.in_progress_ms);
+        (self.in_progress_ms >= STUCK_MS).then_some(retry_ms.min(RETRY_FALLING_MS))
+    }
+
     /// The time after which a new job that stays useful for `useful_ms` may be submitted again;
-    /// `None` if it is admitted.
-    pub fn retry_after_ms(&self, job: JobKey, useful_ms: u64, now: Millis) -> Option<u64> {
+    /// `None` if it is admitted. Of all jobs that compete with it, `owed_permille` are owed service
+    /// like it, and the others are rejected first.
+    pub fn retry_after_ms(
+        &self,
+        job: JobKey,
+        useful_ms: u64,
+        owed_permille: u64,
+        now: Millis,
+    ) -> Option<u64> {
         let mut level = *self;
         level.advance(now);
         if level.is_slow_takeover(level.in_progress_ms, now) {
             level.begin_at_start_share(now);
         }
-        if level.in_progress_ms >= STUCK_MS {
-            return Some(
-                RETRY_MIN_MS
-                    .max(2 * level.in_progress_ms)
-                    .min(RETRY_FALLING_MS),
-            );
+        if let Some(retry_ms) = level.stuck_retry_ms() {
+            return Some(retry_ms);
         }
-        let rank = rank_permille(job);
+        let rank = job.spread_permille() * owed_permille / ALL_PERMILLE;
         if rank < level.share_permille {
             return None;
         }
@@ -239,10 +256,3 @@
         self.is_taking_over &= self.share_permille < ALL_PERMILLE;
     }
 }
-
-/// The rank of a job among all jobs, in thousandths. It is spread evenly, whatever keys the callers
-/// choose.
-fn rank_permille(job: JobKey) -> u64 {
-    let mixed = (job.0 ^ (job.0 >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed >> 32) % ALL_PERMILLE
-}
--- a/crates/queues/tests/estimates.rs
+++ b/crates/queues/tests/estimates.rs
@@ -50,13 +50,13 @@
 #[test]
 fn durations_are_expected_as_they_were_and_not_as_estimated() {
     let long = |_| WORK_MS * ERROR_FACTOR;
-    let model = model_after(long);
+    let mut model = model_after(long);
     let table = model.state.table().unwrap();
     let queue = table.queue(QUEUE).unwrap();
     let new = spec(long(0));
     let admission = model
         .scheduler
-        .admission(JobKey(1_000), queue, &new, model.now)
+        .admission(JobKey(1_000), queue, &new, None, model.now)
         .unwrap();
     println!("{admission:?}");
     assert!(
--- a/crates/queues/tests/failures.rs
+++ b/crates/queues/tests/failures.rs
@@ -449,19 +449,19 @@
     let spec = load::spec(Kind::Lookup, 0);
     let key = load::key(Kind::Lookup, 0);
     let lookup = queue("lookup", 9, 1.5, 250);
-    let retry_after_ms = |model: &Model, key: u64| {
+    let retry_after_ms = |model: &mut Model, key: u64| {
         let admission = model
             .scheduler
-            .admission(JobKey(key), &lookup, &spec, model.now);
+            .admission(JobKey(key), &lookup, &spec, None, model.now);
         admission.and_then(|admission| admission.retry_after_ms())
     };
     model.submit(key, "lookup", spec.clone());
     model.run(STEP_MS);
     assert!(
-        retry_after_ms(&model, key + 1).is_some(),
+        retry_after_ms(&mut model, key + 1).is_some(),
         "the backlog is short"
     );
-    assert_eq!(retry_after_ms(&model, key), None);
+    assert_eq!(retry_after_ms(&mut model, key), None);
 }
 
 /// Guards against a new leader that uses the service that a queue had when it accepted a job,
--- a/crates/queues/tests/model/leader.rs
+++ b/crates/queues/tests/model/leader.rs
@@ -147,7 +147,7 @@
         let key = JobKey(submission.key);
         let admission = self
             .scheduler
-            .admission(key, queue, &submission.spec, self.now);
+            .admission(key, queue, &submission.spec, None, self.now);
         let Some(retry_after_ms) = admission.and_then(|admission| admission.retry_after_ms())
         else {
             return self.submit(submission.key, &submission.queue, submission.spec);
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -24,6 +24,7 @@
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
 use sapphirepost_queues::JobPhase;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::Queue;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueState;
@@ -277,7 +278,18 @@
     }
 
     /// Submits a job; its commit takes `commit_ms`.
-    pub fn submit(&mut self, key: u64, queue: &str, mut spec: SubmittedSpec) {
+    pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
+        self.submit_for(key, queue, spec, None);
+    }
+
+    /// The same for a tenant.
+    pub fn submit_for(
+        &mut self,
+        key: u64,
+        queue: &str,
+        mut spec: SubmittedSpec,
+        tenant: Option<Arc<JobTenant>>,
+    ) {
         let key = JobKey(key);
         spec.payload = starts::payload(key);
         let table = self.state.table().unwrap().clone();
@@ -298,7 +310,7 @@
             job: key,
             queue,
             spec,
-            tenant: None,
+            tenant,
         };
         self.schedule(self.commit_ms, Event::Applied(vec![command]));
     }
--- a/crates/queues/tests/quarantine.rs
+++ b/crates/queues/tests/quarantine.rs
@@ -125,7 +125,9 @@
     let table = model.state.table().unwrap();
     let (queue, spec) = (table.queue(name).unwrap(), load::spec(kind, number));
     let key = JobKey(load::key(kind, number));
-    let admission = model.scheduler.admission(key, queue, &spec, model.now);
+    let admission = model
+        .scheduler
+        .admission(key, queue, &spec, None, model.now);
     admission.unwrap().retry_after_ms().is_some()
 }
 
@@ -289,11 +291,13 @@
     let mut model = model(WORKERS, fifth_of_lookups);
     model.submit_load(&RATES, |_, _| 1.0, 12);
     assert_eq!(model.scheduler.quarantined_queues(), 1);
-    let retry_after_ms = |kind, name| {
+    let mut retry_after_ms = |kind, name| {
         let table = model.state.table().unwrap();
         let (queue, spec) = (table.queue(name).unwrap(), load::spec(kind, 90_000));
         let key = JobKey(load::key(kind, 90_000));
-        let admission = model.scheduler.admission(key, queue, &spec, model.now);
+        let admission = model
+            .scheduler
+            .admission(key, queue, &spec, None, model.now);
         admission.unwrap().retry_after_ms()
     };
     assert!(retry_after_ms(Kind::Lookup, "lookup").is_some());
--- a/crates/queues/tests/round_cost.rs
+++ b/crates/queues/tests/round_cost.rs
@@ -80,7 +80,7 @@
     }
 
     /// Lets the leader decide on as many jobs as arrive at the usual load.
-    fn admit_usual_load(&self, step: u64) {
+    fn admit_usual_load(&mut self, step: u64) {
         let table = self.model.state.table().unwrap();
         for kind in LARGE_KINDS {
             let per_step = large::jobs_per_step(&kind);
@@ -92,7 +92,7 @@
                 let _ = self
                     .model
                     .scheduler
-                    .admission(key, queue, &spec, self.model.now);
+                    .admission(key, queue, &spec, None, self.model.now);
             }
         }
     }
--- a/crates/queues/tests/slow_commits.rs
+++ b/crates/queues/tests/slow_commits.rs
@@ -25,17 +25,17 @@
 }
 
 /// After how long the leader lets a job come back; `None` if it accepts it.
-fn retry_after_ms(model: &Model, number: u64, now: Millis) -> Option<u64> {
+fn retry_after_ms(model: &mut Model, number: u64, now: Millis) -> Option<u64> {
     let spec = load::spec(Kind::Lookup, number);
     let table = model.state.table().unwrap();
     let queue = table.queue("lookup").unwrap();
     let key = JobKey(load::key(Kind::Lookup, number));
-    let admission = model.scheduler.admission(key, queue, &spec, now)?;
+    let admission = model.scheduler.admission(key, queue, &spec, None, now)?;
     admission.retry_after_ms()
 }
 
 /// How many of 1,000 jobs the leader refuses, and the shortest time after which one may return.
-fn refused(model: &Model, now: Millis) -> (usize, Option<u64>) {
+fn refused(model: &mut Model, now: Millis) -> (usize, Option<u64>) {
     let retries = (0..1_000).filter_map(|number| retry_after_ms(model, number, now));
     let retries: Vec<u64> = retries.collect();
     (retries.len(), retries.iter().min().copied())
@@ -55,13 +55,13 @@
 fn new_jobs_are_refused_while_all_commits_are_slow() {
     let mut model = model();
     let begin = model.now;
-    assert_eq!(refused(&model, begin).0, 0);
+    assert_eq!(refused(&mut model, begin).0, 0);
     let now = commit_for(&mut model, SLOW_MS, begin, 400);
-    let (first, retry_ms) = refused(&model, now);
+    let (first, retry_ms) = refused(&mut model, now);
     assert!((200..900).contains(&first), "{first} of 1,000 are refused");
     assert!(retry_ms >= Some(1_000), "{retry_ms:?}");
     let now = commit_for(&mut model, SLOW_MS, now, 2_000);
-    let (all, _) = refused(&model, now);
+    let (all, _) = refused(&mut model, now);
     assert!(all >= 850, "{all} of 1,000 are refused");
 }
 
@@ -72,13 +72,13 @@
     let mut model = model();
     let begin = model.now;
     let now = commit_for(&mut model, SLOW_MS, begin, 2_000);
-    let (mut before, _) = refused(&model, now);
+    let (mut before, _) = refused(&mut model, now);
     let begin = commit_for(&mut model, 20, now, 100);
-    assert!(refused(&model, begin).0 + 50 >= before);
+    assert!(refused(&mut model, begin).0 + 50 >= before);
     let mut now = begin;
-    while refused(&model, now).0 > 0 {
+    while refused(&mut model, now).0 > 0 {
         now = commit_for(&mut model, 20, now, 1_000);
-        let (after, _) = refused(&model, now);
+        let (after, _) = refused(&mut model, now);
         assert!(before - after <= 120, "{before} refused, then {after}");
         before = after;
         assert!(now.since(begin) < 30_000, "{after} of 1,000 are refused");
@@ -92,8 +92,8 @@
     let mut model = model();
     let begin = model.now;
     let now = commit_for(&mut model, SLOW_MS, begin, 1_000);
-    assert!(refused(&model, now).0 > 0);
-    assert_eq!(refused(&model, now + 1_000).0, 0);
+    assert!(refused(&mut model, now).0 > 0);
+    assert_eq!(refused(&mut model, now + 1_000).0, 0);
 }
 
 /// Guards against a leader that accepts jobs while no commit ends at all.
@@ -101,9 +101,11 @@
 fn new_jobs_are_refused_while_a_commit_does_not_end() {
     let mut model = model();
     model.scheduler.record_commit_in_progress(SLOW_MS);
-    assert_eq!(refused(&model, model.now).0, 1_000);
+    let now = model.now;
+    assert_eq!(refused(&mut model, now).0, 1_000);
     model.scheduler.record_commit_in_progress(0);
-    assert_eq!(refused(&model, model.now).0, 0);
+    let now = model.now;
+    assert_eq!(refused(&mut model, now).0, 0);
 }
 
 /// Guards against refusals for a single slow commit, which a pause of one disk causes.
@@ -113,12 +115,12 @@
     let begin = model.now;
     model.scheduler.record_commit(SLOW_MS, begin);
     for at_ms in [100, 250, 450] {
-        assert_eq!(refused(&model, begin + at_ms).0, 0);
+        assert_eq!(refused(&mut model, begin + at_ms).0, 0);
     }
     let later = begin + 10_000;
     model.scheduler.record_commit(SLOW_MS, later);
     for at_ms in [0, 250] {
-        assert_eq!(refused(&model, later + at_ms).0, 0);
+        assert_eq!(refused(&mut model, later + at_ms).0, 0);
     }
 }
 
@@ -137,7 +139,10 @@
     let table = model.state.table().unwrap();
     let queue = table.queue("lookup").unwrap();
     let key = JobKey(load::key(Kind::Lookup, 1));
-    assert_eq!(model.scheduler.admission(key, queue, &spec, now), None);
+    assert_eq!(
+        model.scheduler.admission(key, queue, &spec, None, now),
+        None
+    );
 }
 
 /// Guards against a single slow commit that counts for the whole time before it, in which nothing was
@@ -151,11 +156,11 @@
         now = commit_for(&mut model, 5, now, 1_000);
         let later = now + idle_ms;
         model.scheduler.record_commit_in_progress(80);
-        assert_eq!(refused(&model, later + 80).0, 0, "after {idle_ms} ms");
+        assert_eq!(refused(&mut model, later + 80).0, 0, "after {idle_ms} ms");
         model.scheduler.record_commit(85, later + 85);
         model.scheduler.record_commit_in_progress(0);
         now = later + 200;
-        assert_eq!(refused(&model, now).0, 0, "after {idle_ms} ms");
+        assert_eq!(refused(&mut model, now).0, 0, "after {idle_ms} ms");
     }
 }
 
@@ -164,7 +169,8 @@
 fn the_first_commit_of_a_leader_refuses_nothing() {
     let mut model = model();
     model.scheduler.record_commit_in_progress(80);
-    assert_eq!(refused(&model, model.now + 1_000_000).0, 0);
+    let later = model.now + 1_000_000;
+    assert_eq!(refused(&mut model, later).0, 0);
 }
 
 /// Guards against a new leader that accepts all returning callers while it takes over, and against
@@ -174,16 +180,16 @@
     let mut model = model();
     model.change_leader();
     let begin = model.now;
-    assert_eq!(refused(&model, begin).0, 0);
+    assert_eq!(refused(&mut model, begin).0, 0);
     model.scheduler.record_commit_in_progress(100);
-    let (first, _) = refused(&model, begin + 100);
+    let (first, _) = refused(&mut model, begin + 100);
     assert!((600..900).contains(&first), "{first} of 1,000 are refused");
     model.scheduler.record_commit(200, begin + 200);
     model.scheduler.record_commit_in_progress(0);
-    let (first, _) = refused(&model, begin + 200);
+    let (first, _) = refused(&mut model, begin + 200);
     assert!((600..900).contains(&first), "{first} of 1,000 are refused");
     let now = commit_for(&mut model, 20, begin + 250, 15_000);
-    assert_eq!(refused(&model, now).0, 0);
+    assert_eq!(refused(&mut model, now).0, 0);
 }
 
 /// Guards against a new leader that refuses jobs for many seconds after a takeover that is over, and
@@ -194,13 +200,13 @@
     model.change_leader();
     let begin = model.now;
     model.scheduler.record_commit(200, begin + 200);
-    let (first, _) = refused(&model, begin + 200);
+    let (first, _) = refused(&mut model, begin + 200);
     assert!((600..900).contains(&first), "{first} of 1,000 are refused");
-    let retries = (0..1_000).filter_map(|number| retry_after_ms(&model, number, begin + 200));
+    let retries = (0..1_000).filter_map(|number| retry_after_ms(&mut model, number, begin + 200));
     let longest_ms = retries.max().unwrap();
     assert!(longest_ms <= 3_500, "retry after {longest_ms} ms");
     let now = commit_for(&mut model, 20, begin + 250, 2_000);
-    assert_eq!(refused(&model, now).0, 0);
+    assert_eq!(refused(&mut model, now).0, 0);
 }
 
 /// Guards against a share that rises quickly although commits are slow after the takeover too.
@@ -211,10 +217,10 @@
     let begin = model.now;
     model.scheduler.record_commit(200, begin + 200);
     let now = commit_for(&mut model, SLOW_MS, begin + 250, 3_000);
-    let (slow, _) = refused(&model, now);
+    let (slow, _) = refused(&mut model, now);
     assert!(slow >= 800, "{slow} of 1,000 are refused");
     let now = commit_for(&mut model, 20, now, 2_000);
-    let (later, _) = refused(&model, now);
+    let (later, _) = refused(&mut model, now);
     assert!(later >= 500, "{later} of 1,000 are refused");
 }
 
@@ -225,5 +231,5 @@
     model.change_leader();
     let begin = model.now;
     let now = commit_for(&mut model, 20, begin, 500);
-    assert_eq!(refused(&model, now).0, 0);
+    assert_eq!(refused(&mut model, now).0, 0);
 }
--- a/crates/queues/tests/worst_load.rs
+++ b/crates/queues/tests/worst_load.rs
@@ -193,7 +193,7 @@
     let key = JobKey(load::key(Kind::Lookup, 0));
     let admission = model
         .scheduler
-        .admission(key, &gangs, &short, model.now)
+        .admission(key, &gangs, &short, None, model.now)
         .unwrap();
     println!("{admission:?}");
     assert_eq!(admission.retry_after_ms(), None, "{admission:?}");
