--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -283,15 +283,16 @@
 
     /// Submits a job; its commit takes `commit_ms`.
     pub fn submit(&mut self, key: u64, queue: &str, spec: SubmittedSpec) {
-        self.submit_for(None, key, queue, spec);
+        self.submit_for(key, queue, spec, None);
     }
 
-    fn submit_for(
+    /// The same for a tenant.
+    pub fn submit_for(
         &mut self,
-        tenant: Option<Arc<JobTenant>>,
         key: u64,
         queue: &str,
         mut spec: SubmittedSpec,
+        tenant: Option<Arc<JobTenant>>,
     ) {
         let key = JobKey(key);
         spec.payload = starts::payload(key);
--- a/crates/queues/tests/model/tenants.rs
+++ b/crates/queues/tests/model/tenants.rs
@@ -56,7 +56,7 @@
         let known = self.state.table().unwrap().tenant(tenant).unwrap();
         let tenant = Arc::new(JobTenant::from(known));
         self.tenants.by_job.insert(JobKey(key), tenant.name.clone());
-        self.submit_for(Some(tenant), key, queue, spec);
+        self.submit_for(key, queue, spec, Some(tenant));
     }
 
     /// What runs of a tenant on the workers.
