Divide full workers among tenants by weight

A tenant with many jobs filled the workers of a service, and the others waited for the ends of its tasks whatever their weight. Each round now compares the dominant share of a tenant, the largest fraction of processor, memory or accelerators that its runs take, with its weight among the tenants that wait or run in the service. Steps of tenants that have used up their share come after those of the others, and then reserve, hold, preempt and isolate nothing while one of those still waits. Weighted queuing by job was ruled out, since the sizes of jobs differ by a factor of 100.

The order at the beginning of a round is not enough: after an election one round fills all workers. A step therefore starts only as many tasks as bring its tenant to its share, and its rest is tried after the steps of the other tenants. Small tasks of a tenant over its share would still take each piece of room before a larger task of another one fits, so the first steps that lack room within the share of their tenant get reservations like those of gangs.

--- a/crates/queues/src/scheduler/due_attempts.rs
+++ b/crates/queues/src/scheduler/due_attempts.rs
@@ -58,6 +58,7 @@
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
             && round.reserved < RESERVATIONS_MAX
+            && !self.yields_to_shares(view)
             && (round.reservation_attempts < RESERVATION_ATTEMPTS_MAX
                 || round.owners.contains(&view.key));
         let freed = if round.has_gangs {
--- a/crates/queues/src/scheduler/free_capacity.rs
+++ b/crates/queues/src/scheduler/free_capacity.rs
@@ -11,6 +11,7 @@
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
 
+use crate::scheduler::shares::Amounts;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::WorkerView;
 use crate::scheduler::workers::Workers;
@@ -31,6 +32,10 @@
     service: Arc<str>,
     /// The processor capacity of all workers.
     millicores: u128,
+    /// The memory of all workers.
+    memory_mib: u128,
+    /// The accelerators of all workers.
+    accelerators: u64,
     sums: OpenSums,
 }
 
@@ -152,7 +157,10 @@
     }
 
     fn add(&mut self, index: WorkerIndex, worker: &Counted) {
-        self.services[worker.service].millicores += u128::from(worker.capacity.millicores);
+        let service = &mut self.services[worker.service];
+        service.millicores += u128::from(worker.capacity.millicores);
+        service.memory_mib += u128::from(worker.capacity.memory_mib);
+        service.accelerators += u64::from(worker.capacity.accelerators);
         let Some(free) = worker.open else {
             return;
         };
@@ -169,7 +177,10 @@
     }
 
     fn remove(&mut self, index: WorkerIndex, worker: &Counted) {
-        self.services[worker.service].millicores -= u128::from(worker.capacity.millicores);
+        let service = &mut self.services[worker.service];
+        service.millicores -= u128::from(worker.capacity.millicores);
+        service.memory_mib -= u128::from(worker.capacity.memory_mib);
+        service.accelerators -= u64::from(worker.capacity.accelerators);
         let Some(free) = worker.open else {
             return;
         };
@@ -201,6 +212,8 @@
             self.services.push(ServiceCapacity {
                 service: service.clone(),
                 millicores: 0,
+                memory_mib: 0,
+                accelerators: 0,
                 sums: OpenSums::default(),
             });
             self.services.len() - 1
@@ -238,6 +251,17 @@
         known.is_some_and(|known| known.sums.is_half_free())
     }
 
+    /// The capacity of all workers of one service.
+    pub fn service_amounts(&self, service: &str) -> Amounts {
+        let mut services = self.services.iter();
+        let known = services.find(|known| *known.service == *service);
+        known.map_or(Amounts::default(), |known| Amounts {
+            millicores: known.millicores as f64,
+            memory_mib: known.memory_mib as f64,
+            accelerators: known.accelerators as f64,
+        })
+    }
+
     /// The processor capacity of the workers of each service, in millicores.
     pub fn by_service(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         self.services.iter().map(|known| {
--- a/crates/queues/src/scheduler/isolation.rs
+++ b/crates/queues/src/scheduler/isolation.rs
@@ -244,6 +244,9 @@
         if self.isolation_turns.has(view.key, now) {
             return true;
         }
+        if self.yields_to_shares(view) {
+            return false;
+        }
         let is_paused = self.isolation_turns.is_paused(view.key, now);
         let capacity = &self.rounds.capacity;
         let is_half_free = capacity.is_service_half_free(&view.queue.service);
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -39,6 +39,8 @@
 mod restarts;
 mod retries;
 mod rounds;
+mod share_reservations;
+mod shares;
 mod shortfall;
 mod starts;
 mod step_permits;
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -414,6 +414,8 @@
             members,
             is_renewal,
         } = requested;
+        let view = self.steps.get(&step);
+        let may_hold = view.is_some_and(|view| !self.yields_to_shares(view));
         let Some(view) = self.steps.get_mut(&step) else {
             return false;
         };
@@ -433,7 +435,7 @@
         self.dispatcher.last_id += 1;
         let id = self.dispatcher.last_id;
         view.permits.begin_request(id, is_renewal, now);
-        if !members.is_empty() {
+        if may_hold && !members.is_empty() {
             let until = now + expected_ms + HOLD_SLACK_MS;
             view.hold = Hold {
                 workers: members,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::isolation::task_isolation;
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
+use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
@@ -239,7 +240,7 @@
             let waiting = view.waiting.iter().copied();
             let mut waiting = waiting
                 .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
-                .take(self.quota_room(view) as usize)
+                .take(self.start_limit(view) as usize)
                 .collect::<Vec<_>>()
                 .into_iter();
             let granted = candidates
@@ -340,6 +341,9 @@
             .take()
             .map_or(0, |since| now.since(since));
         view.hold = Hold::default();
+        if view.tenant.is_some() && !view.spec().is_gang {
+            view.reservation_turn = ReservationTurn::default();
+        }
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
--- a/crates/queues/src/scheduler/preempt.rs
+++ b/crates/queues/src/scheduler/preempt.rs
@@ -194,6 +194,7 @@
             && !step.spec().is_gang
             && Rank::of(step, now).lateness == Lateness::InTime
             && step.queue.priority > view.queue.priority
+            && !self.would_preempt_within_share(view, step)
             && preempted < PREEMPTIONS_MAX
     }
 }
--- a/crates/queues/src/scheduler/quotas.rs
+++ b/crates/queues/src/scheduler/quotas.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::steps::StepView;
 use crate::scheduler::tenants::TenantIndex;
 use crate::scheduler::withheld_time::WithheldTime;
+use crate::table::Queue;
 use crate::table::QueueTable;
 use crate::tenant::JobTenant;
 use crate::tenant::TenantLimits;
@@ -34,8 +35,13 @@
 
 impl Scheduler {
     /// The tenant of the steps of a job, with the limits in force.
-    pub(crate) fn step_tenant(&mut self, tenant: Option<&JobTenant>) -> Option<StepTenant> {
+    pub(crate) fn step_tenant(
+        &mut self,
+        tenant: Option<&JobTenant>,
+        queue: &Queue,
+    ) -> Option<StepTenant> {
         let tenant = tenant?;
+        self.workers.tenants.service(&queue.service);
         let index = self.workers.tenants.tenant(&tenant.name);
         let in_table = self.workers.tenants.limits(index);
         Some(StepTenant {
@@ -53,6 +59,9 @@
         if tenants.is_empty() {
             return;
         }
+        for queue in &table.queues {
+            tenants.service(&queue.service);
+        }
         for tenant in self
             .steps
             .values_mut()
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -19,12 +19,16 @@
 use crate::scheduler::due_attempts::AttemptDue;
 use crate::scheduler::free_capacity::FreeCapacity;
 use crate::scheduler::gangs::GangAttempt;
+use crate::scheduler::gangs::Hold;
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::ranking::Lateness;
 use crate::scheduler::ranking::Rank;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::retries::Retry;
+use crate::scheduler::share_reservations::SHARE_RESERVATIONS_MAX;
+use crate::scheduler::shares::ShareEntry;
+use crate::scheduler::shares::Shares;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::scheduler::workers::Workers;
@@ -97,6 +101,8 @@
     pub(crate) backlog: Backlog,
     /// The free capacity of the workers when the last round began.
     pub(crate) capacity: FreeCapacity,
+    /// The shares of the tenants when the last round began.
+    pub(crate) shares: Shares,
 }
 
 impl Rounds {
@@ -195,6 +201,13 @@
     sorted
 }
 
+/// Sorts steps with the time since which they have been left out: steps of tenants within their share
+/// first. What earlier rounds left out comes next, or steps that cannot be placed would keep others
+/// from being tried for as long as they wait.
+fn sort_by_share(order: &mut [(Millis, Rank)]) {
+    order.sort_unstable_by_key(|(left_out_at, rank)| (rank.is_over_share, *left_out_at, *rank));
+}
+
 /// The state of a round in progress.
 #[derive(Debug)]
 pub(super) struct Round {
@@ -234,33 +247,39 @@
         self.drop_settled_steps();
         self.count_visits(VisitKind::Round, self.pending_steps.len());
         let mut backlog = Backlog::default();
-        // What earlier rounds left out comes first, or steps that cannot be placed would keep others
-        // from being tried for as long as they wait.
         let mut order: Vec<(Millis, Rank)> = Vec::new();
         let mut holding: Vec<StepKey> = Vec::new();
         let pending = self.pending_steps.iter();
         let pending = pending.filter_map(|key| self.steps.get(key));
+        let has_tenants = self.has_tenants();
         let mut at_quota: Vec<StepKey> = Vec::new();
+        let mut share_entries: Vec<Option<ShareEntry>> = Vec::new();
         for view in pending.filter(|view| !view.waiting.is_empty()) {
             if self.is_at_quota(view) {
                 at_quota.push(view.key);
                 continue;
             }
-            if now < view.hold.until {
+            if now < view.hold.until && !self.yields_to_shares(view) {
                 holding.push(view.key);
             }
+            if has_tenants {
+                share_entries.push(self.share_entry(view));
+            }
             let rank = Rank::of(view, now);
             backlog.add_step(view, &rank);
             order.push((view.left_out_at.unwrap_or(now), rank));
         }
-        order.sort_unstable();
-        order.dedup();
         self.rounds.backlog = backlog;
+        self.update_free_capacity(now);
+        if has_tenants {
+            self.update_shares(&mut order, &share_entries);
+        }
+        sort_by_share(&mut order);
+        order.dedup();
         self.rounds.has_waiting = !order.is_empty();
         self.rounds.pause(order.len());
         self.tally.counts.rounds += 1;
         self.tally.counts.waiting_steps += order.len() as u64;
-        self.update_free_capacity(now);
         let has_gangs = now.since(self.rounds.gangs_placed_at) >= self.rounds.gang_pause_ms;
         let mut reservations = if has_gangs {
             self.reserve_held(&holding, now)
@@ -287,9 +306,7 @@
             gang_checks: 0,
             left_out_ms: 0,
         };
-        for (_, rank) in order {
-            self.place_step(state, rank.key, &mut round, now);
-        }
+        self.place_in_order(state, order, &mut round, now);
         if has_gangs {
             self.note_released(&last_reserved, &round.reservations);
         }
@@ -300,6 +317,48 @@
         }
     }
 
+    /// Tries the steps of a round in their order: first those of tenants within their share, until
+    /// these are over it, then the others.
+    fn place_in_order(
+        &mut self,
+        state: &QueueState,
+        mut order: Vec<(Millis, Rank)>,
+        round: &mut Round,
+        now: Millis,
+    ) {
+        if !self.has_tenants() {
+            for (_, rank) in order {
+                self.place_step(state, rank.key, round, now);
+            }
+            return;
+        }
+        self.rounds.shares.forget_waiting();
+        let within = order.partition_point(|(_, rank)| !rank.is_over_share);
+        let mut over = order.split_off(within);
+        let mut waiting = SmallVec::<[StepKey; SHARE_RESERVATIONS_MAX]>::new();
+        for (left_out_at, mut rank) in order {
+            let is_over = self.refresh_share(rank.key) || {
+                self.place_step(state, rank.key, round, now);
+                self.share_is_used_up(rank.key)
+            };
+            if is_over {
+                rank.is_over_share = true;
+                over.push((left_out_at, rank));
+            } else if waiting.len() < SHARE_RESERVATIONS_MAX && self.lacks_room(rank.key) {
+                waiting.push(rank.key);
+            }
+        }
+        if round.has_gangs && !over.is_empty() {
+            let checks = self.checks.get();
+            self.reserve_for_shares(&waiting, &mut round.reservations, now);
+            round.gang_checks += self.checks.get() - checks;
+        }
+        sort_by_share(&mut over);
+        for (_, rank) in over {
+            self.place_step(state, rank.key, round, now);
+        }
+    }
+
     /// Drops steps that placement has nothing to decide for, most of which run, from the list.
     fn drop_settled_steps(&mut self) {
         let steps = &mut self.steps;
@@ -368,12 +427,16 @@
     ) {
         let checks = self.checks.get();
         let may_fit = self.may_fit_gang(view);
-        let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX;
+        let yields = self.yields_to_shares(view);
+        if yields {
+            view.hold = Hold::default();
+        }
+        let may_reserve = round.has_gangs && round.reserved < RESERVATIONS_MAX && !yields;
         round.reservation_attempts += usize::from(may_reserve);
         let attempt = GangAttempt {
             may_fit,
             may_reserve,
-            may_preempt: round.preemption_attempts < PREEMPTION_ATTEMPTS_MAX,
+            may_preempt: round.preemption_attempts < PREEMPTION_ATTEMPTS_MAX && !yields,
         };
         let preemption_visits = self.tally.visits(VisitKind::Preemption);
         let has_reservation = self.place_gang(state, view, &mut round.reservations, attempt, now);
@@ -392,7 +455,8 @@
             };
             let is_in_time = Rank::of(&view, now).lateness == Lateness::InTime;
             let mut reservations = std::mem::take(&mut self.rounds.reservations);
-            let may_start = is_in_time && !self.is_at_quota(&view);
+            view.is_over_share = self.is_over_share(&view);
+            let may_start = is_in_time && !self.is_at_quota(&view) && !self.yields_to_shares(&view);
             if view.is_urgent() && view.is_ready && may_start {
                 self.tally.counts.urgent_attempts += 1;
                 if view.spec().is_gang {
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -62,6 +62,8 @@
     pub tenant: Option<StepTenant>,
     /// Whether nothing of it may start within the quota of the tenant, as of the last round.
     pub is_at_quota: bool,
+    /// Whether the tenant has used up its share of the service, as of the last round.
+    pub is_over_share: bool,
     /// Whether the job is committed; nothing starts before.
     pub is_committed: bool,
     /// Whether all steps that it depends on are done; `false` until the job is committed.
@@ -171,7 +173,7 @@
         }
         self.job_steps.insert(key, spec.steps.len() as u16);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
-        let tenant = self.step_tenant(tenant);
+        let tenant = self.step_tenant(tenant, queue);
         for mut view in new_views(key, spec, queue, &durations_ms, now) {
             view.tenant = tenant;
             let needs_permits = view.spec().after.is_empty() && view.queue.permits.is_some();
@@ -217,7 +219,7 @@
         let queue = state.table().and_then(|table| table.queue(&job.queue.name));
         let queue = queue.unwrap_or(&job.queue);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, &job.spec);
-        let tenant = self.step_tenant(job.tenant.as_deref());
+        let tenant = self.step_tenant(job.tenant.as_deref(), queue);
         for new in new_views(key, &job.spec, queue, &durations_ms, arrived) {
             let view = self.steps.entry(new.key).or_insert(new);
             view.is_committed = is_committed;
@@ -372,6 +374,7 @@
         queue: step_queue(queue),
         tenant: None,
         is_at_quota: false,
+        is_over_share: false,
         is_committed: false,
         is_ready: false,
         is_pending: false,
--- a/crates/queues/src/scheduler/tenant_reports.rs
+++ b/crates/queues/src/scheduler/tenant_reports.rs
@@ -75,5 +75,6 @@
             report.steps_at_quota += 1;
             report.at_quota_core_ms += view.waiting_core_ms();
         }
+        report.is_over_share |= self.exceeds_share(view);
     }
 }
--- a/crates/queues/src/scheduler/tenants.rs
+++ b/crates/queues/src/scheduler/tenants.rs
@@ -109,6 +109,12 @@
         ServiceIndex(position as u32)
     }
 
+    /// The index of the service with this name, if a tenant has run or waited there.
+    pub fn known_service(&self, name: &str) -> Option<ServiceIndex> {
+        let known = self.services.iter().position(|known| **known == *name);
+        known.map(|position| ServiceIndex(position as u32))
+    }
+
     /// The limits of a tenant by the table in force, if that has the tenant.
     pub fn limits(&self, tenant: TenantIndex) -> Option<TenantLimits> {
         self.limits.get(tenant.position()).copied().flatten()
@@ -129,6 +135,12 @@
         names.map(|(position, name)| (TenantIndex(position as u32), name))
     }
 
+    /// The indexes and the names of all known services.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceIndex, &Arc<str>)> {
+        let names = self.services.iter().enumerate();
+        names.map(|(position, name)| (ServiceIndex(position as u32), name))
+    }
+
     /// What a tenant uses on all workers.
     pub fn total(&self, tenant: TenantIndex) -> Usage {
         self.totals
@@ -137,6 +149,13 @@
             .unwrap_or_default()
     }
 
+    /// What a tenant uses on the workers of one service.
+    pub fn in_service(&self, key: RunTenant) -> Usage {
+        let tenants = self.by_service.get(key.service.position());
+        let usage = tenants.and_then(|tenants| tenants.get(key.tenant.position()));
+        usage.copied().unwrap_or_default()
+    }
+
     /// Adds a run.
     pub fn add(&mut self, key: RunTenant, resources: &Resources) {
         self.totals[key.tenant.position()].add(resources);
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -67,6 +67,8 @@
     pub reason: WaitReason,
     /// Whether the step can meet the deadline of its job.
     pub lateness: Lateness,
+    /// Whether its tenant has used up its share of the service.
+    pub is_over_share: bool,
     /// The number of waiting steps that are placed before it.
     pub steps_ahead: usize,
     /// Whether a permit request for the step is unanswered.
@@ -163,6 +165,7 @@
             waits_ms: wait.waits_ms,
             reason: wait_reason(view, &room, self.is_at_quota(view)),
             lateness: rank.lateness,
+            is_over_share: rank.is_over_share,
             steps_ahead: ahead.count(),
             is_asking: view.permits.has_request(),
             request_due_ms: view.permits.needed_since().map(|since| now.since(since)),
