--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -42,6 +42,8 @@
 mod restarts;
 mod retries;
 mod rounds;
+mod share_reservations;
+mod shares;
 mod shortfall;
 mod starts;
 mod step_permits;
