Add an operator command that lists the tenants

Operators could see the limits of a tenant only in the queue table, and its use nowhere. `sapphirepost tenants` prints a line for each tenant of the table with its weight, quota, use, placed tasks, waiting steps and the jobs that the present leader has rejected. The status command was ruled out for it, since its output is fixed for programs and does not read queues. The control process answers the request itself, like those about members.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -63,6 +63,7 @@
     Confirm(ConfirmArguments),
     Cancel(CancelArguments),
     Status(StatusArguments),
+    Tenants(TenantsArguments),
     Explain(ExplainArguments),
     Config(ConfigArguments),
     Control(ControlArguments),
@@ -203,6 +204,11 @@
 #[argh(subcommand, name = "status")]
 pub(crate) struct StatusArguments {}
 
+/// Show the tenants of the queue table: limits, use, and jobs that the present leader has rejected.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "tenants")]
+pub(crate) struct TenantsArguments {}
+
 /// Say why a job waits, runs where it runs, or was refused.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain", example = "sapphirepost explain nightly")]
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -37,6 +37,7 @@
         }
         Command::Confirm(confirm) => change::confirm(&settings, confirm.plan, confirm.operation),
         Command::Status(_) => get_and_print(&settings, operator_http::STATUS),
+        Command::Tenants(_) => get_and_print(&settings, operator_http::TENANTS),
         Command::Explain(explain) => get_and_print(
             &settings,
             &format!("{}/{}", operator_http::EXPLAIN, explain.job),
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -11,6 +11,7 @@
 use sapphirepost_protocol::operator::MemberStatus;
 use sapphirepost_protocol::operator::OperatorReply;
 use sapphirepost_protocol::operator::Refusal;
+use sapphirepost_protocol::operator::TenantReport;
 use sapphirepost_protocol::operator::WorkerStatus;
 use sapphirepost_types::Intent;
 use sapphirepost_types::JobKind;
@@ -19,6 +20,7 @@
 use sapphirepost_types::OnPartition;
 use sapphirepost_types::Plan;
 use sapphirepost_types::Priority;
+use sapphirepost_types::Resources;
 use serde_json::Value;
 
 use crate::table::Table;
@@ -52,6 +54,7 @@
             }
             text
         }
+        OperatorReply::Tenants(shown) => tenants(shown),
         OperatorReply::Members(shown) => members(shown),
         OperatorReply::MembershipChanged { detail } => format!("{detail}\n"),
     }
@@ -308,6 +311,47 @@
     table.render()
 }
 
+fn tenants(tenants: &[TenantReport]) -> String {
+    let mut table = Table::new(&[
+        "TENANT", "WEIGHT", "QUOTA", "USED", "RUNNING", "WAITING", "REJECTED",
+    ]);
+    for tenant in tenants {
+        let rejected = tenant.rejected.iter();
+        let rejected: Vec<String> = rejected
+            .map(|(limit, jobs)| format!("{limit} {jobs}"))
+            .collect();
+        table.add_row([
+            tenant.name.clone(),
+            tenant.weight.to_string(),
+            quota(&tenant.quota),
+            tenant.used.to_string(),
+            tenant.running_tasks.to_string(),
+            tenant.waiting_steps.to_string(),
+            if rejected.is_empty() {
+                "-".to_owned()
+            } else {
+                rejected.join(", ")
+            },
+        ]);
+    }
+    table.render()
+}
+
+/// Formats a quota, with `-` for a resource that is not limited.
+fn quota(quota: &Resources) -> String {
+    let amount = |amount: u64, max: u64, unit: &str| match amount == max {
+        true => "-".to_owned(),
+        false => format!("{amount}{unit}"),
+    };
+    let accelerators = u64::from(quota.accelerators);
+    [
+        amount(quota.millicores, u64::MAX, "m"),
+        amount(quota.memory_mib, u64::MAX, "Mi"),
+        amount(accelerators, u64::from(u32::MAX), "a"),
+    ]
+    .join("/")
+}
+
 fn members(members: &[MemberStatus]) -> String {
     let mut table = Table::new(&["MEMBER", "ADDRESS", "ROLE", "LOG INDEX", "LAST HEARD"]);
     for member in members {
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -46,6 +46,11 @@
             Response::json(&json!({"plan": plan(7, &json!({"cancel": {"job": "web"}}))}))
         }
         ("GET", "/v1/status") => Response::json(&status()),
+        ("GET", "/v1/tenants") => Response::json(&json!({"tenants": [
+            {"name": "front", "weight": 2.5,
+            "quota": {"millicores": 8000, "memory_mib": u64::MAX, "accelerators": u32::MAX},
+            "used": {"millicores": 1500, "memory_mib": 512, "accelerators": 0},
+            "running_tasks": 3, "waiting_steps": 1, "rejected": {"rate": 7, "quota": 1}}]})),
         ("GET", "/v1/explain/web") => {
             Response::json(&json!({"explanation": {"lines": ["web: 3 tasks run"]}}))
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -36,6 +36,7 @@
 mod start;
 mod storage_thread;
 mod tenant_metrics;
+mod tenant_requests;
 
 pub use crate::event::Event;
 pub use crate::event::EventReceiver;
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -78,6 +78,9 @@
         request: OperatorRequest,
         done: Responder<OperatorReply>,
     ) {
+        if request == OperatorRequest::ListTenants {
+            return done.send(Ok(self.list_tenants()));
+        }
         let Some((request, done)) = self.membership_request(request, done) else {
             return;
         };
--- a/crates/entry/src/operators/route.rs
+++ b/crates/entry/src/operators/route.rs
@@ -45,6 +45,7 @@
     match parts {
         ["status"] => Ok(OperatorRequest::Status),
         ["control"] => Ok(OperatorRequest::ListMembers),
+        ["tenants"] => Ok(OperatorRequest::ListTenants),
         ["config"] => Ok(OperatorRequest::GetConfig),
         // The answer contains all values. The key is parsed only to report an invalid one.
         ["config", key] => parse_text::<Name>("key", key).map(|_| OperatorRequest::GetConfig),
--- a/crates/leader/src/operators.rs
+++ b/crates/leader/src/operators.rs
@@ -65,7 +65,7 @@
     /// Processes an operator request.
     ///
     /// The control process must have confirmed its leadership with a quorum before, so that the
-    /// answer is current. It handles membership requests itself; they are refused here.
+    /// answer is current. It handles requests about members and tenants itself; they are refused here.
     pub fn operator_request(
         &mut self,
         ctx: &Context<'_>,
@@ -98,11 +98,13 @@
             OperatorRequest::WaitConfig { version, wait_ms } => {
                 self.wait_config(ctx, version, wait_ms, token, out);
             }
-            OperatorRequest::ListMembers
+            OperatorRequest::ListTenants
+            | OperatorRequest::ListMembers
             | OperatorRequest::AddMember { .. }
             | OperatorRequest::RemoveMember { .. } => {
                 let refusal = Refusal::Invalid {
-                    reason: "membership requests are handled by the control process".to_owned(),
+                    reason: "requests about members and tenants are handled by the control process"
+                        .to_owned(),
                 };
                 out.reply_operator(token, OperatorReply::Refused(refusal));
             }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -50,6 +50,8 @@
         /// limit.
         wait_ms: u64,
     },
+    /// List the tenants of the queue table.
+    ListTenants,
     /// List the control processes.
     ListMembers,
     /// Add a control process as a non-voter, and promote it to a voter once it has caught up.
@@ -230,6 +232,28 @@
     pub at_unix_ms: u64,
 }
 
+/// The state of one tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantReport {
+    /// The name.
+    pub name: String,
+    /// The weight, which is also the number of jobs a second that the tenant is owed.
+    pub weight: f64,
+    /// What its tasks may take; the maximum of the number type if that is not limited.
+    pub quota: Resources,
+    /// What its placed tasks take.
+    pub used: Resources,
+    /// The number of its tasks that are placed on workers.
+    pub running_tasks: u64,
+    /// The number of its steps with tasks that could start and wait.
+    pub waiting_steps: u64,
+    /// Its jobs that the present leader has rejected, by the limit; without zeros.
+    pub rejected: BTreeMap<String, u64>,
+}
+
+impl Eq for TenantReport {}
+
 /// The state of one control process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -283,6 +307,8 @@
         /// The IDs of the entries that have not reported this or a higher version to the leader.
         lacking: Vec<Name>,
     },
+    /// The tenants of the queue table, in its order.
+    Tenants(Vec<TenantReport>),
     /// The members of the replicated group of control processes, voters and others.
     Members(Vec<MemberStatus>),
     /// The membership change was committed, or was not needed.
--- a/crates/protocol/src/operator_http.rs
+++ b/crates/protocol/src/operator_http.rs
@@ -32,6 +32,9 @@
 /// Lists, adds and removes control processes.
 pub const CONTROL: &str = "/v1/control";
 
+/// Lists the tenants of the queue table.
+pub const TENANTS: &str = "/v1/tenants";
+
 /// The body of `POST /v1/jobs/<name>/cancel`, which is answered with a plan.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
