Test that an admitted burst of one tenant does not reject the jobs of another

The new test submits a burst of 1,000 jobs of one tenant at once while there is room, and then jobs of another tenant within its rate. A longer run of the hot tenant was ruled out, since its backlog stays at the limit of load.

--- a/crates/queues/tests/tenant_rates.rs
+++ b/crates/queues/tests/tenant_rates.rs
@@ -328,3 +328,25 @@
     }
     assert!(rejected > 100, "{rejected} jobs beyond the rate");
 }
+
+/// Guards against jobs within the rate of their tenant that are rejected for the backlog of another
+/// tenant, whose jobs beyond its rate were admitted while there was room.
+#[test]
+fn an_admitted_burst_of_one_tenant_does_not_reject_the_jobs_of_another() {
+    let mut model = model(FEW_WORKERS, &[WEIGHT; 2]);
+    let (hot, ordinary) = (tenant(0, WEIGHT), tenant(1, WEIGHT));
+    let by = Some(Arc::new(JobTenant::from(&hot)));
+    for number in 0..1_000 {
+        let now = model.now;
+        assert_eq!(decide(&mut model, &hot, number, now), None);
+        model.submit_for(key(number).0, QUEUE, spec(number), by.clone());
+    }
+    model.run(200);
+    let now = model.now;
+    // Its bucket has one token again.
+    decide(&mut model, &hot, 1_000, now);
+    assert!(rate_retry_ms(&mut model, &hot, 1_001, now).is_some());
+    for number in 2_000..2_005 {
+        assert_eq!(decide(&mut model, &ordinary, number, now), None);
+    }
+}
