--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -154,7 +154,7 @@
                 Ok(QueueReply::Cancelled)
             }
             Some(job) => Ok(QueueReply::Phase(job.phase)),
-            None if self.queues.submitting.contains(&key) => Err(RpcError::Busy),
+            None if self.queues.submitting.contains_key(&key) => Err(RpcError::Busy),
             None => Ok(QueueReply::UnknownJob),
         }
     }
@@ -176,6 +176,10 @@
             let call = QueueCall::Caller(request);
             return self.start_queue_read(now, call, done);
         };
+        if self.is_submitted_by_another_tenant(&resolved) {
+            // Whether the job becomes that of the other tenant is open until it is committed.
+            return done.send(Err(RpcError::Busy));
+        }
         let ResolvedJob { queue, key, tenant } = resolved;
         let job = self.state.queues().job(key);
         // The ID is free again once the workers hold no runs of the former job any more.
@@ -185,7 +189,7 @@
             (CallerAction::Submit(_), Some(_)) if is_id_in_use => done.send(Err(RpcError::Busy)),
             (CallerAction::Submit(_), Some(_)) => done.send(Ok(QueueReply::Accepted)),
             (CallerAction::Submit(spec), None) => {
-                if self.queues.submitting.contains(&key) {
+                if self.queues.submitting.contains_key(&key) {
                     self.load.record_repeated_submission();
                 }
                 let spec = Arc::new(spec.clone());
@@ -194,7 +198,7 @@
             (CallerAction::Read, Some(phase)) => done.send(Ok(QueueReply::Phase(phase))),
             (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => self.cancel(key, done),
             // The cancellation follows the submission in the log.
-            (CallerAction::Cancel, None) if self.queues.submitting.contains(&key) => {
+            (CallerAction::Cancel, None) if self.queues.submitting.contains_key(&key) => {
                 self.cancel(key, done)
             }
             _ => self.start_queue_read(now, QueueCall::Caller(request), done),
@@ -227,6 +231,14 @@
         })
     }
 
+    fn is_submitted_by_another_tenant(&self, resolved: &ResolvedJob) -> bool {
+        let submitted = self.queues.submitting.get(&resolved.key);
+        match (submitted.and_then(Option::as_ref), &resolved.tenant) {
+            (Some(own), Some(caller)) => own.name != caller.name,
+            _ => false,
+        }
+    }
+
     fn submit(
         &mut self,
         now: Millis,
@@ -258,7 +270,7 @@
         }
         scheduler.handle_submission(key, &queue, &spec, now);
         queue_log::log_proposed(key, &queue, &spec);
-        self.queues.submitting.insert(key);
+        self.queues.submitting.insert(key, tenant.clone());
         let command = QueueCommand::Submit {
             job: key,
             queue,
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::ProposeError;
@@ -20,6 +19,7 @@
 use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
@@ -111,9 +111,9 @@
     /// For each proposed log entry: its index, when it was proposed, and the answers to send when
     /// it is applied.
     pub(crate) pending_answers: VecDeque<(Index, Millis, Vec<Answer>)>,
-    /// The jobs whose submission is proposed and not applied yet. They may run later, so they are
-    /// not unknown.
-    pub(crate) submitting: FxHashSet<JobKey>,
+    /// The jobs whose submission is proposed and not applied yet, with their tenants. They may run
+    /// later, so they are not unknown.
+    pub(crate) submitting: FxHashMap<JobKey, Option<Arc<JobTenant>>>,
     /// The policy clients whose polls wait for a permit request, and since when.
     pub(crate) policy_clients: FxHashMap<Arc<str>, (Millis, Responder<QueueReply>)>,
     pub(crate) metrics: QueueMetrics,
@@ -137,7 +137,7 @@
             batch: VecDeque::new(),
             is_node_busy: false,
             pending_answers: VecDeque::new(),
-            submitting: FxHashSet::default(),
+            submitting: FxHashMap::default(),
             policy_clients: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -202,7 +202,7 @@
         queues: vec![queue],
         services: vec![service],
         tenants: None,
-        document: Arc::from("{}"),
+        document: "{}".into(),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -186,7 +186,7 @@
         queues: vec![queue],
         services: vec![service],
         tenants: None,
-        document: Arc::from("{}"),
+        document: "{}".into(),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -11,6 +11,7 @@
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitRequest;
 use sapphirepost_queues::scheduler::WorkerReport;
+use sapphirepost_queues::table::TableDocument;
 use sapphirepost_types::Incarnation;
 use sapphirepost_types::MemberId;
 use serde::Deserialize;
@@ -126,7 +127,7 @@
     /// The queue table that was sent, or one with a higher version, is current.
     TableInForce,
     /// The document of the current queue table, as the operator wrote it.
-    Table(Arc<str>),
+    Table(TableDocument),
     /// The report, or the shutdown, of a worker was recorded.
     Reported,
     /// The answer to [`QueueCall::WaitForQuestion`].
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -2,6 +2,7 @@
 //! document.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -26,7 +27,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tenants: Option<Vec<Tenant>>,
     /// The document as the operator submitted it.
-    pub document: Arc<str>,
+    pub document: TableDocument,
     /// For how long after its end callers are promised an answer about a job.
     #[serde(
         default = "default_ended_kept_ms",
@@ -35,6 +36,31 @@
     pub ended_kept_ms: u64,
 }
 
+/// The text of a queue table as the operator submitted it. `Debug` output does not contain the text,
+/// since it holds the keys of the tenants.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TableDocument(Arc<str>);
+
+impl TableDocument {
+    /// The text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for TableDocument {
+    fn from(text: &str) -> TableDocument {
+        TableDocument(Arc::from(text))
+    }
+}
+
+impl fmt::Debug for TableDocument {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "TableDocument({} bytes)", self.0.len())
+    }
+}
+
 /// The time for which ended jobs are kept if the platform names none.
 pub const ENDED_KEPT_DEFAULT_MS: u64 = 120_000;
 
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -214,7 +214,7 @@
                 workers_check_room: false,
             }],
             tenants: None,
-            document: Arc::from("{}"),
+            document: "{}".into(),
             ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
         };
         let mut changes = Vec::new();
