Learn the speeds of workers by comparing runs of the same step

The moving mean of duration over estimate mixed the speed of a worker with the errors of the estimates and with the tails of durations, and placement compared it in steps of 50 %. Ends of runs are now compared with those of the same step on other workers, or with the prediction, as bounded log-ratios with a prior; a difference counts only once the samples show it. Learning from gangs, resumed and adopted runs was ruled out, since they end late or early for other reasons. Steps prefer fast workers only while that decides whether they meet their deadline, and gangs share workers of similar speed.

--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -21,6 +21,7 @@
 use crate::scheduler::reservations::slot_times;
 use crate::scheduler::retries::Retry;
 use crate::scheduler::shortfall::Shortfall;
+use crate::scheduler::speed_choice::similar_speed;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
@@ -295,26 +296,29 @@
 
 /// Sorts the candidates of a gang in the order of preference.
 fn sort_for_members(candidates: &mut [Candidate]) {
-    candidates.sort_unstable_by_key(|c| {
+    candidates
+        .sort_unstable_by_key(|c| (c.preference(), c.speed_rank(), c.left_millicores, c.index));
+}
+
+impl Candidate {
+    /// Its place in the order of preference of a gang, whatever its speed and free resources.
+    pub(crate) fn preference(&self) -> (bool, bool, bool, bool) {
         (
-            c.is_avoided,
-            !c.allows_isolation,
-            !c.is_held,
-            c.permission != Permission::Granted,
-            c.slowdown_percent / 50,
-            c.left_millicores,
-            c.index,
+            self.is_avoided,
+            !self.allows_isolation,
+            !self.is_held,
+            self.permission != Permission::Granted,
         )
-    });
+    }
 }
 
-/// Assigns a worker to each member, in the order of the candidates.
+/// Assigns a worker of similar speed to each member, in the order of the candidates.
 fn assign_members<'a>(
     candidates: impl Iterator<Item = &'a Candidate>,
     members: usize,
 ) -> Option<Vec<WorkerIndex>> {
     let mut chosen = Vec::with_capacity(members);
-    for candidate in candidates {
+    for candidate in similar_speed(candidates.collect(), members) {
         let left = members - chosen.len();
         let take = left.min(candidate.fits as usize);
         chosen.extend(std::iter::repeat_n(candidate.index, take));
--- a/crates/queues/src/scheduler/health.rs
+++ b/crates/queues/src/scheduler/health.rs
@@ -15,6 +15,7 @@
 use crate::ids::TaskKey;
 use crate::job::JobPhase;
 use crate::scheduler::Scheduler;
+use crate::scheduler::speeds::WorkerSpeed;
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
 use crate::state::QueueState;
@@ -30,10 +31,6 @@
 /// A run of a task that lasts and that fails after it has worked for this long is no evidence against
 /// its worker: one that is at fault does not keep tasks at work.
 const AT_WORK_MS: u64 = 5_000;
-/// The weight of a new observation in the moving mean of the slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.1;
-/// The smallest and the largest slowdown that an observation counts as.
-const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
 
 /// What the runs of a worker have shown about it.
 #[derive(Clone, Debug)]
@@ -45,8 +42,7 @@
     /// A suspected worker may run only one task before this time.
     trial_until: Millis,
     pause_ms: u64,
-    /// Moving mean of the ratio of the duration of runs to their estimate.
-    slowdown: f64,
+    pub(crate) speed: WorkerSpeed,
 }
 
 impl Default for Health {
@@ -56,20 +52,17 @@
             paused_until: Millis::ZERO,
             trial_until: Millis::ZERO,
             pause_ms: PAUSE_MIN_MS,
-            slowdown: 1.0,
+            speed: WorkerSpeed::default(),
         }
     }
 }
 
 impl Health {
-    /// Records a run that was done after `took_ms`, and takes `usual_ms` on most workers.
-    pub fn succeeded(&mut self, took_ms: u64, usual_ms: u64) {
+    /// Records a run that was done.
+    pub fn succeeded(&mut self) {
         self.failed.clear();
         self.paused_until = Millis::ZERO;
         self.pause_ms = PAUSE_MIN_MS;
-        let ratio = took_ms.max(1) as f64 / usual_ms.max(1) as f64;
-        let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        self.slowdown += (ratio - self.slowdown) * SLOWDOWN_WEIGHT;
     }
 
     /// Records a run of a job that failed or stalled there.
@@ -118,9 +111,9 @@
         self.tasks_max(now) != usize::MAX
     }
 
-    /// How much longer than estimated runs take there, as a factor.
+    /// How much longer than usual runs take there, as a factor; 1 unless shown otherwise.
     pub fn slowdown(&self) -> f64 {
-        self.slowdown
+        self.speed.slowdown()
     }
 }
 
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -39,6 +39,8 @@
 mod retries;
 mod rounds;
 mod shortfall;
+mod speed_choice;
+mod speeds;
 mod starts;
 mod step_permits;
 mod steps;
@@ -66,6 +68,7 @@
 use crate::scheduler::placement_counts::PlacementTally;
 use crate::scheduler::quarantine::Quarantine;
 use crate::scheduler::rounds::Rounds;
+use crate::scheduler::speeds::Speeds;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::USEFUL_FACTOR;
 use crate::scheduler::waiting::WaitTracker;
@@ -175,6 +178,7 @@
     /// the names of their queues.
     pub(crate) unstarted_jobs: FxHashMap<JobKey, Arc<str>>,
     pub(crate) durations: Durations,
+    pub(crate) speeds: Speeds,
     pub(crate) dispatcher: PermitDispatcher,
     /// Steps whose permit request was answered since the last tick.
     pub(crate) answered_steps: Vec<StepKey>,
@@ -217,6 +221,7 @@
             job_steps: FxHashMap::default(),
             unstarted_jobs: FxHashMap::default(),
             durations: Durations::default(),
+            speeds: Speeds::default(),
             dispatcher: PermitDispatcher::new(config.term),
             answered_steps: Vec::new(),
             poll_candidates: Vec::new(),
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -18,6 +18,8 @@
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
 use crate::scheduler::reservations::Reservations;
+use crate::scheduler::speed_choice::set_speed_order;
+use crate::scheduler::speeds::speed_step;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -45,8 +47,10 @@
     pub(crate) left_millicores: u64,
     /// Whether the worker is on the preferred rack of the step.
     pub(crate) is_preferred: bool,
-    /// How long runs take there, in percent of their estimates.
-    pub(crate) slowdown_percent: u64,
+    /// How much longer than usual runs take there, as a factor.
+    pub(crate) slowdown: f64,
+    /// Whether the step takes fast workers first.
+    pub(crate) is_fast_first: bool,
 }
 
 impl Candidate {
@@ -54,6 +58,15 @@
     pub(crate) fn is_allowed(&self) -> bool {
         matches!(self.permission, Permission::Granted | Permission::Expired)
     }
+
+    /// The place of the worker's speed in the order of preference.
+    pub(crate) fn speed_rank(&self) -> i32 {
+        if self.is_fast_first {
+            speed_step(self.slowdown)
+        } else {
+            0
+        }
+    }
 }
 
 impl Scheduler {
@@ -124,7 +137,6 @@
                 self.tally.count_withheld(fits_free);
                 continue;
             }
-            let slowdown = worker.health.slowdown();
             let available = self.available_to(view, index, worker, reservations, now);
             let fits = self.fits(view, worker, available, now);
             if available != worker.free() {
@@ -155,9 +167,11 @@
                 ),
                 left_millicores: remaining.millicores,
                 is_preferred,
-                slowdown_percent: (slowdown * 100.0) as u64,
+                slowdown: worker.health.slowdown(),
+                is_fast_first: false,
             });
         }
+        set_speed_order(view, &mut found, now);
         self.keep_job_together(view, &mut found);
         found
     }
@@ -228,7 +242,7 @@
             (
                 c.is_avoided,
                 !c.is_preferred,
-                c.slowdown_percent / 50,
+                c.speed_rank(),
                 c.left_millicores,
                 c.index,
             )
@@ -338,6 +352,7 @@
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let exclusive_ms = self.exclusive_ms();
         let mut proposed = Vec::with_capacity(placements.len());
+        let gang_slowdown = self.gang_slowdown(view, placements);
         self.tally.counts.tasks += placements.len() as u64;
         view.permits.note_placement();
         for (task, index) in placements {
@@ -350,7 +365,8 @@
                 tasks[*task as usize].run + 1
             };
             worker.record_start(view.key.job, exclusive_ms, now);
-            let expected_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+            let slowdown = gang_slowdown.unwrap_or(worker.health.slowdown());
+            let expected_ms = (view.usual_ms as f64 * slowdown) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
--- /dev/null
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -0,0 +1,246 @@
+//! Learns how fast each worker is from the ends of runs.
+//!
+//! Workers of one service differ in speed by a factor of two and more, while single durations vary by
+//! a factor of seven and estimates are off by half. The duration of a run is compared with those of
+//! the same step on other workers, which share the error of the estimate, or, without such runs, with
+//! the predicted duration. Logarithms of the ratios are averaged with bounded deviations. A prior of
+//! several samples at the usual speed keeps single ends from changing much, and a speed counts only
+//! once the samples show that it differs from the usual one, so that workers of equal speed are all
+//! treated alike.
+//!
+//! Runs of gangs end with their slowest member, and runs that resumed, that an earlier leader
+//! started or that were remote from their data took longer or shorter for other reasons than the
+//! speed of the worker. None of them is a sample.
+
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::ids::StepKey;
+use crate::scheduler::Scheduler;
+use crate::scheduler::workers::RunView;
+use crate::scheduler::workers::WorkerIndex;
+
+/// The number of samples at the usual speed that the prior counts as.
+const PRIOR_SAMPLES: f64 = 4.0;
+/// Every sample of a worker reduces the weight of its earlier ones by one part in this many.
+const WINDOW_SAMPLES: f64 = 100.0;
+/// The largest deviation of a sample from what was expected, as the logarithm of a ratio. Without a
+/// limit, a single run of seven times the usual duration would outweigh ten ordinary ones.
+const DEVIATION_MAX: f64 = std::f64::consts::LN_2;
+/// The variance of samples that is assumed before there are any.
+const VARIANCE_INITIAL: f64 = 0.1;
+/// The number of samples that this variance counts as.
+const VARIANCE_PRIOR_SAMPLES: f64 = 20.0;
+/// Every sample reduces the weight of the earlier ones in the mean and the variance of all workers
+/// by one part in this many.
+const COMMON_WINDOW_SAMPLES: f64 = 500.0;
+/// The number of samples of a queue after which its predicted durations are compared with. The mean
+/// of the earlier ones shows how far its estimates are off.
+const QUEUE_SAMPLES_MIN: f64 = 24.0;
+/// A speed counts from this many standard deviations on. A service has a thousand workers, each of
+/// which is tested after each sample.
+const SHOWN_DEVIATIONS: f64 = 4.5;
+/// A speed that counts does so down to this many standard deviations.
+const KEPT_DEVIATIONS: f64 = 2.5;
+/// The smallest and the largest slowdown.
+const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
+/// The ratio between two steps of speed.
+const STEP_RATIO: f64 = 1.25;
+/// The number of ends of a step that later ends are compared with.
+const ENDS_PER_STEP_MAX: usize = 16;
+
+/// The speed of a worker, compared with the usual speed in its service.
+#[derive(Clone, Debug)]
+pub struct WorkerSpeed {
+    /// The weighted sum of the logarithms of the ratios.
+    sum: f64,
+    weight: f64,
+    /// The slowdown that counts: 1 unless the samples show that the worker differs.
+    slowdown: f64,
+}
+
+impl Default for WorkerSpeed {
+    fn default() -> WorkerSpeed {
+        WorkerSpeed {
+            sum: 0.0,
+            weight: 0.0,
+            slowdown: 1.0,
+        }
+    }
+}
+
+impl WorkerSpeed {
+    /// How much longer than usual runs take there, as a factor; exactly 1 unless shown otherwise.
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown
+    }
+
+    /// The best estimate of the logarithm of the slowdown, whether it counts or not.
+    fn log_slowdown(&self) -> f64 {
+        self.sum / (self.weight + PRIOR_SAMPLES)
+    }
+
+    /// Adds a sample. `variance` is that of samples with weight 1.
+    fn add(&mut self, log_ratio: f64, weight: f64, variance: f64) {
+        let keep = 1.0 - weight / WINDOW_SAMPLES;
+        self.sum = self.sum * keep + log_ratio * weight;
+        self.weight = self.weight * keep + weight;
+        let log_slowdown = self.log_slowdown();
+        let deviation = (variance / (self.weight + PRIOR_SAMPLES)).sqrt();
+        let needed = if self.slowdown == 1.0 {
+            SHOWN_DEVIATIONS
+        } else {
+            KEPT_DEVIATIONS
+        };
+        self.slowdown = if log_slowdown.abs() < needed * deviation {
+            1.0
+        } else {
+            let (min, max) = SLOWDOWN_RANGE;
+            log_slowdown.exp().clamp(min, max)
+        };
+    }
+}
+
+/// Workers in the same step of speed are treated as equally fast; faster ones have lower steps.
+pub(crate) fn speed_step(slowdown: f64) -> i32 {
+    (slowdown.ln() / STEP_RATIO.ln()).round() as i32
+}
+
+/// The mean and the variance of one kind of sample over all workers, beyond their known speeds.
+#[derive(Clone, Copy, Debug)]
+struct Comparison {
+    mean: f64,
+    variance: f64,
+    samples: f64,
+}
+
+impl Default for Comparison {
+    fn default() -> Comparison {
+        Comparison {
+            mean: 0.0,
+            variance: VARIANCE_INITIAL,
+            samples: 0.0,
+        }
+    }
+}
+
+impl Comparison {
+    /// Records a log-ratio on a worker with a known slowdown; returns the log-ratio with a bounded
+    /// deviation and without the common mean.
+    fn record(&mut self, log_ratio: f64, log_slowdown: f64) -> f64 {
+        let deviation = log_ratio - self.mean - log_slowdown;
+        let deviation = deviation.clamp(-DEVIATION_MAX, DEVIATION_MAX);
+        self.samples = (self.samples + 1.0).min(COMMON_WINDOW_SAMPLES);
+        self.mean += deviation / (self.samples + PRIOR_SAMPLES);
+        let change = deviation * deviation - self.variance;
+        self.variance += change / (self.samples + VARIANCE_PRIOR_SAMPLES);
+        log_slowdown + deviation
+    }
+}
+
+/// What the samples of all workers have in common.
+#[derive(Debug, Default)]
+pub struct Speeds {
+    /// Comparisons with runs of the same step.
+    same_step: Comparison,
+    /// Comparisons with the predicted durations, by queue.
+    by_queue: FxHashMap<Arc<str>, Comparison>,
+}
+
+/// The last ends of runs of a step, with the worker and the logarithm of the duration.
+#[derive(Clone, Debug, Default)]
+pub struct StepEnds {
+    ends: SmallVec<[(WorkerIndex, f64); 1]>,
+}
+
+impl StepEnds {
+    fn add(&mut self, worker: WorkerIndex, log_ms: f64) {
+        if self.ends.len() >= ENDS_PER_STEP_MAX {
+            self.ends.remove(0);
+        }
+        self.ends.push((worker, log_ms));
+    }
+}
+
+impl RunView {
+    /// Whether the duration of the run depends only on the task and the speed of the worker.
+    fn shows_speed(&self) -> bool {
+        self.is_measurable() && !self.is_service
+    }
+}
+
+impl Scheduler {
+    /// Records the end of a run that was done after `took_ms` as a sample of its worker's speed.
+    pub(crate) fn record_speed(
+        &mut self,
+        step: StepKey,
+        index: WorkerIndex,
+        run: &RunView,
+        took_ms: u64,
+    ) {
+        let Some(view) = self.steps.get_mut(&step).filter(|_| run.shows_speed()) else {
+            return;
+        };
+        if view.spec().is_gang && view.spec().count > 1 {
+            return;
+        }
+        let workers = &self.workers;
+        let known = |index| Some(workers.get(index)?.health.speed.log_slowdown());
+        let Some(log_slowdown) = known(index) else {
+            return;
+        };
+        let log_ms = log_ms(took_ms);
+        let others = view.ends.ends.iter().filter(|(other, _)| *other != index);
+        let others = others.filter_map(|(other, log_ms)| Some(log_ms - known(*other)?));
+        let mut others: SmallVec<[f64; ENDS_PER_STEP_MAX]> = others.collect();
+        let is_first = view.ends.ends.is_empty();
+        let own = view.ends.ends.len() - others.len().min(view.ends.ends.len());
+        view.ends.add(index, log_ms);
+        let unit = self.speeds.same_step.variance;
+        let (log_ratio, weight) = if let Some(median) = median(&mut others) {
+            let comparison = &mut self.speeds.same_step;
+            let log_ratio = comparison.record(log_ms - median, log_slowdown);
+            (log_ratio, weight_in_step(own, others.len()))
+        } else if is_first {
+            let by_queue = &mut self.speeds.by_queue;
+            let comparison = by_queue.entry(view.queue_name.clone()).or_default();
+            let log_usual = self::log_ms(run.usual_ms);
+            let log_ratio = comparison.record(log_ms - log_usual, log_slowdown);
+            if comparison.samples < QUEUE_SAMPLES_MIN {
+                return;
+            }
+            (log_ratio, (unit / comparison.variance).min(1.0))
+        } else {
+            // Further runs of the step on this worker share the error of its estimate.
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(index) {
+            worker.health.speed.add(log_ratio, weight, unit);
+        }
+    }
+}
+
+/// The weight of a further sample of a worker in a step with `own` earlier ends there and `others` on
+/// other workers. All samples of the worker in the step share the durations of the others, so
+/// together they count as the harmonic sum of both numbers.
+fn weight_in_step(own: usize, others: usize) -> f64 {
+    let (own, others) = (own as f64, others as f64);
+    others * others / ((own + 1.0 + others) * (own + others))
+}
+
+fn median(values: &mut [f64]) -> Option<f64> {
+    values.sort_unstable_by(f64::total_cmp);
+    let middle = values.len() / 2;
+    let upper = *values.get(middle)?;
+    if values.len().is_multiple_of(2) {
+        Some((values[middle - 1] + upper) / 2.0)
+    } else {
+        Some(upper)
+    }
+}
+
+fn log_ms(ms: u64) -> f64 {
+    (ms.max(1) as f64).ln()
+}
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -19,6 +19,7 @@
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
 use crate::scheduler::shortfall::Shortfall;
+use crate::scheduler::speeds::StepEnds;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -73,6 +74,8 @@
     pub remaining_path_ms: u64,
     /// Whether the duration of a run has been recorded.
     pub is_duration_recorded: bool,
+    /// The last ends of its runs, to compare the speeds of workers.
+    pub ends: StepEnds,
     /// Since when tasks of the step could have started; `None` while none waits.
     pub waiting_since: Option<Millis>,
     /// How long the tasks had waited when a start of the step was last proposed.
@@ -365,6 +368,7 @@
         usual_ms: *usual_ms,
         remaining_path_ms,
         is_duration_recorded: false,
+        ends: StepEnds::default(),
         waiting_since: None,
         last_wait_ms: 0,
         waiting: BTreeSet::new(),
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -304,10 +304,11 @@
         match kind {
             Some(EndKind::Done) => {
                 let took_ms = now.since(view.since);
-                worker.health.succeeded(took_ms, view.usual_ms);
+                worker.health.succeeded();
                 if view.is_measurable() {
                     self.record_duration(task.step, took_ms);
                 }
+                self.record_speed(task.step, index, &view, took_ms);
             }
             Some(EndKind::Failed) => {}
             Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
