Let tasks wait for workers near their data

A task that prefers a rack started at once on any worker with room, also if a local worker was free in a moment, and a remote run takes remote_factor times as long. A step now waits for local room that is expected early enough, at most for what a local run saves, and a single-rack gang does so for a rack with room for all members. Remote runs are neither recorded as durations nor as speeds. The speed of a worker is now relative to the mean of its service, since comparisons let all workers drift together, and expected ends take the mean ratio of a queue's runs to their predictions.

--- a/crates/control/src/queue_metrics.rs
+++ b/crates/control/src/queue_metrics.rs
@@ -61,6 +61,9 @@
     requested_workers: Family<CauseLabel, Counter>,
     repeated_permit_answers: Counter,
     tasks_after_withholding: Counter,
+    local_tasks_after_wait: Counter,
+    remote_tasks: Counter,
+    expired_locality_waits: Counter,
 }
 
 /// What came of an attempt to place a step, as a label.
@@ -214,6 +217,18 @@
                 "queue_tasks_placed_after_withholding",
                 "Tasks placed in free room that had been withheld from their step for too long",
             ),
+            local_tasks_after_wait: counter(
+                "queue_tasks_placed_local_after_wait",
+                "Tasks placed near their data after their step had waited for that",
+            ),
+            remote_tasks: counter(
+                "queue_tasks_placed_remote",
+                "Tasks placed remote from their data",
+            ),
+            expired_locality_waits: counter(
+                "queue_locality_waits_expired",
+                "Waits of steps for workers near their data that ended by their bound",
+            ),
             repeated_permit_answers: counter(
                 "queue_questions_repeated",
                 "Answered questions for a step that placed no task since the answer before",
@@ -251,6 +266,11 @@
         self.repeated_permit_answers.inc_by(counts.repeated_answers);
         self.tasks_after_withholding
             .inc_by(counts.tasks_after_withholding);
+        self.local_tasks_after_wait
+            .inc_by(counts.local_tasks_after_wait);
+        self.remote_tasks.inc_by(counts.remote_tasks);
+        self.expired_locality_waits
+            .inc_by(counts.expired_locality_waits);
     }
 
     pub(crate) fn add_counts(&self, counts: Counts) {
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -68,8 +68,9 @@
 /// Receives the reply to a request to a worker, or why there is none.
 pub type WorkerReplyCallback = Box<dyn FnOnce(Result<WorkerReply, WorkerRequestError>) + Send>;
 
-/// Time limits in milliseconds for the workers; they must be the same on every member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Time limits in milliseconds for the workers, and what remote data costs; they must be the same on
+/// every member.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueTiming {
     /// How long a worker may run tasks without hearing from a leader, on the worker's clock.
     pub lease_ms: u64,
@@ -79,6 +80,9 @@
     pub stop_ms: u64,
     /// How long the tasks of a gang wait for each other before they end as incomplete.
     pub gang_ms: u64,
+    /// How many times as long a task takes that is remote from its data; 1 if that makes no
+    /// difference.
+    pub remote_factor: f64,
 }
 
 /// What an embedding program provides so that this process schedules queues.
@@ -261,6 +265,7 @@
             lease_max_ms: parts.timing.lease_max_ms,
             stop_ms: parts.timing.stop_ms,
             gang_ms: parts.timing.gang_ms,
+            remote_factor: parts.timing.remote_factor,
             hand_over_ms: 2 * self.leader_settings.election_timeout_ms,
         };
         let scheduler = Scheduler::new(config, self.state.queues(), now, unix_ms);
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -164,6 +164,7 @@
                 lease_max_ms: 4_000,
                 stop_ms: 400,
                 gang_ms: 2_000,
+                remote_factor: 1.0,
             };
             let gateway = Box::new(SilentWorkers);
             Ok(Some(QueueParts { gateway, timing }))
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -126,6 +126,7 @@
                     lease_max_ms: 4_000,
                     stop_ms: 400,
                     gang_ms: 2_000,
+                    remote_factor: 1.0,
                 };
                 Ok(Some(QueueParts { gateway, timing }))
             })
--- a/crates/queues/src/scheduler/due_attempts.rs
+++ b/crates/queues/src/scheduler/due_attempts.rs
@@ -131,6 +131,7 @@
         worker: &WorkerView,
     ) -> bool {
         view.can_run_on(worker)
+            && view.has_use_for_rack_of(worker)
             && self.may_use(view, index)
             && (view.queue.permits.is_none() || view.permits.may_use_or_ask(index))
     }
--- a/crates/queues/src/scheduler/gangs.rs
+++ b/crates/queues/src/scheduler/gangs.rs
@@ -96,6 +96,11 @@
             Vec::new()
         };
         sort_for_members(&mut candidates);
+        if self.waits_for_rack(view, &candidates, reservations, now) {
+            view.retry = self.retry_after(view, AttemptResult::LocalityWait, begin, None, now);
+            self.end_attempt(begin, AttemptResult::LocalityWait);
+            return false;
+        }
         if let Some(job) = job
             && let Some(result) = self.start_gang(job, view, &candidates, isolation, now)
         {
@@ -202,12 +207,16 @@
     }
 
     /// Workers with a common label for all members of a gang, to place it on one rack.
-    fn choose_rack(&self, usable: &[&Candidate], members: usize) -> Option<Vec<WorkerIndex>> {
+    pub(crate) fn choose_rack(
+        &self,
+        usable: &[&Candidate],
+        members: usize,
+    ) -> Option<Vec<WorkerIndex>> {
         let mut labels: Vec<Arc<str>> = Vec::new();
         self.count_visits(VisitKind::Rack, usable.len());
         for candidate in usable {
             let worker = self.workers.get(candidate.index)?;
-            for label in &worker.record.labels {
+            for label in self.rack_labels(worker) {
                 if !labels.contains(label) {
                     labels.push(label.clone());
                 }
@@ -313,7 +322,7 @@
 }
 
 /// Assigns a worker of similar speed to each member, in the order of the candidates.
-fn assign_members<'a>(
+pub(crate) fn assign_members<'a>(
     candidates: impl Iterator<Item = &'a Candidate>,
     members: usize,
 ) -> Option<Vec<WorkerIndex>> {
--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -19,6 +19,8 @@
 mod health;
 mod isolation;
 mod lease;
+mod locality;
+mod locality_wait;
 mod messages;
 mod needless_runs;
 mod overload;
@@ -63,6 +65,7 @@
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::isolation::IsolationTurns;
+use crate::scheduler::locality_wait::LocalityWaits;
 use crate::scheduler::overload::Overload;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::placement_counts::PlacementTally;
@@ -84,6 +87,9 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+pub use crate::scheduler::locality::LocalSlot;
+pub use crate::scheduler::locality::LocalityChoice;
+pub use crate::scheduler::locality::LocalityDecision;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -109,7 +115,7 @@
 pub use crate::scheduler::written_off_runs::WrittenOffRun;
 
 /// Parameters of a [`Scheduler`]. Apart from the term, they are the same on every member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SchedulerConfig {
     /// The leader's term. Workers reject requests of earlier terms.
     pub term: u64,
@@ -123,6 +129,9 @@
     pub gang_ms: u64,
     /// How long after the start of this term an earlier leader may still send requests.
     pub hand_over_ms: u64,
+    /// How many times as long a task takes that is remote from the rack of its data, or a gang that
+    /// is on several racks although it should be on one. With 1, nothing waits for local workers.
+    pub remote_factor: f64,
 }
 
 /// A side effect that the scheduler asks its owner to carry out.
@@ -201,6 +210,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) contact_losses: ContactLosses,
     pub(crate) overload: Overload,
+    pub(crate) locality: LocalityWaits,
     /// The number of restarts of workers under their IDs that this leader has noticed.
     pub(crate) restarts: u32,
 }
@@ -239,6 +249,7 @@
             quarantine: Quarantine::default(),
             contact_losses: ContactLosses::default(),
             overload: Overload::new(now),
+            locality: LocalityWaits::default(),
             restarts: 0,
         };
         for worker in state.workers() {
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -189,7 +189,10 @@
         if self.takes_withheld_room(view) {
             return worker.free();
         }
-        let task_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+        let factor = worker.health.slowdown()
+            * self.speeds.mean_ratio(&view.queue_name)
+            * self.remote_factor(self.is_remote(view, worker));
+        let task_ms = (view.usual_ms as f64 * factor) as u64;
         reservations.available(index, worker, view.key, task_ms, now)
     }
 
@@ -220,6 +223,8 @@
         let candidates = self.place_on_candidates(state, view, reservations, now);
         let result = if view.waiting.len() < waiting {
             AttemptResult::Placed
+        } else if view.locality.is_waiting() {
+            AttemptResult::LocalityWait
         } else {
             self.failed_result(view, &candidates, begin)
         };
@@ -255,11 +260,19 @@
                 .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
                 .collect::<Vec<_>>()
                 .into_iter();
+            let tasks = waiting.len();
+            let mut remote_left =
+                self.remote_starts_max(view, &candidates, tasks, reservations, now);
             let granted = candidates
                 .iter()
                 .filter(|c| c.permission == Permission::Granted);
             'workers: for candidate in granted {
-                for _ in 0..candidate.fits {
+                let mut fits = candidate.fits;
+                if !candidate.is_preferred {
+                    fits = fits.min(remote_left);
+                    remote_left -= fits;
+                }
+                for _ in 0..fits {
                     let Some(task) = waiting.next() else {
                         break 'workers;
                     };
@@ -276,7 +289,7 @@
                 return candidates;
             }
         }
-        self.request_permits(view, &candidates, now);
+        self.request_useful_permits(view, &candidates, now);
         candidates
     }
 
@@ -353,9 +366,15 @@
         let exclusive_ms = self.exclusive_ms();
         let mut proposed = Vec::with_capacity(placements.len());
         let gang_slowdown = self.gang_slowdown(view, placements);
+        let is_spread = self.is_spread(view, placements);
+        let mean_ratio = self.speeds.mean_ratio(&view.queue_name);
         self.tally.counts.tasks += placements.len() as u64;
         view.permits.note_placement();
         for (task, index) in placements {
+            let worker = self.workers.get(*index);
+            let is_remote = is_spread || worker.is_some_and(|worker| self.is_remote(view, worker));
+            let remote_factor = self.remote_factor(is_remote);
+            self.count_locality(view, is_remote, now);
             let Some(worker) = self.workers.get_mut(*index) else {
                 continue;
             };
@@ -366,7 +385,7 @@
             };
             worker.record_start(view.key.job, exclusive_ms, now);
             let slowdown = gang_slowdown.unwrap_or(worker.health.slowdown());
-            let expected_ms = (view.usual_ms as f64 * slowdown) as u64;
+            let expected_ms = (view.usual_ms as f64 * slowdown * mean_ratio * remote_factor) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
@@ -380,6 +399,7 @@
                 checkpoint: None,
                 checkpointed: None,
                 is_needless: false,
+                is_remote,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: None,
@@ -396,6 +416,7 @@
                 incarnation: worker.record.incarnation,
             });
         }
+        view.end_locality_wait();
         self.propose(QueueCommand::Start {
             step: view.key,
             placements: proposed,
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -24,11 +24,13 @@
     Withheld,
     /// Members of the last run of the gang have not ended.
     FormerRun,
+    /// Tasks could start remotely and wait for workers near their data.
+    LocalityWait,
 }
 
 impl AttemptResult {
     /// All results, in the order of [`PlacementCounts::attempts`].
-    pub const ALL: [AttemptResult; 7] = [
+    pub const ALL: [AttemptResult; 8] = [
         AttemptResult::Placed,
         AttemptResult::NotReady,
         AttemptResult::NoRoom,
@@ -36,6 +38,7 @@
         AttemptResult::ExpiredPermit,
         AttemptResult::Withheld,
         AttemptResult::FormerRun,
+        AttemptResult::LocalityWait,
     ];
 
     /// The name in metrics.
@@ -48,6 +51,7 @@
             AttemptResult::ExpiredPermit => "expired_permit",
             AttemptResult::Withheld => "withheld",
             AttemptResult::FormerRun => "former_run",
+            AttemptResult::LocalityWait => "locality_wait",
         }
     }
 }
@@ -69,11 +73,13 @@
     Reservation,
     /// Workers whose tasks a gang might preempt.
     Preemption,
+    /// Workers that may be near the data of a step, and other steps that wait for them.
+    Locality,
 }
 
 impl VisitKind {
     /// All kinds, in the order of [`PlacementCounts::visits`].
-    pub const ALL: [VisitKind; 7] = [
+    pub const ALL: [VisitKind; 8] = [
         VisitKind::Round,
         VisitKind::Freed,
         VisitKind::Candidate,
@@ -81,6 +87,7 @@
         VisitKind::Request,
         VisitKind::Reservation,
         VisitKind::Preemption,
+        VisitKind::Locality,
     ];
 
     /// The name in metrics.
@@ -93,6 +100,7 @@
             VisitKind::Request => "request",
             VisitKind::Reservation => "reservation",
             VisitKind::Preemption => "preemption",
+            VisitKind::Locality => "locality",
         }
     }
 }
@@ -148,6 +156,13 @@
     /// Those of them from whose step free room had been withheld for so long that it left no more
     /// to other jobs.
     pub tasks_after_withholding: u64,
+    /// Tasks and members of gangs placed near their data after their step had waited for that.
+    pub local_tasks_after_wait: u64,
+    /// Tasks and members of gangs placed remote from their data.
+    pub remote_tasks: u64,
+    /// Waits of steps for workers near their data that ended by their bound while more was expected to
+    /// pay off.
+    pub expired_locality_waits: u64,
     /// Visits of workers and steps, in the order of [`VisitKind::ALL`].
     pub visits: [u64; VisitKind::ALL.len()],
     /// Permit requests by cause, in the order of [`RequestCause::ALL`].
--- a/crates/queues/src/scheduler/retries.rs
+++ b/crates/queues/src/scheduler/retries.rs
@@ -35,6 +35,9 @@
         due: Option<Millis>,
         now: Millis,
     ) -> Retry {
+        if let Some(review) = view.locality_review(self.rounds.retry_ms(), now) {
+            return review;
+        }
         // A gang that lacks room also with what is withheld from it waits for room like others.
         let is_withheld = self.has_withheld_since(begin) && view.shortfall.is_none();
         let waits_for_change = match result {
@@ -45,7 +48,9 @@
                 view.queue.permits.is_none() || !view.permits.is_unrequested()
             }
             AttemptResult::Withheld => view.shortfall.is_some(),
-            AttemptResult::Placed | AttemptResult::ExpiredPermit => false,
+            AttemptResult::Placed | AttemptResult::ExpiredPermit | AttemptResult::LocalityWait => {
+                false
+            }
         };
         // The workers of a quarantined queue change at each check of its set, and a request that
         // is needed during a pause is made by a later attempt.
--- a/crates/queues/src/scheduler/speed_choice.rs
+++ b/crates/queues/src/scheduler/speed_choice.rs
@@ -91,8 +91,8 @@
 }
 
 /// The step of speed of the slowest worker that a gang uses, by the number of members that fit on
-/// workers of each step, which are sorted. A gang with time to spare takes the slowest step that
-/// holds all of it; otherwise, the slowest worker is as fast as possible.
+/// workers of each step, which are sorted. A gang with time to spare takes the slowest two
+/// adjacent steps that hold all of it; otherwise, the slowest worker is as fast as possible.
 fn slowest_step(fits: &[(i32, usize)], members: usize, is_fast_first: bool) -> Option<i32> {
     let mut by_step: Vec<(i32, usize)> = Vec::new();
     for (step, fits) in fits {
@@ -101,9 +101,17 @@
             None => by_step.push((*step, *fits)),
         }
     }
-    let holds_all = |(_, fits): &&(i32, usize)| *fits >= members;
-    if !is_fast_first && let Some((step, _)) = by_step.iter().rev().find(holds_all) {
-        return Some(*step);
+    // Learned speeds differ a little, so that equal workers may be in two adjacent steps.
+    let fits_near = |step: i32| {
+        let near = by_step
+            .iter()
+            .filter(|(other, _)| (step - 1..=step).contains(other));
+        near.map(|(_, fits)| fits).sum::<usize>()
+    };
+    let mut steps = by_step.iter().rev().map(|(step, _)| *step);
+    let slowest = steps.find(|step| fits_near(*step) >= members);
+    if !is_fast_first && slowest.is_some() {
+        return slowest;
     }
     let mut sum = 0;
     let enough = by_step.iter().find(|(_, fits)| {
--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -44,6 +44,13 @@
 const SHOWN_DEVIATIONS: f64 = 4.5;
 /// A speed that counts does so down to this many standard deviations.
 const KEPT_DEVIATIONS: f64 = 2.5;
+/// Every sample reduces the weight of the earlier ones in the mean slowdown of a service by one part in
+/// this many.
+const USUAL_WINDOW_SAMPLES: f64 = 200.0;
+/// The weight of a new run in the moving mean of the ratios of durations to predictions in a queue.
+const RATIO_WEIGHT: f64 = 0.05;
+/// The smallest and the largest ratio that a run counts as.
+const RATIO_RANGE: (f64, f64) = (0.5, 8.0);
 /// The smallest and the largest slowdown.
 const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
 /// The ratio between two steps of speed.
@@ -83,11 +90,12 @@
     }
 
     /// Adds a sample. `variance` is that of samples with weight 1.
-    fn add(&mut self, log_ratio: f64, weight: f64, variance: f64) {
+    /// `usual` is the logarithm of the slowdown of a usual worker of the service.
+    fn add(&mut self, log_ratio: f64, weight: f64, variance: f64, usual: f64) {
         let keep = 1.0 - weight / WINDOW_SAMPLES;
         self.sum = self.sum * keep + log_ratio * weight;
         self.weight = self.weight * keep + weight;
-        let log_slowdown = self.log_slowdown();
+        let log_slowdown = self.log_slowdown() - usual;
         let deviation = (variance / (self.weight + PRIOR_SAMPLES)).sqrt();
         let needed = if self.slowdown == 1.0 {
             SHOWN_DEVIATIONS
@@ -147,6 +155,24 @@
     same_step: Comparison,
     /// Comparisons with the predicted durations, by queue.
     by_queue: FxHashMap<Arc<str>, Comparison>,
+    /// The mean logarithm of the slowdown of the workers of each service. Comparisons show only
+    /// differences between workers, so that all of them together may drift.
+    usual: FxHashMap<Arc<str>, f64>,
+    /// The mean ratio of the durations of runs to their predictions, by queue. A prediction is a
+    /// typical duration of the first run of a step that ends, and the others take longer.
+    ratios: FxHashMap<Arc<str>, f64>,
+}
+
+impl Speeds {
+    /// How long runs of a queue take on average, in proportion to their predicted durations.
+    pub(crate) fn mean_ratio(&self, queue: &str) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
+    }
+
+    fn record_ratio(&mut self, queue: &Arc<str>, ratio: f64) {
+        let mean = self.ratios.entry(queue.clone()).or_insert(1.0);
+        *mean += (ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1) - *mean) * RATIO_WEIGHT;
+    }
 }
 
 /// The last ends of runs of a step, with the worker and the logarithm of the duration.
@@ -183,14 +209,17 @@
         let Some(view) = self.steps.get_mut(&step).filter(|_| run.shows_speed()) else {
             return;
         };
-        if view.spec().is_gang && view.spec().count > 1 {
-            return;
-        }
         let workers = &self.workers;
         let known = |index| Some(workers.get(index)?.health.speed.log_slowdown());
         let Some(log_slowdown) = known(index) else {
             return;
         };
+        let ratio = took_ms as f64 / run.usual_ms.max(1) as f64;
+        self.speeds
+            .record_ratio(&view.queue_name, ratio / log_slowdown.exp());
+        if view.spec().is_gang && view.spec().count > 1 {
+            return;
+        }
         let log_ms = log_ms(took_ms);
         let others = view.ends.ends.iter().filter(|(other, _)| *other != index);
         let others = others.filter_map(|(other, log_ms)| Some(log_ms - known(*other)?));
@@ -217,7 +246,10 @@
             return;
         };
         if let Some(worker) = self.workers.get_mut(index) {
-            worker.health.speed.add(log_ratio, weight, unit);
+            let usual = self.speeds.usual.entry(worker.record.service.clone());
+            let usual = usual.or_default();
+            *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
+            worker.health.speed.add(log_ratio, weight, unit, *usual);
         }
     }
 }
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -15,6 +15,7 @@
 use crate::job::TaskPhase;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::locality_wait::LocalityWait;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
@@ -108,6 +109,8 @@
     pub reservation_turn: ReservationTurn,
     /// For how long free room was withheld from it.
     pub withheld_time: WithheldTime,
+    /// Its wait for workers near its data.
+    pub locality: LocalityWait,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
     /// When it is tried again although nothing is known to have changed for it.
@@ -385,6 +388,7 @@
         preempt_retry_at: Millis::ZERO,
         reservation_turn: ReservationTurn::default(),
         withheld_time: WithheldTime::default(),
+        locality: LocalityWait::default(),
         tried: None,
         retry: Retry::Soon,
         left_out_at: None,
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -39,6 +39,8 @@
     Room,
     /// Members of the last run of its gang are still on workers.
     FormerRun,
+    /// Its tasks could start remote from their data, and wait for workers near it.
+    Locality,
     /// Its tasks have to be isolated, and it has no turn to use workers for that.
     Isolation,
     /// Some allowed worker has enough free resources for a member of its gang, but the gang cannot
@@ -235,6 +237,8 @@
         WaitReason::FormerRun
     } else if view.is_without_turn {
         WaitReason::Isolation
+    } else if view.locality.is_waiting() {
+        WaitReason::Locality
     } else if room.allowed == 0 {
         WaitReason::NoPermit
     } else if room.fresh + room.expired == 0 {
--- a/crates/queues/src/scheduler/withheld_time.rs
+++ b/crates/queues/src/scheduler/withheld_time.rs
@@ -59,7 +59,7 @@
         begin: AttemptBegin,
         now: Millis,
     ) {
-        if result == AttemptResult::Placed {
+        if matches!(result, AttemptResult::Placed | AttemptResult::LocalityWait) {
             return;
         }
         let lacks_workers = matches!(result, AttemptResult::NoPermit | AttemptResult::NoRoom);
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -95,6 +95,7 @@
                 progressed: now,
                 unlisted_since: Some(now),
                 has_begun: false,
+                is_remote: false,
                 is_needless: job.is_some_and(|job| job.is_needless(*task, held.run)),
                 confirmed: now,
             };
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -84,6 +84,8 @@
     pub expected_ms: u64,
     /// Whether another run has done the work of the task.
     pub is_needless: bool,
+    /// Whether it is remote from its data, so that it takes longer than on most workers.
+    pub is_remote: bool,
     /// Whether the worker has accepted the start or listed the run.
     pub has_begun: bool,
     /// The last checkpoint that the worker reported.
@@ -105,9 +107,9 @@
 
 impl RunView {
     /// Whether the time since `since` is the whole time that the task has taken: the run does not
-    /// resume from a checkpoint, and this leader started it.
+    /// resume from a checkpoint, this leader started it, and it is not remote from its data.
     pub fn is_measurable(&self) -> bool {
-        self.run == 1 && !self.is_adopted
+        self.run == 1 && !self.is_adopted && !self.is_remote
     }
 
     /// When the run is expected to end; `None` for a task that lasts.
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -112,6 +112,8 @@
     pub state: QueueState,
     pub scheduler: Scheduler,
     pub term: u64,
+    /// How many times as long tasks take that are remote from their data.
+    remote_factor: f64,
     pub workers: BTreeMap<Arc<str>, ModelWorker>,
     pub jobs: BTreeMap<JobKey, SubmittedJob>,
     events: BTreeMap<(u64, u64), Event>,
@@ -192,7 +194,7 @@
     queue
 }
 
-fn config(term: u64) -> SchedulerConfig {
+fn config(term: u64, remote_factor: f64) -> SchedulerConfig {
     SchedulerConfig {
         term,
         lease_ms: LEASE_MS,
@@ -200,6 +202,7 @@
         stop_ms: STOP_MS,
         gang_ms: GANG_MS,
         hand_over_ms: 700,
+        remote_factor,
     }
 }
 
@@ -223,13 +226,14 @@
             let record = Box::new(worker.record.clone());
             state.apply(1, 0, &QueueCommand::PutWorker(record), &mut changes);
         }
-        let scheduler = Scheduler::new(config(1), &state, Millis::ZERO, 0);
+        let scheduler = Scheduler::new(config(1, 1.0), &state, Millis::ZERO, 0);
         let workers = workers.into_iter().map(|w| (w.record.id.clone(), w));
         let mut model = Model {
             now: Millis::ZERO,
             state,
             scheduler,
             term: 1,
+            remote_factor: 1.0,
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -276,6 +280,12 @@
         self.events.insert(key, event);
     }
 
+    /// Makes tasks that are remote from their data take longer. Replaces the leader.
+    pub fn set_remote_factor(&mut self, factor: f64) {
+        self.remote_factor = factor;
+        self.change_leader();
+    }
+
     /// Submits a job; its commit takes `commit_ms`.
     pub fn submit(&mut self, key: u64, queue: &str, mut spec: SubmittedSpec) {
         let key = JobKey(key);
@@ -334,7 +344,12 @@
             }
         }
         let unix_ms = self.now.0;
-        self.scheduler = Scheduler::new(config(self.term), &self.state, self.now, unix_ms);
+        self.scheduler = Scheduler::new(
+            config(self.term, self.remote_factor),
+            &self.state,
+            self.now,
+            unix_ms,
+        );
         for client in self.clients.difference(&self.cut_off_clients) {
             self.scheduler.policy_client_waits(client, self.now);
         }
@@ -610,6 +625,15 @@
         }
         let is_delayed = is_start && worker.start_delay_ms > 0;
         let reply = worker.handle(&request, self.now);
+        if let WorkerRequestKind::Start { task, run, .. } = request.kind {
+            let job = self.state.job(task.step.job);
+            let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+            let step = step.filter(|step| !step.is_gang);
+            let rack = step.and_then(|step| step.preferred_rack.as_ref());
+            if rack.is_some_and(|rack| !worker.record.has_label(rack)) {
+                worker.slow_down(task, run, self.remote_factor);
+            }
+        }
         if is_start && worker.is_crashed_by(&request) {
             self.crash_worker(&request.worker);
             let broken = Event::RequestAnswered(request, Err(WorkerRequestError::Broken));
@@ -656,13 +680,19 @@
         for ((step, _), members) in gangs {
             let spec = &self.state.job(step.job).unwrap().spec.steps[usize::from(step.step)];
             let is_complete = members.len() == spec.count as usize;
+            let racks = members
+                .iter()
+                .map(|(id, _)| &self.workers[id].record.labels);
+            let racks: BTreeSet<&Vec<Arc<str>>> = racks.collect();
+            let is_remote = spec.is_single_rack && racks.len() > 1;
+            let factor = if is_remote { self.remote_factor } else { 1.0 };
             let is_done = members.iter().all(|(id, task)| {
                 let run = &self.workers[id].running[task];
                 run.done_ms >= run.work_ms
             });
             for (id, task) in members {
                 let worker = self.workers.get_mut(&id).unwrap();
-                worker.update_gang(task, is_complete, is_done, self.now);
+                worker.update_gang(task, is_complete, is_done, factor, self.now);
             }
         }
     }
--- a/crates/queues/tests/model/worker.rs
+++ b/crates/queues/tests/model/worker.rs
@@ -334,7 +334,14 @@
         }
     }
 
-    pub fn update_gang(&mut self, task: TaskKey, is_complete: bool, is_done: bool, now: Millis) {
+    pub fn update_gang(
+        &mut self,
+        task: TaskKey,
+        is_complete: bool,
+        is_done: bool,
+        factor: f64,
+        now: Millis,
+    ) {
         let Some(run) = self.running.get_mut(&task) else {
             return;
         };
@@ -343,9 +350,16 @@
             run.waits_for_members = true;
             (run.elapsed_ms, run.done_ms) = (0, run.resumed_ms);
         }
+        let run_number = run.run;
+        if is_complete {
+            self.slow_down(task, run_number, factor);
+        }
         if is_complete && is_done {
             return self.end(task, EndKind::Done);
         }
+        let Some(run) = self.running.get_mut(&task) else {
+            return;
+        };
         if is_complete {
             run.waits_for_members = false;
         } else if !run.waits_for_members {
@@ -355,6 +369,16 @@
         }
     }
 
+    /// Makes a run take longer by a factor, since it is remote from its data.
+    pub fn slow_down(&mut self, task: TaskKey, run: u32, factor: f64) {
+        let work_ms = (self.work_ms)(task);
+        if let Some(known) = self.running.get_mut(&task)
+            && known.run == run
+        {
+            known.work_ms = (work_ms as f64 * factor) as u64;
+        }
+    }
+
     /// The last checkpoint that a run has written.
     fn last_checkpoint(&self, task: TaskKey, run: &ModelRun) -> Option<Arc<str>> {
         let saved_ms = run.done_ms / self.checkpoint_ms.max(1) * self.checkpoint_ms;
