Merge the speeds of workers and the wait for data locality

Both this and the quotas change how many tasks of a step start: a step first takes what the quota and the share of its tenant allow, and of that the part that does not wait for its rack. Permits are requested for neither what is at the quota nor what waits for local workers.

--- a/crates/queues/src/scheduler/mod.rs
+++ b/crates/queues/src/scheduler/mod.rs
@@ -20,6 +20,8 @@
 mod health;
 mod isolation;
 mod lease;
+mod locality;
+mod locality_wait;
 mod messages;
 mod needless_runs;
 mod overload;
@@ -45,6 +47,8 @@
 mod share_reservations;
 mod shares;
 mod shortfall;
+mod speed_choice;
+mod speeds;
 mod starts;
 mod step_permits;
 mod steps;
@@ -73,12 +77,14 @@
 use crate::scheduler::durations::Durations;
 use crate::scheduler::ended_runs::EndedRunTracker;
 use crate::scheduler::isolation::IsolationTurns;
+use crate::scheduler::locality_wait::LocalityWaits;
 use crate::scheduler::overload::Overload;
 use crate::scheduler::permits::PermitDispatcher;
 use crate::scheduler::placement_counts::PlacementTally;
 use crate::scheduler::quarantine::Quarantine;
 use crate::scheduler::rate_limits::RateLimits;
 use crate::scheduler::rounds::Rounds;
+use crate::scheduler::speeds::Speeds;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::steps::USEFUL_FACTOR;
 use crate::scheduler::waiting::WaitTracker;
@@ -97,6 +103,9 @@
 pub use crate::scheduler::ended_runs::EndedJobRun;
 pub use crate::scheduler::ended_runs::EndedJobRuns;
 pub use crate::scheduler::lease::CLOCK_RATE_MIN_PERCENT;
+pub use crate::scheduler::locality::LocalSlot;
+pub use crate::scheduler::locality::LocalityChoice;
+pub use crate::scheduler::locality::LocalityDecision;
 pub use crate::scheduler::messages::PollReply;
 pub use crate::scheduler::messages::RejectReason;
 pub use crate::scheduler::messages::RunningTask;
@@ -126,7 +135,7 @@
 pub use crate::scheduler::written_off_runs::WrittenOffRun;
 
 /// Parameters of a [`Scheduler`]. Apart from the term, they are the same on every member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SchedulerConfig {
     /// The leader's term. Workers reject requests of earlier terms.
     pub term: u64,
@@ -140,6 +149,9 @@
     pub gang_ms: u64,
     /// How long after the start of this term an earlier leader may still send requests.
     pub hand_over_ms: u64,
+    /// How many times as long a task takes that is remote from the rack of its data, or a gang that
+    /// is on several racks although it should be on one. With 1, nothing waits for local workers.
+    pub remote_factor: f64,
 }
 
 /// A side effect that the scheduler asks its owner to carry out.
@@ -195,6 +207,7 @@
     /// the names of their queues.
     pub(crate) unstarted_jobs: FxHashMap<JobKey, Arc<str>>,
     pub(crate) durations: Durations,
+    pub(crate) speeds: Speeds,
     pub(crate) dispatcher: PermitDispatcher,
     /// Steps whose permit request was answered since the last tick.
     pub(crate) answered_steps: Vec<StepKey>,
@@ -218,6 +231,7 @@
     pub(crate) contact_losses: ContactLosses,
     pub(crate) overload: Overload,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) locality: LocalityWaits,
     /// The number of restarts of workers under their IDs that this leader has noticed.
     pub(crate) restarts: u32,
 }
@@ -238,6 +252,7 @@
             job_steps: FxHashMap::default(),
             unstarted_jobs: FxHashMap::default(),
             durations: Durations::default(),
+            speeds: Speeds::default(),
             dispatcher: PermitDispatcher::new(config.term),
             answered_steps: Vec::new(),
             poll_candidates: Vec::new(),
@@ -256,6 +271,7 @@
             contact_losses: ContactLosses::default(),
             overload: Overload::new(now),
             rate_limits: RateLimits::default(),
+            locality: LocalityWaits::default(),
             restarts: 0,
         };
         if let Some(table) = state.table() {
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -15,11 +15,13 @@
 use crate::job::TaskPhase;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::locality_wait::LocalityWait;
 use crate::scheduler::quotas::StepTenant;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
 use crate::scheduler::shortfall::Shortfall;
+use crate::scheduler::speeds::StepEnds;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -81,6 +83,8 @@
     pub remaining_path_ms: u64,
     /// Whether the duration of a run has been recorded.
     pub is_duration_recorded: bool,
+    /// The last ends of its runs, to compare the speeds of workers.
+    pub ends: StepEnds,
     /// Since when tasks of the step could have started; `None` while none waits.
     pub waiting_since: Option<Millis>,
     /// How long the tasks had waited when a start of the step was last proposed.
@@ -113,6 +117,8 @@
     pub reservation_turn: ReservationTurn,
     /// For how long free room was withheld from it.
     pub withheld_time: WithheldTime,
+    /// Its wait for workers near its data.
+    pub locality: LocalityWait,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
     /// When it is tried again although nothing is known to have changed for it.
@@ -383,6 +389,7 @@
         usual_ms: *usual_ms,
         remaining_path_ms,
         is_duration_recorded: false,
+        ends: StepEnds::default(),
         waiting_since: None,
         last_wait_ms: 0,
         waiting: BTreeSet::new(),
@@ -399,6 +406,7 @@
         preempt_retry_at: Millis::ZERO,
         reservation_turn: ReservationTurn::default(),
         withheld_time: WithheldTime::default(),
+        locality: LocalityWait::default(),
         tried: None,
         retry: Retry::Soon,
         left_out_at: None,
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -41,6 +41,8 @@
     FormerRun,
     /// The quota of its tenant leaves no room for a task, or for all members of its gang.
     Quota,
+    /// Its tasks could start remote from their data, and wait for workers near it.
+    Locality,
     /// Its tasks have to be isolated, and it has no turn to use workers for that.
     Isolation,
     /// Some allowed worker has enough free resources for a member of its gang, but the gang cannot
@@ -242,6 +244,8 @@
         WaitReason::Quota
     } else if view.is_without_turn {
         WaitReason::Isolation
+    } else if view.locality.is_waiting() {
+        WaitReason::Locality
     } else if room.allowed == 0 {
         WaitReason::NoPermit
     } else if room.fresh + room.expired == 0 {
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -96,6 +96,7 @@
                 progressed: now,
                 unlisted_since: Some(now),
                 has_begun: false,
+                is_remote: false,
                 is_needless: job.is_some_and(|job| job.is_needless(*task, held.run)),
                 confirmed: now,
             };
@@ -307,10 +308,11 @@
         match kind {
             Some(EndKind::Done) => {
                 let took_ms = now.since(view.since);
-                worker.health.succeeded(took_ms, view.usual_ms);
+                worker.health.succeeded();
                 if view.is_measurable() {
                     self.record_duration(task.step, took_ms);
                 }
+                self.record_speed(task.step, index, &view, took_ms);
             }
             Some(EndKind::Failed) => {}
             Some(EndKind::GangIncomplete) => self.counts.incomplete_gang_ends += 1,
