Count the bytes of all requests of a process against one budget

Each connection could hold a body of the full length, and a body in chunks of one byte kept an entry per byte, so clients that never end their bodies used up the memory of the machine. Reserving declared lengths was ruled out, since clients that declare much and send nothing would use up the budget, and lower limits per listener were, since clients may use them (docs/design/byte-budget.md).

Bytes count when they arrive, bodies are merged into one buffer, the slowest request makes room for newer ones, and a quarter of the budget is kept for small requests. A listener without a free connection closes the one that is needed least; heads have 5 s, and a response that makes no progress for 10 s ends its connection. The port between processes counts the declared length of incomplete WebSocket messages, since the library allocates it at once, and bounds connections before the handshake too.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -21,6 +21,7 @@
 const LEASE: Number = Number::new(6_000, 1_000, 60_000, "ms");
 const SNAPSHOT_ENTRIES: Number = Number::new(20_000, 10, 1_000_000, "entries");
 const SEGMENT_BYTES: Number = Number::new(16 << 20, 4096, 1 << 30, "bytes");
+const REQUEST_MEMORY: Number = Number::new(64 << 10, 16 << 10, 1 << 20, "KiB");
 
 /// How many heartbeat intervals must fit into the election timeout, so that one late heartbeat does
 /// not cause an election.
@@ -63,6 +64,9 @@
     /// size of a log segment in bytes
     #[argh(option)]
     pub segment_bytes: Option<String>,
+    /// memory for requests that arrive, in KiB
+    #[argh(option)]
+    pub request_memory_kib: Option<String>,
     /// log levels, as <level>[,<module>=<level>]...
     #[argh(option)]
     pub log_level: Option<String>,
@@ -114,6 +118,8 @@
     pub snapshot_entries: u64,
     /// Size of a log segment in bytes.
     pub segment_bytes: u64,
+    /// The memory for requests that arrive, shared by all listeners, in bytes.
+    pub request_memory_bytes: usize,
     /// How many descriptors the process may have open.
     pub descriptor_limit: u64,
     /// The log level of each module.
@@ -152,6 +158,8 @@
         let entries = flags.snapshot_entries;
         let snapshot_entries = reader.number("snapshot-entries", entries, SNAPSHOT_ENTRIES);
         let segment_bytes = reader.number("segment-bytes", flags.segment_bytes, SEGMENT_BYTES);
+        let memory = flags.request_memory_kib;
+        let request_memory_kib = reader.number("request-memory-kib", memory, REQUEST_MEMORY);
         let log_levels = reader.value("log-level", flags.log_level, LogLevels::default());
         reader.finish(|| {
             let inner_address = inner_address?;
@@ -169,6 +177,7 @@
                 lease_ms,
                 snapshot_entries,
                 segment_bytes,
+                request_memory_bytes: request_memory_kib as usize * 1024,
                 descriptor_limit: descriptors::limit(),
                 log_levels,
             })
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -20,6 +20,7 @@
 use sapphirepost_process::admin::AdminSources;
 use sapphirepost_process::admin::DumpError;
 use sapphirepost_process::admin::DumpSource;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::descriptors::DescriptorShares;
 use sapphirepost_process::logging;
 use sapphirepost_process::metrics::Metrics;
@@ -104,6 +105,8 @@
     pub member: MemberId,
     /// How many descriptors the program may use for each purpose.
     pub descriptors: DescriptorShares,
+    /// The memory for requests that arrive, which the program's listeners share.
+    pub budget: ByteBudget,
     /// Calls this control process without a connection.
     pub local: LocalControl,
     /// The metrics of the process, to which the program may add its own.
@@ -191,9 +194,11 @@
     let storage =
         StorageThread::start(Box::new(store), event_sender.clone(), core_metrics.clone())?;
 
+    let budget = ByteBudget::new(settings.request_memory_bytes);
     let mut server_config =
         RpcServerConfig::new(settings.inner_address, settings.inner_key.clone());
     server_config.connections_max = descriptors.inner as u32;
+    server_config.budget = budget.clone();
     let server = RpcServer::start_with_priority(
         call_runtime.handle(),
         group_runtime.handle(),
@@ -207,11 +212,13 @@
         readiness: readiness.clone(),
         metrics,
         dump,
+        budget: budget.clone(),
     };
     let embedding = Embedding {
         runtime: runtime.handle().clone(),
         member,
         descriptors,
+        budget,
         local: LocalControl {
             event_sender: event_sender.clone(),
         },
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -148,6 +148,7 @@
         lease_ms: 4_000,
         snapshot_entries: 10_000,
         segment_bytes: 1 << 20,
+        request_memory_bytes: 64 << 20,
         descriptor_limit: 1_024,
         log_levels: LogLevels::default(),
     }
--- a/crates/entry/examples/workers_bytes.rs
+++ b/crates/entry/examples/workers_bytes.rs
@@ -18,6 +18,7 @@
 use sapphirepost_entry::workers::WorkersConfig;
 use sapphirepost_entry::workers::WorkersServer;
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::rpc::RpcMethods;
 use sapphirepost_process::rpc::RpcServer;
 use sapphirepost_process::rpc::RpcServerConfig;
@@ -86,6 +87,7 @@
     let config = WorkersConfig {
         address: local,
         key: Some(key.clone()),
+        budget: ByteBudget::default(),
     };
     let (announcements, _receiver) = flume::bounded(1);
     let server = WorkersServer::start(runtime.handle(), config, control, announcements)?;
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -26,6 +26,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use sapphirepost_process::rate_limit::RateLimiter;
+use sapphirepost_process::write_timeout::WriteTimeout;
 use sapphirepost_routing::Answer as RouterAnswer;
 use sapphirepost_routing::Event;
 use sapphirepost_routing::RequestKey;
@@ -44,7 +45,6 @@
 use crate::router_thread::Input;
 use crate::router_thread::Inputs;
 use crate::router_thread::Reply;
-use crate::write_timeout::WriteTimeout;
 
 pub use crate::caller::request::HEAD_MAX_BYTES;
 pub use crate::caller::request::ID_AGE_MAX_MS;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,6 +8,7 @@
 use sapphirepost_process::admin;
 use sapphirepost_process::admin::AdminServer;
 use sapphirepost_process::admin::AdminSources;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::metrics::Metrics;
 use sapphirepost_process::rpc;
 use sapphirepost_process::rpc::RpcMethods;
@@ -109,7 +110,10 @@
         let mut methods = RpcMethods::new();
         peers::add_gossip_method(&mut methods, inputs.clone())?;
         let address = settings.member.address;
-        let inner = RpcServer::start(runtime, RpcServerConfig::new(address, key), methods)?;
+        let budget = ByteBudget::new(settings.body_memory_kib * 1024);
+        let mut inner_config = RpcServerConfig::new(address, key);
+        inner_config.budget = budget.clone();
+        let inner = RpcServer::start(runtime, inner_config, methods)?;
         let (dump_sender, dumps) = flume::bounded(4);
         let status = SharedStatus::default();
         let roster = RosterChange::settled(settings.members.roster());
@@ -129,6 +133,7 @@
             readiness: readiness.clone(),
             metrics: metrics.clone(),
             dump: admin::dump_from_channel(dump_sender, DUMP_TIMEOUT),
+            budget: budget.clone(),
         };
         let admin = AdminServer::start(settings.admin, admin_sources)?;
         let config = control.clone().map(|control| {
@@ -146,11 +151,12 @@
                 let config = OperatorConfig {
                     address: settings.operators,
                     key: settings.operator_key.clone(),
+                    budget: budget.clone(),
                 };
                 OperatorServer::start(config, control)
             })
             .transpose()?;
-        let workers = start_workers(settings, runtime, &inputs, control)?;
+        let workers = start_workers(settings, runtime, &inputs, control, budget.clone())?;
         let callers = start_callers(settings, runtime, &inputs, clock)?;
         log::info!(
             entry:% = settings.member.id,
@@ -237,6 +243,7 @@
     runtime: &Handle,
     inputs: &Inputs,
     control: Option<ControlClient>,
+    budget: ByteBudget,
 ) -> anyhow::Result<WorkersServer> {
     let (sender, receiver) = flume::bounded(ANNOUNCEMENT_QUEUE_CAPACITY);
     let inputs = inputs.clone();
@@ -250,6 +257,7 @@
     let config = WorkersConfig {
         address: settings.workers,
         key: settings.workers_key.clone(),
+        budget,
     };
     let key = settings.inner_key.clone();
     let control = control.unwrap_or_else(|| ControlClient::new(runtime.clone(), &[], key));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,4 +20,3 @@
 pub mod settings;
 pub mod upstream;
 pub mod workers;
-pub mod write_timeout;
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -21,6 +21,7 @@
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::http;
 use sapphirepost_process::http::HttpError;
 use sapphirepost_process::http::HttpHandler;
@@ -60,6 +61,8 @@
     /// The key that requests must carry. With `None`, changes are refused and requests that only
     /// read are answered without a key.
     pub key: Option<SharedKey>,
+    /// Counts the requests.
+    pub budget: ByteBudget,
 }
 
 /// The running listener; it stops accepting when dropped.
@@ -89,7 +92,7 @@
             key: config.key,
             control,
         };
-        let starting = HttpServer::start(&runtime, address, LIMITS, handler);
+        let starting = HttpServer::start(&runtime, address, LIMITS, &config.budget, handler);
         let bound = runtime.block_on(starting).map(OperatorServer);
         bound.map_err(|error| OperatorBindError {
             address,
--- a/crates/entry/src/workers.rs
+++ b/crates/entry/src/workers.rs
@@ -17,6 +17,7 @@
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::http;
 use sapphirepost_process::http::HttpError;
 use sapphirepost_process::http::HttpHandler;
@@ -60,6 +61,8 @@
     pub address: SocketAddr,
     /// The key that requests of workers and upstreams must carry; `None` refuses every request.
     pub key: Option<SharedKey>,
+    /// Counts the requests.
+    pub budget: ByteBudget,
 }
 
 /// Handles the requests of workers and upstreams.
@@ -87,7 +90,7 @@
             control,
             announcements,
         };
-        let starting = HttpServer::start(runtime, config.address, LIMITS, handler);
+        let starting = HttpServer::start(runtime, config.address, LIMITS, &config.budget, handler);
         runtime.block_on(starting).map(WorkersServer)
     }
 
--- a/crates/entry/tests/listeners.rs
+++ b/crates/entry/tests/listeners.rs
@@ -13,6 +13,7 @@
 use sapphirepost_entry::workers::WorkersConfig;
 use sapphirepost_entry::workers::WorkersServer;
 use sapphirepost_process::SharedKey;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::rpc::RpcMethods;
 use sapphirepost_process::rpc::RpcServer;
 use sapphirepost_process::rpc::RpcServerConfig;
@@ -103,6 +104,7 @@
     let config = OperatorConfig {
         address: local(),
         key: key(),
+        budget: ByteBudget::default(),
     };
     let server = OperatorServer::start(config, control(&runtime, &leader)).unwrap();
     let long = "x".repeat(300 * 1024);
@@ -168,6 +170,7 @@
     let config = OperatorConfig {
         address: local(),
         key: None,
+        budget: ByteBudget::default(),
     };
     let server = OperatorServer::start(config, control(&runtime, &leader)).unwrap();
     let change = Case("POST", "/v1/plans", CANCEL, 403, "no operator key");
@@ -183,6 +186,7 @@
     let config = WorkersConfig {
         address: local(),
         key: key(),
+        budget: ByteBudget::default(),
     };
     let (sender, announcements) = flume::bounded(1);
     let control = control(&runtime, &leader);
@@ -222,6 +226,7 @@
     let config = WorkersConfig {
         address: local(),
         key: key(),
+        budget: ByteBudget::default(),
     };
     let (sender, _announcements) = flume::bounded(1);
     let control = control(&runtime, &leader);
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -23,6 +23,7 @@
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 
+use crate::byte_budget::ByteBudget;
 use crate::http;
 use crate::http::HttpError;
 use crate::http::HttpHandler;
@@ -82,6 +83,8 @@
     pub metrics: Metrics,
     /// Served under `/dump`.
     pub dump: DumpSource,
+    /// Counts the requests; its metrics are served as well.
+    pub budget: ByteBudget,
 }
 
 /// The running admin listener; it stops when dropped.
@@ -100,11 +103,13 @@
             .max_blocking_threads(DUMP_THREADS)
             .build()
             .map_err(bind_error)?;
+        let budget = sources.budget.clone();
+        budget.register(&sources.metrics);
         let handler = AdminHandler {
             sources,
             runtime: runtime.handle().clone(),
         };
-        let starting = HttpServer::start(runtime.handle(), address, LIMITS, handler);
+        let starting = HttpServer::start(runtime.handle(), address, LIMITS, &budget, handler);
         let server = runtime.block_on(starting).map_err(bind_error)?;
         let address = server.address();
         let (stop, stopped) = oneshot::channel();
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -3,12 +3,15 @@
 //! The number of connections, the sizes of head and body, and the times within which head and body
 //! must arrive are bounded, so that slow senders or large requests cannot exhaust the resources of
 //! the process. The handler checks the head, including the shared key if one is required, before
-//! the body is read.
+//! the body is read. All listeners of a process share the memory for requests, see
+//! [`ByteBudget`].
 //!
 //! `rouille` is not used for these listeners: after a response it reads the rest of the declared
 //! body into one allocation, so that a single request with a huge `content-length` terminates the
 //! process, and it has no timeouts. The measurements are in docs/measurements.md.
 
+pub mod body;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -17,15 +20,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
@@ -41,14 +42,26 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::byte_budget::Account;
+use crate::byte_budget::ByteBudget;
+use crate::byte_budget::OverBudget;
+use crate::byte_budget::Part;
+use crate::byte_budget::Phase;
+use crate::connections::Connections;
+use crate::connections::Place;
+use crate::http::body::BodyError;
+use crate::metered_stream::MeteredStream;
 use crate::shared_key::SharedKey;
 
-/// The delay after a failed `accept`, for instance when file descriptors have run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// The time from the first byte of a head to its last one, unless the limits of the listener are
+/// lower. Clients of the platform send a head within 3 s.
+const HEAD_ARRIVAL_MAX: Duration = Duration::from_secs(5);
+/// Bodies of at most this size are handled without counting what their decoded form needs.
+const DECODED_FREE_BYTES: usize = 32 * 1024;
+/// The memory that a handler needs for a larger body and its forwarded form, in body sizes.
+const HANDLER_FACTOR: usize = 2;
 const RETRY_AFTER_S: u32 = 1;
 
 /// A response whose body is completely in memory.
@@ -57,7 +70,8 @@
 /// Resource limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
-    /// Maximum number of open connections; further ones wait until one closes.
+    /// Maximum number of open connections. A further one waits until one closes; if none is free,
+    /// the one that has been idle for the longest time, or the slowest request, is closed for it.
     pub connections_max: usize,
     /// Maximum size of a request head.
     pub head_max_bytes: usize,
@@ -122,29 +136,28 @@
 pub struct HttpServer {
     address: SocketAddr,
     stop: watch::Sender<bool>,
-    connections: Arc<Semaphore>,
-    connections_max: usize,
+    connections: Connections,
 }
 
 impl HttpServer {
-    /// Binds the address and starts serving on `runtime`.
+    /// Binds the address and starts serving on `runtime`, with the requests counted in `budget`.
     pub async fn start(
         runtime: &Handle,
         address: SocketAddr,
         limits: HttpLimits,
+        budget: &ByteBudget,
         handler: impl HttpHandler,
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let connections = Arc::new(Semaphore::new(limits.connections_max));
+        let connections = Connections::new(budget, limits.connections_max);
         let shared = Arc::new(Shared { limits, handler });
         runtime.spawn(accept(listener, shared, connections.clone(), stopped));
         Ok(HttpServer {
             address,
             stop,
             connections,
-            connections_max: limits.connections_max,
         })
     }
 
@@ -157,9 +170,8 @@
     /// of connections that are still open.
     pub async fn stop(&self, timeout: Duration) -> usize {
         let _ = self.stop.send(true);
-        let all = self.connections_max as u32;
-        let _ = tokio::time::timeout(timeout, self.connections.acquire_many(all)).await;
-        self.connections_max - self.connections.available_permits()
+        let _ = tokio::time::timeout(timeout, self.connections.all_closed()).await;
+        self.connections.open()
     }
 }
 
@@ -177,46 +189,43 @@
 async fn accept<H: HttpHandler>(
     listener: TcpListener,
     shared: Arc<Shared<H>>,
-    connections: Arc<Semaphore>,
+    connections: Connections,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let head_timeout = shared.limits.head_timeout.min(HEAD_ARRIVAL_MAX);
+    let closing = connections.close_slow_heads(head_timeout);
+    let mut closing = std::pin::pin!(closing);
     loop {
-        let permit = tokio::select! {
-            permit = connections.clone().acquire_owned() => permit,
-            _ = stopped.changed() => return,
-        };
-        let Ok(permit) = permit else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, _, place) = tokio::select! {
+            accepted = connections.accept(&listener) => accepted,
             _ = stopped.changed() => return,
+            () = &mut closing => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, shared.clone(), permit, stopped.clone()));
-            }
-            Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        tokio::spawn(serve(stream, shared.clone(), place, stopped.clone()));
     }
 }
 
 async fn serve<H: HttpHandler>(
     stream: TcpStream,
     shared: Arc<Shared<H>>,
-    permit: OwnedSemaphorePermit,
+    place: Place,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let _permit = permit;
     let _ = stream.set_nodelay(true);
     let limits = shared.limits;
+    let account = place.account.clone();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(respond(&shared, request).await) }
+        let (shared, account) = (shared.clone(), account.clone());
+        async move {
+            let response = respond(&shared, &account, request).await;
+            account.release(Part::Buffer);
+            account.release(Part::Body);
+            account.release(Part::Handler);
+            account.enter(Phase::Idle);
+            Ok::<_, Infallible>(response)
+        }
     });
+    let stream = MeteredStream::new(stream, place.account.clone(), limits.head_max_bytes);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -225,9 +234,13 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = place.account.closed() => return,
         _ = stopped.changed() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = place.account.closed() => return,
+            }
         }
     };
     if let Err(error) = result {
@@ -235,38 +248,60 @@
     }
 }
 
-async fn respond<H: HttpHandler>(shared: &Shared<H>, request: Request<Incoming>) -> HttpResponse {
+async fn respond<H: HttpHandler>(
+    shared: &Shared<H>,
+    account: &Account,
+    request: Request<Incoming>,
+) -> HttpResponse {
     let (head, body) = request.into_parts();
     if let Err(error) = shared.handler.check_head(&head) {
         return error.into_response();
     }
-    match read_body(body, &shared.limits).await {
-        Ok(body) => shared.handler.handle(Request::from_parts(head, body)).await,
-        Err(error) => error.into_response(),
+    account.enter(Phase::Body);
+    let (length_max, timeout) = (shared.limits.body_max_bytes, shared.limits.body_timeout);
+    let read = body::read(body, account, length_max, timeout).await;
+    let body = match read.and_then(|body| reserve_handling(account, body)) {
+        Ok(body) => body,
+        Err(error) => return body_error(&error),
+    };
+    account.enter(Phase::Running);
+    account.release(Part::Buffer);
+    shared.handler.handle(Request::from_parts(head, body)).await
+}
+
+/// Counts the memory that a handler needs for a long body beyond the body itself.
+fn reserve_handling(account: &Account, body: Bytes) -> Result<Bytes, BodyError> {
+    if body.len() > DECODED_FREE_BYTES {
+        account.grow(Part::Handler, body.len() * HANDLER_FACTOR)?;
     }
+    Ok(body)
 }
 
-async fn read_body(body: Incoming, limits: &HttpLimits) -> Result<Bytes, HttpError> {
-    let body = Limited::new(body, limits.body_max_bytes);
-    match tokio::time::timeout(limits.body_timeout, body.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!(
-                "the body exceeds the limit of {} bytes",
-                limits.body_max_bytes
-            );
+fn body_error(error: &BodyError) -> HttpResponse {
+    let message = error.to_string();
+    match error {
+        BodyError::TooLong(_) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(HttpError::new(status, "too_long", message))
+            HttpError::new(status, "too_long", message).into_response()
         }
-        Ok(Err(error)) => Err(HttpError::bad_request(error.to_string())),
-        Err(_) => {
-            let message = "the body did not arrive in time";
+        BodyError::TimedOut => {
             let status = StatusCode::REQUEST_TIMEOUT;
-            Err(HttpError::new(status, "timeout", message))
+            HttpError::new(status, "timeout", message).into_response()
         }
+        BodyError::OverBudget(error) => over_budget(*error),
+        BodyError::Broken(_) => HttpError::bad_request(message).into_response(),
     }
 }
 
+/// The request has not run, since its body was not passed to the handler.
+fn over_budget(error: OverBudget) -> HttpResponse {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = HttpError::new(status, "overload", error.to_string()).into_response();
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Checks that the `authorization` header of a request contains the shared key.
 pub fn check_key(key: &SharedKey, head: &Parts) -> Result<(), HttpError> {
     let header = head.headers.get(AUTHORIZATION);
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,11 +7,14 @@
 //! [`admin::AdminServer`], and communicates with other processes through [`rpc`].
 
 pub mod admin;
+pub mod byte_budget;
 pub mod clock;
+mod connections;
 pub mod descriptors;
 pub mod http;
 pub mod line_limits;
 pub mod logging;
+mod metered_stream;
 pub mod metrics;
 pub mod process_metrics;
 pub mod rate_limit;
@@ -20,6 +23,7 @@
 pub mod settings;
 pub mod shared_key;
 pub mod shutdown;
+pub mod write_timeout;
 
 pub use crate::clock::SystemClock;
 pub use crate::readiness::Readiness;
--- a/crates/process/src/rpc/acceptor.rs
+++ b/crates/process/src/rpc/acceptor.rs
@@ -1,34 +1,28 @@
 //! Accepts connections and passes each one to the runtime that serves it.
 
-use std::io;
-use std::pin::Pin;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use jsonrpsee::server::Methods;
 use jsonrpsee::server::StopHandle;
 use jsonrpsee::server::TowerServiceBuilder;
 use jsonrpsee::server::serve_with_graceful_shutdown;
-use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tower::layer::util::Identity;
 use tower::layer::util::Stack;
 
+use crate::byte_budget::Phase;
+use crate::connections::Connections;
+use crate::connections::Place;
 use crate::rpc::PRIORITY_PATH;
 use crate::rpc::auth::AuthLayer;
+use crate::rpc::counted_stream::CountedStream;
 
-/// A connection that has not begun its handshake within this time is closed, so that idle
-/// connections cannot use up the descriptors of the process. The library closes one that does not
-/// complete it.
+/// A connection that has not completed its handshake within this time is closed, so that idle
+/// connections cannot use up the descriptors of the process.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
-/// The pause after a connection could not be accepted, usually for a lack of descriptors.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// The method and the space before the path in the first line of a handshake.
 const METHOD_BYTES: usize = "GET ".len();
 /// How much of a handshake has to be read to tell its path.
@@ -53,6 +47,7 @@
     pub(crate) services: Services,
     pub(crate) methods: Methods,
     pub(crate) stop_handle: StopHandle,
+    pub(crate) connections: Connections,
 }
 
 impl Acceptor {
@@ -60,30 +55,32 @@
     pub(crate) async fn run(self, listener: TcpListener) {
         let stopped = self.stop_handle.clone().shutdown();
         let mut stopped = std::pin::pin!(stopped);
+        let closing = self.connections.close_slow_heads(HANDSHAKE_TIMEOUT);
+        let mut closing = std::pin::pin!(closing);
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            let (stream, _, place) = tokio::select! {
+                accepted = self.connections.accept(&listener) => accepted,
                 () = &mut stopped => return,
+                () = &mut closing => return,
             };
-            match accepted {
-                Ok((stream, _)) => drop(tokio::spawn(self.clone().dispatch(stream))),
-                Err(error) => {
-                    log::debug!(error:%; "cannot accept a connection");
-                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                }
-            }
+            tokio::spawn(self.clone().dispatch(stream, place));
         }
     }
 
     /// Reads the path of the handshake and serves the connection on the runtime that it belongs to.
-    async fn dispatch(self, mut stream: TcpStream) {
+    async fn dispatch(self, mut stream: TcpStream, place: Place) {
+        let account = place.account.clone();
+        account.enter(Phase::Head);
         let mut head = [0; HEAD_BYTES];
-        let reading = tokio::time::timeout(HANDSHAKE_TIMEOUT, stream.read_exact(&mut head));
-        if !matches!(reading.await, Ok(Ok(_))) || stream.set_nodelay(true).is_err() {
+        let read = tokio::select! {
+            read = stream.read_exact(&mut head) => read,
+            () = account.closed() => return,
+        };
+        if read.is_err() || stream.set_nodelay(true).is_err() {
             return;
         }
         if &head[METHOD_BYTES..] == PRIORITY_PATH.as_bytes() {
-            return self.serve(Rewound::new(head, stream)).await;
+            return self.serve(&head, stream, place).await;
         }
         // A stream belongs to the runtime in which it was created.
         let Ok(stream) = stream.into_std() else {
@@ -92,12 +89,13 @@
         let runtime = self.runtimes.usual.clone();
         runtime.spawn(async move {
             if let Ok(stream) = TcpStream::from_std(stream) {
-                self.serve(Rewound::new(head, stream)).await;
+                self.serve(&head, stream, place).await;
             }
         });
     }
 
-    async fn serve(self, stream: Rewound) {
+    async fn serve(self, head: &[u8], stream: TcpStream, place: Place) {
+        let stream = CountedStream::new(head, stream, place);
         let service = self.services.build(self.methods, self.stop_handle.clone());
         let stopped = self.stop_handle.shutdown();
         let served = serve_with_graceful_shutdown(stream, service, stopped).await;
@@ -106,68 +104,3 @@
         }
     }
 }
-
-/// A stream of which the first bytes have been read already; readers get them first.
-struct Rewound {
-    head: [u8; HEAD_BYTES],
-    /// How many bytes of the head have been read again.
-    taken: usize,
-    stream: TcpStream,
-}
-
-impl Rewound {
-    fn new(head: [u8; HEAD_BYTES], stream: TcpStream) -> Rewound {
-        Rewound {
-            head,
-            taken: 0,
-            stream,
-        }
-    }
-}
-
-impl AsyncRead for Rewound {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let left = &self.head[self.taken..];
-        if left.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
-        }
-        let count = left.len().min(buffer.remaining());
-        buffer.put_slice(&left[..count]);
-        self.taken += count;
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for Rewound {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/crates/process/src/rpc/mod.rs
+++ b/crates/process/src/rpc/mod.rs
@@ -10,7 +10,9 @@
 mod auth;
 mod client;
 mod connection;
+mod counted_stream;
 mod error;
+mod message_meter;
 mod ordered_runtime;
 mod server;
 
--- a/crates/process/src/rpc/server.rs
+++ b/crates/process/src/rpc/server.rs
@@ -24,6 +24,8 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
+use crate::byte_budget::ByteBudget;
+use crate::connections::Connections;
 use crate::rpc::MESSAGE_MAX_BYTES;
 use crate::rpc::acceptor::Acceptor;
 use crate::rpc::acceptor::Runtimes;
@@ -142,6 +144,8 @@
     pub connections_max: u32,
     /// Maximum number of replies that are queued for writing on one connection.
     pub calls_per_connection_max: u32,
+    /// Counts the messages that arrive.
+    pub budget: ByteBudget,
 }
 
 impl RpcServerConfig {
@@ -153,6 +157,7 @@
             key,
             connections_max: 128,
             calls_per_connection_max: 4096,
+            budget: ByteBudget::default(),
         }
     }
 }
@@ -231,6 +236,7 @@
             services,
             methods: methods.0.into(),
             stop_handle,
+            connections: Connections::new(&config.budget, config.connections_max as usize),
         };
         priority_runtime.spawn(acceptor.run(listener));
         Ok(RpcServer { address, handle })
--- a/crates/process/tests/admin_and_logs.rs
+++ b/crates/process/tests/admin_and_logs.rs
@@ -16,6 +16,7 @@
 use sapphirepost_process::admin::AdminServer;
 use sapphirepost_process::admin::AdminSources;
 use sapphirepost_process::admin::dump_from_channel;
+use sapphirepost_process::byte_budget::ByteBudget;
 use sapphirepost_process::line_limits::LineLimits;
 use sapphirepost_process::logging::LogLevels;
 use sapphirepost_process::logging::format_line;
@@ -36,6 +37,7 @@
         readiness: Readiness::new(),
         metrics: Metrics::new(),
         dump: dump_from_channel(sender, Duration::from_millis(100)),
+        budget: ByteBudget::default(),
     };
     let starts: Counter = sources
         .metrics
@@ -92,6 +94,7 @@
         readiness: Readiness::new(),
         metrics: Metrics::new(),
         dump: Arc::new(|| Ok(serde_json::json!({}))),
+        budget: ByteBudget::default(),
     };
     let server = AdminServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), sources).unwrap();
     let lengths = [5000, 5000, 5000, 5000, 99_999_999_999_999_u64];
