--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::ProposeError;
@@ -20,6 +19,7 @@
 use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
@@ -68,8 +68,9 @@
 /// Receives the reply to a request to a worker, or why there is none.
 pub type WorkerReplyCallback = Box<dyn FnOnce(Result<WorkerReply, WorkerRequestError>) + Send>;
 
-/// Time limits in milliseconds for the workers; they must be the same on every member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Time limits in milliseconds for the workers, and what remote data costs; they must be the same on
+/// every member.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueTiming {
     /// How long a worker may run tasks without hearing from a leader, on the worker's clock.
     pub lease_ms: u64,
@@ -79,6 +80,9 @@
     pub stop_ms: u64,
     /// How long the tasks of a gang wait for each other before they end as incomplete.
     pub gang_ms: u64,
+    /// How many times as long a task takes that is remote from its data; 1 if that makes no
+    /// difference.
+    pub remote_factor: f64,
 }
 
 /// What an embedding program provides so that this process schedules queues.
@@ -111,9 +115,9 @@
     /// For each proposed log entry: its index, when it was proposed, and the answers to send when
     /// it is applied.
     pub(crate) pending_answers: VecDeque<(Index, Millis, Vec<Answer>)>,
-    /// The jobs whose submission is proposed and not applied yet. They may run later, so they are
-    /// not unknown.
-    pub(crate) submitting: FxHashSet<JobKey>,
+    /// The jobs whose submission is proposed and not applied yet, with their tenants. They may run
+    /// later, so they are not unknown.
+    pub(crate) submitting: FxHashMap<JobKey, Option<Arc<JobTenant>>>,
     /// The policy clients whose polls wait for a permit request, and since when.
     pub(crate) policy_clients: FxHashMap<Arc<str>, (Millis, Responder<QueueReply>)>,
     pub(crate) metrics: QueueMetrics,
@@ -137,7 +141,7 @@
             batch: VecDeque::new(),
             is_node_busy: false,
             pending_answers: VecDeque::new(),
-            submitting: FxHashSet::default(),
+            submitting: FxHashMap::default(),
             policy_clients: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
@@ -262,6 +266,7 @@
             lease_max_ms: parts.timing.lease_max_ms,
             stop_ms: parts.timing.stop_ms,
             gang_ms: parts.timing.gang_ms,
+            remote_factor: parts.timing.remote_factor,
             hand_over_ms: 2 * self.leader_settings.election_timeout_ms,
         };
         let scheduler = Scheduler::new(config, self.state.queues(), now, unix_ms);
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -153,6 +153,7 @@
         lease_ms: 4_000,
         snapshot_entries: 10_000,
         segment_bytes: 1 << 20,
+        request_memory_bytes: 64 << 20,
         descriptor_limit: 1_024,
         log_levels: LogLevels::default(),
     }
@@ -169,6 +170,7 @@
                 lease_max_ms: 4_000,
                 stop_ms: 400,
                 gang_ms: 2_000,
+                remote_factor: 1.0,
             };
             let gateway = Box::new(SilentWorkers);
             Ok(Some(QueueParts { gateway, timing }))
@@ -207,7 +209,7 @@
         queues: vec![queue],
         services: vec![service],
         tenants: None,
-        document: Arc::from("{}"),
+        document: "{}".into(),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -111,6 +111,7 @@
             lease_ms: 4_000,
             snapshot_entries: 10_000,
             segment_bytes: 1 << 20,
+            request_memory_bytes: 64 << 20,
             descriptor_limit: 1_024,
             log_levels: LogLevels::default(),
         };
@@ -126,6 +127,7 @@
                     lease_max_ms: 4_000,
                     stop_ms: 400,
                     gang_ms: 2_000,
+                    remote_factor: 1.0,
                 };
                 Ok(Some(QueueParts { gateway, timing }))
             })
@@ -186,7 +188,7 @@
         queues: vec![queue],
         services: vec![service],
         tenants: None,
-        document: Arc::from("{}"),
+        document: "{}".into(),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/queues/src/scheduler/due_attempts.rs
+++ b/crates/queues/src/scheduler/due_attempts.rs
@@ -58,6 +58,7 @@
         // A reservation lasts until the next placement of gangs only.
         let may_reserve = round.has_gangs
             && round.reserved < RESERVATIONS_MAX
+            && !self.yields_to_shares(view)
             && (round.reservation_attempts < RESERVATION_ATTEMPTS_MAX
                 || round.owners.contains(&view.key));
         let freed = if round.has_gangs {
@@ -131,6 +132,7 @@
         worker: &WorkerView,
     ) -> bool {
         view.can_run_on(worker)
+            && view.has_use_for_rack_of(worker)
             && self.may_use(view, index)
             && (view.queue.permits.is_none() || view.permits.may_use_or_ask(index))
     }
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -17,7 +17,10 @@
 use crate::scheduler::isolation::task_isolation;
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
+use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::reservations::Reservations;
+use crate::scheduler::speed_choice::set_speed_order;
+use crate::scheduler::speeds::speed_step;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -45,8 +48,10 @@
     pub(crate) left_millicores: u64,
     /// Whether the worker is on the preferred rack of the step.
     pub(crate) is_preferred: bool,
-    /// How long runs take there, in percent of their estimates.
-    pub(crate) slowdown_percent: u64,
+    /// How much longer than usual runs take there, as a factor.
+    pub(crate) slowdown: f64,
+    /// Whether the step takes fast workers first.
+    pub(crate) is_fast_first: bool,
 }
 
 impl Candidate {
@@ -54,6 +59,15 @@
     pub(crate) fn is_allowed(&self) -> bool {
         matches!(self.permission, Permission::Granted | Permission::Expired)
     }
+
+    /// The place of the worker's speed in the order of preference.
+    pub(crate) fn speed_rank(&self) -> i32 {
+        if self.is_fast_first {
+            speed_step(self.slowdown)
+        } else {
+            0
+        }
+    }
 }
 
 impl Scheduler {
@@ -124,7 +138,6 @@
                 self.tally.count_withheld(fits_free);
                 continue;
             }
-            let slowdown = worker.health.slowdown();
             let available = self.available_to(view, index, worker, reservations, now);
             let fits = self.fits(view, worker, available, now);
             if available != worker.free() {
@@ -155,9 +168,11 @@
                 ),
                 left_millicores: remaining.millicores,
                 is_preferred,
-                slowdown_percent: (slowdown * 100.0) as u64,
+                slowdown: worker.health.slowdown(),
+                is_fast_first: false,
             });
         }
+        set_speed_order(view, &mut found, now);
         self.keep_job_together(view, &mut found);
         found
     }
@@ -175,7 +190,10 @@
         if self.takes_withheld_room(view) {
             return worker.free();
         }
-        let task_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+        let factor = worker.health.slowdown()
+            * self.speeds.mean_ratio(&view.queue_name)
+            * self.remote_factor(self.is_remote(view, worker));
+        let task_ms = (view.usual_ms as f64 * factor) as u64;
         reservations.available(index, worker, view.key, task_ms, now)
     }
 
@@ -206,6 +224,8 @@
         let candidates = self.place_on_candidates(state, view, reservations, now);
         let result = if view.waiting.len() < waiting {
             AttemptResult::Placed
+        } else if view.locality.is_waiting() {
+            AttemptResult::LocalityWait
         } else {
             self.failed_result(view, &candidates, begin)
         };
@@ -228,7 +248,7 @@
             (
                 c.is_avoided,
                 !c.is_preferred,
-                c.slowdown_percent / 50,
+                c.speed_rank(),
                 c.left_millicores,
                 c.index,
             )
@@ -239,14 +259,22 @@
             let waiting = view.waiting.iter().copied();
             let mut waiting = waiting
                 .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
-                .take(self.quota_room(view) as usize)
+                .take(self.start_limit(view) as usize)
                 .collect::<Vec<_>>()
                 .into_iter();
+            let tasks = waiting.len();
+            let mut remote_left =
+                self.remote_starts_max(view, &candidates, tasks, reservations, now);
             let granted = candidates
                 .iter()
                 .filter(|c| c.permission == Permission::Granted);
             'workers: for candidate in granted {
-                for _ in 0..candidate.fits {
+                let mut fits = candidate.fits;
+                if !candidate.is_preferred {
+                    fits = fits.min(remote_left);
+                    remote_left -= fits;
+                }
+                for _ in 0..fits {
                     let Some(task) = waiting.next() else {
                         break 'workers;
                     };
@@ -266,7 +294,7 @@
         if self.is_at_quota(view) {
             return candidates;
         }
-        self.request_permits(view, &candidates, now);
+        self.request_useful_permits(view, &candidates, now);
         candidates
     }
 
@@ -340,14 +368,24 @@
             .take()
             .map_or(0, |since| now.since(since));
         view.hold = Hold::default();
+        if view.tenant.is_some() && !view.spec().is_gang {
+            view.reservation_turn = ReservationTurn::default();
+        }
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         let exclusive_ms = self.exclusive_ms();
         let mut proposed = Vec::with_capacity(placements.len());
+        let gang_slowdown = self.gang_slowdown(view, placements);
+        let is_spread = self.is_spread(view, placements);
+        let mean_ratio = self.speeds.mean_ratio(&view.queue_name);
         self.tally.counts.tasks += placements.len() as u64;
         view.permits.note_placement();
         for (task, index) in placements {
+            let worker = self.workers.get(*index);
+            let is_remote = is_spread || worker.is_some_and(|worker| self.is_remote(view, worker));
+            let remote_factor = self.remote_factor(is_remote);
+            self.count_locality(view, is_remote, now);
             let Some(worker) = self.workers.get_mut(*index) else {
                 continue;
             };
@@ -357,7 +395,8 @@
                 tasks[*task as usize].run + 1
             };
             worker.record_start(view.key.job, exclusive_ms, now);
-            let expected_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+            let slowdown = gang_slowdown.unwrap_or(worker.health.slowdown());
+            let expected_ms = (view.usual_ms as f64 * slowdown * mean_ratio * remote_factor) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
@@ -372,6 +411,7 @@
                 checkpoint: None,
                 checkpointed: None,
                 is_needless: false,
+                is_remote,
                 progress_percent: 0,
                 progressed: now,
                 unlisted_since: None,
@@ -390,6 +430,7 @@
             view.waiting.remove(task);
             view.proposed.insert(*task);
         }
+        view.end_locality_wait();
         self.propose(QueueCommand::Start {
             step: view.key,
             placements: proposed,
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -15,11 +15,13 @@
 use crate::job::TaskPhase;
 use crate::scheduler::Scheduler;
 use crate::scheduler::gangs::Hold;
+use crate::scheduler::locality_wait::LocalityWait;
 use crate::scheduler::quotas::StepTenant;
 use crate::scheduler::rejections::Rejections;
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::retries::Retry;
 use crate::scheduler::shortfall::Shortfall;
+use crate::scheduler::speeds::StepEnds;
 use crate::scheduler::step_permits::PermitNeed;
 use crate::scheduler::step_permits::StepPermits;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -62,6 +64,8 @@
     pub tenant: Option<StepTenant>,
     /// Whether nothing of it may start within the quota of the tenant, as of the last round.
     pub is_at_quota: bool,
+    /// Whether the tenant has used up its share of the service, as of the last round.
+    pub is_over_share: bool,
     /// Whether the job is committed; nothing starts before.
     pub is_committed: bool,
     /// Whether all steps that it depends on are done; `false` until the job is committed.
@@ -79,6 +83,8 @@
     pub remaining_path_ms: u64,
     /// Whether the duration of a run has been recorded.
     pub is_duration_recorded: bool,
+    /// The last ends of its runs, to compare the speeds of workers.
+    pub ends: StepEnds,
     /// Since when tasks of the step could have started; `None` while none waits.
     pub waiting_since: Option<Millis>,
     /// How long the tasks had waited when a start of the step was last proposed.
@@ -111,6 +117,8 @@
     pub reservation_turn: ReservationTurn,
     /// For how long free room was withheld from it.
     pub withheld_time: WithheldTime,
+    /// Its wait for workers near its data.
+    pub locality: LocalityWait,
     /// When a round last tried to place it; `None` if something has changed for it since.
     pub tried: Option<Millis>,
     /// When it is tried again although nothing is known to have changed for it.
@@ -171,7 +179,7 @@
         }
         self.job_steps.insert(key, spec.steps.len() as u16);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, spec);
-        let tenant = self.step_tenant(tenant);
+        let tenant = self.step_tenant(tenant, queue);
         for mut view in new_views(key, spec, queue, &durations_ms, now) {
             view.tenant = tenant;
             let needs_permits = view.spec().after.is_empty() && view.queue.permits.is_some();
@@ -217,7 +225,7 @@
         let queue = state.table().and_then(|table| table.queue(&job.queue.name));
         let queue = queue.unwrap_or(&job.queue);
         let durations_ms = self.durations.predict_steps_ms(&queue.name, &job.spec);
-        let tenant = self.step_tenant(job.tenant.as_deref());
+        let tenant = self.step_tenant(job.tenant.as_deref(), queue);
         for new in new_views(key, &job.spec, queue, &durations_ms, arrived) {
             let view = self.steps.entry(new.key).or_insert(new);
             view.is_committed = is_committed;
@@ -372,6 +380,7 @@
         queue: step_queue(queue),
         tenant: None,
         is_at_quota: false,
+        is_over_share: false,
         is_committed: false,
         is_ready: false,
         is_pending: false,
@@ -380,6 +389,7 @@
         usual_ms: *usual_ms,
         remaining_path_ms,
         is_duration_recorded: false,
+        ends: StepEnds::default(),
         waiting_since: None,
         last_wait_ms: 0,
         waiting: BTreeSet::new(),
@@ -396,6 +406,7 @@
         preempt_retry_at: Millis::ZERO,
         reservation_turn: ReservationTurn::default(),
         withheld_time: WithheldTime::default(),
+        locality: LocalityWait::default(),
         tried: None,
         retry: Retry::Soon,
         left_out_at: None,
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -41,6 +41,8 @@
     FormerRun,
     /// The quota of its tenant leaves no room for a task, or for all members of its gang.
     Quota,
+    /// Its tasks could start remote from their data, and wait for workers near it.
+    Locality,
     /// Its tasks have to be isolated, and it has no turn to use workers for that.
     Isolation,
     /// Some allowed worker has enough free resources for a member of its gang, but the gang cannot
@@ -67,6 +69,8 @@
     pub reason: WaitReason,
     /// Whether the step can meet the deadline of its job.
     pub lateness: Lateness,
+    /// Whether its tenant has used up its share of the service.
+    pub is_over_share: bool,
     /// The number of waiting steps that are placed before it.
     pub steps_ahead: usize,
     /// Whether a permit request for the step is unanswered.
@@ -163,6 +167,7 @@
             waits_ms: wait.waits_ms,
             reason: wait_reason(view, &room, self.is_at_quota(view)),
             lateness: rank.lateness,
+            is_over_share: rank.is_over_share,
             steps_ahead: ahead.count(),
             is_asking: view.permits.has_request(),
             request_due_ms: view.permits.needed_since().map(|since| now.since(since)),
@@ -239,6 +244,8 @@
         WaitReason::Quota
     } else if view.is_without_turn {
         WaitReason::Isolation
+    } else if view.locality.is_waiting() {
+        WaitReason::Locality
     } else if room.allowed == 0 {
         WaitReason::NoPermit
     } else if room.fresh + room.expired == 0 {
