--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -18,7 +18,6 @@
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::QueueTable;
 use sapphirepost_queues::SubmittedSpec;
-use sapphirepost_queues::scheduler::Admission;
 use sapphirepost_queues::scheduler::AnsweredPermitRequest;
 use sapphirepost_queues::scheduler::PermitAnswer;
 use sapphirepost_queues::scheduler::PermitOutcome;
@@ -28,6 +27,7 @@
 use crate::incarnation_log;
 use crate::pending_calls::PendingRead;
 use crate::queue_log;
+use crate::rejection_log;
 
 /// The job that a caller's request names.
 struct ResolvedJob {
@@ -154,7 +154,7 @@
                 Ok(QueueReply::Cancelled)
             }
             Some(job) => Ok(QueueReply::Phase(job.phase)),
-            None if self.queues.submitting.contains(&key) => Err(RpcError::Busy),
+            None if self.queues.submitting.contains_key(&key) => Err(RpcError::Busy),
             None => Ok(QueueReply::UnknownJob),
         }
     }
@@ -176,6 +176,10 @@
             let call = QueueCall::Caller(request);
             return self.start_queue_read(now, call, done);
         };
+        if self.is_submitted_by_another_tenant(&resolved) {
+            // Whether the job becomes that of the other tenant is open until it is committed.
+            return done.send(Err(RpcError::Busy));
+        }
         let ResolvedJob { queue, key, tenant } = resolved;
         let job = self.state.queues().job(key);
         // The ID is free again once the workers hold no runs of the former job any more.
@@ -185,7 +189,7 @@
             (CallerAction::Submit(_), Some(_)) if is_id_in_use => done.send(Err(RpcError::Busy)),
             (CallerAction::Submit(_), Some(_)) => done.send(Ok(QueueReply::Accepted)),
             (CallerAction::Submit(spec), None) => {
-                if self.queues.submitting.contains(&key) {
+                if self.queues.submitting.contains_key(&key) {
                     self.load.record_repeated_submission();
                 }
                 let spec = Arc::new(spec.clone());
@@ -194,7 +198,7 @@
             (CallerAction::Read, Some(phase)) => done.send(Ok(QueueReply::Phase(phase))),
             (CallerAction::Cancel, Some(phase)) if !phase.has_ended() => self.cancel(key, done),
             // The cancellation follows the submission in the log.
-            (CallerAction::Cancel, None) if self.queues.submitting.contains(&key) => {
+            (CallerAction::Cancel, None) if self.queues.submitting.contains_key(&key) => {
                 self.cancel(key, done)
             }
             _ => self.start_queue_read(now, QueueCall::Caller(request), done),
@@ -227,6 +231,14 @@
         })
     }
 
+    fn is_submitted_by_another_tenant(&self, resolved: &ResolvedJob) -> bool {
+        let submitted = self.queues.submitting.get(&resolved.key);
+        match (submitted.and_then(Option::as_ref), &resolved.tenant) {
+            (Some(own), Some(caller)) => own.name != caller.name,
+            _ => false,
+        }
+    }
+
     fn submit(
         &mut self,
         now: Millis,
@@ -240,25 +252,25 @@
         let Some(scheduler) = &mut self.queues.scheduler else {
             return done.send(Err(RpcError::Busy));
         };
-        let admission = scheduler.admission(key, &queue, &spec, now);
+        let admission = scheduler.admission(key, &queue, &spec, tenant.as_deref(), now);
         if let Some(admission) = admission
-            && let Some(retry_after_ms) = admission.retry_after_ms()
+            && let Some(rejection) = admission.rejection()
         {
-            let reason = refusal_reason(&admission);
-            log::info!(
-                job:% = key, queue = &*queue.name, backlog_core_ms = admission.backlog_core_ms,
-                capacity_millicores = admission.capacity_millicores, retry_after_ms;
-                "job refused: {reason}"
-            );
+            let by = tenant.as_deref();
+            let reason = rejection_log::log_rejected(key, &queue, by, &admission, rejection);
             self.queues.metrics.refused.inc();
+            if let Some(tenant) = &tenant {
+                let metrics = &mut self.queues.metrics.tenants;
+                metrics.count_rejected(&tenant.name, rejection.limit);
+            }
             return done.send(Ok(QueueReply::Refused {
-                retry_after_ms,
-                reason: reason.to_owned(),
+                retry_after_ms: rejection.retry_after_ms,
+                reason,
             }));
         }
-        scheduler.handle_submission(key, &queue, &spec, now);
+        scheduler.handle_submission(key, &queue, &spec, tenant.as_deref(), now);
         queue_log::log_proposed(key, &queue, &spec);
-        self.queues.submitting.insert(key);
+        self.queues.submitting.insert(key, tenant.clone());
         let command = QueueCommand::Submit {
             job: key,
             queue,
@@ -283,13 +295,6 @@
     }
 }
 
-fn refusal_reason(admission: &Admission) -> &'static str {
-    match admission.overload_retry_ms {
-        Some(_) => "the leader falls behind",
-        None => "the backlog is too long",
-    }
-}
-
 fn log_permit_answer(answered: Option<AnsweredPermitRequest>, answer: &PermitAnswer) {
     let Some(answered) = answered else {
         log::debug!(question = answer.id; "an answer of the policy arrived too late");
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 
 use sapphirepost_consensus::Index;
 use sapphirepost_consensus::ProposeError;
@@ -20,6 +19,7 @@
 use sapphirepost_protocol::queue::QueueReply;
 use sapphirepost_queues::Action;
 use sapphirepost_queues::JobKey;
+use sapphirepost_queues::JobTenant;
 use sapphirepost_queues::QueueCommand;
 use sapphirepost_queues::Scheduler;
 use sapphirepost_queues::SchedulerConfig;
@@ -115,9 +115,9 @@
     /// For each proposed log entry: its index, when it was proposed, and the answers to send when
     /// it is applied.
     pub(crate) pending_answers: VecDeque<(Index, Millis, Vec<Answer>)>,
-    /// The jobs whose submission is proposed and not applied yet. They may run later, so they are
-    /// not unknown.
-    pub(crate) submitting: FxHashSet<JobKey>,
+    /// The jobs whose submission is proposed and not applied yet, with their tenants. They may run
+    /// later, so they are not unknown.
+    pub(crate) submitting: FxHashMap<JobKey, Option<Arc<JobTenant>>>,
     /// The policy clients whose polls wait for a permit request, and since when.
     pub(crate) policy_clients: FxHashMap<Arc<str>, (Millis, Responder<QueueReply>)>,
     pub(crate) metrics: QueueMetrics,
@@ -141,7 +141,7 @@
             batch: VecDeque::new(),
             is_node_busy: false,
             pending_answers: VecDeque::new(),
-            submitting: FxHashSet::default(),
+            submitting: FxHashMap::default(),
             policy_clients: FxHashMap::default(),
             metrics,
             accepted: FxHashMap::default(),
@@ -158,6 +158,7 @@
         self.policy_clients.clear();
         self.accepted.clear();
         self.metrics.ended_job_runs.set(0);
+        self.metrics.tenants.stop_leading();
     }
 
     /// The time until the collected commands are to be proposed; `None` if there are none.
@@ -286,6 +287,12 @@
         for command in commands {
             self.queues.command_ended(command);
         }
+        if let Some(table) = self.state.queues().table()
+            && changes.iter().flatten().any(|c| *c == QueueChange::Table)
+        {
+            let tenants = &mut self.queues.metrics.tenants;
+            tenants.retain(|name| table.tenant(name).is_some());
+        }
         // Followers and members that replay their log have no scheduler and log nothing.
         if let Some(scheduler) = &mut self.queues.scheduler {
             for (command, changes) in commands.iter().zip(&changes) {
@@ -381,6 +388,8 @@
             let ended = scheduler.find_ended_job_runs(now);
             ended.longest.iter().for_each(queue_log::log_ended_job_run);
             self.queues.metrics.ended_job_runs.set(ended.count as i64);
+            let tenants = scheduler.tenant_statuses(self.state.queues());
+            self.queues.metrics.tenants.set(&tenants);
         }
         let actions = scheduler.take_actions();
         self.queues.metrics.add_counts(scheduler.take_counts());
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -118,9 +118,14 @@
         self.call_leader(&QueueCall::GetTable).0
     }
 
+    /// Returns the metrics of one member as text.
+    pub fn metrics(&self, index: usize) -> String {
+        self.members[index].metrics.encode().unwrap()
+    }
+
     /// Returns the value of a counter of one member.
     pub fn counter(&self, index: usize, name: &str) -> u64 {
-        let text = self.members[index].metrics.encode().unwrap();
+        let text = self.metrics(index);
         let prefix = format!("sapphirepost_{name}_total ");
         let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
         value.unwrap().parse().unwrap()
@@ -148,6 +153,7 @@
         lease_ms: 4_000,
         snapshot_entries: 10_000,
         segment_bytes: 1 << 20,
+        request_memory_bytes: 64 << 20,
         descriptor_limit: 1_024,
         log_levels: LogLevels::default(),
     }
@@ -203,7 +209,7 @@
         queues: vec![queue],
         services: vec![service],
         tenants: None,
-        document: Arc::from("{}"),
+        document: "{}".into(),
         ended_kept_ms: ENDED_KEPT_DEFAULT_MS,
     }
 }
--- a/crates/queues/src/scheduler/permits.rs
+++ b/crates/queues/src/scheduler/permits.rs
@@ -309,8 +309,10 @@
         self.dispatcher.dispatched_at = now;
         let pending = self.pending_steps.iter();
         let pending = pending.filter_map(|key| self.steps.get(key));
-        let candidates =
-            pending.filter(|view| !view.is_settled() && view.permits.next_need().is_some());
+        let candidates = pending.filter(|view| {
+            let needs_request = !view.is_settled() && view.permits.next_need().is_some();
+            needs_request && !self.is_at_quota(view)
+        });
         self.count_visits(VisitKind::Round, self.pending_steps.len());
         let mut candidates: Vec<(bool, Rank)> = candidates
             .map(|view| (self.is_long(view), Rank::of(view, now)))
@@ -412,6 +414,8 @@
             members,
             is_renewal,
         } = requested;
+        let view = self.steps.get(&step);
+        let may_hold = view.is_some_and(|view| !self.yields_to_shares(view));
         let Some(view) = self.steps.get_mut(&step) else {
             return false;
         };
@@ -431,7 +435,7 @@
         self.dispatcher.last_id += 1;
         let id = self.dispatcher.last_id;
         view.permits.begin_request(id, is_renewal, now);
-        if !members.is_empty() {
+        if may_hold && !members.is_empty() {
             let until = now + expected_ms + HOLD_SLACK_MS;
             view.hold = Hold {
                 workers: members,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::isolation::task_isolation;
 use crate::scheduler::placement_counts::AttemptResult;
 use crate::scheduler::placement_counts::VisitKind;
+use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::speed_choice::set_speed_order;
 use crate::scheduler::speeds::speed_step;
@@ -258,6 +259,7 @@
             let waiting = view.waiting.iter().copied();
             let mut waiting = waiting
                 .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
+                .take(self.start_limit(view) as usize)
                 .collect::<Vec<_>>()
                 .into_iter();
             let tasks = waiting.len();
@@ -289,6 +291,9 @@
                 return candidates;
             }
         }
+        if self.is_at_quota(view) {
+            return candidates;
+        }
         self.request_useful_permits(view, &candidates, now);
         candidates
     }
@@ -309,6 +314,9 @@
             if isolation == Isolation::None {
                 continue;
             }
+            if self.is_at_quota(view) {
+                return;
+            }
             let isolation = self.isolation_now(view, isolation);
             view.is_without_turn = !self.take_isolation_turn(view, now);
             if view.is_without_turn {
@@ -360,6 +368,9 @@
             .take()
             .map_or(0, |since| now.since(since));
         view.hold = Hold::default();
+        if view.tenant.is_some() && !view.spec().is_gang {
+            view.reservation_turn = ReservationTurn::default();
+        }
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -389,6 +400,7 @@
             let run_view = RunView {
                 run,
                 resources: spec.resources,
+                tenant: None,
                 stage: RunStage::Proposed,
                 since: now,
                 is_adopted: false,
@@ -406,15 +418,17 @@
                 has_begun: false,
                 confirmed: now,
             };
-            worker.add_run(view.key.task(*task), run_view);
-            view.waiting.remove(task);
-            view.proposed.insert(*task);
             proposed.push(Placement {
                 index: *task,
                 run,
                 worker: worker.record.id.clone(),
                 incarnation: worker.record.incarnation,
             });
+            let tenant = view.tenant.map(|tenant| tenant.index);
+            self.workers
+                .add_run(*index, view.key.task(*task), run_view, tenant);
+            view.waiting.remove(task);
+            view.proposed.insert(*task);
         }
         view.end_locality_wait();
         self.propose(QueueCommand::Start {
--- a/crates/queues/src/scheduler/waiting.rs
+++ b/crates/queues/src/scheduler/waiting.rs
@@ -39,6 +39,8 @@
     Room,
     /// Members of the last run of its gang are still on workers.
     FormerRun,
+    /// The quota of its tenant leaves no room for a task, or for all members of its gang.
+    Quota,
     /// Its tasks could start remote from their data, and wait for workers near it.
     Locality,
     /// Its tasks have to be isolated, and it has no turn to use workers for that.
@@ -67,6 +69,8 @@
     pub reason: WaitReason,
     /// Whether the step can meet the deadline of its job.
     pub lateness: Lateness,
+    /// Whether its tenant has used up its share of the service.
+    pub is_over_share: bool,
     /// The number of waiting steps that are placed before it.
     pub steps_ahead: usize,
     /// Whether a permit request for the step is unanswered.
@@ -154,15 +158,16 @@
         let others = self
             .steps
             .values()
-            .filter(|other| !other.waiting.is_empty());
+            .filter(|other| !other.waiting.is_empty() && !other.is_at_quota);
         self.count_checks(self.steps.len());
         let ahead = others.filter(|other| Rank::of(other, now) < rank);
         Some(WaitingStep {
             step: view.key,
             tasks: wait.tasks,
             waits_ms: wait.waits_ms,
-            reason: wait_reason(view, &room),
+            reason: wait_reason(view, &room, self.is_at_quota(view)),
             lateness: rank.lateness,
+            is_over_share: rank.is_over_share,
             steps_ahead: ahead.count(),
             is_asking: view.permits.has_request(),
             request_due_ms: view.permits.needed_since().map(|since| now.since(since)),
@@ -224,7 +229,7 @@
     tasks_if_empty: u64,
 }
 
-fn wait_reason(view: &StepView, room: &RoomCount) -> WaitReason {
+fn wait_reason(view: &StepView, room: &RoomCount, is_at_quota: bool) -> WaitReason {
     let members = view.spec().count as usize;
     let is_gang = view.spec().is_gang;
     if !view.is_committed {
@@ -235,6 +240,8 @@
         WaitReason::NoWorker
     } else if is_gang && view.waiting.len() < members {
         WaitReason::FormerRun
+    } else if is_at_quota {
+        WaitReason::Quota
     } else if view.is_without_turn {
         WaitReason::Isolation
     } else if view.locality.is_waiting() {
--- a/crates/queues/tests/locality_wait.rs
+++ b/crates/queues/tests/locality_wait.rs
@@ -245,7 +245,7 @@
     let queue = table.queue(QUEUE).unwrap();
     let admission = model
         .scheduler
-        .admission(JobKey(99), queue, &spec, model.now);
+        .admission(JobKey(99), queue, &spec, None, model.now);
     assert_eq!(admission.unwrap().critical_path_ms, WORK_MS);
 }
 
