Let learned speeds decide only in services that are shown to be uneven

Learned speeds took the place of the moving mean everywhere, and two tests of services with equal workers failed: wide gangs were served half as often, and a queue that crashes workers cost the others theirs. The moving mean decides again, exactly as before, until a tenth of the workers of a service are shown to be slower than usual by a factor of 1.4; the learned speeds are used from then on. Smaller differences rarely decide whether a deadline is met. Remote runs are left out of the moving mean.

--- a/crates/queues/src/scheduler/health.rs
+++ b/crates/queues/src/scheduler/health.rs
@@ -31,6 +31,10 @@
 /// A run of a task that lasts and that fails after it has worked for this long is no evidence against
 /// its worker: one that is at fault does not keep tasks at work.
 const AT_WORK_MS: u64 = 5_000;
+/// The weight of a new observation in the moving mean of the slowdown.
+const SLOWDOWN_WEIGHT: f64 = 0.1;
+/// The smallest and the largest slowdown that an observation counts as.
+const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
 
 /// What the runs of a worker have shown about it.
 #[derive(Clone, Debug)]
@@ -42,6 +46,9 @@
     /// A suspected worker may run only one task before this time.
     trial_until: Millis,
     pause_ms: u64,
+    /// Moving mean of the ratio of the duration of runs to their estimate.
+    slowdown: f64,
+    /// The speed by comparison with other workers.
     pub(crate) speed: WorkerSpeed,
 }
 
@@ -52,17 +59,25 @@
             paused_until: Millis::ZERO,
             trial_until: Millis::ZERO,
             pause_ms: PAUSE_MIN_MS,
+            slowdown: 1.0,
             speed: WorkerSpeed::default(),
         }
     }
 }
 
 impl Health {
-    /// Records a run that was done.
-    pub fn succeeded(&mut self) {
+    /// Records a run that was done. Its time, and the time that it takes on most workers, are `None`
+    /// if they say nothing about the worker.
+    pub fn succeeded(&mut self, times_ms: Option<(u64, u64)>) {
         self.failed.clear();
         self.paused_until = Millis::ZERO;
         self.pause_ms = PAUSE_MIN_MS;
+        let Some((took_ms, usual_ms)) = times_ms else {
+            return;
+        };
+        let ratio = took_ms.max(1) as f64 / usual_ms.max(1) as f64;
+        let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+        self.slowdown += (ratio - self.slowdown) * SLOWDOWN_WEIGHT;
     }
 
     /// Records a run of a job that failed or stalled there.
@@ -111,9 +126,9 @@
         self.tasks_max(now) != usize::MAX
     }
 
-    /// How much longer than usual runs take there, as a factor; 1 unless shown otherwise.
+    /// How much longer than estimated runs take there, as a factor.
     pub fn slowdown(&self) -> f64 {
-        self.speed.slowdown()
+        self.slowdown
     }
 }
 
--- a/crates/queues/src/scheduler/locality_wait.rs
+++ b/crates/queues/src/scheduler/locality_wait.rs
@@ -326,7 +326,7 @@
         }
         let per_worker = view.spec().per_worker_max.map_or(tasks, |max| max as usize);
         let reserved = reservations.total_reserved(index, view.key);
-        let run_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+        let run_ms = (view.usual_ms as f64 * self.speed_factor(worker)) as u64;
         let resources = view.spec().resources;
         let times = slot_times(worker, resources, reserved, tasks.min(per_worker), now);
         times
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -50,10 +50,25 @@
     pub(crate) is_preferred: bool,
     /// How much longer than usual runs take there, as a factor.
     pub(crate) slowdown: f64,
-    /// Whether the step takes fast workers first.
-    pub(crate) is_fast_first: bool,
+    /// What the slowdown means for the order of preference.
+    pub(crate) speed_order: SpeedOrder,
 }
 
+/// How the slowdown of a worker counts in the order of preference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SpeedOrder {
+    /// The service is not known to be uneven: the slowdown is that against the estimates, and only
+    /// coarse differences count.
+    ByEstimates,
+    /// The step takes workers of any speed.
+    Any,
+    /// The step takes fast workers first.
+    FastFirst,
+}
+
+/// Workers of a service that is not known to be uneven differ if their slowdowns do by this much.
+const SLOWDOWN_STEP: f64 = 0.5;
+
 impl Candidate {
     /// Whether the policy allows the worker, also if the permit has expired.
     pub(crate) fn is_allowed(&self) -> bool {
@@ -62,10 +77,10 @@
 
     /// The place of the worker's speed in the order of preference.
     pub(crate) fn speed_rank(&self) -> i32 {
-        if self.is_fast_first {
-            speed_step(self.slowdown)
-        } else {
-            0
+        match self.speed_order {
+            SpeedOrder::ByEstimates => (self.slowdown / SLOWDOWN_STEP) as i32,
+            SpeedOrder::Any => 0,
+            SpeedOrder::FastFirst => speed_step(self.slowdown),
         }
     }
 }
@@ -108,6 +123,7 @@
         let spec = view.spec();
         let exclusive_ms = self.exclusive_ms();
         let takes_withheld_room = self.takes_withheld_room(view);
+        let is_uneven = self.speeds.are_uneven(&view.queue.service);
         let mut found = Vec::new();
         if !spec.resources.fits_in(&self.rounds.max_free) {
             return found;
@@ -149,6 +165,11 @@
                 continue;
             }
             let remaining = available.saturating_sub(&spec.resources);
+            let (slowdown, speed_order) = if is_uneven {
+                (worker.health.speed.slowdown(), SpeedOrder::Any)
+            } else {
+                (worker.health.slowdown(), SpeedOrder::ByEstimates)
+            };
             let is_preferred = spec
                 .preferred_rack
                 .as_ref()
@@ -168,8 +189,8 @@
                 ),
                 left_millicores: remaining.millicores,
                 is_preferred,
-                slowdown: worker.health.slowdown(),
-                is_fast_first: false,
+                slowdown,
+                speed_order,
             });
         }
         set_speed_order(view, &mut found, now);
@@ -190,9 +211,8 @@
         if self.takes_withheld_room(view) {
             return worker.free();
         }
-        let factor = worker.health.slowdown()
-            * self.speeds.mean_ratio(&view.queue_name)
-            * self.remote_factor(self.is_remote(view, worker));
+        let remote_factor = self.remote_factor(self.is_remote(view, worker));
+        let factor = self.duration_factor(&view.queue_name, worker) * remote_factor;
         let task_ms = (view.usual_ms as f64 * factor) as u64;
         reservations.available(index, worker, view.key, task_ms, now)
     }
@@ -379,6 +399,7 @@
         let gang_slowdown = self.gang_slowdown(view, placements);
         let is_spread = self.is_spread(view, placements);
         let mean_ratio = self.speeds.mean_ratio(&view.queue_name);
+        let is_uneven = self.speeds.are_uneven(&view.queue.service);
         self.tally.counts.tasks += placements.len() as u64;
         view.permits.note_placement();
         for (task, index) in placements {
@@ -395,8 +416,12 @@
                 tasks[*task as usize].run + 1
             };
             worker.record_start(view.key.job, exclusive_ms, now);
-            let slowdown = gang_slowdown.unwrap_or(worker.health.slowdown());
-            let expected_ms = (view.usual_ms as f64 * slowdown * mean_ratio * remote_factor) as u64;
+            let factor = if is_uneven {
+                gang_slowdown.unwrap_or(worker.health.speed.slowdown()) * mean_ratio
+            } else {
+                worker.health.slowdown()
+            };
+            let expected_ms = (view.usual_ms as f64 * factor * remote_factor) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
--- a/crates/queues/src/scheduler/speed_choice.rs
+++ b/crates/queues/src/scheduler/speed_choice.rs
@@ -12,6 +12,7 @@
 
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
+use crate::scheduler::place::SpeedOrder;
 use crate::scheduler::speeds::speed_step;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
@@ -53,7 +54,7 @@
         let workers = placements
             .iter()
             .filter_map(|(_, index)| self.workers.get(*index));
-        let slowdowns = workers.map(|worker| worker.health.slowdown());
+        let slowdowns = workers.map(|worker| self.speed_factor(worker));
         let slowest = slowdowns.fold(0.0, f64::max);
         view.spec().is_gang.then_some(slowest)
     }
@@ -61,6 +62,12 @@
 
 /// Records in the candidates of a step whether it takes fast workers first.
 pub(crate) fn set_speed_order(view: &StepView, candidates: &mut [Candidate], now: Millis) {
+    if candidates
+        .iter()
+        .any(|c| c.speed_order == SpeedOrder::ByEstimates)
+    {
+        return;
+    }
     let slowdowns = candidates.iter().map(|c| c.slowdown);
     let fastest = slowdowns.clone().fold(f64::INFINITY, f64::min);
     let slowest = slowdowns.fold(0.0, f64::max);
@@ -68,20 +75,28 @@
         return;
     }
     for candidate in candidates {
-        candidate.is_fast_first = true;
+        candidate.speed_order = SpeedOrder::FastFirst;
     }
 }
 
 /// The candidates for the members of a gang, in the order of preference: those of similar speed, and
 /// the slowest of them first.
 pub(crate) fn similar_speed(mut usable: Vec<&Candidate>, members: usize) -> Vec<&Candidate> {
+    if usable
+        .iter()
+        .any(|c| c.speed_order == SpeedOrder::ByEstimates)
+    {
+        return usable;
+    }
     let steps = usable.iter().map(|c| (speed_step(c.slowdown), c));
     let mut fits: Vec<(i32, usize)> = steps.map(|(step, c)| (step, c.fits as usize)).collect();
     fits.sort_unstable();
     if fits.first().map(|(step, _)| step) == fits.last().map(|(step, _)| step) {
         return usable;
     }
-    let is_fast_first = usable.iter().any(|c| c.is_fast_first);
+    let is_fast_first = usable
+        .iter()
+        .any(|c| c.speed_order == SpeedOrder::FastFirst);
     let Some(slowest) = slowest_step(&fits, members, is_fast_first) else {
         return usable;
     };
--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -15,12 +15,14 @@
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 use smallvec::SmallVec;
 
 use crate::ids::StepKey;
 use crate::scheduler::Scheduler;
 use crate::scheduler::workers::RunView;
 use crate::scheduler::workers::WorkerIndex;
+use crate::scheduler::workers::WorkerView;
 
 /// The number of samples at the usual speed that the prior counts as.
 const PRIOR_SAMPLES: f64 = 4.0;
@@ -55,6 +57,12 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
 /// The ratio between two steps of speed.
 const STEP_RATIO: f64 = 1.25;
+/// The speeds of a service count once a tenth of its workers are slower than usual by this factor.
+/// Smaller differences rarely decide whether a deadline is met, which allows half of the duration
+/// more even for short jobs.
+const UNEVEN_SLOWDOWN: f64 = 1.4;
+/// One worker in this many has to be slower.
+const WORKERS_PER_SLOW_ONE: usize = 10;
 /// The number of ends of a step that later ends are compared with.
 const ENDS_PER_STEP_MAX: usize = 16;
 
@@ -84,13 +92,17 @@
         self.slowdown
     }
 
+    fn is_slow(&self) -> bool {
+        self.slowdown >= UNEVEN_SLOWDOWN
+    }
+
     /// The best estimate of the logarithm of the slowdown, whether it counts or not.
     fn log_slowdown(&self) -> f64 {
         self.sum / (self.weight + PRIOR_SAMPLES)
     }
 
-    /// Adds a sample. `variance` is that of samples with weight 1.
-    /// `usual` is the logarithm of the slowdown of a usual worker of the service.
+    /// Adds a sample. `variance` is that of samples with weight 1, and `usual` the logarithm of the
+    /// slowdown of a usual worker of the service.
     fn add(&mut self, log_ratio: f64, weight: f64, variance: f64, usual: f64) {
         let keep = 1.0 - weight / WINDOW_SAMPLES;
         self.sum = self.sum * keep + log_ratio * weight;
@@ -161,9 +173,17 @@
     /// The mean ratio of the durations of runs to their predictions, by queue. A prediction is a
     /// typical duration of the first run of a step that ends, and the others take longer.
     ratios: FxHashMap<Arc<str>, f64>,
+    /// The services whose workers have been shown to differ in speed.
+    uneven: FxHashSet<Arc<str>>,
 }
 
 impl Speeds {
+    /// Whether the workers of a service have been shown to differ in speed. Otherwise, speeds decide
+    /// nothing.
+    pub(crate) fn are_uneven(&self, service: &str) -> bool {
+        self.uneven.contains(service)
+    }
+
     /// How long runs of a queue take on average, in proportion to their predicted durations.
     pub(crate) fn mean_ratio(&self, queue: &str) -> f64 {
         self.ratios.get(queue).copied().unwrap_or(1.0)
@@ -249,7 +269,47 @@
             let usual = self.speeds.usual.entry(worker.record.service.clone());
             let usual = usual.or_default();
             *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
+            let was_slow = worker.health.speed.is_slow();
             worker.health.speed.add(log_ratio, weight, unit, *usual);
+            if worker.health.speed.is_slow() != was_slow {
+                let service = worker.record.service.clone();
+                self.update_unevenness(service);
+            }
+        }
+    }
+
+    /// Compares the number of slow workers of a service with the number of all.
+    fn update_unevenness(&mut self, service: Arc<str>) {
+        let workers = self.workers.iter();
+        let workers = workers.filter(|(_, worker)| worker.record.service == service);
+        let (mut all, mut slow) = (0, 0);
+        for (_, worker) in workers {
+            all += 1;
+            slow += usize::from(worker.health.speed.is_slow());
+        }
+        if slow * WORKERS_PER_SLOW_ONE >= all {
+            self.speeds.uneven.insert(service);
+        } else {
+            self.speeds.uneven.remove(&service);
+        }
+    }
+
+    /// How much longer than usual runs take on a worker, as a factor, by comparison with the other
+    /// workers of its service; 1 unless the service has been shown to be uneven.
+    pub(crate) fn speed_factor(&self, worker: &WorkerView) -> f64 {
+        if self.speeds.are_uneven(&worker.record.service) {
+            worker.health.speed.slowdown()
+        } else {
+            1.0
+        }
+    }
+
+    /// How much longer than predicted runs of a queue take on a worker, as a factor.
+    pub(crate) fn duration_factor(&self, queue: &str, worker: &WorkerView) -> f64 {
+        if self.speeds.are_uneven(&worker.record.service) {
+            worker.health.speed.slowdown() * self.speeds.mean_ratio(queue)
+        } else {
+            worker.health.slowdown()
         }
     }
 }
--- a/crates/queues/src/scheduler/worker_requests.rs
+++ b/crates/queues/src/scheduler/worker_requests.rs
@@ -308,7 +308,8 @@
         match kind {
             Some(EndKind::Done) => {
                 let took_ms = now.since(view.since);
-                worker.health.succeeded();
+                let times_ms = (!view.is_remote).then_some((took_ms, view.usual_ms));
+                worker.health.succeeded(times_ms);
                 if view.is_measurable() {
                     self.record_duration(task.step, took_ms);
                 }
