--- a/crates/control/src/placement_load.rs
+++ b/crates/control/src/placement_load.rs
@@ -39,7 +39,8 @@
         placed_checks, failed_checks, round_visits = round,
         freed_visits = freed, candidate_visits = candidate, rack_visits = rack,
         request_visits = request, reservation_visits = reservation,
-        preemption_visits = preemption, locality_visits = locality, first_requests = first, further_requests = further,
+        preemption_visits = preemption, locality_visits = locality,
+        first_requests = first, further_requests = further,
         renewal_requests = renewal, first_workers, further_workers, renewal_workers,
         answers = counts.answers, repeated_answers = counts.repeated_answers,
         permits = counts.permits, renewed_permits = counts.renewed_permits; "placement load"
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -171,8 +171,8 @@
         let Some(resolved) = self.resolve_job(&request) else {
             // The path names no job: it belongs to no queue, is the path of a queue itself (a read
             // then returns the number of waiting jobs), or is malformed. Or the caller may not use
-            // the job. Which of these is true depends on the current table, so a quorum must confirm
-            // this leader first.
+            // the job. Which of these is true depends on the current table, so a quorum must
+            // confirm this leader first.
             let call = QueueCall::Caller(request);
             return self.start_queue_read(now, call, done);
         };
--- a/crates/control/src/queues.rs
+++ b/crates/control/src/queues.rs
@@ -68,8 +68,8 @@
 /// Receives the reply to a request to a worker, or why there is none.
 pub type WorkerReplyCallback = Box<dyn FnOnce(Result<WorkerReply, WorkerRequestError>) + Send>;
 
-/// Time limits in milliseconds for the workers, and what remote data costs; they must be the same on
-/// every member.
+/// Time limits in milliseconds for the workers, and what remote data costs; they must be the same
+/// on every member.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueTiming {
     /// How long a worker may run tasks without hearing from a leader, on the worker's clock.
--- a/crates/control/tests/tenants.rs
+++ b/crates/control/tests/tenants.rs
@@ -66,8 +66,8 @@
     }
 }
 
-/// Guards against a rejection that names neither the tenant nor its limit, against metrics that go on
-/// for a removed tenant, and against keys in them.
+/// Guards against a rejection that names neither the tenant nor its limit, against metrics that go
+/// on for a removed tenant, and against keys in them.
 #[test]
 fn a_gang_beyond_the_quota_is_traced_to_its_tenant() {
     let group = Group::start(1);
--- a/crates/leader/src/operators.rs
+++ b/crates/leader/src/operators.rs
@@ -65,7 +65,8 @@
     /// Processes an operator request.
     ///
     /// The control process must have confirmed its leadership with a quorum before, so that the
-    /// answer is current. It handles requests about members and tenants itself; they are refused here.
+    /// answer is current. It handles requests about members and tenants itself; they are refused
+    /// here.
     pub fn operator_request(
         &mut self,
         ctx: &Context<'_>,
--- a/crates/process/src/byte_budget.rs
+++ b/crates/process/src/byte_budget.rs
@@ -1,10 +1,11 @@
 //! The memory of a process for requests that arrive, shared by all of its listeners.
 //!
-//! Each connection has an account. Bytes are counted when they arrive or are allocated; the declared
-//! length of an HTTP body reserves nothing. Clients that open many requests and do not finish them must not use up the memory or
-//! lock out ordinary clients, so a part of the budget is kept for small requests, and the request
-//! that has been arriving for the longest time makes room for newer ones. The same accounts tell
-//! which connection makes room when a listener has no more connections left.
+//! Each connection has an account. Bytes are counted when they arrive or are allocated; the
+//! declared length of an HTTP body reserves nothing. Clients that open many requests and do not
+//! finish them must not use up the memory or lock out ordinary clients, so a part of the budget is
+//! kept for small requests, and the request that has been arriving for the longest time makes room
+//! for newer ones. The same accounts tell which connection makes room when a listener has no more
+//! connections left.
 
 use std::collections::HashMap;
 use std::fmt;
--- a/crates/queues/src/ids.rs
+++ b/crates/queues/src/ids.rs
@@ -21,8 +21,7 @@
 pub struct JobKey(pub u64);
 
 impl JobKey {
-    /// The rank of the job among all jobs, in thousandths. It is spread evenly, whatever keys the
-    /// callers choose.
+    /// A hash of the key from 0 to 999, spread evenly whatever keys the callers choose.
     pub(crate) fn spread_permille(self) -> u64 {
         let mixed = (self.0 ^ (self.0 >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         (mixed >> 32) % 1_000
--- a/crates/queues/src/scheduler/due_attempts.rs
+++ b/crates/queues/src/scheduler/due_attempts.rs
@@ -132,7 +132,7 @@
         worker: &WorkerView,
     ) -> bool {
         view.can_run_on(worker)
-            && view.has_use_for_rack_of(worker)
+            && view.can_use_room_on(worker)
             && self.may_use(view, index)
             && (view.queue.permits.is_none() || view.permits.may_use_or_ask(index))
     }
--- a/crates/queues/src/scheduler/excess_work.rs
+++ b/crates/queues/src/scheduler/excess_work.rs
@@ -18,8 +18,8 @@
 const UPDATE_MIN_MS: u64 = 20;
 /// The number of jobs that lengthens this time by a millisecond.
 const JOBS_PER_UPDATE_MS: usize = 16;
-/// Jobs that have ended are dropped at the latest when there are this many more than after the last
-/// update.
+/// Jobs that have ended are dropped at the latest when this many jobs have been added since the last
+/// time, which bounds the memory.
 const ADDED_MAX: usize = 1_024;
 
 /// The admitted jobs beyond the rates of their tenants, and their waiting work.
@@ -27,7 +27,7 @@
 pub struct ExcessWork {
     /// The names of the tenants of the jobs. Some of the jobs have ended.
     jobs: FxHashMap<JobKey, Arc<str>>,
-    /// The number of jobs after the last update.
+    /// The number of jobs when ended ones were last dropped.
     kept: usize,
     updated_at: Option<Millis>,
     by_tenant: Vec<(Arc<str>, Backlog)>,
--- a/crates/queues/src/scheduler/locality.rs
+++ b/crates/queues/src/scheduler/locality.rs
@@ -1,10 +1,10 @@
 //! Decides how many tasks of a step wait for room near their data.
 //!
-//! A run that is remote from its data takes longer by a known factor. Waiting for a local worker pays
-//! off if the local run is expected to end before a remote one that starts now. Expected ends are
-//! imprecise and may move on for ever, so all waits of a step together are bounded by the time that a
-//! local run saves, counted from when a task of the step could first have started remotely. A step
-//! that can meet its deadline remotely waits no longer than it still can.
+//! A run that is remote from its data takes longer by a known factor. Waiting for a local worker
+//! pays off if the local run is expected to end before a remote one that starts now. Expected ends
+//! are imprecise and may move on for ever, so all waits of a step together are bounded by the time
+//! that a local run saves, counted from when a task of the step could first have started remotely.
+//! A step that can meet its deadline remotely waits no longer than it still can.
 
 use sapphirepost_types::Millis;
 
--- a/crates/queues/src/scheduler/locality_wait.rs
+++ b/crates/queues/src/scheduler/locality_wait.rs
@@ -91,8 +91,8 @@
         self.locality.is_waiting() && self.locality.waiting >= self.waiting.len()
     }
 
-    /// Whether room on a worker is of use to the step while it waits for local workers.
-    pub(crate) fn has_use_for_rack_of(&self, worker: &WorkerView) -> bool {
+    /// Whether tasks of the step could use room on a worker while others wait for local workers.
+    pub(crate) fn can_use_room_on(&self, worker: &WorkerView) -> bool {
         let rack = self.spec().preferred_rack.as_ref();
         let is_local = rack.is_none_or(|rack| worker.record.has_label(rack));
         self.spec().is_gang || is_local || !self.waits_for_local_only()
@@ -118,8 +118,8 @@
         self.config.remote_factor > 1.0
     }
 
-    /// Whether a run of the step on this worker would be remote from its data. Only the workers of all
-    /// members tell that for a gang.
+    /// Whether a run of the step on this worker would be remote from its data. Only the workers of
+    /// all members tell that for a gang.
     pub(crate) fn is_remote(&self, view: &StepView, worker: &WorkerView) -> bool {
         let rack = view.spec().preferred_rack.as_ref();
         self.has_remote_runs()
@@ -174,8 +174,8 @@
         }
     }
 
-    /// How many of `tasks` tasks of a step may start remotely now. Records in the step how many wait
-    /// for local workers instead.
+    /// How many of `tasks` tasks of a step may start remotely now. Records in the step how many
+    /// wait for local workers instead.
     pub(crate) fn remote_starts_max(
         &mut self,
         view: &mut StepView,
@@ -405,8 +405,8 @@
         }
     }
 
-    /// Requests permits for the tasks of a step that do not wait for local workers, or fresh permits on
-    /// local workers.
+    /// Requests permits for the tasks of a step that do not wait for local workers, or fresh
+    /// permits on local workers.
     pub(crate) fn request_useful_permits(
         &mut self,
         view: &mut StepView,
--- a/crates/queues/src/scheduler/placement_counts.rs
+++ b/crates/queues/src/scheduler/placement_counts.rs
@@ -160,8 +160,8 @@
     pub local_tasks_after_wait: u64,
     /// Tasks and members of gangs placed remote from their data.
     pub remote_tasks: u64,
-    /// Waits of steps for workers near their data that ended by their bound while more was expected to
-    /// pay off.
+    /// Waits of steps for workers near their data that ended by their bound while more was expected
+    /// to pay off.
     pub expired_locality_waits: u64,
     /// Visits of workers and steps, in the order of [`VisitKind::ALL`].
     pub visits: [u64; VisitKind::ALL.len()],
--- a/crates/queues/src/scheduler/quota_limits.rs
+++ b/crates/queues/src/scheduler/quota_limits.rs
@@ -1,6 +1,7 @@
 //! Rejection of jobs that can never start within the quota of their tenant.
 //!
-//! A gang runs all its tasks at the same time. The tasks of other steps may run one after the other.
+//! A gang runs all its tasks at the same time. The tasks of other steps may run one after the
+//! other.
 
 use sapphirepost_types::Resources;
 use sapphirepost_types::resources::ResourceKind;
--- a/crates/queues/src/scheduler/quotas.rs
+++ b/crates/queues/src/scheduler/quotas.rs
@@ -3,8 +3,8 @@
 //! A tenant with many jobs would otherwise take resources that it has not been granted, in memory
 //! or accelerators as well as in processor time. A start is proposed only if what may be running
 //! already and the start together stay within the quota. A step for which the quota leaves no room
-//! waits and withholds nothing from others. Each round looks at its quota again, so that it is tried
-//! as soon as a run of its tenant has ended or the table has changed.
+//! waits and withholds nothing from others. Each round looks at its quota again, so that it is
+//! tried as soon as a run of its tenant has ended or the table has changed.
 
 use sapphirepost_types::Millis;
 use sapphirepost_types::Resources;
@@ -51,8 +51,8 @@
         })
     }
 
-    /// Takes the limits of all tenants from a table. Tenants that it lacks keep the limits with which
-    /// their jobs were submitted.
+    /// Takes the limits of all tenants from a table. Tenants that it lacks keep the limits with
+    /// which their jobs were submitted.
     pub(crate) fn update_limits(&mut self, table: &QueueTable) {
         let tenants = &mut self.workers.tenants;
         tenants.set_limits(table.tenants.as_deref().unwrap_or_default());
@@ -98,9 +98,9 @@
         self.quota_room(view) < needed
     }
 
-    /// Whether a committed start of a step may still be sent: its tenant uses no more than the quota
-    /// in force of any resource that the step takes. The quota may have been lowered since the start
-    /// was proposed.
+    /// Whether a committed start of a step may still be sent: its tenant uses no more than the
+    /// quota in force of any resource that the step takes. The quota may have been lowered since
+    /// the start was proposed.
     pub(crate) fn is_within_quota(&self, step: StepKey) -> bool {
         let view = self.steps.get(&step);
         let Some((view, tenant)) = view.and_then(|view| Some((view, view.tenant?))) else {
--- a/crates/queues/src/scheduler/ranking.rs
+++ b/crates/queues/src/scheduler/ranking.rs
@@ -1,11 +1,13 @@
 //! The order in which steps are placed.
 //!
-//! Steps that can still meet the deadline of their job come before steps that cannot, so that a
-//! burst of one kind of job does not take the resources of the others. Then come the more urgent
-//! queues, within a priority the more urgent tenants, and then the earliest deadline. Before all of
-//! that, steps of tenants within their share come before those of tenants that have used it up. A step counts as late as soon as its
-//! remaining path no longer fits before the deadline: if it started first, it would end late and
-//! make the steps behind it late too. Late steps are still placed with the resources that are left.
+//! Steps of tenants within their share come before those of tenants that have used it up. Among
+//! these, steps that can still meet the deadline of their job come before steps that cannot, so
+//! that a burst of one kind of job does not take the resources of the others. Then come the more
+//! urgent queues, within a priority the more urgent tenants, and then the earliest deadline.
+//!
+//! A step counts as late as soon as its remaining path no longer fits before the deadline: if it
+//! started first, it would end late and make the steps behind it late too. Late steps are still
+//! placed with the resources that are left.
 
 use std::cmp::Ordering;
 
--- a/crates/queues/src/scheduler/rate_limits.rs
+++ b/crates/queues/src/scheduler/rate_limits.rs
@@ -2,8 +2,8 @@
 //!
 //! The load is a tenant that submits many times its rate beside others that stay within theirs. The
 //! weight of a tenant is the number of jobs a second that it is owed. Jobs beyond that are admitted
-//! while the service has room, and rejected while it has none. The buckets are not replicated: under
-//! a new leader each tenant may submit one second of its rate more.
+//! while the service has room, and rejected while it has none. The buckets are not replicated:
+//! under a new leader each tenant may submit one second of its rate more.
 
 use std::sync::Arc;
 
@@ -19,9 +19,9 @@
 use crate::table::QueueTable;
 use crate::tenant::JobTenant;
 
-/// Work that workers do within this time waits for the next placement round, and is no load.
+/// Waiting work that the workers do within this time is no load: it waits for the next round.
 const LOAD_MIN_MS: u64 = 100;
-/// The time in which the weight of an arrival in the share of owed jobs falls to a third.
+/// The time constant with which arrivals fade from the share of owed jobs.
 const ARRIVALS_MS: f64 = 1_000.0;
 const ALL_PERMILLE: u64 = 1_000;
 
@@ -46,7 +46,7 @@
     rejected: RejectedJobs,
 }
 
-/// Counts of jobs of tenants that fade with time.
+/// Exponentially fading counts of jobs of tenants.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
     all: f64,
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -201,9 +201,9 @@
     sorted
 }
 
-/// Sorts steps with the time since which they have been left out: steps of tenants within their share
-/// first. What earlier rounds left out comes next, or steps that cannot be placed would keep others
-/// from being tried for as long as they wait.
+/// Sorts the steps of a round, each with the time since which it has been left out. Steps of tenants
+/// within their share come first. Then come those that earlier rounds left out, since steps that
+/// cannot be placed would otherwise keep them from being tried for as long as they wait.
 fn sort_by_share(order: &mut [(Millis, Rank)]) {
     order.sort_unstable_by_key(|(left_out_at, rank)| (rank.is_over_share, *left_out_at, *rank));
 }
--- a/crates/queues/src/scheduler/share_reservations.rs
+++ b/crates/queues/src/scheduler/share_reservations.rs
@@ -1,12 +1,12 @@
 //! Reservations for single tasks of tenants within their share.
 //!
-//! Small tasks of a tenant over its share take each piece of room as soon as it appears, so a larger
-//! task of another tenant would never find enough at once. The first steps that lack room although
-//! their tenant is within its share therefore get a reservation, like gangs, on the workers that are
-//! expected to have room earliest, for as many tasks as bring the tenant to its share. Reservations
-//! keep room from steps of tenants over their share only until the next round with gangs, in which
-//! the other steps are tried first. The limits on a turn and on the time for which room may be
-//! withheld are those of gangs.
+//! Small tasks of a tenant over its share take each piece of room as soon as it appears, so a
+//! larger task of another tenant would never find enough at once. The first steps that lack room
+//! although their tenant is within its share therefore get a reservation, like gangs, on the
+//! workers that are expected to have room earliest, for as many tasks as bring the tenant to its
+//! share. Reservations keep room from steps of tenants over their share only until the next round
+//! with gangs, in which the other steps are tried first. The limits on a turn and on the time for
+//! which room may be withheld are those of gangs.
 
 use sapphirepost_types::Millis;
 use smallvec::SmallVec;
--- a/crates/queues/src/scheduler/shares.rs
+++ b/crates/queues/src/scheduler/shares.rs
@@ -1,16 +1,16 @@
 //! Shares of the tenants in the workers of a service.
 //!
 //! A tenant with many jobs would otherwise fill the workers and let the others wait for the ends of
-//! its tasks. The dominant share of a tenant is the largest of the fractions of processor, memory and
-//! accelerators of a service that its runs take, and its fair share is its weight divided by the
-//! weights of all tenants that wait or run there. Once the dominant share of a tenant reaches the fair
-//! one, its steps come after those of all tenants for which it does not. It still gets what the
-//! others leave.
+//! its tasks. The dominant share of a tenant is the largest of the fractions of processor, memory
+//! and accelerators of a service that its runs take, and its fair share is its weight divided by
+//! the weights of all tenants that wait or run there. Once the dominant share of a tenant reaches
+//! the fair one, its steps come after those of all tenants for which it does not. It still gets
+//! what the others leave.
 //!
 //! A round may place a lot, for instance after an election. A step of a tenant within its share
 //! therefore starts only as many tasks as bring the tenant to it; the rest of the step is tried
-//! after the steps of the other tenants. While a step of a tenant within its share still waits then,
-//! steps of tenants over theirs reserve, hold and preempt nothing in the service.
+//! after the steps of the other tenants. While a step of a tenant within its share still waits
+//! then, steps of tenants over theirs reserve, hold and preempt nothing in the service.
 //!
 //! Steps without a tenant have no share of a service in which tenants wait or run.
 
@@ -237,8 +237,8 @@
         shares.is_some_and(|shares| shares.dominant_share(used) > shares.fair_share(key) + ROUNDING)
     }
 
-    /// How many tasks of a step may start in one attempt: within the quota, and of a tenant within its
-    /// share until that is used up.
+    /// How many tasks of a step may start in one attempt: within the quota, and of a tenant within
+    /// its share until that is used up.
     pub(crate) fn start_limit(&self, view: &StepView) -> u32 {
         self.quota_room(view).min(self.share_room(view))
     }
@@ -267,8 +267,8 @@
         is_over
     }
 
-    /// Handles a step that was tried while its tenant was within its share. Returns whether the rest
-    /// of it is to be tried after the steps of the other tenants.
+    /// Handles a step that was tried while its tenant was within its share. Returns whether the
+    /// rest of it is to be tried after the steps of the other tenants.
     pub(super) fn share_is_used_up(&mut self, step: StepKey) -> bool {
         let view = self.steps.get(&step);
         let waits = |view: &&StepView| view.is_ready && view.is_committed;
--- a/crates/queues/src/scheduler/speed_choice.rs
+++ b/crates/queues/src/scheduler/speed_choice.rs
@@ -1,10 +1,10 @@
 //! Which steps take fast workers first, and which workers the members of a gang share.
 //!
 //! If every step took the fastest free workers, steps with time to spare would leave only slow ones
-//! to those that need fast ones. A step prefers fast workers only while that decides whether it meets
-//! its deadline, or, once it is late, whether its result is still useful. A gang is as slow as its
-//! slowest member, so its members share workers of similar speed: a faster worker beside slow ones
-//! would be wasted on it.
+//! to those that need fast ones. A step prefers fast workers only while that decides whether it
+//! meets its deadline, or, once it is late, whether its result is still useful. A gang is as slow
+//! as its slowest member, so its members share workers of similar speed: a faster worker beside
+//! slow ones would be wasted on it.
 
 use std::cmp::Reverse;
 
@@ -21,7 +21,8 @@
 const SPARE_PERCENT: f64 = 150.0;
 
 impl StepView {
-    /// Whether the job ends by `until` if a task starts now and takes `factor` times as long as usual.
+    /// Whether the job ends by `until` if a task starts now and takes `factor` times as long as
+    /// usual.
     pub(crate) fn ends_by(&self, until: Millis, factor: f64, now: Millis) -> bool {
         let run_ms = (self.usual_ms as f64 * factor) as u64;
         let rest_ms = self.remaining_path_ms.saturating_sub(self.usual_ms);
@@ -43,8 +44,8 @@
 }
 
 impl Scheduler {
-    /// How much longer than usual the members of a gang take on these workers, as a factor: they end
-    /// together with the slowest. `None` for other steps.
+    /// How much longer than usual the members of a gang take on these workers, as a factor: they
+    /// end together with the slowest. `None` for other steps.
     pub(crate) fn gang_slowdown(
         &self,
         view: &StepView,
@@ -72,8 +73,8 @@
     }
 }
 
-/// The candidates for the members of a gang, in the order of preference: those of similar speed, and
-/// the slowest of them first.
+/// The candidates for the members of a gang, in the order of preference: those of similar speed,
+/// and the slowest of them first.
 pub(crate) fn similar_speed(mut usable: Vec<&Candidate>, members: usize) -> Vec<&Candidate> {
     let steps = usable.iter().map(|c| (speed_step(c.slowdown), c));
     let mut fits: Vec<(i32, usize)> = steps.map(|(step, c)| (step, c.fits as usize)).collect();
--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -1,12 +1,12 @@
 //! Learns how fast each worker is from the ends of runs.
 //!
-//! Workers of one service differ in speed by a factor of two and more, while single durations vary by
-//! a factor of seven and estimates are off by half. The duration of a run is compared with those of
-//! the same step on other workers, which share the error of the estimate, or, without such runs, with
-//! the predicted duration. Logarithms of the ratios are averaged with bounded deviations. A prior of
-//! several samples at the usual speed keeps single ends from changing much, and a speed counts only
-//! once the samples show that it differs from the usual one, so that workers of equal speed are all
-//! treated alike.
+//! Workers of one service differ in speed by a factor of two and more, while single durations vary
+//! by a factor of seven and estimates are off by half. The duration of a run is compared with those
+//! of the same step on other workers, which share the error of the estimate, or, without such runs,
+//! with the predicted duration. Logarithms of the ratios are averaged with bounded deviations. A
+//! prior of several samples at the usual speed keeps single ends from changing much, and a speed
+//! counts only once the samples show that it differs from the usual one, so that workers of equal
+//! speed are all treated alike.
 //!
 //! Runs of gangs end with their slowest member, and runs that resumed, that an earlier leader
 //! started or that were remote from their data took longer or shorter for other reasons than the
@@ -29,23 +29,23 @@
 /// The largest deviation of a sample from what was expected, as the logarithm of a ratio. Without a
 /// limit, a single run of seven times the usual duration would outweigh ten ordinary ones.
 const DEVIATION_MAX: f64 = std::f64::consts::LN_2;
-/// The variance of samples that is assumed before there are any.
+/// The variance that is assumed before there are samples.
 const VARIANCE_INITIAL: f64 = 0.1;
-/// The number of samples that this variance counts as.
+/// The number of samples that the assumed variance counts as.
 const VARIANCE_PRIOR_SAMPLES: f64 = 20.0;
 /// Every sample reduces the weight of the earlier ones in the mean and the variance of all workers
 /// by one part in this many.
 const COMMON_WINDOW_SAMPLES: f64 = 500.0;
-/// The number of samples of a queue after which its predicted durations are compared with. The mean
-/// of the earlier ones shows how far its estimates are off.
+/// The number of samples of a queue from which on durations are compared with its predictions. The
+/// mean of the earlier samples shows how far the estimates are off.
 const QUEUE_SAMPLES_MIN: f64 = 24.0;
-/// A speed counts from this many standard deviations on. A service has a thousand workers, each of
-/// which is tested after each sample.
+/// A speed counts from this many standard deviations on. A lower limit would show differences by
+/// chance, since a service may have a thousand workers, each of which is tested after each sample.
 const SHOWN_DEVIATIONS: f64 = 4.5;
 /// A speed that counts does so down to this many standard deviations.
 const KEPT_DEVIATIONS: f64 = 2.5;
-/// Every sample reduces the weight of the earlier ones in the mean slowdown of a service by one part in
-/// this many.
+/// Every sample reduces the weight of the earlier ones in the mean slowdown of a service by one
+/// part in this many.
 const USUAL_WINDOW_SAMPLES: f64 = 200.0;
 /// The weight of a new run in the moving mean of the ratios of durations to predictions in a queue.
 const RATIO_WEIGHT: f64 = 0.05;
@@ -89,8 +89,8 @@
         self.sum / (self.weight + PRIOR_SAMPLES)
     }
 
-    /// Adds a sample. `variance` is that of samples with weight 1.
-    /// `usual` is the logarithm of the slowdown of a usual worker of the service.
+    /// Adds a sample. `variance` is that of samples with weight 1, and `usual` the mean logarithm of
+    /// the slowdown of the workers of the service.
     fn add(&mut self, log_ratio: f64, weight: f64, variance: f64, usual: f64) {
         let keep = 1.0 - weight / WINDOW_SAMPLES;
         self.sum = self.sum * keep + log_ratio * weight;
@@ -254,8 +254,8 @@
     }
 }
 
-/// The weight of a further sample of a worker in a step with `own` earlier ends there and `others` on
-/// other workers. All samples of the worker in the step share the durations of the others, so
+/// The weight of a further sample of a worker in a step with `own` earlier ends there and `others`
+/// on other workers. All samples of the worker in the step share the durations of the others, so
 /// together they count as the harmonic sum of both numbers.
 fn weight_in_step(own: usize, others: usize) -> f64 {
     let (own, others) = (own as f64, others as f64);
--- a/crates/queues/src/scheduler/starts.rs
+++ b/crates/queues/src/scheduler/starts.rs
@@ -24,9 +24,9 @@
 pub(crate) const START_ATTEMPTS_MAX: u32 = 3;
 
 impl Scheduler {
-    /// Sends the start requests of a committed start, unless the capacity or the quota of the tenant
-    /// has shrunk, or the worker has started again or announced that it leaves meanwhile. A gang is
-    /// started as a whole or not at all.
+    /// Sends the start requests of a committed start, unless the capacity or the quota of the
+    /// tenant has shrunk, or the worker has started again or announced that it leaves meanwhile. A
+    /// gang is started as a whole or not at all.
     pub(crate) fn send_starts(
         &mut self,
         state: &QueueState,
--- a/crates/queues/src/scheduler/tenants.rs
+++ b/crates/queues/src/scheduler/tenants.rs
@@ -1,9 +1,9 @@
 //! The tenants: their limits in force, and what each uses, kept up to date by difference.
 //!
-//! Quotas and shares are compared with totals over all runs of a tenant. A sum over all runs in each
-//! round would cost more than the rounds themselves, so each run is added to the totals when it is
-//! placed on a worker and taken from them when it no longer takes resources. A run of no tenant
-//! costs nothing.
+//! Quotas and shares are compared with totals over all runs of a tenant. A sum over all runs in
+//! each round would cost more than the rounds themselves, so each run is added to the totals when
+//! it is placed on a worker and taken from them when it no longer takes resources. A run of no
+//! tenant costs nothing.
 
 use std::sync::Arc;
 
--- a/crates/queues/src/scheduler/token_bucket.rs
+++ b/crates/queues/src/scheduler/token_bucket.rs
@@ -1,10 +1,10 @@
 //! The token bucket of a tenant, and its tokens that are promised to rejected jobs.
 //!
-//! A rejected job is promised the first future token that no earlier promise takes, and is told when
-//! the bucket will have it. Rejected jobs therefore come back at the rate of the tenant, however many
-//! were rejected at once. A promised token is set aside when it is due. If the job does not come for
-//! it, any other job of the tenant gets it, so that promises to callers that have given up do not
-//! lower the rate. A job that comes early is told the rest of its time.
+//! A rejected job is promised the first future token that no earlier promise takes, and is told
+//! when the bucket will have it. Rejected jobs therefore come back at the rate of the tenant,
+//! however many were rejected at once. A promised token is set aside when it is due. If the job
+//! does not come for it, any other job of the tenant gets it, so that promises to callers that have
+//! given up do not lower the rate. A job that comes early is told the rest of its time.
 
 use std::collections::VecDeque;
 
--- a/crates/queues/src/scheduler/workers.rs
+++ b/crates/queues/src/scheduler/workers.rs
@@ -71,8 +71,8 @@
     pub run: u32,
     /// The resources that it takes; zero once the worker has reported its end.
     pub resources: Resources,
-    /// The tenant whose usage includes the run; `None` for a run of no tenant, and once the worker has
-    /// reported the end.
+    /// The tenant whose usage includes the run; `None` for a run of no tenant, and once the worker
+    /// has reported the end.
     pub tenant: Option<RunTenant>,
     /// How far it has come.
     pub stage: RunStage,
--- a/crates/queues/src/table.rs
+++ b/crates/queues/src/table.rs
@@ -36,8 +36,8 @@
     pub ended_kept_ms: u64,
 }
 
-/// The text of a queue table as the operator submitted it. `Debug` output does not contain the text,
-/// since it holds the keys of the tenants.
+/// The text of a queue table as the operator submitted it. `Debug` output does not contain the
+/// text, since it holds the keys of the tenants.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct TableDocument(Arc<str>);
@@ -229,8 +229,8 @@
         check_tenants(self.tenants.as_deref().unwrap_or_default())
     }
 
-    /// The tenant whose key a request for a queue carries; `None` if the request needs no key. A key
-    /// that is unknown is refused at public queues too.
+    /// The tenant whose key a request for a queue carries; `None` if the request needs no key. A
+    /// key that is unknown is refused at public queues too.
     pub fn authenticate(
         &self,
         queue: &Queue,
--- a/crates/queues/src/table_review.rs
+++ b/crates/queues/src/table_review.rs
@@ -1,8 +1,8 @@
 //! Reviews a queue table before it is put in force: entries that can never match a request, limits
 //! that contradict each other, and what changes against another table.
 //!
-//! A finding is no reason to refuse the table; [`QueueTable::check`] decides that. No finding and no
-//! change contains the text of a key.
+//! A finding is no reason to refuse the table; [`QueueTable::check`] decides that. No finding and
+//! no change contains the text of a key.
 
 use std::fmt;
 use std::sync::Arc;
--- a/crates/queues/src/tenant.rs
+++ b/crates/queues/src/tenant.rs
@@ -1,7 +1,7 @@
 //! Tenants: groups of callers that share the workers.
 //!
-//! A tenant authenticates its requests with one of its keys. It has a share of the workers when they
-//! are full, and a limit on what it may run at the same time.
+//! A tenant authenticates its requests with one of its keys. It has a share of the workers when
+//! they are full, and a limit on what it may run at the same time.
 
 use std::fmt;
 use std::sync::Arc;
--- a/crates/queues/tests/locality_wait.rs
+++ b/crates/queues/tests/locality_wait.rs
@@ -205,8 +205,8 @@
     assert!(!model.has_started(JobKey(1)));
 }
 
-/// Guards against a gang that starts on several racks although one has room for it soon, and against
-/// one that waits for a rack that never has.
+/// Guards against a gang that starts on several racks although one has room for it soon, and
+/// against one that waits for a rack that never has.
 #[test]
 fn a_single_rack_gang_waits_for_its_rack_if_that_is_free_soon() {
     for (busy_ms, bound_ms, remote) in [
--- a/crates/queues/tests/model/mod.rs
+++ b/crates/queues/tests/model/mod.rs
@@ -1,7 +1,8 @@
 //! A model of a cluster on a virtual clock: workers, the placement policy and the replicated log.
 //!
 //! It drives the real state and scheduler. At each step it checks that no task runs twice, that no
-//! worker uses more than its capacity, and that no tenant exceeds its quota. The tests switch faults on and off.
+//! worker uses more than its capacity, and that no tenant exceeds its quota. The tests switch
+//! faults on and off.
 
 #![allow(dead_code)] // Each test binary uses a part of it.
 
--- a/crates/queues/tests/model/tenants.rs
+++ b/crates/queues/tests/model/tenants.rs
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Checks that no tenant exceeds its quota, and that the leader's totals are those of a recount.
+    /// Checks that no tenant exceeds its quota, and that the leader's totals are those of a
+    /// recount.
     pub(super) fn check_quotas(&mut self) {
         if self.tenants.by_job.is_empty() {
             return;
--- a/crates/queues/tests/tenant_quotas.rs
+++ b/crates/queues/tests/tenant_quotas.rs
@@ -117,8 +117,8 @@
     assert_eq!(running(&model, "a"), 10);
 }
 
-/// Guards against starts that were decided under a quota which no longer holds when they are sent, and
-/// against a part of a gang that is started.
+/// Guards against starts that were decided under a quota which no longer holds when they are sent,
+/// and against a part of a gang that is started.
 #[test]
 fn a_start_that_is_not_sent_when_the_quota_is_lowered_is_released() {
     for is_gang in [false, true] {
@@ -188,8 +188,8 @@
     assert_eq!(running(&model, "a"), 10);
 }
 
-/// Guards against steps at the quota of their tenant that withhold workers from others, or use up the
-/// checks of the rounds.
+/// Guards against steps at the quota of their tenant that withhold workers from others, or use up
+/// the checks of the rounds.
 #[test]
 fn a_tenant_at_its_quota_does_not_delay_another_one() {
     let mut model = model(100);
@@ -239,9 +239,9 @@
     );
 }
 
-/// Guards against a job that waits although its tenant and its service have much room: its tenant uses
-/// less than half of its quota, less than half of the service is in use, and its next task would fit
-/// twice.
+/// Guards against a job that waits although its tenant and its service have much room: its tenant
+/// uses less than half of its quota, less than half of the service is in use, and its next task
+/// would fit twice.
 #[test]
 fn a_job_with_room_in_quota_and_service_runs_within_three_seconds() {
     let mut model = model(20);
@@ -297,8 +297,8 @@
     assert!(next > 150);
 }
 
-/// Guards against a cost of tenants that grows with their number, and against totals that drift from
-/// what runs.
+/// Guards against a cost of tenants that grows with their number, and against totals that drift
+/// from what runs.
 #[test]
 fn a_hundred_tenants_at_200_jobs_a_second_cost_few_checks() {
     let checks = |tenants: u64| {
--- a/crates/queues/tests/tenant_rates.rs
+++ b/crates/queues/tests/tenant_rates.rs
@@ -115,8 +115,8 @@
     returns: BTreeMap<u64, usize>,
 }
 
-/// The first tenant sends six times its rate beside others within theirs. Each rejected caller comes
-/// back when it is told to.
+/// The first tenant sends six times its rate beside others within theirs. Each rejected caller
+/// comes back when it is told to.
 fn run_hot_tenant(model: &mut Model, tenants: usize) -> Vec<Served> {
     let mut served = vec![Served::default(); tenants];
     let mut returns: BTreeMap<(Millis, u64), usize> = BTreeMap::new();
@@ -224,7 +224,8 @@
     assert_eq!(admitted.count(), 2 * (30 - 2) - 1);
 }
 
-/// Guards against a tenant that is owed nothing and is rejected with room, or told to return at once.
+/// Guards against a tenant that is owed nothing and is rejected with room, or told to return at
+/// once.
 #[test]
 fn a_tenant_of_weight_0_is_admitted_only_while_there_is_room() {
     let mut idle = model(MANY_WORKERS, &[0.0]);
@@ -289,8 +290,8 @@
     assert_eq!(limit(20_000, true, UNLIMITED), None);
 }
 
-/// Guards against decisions that cost the leader more than 5 % of its time with 100 tenants that send
-/// 200 jobs a second, of which most wait for a promised token.
+/// Guards against decisions that cost the leader more than 5 % of its time with 100 tenants that
+/// send 200 jobs a second, of which most wait for a promised token.
 #[test]
 fn decisions_for_100_tenants_cost_little() {
     const SECONDS: u64 = 60;
@@ -305,8 +306,8 @@
     assert!(took < Duration::from_secs(SECONDS) / 20, "{took:?}");
 }
 
-/// Guards against a leader that falls behind and rejects jobs within the rate of their tenant, since
-/// another tenant sends too much.
+/// Guards against a leader that falls behind and rejects jobs within the rate of their tenant,
+/// since another tenant sends too much.
 #[test]
 fn a_slow_leader_first_rejects_what_is_beyond_the_rates() {
     const SLOW_MS: u64 = 120;
--- a/crates/queues/tests/tenant_shares.rs
+++ b/crates/queues/tests/tenant_shares.rs
@@ -80,8 +80,8 @@
     means.collect()
 }
 
-/// Guards against a tenant that gets less than its weight, since another one has the more urgent queue,
-/// the earlier jobs and more of them.
+/// Guards against a tenant that gets less than its weight, since another one has the more urgent
+/// queue, the earlier jobs and more of them.
 #[test]
 fn a_tenant_with_half_of_the_weight_gets_a_third_of_full_workers() {
     let mut model = model();
@@ -105,8 +105,8 @@
     assert!(means[1] >= total * 0.30, "{means:?}");
 }
 
-/// Guards against a round that places a lot and lets one tenant take everything, after an election in
-/// particular.
+/// Guards against a round that places a lot and lets one tenant take everything, after an election
+/// in particular.
 #[test]
 fn a_round_that_fills_all_workers_divides_them_by_weight() {
     let mut model = model();
@@ -189,8 +189,8 @@
     assert_eq!(cores(&model, "a"), WORKERS * CORES - 4);
 }
 
-/// Guards against a gang of a tenant over its share that reserves workers while another tenant waits
-/// for them.
+/// Guards against a gang of a tenant over its share that reserves workers while another tenant
+/// waits for them.
 #[test]
 fn a_gang_of_a_tenant_over_its_share_withholds_nothing() {
     let mut model = model();
@@ -218,8 +218,8 @@
     }
 }
 
-/// Guards against a dominant share that follows the processor only, and against small tasks of a tenant
-/// over its share that take each piece of room before a large task fits.
+/// Guards against a dominant share that follows the processor only, and against small tasks of a
+/// tenant over its share that take each piece of room before a large task fits.
 #[test]
 fn a_tenant_with_large_tasks_gets_its_share_beside_small_ones() {
     let mut model = model();
