Merge the two reports of what tenants use

TenantStatus was built from TenantReport, of which nothing else used the remaining fields. Rename quota_limits to quota_feasibility, since it only finds jobs that can never start.

--- a/crates/queues/src/scheduler/admission.rs
+++ b/crates/queues/src/scheduler/admission.rs
@@ -6,7 +6,7 @@
 //! refuse that job. A leader that cannot keep up with what it has accepted refuses all new jobs.
 //! Jobs of tenants may also be rejected for the limits of their tenant.
 
-use crate::scheduler::quota_limits::QuotaExcess;
+use crate::scheduler::quota_feasibility::QuotaExcess;
 
 /// The waiting work in front of a new job, and its limits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/queues/src/scheduler/shares.rs
+++ b/crates/queues/src/scheduler/shares.rs
@@ -220,23 +220,12 @@
         }
     }
 
-    /// Whether the tenant of a step has used up its share now.
+    /// Whether the tenant of a step has used up its share now: it has no less than its fair share.
     pub(crate) fn is_over_share(&self, view: &StepView) -> bool {
         let entry = self.share_entry(view);
         entry.is_some_and(|entry| self.is_entry_over_share(entry))
     }
 
-    /// Whether the tenant of a step has more than its share now.
-    pub(crate) fn exceeds_share(&self, view: &StepView) -> bool {
-        let entry = self.share_entry(view);
-        let Some((entry, key)) = entry.and_then(|entry| Some((entry, entry.key?))) else {
-            return false;
-        };
-        let used = self.workers.tenants.in_service(key).resources;
-        let shares = self.rounds.shares.service(entry.service);
-        shares.is_some_and(|shares| shares.dominant_share(used) > shares.fair_share(key) + ROUNDING)
-    }
-
     /// How many tasks of a step may start in one attempt: within the quota, and of a tenant within
     /// its share until that is used up.
     pub(crate) fn start_limit(&self, view: &StepView) -> u32 {
--- a/crates/queues/src/scheduler/tenant_admission.rs
+++ b/crates/queues/src/scheduler/tenant_admission.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::admission::Admission;
 use crate::scheduler::admission::TenantRejection;
-use crate::scheduler::quota_limits;
+use crate::scheduler::quota_feasibility;
 use crate::scheduler::token_bucket::Claim;
 use crate::spec::SubmittedSpec;
 use crate::state::QueueState;
@@ -51,7 +51,7 @@
         tenant: &JobTenant,
         now: Millis,
     ) -> Admission {
-        if let Some(excess) = quota_limits::find_excess(spec, &tenant.limits.quota) {
+        if let Some(excess) = quota_feasibility::find_excess(spec, &tenant.limits.quota) {
             return Admission::of_tenant(TenantRejection::Quota(excess));
         }
         if let Some(retry_ms) = self.overload.stuck_retry_ms() {
--- a/crates/queues/src/scheduler/tenant_status.rs
+++ b/crates/queues/src/scheduler/tenant_status.rs
@@ -17,37 +17,64 @@
     pub name: Arc<str>,
     /// The limits in the table.
     pub limits: TenantLimits,
-    /// What its runs may take at present.
+    /// What its runs may take at present, including proposed ones and those on silent workers.
     pub used: Resources,
     /// The number of these runs.
     pub running_tasks: u64,
     /// The number of its steps with tasks that could start and wait.
     pub waiting_steps: u64,
-    /// The number of these steps that wait since the tenant is at its quota.
+    /// The number of these steps for which the quota leaves no room.
     pub steps_at_quota: u64,
     /// Its jobs that this leader has rejected, in the order of
     /// [`AdmissionLimit::ALL`](crate::scheduler::AdmissionLimit::ALL).
     pub rejected: RejectedJobs,
 }
 
+/// The waiting steps of a tenant.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingSteps {
+    all: u64,
+    at_quota: u64,
+}
+
 impl Scheduler {
-    /// The status of each tenant of the table, in the order of the table. It passes over all steps.
+    /// The status of each tenant of the table, in the order of the table. Passes over all waiting
+    /// steps; call it about once a second.
     pub fn tenant_statuses(&self, state: &QueueState) -> Vec<TenantStatus> {
         let tenants = state.table().and_then(|table| table.tenants.as_deref());
         let tenants = tenants.unwrap_or_default();
-        let reports = self.tenant_reports();
+        let waiting = self.waiting_steps_by_tenant();
         let status = |tenant: &Tenant| {
-            let report = reports.iter().find(|report| report.name == tenant.name);
+            let index = self.workers.tenants.known_tenant(&tenant.name);
+            let usage = index.map(|index| self.workers.tenants.total(index));
+            let usage = usage.unwrap_or_default();
+            let waiting = index.map(|index| waiting[index.position()]);
+            let waiting = waiting.unwrap_or_default();
             TenantStatus {
                 name: tenant.name.clone(),
                 limits: tenant.limits,
-                used: report.map_or(Resources::ZERO, |report| report.used),
-                running_tasks: report.map_or(0, |report| report.running_tasks),
-                waiting_steps: report.map_or(0, |report| report.waiting_steps as u64),
-                steps_at_quota: report.map_or(0, |report| report.steps_at_quota as u64),
+                used: usage.resources,
+                running_tasks: usage.runs,
+                waiting_steps: waiting.all,
+                steps_at_quota: waiting.at_quota,
                 rejected: self.rate_limits.rejected(&tenant.name),
             }
         };
         tenants.iter().map(status).collect()
     }
+
+    /// The ready steps with waiting tasks, by the position of their tenant.
+    fn waiting_steps_by_tenant(&self) -> Vec<WaitingSteps> {
+        let mut by_tenant = vec![WaitingSteps::default(); self.workers.tenants.tenants().count()];
+        let pending = self.pending_steps.iter();
+        let views = pending.filter_map(|key| self.steps.get(key));
+        for view in views.filter(|view| view.is_ready && !view.waiting.is_empty()) {
+            if let Some(tenant) = view.tenant {
+                let waiting = &mut by_tenant[tenant.index.position()];
+                waiting.all += 1;
+                waiting.at_quota += u64::from(self.is_at_quota(view));
+            }
+        }
+        by_tenant
+    }
 }
--- a/crates/queues/src/scheduler/tenants.rs
+++ b/crates/queues/src/scheduler/tenants.rs
@@ -98,6 +98,11 @@
         index
     }
 
+    /// The index of the tenant with this name, if it is known.
+    pub fn known_tenant(&self, name: &str) -> Option<TenantIndex> {
+        self.by_name.get(name).copied()
+    }
+
     /// The index of the service with this name, which is added if it is not known.
     pub fn service(&mut self, name: &Arc<str>) -> ServiceIndex {
         let known = self.services.iter().position(|known| known == name);
--- a/crates/queues/tests/model/tenants.rs
+++ b/crates/queues/tests/model/tenants.rs
@@ -81,9 +81,9 @@
     fn update_bounds(&mut self) {
         let counted: BTreeMap<Arc<str>, Resources> = self
             .scheduler
-            .tenant_reports()
+            .tenant_statuses(&self.state)
             .into_iter()
-            .map(|report| (report.name, report.used))
+            .map(|status| (status.name, status.used))
             .collect();
         let table = self.state.table().unwrap();
         for tenant in table.tenants.iter().flatten() {
--- a/crates/queues/tests/tenant_quotas.rs
+++ b/crates/queues/tests/tenant_quotas.rs
@@ -204,14 +204,14 @@
     assert_eq!(running(&model, "a"), 10);
     model.scheduler.take_checks();
     model.leader.checks = 0;
-    let reports = model.scheduler.tenant_reports();
-    let report = reports.iter().find(|report| &*report.name == "a").unwrap();
-    assert_eq!(report.waiting_steps, report.steps_at_quota);
+    let statuses = model.scheduler.tenant_statuses(&model.state);
+    let status = statuses.iter().find(|status| &*status.name == "a").unwrap();
+    assert_eq!(status.waiting_steps, status.steps_at_quota);
     assert_eq!(
-        (report.used, report.quota),
+        (status.used, status.limits.quota),
         (Resources::new(10_000, 10_000, 0), TEN)
     );
-    assert_eq!(report.running_tasks, 10);
+    assert_eq!(status.running_tasks, 10);
     let begin = model.now;
     for job in 1..=100 {
         model.submit_as("b", job, "second", spec(14, job % 2 == 0));
