--- a/crates/queues/src/scheduler/locality_wait.rs
+++ b/crates/queues/src/scheduler/locality_wait.rs
@@ -335,7 +335,7 @@
             .collect()
     }
 
-    /// The number of slots for tasks of a step that steps of lower rank wait for on a rack.
+    /// The number of slots for tasks of a step that steps ranked before it wait for on a rack.
     fn claimed_slots(&self, view: &StepView, rack: &Arc<str>, now: Millis) -> usize {
         let Some(steps) = self.locality.by_rack.get(rack) else {
             return 0;
