--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -20,7 +20,7 @@
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::speed_choice::set_speed_order;
-use crate::scheduler::speeds::speed_step;
+use crate::scheduler::speeds::speed_class;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -63,7 +63,7 @@
     /// The place of the worker's speed in the order of preference.
     pub(crate) fn speed_rank(&self) -> i32 {
         if self.is_fast_first {
-            speed_step(self.slowdown)
+            speed_class(self.slowdown)
         } else {
             0
         }
@@ -254,34 +254,9 @@
             )
         });
         let job = state.job(view.key.job).filter(|_| view.is_committed);
-        let mut placements = Vec::new();
-        if let Some(job) = job {
-            let waiting = view.waiting.iter().copied();
-            let mut waiting = waiting
-                .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
-                .take(self.start_limit(view) as usize)
-                .collect::<Vec<_>>()
-                .into_iter();
-            let tasks = waiting.len();
-            let mut remote_left =
-                self.remote_starts_max(view, &candidates, tasks, reservations, now);
-            let granted = candidates
-                .iter()
-                .filter(|c| c.permission == Permission::Granted);
-            'workers: for candidate in granted {
-                let mut fits = candidate.fits;
-                if !candidate.is_preferred {
-                    fits = fits.min(remote_left);
-                    remote_left -= fits;
-                }
-                for _ in 0..fits {
-                    let Some(task) = waiting.next() else {
-                        break 'workers;
-                    };
-                    placements.push((task, candidate.index));
-                }
-            }
-        }
+        let placements = job.map_or(Vec::new(), |job| {
+            self.assign_tasks(job, view, &candidates, reservations, now)
+        });
         if let Some(job) = job.filter(|_| !placements.is_empty()) {
             self.start(job, view, &placements, now);
         }
@@ -350,18 +325,47 @@
         }
     }
 
-    /// Proposes runs of the given tasks and takes their resources on the workers.
-    pub(crate) fn start(
+    /// Chooses workers for tasks of a step, in the order of the candidates.
+    fn assign_tasks(
         &mut self,
         job: &Job,
         view: &mut StepView,
-        placements: &[(u32, WorkerIndex)],
+        candidates: &[Candidate],
+        reservations: &Reservations,
         now: Millis,
-    ) {
-        view.blocked_since = None;
+    ) -> Vec<(u32, WorkerIndex)> {
+        let waiting = view.waiting.iter().copied();
+        let waiting: Vec<u32> = waiting
+            .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
+            .take(self.start_limit(view) as usize)
+            .collect();
+        let mut remote_left =
+            self.remote_starts_max(view, candidates, waiting.len(), reservations, now);
+        let mut waiting = waiting.into_iter();
+        let mut placements = Vec::new();
+        let granted = candidates
+            .iter()
+            .filter(|c| c.permission == Permission::Granted);
+        for candidate in granted {
+            let mut fits = candidate.fits;
+            if !candidate.is_preferred {
+                fits = fits.min(remote_left);
+                remote_left -= fits;
+            }
+            let tasks = waiting.by_ref().take(fits as usize);
+            placements.extend(tasks.map(|task| (task, candidate.index)));
+        }
+        placements
+    }
+
+    /// Records that `tasks` tasks of a step start, and ends what kept them waiting.
+    fn end_wait(&mut self, view: &mut StepView, tasks: usize, now: Millis) {
+        self.tally.counts.tasks += tasks as u64;
         if self.takes_withheld_room(view) {
-            self.tally.counts.tasks_after_withholding += placements.len() as u64;
+            self.tally.counts.tasks_after_withholding += tasks as u64;
         }
+        view.permits.note_placement();
+        view.blocked_since = None;
         view.withheld_time = WithheldTime::default();
         view.last_wait_ms = view
             .waiting_since
@@ -371,6 +375,17 @@
         if view.tenant.is_some() && !view.spec().is_gang {
             view.reservation_turn = ReservationTurn::default();
         }
+    }
+
+    /// Proposes runs of the given tasks and takes their resources on the workers.
+    pub(crate) fn start(
+        &mut self,
+        job: &Job,
+        view: &mut StepView,
+        placements: &[(u32, WorkerIndex)],
+        now: Millis,
+    ) {
+        self.end_wait(view, placements.len(), now);
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -379,8 +394,6 @@
         let gang_slowdown = self.gang_slowdown(view, placements);
         let is_spread = self.is_spread(view, placements);
         let mean_ratio = self.speeds.mean_ratio(&view.queue_name);
-        self.tally.counts.tasks += placements.len() as u64;
-        view.permits.note_placement();
         for (task, index) in placements {
             let worker = self.workers.get(*index);
             let is_remote = is_spread || worker.is_some_and(|worker| self.is_remote(view, worker));
--- a/crates/queues/src/scheduler/rounds.rs
+++ b/crates/queues/src/scheduler/rounds.rs
@@ -208,6 +208,20 @@
     order.sort_unstable_by_key(|(left_out_at, rank)| (rank.is_over_share, *left_out_at, *rank));
 }
 
+/// The waiting steps of a round.
+#[derive(Debug, Default)]
+struct WaitingSteps {
+    backlog: Backlog,
+    /// The steps to try, each with the time since which it has been left out.
+    order: Vec<(Millis, Rank)>,
+    /// The shares that concern these steps, in the same order; empty without tenants.
+    share_entries: Vec<Option<ShareEntry>>,
+    /// The steps among them that hold workers.
+    holding: Vec<StepKey>,
+    /// The steps that are not tried since their tenant is at its quota.
+    at_quota: Vec<StepKey>,
+}
+
 /// The state of a round in progress.
 #[derive(Debug)]
 pub(super) struct Round {
@@ -242,36 +256,45 @@
         self.place_urgent(state, now);
     }
 
-    /// Places the waiting steps in the order of their ranks.
-    fn place_steps(&mut self, state: &QueueState, now: Millis) {
-        self.drop_settled_steps();
-        self.count_visits(VisitKind::Round, self.pending_steps.len());
-        let mut backlog = Backlog::default();
-        let mut order: Vec<(Millis, Rank)> = Vec::new();
-        let mut holding: Vec<StepKey> = Vec::new();
+    /// Collects the waiting steps at the beginning of a round.
+    fn collect_waiting(&self, now: Millis) -> WaitingSteps {
+        let mut waiting = WaitingSteps::default();
+        let has_tenants = self.has_tenants();
         let pending = self.pending_steps.iter();
         let pending = pending.filter_map(|key| self.steps.get(key));
-        let has_tenants = self.has_tenants();
-        let mut at_quota: Vec<StepKey> = Vec::new();
-        let mut share_entries: Vec<Option<ShareEntry>> = Vec::new();
         for view in pending.filter(|view| !view.waiting.is_empty()) {
             if self.is_at_quota(view) {
-                at_quota.push(view.key);
+                waiting.at_quota.push(view.key);
                 continue;
             }
             if now < view.hold.until && !self.yields_to_shares(view) {
-                holding.push(view.key);
+                waiting.holding.push(view.key);
             }
             if has_tenants {
-                share_entries.push(self.share_entry(view));
+                waiting.share_entries.push(self.share_entry(view));
             }
             let rank = Rank::of(view, now);
-            backlog.add_step(view, &rank);
-            order.push((view.left_out_at.unwrap_or(now), rank));
+            waiting.backlog.add_step(view, &rank);
+            let left_out_at = view.left_out_at.unwrap_or(now);
+            waiting.order.push((left_out_at, rank));
         }
+        waiting
+    }
+
+    /// Places the waiting steps in the order of their ranks.
+    fn place_steps(&mut self, state: &QueueState, now: Millis) {
+        self.drop_settled_steps();
+        self.count_visits(VisitKind::Round, self.pending_steps.len());
+        let WaitingSteps {
+            backlog,
+            mut order,
+            share_entries,
+            holding,
+            at_quota,
+        } = self.collect_waiting(now);
         self.rounds.backlog = backlog;
         self.update_free_capacity(now);
-        if has_tenants {
+        if self.has_tenants() {
             self.update_shares(&mut order, &share_entries);
         }
         sort_by_share(&mut order);
--- a/crates/queues/src/scheduler/speed_choice.rs
+++ b/crates/queues/src/scheduler/speed_choice.rs
@@ -12,7 +12,7 @@
 
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Candidate;
-use crate::scheduler::speeds::speed_step;
+use crate::scheduler::speeds::speed_class;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::workers::WorkerIndex;
 
@@ -65,7 +65,7 @@
     let slowdowns = candidates.iter().map(|c| c.slowdown);
     let fastest = slowdowns.clone().fold(f64::INFINITY, f64::min);
     let slowest = slowdowns.fold(0.0, f64::max);
-    if speed_step(fastest) == speed_step(slowest) || !view.needs_speed(fastest, slowest, now) {
+    if speed_class(fastest) == speed_class(slowest) || !view.needs_speed(fastest, slowest, now) {
         return;
     }
     for candidate in candidates {
@@ -76,48 +76,49 @@
 /// The candidates for the members of a gang, in the order of preference: those of similar speed,
 /// and the slowest of them first.
 pub(crate) fn similar_speed(mut usable: Vec<&Candidate>, members: usize) -> Vec<&Candidate> {
-    let steps = usable.iter().map(|c| (speed_step(c.slowdown), c));
-    let mut fits: Vec<(i32, usize)> = steps.map(|(step, c)| (step, c.fits as usize)).collect();
+    let fits = usable.iter();
+    let fits = fits.map(|c| (speed_class(c.slowdown), c.fits as usize));
+    let mut fits: Vec<(i32, usize)> = fits.collect();
     fits.sort_unstable();
-    if fits.first().map(|(step, _)| step) == fits.last().map(|(step, _)| step) {
+    if fits.first().map(|(class, _)| class) == fits.last().map(|(class, _)| class) {
         return usable;
     }
     let is_fast_first = usable.iter().any(|c| c.is_fast_first);
-    let Some(slowest) = slowest_step(&fits, members, is_fast_first) else {
+    let Some(slowest) = slowest_class(&fits, members, is_fast_first) else {
         return usable;
     };
-    usable.retain(|c| speed_step(c.slowdown) <= slowest);
-    usable.sort_by_key(|c| (c.preference(), Reverse(speed_step(c.slowdown))));
+    usable.retain(|c| speed_class(c.slowdown) <= slowest);
+    usable.sort_by_key(|c| (c.preference(), Reverse(speed_class(c.slowdown))));
     usable
 }
 
-/// The step of speed of the slowest worker that a gang uses, by the number of members that fit on
-/// workers of each step, which are sorted. A gang with time to spare takes the slowest two
-/// adjacent steps that hold all of it; otherwise, the slowest worker is as fast as possible.
-fn slowest_step(fits: &[(i32, usize)], members: usize, is_fast_first: bool) -> Option<i32> {
-    let mut by_step: Vec<(i32, usize)> = Vec::new();
-    for (step, fits) in fits {
-        match by_step.last_mut().filter(|(last, _)| last == step) {
+/// The speed class of the slowest worker that a gang uses, by the number of members that fit on
+/// workers of each class, which are sorted. A gang with time to spare takes the slowest two adjacent
+/// classes that hold all of it; otherwise, the slowest worker is as fast as possible.
+fn slowest_class(fits: &[(i32, usize)], members: usize, is_fast_first: bool) -> Option<i32> {
+    let mut by_class: Vec<(i32, usize)> = Vec::new();
+    for (class, fits) in fits {
+        match by_class.last_mut().filter(|(last, _)| last == class) {
             Some((_, sum)) => *sum += fits,
-            None => by_step.push((*step, *fits)),
+            None => by_class.push((*class, *fits)),
         }
     }
-    // Learned speeds differ a little, so that equal workers may be in two adjacent steps.
-    let fits_near = |step: i32| {
-        let near = by_step
+    // Learned speeds differ a little, so that equal workers may be in two adjacent classes.
+    let fits_near = |class: i32| {
+        let near = by_class
             .iter()
-            .filter(|(other, _)| (step - 1..=step).contains(other));
+            .filter(|(other, _)| (class - 1..=class).contains(other));
         near.map(|(_, fits)| fits).sum::<usize>()
     };
-    let mut steps = by_step.iter().rev().map(|(step, _)| *step);
-    let slowest = steps.find(|step| fits_near(*step) >= members);
+    let mut classes = by_class.iter().rev().map(|(class, _)| *class);
+    let slowest = classes.find(|class| fits_near(*class) >= members);
     if !is_fast_first && slowest.is_some() {
         return slowest;
     }
     let mut sum = 0;
-    let enough = by_step.iter().find(|(_, fits)| {
+    let enough = by_class.iter().find(|(_, fits)| {
         sum += fits;
         sum >= members
     });
-    enough.map(|(step, _)| *step)
+    enough.map(|(class, _)| *class)
 }
--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -53,8 +53,8 @@
 const RATIO_RANGE: (f64, f64) = (0.5, 8.0);
 /// The smallest and the largest slowdown.
 const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
-/// The ratio between two steps of speed.
-const STEP_RATIO: f64 = 1.25;
+/// The ratio between the slowdowns of two adjacent speed classes.
+const CLASS_RATIO: f64 = 1.25;
 /// The number of ends of a step that later ends are compared with.
 const ENDS_PER_STEP_MAX: usize = 16;
 
@@ -111,9 +111,10 @@
     }
 }
 
-/// Workers in the same step of speed are treated as equally fast; faster ones have lower steps.
-pub(crate) fn speed_step(slowdown: f64) -> i32 {
-    (slowdown.ln() / STEP_RATIO.ln()).round() as i32
+/// The speed class of a worker. Workers of one class are treated as equally fast; faster workers
+/// have lower classes.
+pub(crate) fn speed_class(slowdown: f64) -> i32 {
+    (slowdown.ln() / CLASS_RATIO.ln()).round() as i32
 }
 
 /// The mean and the variance of one kind of sample over all workers, beyond their known speeds.
@@ -169,6 +170,27 @@
         self.ratios.get(queue).copied().unwrap_or(1.0)
     }
 
+    /// Compares the duration of the first run of a step that ends with its prediction. Returns the
+    /// log-ratio and its weight, once the queue has enough samples.
+    fn compare_with_prediction(
+        &mut self,
+        queue: &Arc<str>,
+        log_ratio: f64,
+        log_slowdown: f64,
+    ) -> Option<(f64, f64)> {
+        let comparison = self.by_queue.entry(queue.clone()).or_default();
+        let log_ratio = comparison.record(log_ratio, log_slowdown);
+        let weight = (self.same_step.variance / comparison.variance).min(1.0);
+        (comparison.samples >= QUEUE_SAMPLES_MIN).then_some((log_ratio, weight))
+    }
+
+    /// Updates and returns the mean logarithm of the slowdown of the workers of a service.
+    fn update_usual(&mut self, service: &Arc<str>, log_slowdown: f64) -> f64 {
+        let usual = self.usual.entry(service.clone()).or_default();
+        *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
+        *usual
+    }
+
     fn record_ratio(&mut self, queue: &Arc<str>, ratio: f64) {
         let mean = self.ratios.entry(queue.clone()).or_insert(1.0);
         *mean += (ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1) - *mean) * RATIO_WEIGHT;
@@ -220,36 +242,32 @@
         if view.spec().is_gang && view.spec().count > 1 {
             return;
         }
-        let log_ms = log_ms(took_ms);
+        let log_took_ms = log_ms(took_ms);
         let others = view.ends.ends.iter().filter(|(other, _)| *other != index);
         let others = others.filter_map(|(other, log_ms)| Some(log_ms - known(*other)?));
         let mut others: SmallVec<[f64; ENDS_PER_STEP_MAX]> = others.collect();
         let is_first = view.ends.ends.is_empty();
         let own = view.ends.ends.len() - others.len().min(view.ends.ends.len());
-        view.ends.add(index, log_ms);
-        let unit = self.speeds.same_step.variance;
-        let (log_ratio, weight) = if let Some(median) = median(&mut others) {
+        view.ends.add(index, log_took_ms);
+        let variance = self.speeds.same_step.variance;
+        let sample = if let Some(median) = median(&mut others) {
             let comparison = &mut self.speeds.same_step;
-            let log_ratio = comparison.record(log_ms - median, log_slowdown);
-            (log_ratio, weight_in_step(own, others.len()))
+            let log_ratio = comparison.record(log_took_ms - median, log_slowdown);
+            Some((log_ratio, weight_in_step(own, others.len())))
         } else if is_first {
-            let by_queue = &mut self.speeds.by_queue;
-            let comparison = by_queue.entry(view.queue_name.clone()).or_default();
-            let log_usual = self::log_ms(run.usual_ms);
-            let log_ratio = comparison.record(log_ms - log_usual, log_slowdown);
-            if comparison.samples < QUEUE_SAMPLES_MIN {
-                return;
-            }
-            (log_ratio, (unit / comparison.variance).min(1.0))
+            let log_ratio = log_took_ms - log_ms(run.usual_ms);
+            let speeds = &mut self.speeds;
+            speeds.compare_with_prediction(&view.queue_name, log_ratio, log_slowdown)
         } else {
             // Further runs of the step on this worker share the error of its estimate.
-            return;
+            None
         };
-        if let Some(worker) = self.workers.get_mut(index) {
-            let usual = self.speeds.usual.entry(worker.record.service.clone());
-            let usual = usual.or_default();
-            *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
-            worker.health.speed.add(log_ratio, weight, unit, *usual);
+        if let Some((log_ratio, weight)) = sample
+            && let Some(worker) = self.workers.get_mut(index)
+        {
+            let service = &worker.record.service;
+            let usual = self.speeds.update_usual(service, log_slowdown);
+            worker.health.speed.add(log_ratio, weight, variance, usual);
         }
     }
 }
