--- a/crates/queues/src/table_review.rs
+++ b/crates/queues/src/table_review.rs
@@ -10,6 +10,7 @@
 use crate::ids::JOB_KEY_DIGITS;
 use crate::table::Queue;
 use crate::table::QueueTable;
+use crate::table::Service;
 use crate::tenant::ApiKey;
 use crate::tenant::Tenant;
 
@@ -189,13 +190,12 @@
         queue_name,
         queue_settings,
     );
-    let services = (&former.services, &new.services);
     changes.compare(
         "service",
-        services.0,
-        services.1,
-        |s| s.name.clone(),
-        |s| vec![("workers_check_room", s.workers_check_room.to_string())],
+        &former.services,
+        &new.services,
+        |service| service.name.clone(),
+        service_settings,
     );
     let tenants = |table: &QueueTable| table.tenants.clone().unwrap_or_default();
     let (former_tenants, new_tenants) = (tenants(former), tenants(new));
@@ -254,13 +254,12 @@
         let subject = tenant_subject(tenant);
         let added = tenant.keys.iter().filter(|key| !former.contains(key));
         let removed = former.iter().filter(|key| !tenant.keys.contains(key));
-        for (count, change) in [(added.count(), "add"), (removed.count(), "remove")] {
-            let keys = format!("{count} keys of {subject}");
-            match (count, change) {
-                (0, _) => {}
-                (_, "add") => self.0.push(TableChange::Added(keys)),
-                _ => self.0.push(TableChange::Removed(keys)),
-            }
+        let changes: [(usize, fn(String) -> TableChange); 2] = [
+            (added.count(), TableChange::Added),
+            (removed.count(), TableChange::Removed),
+        ];
+        for (count, change) in changes.into_iter().filter(|(count, _)| *count > 0) {
+            self.0.push(change(format!("{count} keys of {subject}")));
         }
     }
 
@@ -295,6 +294,11 @@
     ]
 }
 
+fn service_settings(service: &Service) -> Vec<(&'static str, String)> {
+    let checks_room = service.workers_check_room.to_string();
+    vec![("workers_check_room", checks_room)]
+}
+
 fn tenant_settings(tenant: &Tenant) -> Vec<(&'static str, String)> {
     let quota = tenant.limits.quota;
     let amount = |value: u64, max: u64| match value {
