--- a/crates/queues/src/scheduler/tenant_status.rs
+++ b/crates/queues/src/scheduler/tenant_status.rs
@@ -30,9 +30,9 @@
     pub rejected: RejectedJobs,
 }
 
-/// The waiting steps of a tenant.
+/// The numbers of waiting steps of a tenant.
 #[derive(Clone, Copy, Debug, Default)]
-struct WaitingSteps {
+struct WaitingCounts {
     all: u64,
     at_quota: u64,
 }
@@ -43,7 +43,7 @@
     pub fn tenant_statuses(&self, state: &QueueState) -> Vec<TenantStatus> {
         let tenants = state.table().and_then(|table| table.tenants.as_deref());
         let tenants = tenants.unwrap_or_default();
-        let waiting = self.waiting_steps_by_tenant();
+        let waiting = self.waiting_counts();
         let status = |tenant: &Tenant| {
             let index = self.workers.tenants.known_tenant(&tenant.name);
             let usage = index.map(|index| self.workers.tenants.total(index));
@@ -63,9 +63,9 @@
         tenants.iter().map(status).collect()
     }
 
-    /// The ready steps with waiting tasks, by the position of their tenant.
-    fn waiting_steps_by_tenant(&self) -> Vec<WaitingSteps> {
-        let mut by_tenant = vec![WaitingSteps::default(); self.workers.tenants.tenants().count()];
+    /// Counts the ready steps with waiting tasks, by the position of their tenant.
+    fn waiting_counts(&self) -> Vec<WaitingCounts> {
+        let mut by_tenant = vec![WaitingCounts::default(); self.workers.tenants.tenants().count()];
         let pending = self.pending_steps.iter();
         let views = pending.filter_map(|key| self.steps.get(key));
         for view in views.filter(|view| view.is_ready && !view.waiting.is_empty()) {
--- a/crates/queues/src/table_review.rs
+++ b/crates/queues/src/table_review.rs
@@ -254,13 +254,10 @@
         let subject = tenant_subject(tenant);
         let added = tenant.keys.iter().filter(|key| !former.contains(key));
         let removed = former.iter().filter(|key| !tenant.keys.contains(key));
-        let changes: [(usize, fn(String) -> TableChange); 2] = [
-            (added.count(), TableChange::Added),
-            (removed.count(), TableChange::Removed),
-        ];
-        for (count, change) in changes.into_iter().filter(|(count, _)| *count > 0) {
-            self.0.push(change(format!("{count} keys of {subject}")));
-        }
+        let keys = |count: usize| (count > 0).then(|| format!("{count} keys of {subject}"));
+        self.0.extend(keys(added.count()).map(TableChange::Added));
+        self.0
+            .extend(keys(removed.count()).map(TableChange::Removed));
     }
 
     fn changed(&mut self, subject: &str, setting: &'static str, from: String, to: String) {
