--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -3,8 +3,7 @@
 //! The number of connections, the sizes of head and body, and the times within which head and body
 //! must arrive are bounded, so that slow senders or large requests cannot exhaust the resources of
 //! the process. The handler checks the head, including the shared key if one is required, before
-//! the body is read. All listeners of a process share the memory for requests, see
-//! [`ByteBudget`].
+//! the body is read. All listeners of a process share the memory for requests, see [`ByteBudget`].
 //!
 //! `rouille` is not used for these listeners: after a response it reads the rest of the declared
 //! body into one allocation, so that a single request with a huge `content-length` terminates the
@@ -70,14 +69,16 @@
 /// Resource limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
-    /// Maximum number of open connections. A further one waits until one closes; if none is free,
-    /// the one that has been idle for the longest time, or the slowest request, is closed for it.
+    /// Maximum number of open connections. For a further one, a connection without a complete
+    /// request is closed: one that has had no response, then an idle one, then the slowest request.
+    /// If there is none, the further one waits until a connection closes.
     pub connections_max: usize,
     /// Maximum size of a request head.
     pub head_max_bytes: usize,
     /// Maximum size of a request body.
     pub body_max_bytes: usize,
-    /// The time within which a head must arrive. A connection that is idle for longer is closed.
+    /// The time within which a head must arrive, at most 5 s. A connection that is idle for longer
+    /// than this setting is closed.
     pub head_timeout: Duration,
     /// The time within which a body must arrive after its head.
     pub body_timeout: Duration,
--- a/crates/process/src/metered_stream.rs
+++ b/crates/process/src/metered_stream.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -14,11 +13,9 @@
 
 use crate::byte_budget::Account;
 use crate::byte_budget::Reason;
+use crate::write_timeout::DEFAULT_LIMIT;
 use crate::write_timeout::WriteTimeout;
 
-/// The time without progress after which a connection is closed whose client does not read.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A stream whose reads are counted in the account of its connection.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
@@ -35,7 +32,7 @@
         buffer_max_bytes: usize,
     ) -> MeteredStream {
         MeteredStream {
-            stream: WriteTimeout::new(stream, WRITE_TIMEOUT),
+            stream: WriteTimeout::new(stream, DEFAULT_LIMIT),
             account,
             buffer_max_bytes,
         }
--- a/crates/process/src/rpc/counted_stream.rs
+++ b/crates/process/src/rpc/counted_stream.rs
@@ -5,7 +5,6 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -16,20 +15,18 @@
 use crate::byte_budget::Phase;
 use crate::connections::Place;
 use crate::rpc::message_meter::MessageMeter;
+use crate::write_timeout::DEFAULT_LIMIT;
 use crate::write_timeout::WriteTimeout;
 
-/// The time without progress after which the connection of a client that does not read is closed.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A stream of which the first bytes have been read already; readers get them first.
 pub(crate) struct CountedStream {
     head: Vec<u8>,
-    /// How many bytes of the head have been read again.
+    /// How many bytes of the head readers have got.
     taken: usize,
     stream: WriteTimeout,
     /// The library owns the stream after the handshake, so the place belongs to the stream.
     place: Place,
-    /// Ends when the connection has to close.
+    /// Completes when the connection has to close.
     closed: Pin<Box<dyn Future<Output = ()> + Send>>,
     meter: MessageMeter,
     /// The bytes that are counted in the account.
@@ -42,7 +39,7 @@
         CountedStream {
             head: head.to_vec(),
             taken: 0,
-            stream: WriteTimeout::new(stream, WRITE_TIMEOUT),
+            stream: WriteTimeout::new(stream, DEFAULT_LIMIT),
             place,
             closed: Box::pin(async move { account.closed().await }),
             meter: MessageMeter::default(),
--- a/crates/process/src/write_timeout.rs
+++ b/crates/process/src/write_timeout.rs
@@ -1,7 +1,7 @@
 //! A TCP stream with a time limit for writes.
 //!
-//! Without the limit, a caller that does not read its answer would occupy the connection and the
-//! memory of the answer for ever.
+//! Without the limit, a client that does not read its response would occupy the connection and the
+//! memory of the response for ever.
 
 use std::future::Future;
 use std::io;
@@ -16,6 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+/// The limit of listeners that have no setting for it.
+pub(crate) const DEFAULT_LIMIT: Duration = Duration::from_secs(10);
+
 /// A TCP stream whose writes fail with `TimedOut` if they make no progress within the limit.
 #[derive(Debug)]
 pub struct WriteTimeout {
