--- a/crates/process/src/byte_budget.rs
+++ b/crates/process/src/byte_budget.rs
@@ -120,7 +120,7 @@
     is_served: bool,
     bytes: [usize; PARTS],
     /// Whether the connection was told to close.
-    is_leaving: bool,
+    is_closing: bool,
     close: Arc<Notify>,
 }
 
@@ -154,7 +154,7 @@
     next_listener: u64,
     held_bytes: usize,
     /// The part of `held_bytes` of connections that were told to close.
-    leaving_bytes: usize,
+    closing_bytes: usize,
 }
 
 impl State {
@@ -162,8 +162,8 @@
         if let Some(known) = self.holders.get_mut(&holder) {
             known.bytes[part as usize] += bytes;
             self.held_bytes += bytes;
-            if known.is_leaving {
-                self.leaving_bytes += bytes;
+            if known.is_closing {
+                self.closing_bytes += bytes;
             }
         }
     }
@@ -172,16 +172,16 @@
         if let Some(known) = self.holders.get_mut(&holder) {
             let bytes = std::mem::take(&mut known.bytes[part as usize]);
             self.held_bytes -= bytes;
-            if known.is_leaving {
-                self.leaving_bytes -= bytes;
+            if known.is_closing {
+                self.closing_bytes -= bytes;
             }
         }
     }
 
-    fn tell_to_close(&mut self, holder: u64) {
+    fn request_close(&mut self, holder: u64) {
         if let Some(known) = self.holders.get_mut(&holder) {
-            known.is_leaving = true;
-            self.leaving_bytes += known.total_bytes();
+            known.is_closing = true;
+            self.closing_bytes += known.total_bytes();
             known.close.notify_one();
         }
     }
@@ -190,7 +190,7 @@
     fn slowest(&self, now: Instant) -> Option<u64> {
         let arriving = self.holders.iter().filter(|(_, holder)| {
             holder.is_arriving()
-                && !holder.is_leaving
+                && !holder.is_closing
                 && holder.total_bytes() > 0
                 && now.duration_since(holder.since) >= ARRIVAL_MIN
         });
@@ -263,7 +263,7 @@
             since: Instant::now(),
             is_served: false,
             bytes: [0; PARTS],
-            is_leaving: false,
+            is_closing: false,
             close: close.clone(),
         };
         let mut state = self.state();
@@ -277,14 +277,15 @@
         }
     }
 
-    /// Tells the connection of a listener that needs its place least to close; connections that run
-    /// a request stay open. Returns whether there is one.
+    /// Tells one connection of a listener to close: one that has had no response, then an idle one,
+    /// then the slowest request. Connections that run a request stay open. Returns whether there is
+    /// one to close.
     pub fn free_connection(&self, listener: ListenerId) -> bool {
         let now = Instant::now();
         let mut state = self.state();
         let of_listener = state.holders.iter();
         let of_listener =
-            of_listener.filter(|(_, holder)| holder.listener == listener && !holder.is_leaving);
+            of_listener.filter(|(_, holder)| holder.listener == listener && !holder.is_closing);
         let ranked = of_listener.filter_map(|(id, holder)| {
             let rank = holder.slot_rank(now)?;
             Some((rank, holder.since, *id))
@@ -292,7 +293,7 @@
         let Some((_, _, id)) = ranked.min() else {
             return false;
         };
-        state.tell_to_close(id);
+        state.request_close(id);
         drop(state);
         self.record(Reason::ConnectionNeeded);
         true
@@ -305,12 +306,12 @@
         let is_slow = |holder: &Holder| {
             holder.listener == listener
                 && holder.phase == Phase::Head
-                && !holder.is_leaving
+                && !holder.is_closing
                 && now.duration_since(holder.since) > timeout
         };
         let slow = state.holders.iter().filter(|(_, holder)| is_slow(holder));
         let slow: Vec<u64> = slow.map(|(id, _)| *id).collect();
-        slow.iter().for_each(|id| state.tell_to_close(*id));
+        slow.iter().for_each(|id| state.request_close(*id));
         drop(state);
         slow.iter().for_each(|_| self.record(Reason::HeadTimeout));
     }
@@ -349,12 +350,12 @@
         let is_admitted = loop {
             // A connection that was told to close frees its memory soon. Until then, the budget may
             // be exceeded by a quarter.
-            let fits = state.held_bytes - state.leaving_bytes + bytes <= usable;
+            let fits = state.held_bytes - state.closing_bytes + bytes <= usable;
             if fits && state.held_bytes + bytes <= limit + limit / 4 {
                 break true;
             }
             match state.slowest(Instant::now()) {
-                Some(slowest) if slowest != id && !fits => state.tell_to_close(slowest),
+                Some(slowest) if slowest != id && !fits => state.request_close(slowest),
                 _ => break false,
             }
             closed += 1;
@@ -444,8 +445,8 @@
         if let Some(holder) = state.holders.remove(&self.id) {
             let bytes = holder.total_bytes();
             state.held_bytes -= bytes;
-            if holder.is_leaving {
-                state.leaving_bytes -= bytes;
+            if holder.is_closing {
+                state.closing_bytes -= bytes;
             }
         }
         self.budget.0.held.set(state.held_bytes as i64);
--- a/crates/process/src/connections.rs
+++ b/crates/process/src/connections.rs
@@ -30,11 +30,11 @@
     max: usize,
 }
 
-/// The place of an open connection, given back on drop.
+/// Allows one open connection, and holds its account; both are released on drop.
 #[derive(Debug)]
-pub(crate) struct Place {
+pub(crate) struct ConnectionPermit {
     pub(crate) account: Arc<Account>,
-    _permit: OwnedSemaphorePermit,
+    _semaphore_permit: OwnedSemaphorePermit,
 }
 
 impl Connections {
@@ -57,12 +57,15 @@
         let _ = self.permits.acquire_many(self.max as u32).await;
     }
 
-    /// Accepts the next connection. May be cancelled, but a connection that waits for its place is
+    /// Accepts the next connection. May be cancelled, but a connection that waits for its permit is
     /// then closed.
-    pub(crate) async fn accept(&self, listener: &TcpListener) -> (TcpStream, SocketAddr, Place) {
+    pub(crate) async fn accept(
+        &self,
+        listener: &TcpListener,
+    ) -> (TcpStream, SocketAddr, ConnectionPermit) {
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => return (stream, peer, self.place().await),
+                Ok((stream, peer)) => return (stream, peer, self.permit().await),
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
                     // An idle connection that closes gives back its descriptor.
@@ -73,16 +76,17 @@
         }
     }
 
-    async fn place(&self) -> Place {
+    /// Waits for a permit, and closes connections for it if there is none.
+    async fn permit(&self) -> ConnectionPermit {
         loop {
             if self.permits.available_permits() == 0 {
                 self.budget.free_connection(self.listener);
             }
             let acquiring = self.permits.clone().acquire_owned();
             if let Ok(Ok(permit)) = tokio::time::timeout(CLOSE_RETRY_DELAY, acquiring).await {
-                return Place {
+                return ConnectionPermit {
                     account: Arc::new(self.budget.open(self.listener)),
-                    _permit: permit,
+                    _semaphore_permit: permit,
                 };
             }
         }
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -48,8 +48,8 @@
 use crate::byte_budget::OverBudget;
 use crate::byte_budget::Part;
 use crate::byte_budget::Phase;
+use crate::connections::ConnectionPermit;
 use crate::connections::Connections;
-use crate::connections::Place;
 use crate::http::body::BodyError;
 use crate::metered_stream::MeteredStream;
 use crate::shared_key::SharedKey;
@@ -197,24 +197,24 @@
     let closing = connections.close_slow_heads(head_timeout);
     let mut closing = std::pin::pin!(closing);
     loop {
-        let (stream, _, place) = tokio::select! {
+        let (stream, _, permit) = tokio::select! {
             accepted = connections.accept(&listener) => accepted,
             _ = stopped.changed() => return,
             () = &mut closing => return,
         };
-        tokio::spawn(serve(stream, shared.clone(), place, stopped.clone()));
+        tokio::spawn(serve(stream, shared.clone(), permit, stopped.clone()));
     }
 }
 
 async fn serve<H: HttpHandler>(
     stream: TcpStream,
     shared: Arc<Shared<H>>,
-    place: Place,
+    permit: ConnectionPermit,
     mut stopped: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits;
-    let account = place.account.clone();
+    let account = permit.account.clone();
     let service = service_fn(move |request| {
         let (shared, account) = (shared.clone(), account.clone());
         async move {
@@ -226,7 +226,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = MeteredStream::new(stream, place.account.clone(), limits.head_max_bytes);
+    let stream = MeteredStream::new(stream, permit.account.clone(), limits.head_max_bytes);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -235,12 +235,12 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = place.account.closed() => return,
+        () = permit.account.closed() => return,
         _ = stopped.changed() => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 result = connection.as_mut() => result,
-                () = place.account.closed() => return,
+                () = permit.account.closed() => return,
             }
         }
     };
--- a/crates/process/src/rpc/acceptor.rs
+++ b/crates/process/src/rpc/acceptor.rs
@@ -14,8 +14,8 @@
 use tower::layer::util::Stack;
 
 use crate::byte_budget::Phase;
+use crate::connections::ConnectionPermit;
 use crate::connections::Connections;
-use crate::connections::Place;
 use crate::rpc::PRIORITY_PATH;
 use crate::rpc::auth::AuthLayer;
 use crate::rpc::counted_stream::CountedStream;
@@ -58,18 +58,18 @@
         let closing = self.connections.close_slow_heads(HANDSHAKE_TIMEOUT);
         let mut closing = std::pin::pin!(closing);
         loop {
-            let (stream, _, place) = tokio::select! {
+            let (stream, _, permit) = tokio::select! {
                 accepted = self.connections.accept(&listener) => accepted,
                 () = &mut stopped => return,
                 () = &mut closing => return,
             };
-            tokio::spawn(self.clone().dispatch(stream, place));
+            tokio::spawn(self.clone().dispatch(stream, permit));
         }
     }
 
     /// Reads the path of the handshake and serves the connection on the runtime that it belongs to.
-    async fn dispatch(self, mut stream: TcpStream, place: Place) {
-        let account = place.account.clone();
+    async fn dispatch(self, mut stream: TcpStream, permit: ConnectionPermit) {
+        let account = permit.account.clone();
         account.enter(Phase::Head);
         let mut head = [0; HEAD_BYTES];
         let read = tokio::select! {
@@ -80,7 +80,7 @@
             return;
         }
         if &head[METHOD_BYTES..] == PRIORITY_PATH.as_bytes() {
-            return self.serve(&head, stream, place).await;
+            return self.serve(&head, stream, permit).await;
         }
         // A stream belongs to the runtime in which it was created.
         let Ok(stream) = stream.into_std() else {
@@ -89,13 +89,13 @@
         let runtime = self.runtimes.usual.clone();
         runtime.spawn(async move {
             if let Ok(stream) = TcpStream::from_std(stream) {
-                self.serve(&head, stream, place).await;
+                self.serve(&head, stream, permit).await;
             }
         });
     }
 
-    async fn serve(self, head: &[u8], stream: TcpStream, place: Place) {
-        let stream = CountedStream::new(head, stream, place);
+    async fn serve(self, head: &[u8], stream: TcpStream, permit: ConnectionPermit) {
+        let stream = CountedStream::new(head, stream, permit);
         let service = self.services.build(self.methods, self.stop_handle.clone());
         let stopped = self.stop_handle.shutdown();
         let served = serve_with_graceful_shutdown(stream, service, stopped).await;
--- a/crates/process/src/rpc/counted_stream.rs
+++ b/crates/process/src/rpc/counted_stream.rs
@@ -13,7 +13,7 @@
 
 use crate::byte_budget::Part;
 use crate::byte_budget::Phase;
-use crate::connections::Place;
+use crate::connections::ConnectionPermit;
 use crate::rpc::message_meter::MessageMeter;
 use crate::write_timeout::DEFAULT_LIMIT;
 use crate::write_timeout::WriteTimeout;
@@ -24,8 +24,8 @@
     /// How many bytes of the head readers have got.
     taken: usize,
     stream: WriteTimeout,
-    /// The library owns the stream after the handshake, so the place belongs to the stream.
-    place: Place,
+    /// The library owns the stream after the handshake, so the permit belongs to the stream.
+    permit: ConnectionPermit,
     /// Completes when the connection has to close.
     closed: Pin<Box<dyn Future<Output = ()> + Send>>,
     meter: MessageMeter,
@@ -34,13 +34,13 @@
 }
 
 impl CountedStream {
-    pub(crate) fn new(head: &[u8], stream: TcpStream, place: Place) -> CountedStream {
-        let account = place.account.clone();
+    pub(crate) fn new(head: &[u8], stream: TcpStream, permit: ConnectionPermit) -> CountedStream {
+        let account = permit.account.clone();
         CountedStream {
             head: head.to_vec(),
             taken: 0,
             stream: WriteTimeout::new(stream, DEFAULT_LIMIT),
-            place,
+            permit,
             closed: Box::pin(async move { account.closed().await }),
             meter: MessageMeter::default(),
             counted_bytes: 0,
@@ -52,11 +52,11 @@
         self.meter.feed(arrived);
         let held_bytes = self.meter.held_bytes();
         if held_bytes < self.counted_bytes {
-            self.place.account.release(Part::Body);
+            self.permit.account.release(Part::Body);
             self.counted_bytes = 0;
         }
         let counting = self
-            .place
+            .permit
             .account
             .grow(Part::Body, held_bytes - self.counted_bytes);
         counting.map_err(io::Error::other)?;
@@ -68,7 +68,7 @@
             } else {
                 Phase::Body
             };
-            self.place.account.enter(phase);
+            self.permit.account.enter(phase);
         }
         self.counted_bytes = held_bytes;
         Ok(())
