--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -1,12 +1,12 @@
 //! Learns how fast each worker is from the ends of runs.
 //!
-//! Workers of one service differ in speed by a factor of two and more, while single durations vary by
-//! a factor of seven and estimates are off by half. The duration of a run is compared with those of
-//! the same step on other workers, which share the error of the estimate, or, without such runs, with
-//! the predicted duration. Logarithms of the ratios are averaged with bounded deviations. A prior of
-//! several samples at the usual speed keeps single ends from changing much, and a speed counts only
-//! once the samples show that it differs from the usual one, so that workers of equal speed are all
-//! treated alike.
+//! Workers of one service differ in speed by a factor of two and more, while single durations vary
+//! by a factor of seven and estimates are off by half. The duration of a run is compared with those
+//! of the same step on other workers, which share the error of the estimate, or, without such runs,
+//! with the predicted duration. Logarithms of the ratios are averaged with bounded deviations. A
+//! prior of several samples at the usual speed keeps single ends from changing much, and a speed
+//! counts only once the samples show that it differs from the usual one, so that workers of equal
+//! speed are all treated alike.
 //!
 //! Runs of gangs end with their slowest member, and runs that resumed, that an earlier leader
 //! started or that were remote from their data took longer or shorter for other reasons than the
@@ -31,23 +31,23 @@
 /// The largest deviation of a sample from what was expected, as the logarithm of a ratio. Without a
 /// limit, a single run of seven times the usual duration would outweigh ten ordinary ones.
 const DEVIATION_MAX: f64 = std::f64::consts::LN_2;
-/// The variance of samples that is assumed before there are any.
+/// The variance that is assumed before there are samples.
 const VARIANCE_INITIAL: f64 = 0.1;
-/// The number of samples that this variance counts as.
+/// The number of samples that the assumed variance counts as.
 const VARIANCE_PRIOR_SAMPLES: f64 = 20.0;
 /// Every sample reduces the weight of the earlier ones in the mean and the variance of all workers
 /// by one part in this many.
 const COMMON_WINDOW_SAMPLES: f64 = 500.0;
-/// The number of samples of a queue after which its predicted durations are compared with. The mean
-/// of the earlier ones shows how far its estimates are off.
+/// The number of samples of a queue from which on durations are compared with its predictions. The
+/// mean of the earlier samples shows how far the estimates are off.
 const QUEUE_SAMPLES_MIN: f64 = 24.0;
-/// A speed counts from this many standard deviations on. A service has a thousand workers, each of
-/// which is tested after each sample.
+/// A speed counts from this many standard deviations on. A lower limit would show differences by
+/// chance, since a service may have a thousand workers, each of which is tested after each sample.
 const SHOWN_DEVIATIONS: f64 = 4.5;
 /// A speed that counts does so down to this many standard deviations.
 const KEPT_DEVIATIONS: f64 = 2.5;
-/// Every sample reduces the weight of the earlier ones in the mean slowdown of a service by one part in
-/// this many.
+/// Every sample reduces the weight of the earlier ones in the mean slowdown of a service by one
+/// part in this many.
 const USUAL_WINDOW_SAMPLES: f64 = 200.0;
 /// The weight of a new run in the moving mean of the ratios of durations to predictions in a queue.
 const RATIO_WEIGHT: f64 = 0.05;
@@ -55,14 +55,14 @@
 const RATIO_RANGE: (f64, f64) = (0.5, 8.0);
 /// The smallest and the largest slowdown.
 const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
-/// The ratio between two steps of speed.
-const STEP_RATIO: f64 = 1.25;
 /// The speeds of a service count once a tenth of its workers are slower than usual by this factor.
 /// Smaller differences rarely decide whether a deadline is met, which allows half of the duration
 /// more even for short jobs.
 const UNEVEN_SLOWDOWN: f64 = 1.4;
 /// One worker in this many has to be slower.
 const WORKERS_PER_SLOW_ONE: usize = 10;
+/// The ratio between the slowdowns of two adjacent speed classes.
+const CLASS_RATIO: f64 = 1.25;
 /// The number of ends of a step that later ends are compared with.
 const ENDS_PER_STEP_MAX: usize = 16;
 
@@ -101,8 +101,8 @@
         self.sum / (self.weight + PRIOR_SAMPLES)
     }
 
-    /// Adds a sample. `variance` is that of samples with weight 1, and `usual` the logarithm of the
-    /// slowdown of a usual worker of the service.
+    /// Adds a sample. `variance` is that of samples with weight 1, and `usual` the mean logarithm of
+    /// the slowdown of the workers of the service.
     fn add(&mut self, log_ratio: f64, weight: f64, variance: f64, usual: f64) {
         let keep = 1.0 - weight / WINDOW_SAMPLES;
         self.sum = self.sum * keep + log_ratio * weight;
@@ -123,9 +123,10 @@
     }
 }
 
-/// Workers in the same step of speed are treated as equally fast; faster ones have lower steps.
-pub(crate) fn speed_step(slowdown: f64) -> i32 {
-    (slowdown.ln() / STEP_RATIO.ln()).round() as i32
+/// The speed class of a worker. Workers of one class are treated as equally fast; faster workers
+/// have lower classes.
+pub(crate) fn speed_class(slowdown: f64) -> i32 {
+    (slowdown.ln() / CLASS_RATIO.ln()).round() as i32
 }
 
 /// The mean and the variance of one kind of sample over all workers, beyond their known speeds.
@@ -189,6 +190,27 @@
         self.ratios.get(queue).copied().unwrap_or(1.0)
     }
 
+    /// Compares the duration of the first run of a step that ends with its prediction. Returns the
+    /// log-ratio and its weight, once the queue has enough samples.
+    fn compare_with_prediction(
+        &mut self,
+        queue: &Arc<str>,
+        log_ratio: f64,
+        log_slowdown: f64,
+    ) -> Option<(f64, f64)> {
+        let comparison = self.by_queue.entry(queue.clone()).or_default();
+        let log_ratio = comparison.record(log_ratio, log_slowdown);
+        let weight = (self.same_step.variance / comparison.variance).min(1.0);
+        (comparison.samples >= QUEUE_SAMPLES_MIN).then_some((log_ratio, weight))
+    }
+
+    /// Updates and returns the mean logarithm of the slowdown of the workers of a service.
+    fn update_usual(&mut self, service: &Arc<str>, log_slowdown: f64) -> f64 {
+        let usual = self.usual.entry(service.clone()).or_default();
+        *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
+        *usual
+    }
+
     fn record_ratio(&mut self, queue: &Arc<str>, ratio: f64) {
         let mean = self.ratios.entry(queue.clone()).or_insert(1.0);
         *mean += (ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1) - *mean) * RATIO_WEIGHT;
@@ -240,39 +262,34 @@
         if view.spec().is_gang && view.spec().count > 1 {
             return;
         }
-        let log_ms = log_ms(took_ms);
+        let log_took_ms = log_ms(took_ms);
         let others = view.ends.ends.iter().filter(|(other, _)| *other != index);
         let others = others.filter_map(|(other, log_ms)| Some(log_ms - known(*other)?));
         let mut others: SmallVec<[f64; ENDS_PER_STEP_MAX]> = others.collect();
         let is_first = view.ends.ends.is_empty();
         let own = view.ends.ends.len() - others.len().min(view.ends.ends.len());
-        view.ends.add(index, log_ms);
-        let unit = self.speeds.same_step.variance;
-        let (log_ratio, weight) = if let Some(median) = median(&mut others) {
+        view.ends.add(index, log_took_ms);
+        let variance = self.speeds.same_step.variance;
+        let sample = if let Some(median) = median(&mut others) {
             let comparison = &mut self.speeds.same_step;
-            let log_ratio = comparison.record(log_ms - median, log_slowdown);
-            (log_ratio, weight_in_step(own, others.len()))
+            let log_ratio = comparison.record(log_took_ms - median, log_slowdown);
+            Some((log_ratio, weight_in_step(own, others.len())))
         } else if is_first {
-            let by_queue = &mut self.speeds.by_queue;
-            let comparison = by_queue.entry(view.queue_name.clone()).or_default();
-            let log_usual = self::log_ms(run.usual_ms);
-            let log_ratio = comparison.record(log_ms - log_usual, log_slowdown);
-            if comparison.samples < QUEUE_SAMPLES_MIN {
-                return;
-            }
-            (log_ratio, (unit / comparison.variance).min(1.0))
+            let log_ratio = log_took_ms - log_ms(run.usual_ms);
+            let speeds = &mut self.speeds;
+            speeds.compare_with_prediction(&view.queue_name, log_ratio, log_slowdown)
         } else {
             // Further runs of the step on this worker share the error of its estimate.
-            return;
+            None
         };
-        if let Some(worker) = self.workers.get_mut(index) {
-            let usual = self.speeds.usual.entry(worker.record.service.clone());
-            let usual = usual.or_default();
-            *usual += (log_slowdown - *usual) / USUAL_WINDOW_SAMPLES;
+        if let Some((log_ratio, weight)) = sample
+            && let Some(worker) = self.workers.get_mut(index)
+        {
+            let service = worker.record.service.clone();
+            let usual = self.speeds.update_usual(&service, log_slowdown);
             let was_slow = worker.health.speed.is_slow();
-            worker.health.speed.add(log_ratio, weight, unit, *usual);
+            worker.health.speed.add(log_ratio, weight, variance, usual);
             if worker.health.speed.is_slow() != was_slow {
-                let service = worker.record.service.clone();
                 self.update_unevenness(service);
             }
         }
@@ -314,8 +331,8 @@
     }
 }
 
-/// The weight of a further sample of a worker in a step with `own` earlier ends there and `others` on
-/// other workers. All samples of the worker in the step share the durations of the others, so
+/// The weight of a further sample of a worker in a step with `own` earlier ends there and `others`
+/// on other workers. All samples of the worker in the step share the durations of the others, so
 /// together they count as the harmonic sum of both numbers.
 fn weight_in_step(own: usize, others: usize) -> f64 {
     let (own, others) = (own as f64, others as f64);
--- a/crates/queues/src/scheduler/tenants.rs
+++ b/crates/queues/src/scheduler/tenants.rs
@@ -1,9 +1,9 @@
 //! The tenants: their limits in force, and what each uses, kept up to date by difference.
 //!
-//! Quotas and shares are compared with totals over all runs of a tenant. A sum over all runs in each
-//! round would cost more than the rounds themselves, so each run is added to the totals when it is
-//! placed on a worker and taken from them when it no longer takes resources. A run of no tenant
-//! costs nothing.
+//! Quotas and shares are compared with totals over all runs of a tenant. A sum over all runs in
+//! each round would cost more than the rounds themselves, so each run is added to the totals when
+//! it is placed on a worker and taken from them when it no longer takes resources. A run of no
+//! tenant costs nothing.
 
 use std::sync::Arc;
 
@@ -98,6 +98,11 @@
         index
     }
 
+    /// The index of the tenant with this name, if it is known.
+    pub fn known_tenant(&self, name: &str) -> Option<TenantIndex> {
+        self.by_name.get(name).copied()
+    }
+
     /// The index of the service with this name, which is added if it is not known.
     pub fn service(&mut self, name: &Arc<str>) -> ServiceIndex {
         let known = self.services.iter().position(|known| known == name);
--- a/crates/queues/src/table_review.rs
+++ b/crates/queues/src/table_review.rs
@@ -1,8 +1,8 @@
 //! Reviews a queue table before it is put in force: entries that can never match a request, limits
 //! that contradict each other, and what changes against another table.
 //!
-//! A finding is no reason to refuse the table; [`QueueTable::check`] decides that. No finding and no
-//! change contains the text of a key.
+//! A finding is no reason to refuse the table; [`QueueTable::check`] decides that. No finding and
+//! no change contains the text of a key.
 
 use std::fmt;
 use std::sync::Arc;
@@ -10,6 +10,7 @@
 use crate::ids::JOB_KEY_DIGITS;
 use crate::table::Queue;
 use crate::table::QueueTable;
+use crate::table::Service;
 use crate::tenant::ApiKey;
 use crate::tenant::Tenant;
 
@@ -189,13 +190,12 @@
         queue_name,
         queue_settings,
     );
-    let services = (&former.services, &new.services);
     changes.compare(
         "service",
-        services.0,
-        services.1,
-        |s| s.name.clone(),
-        |s| vec![("workers_check_room", s.workers_check_room.to_string())],
+        &former.services,
+        &new.services,
+        |service| service.name.clone(),
+        service_settings,
     );
     let tenants = |table: &QueueTable| table.tenants.clone().unwrap_or_default();
     let (former_tenants, new_tenants) = (tenants(former), tenants(new));
@@ -254,14 +254,10 @@
         let subject = tenant_subject(tenant);
         let added = tenant.keys.iter().filter(|key| !former.contains(key));
         let removed = former.iter().filter(|key| !tenant.keys.contains(key));
-        for (count, change) in [(added.count(), "add"), (removed.count(), "remove")] {
-            let keys = format!("{count} keys of {subject}");
-            match (count, change) {
-                (0, _) => {}
-                (_, "add") => self.0.push(TableChange::Added(keys)),
-                _ => self.0.push(TableChange::Removed(keys)),
-            }
-        }
+        let keys = |count: usize| (count > 0).then(|| format!("{count} keys of {subject}"));
+        self.0.extend(keys(added.count()).map(TableChange::Added));
+        self.0
+            .extend(keys(removed.count()).map(TableChange::Removed));
     }
 
     fn changed(&mut self, subject: &str, setting: &'static str, from: String, to: String) {
@@ -295,6 +291,11 @@
     ]
 }
 
+fn service_settings(service: &Service) -> Vec<(&'static str, String)> {
+    let checks_room = service.workers_check_room.to_string();
+    vec![("workers_check_room", checks_room)]
+}
+
 fn tenant_settings(tenant: &Tenant) -> Vec<(&'static str, String)> {
     let quota = tenant.limits.quota;
     let amount = |value: u64, max: u64| match value {
--- a/crates/queues/tests/model/tenants.rs
+++ b/crates/queues/tests/model/tenants.rs
@@ -81,9 +81,9 @@
     fn update_bounds(&mut self) {
         let counted: BTreeMap<Arc<str>, Resources> = self
             .scheduler
-            .tenant_reports()
+            .tenant_statuses(&self.state)
             .into_iter()
-            .map(|report| (report.name, report.used))
+            .map(|status| (status.name, status.used))
             .collect();
         let table = self.state.table().unwrap();
         for tenant in table.tenants.iter().flatten() {
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Checks that no tenant exceeds its quota, and that the leader's totals are those of a recount.
+    /// Checks that no tenant exceeds its quota, and that the leader's totals are those of a
+    /// recount.
     pub(super) fn check_quotas(&mut self) {
         if self.tenants.by_job.is_empty() {
             return;
--- a/crates/queues/tests/tenant_quotas.rs
+++ b/crates/queues/tests/tenant_quotas.rs
@@ -117,8 +117,8 @@
     assert_eq!(running(&model, "a"), 10);
 }
 
-/// Guards against starts that were decided under a quota which no longer holds when they are sent, and
-/// against a part of a gang that is started.
+/// Guards against starts that were decided under a quota which no longer holds when they are sent,
+/// and against a part of a gang that is started.
 #[test]
 fn a_start_that_is_not_sent_when_the_quota_is_lowered_is_released() {
     for is_gang in [false, true] {
@@ -188,8 +188,8 @@
     assert_eq!(running(&model, "a"), 10);
 }
 
-/// Guards against steps at the quota of their tenant that withhold workers from others, or use up the
-/// checks of the rounds.
+/// Guards against steps at the quota of their tenant that withhold workers from others, or use up
+/// the checks of the rounds.
 #[test]
 fn a_tenant_at_its_quota_does_not_delay_another_one() {
     let mut model = model(100);
@@ -204,14 +204,14 @@
     assert_eq!(running(&model, "a"), 10);
     model.scheduler.take_checks();
     model.leader.checks = 0;
-    let reports = model.scheduler.tenant_reports();
-    let report = reports.iter().find(|report| &*report.name == "a").unwrap();
-    assert_eq!(report.waiting_steps, report.steps_at_quota);
+    let statuses = model.scheduler.tenant_statuses(&model.state);
+    let status = statuses.iter().find(|status| &*status.name == "a").unwrap();
+    assert_eq!(status.waiting_steps, status.steps_at_quota);
     assert_eq!(
-        (report.used, report.quota),
+        (status.used, status.limits.quota),
         (Resources::new(10_000, 10_000, 0), TEN)
     );
-    assert_eq!(report.running_tasks, 10);
+    assert_eq!(status.running_tasks, 10);
     let begin = model.now;
     for job in 1..=100 {
         model.submit_as("b", job, "second", spec(14, job % 2 == 0));
@@ -239,9 +239,9 @@
     );
 }
 
-/// Guards against a job that waits although its tenant and its service have much room: its tenant uses
-/// less than half of its quota, less than half of the service is in use, and its next task would fit
-/// twice.
+/// Guards against a job that waits although its tenant and its service have much room: its tenant
+/// uses less than half of its quota, less than half of the service is in use, and its next task
+/// would fit twice.
 #[test]
 fn a_job_with_room_in_quota_and_service_runs_within_three_seconds() {
     let mut model = model(20);
@@ -297,8 +297,8 @@
     assert!(next > 150);
 }
 
-/// Guards against a cost of tenants that grows with their number, and against totals that drift from
-/// what runs.
+/// Guards against a cost of tenants that grows with their number, and against totals that drift
+/// from what runs.
 #[test]
 fn a_hundred_tenants_at_200_jobs_a_second_cost_few_checks() {
     let checks = |tenants: u64| {
