Forget the claims of steps that wait for a rack when their wait ends

A gang that had waited for one rack kept its claim on it after it stopped waiting or waited for another one, and the claims of ended and cancelled steps were never dropped, so the list that each attempt walks grew for as long as a leader led. A reader of the change found it. The claims are now released wherever a wait or a step ends. The own ends of a worker are counted by worker, so that ends on removed ones do not reduce the weight of a sample, and a rate below one job in 100 s promises no token, since its callers would be told to come back in years. Found by reading, without a test.

--- a/crates/queues/src/scheduler/locality_wait.rs
+++ b/crates/queues/src/scheduler/locality_wait.rs
@@ -59,7 +59,7 @@
 /// The steps that wait for local workers, and the labels that name racks.
 #[derive(Debug, Default)]
 pub struct LocalityWaits {
-    /// The steps that wait for workers with a label. Some may have ended since.
+    /// The steps that wait for workers with a label.
     by_rack: FxHashMap<Arc<str>, Vec<StepKey>>,
     /// The number of workers with each label.
     label_counts: FxHashMap<Arc<str>, usize>,
@@ -67,14 +67,18 @@
 }
 
 impl LocalityWaits {
-    fn set_claim(&mut self, rack: &Arc<str>, step: StepKey, is_waiting: bool) {
-        let steps = self.by_rack.entry(rack.clone()).or_default();
-        steps.retain(|known| *known != step);
-        if is_waiting {
-            steps.push(step);
-        } else if steps.is_empty() {
-            self.by_rack.remove(rack);
-        }
+    /// Records that a step waits for the workers of a rack, and of no other one.
+    fn claim(&mut self, rack: &Arc<str>, step: StepKey) {
+        self.release(step);
+        self.by_rack.entry(rack.clone()).or_default().push(step);
+    }
+
+    /// Records that a step does not wait for local workers any more.
+    pub(crate) fn release(&mut self, step: StepKey) {
+        self.by_rack.retain(|_, steps| {
+            steps.retain(|known| *known != step);
+            !steps.is_empty()
+        });
     }
 
     /// The label of a worker that names its rack: the one with the fewest workers, since the others
@@ -202,7 +206,7 @@
         let remote = granted().filter(|c| !c.is_preferred).map(|c| c.slowdown);
         let fastest_remote = remote.min_by(f64::total_cmp);
         let (Some(slowdown), true) = (fastest_remote, rest > 0) else {
-            self.stop_waiting(view, &rack);
+            self.stop_waiting(view);
             return u32::MAX;
         };
         let is_local = |worker: &WorkerView| worker.record.has_label(&rack);
@@ -237,7 +241,7 @@
         let spread = assign_members(granted.iter().copied(), members);
         let has_rack = self.choose_rack(&granted, members).is_some();
         let Some(spread) = spread.filter(|_| !has_rack) else {
-            view.locality.waiting = 0;
+            self.stop_waiting(view);
             return false;
         };
         let allowed: Vec<&Candidate> = candidates.iter().filter(|c| c.is_allowed()).collect();
@@ -247,7 +251,7 @@
         let placements: Vec<(u32, WorkerIndex)> = spread.into_iter().map(|w| (0, w)).collect();
         let slowdown = self.gang_slowdown(view, &placements).unwrap_or(1.0);
         let Some((rack, slot)) = self.rack_slot(view, reservations, members, now) else {
-            view.locality.waiting = 0;
+            self.stop_waiting(view);
             return false;
         };
         let decision = self.decide_locality(view, slowdown, 1, &[slot], 0, now);
@@ -393,16 +397,15 @@
         view.locality.until = decision.until;
         if view.locality.is_waiting() {
             view.locality.since.get_or_insert(now);
+            self.locality.claim(rack, view.key);
+        } else {
+            self.locality.release(view.key);
         }
-        let is_waiting = view.locality.is_waiting();
-        self.locality.set_claim(rack, view.key, is_waiting);
     }
 
-    fn stop_waiting(&mut self, view: &mut StepView, rack: &Arc<str>) {
-        if view.locality.is_waiting() {
-            view.locality.waiting = 0;
-            self.locality.set_claim(rack, view.key, false);
-        }
+    fn stop_waiting(&mut self, view: &mut StepView) {
+        view.locality.waiting = 0;
+        self.locality.release(view.key);
     }
 
     /// Requests permits for the tasks of a step that do not wait for local workers, or fresh
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -469,6 +469,9 @@
             view.proposed.insert(*task);
         }
         view.end_locality_wait();
+        if view.waiting.is_empty() {
+            self.locality.release(view.key);
+        }
         self.propose(QueueCommand::Start {
             step: view.key,
             placements: proposed,
--- a/crates/queues/src/scheduler/speeds.rs
+++ b/crates/queues/src/scheduler/speeds.rs
@@ -267,7 +267,8 @@
         let others = others.filter_map(|(other, log_ms)| Some(log_ms - known(*other)?));
         let mut others: SmallVec<[f64; ENDS_PER_STEP_MAX]> = others.collect();
         let is_first = view.ends.ends.is_empty();
-        let own = view.ends.ends.len() - others.len().min(view.ends.ends.len());
+        let own = view.ends.ends.iter().filter(|(worker, _)| *worker == index);
+        let own = own.count();
         view.ends.add(index, log_took_ms);
         let variance = self.speeds.same_step.variance;
         let sample = if let Some(median) = median(&mut others) {
--- a/crates/queues/src/scheduler/steps.rs
+++ b/crates/queues/src/scheduler/steps.rs
@@ -243,6 +243,7 @@
             };
             if step.left == 0 {
                 self.steps.remove(&key);
+                self.locality.release(key);
                 self.dispatcher.forget(key);
                 continue;
             }
@@ -301,6 +302,7 @@
         let steps = self.job_steps.remove(&job).unwrap_or(0);
         for key in (0..steps).map(|step| StepKey { job, step }) {
             self.dispatcher.forget(key);
+            self.locality.release(key);
             let Some(view) = self.steps.remove(&key) else {
                 continue;
             };
--- a/crates/queues/src/scheduler/token_bucket.rs
+++ b/crates/queues/src/scheduler/token_bucket.rs
@@ -22,6 +22,8 @@
 const SPREAD_MS: u64 = 60_000;
 /// The shortest time after which a job without a promise may return.
 const UNPROMISED_MIN_MS: u64 = 30_000;
+/// A lower rate, in jobs a second, promises nothing, since its next token is too far away for a caller.
+const PROMISED_RATE_MIN: f64 = 0.01;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// What a job may take from the bucket of its tenant.
@@ -108,7 +110,7 @@
             return self.promises[position].due.since(now).max(1);
         }
         let last_due = self.promises.back().map_or(now, |last| last.due);
-        if self.rate <= 0.0 || self.promises.len() >= PROMISES_MAX {
+        if self.rate < PROMISED_RATE_MIN || self.promises.len() >= PROMISES_MAX {
             let spread_ms = job.spread_permille() * SPREAD_MS / 1_000;
             return last_due.since(now).max(UNPROMISED_MIN_MS) + spread_ms;
         }
