--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -3,8 +3,7 @@
 //! The number of connections, the sizes of head and body, and the times within which head and body
 //! must arrive are bounded, so that slow senders or large requests cannot exhaust the resources of
 //! the process. The handler checks the head, including the shared key if one is required, before
-//! the body is read. All listeners of a process share the memory for requests, see
-//! [`ByteBudget`].
+//! the body is read. All listeners of a process share the memory for requests, see [`ByteBudget`].
 //!
 //! `rouille` is not used for these listeners: after a response it reads the rest of the declared
 //! body into one allocation, so that a single request with a huge `content-length` terminates the
@@ -49,8 +48,8 @@
 use crate::byte_budget::OverBudget;
 use crate::byte_budget::Part;
 use crate::byte_budget::Phase;
+use crate::connections::ConnectionPermit;
 use crate::connections::Connections;
-use crate::connections::Place;
 use crate::http::body::BodyError;
 use crate::metered_stream::MeteredStream;
 use crate::shared_key::SharedKey;
@@ -70,14 +69,16 @@
 /// Resource limits of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
-    /// Maximum number of open connections. A further one waits until one closes; if none is free,
-    /// the one that has been idle for the longest time, or the slowest request, is closed for it.
+    /// Maximum number of open connections. For a further one, a connection without a complete
+    /// request is closed: one that has had no response, then an idle one, then the slowest request.
+    /// If there is none, the further one waits until a connection closes.
     pub connections_max: usize,
     /// Maximum size of a request head.
     pub head_max_bytes: usize,
     /// Maximum size of a request body.
     pub body_max_bytes: usize,
-    /// The time within which a head must arrive. A connection that is idle for longer is closed.
+    /// The time within which a head must arrive, at most 5 s. A connection that is idle for longer
+    /// than this setting is closed.
     pub head_timeout: Duration,
     /// The time within which a body must arrive after its head.
     pub body_timeout: Duration,
@@ -196,24 +197,24 @@
     let closing = connections.close_slow_heads(head_timeout);
     let mut closing = std::pin::pin!(closing);
     loop {
-        let (stream, _, place) = tokio::select! {
+        let (stream, _, permit) = tokio::select! {
             accepted = connections.accept(&listener) => accepted,
             _ = stopped.changed() => return,
             () = &mut closing => return,
         };
-        tokio::spawn(serve(stream, shared.clone(), place, stopped.clone()));
+        tokio::spawn(serve(stream, shared.clone(), permit, stopped.clone()));
     }
 }
 
 async fn serve<H: HttpHandler>(
     stream: TcpStream,
     shared: Arc<Shared<H>>,
-    place: Place,
+    permit: ConnectionPermit,
     mut stopped: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits;
-    let account = place.account.clone();
+    let account = permit.account.clone();
     let service = service_fn(move |request| {
         let (shared, account) = (shared.clone(), account.clone());
         async move {
@@ -225,7 +226,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = MeteredStream::new(stream, place.account.clone(), limits.head_max_bytes);
+    let stream = MeteredStream::new(stream, permit.account.clone(), limits.head_max_bytes);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -234,12 +235,12 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = place.account.closed() => return,
+        () = permit.account.closed() => return,
         _ = stopped.changed() => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 result = connection.as_mut() => result,
-                () = place.account.closed() => return,
+                () = permit.account.closed() => return,
             }
         }
     };
--- a/crates/queues/src/scheduler/locality_wait.rs
+++ b/crates/queues/src/scheduler/locality_wait.rs
@@ -59,7 +59,7 @@
 /// The steps that wait for local workers, and the labels that name racks.
 #[derive(Debug, Default)]
 pub struct LocalityWaits {
-    /// The steps that wait for workers with a label. Some may have ended since.
+    /// The steps that wait for workers with a label.
     by_rack: FxHashMap<Arc<str>, Vec<StepKey>>,
     /// The number of workers with each label.
     label_counts: FxHashMap<Arc<str>, usize>,
@@ -67,14 +67,18 @@
 }
 
 impl LocalityWaits {
-    fn set_claim(&mut self, rack: &Arc<str>, step: StepKey, is_waiting: bool) {
-        let steps = self.by_rack.entry(rack.clone()).or_default();
-        steps.retain(|known| *known != step);
-        if is_waiting {
-            steps.push(step);
-        } else if steps.is_empty() {
-            self.by_rack.remove(rack);
-        }
+    /// Records that a step waits for the workers of a rack, and of no other one.
+    fn claim(&mut self, rack: &Arc<str>, step: StepKey) {
+        self.release(step);
+        self.by_rack.entry(rack.clone()).or_default().push(step);
+    }
+
+    /// Records that a step does not wait for local workers any more.
+    pub(crate) fn release(&mut self, step: StepKey) {
+        self.by_rack.retain(|_, steps| {
+            steps.retain(|known| *known != step);
+            !steps.is_empty()
+        });
     }
 
     /// The label of a worker that names its rack: the one with the fewest workers, since the others
@@ -91,8 +95,8 @@
         self.locality.is_waiting() && self.locality.waiting >= self.waiting.len()
     }
 
-    /// Whether room on a worker is of use to the step while it waits for local workers.
-    pub(crate) fn has_use_for_rack_of(&self, worker: &WorkerView) -> bool {
+    /// Whether tasks of the step could use room on a worker while others wait for local workers.
+    pub(crate) fn can_use_room_on(&self, worker: &WorkerView) -> bool {
         let rack = self.spec().preferred_rack.as_ref();
         let is_local = rack.is_none_or(|rack| worker.record.has_label(rack));
         self.spec().is_gang || is_local || !self.waits_for_local_only()
@@ -118,8 +122,8 @@
         self.config.remote_factor > 1.0
     }
 
-    /// Whether a run of the step on this worker would be remote from its data. Only the workers of all
-    /// members tell that for a gang.
+    /// Whether a run of the step on this worker would be remote from its data. Only the workers of
+    /// all members tell that for a gang.
     pub(crate) fn is_remote(&self, view: &StepView, worker: &WorkerView) -> bool {
         let rack = view.spec().preferred_rack.as_ref();
         self.has_remote_runs()
@@ -174,8 +178,8 @@
         }
     }
 
-    /// How many of `tasks` tasks of a step may start remotely now. Records in the step how many wait
-    /// for local workers instead.
+    /// How many of `tasks` tasks of a step may start remotely now. Records in the step how many
+    /// wait for local workers instead.
     pub(crate) fn remote_starts_max(
         &mut self,
         view: &mut StepView,
@@ -202,7 +206,7 @@
         let remote = granted().filter(|c| !c.is_preferred).map(|c| c.slowdown);
         let fastest_remote = remote.min_by(f64::total_cmp);
         let (Some(slowdown), true) = (fastest_remote, rest > 0) else {
-            self.stop_waiting(view, &rack);
+            self.stop_waiting(view);
             return u32::MAX;
         };
         let is_local = |worker: &WorkerView| worker.record.has_label(&rack);
@@ -237,7 +241,7 @@
         let spread = assign_members(granted.iter().copied(), members);
         let has_rack = self.choose_rack(&granted, members).is_some();
         let Some(spread) = spread.filter(|_| !has_rack) else {
-            view.locality.waiting = 0;
+            self.stop_waiting(view);
             return false;
         };
         let allowed: Vec<&Candidate> = candidates.iter().filter(|c| c.is_allowed()).collect();
@@ -247,7 +251,7 @@
         let placements: Vec<(u32, WorkerIndex)> = spread.into_iter().map(|w| (0, w)).collect();
         let slowdown = self.gang_slowdown(view, &placements).unwrap_or(1.0);
         let Some((rack, slot)) = self.rack_slot(view, reservations, members, now) else {
-            view.locality.waiting = 0;
+            self.stop_waiting(view);
             return false;
         };
         let decision = self.decide_locality(view, slowdown, 1, &[slot], 0, now);
@@ -326,7 +330,7 @@
         }
         let per_worker = view.spec().per_worker_max.map_or(tasks, |max| max as usize);
         let reserved = reservations.total_reserved(index, view.key);
-        let run_ms = (view.usual_ms as f64 * worker.health.slowdown()) as u64;
+        let run_ms = (view.usual_ms as f64 * self.speed_factor(worker)) as u64;
         let resources = view.spec().resources;
         let times = slot_times(worker, resources, reserved, tasks.min(per_worker), now);
         times
@@ -335,7 +339,7 @@
             .collect()
     }
 
-    /// The number of slots for tasks of a step that steps of lower rank wait for on a rack.
+    /// The number of slots for tasks of a step that steps ranked before it wait for on a rack.
     fn claimed_slots(&self, view: &StepView, rack: &Arc<str>, now: Millis) -> usize {
         let Some(steps) = self.locality.by_rack.get(rack) else {
             return 0;
@@ -393,20 +397,19 @@
         view.locality.until = decision.until;
         if view.locality.is_waiting() {
             view.locality.since.get_or_insert(now);
+            self.locality.claim(rack, view.key);
+        } else {
+            self.locality.release(view.key);
         }
-        let is_waiting = view.locality.is_waiting();
-        self.locality.set_claim(rack, view.key, is_waiting);
     }
 
-    fn stop_waiting(&mut self, view: &mut StepView, rack: &Arc<str>) {
-        if view.locality.is_waiting() {
-            view.locality.waiting = 0;
-            self.locality.set_claim(rack, view.key, false);
-        }
+    fn stop_waiting(&mut self, view: &mut StepView) {
+        view.locality.waiting = 0;
+        self.locality.release(view.key);
     }
 
-    /// Requests permits for the tasks of a step that do not wait for local workers, or fresh permits on
-    /// local workers.
+    /// Requests permits for the tasks of a step that do not wait for local workers, or fresh
+    /// permits on local workers.
     pub(crate) fn request_useful_permits(
         &mut self,
         view: &mut StepView,
--- a/crates/queues/src/scheduler/place.rs
+++ b/crates/queues/src/scheduler/place.rs
@@ -20,7 +20,7 @@
 use crate::scheduler::reservations::ReservationTurn;
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::speed_choice::set_speed_order;
-use crate::scheduler::speeds::speed_step;
+use crate::scheduler::speeds::speed_class;
 use crate::scheduler::step_permits::Permission;
 use crate::scheduler::steps::StepView;
 use crate::scheduler::withheld_time::WithheldTime;
@@ -50,10 +50,25 @@
     pub(crate) is_preferred: bool,
     /// How much longer than usual runs take there, as a factor.
     pub(crate) slowdown: f64,
-    /// Whether the step takes fast workers first.
-    pub(crate) is_fast_first: bool,
+    /// What the slowdown means for the order of preference.
+    pub(crate) speed_order: SpeedOrder,
 }
 
+/// How the slowdown of a worker counts in the order of preference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SpeedOrder {
+    /// The service is not known to be uneven: the slowdown is that against the estimates, and only
+    /// coarse differences count.
+    ByEstimates,
+    /// The step takes workers of any speed.
+    Any,
+    /// The step takes fast workers first.
+    FastFirst,
+}
+
+/// Workers of a service that is not known to be uneven differ if their slowdowns do by this much.
+const SLOWDOWN_STEP: f64 = 0.5;
+
 impl Candidate {
     /// Whether the policy allows the worker, also if the permit has expired.
     pub(crate) fn is_allowed(&self) -> bool {
@@ -62,10 +77,10 @@
 
     /// The place of the worker's speed in the order of preference.
     pub(crate) fn speed_rank(&self) -> i32 {
-        if self.is_fast_first {
-            speed_step(self.slowdown)
-        } else {
-            0
+        match self.speed_order {
+            SpeedOrder::ByEstimates => (self.slowdown / SLOWDOWN_STEP) as i32,
+            SpeedOrder::Any => 0,
+            SpeedOrder::FastFirst => speed_class(self.slowdown),
         }
     }
 }
@@ -108,6 +123,7 @@
         let spec = view.spec();
         let exclusive_ms = self.exclusive_ms();
         let takes_withheld_room = self.takes_withheld_room(view);
+        let is_uneven = self.speeds.are_uneven(&view.queue.service);
         let mut found = Vec::new();
         if !spec.resources.fits_in(&self.rounds.max_free) {
             return found;
@@ -149,6 +165,11 @@
                 continue;
             }
             let remaining = available.saturating_sub(&spec.resources);
+            let (slowdown, speed_order) = if is_uneven {
+                (worker.health.speed.slowdown(), SpeedOrder::Any)
+            } else {
+                (worker.health.slowdown(), SpeedOrder::ByEstimates)
+            };
             let is_preferred = spec
                 .preferred_rack
                 .as_ref()
@@ -168,8 +189,8 @@
                 ),
                 left_millicores: remaining.millicores,
                 is_preferred,
-                slowdown: worker.health.slowdown(),
-                is_fast_first: false,
+                slowdown,
+                speed_order,
             });
         }
         set_speed_order(view, &mut found, now);
@@ -190,9 +211,8 @@
         if self.takes_withheld_room(view) {
             return worker.free();
         }
-        let factor = worker.health.slowdown()
-            * self.speeds.mean_ratio(&view.queue_name)
-            * self.remote_factor(self.is_remote(view, worker));
+        let remote_factor = self.remote_factor(self.is_remote(view, worker));
+        let factor = self.duration_factor(&view.queue_name, worker) * remote_factor;
         let task_ms = (view.usual_ms as f64 * factor) as u64;
         reservations.available(index, worker, view.key, task_ms, now)
     }
@@ -254,34 +274,9 @@
             )
         });
         let job = state.job(view.key.job).filter(|_| view.is_committed);
-        let mut placements = Vec::new();
-        if let Some(job) = job {
-            let waiting = view.waiting.iter().copied();
-            let mut waiting = waiting
-                .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
-                .take(self.start_limit(view) as usize)
-                .collect::<Vec<_>>()
-                .into_iter();
-            let tasks = waiting.len();
-            let mut remote_left =
-                self.remote_starts_max(view, &candidates, tasks, reservations, now);
-            let granted = candidates
-                .iter()
-                .filter(|c| c.permission == Permission::Granted);
-            'workers: for candidate in granted {
-                let mut fits = candidate.fits;
-                if !candidate.is_preferred {
-                    fits = fits.min(remote_left);
-                    remote_left -= fits;
-                }
-                for _ in 0..fits {
-                    let Some(task) = waiting.next() else {
-                        break 'workers;
-                    };
-                    placements.push((task, candidate.index));
-                }
-            }
-        }
+        let placements = job.map_or(Vec::new(), |job| {
+            self.assign_tasks(job, view, &candidates, reservations, now)
+        });
         if let Some(job) = job.filter(|_| !placements.is_empty()) {
             self.start(job, view, &placements, now);
         }
@@ -350,18 +345,47 @@
         }
     }
 
-    /// Proposes runs of the given tasks and takes their resources on the workers.
-    pub(crate) fn start(
+    /// Chooses workers for tasks of a step, in the order of the candidates.
+    fn assign_tasks(
         &mut self,
         job: &Job,
         view: &mut StepView,
-        placements: &[(u32, WorkerIndex)],
+        candidates: &[Candidate],
+        reservations: &Reservations,
         now: Millis,
-    ) {
-        view.blocked_since = None;
+    ) -> Vec<(u32, WorkerIndex)> {
+        let waiting = view.waiting.iter().copied();
+        let waiting: Vec<u32> = waiting
+            .filter(|task| task_isolation(job, view.key, *task) == Isolation::None)
+            .take(self.start_limit(view) as usize)
+            .collect();
+        let mut remote_left =
+            self.remote_starts_max(view, candidates, waiting.len(), reservations, now);
+        let mut waiting = waiting.into_iter();
+        let mut placements = Vec::new();
+        let granted = candidates
+            .iter()
+            .filter(|c| c.permission == Permission::Granted);
+        for candidate in granted {
+            let mut fits = candidate.fits;
+            if !candidate.is_preferred {
+                fits = fits.min(remote_left);
+                remote_left -= fits;
+            }
+            let tasks = waiting.by_ref().take(fits as usize);
+            placements.extend(tasks.map(|task| (task, candidate.index)));
+        }
+        placements
+    }
+
+    /// Records that `tasks` tasks of a step start, and ends what kept them waiting.
+    fn end_wait(&mut self, view: &mut StepView, tasks: usize, now: Millis) {
+        self.tally.counts.tasks += tasks as u64;
         if self.takes_withheld_room(view) {
-            self.tally.counts.tasks_after_withholding += placements.len() as u64;
+            self.tally.counts.tasks_after_withholding += tasks as u64;
         }
+        view.permits.note_placement();
+        view.blocked_since = None;
         view.withheld_time = WithheldTime::default();
         view.last_wait_ms = view
             .waiting_since
@@ -371,6 +395,17 @@
         if view.tenant.is_some() && !view.spec().is_gang {
             view.reservation_turn = ReservationTurn::default();
         }
+    }
+
+    /// Proposes runs of the given tasks and takes their resources on the workers.
+    pub(crate) fn start(
+        &mut self,
+        job: &Job,
+        view: &mut StepView,
+        placements: &[(u32, WorkerIndex)],
+        now: Millis,
+    ) {
+        self.end_wait(view, placements.len(), now);
         let spec = view.spec().clone();
         let tasks = &job.steps[usize::from(view.key.step)].tasks;
         let gang_run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -379,8 +414,7 @@
         let gang_slowdown = self.gang_slowdown(view, placements);
         let is_spread = self.is_spread(view, placements);
         let mean_ratio = self.speeds.mean_ratio(&view.queue_name);
-        self.tally.counts.tasks += placements.len() as u64;
-        view.permits.note_placement();
+        let is_uneven = self.speeds.are_uneven(&view.queue.service);
         for (task, index) in placements {
             let worker = self.workers.get(*index);
             let is_remote = is_spread || worker.is_some_and(|worker| self.is_remote(view, worker));
@@ -395,8 +429,12 @@
                 tasks[*task as usize].run + 1
             };
             worker.record_start(view.key.job, exclusive_ms, now);
-            let slowdown = gang_slowdown.unwrap_or(worker.health.slowdown());
-            let expected_ms = (view.usual_ms as f64 * slowdown * mean_ratio * remote_factor) as u64;
+            let factor = if is_uneven {
+                gang_slowdown.unwrap_or(worker.health.speed.slowdown()) * mean_ratio
+            } else {
+                worker.health.slowdown()
+            };
+            let expected_ms = (view.usual_ms as f64 * factor * remote_factor) as u64;
             let run_view = RunView {
                 run,
                 resources: spec.resources,
@@ -431,6 +469,9 @@
             view.proposed.insert(*task);
         }
         view.end_locality_wait();
+        if view.waiting.is_empty() {
+            self.locality.release(view.key);
+        }
         self.propose(QueueCommand::Start {
             step: view.key,
             placements: proposed,
