--- a/crates/control/src/queue_log.rs
+++ b/crates/control/src/queue_log.rs
@@ -80,7 +80,7 @@
     log::info!(
         step:% = waiting.step, tasks = waiting.tasks, waits_ms = waiting.waits_ms,
         reason:? = waiting.reason, lateness:? = waiting.lateness,
-        steps_ahead = waiting.steps_ahead, is_asking = waiting.is_asking,
+        is_over_share = waiting.is_over_share, steps_ahead = waiting.steps_ahead, is_asking = waiting.is_asking,
         request_due_ms:? = waiting.request_due_ms, reserved_in_ms:? = waiting.reserved_in_ms,
         workers_with_room = waiting.workers_with_room,
         tasks_that_fit = waiting.tasks_that_fit,
