Review: case 10, a suspected task waits though there is room

Shows: a task that lasts, whose runner crashed soon after its start, isn't started within 10 s when seven runners have room for it again, on a cluster that is 62 % full.

Cause: it may start only in a turn; turns that came while there was no room double the pause to the next one, up to 32 s.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 mod drain;
-mod lasting;
+mod suspect;
 mod two_disks;
 
 use std::thread;
@@ -14,7 +14,7 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Result<Vec<String>, String> {
     match case {
         "drain" => drain::run(trouble, record),
-        "lasting" => lasting::run(trouble, record),
+        "suspect" => suspect::run(trouble, record),
         "two-disks" => two_disks::run(trouble, record),
         other => Err(format!("no case {other}")),
     }
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -81,6 +81,7 @@
     changed: Condvar,
     is_up: AtomicBool,
     born_ms: u64,
+    kind: &'static str,
     drains: Mutex<Option<Drain>>,
     sequence: AtomicU64,
     server: Mutex<Option<Server>>,
@@ -88,6 +89,16 @@
 
 impl Runner {
     pub fn start(site: &Site, id: &str, address: SocketAddr) -> Result<Arc<Runner>, String> {
+        Runner::start_kind(site, id, address, "a")
+    }
+
+    /// Starts a life of a kind, which is the first of its labels.
+    pub fn start_kind(
+        site: &Site,
+        id: &str,
+        address: SocketAddr,
+        kind: &'static str,
+    ) -> Result<Arc<Runner>, String> {
         let runner = Arc::new(Runner {
             id: id.to_owned(),
             address,
@@ -97,6 +108,7 @@
             changed: Condvar::new(),
             is_up: AtomicBool::new(true),
             born_ms: unix_ms(),
+            kind,
             drains: Mutex::new(None),
             sequence: AtomicU64::new(0),
             server: Mutex::new(None),
@@ -186,11 +198,12 @@
             let body = format!(
                 "{{{}\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v1\",\
                  \"slots\":8,{state},\"cold-remaining-ms\":0,\"capacity\":{{\"cpu\":{CPU},\
-                 \"mem-mb\":32768,\"gpu\":0}},\"labels\":[\"a\",\"r1-1\"],\"clock-ms\":{},\
+                 \"mem-mb\":32768,\"gpu\":0}},\"labels\":[\"{}\",\"r1-1\"],\"clock-ms\":{},\
                  \"sequence\":{sequence}}}",
                 self.born(),
                 self.site.service,
                 self.address,
+                self.kind,
                 self.clock_ms()
             );
             let path = format!("/instances/{}", self.id);
