Let a member that moves keep its vote, and no late request remove one that answers

A request to join removed whatever member had the address or the identity of the process that asked. So a voter that came back at another address with its disk lost its vote, which leaves a group of five with four voters while two disks may be lost. And a request that arrives late, from an identity that its process had before it lost a disk, removed the voter that followed it.

Only a new identity at the address of a member that no longer answers shows a lost disk. A known identity that moves gets its address changed in one entry, which leaves the voters as they are. The decision is in a module of its own, without the node.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -66,6 +66,13 @@
         /// ID of the member to promote.
         member: MemberId,
     },
+    /// Changes the address of a member, which keeps its role.
+    Move {
+        /// ID of the member.
+        member: MemberId,
+        /// Address at which the member receives messages from now on.
+        address: String,
+    },
     /// Removes a member from the group.
     Remove {
         /// ID of the member to remove.
@@ -164,6 +171,11 @@
                 }
                 found.role = MemberRole::Voter;
             }
+            MembershipChange::Move { member, address } => {
+                let found = next.members.get_mut(member);
+                let found = found.ok_or(MembershipError::NotAMember(*member))?;
+                found.address.clone_from(address);
+            }
             MembershipChange::Remove { member } => {
                 next.members
                     .remove(member)
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -2,7 +2,6 @@
 
 use sapphirepost_consensus::Member;
 use sapphirepost_consensus::MemberRole;
-use sapphirepost_consensus::MembershipChange;
 use sapphirepost_consensus::ProposeError;
 use sapphirepost_process::rpc::Responder;
 use sapphirepost_protocol::queue::QueueReply;
@@ -12,15 +11,15 @@
 use crate::core::Core;
 use crate::group_size;
 use crate::group_size::MemberView;
+use crate::join_step::JoinStep;
+use crate::join_step::join_step;
 use crate::members::check_address;
 
 /// A member that the leader has not heard from for longer counts as dead.
 const SILENT_MAX_MS: u64 = 2_500;
 
 impl Core {
-    /// Adds a member without a vote. A member with the same address or identity is removed first,
-    /// and a later call adds the new one: a process that lost its disk returns with a new identity
-    /// at the old address.
+    /// Handles the request of a process to become a member without a vote, as [`join_step`] decides.
     pub(crate) fn join(
         &mut self,
         now: Millis,
@@ -31,24 +30,17 @@
         if let Err(reason) = check_address(&address) {
             return done.send(Ok(QueueReply::Invalid(reason)));
         }
-        let members = &self.node.membership().members;
-        if let Some(known) = members
-            .get(&member)
-            .filter(|known| known.address == address)
-        {
-            let is_voter = known.role == MemberRole::Voter;
-            return done.send(Ok(QueueReply::Joining { is_voter }));
-        }
-        let former = members
-            .iter()
-            .find(|(id, known)| known.address == address || **id == member);
-        let change = match former {
-            Some((former, _)) => MembershipChange::Remove { member: *former },
-            None => MembershipChange::Add {
-                member,
-                address: address.clone(),
-                promote: false,
-            },
+        let silent_min_ms = self.leader_settings.election_timeout_ms;
+        let is_silent = |id| self.silent_ms(id) >= silent_min_ms;
+        let change = match join_step(self.node.membership(), member, &address, is_silent) {
+            JoinStep::Known { is_voter } => {
+                return done.send(Ok(QueueReply::Joining { is_voter }));
+            }
+            JoinStep::Wait => {
+                log::info!(member:%, address; "another member still answers at this address");
+                return done.send(Ok(QueueReply::Joining { is_voter: false }));
+            }
+            JoinStep::Change(change) => change,
         };
         match self.node.propose_membership(now, change.clone()) {
             Ok(_) => {
@@ -62,6 +54,13 @@
         }
     }
 
+    /// For how long this leader has not heard from a member, in milliseconds; 0 for itself.
+    fn silent_ms(&self, id: MemberId) -> u64 {
+        let progress = self.node.member_progress(id);
+        let silent_ms = progress.and_then(|progress| progress.silent_ms);
+        silent_ms.unwrap_or(0)
+    }
+
     /// Proposes the next change of the voters, if one is needed.
     pub(crate) fn adjust_voters(&mut self, now: Millis) {
         let own = self.node.id();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod group_size;
 mod incarnation_log;
 mod initial_voters;
+pub mod join_step;
 mod joining;
 mod leader_settings;
 mod leadership;
