Remove no silent voter that the promised fault tolerance needs

Two are dark for 5.8 s and keep their disks; meanwhile two others lose theirs. All five are back, and each read of the acknowledged configuration and of an accepted job is answered 503, for good (CONFIG, LOST).

Cause: who votes followed from who answered. The leader removed voters that were silent for 2.5 s if those that answered tolerated more failures without them. It asked how long the service goes on and not how many disks hold what is acknowledged, and no process read `fault-tolerance`. Three voters bear one lost disk.

Evidence: both removals stand in the leader's log 2.5 s after the loss of power, the acknowledgement comes after them, and all that return stay PreCandidate to the end.

Change: with f promised losses the leader removes a silent voter only if 2f + 1 remain, gives a standby its vote while there are fewer, also while others are dark, and doesn't trim an even group below. Any f disks may then be lost, and the others are a majority once they are back. The promise is read again when the settings change. The log and five metrics say what the group tolerates and promises.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -43,6 +43,8 @@
 use crate::event::EventReceiver;
 use crate::follower_reads::StateAge;
 use crate::group_size::EvenTimer;
+use crate::group_tolerance::FaultTolerance;
+use crate::group_tolerance::GroupTolerance;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::LEADER_TICK_INTERVAL_MS;
 use crate::leadership::Leadership;
@@ -114,6 +116,8 @@
     pub(crate) state_age: StateAge,
     /// How long the group has been even, as seen by this member as the leader.
     pub(crate) even_timer: EvenTimer,
+    pub(crate) fault_tolerance: FaultTolerance,
+    pub(crate) group_tolerance: GroupTolerance,
     pub(crate) load: CoreLoad,
     pub(crate) commit_path: CommitPath,
     /// When a graceful stop ends without a leadership transfer; `None` unless stopping.
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -63,22 +63,12 @@
 
     /// Proposes the next change of the voters, if one is needed.
     pub(crate) fn adjust_voters(&mut self, now: Millis) {
-        let own = self.node.id();
-        let members = self.node.membership().members.iter();
-        let view = |(id, member): (&MemberId, &Member)| {
-            let progress = self.node.member_progress(*id);
-            let silent_ms = progress.and_then(|progress| progress.silent_ms);
-            MemberView {
-                id: *id,
-                is_voter: member.role == MemberRole::Voter,
-                is_live: *id == own || silent_ms.is_some_and(|ms| ms <= SILENT_MAX_MS),
-                is_self: *id == own,
-            }
-        };
-        let members: Vec<MemberView> = members.map(view).collect();
-        let is_even = group_size::is_even(&members);
+        let members = self.member_views();
+        let fault_tolerance = self.fault_tolerance.get();
+        self.group_tolerance.update(&members, fault_tolerance);
+        let is_even = group_size::is_even(&members, fault_tolerance);
         let even_ms = self.even_timer.update(is_even, self.node.term(), now);
-        let Some(change) = group_size::next_change(&members, even_ms) else {
+        let Some(change) = group_size::next_change(&members, fault_tolerance, even_ms) else {
             return;
         };
         // A change that is refused now, for instance because a member has not caught up, is
@@ -87,4 +77,16 @@
             log::info!(change:?, members = members.len(); "voters change");
         }
     }
+
+    fn member_views(&self) -> Vec<MemberView> {
+        let own = self.node.id();
+        let view = |(id, member): (&MemberId, &Member)| MemberView {
+            id: *id,
+            is_voter: member.role == MemberRole::Voter,
+            is_live: self.silent_ms(*id) <= SILENT_MAX_MS,
+            is_self: *id == own,
+        };
+        let members = self.node.membership().members.iter();
+        members.map(view).collect()
+    }
 }
--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -68,6 +68,7 @@
             .is_some_and(|current| current.term != term);
         if !is_leading || is_other_term {
             self.clear_cluster_metrics();
+            self.group_tolerance.clear();
             self.leadership.current = None;
             self.leadership.output = Output::default();
             self.leadership.backlog.clear();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -13,6 +13,7 @@
 use sapphirepost_process::settings::SettingsErrors;
 use sapphirepost_types::MemberId;
 
+use crate::group_tolerance::FaultTolerance;
 use crate::initial_voters::InitialVoter;
 use crate::initial_voters::InitialVoters;
 
@@ -23,6 +24,9 @@
 const SEGMENT_BYTES: Number = Number::new(16 << 20, 4096, 1 << 30, "bytes");
 const REQUEST_MEMORY: Number = Number::new(64 << 10, 16 << 10, 1 << 20, "KiB");
 
+/// How many machines may be lost in a group of which operators choose the voters.
+const FAULT_TOLERANCE: usize = 1;
+
 /// How many heartbeat intervals must fit into the election timeout, so that one late heartbeat does
 /// not cause an election.
 const HEARTBEATS_PER_TIMEOUT: u64 = 3;
@@ -108,6 +112,9 @@
     pub initial_voters: InitialVoters,
     /// The identity that a new data directory is given; a random one if `None`.
     pub new_member: Option<MemberId>,
+    /// How many machines may be lost at the same time. Only a program that provides
+    /// [`QueueParts`](crate::QueueParts) chooses the voters by it.
+    pub fault_tolerance: FaultTolerance,
     /// The shortest election timeout in milliseconds.
     pub election_timeout_ms: u64,
     /// Time between heartbeats of the leader in milliseconds.
@@ -172,6 +179,7 @@
                 inner_key: Some(inner_key?),
                 initial_voters: InitialVoters(initial_voters),
                 new_member: None,
+                fault_tolerance: FaultTolerance::new(FAULT_TOLERANCE),
                 election_timeout_ms,
                 heartbeat_ms,
                 lease_ms,
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -57,6 +57,8 @@
 use crate::event::EventSender;
 use crate::follower_reads::StateAge;
 use crate::group_size::EvenTimer;
+use crate::group_tolerance::GroupTolerance;
+use crate::group_tolerance::ToleranceMetrics;
 use crate::initial_voters::InitialVoters;
 use crate::leader_settings::LeaderSettings;
 use crate::leadership::Leadership;
@@ -191,6 +193,7 @@
     let cluster_metrics = ClusterMetrics::register(&metrics);
     let clock_metrics = ClockMetrics::register(&metrics);
     let queue_metrics = QueueMetrics::register(&metrics);
+    let tolerance_metrics = ToleranceMetrics::register(&metrics);
     let storage =
         StorageThread::start(Box::new(store), event_sender.clone(), core_metrics.clone())?;
 
@@ -248,13 +251,14 @@
         peers,
         &storage,
         readiness,
-        (
-            core_metrics,
-            load_metrics,
+        MetricSet {
+            core: core_metrics,
+            load: load_metrics,
             hops,
-            cluster_metrics,
-            clock_metrics,
-        ),
+            cluster: cluster_metrics,
+            clock: clock_metrics,
+            tolerance: tolerance_metrics,
+        },
         Queues::new(queue_parts, event_sender.clone(), queue_metrics),
     )?;
     let result = core.run(&events);
@@ -347,19 +351,23 @@
     Ok(())
 }
 
+/// The metrics that the core thread sets.
+struct MetricSet {
+    core: CoreMetrics,
+    load: LoadMetrics,
+    hops: Hops,
+    cluster: ClusterMetrics,
+    clock: ClockMetrics,
+    tolerance: ToleranceMetrics,
+}
+
 fn new_core(
     settings: &Settings,
     restored: PersistentState,
     peers: Peers,
     storage: &StorageThread,
     readiness: Readiness,
-    (metrics, load_metrics, hops, cluster_metrics, clock_metrics): (
-        CoreMetrics,
-        LoadMetrics,
-        Hops,
-        ClusterMetrics,
-        ClockMetrics,
-    ),
+    metrics: MetricSet,
     queues: Queues,
 ) -> anyhow::Result<Core> {
     let member = peers.member();
@@ -373,7 +381,7 @@
     config.election_timeout_ms = settings.election_timeout_ms;
     config.heartbeat_ms = settings.heartbeat_ms;
     let node = Node::new(config, restored, clock.now());
-    let cluster_clock = ClusterClock::new(node.last_index(), clock_metrics);
+    let cluster_clock = ClusterClock::new(node.last_index(), metrics.clock);
     let storage_requests = storage.sender();
     let snapshots = Snapshots::start(settings.snapshot_entries, applied, storage_requests.clone())?;
     Ok(Core {
@@ -386,9 +394,9 @@
         storage_requests,
         snapshots,
         readiness,
-        metrics,
+        metrics: metrics.core,
         cluster_clock,
-        cluster_metrics,
+        cluster_metrics: metrics.cluster,
         leader_settings: LeaderSettings {
             member,
             lease_ms: settings.lease_ms,
@@ -399,8 +407,10 @@
         relayed_reports: RelayedReports::default(),
         state_age: StateAge::default(),
         even_timer: EvenTimer::default(),
-        load: CoreLoad::new(load_metrics),
-        commit_path: CommitPath::new(hops),
+        fault_tolerance: settings.fault_tolerance.clone(),
+        group_tolerance: GroupTolerance::new(metrics.tolerance),
+        load: CoreLoad::new(metrics.load),
+        commit_path: CommitPath::new(metrics.hops),
         stop_deadline: None,
     })
 }
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -10,6 +10,7 @@
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
+use sapphirepost_control::FaultTolerance;
 use sapphirepost_control::InitialVoter;
 use sapphirepost_control::InitialVoters;
 use sapphirepost_control::LocalControl;
@@ -148,6 +149,7 @@
         inner_key: None,
         initial_voters: InitialVoters(voters.to_vec()),
         new_member: Some(member),
+        fault_tolerance: FaultTolerance::new(1),
         election_timeout_ms: ELECTION_TIMEOUT_MS,
         heartbeat_ms: 40,
         lease_ms: 4_000,
--- a/crates/control/tests/queue_calls.rs
+++ b/crates/control/tests/queue_calls.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join;
 use tokio::runtime::Runtime;
 
+use sapphirepost_control::FaultTolerance;
 use sapphirepost_control::InitialVoter;
 use sapphirepost_control::InitialVoters;
 use sapphirepost_control::LocalControl;
@@ -106,6 +107,7 @@
             inner_key: None,
             initial_voters: InitialVoters(vec![voter]),
             new_member: Some(MEMBER),
+            fault_tolerance: FaultTolerance::new(1),
             election_timeout_ms: 200,
             heartbeat_ms: 40,
             lease_ms: 4_000,
