Wait for the voters of a new group before its first table is accepted

A new leader of a group without a table refuses the first one as busy for up to 1 s while the voters bear fewer lost disks than promised; the program that relays it repeats it, so the operator's call waits. Without a table no job is accepted either. A group that is too small accepts the table after that second. Groups of three that promise one loss never wait.

--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -1,5 +1,7 @@
 //! Members that join on their own, and the adjustment of the voters.
 
+use std::time::Duration;
+
 use sapphirepost_consensus::Member;
 use sapphirepost_consensus::MemberRole;
 use sapphirepost_consensus::ProposeError;
@@ -11,12 +13,16 @@
 use crate::core::Core;
 use crate::group_size;
 use crate::group_size::MemberView;
+use crate::group_size::Tolerance;
 use crate::join_step::JoinStep;
 use crate::join_step::join_step;
 use crate::members::check_address;
 
 /// A member that the leader has not heard from for longer counts as dead.
 const SILENT_MAX_MS: u64 = 2_500;
+/// How long a new leader waits for voters before it accepts the first table. Processes that start
+/// together with it have joined by then.
+const FOUNDING_MAX: Duration = Duration::from_millis(1_000);
 
 impl Core {
     /// Handles the request of a process to become a member without a vote, as [`join_step`] decides.
@@ -78,6 +84,16 @@
         }
     }
 
+    /// Whether a group that has no table yet tolerates fewer lost disks than promised, and more
+    /// processes may still join. What it acknowledged now would be lost with too few disks; without
+    /// a table it acknowledges no jobs either.
+    pub(crate) fn awaits_voters(&self) -> bool {
+        let began = self.leadership.began();
+        let is_new = began.is_some_and(|began| began.elapsed() < FOUNDING_MAX);
+        let tolerance = Tolerance::of(&self.member_views());
+        is_new && tolerance.disk_losses < self.fault_tolerance.get()
+    }
+
     fn member_views(&self) -> Vec<MemberView> {
         let own = self.node.id();
         let view = |(id, member): (&MemberId, &Member)| MemberView {
--- a/crates/control/src/queue_calls.rs
+++ b/crates/control/src/queue_calls.rs
@@ -288,6 +288,9 @@
         if known.is_some_and(|known| known >= table.version) {
             return done.send(Ok(QueueReply::TableInForce));
         }
+        if known.is_none() && self.awaits_voters() {
+            return done.send(Err(RpcError::Busy));
+        }
         log::info!(version = table.version, queues = table.queues.len(); "table proposed");
         let command = QueueCommand::PutTable(Box::new(table));
         self.queues
