Let a standby that is behind keep no other one from its vote

The leader promotes the first live standby. One that answers but doesn't catch up, because its disk is full or slow, was proposed and refused in each round, and the next standby never had its turn: with two promised losses the group then stays with four voters or with a dead one. The choice now knows who has caught up.

A promise that is too large to be doubled counts as the largest number, instead of a small one.

a_standby_that_is_behind_keeps_no_other_from_its_vote and a_promise_beyond_all_numbers_removes_no_voter need the new field and are on the pure choice; before, the first one's state gave promote(5).

--- a/crates/control/src/group_size.rs
+++ b/crates/control/src/group_size.rs
@@ -34,6 +34,8 @@
     pub is_voter: bool,
     /// Whether the leader has heard from it recently; true for the leader itself.
     pub is_live: bool,
+    /// Whether it has synced everything that is committed; a standby may vote only then.
+    pub is_caught_up: bool,
     /// Whether it is the leader itself, which [`next_change`] never removes.
     pub is_self: bool,
 }
@@ -58,7 +60,8 @@
 /// The fewest voters with which the group keeps what it has acknowledged while `fault_tolerance`
 /// disks are lost.
 pub fn voters_needed(fault_tolerance: usize) -> usize {
-    (2 * fault_tolerance + 1).max(VOTERS_MIN)
+    let needed = fault_tolerance.saturating_mul(2).saturating_add(1);
+    needed.max(VOTERS_MIN)
 }
 
 /// The next change towards an odd number of live voters, if one is needed. `fault_tolerance` is the
@@ -74,7 +77,8 @@
         .or_else(|| removal_from_even(members, fault_tolerance, even_ms))
 }
 
-/// Promotes a live standby if there are too few voters or too few live ones.
+/// Promotes a live standby if there are too few voters or too few live ones. One that is still
+/// catching up, perhaps for long because its disk is full, does not keep the others waiting.
 fn promotion(members: &[MemberView], needed: usize) -> Option<MembershipChange> {
     let count = Count::of(members);
     let is_short = count.voters < needed && count.live >= VOTERS_MIN;
@@ -83,7 +87,7 @@
     }
     let standby = members
         .iter()
-        .find(|member| !member.is_voter && member.is_live)?;
+        .find(|member| !member.is_voter && member.is_live && member.is_caught_up)?;
     Some(MembershipChange::Promote { member: standby.id })
 }
 
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -67,6 +67,11 @@
         silent_ms.unwrap_or(0)
     }
 
+    fn has_caught_up(&self, id: MemberId) -> bool {
+        let progress = self.node.member_progress(id);
+        progress.is_some_and(|progress| progress.matched >= self.node.commit_index())
+    }
+
     /// Proposes the next change of the voters, if one is needed.
     pub(crate) fn adjust_voters(&mut self, now: Millis) {
         let members = self.member_views();
@@ -77,7 +82,7 @@
         let Some(change) = group_size::next_change(&members, fault_tolerance, even_ms) else {
             return;
         };
-        // A change that is refused now, for instance because a member has not caught up, is
+        // A change that is refused now, for instance because an earlier one is not committed yet, is
         // proposed again in a later round.
         if self.node.propose_membership(now, change.clone()).is_ok() {
             log::info!(change:?, members = members.len(); "voters change");
@@ -100,6 +105,7 @@
             id: *id,
             is_voter: member.role == MemberRole::Voter,
             is_live: self.silent_ms(*id) <= SILENT_MAX_MS,
+            is_caught_up: self.has_caught_up(*id),
             is_self: *id == own,
         };
         let members = self.node.membership().members.iter();
--- a/crates/control/tests/group_size.rs
+++ b/crates/control/tests/group_size.rs
@@ -10,13 +10,14 @@
 use sapphirepost_types::MemberId;
 use sapphirepost_types::Millis;
 
-/// Members in the order of their numbers, from 1: `L` leads, `v` votes, `s` is a standby; a
-/// capital `V` or `S` is out of contact with the leader.
+/// Members in the order of their numbers, from 1: `L` leads, `v` votes, `s` is a standby, `b` is one
+/// that is behind; a capital `V` or `S` is out of contact with the leader.
 fn members(text: &str) -> Vec<MemberView> {
     let view = |(index, kind): (usize, char)| MemberView {
         id: MemberId(index as u64 + 1),
         is_voter: matches!(kind, 'L' | 'v' | 'V'),
-        is_live: matches!(kind, 'L' | 'v' | 's'),
+        is_live: matches!(kind, 'L' | 'v' | 's' | 'b'),
+        is_caught_up: kind != 'b',
         is_self: kind == 'L',
     };
     text.chars().enumerate().map(view).collect()
@@ -143,6 +144,23 @@
     assert_eq!(change_with(2, "Ls"), None);
 }
 
+/// Guards against a standby that catches up for long, for instance because its disk is full, and
+/// keeps another one from the vote that the group needs.
+#[test]
+fn a_standby_that_is_behind_keeps_no_other_from_its_vote() {
+    assert_eq!(change_with(2, "Lvvvbs"), promote(6));
+    assert_eq!(change_with(1, "LvVbs"), promote(5));
+    assert_eq!(change_with(2, "Lvvvb"), None);
+}
+
+/// Guards against a promise from the settings that is too large to be doubled.
+#[test]
+fn a_promise_beyond_all_numbers_removes_no_voter() {
+    assert_eq!(change_with(usize::MAX, "LvvVV"), None);
+    assert_eq!(change_with(usize::MAX / 2 + 1, "LvvVV"), None);
+    assert_eq!(change_with(usize::MAX, "Lvvvvs"), promote(6));
+}
+
 /// Guards against a group that is reduced to an odd number of voters although its promise needs
 /// all of them.
 #[test]
--- a/crates/control/tests/voter_losses.rs
+++ b/crates/control/tests/voter_losses.rs
@@ -167,8 +167,10 @@
     fn member_views(&self, leader: usize) -> Vec<MemberView> {
         let node = self.sim.node(leader);
         let members = node.membership().members.iter();
+        let matched = |id| node.member_progress(id).map_or(0, |found| found.matched);
         let view = |(id, member): (&MemberId, &sapphirepost_consensus::Member)| MemberView {
             id: *id,
+            is_caught_up: matched(*id) >= node.commit_index(),
             is_voter: member.role == MemberRole::Voter,
             is_live: self.silent_ms(leader, *id) <= SILENT_MAX_MS,
             is_self: *id == node.id(),
