--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -29,6 +29,8 @@
     /// Number of entries up to the index of a snapshot that stay in memory, so that a member that
     /// lags slightly can be sent entries instead of the snapshot.
     pub trailing_entries: u64,
+    /// Maximum size of these entries; if even the last one is larger, none stays.
+    pub trailing_bytes: usize,
     /// Seed of the random election timeouts; it is combined with the member ID.
     pub seed: u64,
     /// Faults of the protocol that tests inject; none by default.
@@ -50,6 +52,7 @@
             max_uncommitted_bytes: 16 * 1024 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             trailing_entries: 1_000,
+            trailing_bytes: 8 * 1024 * 1024,
             seed,
             faults: Faults::default(),
         }
--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -169,6 +169,9 @@
 
     /// Installs a snapshot and drops the entries that it covers. If the entry at the index of the
     /// snapshot has another term, the later entries are dropped too.
+    ///
+    /// A member whose disk takes no records may save a snapshot of a later term than its last hard
+    /// state. It has not voted since, since a vote is sent only once it is synced.
     pub fn install(&mut self, snapshot: Snapshot) {
         let index = snapshot.meta.index;
         let matches = self
@@ -176,6 +179,10 @@
             .iter()
             .all(|entry| entry.index != index || entry.term == snapshot.meta.term);
         self.entries.retain(|entry| entry.index > index && matches);
+        if self.hard_state.term < snapshot.meta.term {
+            self.hard_state.term = snapshot.meta.term;
+            self.hard_state.voted_for = None;
+        }
         self.snapshot = Some(snapshot);
     }
 }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -115,9 +115,11 @@
         }
     }
 
-    /// Drops the entries that a snapshot of this member covers, except for the last `trailing` ones.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, trailing: u64) {
-        let upto = snapshot.meta.index.saturating_sub(trailing);
+    /// Drops the entries that a snapshot of this member covers, except for the last `trailing` ones,
+    /// as far as these have at most `trailing_bytes`.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, trailing: u64, trailing_bytes: usize) {
+        let first_kept = snapshot.meta.index.saturating_sub(trailing) + 1;
+        let upto = self.start_of_tail(first_kept..=snapshot.meta.index, trailing_bytes);
         while self.base_index < upto {
             let Some(entry) = self.entries.pop_front() else {
                 break;
@@ -125,9 +127,25 @@
             self.base_index = entry.index;
             self.base_term = entry.term;
         }
+        // The snapshot is durable, even if the disk had no room for the last entries that it covers.
+        self.stable = self.stable.max(snapshot.meta.index);
         self.snapshot = Some(snapshot);
     }
 
+    /// The index before the longest tail of `range` whose entries have at most `max_bytes`.
+    fn start_of_tail(&self, range: RangeInclusive<Index>, max_bytes: usize) -> Index {
+        let mut size_bytes = 0;
+        let mut start = *range.end();
+        for index in range.rev() {
+            size_bytes += self.get(index).map_or(0, Entry::size_bytes);
+            if size_bytes > max_bytes {
+                break;
+            }
+            start = index - 1;
+        }
+        start
+    }
+
     /// Replaces the whole log with a received snapshot.
     pub(crate) fn reset(&mut self, snapshot: Snapshot) {
         self.base_index = snapshot.meta.index;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -61,7 +61,8 @@
     /// transfer: no other voter is in contact.
     #[error("no contact with a quorum")]
     QuorumLost,
-    /// A leadership transfer is in progress. For a command, also: too many bytes are uncommitted.
+    /// A leadership transfer is in progress. For a command, also: too many bytes are uncommitted,
+    /// or the log is too long.
     /// For a membership change, also: an earlier change is in progress, or no entry of the leader's
     /// term is committed yet. The request may be retried.
     #[error("busy")]
@@ -110,6 +111,8 @@
     pub(crate) transfer: Option<Transfer>,
     /// Whether the storage currently rejects records for lack of disk space.
     pub(crate) is_storage_full: bool,
+    /// Whether the owner takes no more entries until it has saved a snapshot.
+    pub(crate) is_log_too_long: bool,
     /// Whether the current campaign is part of a leadership transfer.
     pub(crate) is_transfer_campaign: bool,
     pub(crate) reads: Reads,
@@ -157,6 +160,7 @@
             uncommitted_bytes: 0,
             transfer: None,
             is_storage_full: false,
+            is_log_too_long: false,
             is_transfer_campaign: false,
             reads: Reads::default(),
             incoming_snapshot: None,
@@ -221,12 +225,20 @@
         if payload.len() > self.config.max_entry_bytes {
             return Err(ProposeError::TooLarge(payload.len()));
         }
-        if self.uncommitted_bytes > self.config.max_uncommitted_bytes || self.transfer.is_some() {
+        let has_room =
+            self.uncommitted_bytes <= self.config.max_uncommitted_bytes && !self.is_log_too_long;
+        if !has_room || self.transfer.is_some() {
             return Err(ProposeError::Busy);
         }
         Ok(self.append_as_leader(Payload::Command(payload)))
     }
 
+    /// Sets whether commands are refused as busy because the log grows faster than it can be
+    /// compacted.
+    pub fn set_log_too_long(&mut self, is_too_long: bool) {
+        self.is_log_too_long = is_too_long;
+    }
+
     /// Returns an error unless this member is the leader and in contact with a quorum.
     pub fn ensure_leading(&mut self, now: Millis) -> Result<(), ProposeError> {
         self.advance_clock(now);
@@ -265,7 +277,8 @@
     }
 
     /// Tells the node that a snapshot of the applied state has been saved. Drops the entries that it
-    /// covers, except for the last [`Config::trailing_entries`] ones.
+    /// covers, except for the last [`Config::trailing_entries`] ones within
+    /// [`Config::trailing_bytes`].
     pub fn compact(&mut self, snapshot: Snapshot) {
         let index = snapshot.meta.index;
         assert!(
@@ -281,7 +294,8 @@
             return;
         }
         self.memberships.compact(index);
-        self.log.compact(snapshot, self.config.trailing_entries);
+        let (entries, bytes) = (self.config.trailing_entries, self.config.trailing_bytes);
+        self.log.compact(snapshot, entries, bytes);
     }
 
     /// Advances the time of the node before any input is handled. A leader checks its contact with a
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use bytes::Bytes;
+
 use sapphirepost_consensus::Body;
 use sapphirepost_consensus::Config;
 use sapphirepost_consensus::Entry;
@@ -16,6 +18,8 @@
 use sapphirepost_consensus::PersistentState;
 use sapphirepost_consensus::ProposeError;
 use sapphirepost_consensus::Role;
+use sapphirepost_consensus::Snapshot;
+use sapphirepost_consensus::SnapshotMeta;
 use sapphirepost_consensus::StepDown;
 use sapphirepost_consensus::Term;
 use sapphirepost_types::MemberId;
@@ -411,3 +415,75 @@
         "{silent:?}"
     );
 }
+
+/// A leader of term 2 with commands of this size from index 3 on, which member 2 has not yet seen.
+fn leader_with_large_entries(config: Config, count: u64, size_bytes: usize) -> (Node, Millis) {
+    let (mut node, now) = elect(config, restored(&[], 1));
+    for _ in 0..count {
+        node.propose(now, vec![0; size_bytes].into()).unwrap();
+    }
+    (node, now)
+}
+
+/// The reply of a member that it has synced the entries up to an index.
+fn accept(node: &mut Node, now: Millis, member: u64, matched: u64) {
+    let message = Message {
+        group: GROUP,
+        term: node.term(),
+        body: Body::Accepted { matched, round: 0 },
+    };
+    node.step(now, MemberId(member), message);
+}
+
+/// Guards against a log that stays in memory after its snapshot, for members that lag, with as many
+/// entries as ever, however large.
+#[test]
+fn entries_that_stay_after_a_snapshot_are_bounded_in_bytes() {
+    const SIZE_BYTES: usize = 500_000;
+    let config = Config::new(MemberId(1), 1);
+    let kept = config.trailing_bytes / SIZE_BYTES;
+    let (mut node, now) = leader_with_large_entries(config, 30, SIZE_BYTES);
+    let last = node.last_index();
+    accept(&mut node, now, 2, last);
+    accept(&mut node, now, 3, last);
+    let mut handed_out = 0;
+    for _ in 0..100 {
+        let ready = node.ready();
+        handed_out = ready.committed.last().map_or(handed_out, |e| e.index);
+        let number = ready.number;
+        node.persisted(now, Persisted { number });
+    }
+    assert_eq!(handed_out, last);
+    let meta = SnapshotMeta {
+        index: last,
+        term: node.term(),
+        membership: node.membership().clone(),
+    };
+    let data = Bytes::from_static(b"state");
+    node.compact(Snapshot { meta, data });
+    let in_memory = (1..=last).filter(|index| node.term_at(*index).is_some());
+    // The term of the last entry before the kept ones is known as well.
+    let found = in_memory.count();
+    assert!(found <= kept + 1, "{found} entries of 500 kB stay");
+    assert!(found > kept / 2, "a member that lags slightly needs some");
+}
+
+/// Guards against two votes in one term by a member whose full disk took a snapshot of a later term
+/// but not the record of that term.
+#[test]
+fn a_snapshot_of_a_later_term_than_the_last_vote_counts_as_that_term() {
+    let mut state = restored(&[1], 1);
+    state.hard_state.voted_for = Some(MemberId(3));
+    let meta = SnapshotMeta {
+        index: 9,
+        term: 4,
+        membership: Membership::default(),
+    };
+    let data = Bytes::new();
+    state.install(Snapshot { meta, data });
+    assert_eq!(
+        (state.hard_state.term, state.hard_state.voted_for),
+        (4, None)
+    );
+    assert!(state.entries.is_empty());
+}
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -198,11 +198,8 @@
         let hops = self.commit_path.hops();
         hops.record(Hop::GroupEvent, queued_at.elapsed());
         match event {
-            Event::Step(step) => {
-                let body = &step.message.body;
-                if matches!(body, Body::Append { entries, .. } if !entries.is_empty()) {
-                    self.commit_path.received(queued_at);
-                }
+            Event::Step(step) if adds_entries(&step.message.body) => {
+                self.commit_path.received(queued_at);
             }
             Event::Persisted(up_to, _) => self.commit_path.written(up_to.number, queued_at),
             _ => {}
@@ -239,7 +236,9 @@
                 // Ignores a message to a former member whose address this one has taken over. While
                 // the disk is far behind, the member is silent, since most messages would add to
                 // what it has to write; a leader then loses contact with a quorum and steps down.
-                let is_ignored = self.storage_requests.is_backlogged();
+                // While a snapshot is late, only messages that add to the log are ignored.
+                let is_ignored = self.storage_requests.is_backlogged()
+                    || self.snapshots.is_log_too_long() && adds_entries(&step.message.body);
                 if step.to == self.node.id() && !is_ignored {
                     self.peers.note_address(step.from, &step.from_address);
                     self.node.step(now, step.from, step.message);
@@ -263,21 +262,27 @@
                 self.peers.send(messages, self.node.membership());
             }
             Event::SnapshotSaved(snapshot) => {
-                self.snapshots.saved(snapshot.meta.index);
+                let (index, bytes) = (snapshot.meta.index, snapshot.data.len());
+                log::info!(index, bytes, log_bytes = self.snapshots.log_bytes(); "snapshot saved");
+                self.metrics.snapshot_bytes.set(bytes as i64);
+                self.snapshots.saved(index);
                 self.node.compact(snapshot);
             }
             Event::SnapshotSkipped(reason) => {
-                self.snapshots.skipped(self.applied);
+                self.snapshots.skipped(now);
+                self.metrics.snapshots_skipped.inc();
                 log::warn!(reason; "snapshot skipped");
             }
             Event::StorageFull(reason) => {
                 log::error!(reason; "the disk takes no records; not leading until it does");
                 self.readiness.block("storage", "the disk has no room");
+                self.snapshots.set_disk_full(true);
                 self.node.set_storage_full(now, true);
             }
             Event::StorageHasSpace => {
                 log::info!("the disk takes records again");
                 self.readiness.clear("storage");
+                self.snapshots.set_disk_full(false);
                 self.node.set_storage_full(now, false);
             }
             Event::StorageFailed(reason) => return Err(CoreError::Storage(reason)),
@@ -312,6 +317,8 @@
                 break;
             }
         }
+        self.take_snapshot_if_due();
+        self.node.set_log_too_long(self.snapshots.is_log_too_long());
         self.update_metrics();
         Ok(is_output_left)
     }
@@ -362,7 +369,6 @@
         for read in ready.reads {
             self.handle_confirmed_read(read.token);
         }
-        self.take_snapshot_if_due();
         Ok(())
     }
 
@@ -377,6 +383,7 @@
 
     fn apply(&mut self, entry: &Entry) -> Result<(), CoreError> {
         self.applied = entry.index;
+        self.snapshots.record_applied(entry.size_bytes());
         match &entry.payload {
             Payload::Noop => {}
             Payload::Membership(membership) => {
@@ -422,7 +429,7 @@
     }
 
     fn take_snapshot_if_due(&mut self) {
-        if !self.snapshots.is_due(self.applied) {
+        if !self.snapshots.is_due(self.clock.now(), self.applied) {
             return;
         }
         let Some(term) = self.node.term_at(self.applied) else {
@@ -444,6 +451,8 @@
             .set(i64::from(self.node.role() == Role::Leader));
         self.metrics.commit.set(self.node.commit_index() as i64);
         self.metrics.applied.set(self.applied as i64);
+        let log_bytes = self.snapshots.log_bytes();
+        self.metrics.log_bytes.set(log_bytes as i64);
         match self.node.leader() {
             Some(_) => self.readiness.clear("consensus"),
             None => self.readiness.block("consensus", "no leader is known"),
@@ -451,6 +460,11 @@
     }
 }
 
+/// Whether a message adds entries to the log of its receiver.
+fn adds_entries(body: &Body) -> bool {
+    matches!(body, Body::Append { entries, .. } if !entries.is_empty())
+}
+
 fn apply_error(index: Index, error: impl ToString) -> CoreError {
     CoreError::Apply {
         index,
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -22,6 +22,14 @@
     pub syncs: Counter,
     /// Log records made durable by these syncs.
     pub synced_records: Counter,
+    /// Size of the applied log entries that no snapshot covers.
+    pub log_bytes: Gauge,
+    /// The size of these entries at which a snapshot is due.
+    pub log_bytes_due: Gauge,
+    /// Size of the last snapshot that this member has taken and saved.
+    pub snapshot_bytes: Gauge,
+    /// Snapshots that the disk had no room for.
+    pub snapshots_skipped: Counter,
 }
 
 impl CoreMetrics {
@@ -43,6 +51,26 @@
                 "Log records made durable",
                 Counter::default(),
             ),
+            log_bytes: metrics.register(
+                "control_log_bytes",
+                "Size of the applied log entries that no snapshot covers",
+                Gauge::default(),
+            ),
+            log_bytes_due: metrics.register(
+                "control_log_bytes_due",
+                "Size of these entries at which a snapshot is due",
+                Gauge::default(),
+            ),
+            snapshot_bytes: metrics.register(
+                "control_snapshot_bytes",
+                "Size of the last snapshot of this member",
+                Gauge::default(),
+            ),
+            snapshots_skipped: metrics.register(
+                "control_snapshots_skipped",
+                "Snapshots that the disk had no room for",
+                Counter::default(),
+            ),
         }
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -21,6 +21,7 @@
 const HEARTBEAT: Number = Number::new(60, 10, 5_000, "ms");
 const LEASE: Number = Number::new(6_000, 1_000, 60_000, "ms");
 const SNAPSHOT_ENTRIES: Number = Number::new(20_000, 10, 1_000_000, "entries");
+const SNAPSHOT_LOG_BYTES: Number = Number::new(32 << 20, 4096, 1 << 30, "bytes");
 const SEGMENT_BYTES: Number = Number::new(16 << 20, 4096, 1 << 30, "bytes");
 const REQUEST_MEMORY: Number = Number::new(64 << 10, 16 << 10, 1 << 20, "KiB");
 
@@ -65,6 +66,9 @@
     /// entries between two snapshots
     #[argh(option)]
     pub snapshot_entries: Option<String>,
+    /// size of the entries between two snapshots in bytes, if it is reached first
+    #[argh(option)]
+    pub snapshot_log_bytes: Option<String>,
     /// size of a log segment in bytes
     #[argh(option)]
     pub segment_bytes: Option<String>,
@@ -123,6 +127,9 @@
     pub lease_ms: u64,
     /// The number of applied log entries between two snapshots.
     pub snapshot_entries: u64,
+    /// The size of the applied log entries at which a snapshot is due before that number. Up to
+    /// twice as much is kept on the disk and in memory.
+    pub snapshot_log_bytes: usize,
     /// Size of a log segment in bytes.
     pub segment_bytes: u64,
     /// The memory for requests that arrive, shared by all listeners, in bytes.
@@ -164,6 +171,8 @@
         let lease_ms = reader.number("lease-ms", flags.lease_ms, LEASE);
         let entries = flags.snapshot_entries;
         let snapshot_entries = reader.number("snapshot-entries", entries, SNAPSHOT_ENTRIES);
+        let log = flags.snapshot_log_bytes;
+        let snapshot_log_bytes = reader.number("snapshot-log-bytes", log, SNAPSHOT_LOG_BYTES);
         let segment_bytes = reader.number("segment-bytes", flags.segment_bytes, SEGMENT_BYTES);
         let memory = flags.request_memory_kib;
         let request_memory_kib = reader.number("request-memory-kib", memory, REQUEST_MEMORY);
@@ -184,6 +193,7 @@
                 heartbeat_ms,
                 lease_ms,
                 snapshot_entries,
+                snapshot_log_bytes: snapshot_log_bytes as usize,
                 segment_bytes,
                 request_memory_bytes: request_memory_kib as usize * 1024,
                 descriptor_limit: descriptors::limit(),
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -71,9 +71,13 @@
 use crate::queues::Queues;
 use crate::relayed_reports::RelayedReports;
 use crate::settings::Settings;
+use crate::snapshots::SnapshotInterval;
 use crate::snapshots::Snapshots;
 use crate::storage_thread::StorageThread;
 
+/// The part of the size of the log at which a snapshot is due that stays in memory afterwards, for
+/// members that lag slightly.
+const TRAILING_DIVISOR: usize = 2;
 /// The most threads of the asynchronous runtime; scheduling decisions run on the core thread.
 const NETWORK_THREADS_MAX: usize = 2;
 /// Threads that carry the calls of other processes. They are apart from the others, which may have
@@ -380,10 +384,16 @@
     let mut config = Config::new(member, seed);
     config.election_timeout_ms = settings.election_timeout_ms;
     config.heartbeat_ms = settings.heartbeat_ms;
+    config.trailing_bytes = settings.snapshot_log_bytes / TRAILING_DIVISOR;
     let node = Node::new(config, restored, clock.now());
     let cluster_clock = ClusterClock::new(node.last_index(), metrics.clock);
     let storage_requests = storage.sender();
-    let snapshots = Snapshots::start(settings.snapshot_entries, applied, storage_requests.clone())?;
+    let interval = SnapshotInterval {
+        entries: settings.snapshot_entries,
+        bytes: settings.snapshot_log_bytes,
+    };
+    metrics.core.log_bytes_due.set(interval.bytes as i64);
+    let snapshots = Snapshots::start(interval, applied, storage_requests.clone())?;
     Ok(Core {
         clock,
         node,
--- a/crates/control/src/storage_thread.rs
+++ b/crates/control/src/storage_thread.rs
@@ -2,7 +2,8 @@
 //!
 //! All requests that are queued when a sync ends share the next sync; when the thread is idle, a
 //! request is synced at once. Records that do not fit on the disk are retried until they are
-//! written; nothing after them is acknowledged before.
+//! written; nothing after them is acknowledged before. Meanwhile snapshots that this member takes
+//! are still saved, since only they can free room.
 
 use std::io;
 use std::thread;
@@ -43,6 +44,14 @@
     SaveSnapshot(Snapshot),
 }
 
+/// What the thread takes from its queue.
+enum Queued {
+    Request(StorageRequest),
+    /// A snapshot that this member has taken is in the channel of its own, from which it can be
+    /// taken before the requests that wait for room.
+    OwnSnapshot,
+}
+
 /// The storage thread has ended, after it has reported its failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the storage thread has ended")]
@@ -53,17 +62,28 @@
 /// Sending never blocks. The storage thread blocks on the channel of events, so if the core thread
 /// blocked on the queue of requests, both could wait for each other for ever.
 #[derive(Clone)]
-pub struct StorageSender(flume::Sender<StorageRequest>);
+pub struct StorageSender {
+    requests: flume::Sender<Queued>,
+    snapshots: flume::Sender<Snapshot>,
+}
 
 impl StorageSender {
     /// Queues a request. Fails if the storage thread has ended.
     pub fn send(&self, request: StorageRequest) -> Result<(), StorageEnded> {
-        self.0.send(request).map_err(|_| StorageEnded)
+        let queued = match request {
+            StorageRequest::SaveSnapshot(snapshot) => {
+                let sent = self.snapshots.send(snapshot);
+                sent.map_err(|_| StorageEnded)?;
+                Queued::OwnSnapshot
+            }
+            persist => Queued::Request(persist),
+        };
+        self.requests.send(queued).map_err(|_| StorageEnded)
     }
 
     /// Whether so many requests are queued that the sender has to avoid further ones.
     pub fn is_backlogged(&self) -> bool {
-        self.0.len() >= BACKLOG_REQUESTS
+        self.requests.len() >= BACKLOG_REQUESTS
     }
 }
 
@@ -90,11 +110,25 @@
         metrics: CoreMetrics,
     ) -> io::Result<StorageThread> {
         let (requests, queue) = flume::unbounded();
-        let run = move || run(store, &queue, &events, &metrics);
+        let (snapshots, own_snapshots) = flume::unbounded();
+        let run = move || {
+            let mut writer = Writer {
+                store,
+                queue: &queue,
+                own_snapshots: &own_snapshots,
+                events: &events,
+                metrics: &metrics,
+                is_full: false,
+            };
+            writer.run();
+        };
         let thread = thread::Builder::new()
             .name("storage".to_owned())
             .spawn(run)?;
-        let requests = StorageSender(requests);
+        let requests = StorageSender {
+            requests,
+            snapshots,
+        };
         Ok(StorageThread { requests, thread })
     }
 
@@ -110,33 +144,6 @@
     }
 }
 
-fn run(
-    store: Box<dyn LogStore>,
-    queue: &flume::Receiver<StorageRequest>,
-    events: &EventSender,
-    metrics: &CoreMetrics,
-) {
-    let mut writer = Writer {
-        store,
-        queue,
-        events,
-        metrics,
-        is_full: false,
-    };
-    while let Ok(first) = queue.recv() {
-        let requests = std::iter::once(first).chain(queue.try_iter());
-        match writer.write(requests) {
-            Ok(Flow::Continue) => {}
-            Ok(Flow::Stop) => return,
-            Err(error) => {
-                // Nothing may be acknowledged from here on.
-                events.send_blocking(Event::StorageFailed(error.to_string()));
-                return;
-            }
-        }
-    }
-}
-
 enum Flow {
     Continue,
     /// The process stops while records or a received snapshot wait for disk space. They were never
@@ -147,7 +154,8 @@
 /// Writes requests in their order.
 struct Writer<'a> {
     store: Box<dyn LogStore>,
-    queue: &'a flume::Receiver<StorageRequest>,
+    queue: &'a flume::Receiver<Queued>,
+    own_snapshots: &'a flume::Receiver<Snapshot>,
     events: &'a EventSender,
     metrics: &'a CoreMetrics,
     /// Whether records or a received snapshot wait for disk space.
@@ -155,18 +163,36 @@
 }
 
 impl Writer<'_> {
-    fn write(
-        &mut self,
-        requests: impl Iterator<Item = StorageRequest>,
-    ) -> Result<Flow, StoreError> {
+    /// Writes what is queued until all senders are gone or the storage fails.
+    fn run(&mut self) {
+        while let Ok(first) = self.queue.recv() {
+            let queued = std::iter::once(first).chain(self.queue.try_iter());
+            match self.write(queued) {
+                Ok(Flow::Continue) => {}
+                Ok(Flow::Stop) => return,
+                Err(error) => {
+                    // Nothing may be acknowledged from here on.
+                    let failed = Event::StorageFailed(error.to_string());
+                    self.events.send_blocking(failed);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, queued: impl Iterator<Item = Queued>) -> Result<Flow, StoreError> {
         let mut batch = SyncBatch::default();
-        for mut request in requests {
+        for next in queued {
+            let Queued::Request(mut request) = next else {
+                self.save_own_snapshots(&mut batch)?;
+                continue;
+            };
             while let Err(error) = self.try_write(&mut request, &mut batch) {
                 if !error.is_out_of_space() {
                     return Err(error);
                 }
                 self.finish(std::mem::take(&mut batch))?;
-                if let Flow::Stop = self.wait_for_space(&error) {
+                if let Flow::Stop = self.wait_for_space(&error)? {
                     return Ok(Flow::Stop);
                 }
             }
@@ -181,47 +207,57 @@
         request: &mut StorageRequest,
         batch: &mut SyncBatch,
     ) -> Result<(), StoreError> {
-        match request {
-            StorageRequest::Persist {
-                number,
-                snapshot,
-                records,
-                messages,
-            } => {
-                if let Some(received) = snapshot {
-                    self.store.save_snapshot(&received.meta, &received.data)?;
-                    *snapshot = None;
-                }
-                self.store.append(records)?;
-                self.clear_full();
-                batch.records += records.len() as u64;
-                batch.number = Some(*number);
-                batch.messages.append(messages);
-            }
-            StorageRequest::SaveSnapshot(own) => {
-                match self.store.save_snapshot(&own.meta, &own.data) {
-                    Ok(()) => batch.saved.push(own.clone()),
-                    Err(error) if error.is_out_of_space() => {
-                        let skipped = Event::SnapshotSkipped(error.to_string());
-                        self.events.send_blocking(skipped);
-                    }
-                    Err(error) => return Err(error),
+        let StorageRequest::Persist {
+            number,
+            snapshot,
+            records,
+            messages,
+        } = request
+        else {
+            return Ok(());
+        };
+        if let Some(received) = snapshot {
+            self.store.save_snapshot(&received.meta, &received.data)?;
+            *snapshot = None;
+        }
+        self.store.append(records)?;
+        self.clear_full();
+        batch.records += records.len() as u64;
+        batch.number = Some(*number);
+        batch.messages.append(messages);
+        Ok(())
+    }
+
+    /// Saves the snapshots that this member has taken, or reports that the disk has no room for
+    /// them.
+    fn save_own_snapshots(&mut self, batch: &mut SyncBatch) -> Result<(), StoreError> {
+        for own in self.own_snapshots.try_iter() {
+            match self.store.save_snapshot(&own.meta, &own.data) {
+                Ok(()) => batch.saved.push(own),
+                Err(error) if error.is_out_of_space() => {
+                    let skipped = Event::SnapshotSkipped(error.to_string());
+                    self.events.send_blocking(skipped);
                 }
+                Err(error) => return Err(error),
             }
         }
         Ok(())
     }
 
-    fn wait_for_space(&mut self, error: &StoreError) -> Flow {
+    /// Waits for a moment, and saves snapshots that this member has taken, which may free room.
+    fn wait_for_space(&mut self, error: &StoreError) -> Result<Flow, StoreError> {
         if !std::mem::replace(&mut self.is_full, true) {
             let full = Event::StorageFull(error.to_string());
             self.events.send_blocking(full);
         }
         if self.queue.is_disconnected() {
-            return Flow::Stop;
+            return Ok(Flow::Stop);
         }
         thread::sleep(SPACE_POLL_INTERVAL);
-        Flow::Continue
+        let mut batch = SyncBatch::default();
+        self.save_own_snapshots(&mut batch)?;
+        self.finish(batch)?;
+        Ok(Flow::Continue)
     }
 
     fn clear_full(&mut self) {
--- a/crates/control/tests/common/embedded.rs
+++ b/crates/control/tests/common/embedded.rs
@@ -154,6 +154,7 @@
         heartbeat_ms: 40,
         lease_ms: 4_000,
         snapshot_entries: 10_000,
+        snapshot_log_bytes: 16 << 20,
         segment_bytes: 1 << 20,
         request_memory_bytes: 64 << 20,
         descriptor_limit: 1_024,
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -1,9 +1,9 @@
 //! The store on disk.
 //!
-//! The data directory contains `lock`, `identity.json`, `log-<number>.seg` and
-//! `snapshot-<index>.snap`. A failed sync of the log, or a write that fails for any reason but a full
-//! disk, makes the store unusable, since the operating system may have dropped the pages that it
-//! could not write.
+//! The data directory contains `lock`, `identity.json`, `log-<number>.seg`, `snapshot-<index>.snap`
+//! and `reserve`, which keeps room for the next snapshot. A failed sync of the log, or a write that
+//! fails for any reason but a full disk, makes the store unusable, since the operating system may
+//! have dropped the pages that it could not write.
 
 use std::fs;
 use std::fs::File;
@@ -20,6 +20,7 @@
 
 use crate::error::StoreError;
 use crate::identity;
+use crate::reserve::Reserve;
 use crate::segment;
 use crate::segment::ActiveSegment;
 use crate::segment::SealedSegment;
@@ -54,6 +55,9 @@
     member: MemberId,
     sealed: Vec<SealedSegment>,
     active: ActiveSegment,
+    reserve: Reserve,
+    /// The last entry that the newest snapshot covers; 0 if there is none.
+    snapshot_index: Index,
     /// The latest appended hard state.
     hard_state: Option<HardState>,
     /// The state found when the store was opened, until it is returned or the first write.
@@ -80,7 +84,11 @@
             }
             restored.apply(record);
         })?;
+        let mut snapshot_index = 0;
+        let mut reserve = Reserve::open(directory);
+        reserve.keep(snapshot.as_ref().map_or(0, |found| found.data.len() as u64))?;
         if let Some(snapshot) = snapshot {
+            snapshot_index = snapshot.meta.index;
             restored.install(snapshot);
         }
         check_sequence(directory, &restored)?;
@@ -90,6 +98,8 @@
             member,
             sealed,
             active,
+            reserve,
+            snapshot_index,
             hard_state,
             restored: Some(restored),
             is_failed: false,
@@ -128,6 +138,28 @@
         Ok(true)
     }
 
+    /// Saves a snapshot that found the disk full with `error`, in the room that is kept for it. The
+    /// segment in use is replaced if the snapshot covers it, so that it can be deleted as well.
+    fn save_snapshot_on_full_disk(
+        &mut self,
+        meta: &SnapshotMeta,
+        data: &[u8],
+        error: StoreError,
+    ) -> Result<(), StoreError> {
+        if !self.reserve.release()? {
+            return Err(error);
+        }
+        if let Err(error) = snapshot_file::save(&self.directory, meta, data) {
+            self.reserve.keep(data.len() as u64)?;
+            return Err(error);
+        }
+        if self.active.max_index() <= meta.index {
+            self.active.sync_records()?;
+            self.roll()?;
+        }
+        Ok(())
+    }
+
     /// Deletes the oldest segments up to the first one with entries that the snapshot does not cover.
     fn delete_obsolete_segments(&mut self, snapshot_index: Index) -> Result<(), StoreError> {
         let is_obsolete = |segment: &&SealedSegment| segment.max_index <= snapshot_index;
@@ -168,8 +200,18 @@
 
     fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
         self.run_write(|store| {
-            snapshot_file::save(&store.directory, meta, data)?;
-            store.delete_obsolete_segments(meta.index)
+            if meta.index < store.snapshot_index {
+                return Ok(());
+            }
+            match snapshot_file::save(&store.directory, meta, data) {
+                Err(error) if error.is_out_of_space() => {
+                    store.save_snapshot_on_full_disk(meta, data, error)?;
+                }
+                result => result?,
+            }
+            store.snapshot_index = meta.index;
+            store.delete_obsolete_segments(meta.index)?;
+            store.reserve.keep(data.len() as u64)
         })
     }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod identity;
 mod memory;
+mod reserve;
 mod segment;
 mod snapshot_file;
 mod store;
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -59,6 +59,10 @@
     }
 
     fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError> {
+        let newest = self.durable.snapshot.as_ref().map_or(0, |s| s.meta.index);
+        if meta.index < newest {
+            return Ok(());
+        }
         let data = bytes::Bytes::copy_from_slice(data);
         self.durable.install(Snapshot {
             meta: meta.clone(),
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -204,6 +204,11 @@
         self.length_bytes
     }
 
+    /// The greatest index of an entry in the segment; 0 if it contains no entries.
+    pub(crate) fn max_index(&self) -> Index {
+        self.max_index
+    }
+
     pub(crate) fn write_records(&mut self, records: &[Record]) -> Result<(), StoreError> {
         let mut buffer = Vec::new();
         for record in records {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -19,7 +19,8 @@
     /// Makes all appended records durable.
     fn sync(&mut self) -> Result<(), StoreError>;
 
-    /// Makes a snapshot durable; afterwards records that it covers may be deleted.
+    /// Makes a snapshot durable; afterwards records that it covers may be deleted. A snapshot older
+    /// than the newest one is ignored. The snapshot may cover entries that are not appended yet.
     fn save_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StoreError>;
 
     /// Returns the stored state. [`DiskStore`](crate::DiskStore) returns it only once, and only before
--- a/crates/storage/tests/disk.rs
+++ b/crates/storage/tests/disk.rs
@@ -265,3 +265,48 @@
     fs::remove_file(path.join("identity.json")).unwrap();
     assert!(matches!(open(&path), Err(StoreError::NoIdentity { .. })));
 }
+
+fn snapshot_meta(index: u64) -> SnapshotMeta {
+    SnapshotMeta {
+        index,
+        term: 1,
+        membership: Membership::default(),
+    }
+}
+
+/// Guards against a disk that its log has filled, with no room left for the snapshot that would free
+/// some.
+#[test]
+fn room_for_a_somewhat_larger_snapshot_is_kept() {
+    let directory = TempDir::new().unwrap();
+    let reserved = || fs::metadata(directory.path().join("reserve")).map_or(0, |m| m.len());
+    let mut store = open(directory.path()).unwrap();
+    assert!(reserved() > 0, "the first snapshot needs room as well");
+    for (index, size_bytes) in [(1, 3_000_000), (2, 3_500_000), (3, 9_000_000), (4, 1_000)] {
+        let data = vec![7; size_bytes];
+        store.save_snapshot(&snapshot_meta(index), &data).unwrap();
+        assert!(reserved() as usize >= size_bytes + size_bytes / 4);
+    }
+    drop(store);
+    fs::remove_file(directory.path().join("reserve")).unwrap();
+    drop(open(directory.path()).unwrap());
+    assert!(reserved() > 0, "the room is kept again after a start");
+}
+
+/// Guards against a member that falls back behind what it has acknowledged: a received snapshot that
+/// waited for room is written after a later one of its own.
+#[test]
+fn a_snapshot_older_than_the_newest_one_is_ignored() {
+    let directory = TempDir::new().unwrap();
+    let mut store = open(directory.path()).unwrap();
+    store.save_snapshot(&snapshot_meta(9), b"new").unwrap();
+    store.save_snapshot(&snapshot_meta(5), b"old").unwrap();
+    store
+        .append(&[Record::Reset { index: 5 }, entry(6, 1)])
+        .unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let restored = restore(directory.path()).unwrap();
+    assert_eq!(restored.snapshot.unwrap().data, "new");
+    assert!(restored.entries.is_empty());
+}
