Bound what is on its way to a member, and to the disk, in bytes

A leader sent up to 64 messages without a reply, each with at least one entry, here of half a megabyte; 512 more could be queued for a member and 64 be in calls, each of which holds its entries several times while it encodes them. Calls that were given up after 500 ms kept what they held as long as their connection lived. So a member that returned with an empty disk made each leader in turn hold the log many times over. The records that wait for a slow or full disk were bounded by their number alone as well.

Change: at most 2 MiB of entries are unacknowledged on their way to a member (one message more), at most 4 MiB are queued or in calls to it, given-up calls included until their connection has ended, and a member takes no more messages of the group once 16 MiB wait for its disk.

Why this works: what a member lacks is sent at the rate at which it acknowledges it, whatever the size of the entries; consensus sends again what is dropped.

Without the bounds entries_on_the_way_to_a_member_are_bounded_in_bytes fails with 15,001,488 bytes at once, and the_queue_of_requests_is_bounded_in_bytes_as_well with more than 20 MB in the queue.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -18,6 +18,9 @@
     pub max_entry_bytes: usize,
     /// Maximum number of unacknowledged append messages to one member.
     pub max_inflight_messages: usize,
+    /// No further entries are sent to a member while those that it has not acknowledged are at least
+    /// this large, since each of them takes memory on both sides until then.
+    pub max_inflight_bytes: usize,
     /// Maximum size of the entries in [`Ready::committed`](crate::Ready::committed); a larger entry
     /// is returned alone. The owner handles messages and the time between two parts.
     pub max_committed_bytes: usize,
@@ -48,6 +51,7 @@
             max_batch_bytes: 256 * 1024,
             max_entry_bytes: 4 * 1024 * 1024,
             max_inflight_messages: 64,
+            max_inflight_bytes: 2 * 1024 * 1024,
             max_committed_bytes: 64 * 1024,
             max_uncommitted_bytes: 16 * 1024 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -24,6 +24,17 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Approximate size of what the message carries: entries, or a part of a snapshot.
+    pub fn size_bytes(&self) -> usize {
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
+            Body::SnapshotChunk { data, .. } => data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The request or reply in a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -28,6 +28,41 @@
     },
 }
 
+/// The unacknowledged append messages to a member.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Inflight {
+    /// The index of the last entry of each message, and the size of all its entries.
+    messages: VecDeque<(Index, usize)>,
+    size_bytes: usize,
+}
+
+impl Inflight {
+    pub(crate) fn messages(&self) -> usize {
+        self.messages.len()
+    }
+
+    /// The size of the entries in all messages.
+    pub(crate) fn size_bytes(&self) -> usize {
+        self.size_bytes
+    }
+
+    pub(crate) fn push(&mut self, last: Index, size_bytes: usize) {
+        self.messages.push_back((last, size_bytes));
+        self.size_bytes += size_bytes;
+    }
+
+    /// Drops the messages with entries up to `matched` only.
+    fn acknowledge(&mut self, matched: Index) {
+        while let Some((_, size_bytes)) = self.messages.pop_front_if(|(last, _)| *last <= matched) {
+            self.size_bytes -= size_bytes;
+        }
+    }
+
+    pub(crate) fn clear(&mut self) {
+        *self = Inflight::default();
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
     /// The last index that the member has synced and that matches the leader's log.
@@ -35,8 +70,7 @@
     /// Index of the next entry to send.
     pub(crate) next: Index,
     pub(crate) mode: ReplicationMode,
-    /// Index of the last entry of each unacknowledged append message.
-    pub(crate) inflight: VecDeque<Index>,
+    pub(crate) inflight: Inflight,
     /// Time of the member's last reply in this term; initially the time at which tracking starts.
     pub(crate) last_contact: Millis,
     /// The last read round that the member confirmed.
@@ -49,7 +83,7 @@
             matched: 0,
             next,
             mode: ReplicationMode::Probe { awaiting: false },
-            inflight: VecDeque::new(),
+            inflight: Inflight::default(),
             last_contact: now,
             round: 0,
         }
@@ -64,13 +98,7 @@
     pub(crate) fn record_accepted(&mut self, matched: Index) {
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
-        while self
-            .inflight
-            .front()
-            .is_some_and(|&last| last <= self.matched)
-        {
-            self.inflight.pop_front();
-        }
+        self.inflight.acknowledge(self.matched);
         let has_caught_up = match &self.mode {
             ReplicationMode::Probe { .. } => true,
             ReplicationMode::Replicate => false,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -88,10 +88,12 @@
         }
     }
 
-    /// Sends append messages without waiting for replies, up to the maximum number in flight.
+    /// Sends append messages without waiting for replies, up to the limits of what is in flight.
     fn stream(&mut self, to: MemberId) {
         while let Some(progress) = self.progress.get(&to) {
-            let has_capacity = progress.inflight.len() < self.config.max_inflight_messages;
+            let inflight = &progress.inflight;
+            let has_capacity = inflight.messages() < self.config.max_inflight_messages
+                && inflight.size_bytes() < self.config.max_inflight_bytes;
             let next = progress.next;
             let is_streaming = matches!(progress.mode, ReplicationMode::Replicate);
             if !is_streaming || !has_capacity || next > self.log.last_index() {
@@ -137,7 +139,8 @@
                 _ => {
                     if let Some(last) = last {
                         progress.next = last + 1;
-                        progress.inflight.push_back(last);
+                        let size_bytes = entries.iter().map(Entry::size_bytes).sum();
+                        progress.inflight.push(last, size_bytes);
                     }
                 }
             }
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -435,6 +435,30 @@
     node.step(now, MemberId(member), message);
 }
 
+/// Guards against a leader, and a member that returns, whose memory is used up by what is sent at
+/// once: up to 64 messages were, of whatever size.
+#[test]
+fn entries_on_the_way_to_a_member_are_bounded_in_bytes() {
+    const SIZE_BYTES: usize = 500_000;
+    let config = Config::new(MemberId(1), 1);
+    let max_bytes = config.max_inflight_bytes;
+    let (mut node, now) = leader_with_large_entries(config, 30, SIZE_BYTES);
+    let last = node.last_index();
+    node.ready();
+    let (mut matched, mut largest) = (1, 0);
+    while matched < last {
+        accept(&mut node, now, 2, matched);
+        let messages = node.ready().messages;
+        let to_member = messages.iter().filter(|out| out.to == MemberId(2));
+        let sent: usize = to_member.map(|out| out.message.size_bytes()).sum();
+        largest = largest.max(sent);
+        matched += 1;
+    }
+    let bound = max_bytes + SIZE_BYTES + 1_000;
+    assert!(largest > 0, "entries must have been sent");
+    assert!(largest <= bound, "{largest} bytes on the way at once");
+}
+
 /// Guards against a log that stays in memory after its snapshot, for members that lag, with as many
 /// entries as ever, however large.
 #[test]
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread encodes; the network threads run the listener and one client per peer. All input reaches
 //! the core thread through one bounded channel.
 
+mod byte_count;
 mod cluster_clock;
 mod cluster_metrics;
 mod commit_path;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,7 +1,8 @@
 //! Connections to the other members, each with its own client and queue.
 //!
 //! Messages may get lost; consensus resends what the member still needs. Several calls to a member
-//! are in flight at a time, so that replication does not wait for a round trip per message.
+//! are in flight at a time, so that replication does not wait for a round trip per message. What
+//! they carry together is bounded in bytes, queued or in flight.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,9 +22,14 @@
 use sapphirepost_protocol::method;
 use sapphirepost_types::MemberId;
 
+use crate::byte_count::ByteCount;
+use crate::byte_count::CountedBytes;
 use crate::commit_path::Hop;
 use crate::commit_path::Hops;
 
+/// The most that messages to one member carry, queued or in flight. Each byte is held several times
+/// while a call encodes it.
+const HELD_MAX_BYTES: usize = 4 << 20;
 /// The most messages queued for one member.
 const QUEUE_MAX: usize = 512;
 /// The most calls in flight to one member.
@@ -35,11 +41,17 @@
 /// Short, so that a member that returns is reached again within an election timeout.
 const BACKOFF_MAX: Duration = Duration::from_millis(200);
 
-/// A message with the time at which it was queued.
-type QueuedStep = (Step<Message>, Instant);
+/// A message that waits for its call.
+struct QueuedStep {
+    step: Step<Message>,
+    queued_at: Instant,
+    held: CountedBytes,
+}
 
 struct Connection {
     address: String,
+    /// What messages carry that are queued or in flight.
+    held: ByteCount,
     queue: flume::Sender<QueuedStep>,
 }
 
@@ -110,6 +122,7 @@
             let Some(address) = self.address(to, membership) else {
                 continue;
             };
+            let size_bytes = message.size_bytes();
             let from_address = self.own_address.clone();
             let step = Step {
                 from: self.member,
@@ -117,11 +130,16 @@
                 from_address,
                 message,
             };
-            // A full queue means that the member does not answer. Consensus resends what is lost.
-            let _ = self
-                .connection(to, address)
-                .queue
-                .try_send((step, Instant::now()));
+            // Without room the member does not answer, or not in time. Consensus resends what is
+            // lost.
+            let connection = self.connection(to, address);
+            if has_room(connection.held.bytes(), size_bytes) {
+                let _ = connection.queue.try_send(QueuedStep {
+                    step,
+                    queued_at: Instant::now(),
+                    held: connection.held.add(size_bytes),
+                });
+            }
         }
     }
 
@@ -150,23 +168,46 @@
             config.has_priority = true;
             let client = RpcClient::new(runtime.clone(), config);
             runtime.spawn(send_messages(client, steps, hops.clone()));
-            Connection { address, queue }
+            Connection {
+                address,
+                held: ByteCount::default(),
+                queue,
+            }
         })
     }
 }
 
+/// Whether messages to a member that carry this much leave room for another one. One that carries
+/// nothing always has room, and so has a large one alone.
+fn has_room(held_bytes: usize, size_bytes: usize) -> bool {
+    size_bytes == 0 || held_bytes == 0 || held_bytes + size_bytes <= HELD_MAX_BYTES
+}
+
+/// Returns the share of a call that was given up once its connection has ended as well. The
+/// connection holds what it has not sent as long as another call waits on it.
+fn release_later(held: CountedBytes) {
+    tokio::spawn(async move {
+        tokio::time::sleep(CALL_TIMEOUT).await;
+        drop(held);
+    });
+}
+
 /// Sends queued messages until the queue is closed, with up to [`CALLS_MAX`] calls in flight. Logs
 /// when the member becomes unreachable and when it is reachable again.
 async fn send_messages(client: RpcClient, steps: flume::Receiver<QueuedStep>, hops: Hops) {
     let mut calls = FuturesUnordered::new();
     let mut is_reachable = true;
-    let call = async |(step, queued_at): QueuedStep| {
-        hops.record(Hop::PeerQueue, queued_at.elapsed());
+    let call = async |queued: QueuedStep| {
+        let step = queued.step;
+        hops.record(Hop::PeerQueue, queued.queued_at.elapsed());
         let called_at = Instant::now();
         let result = client
             .call::<_, ()>(method::CONSENSUS_STEP, &step, CALL_TIMEOUT)
             .await;
         hops.record(Hop::PeerCall, called_at.elapsed());
+        if result.is_err() {
+            release_later(queued.held);
+        }
         (step.to, result)
     };
     loop {
--- a/crates/control/src/storage_thread.rs
+++ b/crates/control/src/storage_thread.rs
@@ -18,12 +18,16 @@
 use sapphirepost_storage::StoreError;
 use thiserror::Error;
 
+use crate::byte_count::ByteCount;
+use crate::byte_count::CountedBytes;
 use crate::event::Event;
 use crate::event::EventSender;
 use crate::metrics::CoreMetrics;
 
 /// The number of queued requests from which on the core thread takes no more messages of the group.
 const BACKLOG_REQUESTS: usize = 1_024;
+/// The size of the queued records and snapshots from which on it takes none either.
+const BACKLOG_BYTES: usize = 16 << 20;
 /// Time between two attempts to write records while the disk is out of space.
 const SPACE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -44,9 +48,28 @@
     SaveSnapshot(Snapshot),
 }
 
+impl StorageRequest {
+    /// The size of the records and the snapshot that are to be written.
+    fn size_bytes(&self) -> usize {
+        match self {
+            StorageRequest::Persist {
+                snapshot, records, ..
+            } => {
+                let records = records.iter().map(|record| match record {
+                    Record::Entry(entry) => entry.size_bytes(),
+                    _ => 0,
+                });
+                let snapshot_bytes = snapshot.as_ref().map_or(0, |found| found.data.len());
+                records.sum::<usize>() + snapshot_bytes
+            }
+            StorageRequest::SaveSnapshot(snapshot) => snapshot.data.len(),
+        }
+    }
+}
+
 /// What the thread takes from its queue.
 enum Queued {
-    Request(StorageRequest),
+    Request(StorageRequest, CountedBytes),
     /// A snapshot that this member has taken is in the channel of its own, from which it can be
     /// taken before the requests that wait for room.
     OwnSnapshot,
@@ -64,6 +87,8 @@
 #[derive(Clone)]
 pub struct StorageSender {
     requests: flume::Sender<Queued>,
+    /// What the queued requests carry.
+    queued: ByteCount,
     snapshots: flume::Sender<Snapshot>,
 }
 
@@ -76,14 +101,17 @@
                 sent.map_err(|_| StorageEnded)?;
                 Queued::OwnSnapshot
             }
-            persist => Queued::Request(persist),
+            persist => {
+                let counted = self.queued.add(persist.size_bytes());
+                Queued::Request(persist, counted)
+            }
         };
         self.requests.send(queued).map_err(|_| StorageEnded)
     }
 
-    /// Whether so many requests are queued that the sender has to avoid further ones.
+    /// Whether so many or so large requests are queued that the sender has to avoid further ones.
     pub fn is_backlogged(&self) -> bool {
-        self.requests.len() >= BACKLOG_REQUESTS
+        self.requests.len() >= BACKLOG_REQUESTS || self.queued.bytes() >= BACKLOG_BYTES
     }
 }
 
@@ -127,6 +155,7 @@
             .spawn(run)?;
         let requests = StorageSender {
             requests,
+            queued: ByteCount::default(),
             snapshots,
         };
         Ok(StorageThread { requests, thread })
@@ -183,7 +212,7 @@
     fn write(&mut self, queued: impl Iterator<Item = Queued>) -> Result<Flow, StoreError> {
         let mut batch = SyncBatch::default();
         for next in queued {
-            let Queued::Request(mut request) = next else {
+            let Queued::Request(mut request, _counted) = next else {
                 self.save_own_snapshots(&mut batch)?;
                 continue;
             };
--- a/crates/control/tests/storage_thread.rs
+++ b/crates/control/tests/storage_thread.rs
@@ -12,8 +12,10 @@
 
 use bytes::Bytes;
 
+use sapphirepost_consensus::Entry;
 use sapphirepost_consensus::HardState;
 use sapphirepost_consensus::Membership;
+use sapphirepost_consensus::Payload;
 use sapphirepost_consensus::PersistentState;
 use sapphirepost_consensus::Record;
 use sapphirepost_consensus::Snapshot;
@@ -209,6 +211,47 @@
     assert!(!requests.is_backlogged());
 }
 
+/// Guards against a member whose memory is used up by large records, few enough for the bound of
+/// their number, that its full disk cannot take.
+#[test]
+fn the_queue_of_requests_is_bounded_in_bytes_as_well() {
+    const RECORD_BYTES: usize = 500_000;
+    const QUEUED_MAX_BYTES: usize = 20_000_000;
+    let is_full = Arc::new(AtomicBool::new(true));
+    let store = FullStore {
+        inner: MemoryStore::new(),
+        is_full: is_full.clone(),
+    };
+    let (event_sender, events) = EventSender::new();
+    let storage =
+        StorageThread::start(Box::new(store), event_sender, CoreMetrics::default()).unwrap();
+    let requests = storage.sender();
+    let mut sent = 0;
+    while !requests.is_backlogged() {
+        sent += 1;
+        let entry = Entry {
+            index: sent,
+            term: 1,
+            payload: Payload::Command(vec![0; RECORD_BYTES].into()),
+        };
+        requests
+            .send(StorageRequest::Persist {
+                number: sent,
+                snapshot: None,
+                records: vec![Record::Entry(entry)],
+                messages: Vec::new(),
+            })
+            .unwrap();
+        let queued_bytes = sent as usize * RECORD_BYTES;
+        assert!(queued_bytes < QUEUED_MAX_BYTES, "{queued_bytes} bytes");
+    }
+    is_full.store(false, Ordering::SeqCst);
+    let is_last = |(event, _)| matches!(event, Event::Persisted(up_to, _) if up_to.number == sent);
+    let mut received = std::iter::from_fn(|| events.recv_timeout(Duration::from_secs(10)).ok());
+    assert!(received.any(is_last));
+    assert!(!requests.is_backlogged());
+}
+
 /// Guards against a core thread that waits for the storage thread of a full disk while the storage
 /// thread waits for the core thread, which then never ends.
 #[test]
