--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -21,6 +21,7 @@
 use crate::progress::Progress;
 use crate::progress::ReplicationMode;
 use crate::ready::StepDown;
+use crate::replication::Least;
 
 /// Limits how often the election timeout of a candidate is doubled: to at most eight times the
 /// configured value, before randomization.
@@ -131,7 +132,7 @@
             return;
         }
         self.heartbeat_due = self.now + self.config.heartbeat_ms;
-        self.replicate_all(true);
+        self.replicate_all(Least::Heartbeat);
         self.promote_caught_up();
     }
 
@@ -293,7 +294,7 @@
         self.progress.clear();
         self.reconcile_progress();
         self.append_as_leader(Payload::Noop);
-        self.replicate_all(true);
+        self.replicate_all(Least::Heartbeat);
     }
 
     /// Makes the leader track the progress of exactly the other members of the current membership.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -33,6 +33,7 @@
 use crate::ready::Ready;
 use crate::ready::RoleChange;
 use crate::ready::StepDown;
+use crate::replication::Least;
 use crate::snapshot::IncomingSnapshot;
 
 /// Current role of a member in elections.
@@ -250,7 +251,7 @@
     /// rest, and the reads that have to see it.
     pub fn ready(&mut self) -> Ready {
         if self.role == Role::Leader {
-            self.replicate_all(false);
+            self.replicate_all(Least::Nothing);
         }
         self.outbox.ready_number += 1;
         // The reads follow, since they may need these entries.
--- a/crates/consensus/src/reads.rs
+++ b/crates/consensus/src/reads.rs
@@ -11,6 +11,7 @@
 use crate::node::Node;
 use crate::node::ProposeError;
 use crate::ready::ConfirmedRead;
+use crate::replication::Least;
 
 #[derive(Debug, Default)]
 pub(crate) struct Reads {
@@ -86,7 +87,7 @@
             return;
         }
         self.reads.start(self.commit_index);
-        self.replicate_all(true);
+        self.replicate_all(Least::Contact);
         self.confirm_reads();
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -20,6 +20,16 @@
 use crate::progress::ReplicationMode;
 use crate::ready::StepDown;
 
+/// What a member is sent even if nothing is pending for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Least {
+    Nothing,
+    /// A message without entries or data, which the member answers. There may be many in a second.
+    Contact,
+    /// What replaces lost messages: a heartbeat, or once more a snapshot chunk.
+    Heartbeat,
+}
+
 impl Node {
     /// Appends a membership change and returns its index. Refused as busy until the previous change
     /// and an entry of the leader's term are committed, so that only one change is in progress at a
@@ -57,31 +67,30 @@
         self.role == Role::Leader && self.log.term(self.commit_index) == Some(self.term())
     }
 
-    /// Sends pending entries or snapshot chunks to every other member. With `force`, each member is
-    /// sent at least a heartbeat or a snapshot chunk.
-    pub(crate) fn replicate_all(&mut self, force: bool) {
+    /// Sends pending entries or snapshot chunks to every other member, and at least `least`.
+    pub(crate) fn replicate_all(&mut self, least: Least) {
         let others: Vec<MemberId> = self.progress.keys().copied().collect();
         for id in others {
-            self.replicate(id, force);
+            self.replicate(id, least);
         }
     }
 
-    pub(crate) fn replicate(&mut self, to: MemberId, force: bool) {
+    pub(crate) fn replicate(&mut self, to: MemberId, least: Least) {
         let Some(progress) = self.progress.get(&to) else {
             return;
         };
         let next = progress.next;
         match progress.mode {
-            ReplicationMode::Snapshot { awaiting, .. } => {
-                if force || !awaiting {
-                    return self.send_chunk(to);
-                }
-            }
+            ReplicationMode::Snapshot { awaiting, .. } => match least {
+                Least::Contact if awaiting => return self.send_empty_chunk(to),
+                Least::Nothing if awaiting => {}
+                _ => return self.send_chunk(to),
+            },
             ReplicationMode::Probe { awaiting: false } => self.send_append(to, next),
             ReplicationMode::Probe { awaiting: true } => {}
             ReplicationMode::Replicate => self.stream(to),
         }
-        if force {
+        if least != Least::Nothing {
             // A member answers a heartbeat immediately, but entries only after their sync. The
             // heartbeat also replaces a lost probe.
             self.send_heartbeat(to);
@@ -258,7 +267,7 @@
         }
         self.advance_commit();
         if self.role == Role::Leader {
-            self.replicate(from, false);
+            self.replicate(from, Least::Nothing);
             self.continue_transfer();
         }
     }
@@ -278,7 +287,7 @@
             .get_mut(&from)
             .is_some_and(|progress| progress.record_rejected(prev_index, hint));
         if has_changed {
-            self.replicate(from, false);
+            self.replicate(from, Least::Nothing);
         }
     }
 
@@ -311,7 +320,7 @@
     fn step_down_if_removed(&mut self) {
         let is_membership_committed = self.memberships.current_index() <= self.commit_index;
         if is_membership_committed && !self.membership().is_voter(self.config.id) {
-            self.replicate_all(true);
+            self.replicate_all(Least::Heartbeat);
             self.step_down(StepDown::NotVoter);
         }
     }
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -39,7 +39,16 @@
     }
 
     pub(crate) fn send_chunk(&mut self, to: MemberId) {
-        let chunk_bytes = self.config.snapshot_chunk_bytes;
+        self.send_part(to, self.config.snapshot_chunk_bytes);
+    }
+
+    /// Sends a chunk without data, whose reply confirms the contact and the read round. The chunk
+    /// before it is on its way.
+    pub(crate) fn send_empty_chunk(&mut self, to: MemberId) {
+        self.send_part(to, 0);
+    }
+
+    fn send_part(&mut self, to: MemberId, max_bytes: usize) {
         let round = self.reads.round();
         let Some(progress) = self.progress.get_mut(&to) else {
             return;
@@ -54,7 +63,7 @@
         };
         *awaiting = true;
         let start = (*offset as usize).min(snapshot.data.len());
-        let end = (start + chunk_bytes).min(snapshot.data.len());
+        let end = (start + max_bytes).min(snapshot.data.len());
         let body = Body::SnapshotChunk {
             meta: snapshot.meta.clone(),
             total_bytes: snapshot.data.len() as u64,
--- a/crates/consensus/tests/mechanisms.rs
+++ b/crates/consensus/tests/mechanisms.rs
@@ -416,21 +416,51 @@
     );
 }
 
-/// A leader of term 2 with commands of this size from index 3 on, which member 2 has not yet seen.
-fn leader_with_large_entries(config: Config, count: u64, size_bytes: usize) -> (Node, Millis) {
+/// The number of large entries of the leaders below.
+const LARGE_ENTRIES: u64 = 30;
+const LARGE_ENTRY_BYTES: usize = 500_000;
+/// The index of the last one; before them are the membership and the first entry of the leader.
+const LARGE_LOG: u64 = LARGE_ENTRIES + 2;
+
+/// A leader of term 2 with large commands from index 3 on, which no other member has yet seen.
+fn leader_with_large_entries(config: Config) -> (Node, Millis) {
     let (mut node, now) = elect(config, restored(&[], 1));
-    for _ in 0..count {
-        node.propose(now, vec![0; size_bytes].into()).unwrap();
+    for _ in 0..LARGE_ENTRIES {
+        let command = vec![0; LARGE_ENTRY_BYTES].into();
+        node.propose(now, command).unwrap();
     }
+    assert_eq!(node.last_index(), LARGE_LOG);
+    (node, now)
+}
+
+/// Such a leader after its entries were committed and a snapshot of them was saved.
+fn compacted_leader(config: Config, data: Bytes) -> (Node, Millis) {
+    let (mut node, now) = leader_with_large_entries(config);
+    accept(&mut node, now, 2, LARGE_LOG, 0);
+    accept(&mut node, now, 3, LARGE_LOG, 0);
+    let mut handed_out = 0;
+    for _ in 0..100 {
+        let ready = node.ready();
+        handed_out = ready.committed.last().map_or(handed_out, |e| e.index);
+        let number = ready.number;
+        node.persisted(now, Persisted { number });
+    }
+    assert_eq!(handed_out, LARGE_LOG);
+    let meta = SnapshotMeta {
+        index: LARGE_LOG,
+        term: node.term(),
+        membership: node.membership().clone(),
+    };
+    node.compact(Snapshot { meta, data });
     (node, now)
 }
 
 /// The reply of a member that it has synced the entries up to an index.
-fn accept(node: &mut Node, now: Millis, member: u64, matched: u64) {
+fn accept(node: &mut Node, now: Millis, member: u64, matched: u64, round: u64) {
     let message = Message {
         group: GROUP,
         term: node.term(),
-        body: Body::Accepted { matched, round: 0 },
+        body: Body::Accepted { matched, round },
     };
     node.step(now, MemberId(member), message);
 }
@@ -439,22 +469,18 @@
 /// once: up to 64 messages were, of whatever size.
 #[test]
 fn entries_on_the_way_to_a_member_are_bounded_in_bytes() {
-    const SIZE_BYTES: usize = 500_000;
     let config = Config::new(MemberId(1), 1);
-    let max_bytes = config.max_inflight_bytes;
-    let (mut node, now) = leader_with_large_entries(config, 30, SIZE_BYTES);
-    let last = node.last_index();
+    let bound = config.max_inflight_bytes + LARGE_ENTRY_BYTES + 1_000;
+    let (mut node, now) = leader_with_large_entries(config);
     node.ready();
-    let (mut matched, mut largest) = (1, 0);
-    while matched < last {
-        accept(&mut node, now, 2, matched);
+    let mut largest = 0;
+    for matched in 1..LARGE_LOG {
+        accept(&mut node, now, 2, matched, 0);
         let messages = node.ready().messages;
         let to_member = messages.iter().filter(|out| out.to == MemberId(2));
         let sent: usize = to_member.map(|out| out.message.size_bytes()).sum();
         largest = largest.max(sent);
-        matched += 1;
     }
-    let bound = max_bytes + SIZE_BYTES + 1_000;
     assert!(largest > 0, "entries must have been sent");
     assert!(largest <= bound, "{largest} bytes on the way at once");
 }
@@ -463,35 +489,53 @@
 /// entries as ever, however large.
 #[test]
 fn entries_that_stay_after_a_snapshot_are_bounded_in_bytes() {
-    const SIZE_BYTES: usize = 500_000;
     let config = Config::new(MemberId(1), 1);
-    let kept = config.trailing_bytes / SIZE_BYTES;
-    let (mut node, now) = leader_with_large_entries(config, 30, SIZE_BYTES);
-    let last = node.last_index();
-    accept(&mut node, now, 2, last);
-    accept(&mut node, now, 3, last);
-    let mut handed_out = 0;
-    for _ in 0..100 {
-        let ready = node.ready();
-        handed_out = ready.committed.last().map_or(handed_out, |e| e.index);
-        let number = ready.number;
-        node.persisted(now, Persisted { number });
-    }
-    assert_eq!(handed_out, last);
-    let meta = SnapshotMeta {
-        index: last,
-        term: node.term(),
-        membership: node.membership().clone(),
-    };
-    let data = Bytes::from_static(b"state");
-    node.compact(Snapshot { meta, data });
-    let in_memory = (1..=last).filter(|index| node.term_at(*index).is_some());
+    let kept = config.trailing_bytes / LARGE_ENTRY_BYTES;
+    let (node, _) = compacted_leader(config, Bytes::from_static(b"state"));
+    let in_memory = (1..=LARGE_LOG).filter(|index| node.term_at(*index).is_some());
     // The term of the last entry before the kept ones is known as well.
     let found = in_memory.count();
     assert!(found <= kept + 1, "{found} entries of 500 kB stay");
     assert!(found > kept / 2, "a member that lags slightly needs some");
 }
 
+/// Guards against a link, and a member that is sent a snapshot, which are used up by the chunk on its
+/// way: it was sent once more with each round of reads.
+#[test]
+fn rounds_of_reads_do_not_send_the_chunk_of_a_snapshot_again() {
+    const ROUNDS: u64 = 100;
+    let mut config = Config::new(MemberId(1), 1);
+    config.trailing_bytes = 0;
+    let chunk_bytes = config.snapshot_chunk_bytes;
+    let (mut node, now) = compacted_leader(config, vec![0; 3 * chunk_bytes].into());
+    let rejection = Message {
+        group: GROUP,
+        term: node.term(),
+        body: Body::Rejected {
+            prev_index: node.last_index(),
+            hint: 0,
+            round: 0,
+        },
+    };
+    node.step(now, MemberId(4), rejection);
+    let (mut sent, mut size_bytes) = (0, 0);
+    for token in 0..ROUNDS {
+        node.read_index(now, token).unwrap();
+        for out in node.ready().messages {
+            match out.message.body {
+                Body::SnapshotChunk { ref data, .. } if out.to == MemberId(4) => {
+                    sent += 1;
+                    size_bytes += data.len();
+                }
+                Body::Append { round, .. } => accept(&mut node, now, out.to.0, LARGE_LOG, round),
+                _ => {}
+            }
+        }
+    }
+    assert!(sent >= ROUNDS, "each round asks the member as well");
+    assert_eq!(size_bytes, chunk_bytes);
+}
+
 /// Guards against two votes in one term by a member whose full disk took a snapshot of a later term
 /// but not the record of that term.
 #[test]
